--- /dev/null
+++ b/src/adapters/index.ts
@@ -0,0 +1,1 @@
+export * from "./object_store.js";
--- /dev/null
+++ b/src/core/tickets_test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createEmptyState } from "./fleet_state.js";
+import { applyHold, applyTicket } from "./tickets.js";
+
+function applyOk(...args: Parameters<typeof applyTicket>) {
+  const outcome = applyTicket(...args)._unsafeUnwrap();
+  assert.equal(outcome.kind, "applied");
+  return outcome.kind === "applied" ? outcome.state : createEmptyState();
+}
+
+const DATA_CENTRE_OUT = { name: "dc1", state: "out" } as const;
+const DATA_CENTRE_IN = { name: "dc1", state: "in" } as const;
+
+describe("change tickets", () => {
+  it("refuses a late lower ticket as a whole, so it undoes nothing", () => {
+    const later = { number: 7, dataCentres: [DATA_CENTRE_OUT] };
+    const state = applyOk(createEmptyState(), later, "h7");
+    const late = {
+      number: 6,
+      dataCentres: [DATA_CENTRE_IN, { name: "dc2", state: "out" as const }],
+    };
+    const failure = applyTicket(state, late, "h6")._unsafeUnwrapErr();
+    assert.deepEqual(failure, {
+      kind: "superseded",
+      subject: "dataCentre/dc1",
+      by: 7,
+    });
+  });
+
+  it("answers a repeated ticket as accepted and a reused number as taken", () => {
+    const ticket = { number: 3, dataCentres: [DATA_CENTRE_OUT] };
+    const state = applyOk(createEmptyState(), ticket, "h3");
+    assert.equal(
+      applyTicket(state, ticket, "h3")._unsafeUnwrap().kind,
+      "already-accepted",
+    );
+    assert.equal(
+      applyTicket(state, ticket, "other")._unsafeUnwrapErr().kind,
+      "number-taken",
+    );
+  });
+
+  it("refuses an account that refers to a version that does not exist", () => {
+    const account = {
+      name: "pumps",
+      apiKeySha256: ["0".repeat(64)],
+      versions: ["small-1"],
+      services: [],
+      classes: [],
+    };
+    const failure = applyTicket(
+      createEmptyState(),
+      { number: 1, accounts: [account] },
+      "h1",
+    )._unsafeUnwrapErr();
+    assert.equal(failure.kind, "dangling-reference");
+  });
+
+  it("ends the guard's hold when an operator decides on the version", () => {
+    const held = applyHold(createEmptyState(), "small-2", "bad ratings");
+    assert.equal(held.revision, 1);
+    const ticket = { number: 1, rollouts: [{ version: "small-2", share: 0 }] };
+    assert.deepEqual(applyOk(held, ticket, "h1").holds, {});
+  });
+});
