Add a first endpoint gate, served over gRPC

The gate checks fields, permission, revision, freshness, place, epoch and deadline, starts an attempt at most once and keeps numbered frames.

--- /dev/null
+++ b/src/core/frames.ts
@@ -0,0 +1,78 @@
+/** The numbered frames of one attempt, kept so that a reader can resume. */
+
+import type { Frame } from "../schema/index.js";
+import { assertInvariant } from "./errors.js";
+
+export type FrameBody = Pick<Frame, "chunk" | "end" | "refusal">;
+
+/** Kept bytes of one attempt; a request or answer body is at most 1 MB. */
+export const MAX_FRAME_BYTES = 2_000_000;
+
+/** Frames are numbered from 0; exactly one last frame closes the log. */
+export class FrameLog {
+  readonly #requestId: string;
+  readonly #attempt: number;
+  #frames: Frame[] = [];
+  #nextSequence = 0;
+  #bytes = 0;
+  #last: Frame | undefined;
+
+  constructor(requestId: string, attempt: number) {
+    this.#requestId = requestId;
+    this.#attempt = attempt;
+  }
+
+  get lastFrame(): Frame | undefined {
+    return this.#last;
+  }
+
+  get nextSequence(): number {
+    return this.#nextSequence;
+  }
+
+  /** Bytes of the bodies that the log keeps. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  append(body: FrameBody): Frame {
+    assertInvariant(
+      this.#last === undefined,
+      "wrongOrPartialAnswer",
+      `attempt "${this.#requestId}/${this.#attempt}" has a frame after its last one`,
+    );
+    const frame: Frame = {
+      requestId: this.#requestId,
+      attempt: this.#attempt,
+      sequence: this.#nextSequence,
+      ...body,
+    };
+    this.#nextSequence += 1;
+    this.#frames.push(frame);
+    this.#bytes += measureFrame(frame);
+    if (body.chunk === undefined) this.#last = frame;
+    this.#dropOldest();
+    return frame;
+  }
+
+  /**
+   * Frames from a sequence number on; `undefined` when some of them are no
+   * longer kept or the number lies beyond the next frame.
+   */
+  listFrom(sequence: number): Frame[] | undefined {
+    const first = this.#nextSequence - this.#frames.length;
+    if (sequence < first || sequence > this.#nextSequence) return undefined;
+    return this.#frames.slice(sequence - first);
+  }
+
+  #dropOldest(): void {
+    while (this.#bytes > MAX_FRAME_BYTES && this.#frames.length > 1) {
+      const dropped = this.#frames.shift();
+      if (dropped !== undefined) this.#bytes -= measureFrame(dropped);
+    }
+  }
+}
+
+function measureFrame(frame: Frame): number {
+  return (frame.chunk?.data.length ?? 0) + (frame.end?.body.length ?? 0);
+}
--- /dev/null
+++ b/src/core/gate_checks.ts
@@ -0,0 +1,162 @@
+/** The checks of one dispatch: its fields, its permission and the epoch. */
+
+import type { DispatchRequest, FleetState, Priority } from "../schema/index.js";
+import type { Attempt, GateRequest } from "./attempts.js";
+import { createRefusal, type Refusal } from "./errors.js";
+import {
+  checkPermission,
+  isDataCentreOut,
+  isEndpointOut,
+} from "./fleet_state.js";
+
+/** What the gate needs to know of the configuration. */
+export interface GateView {
+  /** The highest revision that this process knows. */
+  readonly state: FleetState;
+  /** Refuses when the last confirmation is older than the bound. */
+  checkFreshness(): Refusal | undefined;
+}
+
+export const PRIORITIES = ["urgent", "interactive", "batch"] as const;
+
+const MAX_NAME_LENGTH = 256;
+const MAX_PATH_LENGTH = 8_192;
+/** Longest deadline that a dispatch may carry. */
+const MAX_REMAINING_MS = 3_600_000;
+/** Time for an operator to bring a drained place back, or for another choice. */
+const DRAINED_RETRY_MS = 5_000;
+
+function isPriority(text: string): text is Priority {
+  return (PRIORITIES as readonly string[]).includes(text);
+}
+
+/** Names the first field that is out of its range. */
+function findBadField(
+  request: DispatchRequest,
+  maxBodyBytes: number,
+): string | undefined {
+  const names = [
+    ["requestId", request.requestId],
+    ["entry", request.entry],
+    ["account", request.account],
+    ["requestClass", request.requestClass],
+    ["version", request.version],
+    ["service", request.service],
+    ["method", request.method],
+    ["epoch", request.epoch],
+    ["claim", request.claim],
+    ["session", request.session],
+  ] as const;
+  const long = names.find(([, value]) => value.length > MAX_NAME_LENGTH);
+  if (long !== undefined) return long[0];
+  if (request.path.length > MAX_PATH_LENGTH) return "path";
+  if (request.requestId === "") return "requestId";
+  if (request.account === "") return "account";
+  if ((request.version === "") === (request.service === "")) return "version";
+  if (!isPriority(request.priority)) return "priority";
+  if (request.body.length > maxBodyBytes) return "body";
+  if (request.remainingMs > MAX_REMAINING_MS) return "remainingMs";
+  if (request.service !== "" && !/^[A-Z]{1,16}$/.test(request.method)) {
+    return "method";
+  }
+  if (request.service !== "" && !/^\/[\x21-\x7e]*$/.test(request.path)) {
+    return "path";
+  }
+  return undefined;
+}
+
+/** Checks each field's range before anything else looks at the dispatch. */
+export function parseDispatch(
+  request: DispatchRequest,
+  maxBodyBytes: number,
+): GateRequest | Refusal {
+  const field = findBadField(request, maxBodyBytes);
+  if (field === "body") {
+    return createRefusal(
+      "body-too-large",
+      `Body has ${request.body.length} bytes, expected at most ${maxBodyBytes}`,
+    );
+  }
+  if (field !== undefined || !isPriority(request.priority)) {
+    return createRefusal("bad-request", `Field "${field}" is out of its range`);
+  }
+  const { body: _body, ...rest } = request;
+  return { ...rest, priority: request.priority };
+}
+
+/** True only when both the dispatch and the fleet state say so. */
+export function isIdempotent(request: GateRequest, state: FleetState): boolean {
+  if (!request.idempotent) return false;
+  if (request.service === "") return true;
+  return (
+    Object.hasOwn(state.services, request.service) &&
+    state.services[request.service]?.idempotent === true
+  );
+}
+
+export interface GatePlace {
+  readonly endpoint: string;
+  readonly dataCentre: string;
+  readonly epoch: string;
+  /** Why the endpoint takes no new work; `undefined` while it does. */
+  readonly leaving: "draining" | "stopping" | undefined;
+  /** Versions that the engine has loaded, or services behind the endpoint. */
+  readonly served: ReadonlySet<string>;
+}
+
+function checkPlace(place: GatePlace, state: FleetState): Refusal | undefined {
+  const options = { retryAfterMs: DRAINED_RETRY_MS };
+  if (place.leaving !== undefined) {
+    const detail = `Endpoint "${place.endpoint}" is leaving`;
+    return createRefusal(place.leaving, detail, options);
+  }
+  if (isDataCentreOut(state, place.dataCentre)) {
+    const detail = `Data centre "${place.dataCentre}" is out`;
+    return createRefusal("draining", detail, options);
+  }
+  if (isEndpointOut(state, place.endpoint)) {
+    const detail = `Endpoint "${place.endpoint}" is out`;
+    return createRefusal("draining", detail, options);
+  }
+  return undefined;
+}
+
+function checkClaim(attempt: Attempt, place: GatePlace): Refusal | undefined {
+  if (attempt.idempotent) return undefined;
+  const { request } = attempt;
+  if (request.epoch !== place.epoch) {
+    return createRefusal(
+      "wrong-epoch",
+      `Epoch is "${place.epoch}", the dispatch has "${request.epoch}"`,
+    );
+  }
+  if (request.claim === "") {
+    return createRefusal(
+      "idempotency-key-required",
+      `Service "${request.service}" is not idempotent, and the dispatch has no claim`,
+    );
+  }
+  return undefined;
+}
+
+/** Every rule that must hold at the moment an attempt starts. */
+export function checkAttempt(
+  attempt: Attempt,
+  place: GatePlace,
+  view: GateView,
+): Refusal | undefined {
+  const { request } = attempt;
+  const { state } = view;
+  const refusal =
+    view.checkFreshness() ??
+    checkPlace(place, state) ??
+    checkPermission(state, request) ??
+    checkClaim(attempt, place);
+  if (refusal !== undefined) return refusal;
+  const name = request.service === "" ? request.version : request.service;
+  if (place.served.has(name)) return undefined;
+  return createRefusal(
+    "no-endpoint",
+    `Endpoint "${place.endpoint}" does not serve "${name}" now`,
+  );
+}
--- /dev/null
+++ b/src/roles/endpoint.ts
@@ -0,0 +1,157 @@
+/** The endpoint role: serves the gate of one engine or plain service. */
+
+import { randomUUID } from "node:crypto";
+import { isIPv6 } from "node:net";
+import { performance } from "node:perf_hooks";
+import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { type EngineReport, Gate } from "../core/index.js";
+import { GateService, type Settings } from "../schema/index.js";
+import type { ConfigView } from "./config_view.js";
+import type { RunBackend } from "./endpoint_backend.js";
+import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
+import { createGateService, type ReceiptHolder } from "./endpoint_service.js";
+import { StatusWatchers } from "./endpoint_status.js";
+
+export interface EndpointOptions {
+  readonly settings: Settings;
+  readonly config: ConfigView;
+  readonly backend: RunBackend;
+  readonly receipts: ReceiptHolder;
+  readonly log: EndpointLog;
+  /** Begins the graceful shutdown. */
+  readonly signal: AbortSignal;
+  /** Called when all work has ended, before the server closes. */
+  readonly beforeClose?: (signal: AbortSignal) => Promise<void>;
+}
+
+export interface Endpoint {
+  readonly port: number;
+  /** Takes a load report of the engine. */
+  applyReport(report: EngineReport): void;
+  /** Follows the host list, which may name this host as leaving. */
+  setLeaving(leaving: boolean): void;
+  /** Settles when the server has closed. */
+  readonly stopped: Promise<void>;
+}
+
+const TICK_MS = 50;
+const DEFAULT_STOP_MS = 30_000;
+const DEFAULT_BODY_BYTES = 1_000_000;
+/** Time that entries have to read the last frames and close their streams. */
+const CLOSE_MS = 1_000;
+
+function createGate(options: EndpointOptions): Gate {
+  const { settings, config } = options;
+  const { engine, service } = settings;
+  const slots = engine?.slots ?? service?.slots ?? 1;
+  return new Gate({
+    endpoint: settings.name,
+    dataCentre: settings.dataCentre,
+    kind: engine === undefined ? "service" : "model",
+    services: service?.names ?? [],
+    slots,
+    slotsWhileCold: engine?.slotsWhileCold ?? service?.slotsWhileCold ?? slots,
+    maxBodyBytes: settings.limits?.bodyBytes ?? DEFAULT_BODY_BYTES,
+    createEpoch: () => randomUUID(),
+    view: config,
+  });
+}
+
+function bindServer(server: Server, settings: Settings): Promise<number> {
+  const { address, controlPort } = settings.listen;
+  const host = isIPv6(address) ? `[${address}]` : address;
+  return new Promise((resolve, reject) => {
+    server.bindAsync(
+      `${host}:${controlPort}`,
+      ServerCredentials.createInsecure(),
+      (error, port) => (error === null ? resolve(port) : reject(error)),
+    );
+  });
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Waits until no work runs, at most until `limitAtMs`. */
+async function waitForWork(gate: Gate, limitAtMs: number): Promise<boolean> {
+  while (gate.inFlight > 0 && performance.now() < limitAtMs) {
+    await delay(TICK_MS);
+  }
+  return gate.inFlight === 0;
+}
+
+function closeServer(server: Server, waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const force = setTimeout(() => server.forceShutdown(), waitMs);
+    server.tryShutdown(() => {
+      clearTimeout(force);
+      resolve();
+    });
+  });
+}
+
+/** Serves until the signal aborts and the running work has ended. */
+export async function startEndpoint(
+  options: EndpointOptions,
+): Promise<Endpoint> {
+  const { settings, config, log, signal } = options;
+  const gate = createGate(options);
+  const getNowMs = () => performance.now();
+  const runner = new EndpointRunner({ ...options, gate, getNowMs });
+  const watchers = new StatusWatchers(() => gate.describeStatus());
+  const server = new Server();
+  const addWatcher = watchers.add.bind(watchers);
+  server.addService(
+    GateService,
+    createGateService({ runner, addWatcher, receipts: options.receipts, log }),
+  );
+  const port = await bindServer(server, settings);
+  const ticker = setInterval(() => {
+    runner.handle({ type: "tick" });
+    watchers.update(getNowMs());
+  }, TICK_MS);
+  config.addListener(() => runner.handle({ type: "tick" }), signal);
+  log.info({ endpoint: settings.name, epoch: gate.epoch }, "endpoint serves");
+
+  async function stop(): Promise<void> {
+    const stopMs = settings.limits?.stopMs ?? DEFAULT_STOP_MS;
+    const limitAtMs = getNowMs() + stopMs;
+    runner.handle({ type: "leaving", reason: "stopping" });
+    watchers.update(getNowMs());
+    const hasEnded = await waitForWork(gate, limitAtMs);
+    if (!hasEnded) {
+      log.warn({ inFlight: gate.inFlight }, "stop time is over, work is cut");
+      runner.abortAll();
+    }
+    const leftMs = Math.max(1, limitAtMs - getNowMs());
+    const closing = AbortSignal.timeout(Math.ceil(leftMs));
+    await options.beforeClose?.(closing).catch((error: unknown) => {
+      log.error({ error: `${error}` }, "work before the close failed");
+    });
+    watchers.close();
+    await closeServer(server, Math.min(CLOSE_MS, leftMs));
+    clearInterval(ticker);
+    log.info({ endpoint: settings.name }, "endpoint stopped");
+  }
+
+  const stopped = new Promise<void>((resolve, reject) => {
+    const begin = () => stop().then(resolve, reject);
+    if (signal.aborted) void begin();
+    else signal.addEventListener("abort", () => void begin(), { once: true });
+  });
+  return {
+    port,
+    stopped,
+    applyReport: (report) => {
+      runner.handle({ type: "report", report });
+      watchers.update(getNowMs());
+    },
+    setLeaving: (leaving) => {
+      if (signal.aborted) return;
+      const reason = leaving ? "draining" : undefined;
+      runner.handle({ type: "leaving", reason });
+      watchers.update(getNowMs());
+    },
+  };
+}
--- /dev/null
+++ b/src/roles/endpoint_test.ts
@@ -0,0 +1,278 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { credentials } from "@grpc/grpc-js";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { createEmptyState, type Refusal } from "../core/index.js";
+import {
+  type DispatchRequest,
+  type EndpointStatus,
+  type FleetState,
+  type Frame,
+  GateClient,
+  type LookUpAttemptReply,
+  type LookUpAttemptRequest,
+  type Settings,
+} from "../schema/index.js";
+import { type Endpoint, startEndpoint } from "./endpoint.js";
+import type { BackendAnswer, RunBackend } from "./endpoint_backend.js";
+
+const SILENT_LOG = { info() {}, warn() {}, error() {} };
+
+function createTestState(): FleetState {
+  return {
+    ...createEmptyState(),
+    revision: 5,
+    accounts: {
+      pumps: {
+        name: "pumps",
+        apiKeySha256: ["0".repeat(64)],
+        versions: ["small-1"],
+        services: ["orders"],
+        classes: [],
+      },
+    },
+    versions: {
+      "small-1": {
+        name: "small-1",
+        model: "small",
+        state: "active",
+        costPerKiloToken: 1,
+      },
+    },
+    services: {
+      orders: {
+        name: "orders",
+        idempotent: false,
+        priority: "urgent",
+        deadlineMs: 5_000,
+      },
+    },
+  };
+}
+
+function createDispatch(fields: Partial<DispatchRequest>): DispatchRequest {
+  return {
+    requestId: "r1",
+    attempt: 1,
+    entry: "e1",
+    account: "pumps",
+    requestClass: "chat",
+    version: "small-1",
+    service: "",
+    method: "",
+    path: "",
+    body: Buffer.from("{}"),
+    revision: 5,
+    remainingMs: 5_000,
+    priority: "interactive",
+    idempotent: true,
+    epoch: "",
+    claim: "",
+    session: "",
+    ...fields,
+  };
+}
+
+const ORDER: Partial<DispatchRequest> = {
+  requestId: "o1",
+  version: "",
+  service: "orders",
+  method: "POST",
+  path: "/orders",
+  idempotent: false,
+  claim: "claims/pumps/k1",
+};
+
+const ANSWER: BackendAnswer = {
+  status: 200,
+  promptTokens: 7,
+  outputTokens: 2,
+  body: new Uint8Array(),
+  contentType: "",
+};
+
+interface Rig {
+  client: GateClient;
+  endpoint: Endpoint;
+  stop: AbortController;
+  view: { state: FleetState; refusal: Refusal | undefined };
+}
+
+const rigs: Rig[] = [];
+
+async function startRig(
+  backend: RunBackend,
+  kind: "model" | "service" = "model",
+): Promise<Rig> {
+  const stop = new AbortController();
+  const view: Rig["view"] = { state: createTestState(), refusal: undefined };
+  const place = { address: "127.0.0.1", port: 1, slots: 4 };
+  const settings: Settings = {
+    role: "endpoint",
+    name: "ep1",
+    host: "h1",
+    dataCentre: "dc1",
+    listen: { address: "127.0.0.1", controlPort: 0 },
+    hostList: { address: "127.0.0.1", port: 1 },
+    limits: { stopMs: 2_000 },
+    ...(kind === "model"
+      ? { engine: { ...place, slotsWhileCold: 2 } }
+      : { service: { ...place, names: ["orders"] } }),
+  };
+  const endpoint = await startEndpoint({
+    settings,
+    config: {
+      get state() {
+        return view.state;
+      },
+      checkFreshness: () => view.refusal,
+      fetchRevision: async (revision) => {
+        if (revision <= 9) view.state = { ...view.state, revision };
+      },
+      addListener() {},
+    },
+    backend,
+    receipts: { hold: (request) => request.owner === "e1", release() {} },
+    log: SILENT_LOG,
+    signal: stop.signal,
+  });
+  endpoint.applyReport({ startId: "s1", cold: false, versions: ["small-1"] });
+  const address = `127.0.0.1:${endpoint.port}`;
+  const client = new GateClient(address, credentials.createInsecure());
+  const rig = { client, endpoint, stop, view };
+  rigs.push(rig);
+  return rig;
+}
+
+afterEach(async () => {
+  for (const { client, stop, endpoint } of rigs.splice(0)) {
+    stop.abort();
+    await endpoint.stopped;
+    client.close();
+  }
+});
+
+async function readFrames(stream: AsyncIterable<Frame>): Promise<Frame[]> {
+  const frames: Frame[] = [];
+  for await (const frame of stream) frames.push(frame);
+  return frames;
+}
+
+function lookUp(
+  client: GateClient,
+  request: LookUpAttemptRequest,
+): Promise<LookUpAttemptReply> {
+  return new Promise((resolve, reject) => {
+    client.lookUpAttempt(request, (error, reply) =>
+      error === null ? resolve(reply) : reject(error),
+    );
+  });
+}
+
+async function readEpoch(client: GateClient): Promise<string> {
+  const stream = client.attach({ entry: "e1", incarnation: "i1" });
+  stream.on("error", () => undefined);
+  const status = await new Promise<EndpointStatus>((resolve) =>
+    stream.once("data", resolve),
+  );
+  stream.cancel();
+  return status.epoch;
+}
+
+function createSlowBackend(): { run: RunBackend; release: () => void } {
+  let release = () => {};
+  const released = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  return {
+    run: () => ResultAsync.fromSafePromise(released.then(() => ANSWER)),
+    release,
+  };
+}
+
+describe("endpoint over gRPC", () => {
+  it("streams numbered frames with one last frame, and resumes them", async () => {
+    const { client } = await startRig((_request, onChunk) => {
+      onChunk(Buffer.from("a"));
+      onChunk(Buffer.from("b"));
+      return okAsync(ANSWER);
+    });
+    const frames = await readFrames(client.dispatch(createDispatch({})));
+    assert.deepEqual(
+      frames.map((frame) => frame.sequence),
+      [0, 1, 2],
+    );
+    assert.equal(frames[2]?.end?.chunks, 2);
+    const again = await readFrames(
+      client.resume({ requestId: "r1", attempt: 1, fromSequence: 1 }),
+    );
+    assert.deepEqual(again, frames.slice(1));
+  });
+
+  it("starts an order once and reports its result to a look-up", async () => {
+    let runs = 0;
+    const { client } = await startRig(() => {
+      runs += 1;
+      return okAsync(ANSWER);
+    }, "service");
+    const epoch = await readEpoch(client);
+    const order = createDispatch({ ...ORDER, epoch });
+    const frames = await readFrames(client.dispatch(order));
+    assert.equal(frames.at(-1)?.end?.status, 200);
+    const second = await readFrames(client.dispatch(order));
+    assert.equal(second[0]?.refusal?.code, "in-progress");
+    assert.equal(runs, 1);
+    const reply = await lookUp(client, { requestId: "o1", attempt: 1, epoch });
+    assert.equal(reply.state, "ended");
+    assert.equal(reply.lastFrame?.end?.status, 200);
+  });
+
+  it("reports an order whose call broke as unknown, never as not run", async () => {
+    const { client } = await startRig(
+      () => errAsync({ kind: "broken", ran: "unknown", detail: "reset" }),
+      "service",
+    );
+    const epoch = await readEpoch(client);
+    const [frame] = await readFrames(
+      client.dispatch(createDispatch({ ...ORDER, epoch })),
+    );
+    assert.equal(frame?.refusal?.code, "outcome-unknown");
+    assert.equal(frame?.refusal?.ran, "unknown");
+  });
+
+  it("fetches a higher revision, and refuses one that it can't get", async () => {
+    const { client, view } = await startRig(() => okAsync(ANSWER));
+    const [end] = await readFrames(
+      client.dispatch(createDispatch({ revision: 9 })),
+    );
+    assert.equal(end?.end?.status, 200);
+    assert.equal(view.state.revision, 9);
+    const [refused] = await readFrames(
+      client.dispatch(createDispatch({ requestId: "r2", revision: 10 })),
+    );
+    assert.equal(refused?.refusal?.code, "stale-revision");
+    assert.equal(refused?.refusal?.ran, "no");
+  });
+
+  it("announces leaving, refuses new work and lets running work end", async () => {
+    const slow = createSlowBackend();
+    const { client, stop, endpoint } = await startRig(slow.run);
+    const statuses: EndpointStatus[] = [];
+    const attached = client.attach({ entry: "e1", incarnation: "i1" });
+    attached.on("error", () => undefined);
+    attached.on("data", (status) => statuses.push(status));
+    const running = client.dispatch(createDispatch({}));
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    stop.abort();
+    const [refused] = await readFrames(
+      client.dispatch(createDispatch({ requestId: "r2" })),
+    );
+    assert.equal(refused?.refusal?.code, "stopping");
+    assert.ok((refused?.refusal?.retryAfterMs ?? 0) > 0);
+    assert.equal(statuses.at(-1)?.leaving, true);
+    slow.release();
+    const frames = await readFrames(running);
+    assert.equal(frames.at(-1)?.end?.status, 200);
+    await endpoint.stopped;
+  });
+});
