--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -4,7 +4,7 @@
  */
 
 import type { DispatchRequest, Priority } from "../schema/index.js";
-import { assertInvariant } from "./errors.js";
+import { assertInvariant, createRefusal, type Refusal } from "./errors.js";
 import { FrameLog } from "./frames.js";
 
 /** A dispatch after its fields were checked. */
@@ -30,6 +30,9 @@
 /** What is left of a non-idempotent attempt that the memory has dropped. */
 export type SpentState = "started" | "never-started";
 
+/** States of `LookUpAttemptReply`. */
+export type LookUpState = "revoked" | "running" | "ended" | "other-epoch";
+
 export interface MemoryLimits {
   /** Ended attempts kept with their frames. */
   readonly maxEnded: number;
@@ -133,11 +136,34 @@
     this.prune(nowMs);
   }
 
-  /** Bars an attempt that has never been seen here from starting. */
-  markNeverStarts(key: string): void {
-    if (this.findSpent(key) === undefined) {
-      this.#spent.set(key, "never-started");
-    }
+  /** Refuses a dispatch of an attempt that was seen before. */
+  checkRepeat(key: string): Refusal | undefined {
+    const attempt = this.#attempts.get(key);
+    const spent = this.findSpent(key);
+    if (attempt === undefined && spent === undefined) return undefined;
+    const mayHaveRun =
+      spent === "started" ||
+      (attempt !== undefined &&
+        (attempt.state !== "ended" || attempt.startedAtMs !== undefined));
+    return mayHaveRun
+      ? createRefusal("in-progress", `Attempt "${key}" was seen before`)
+      : createRefusal("attempt-revoked", `Attempt "${key}" was given up`);
+  }
+
+  /**
+   * The state for a look-up of an attempt that is not waiting. One that was
+   * never seen is barred from starting, so "revoked" stays true.
+   */
+  lookUp(key: string, isSameEpoch: boolean): LookUpState {
+    const attempt = this.#attempts.get(key);
+    if (attempt?.state === "running") return "running";
+    if (attempt?.startedAtMs !== undefined) return "ended";
+    if (attempt !== undefined) return "revoked";
+    const spent = this.findSpent(key);
+    // The result of a dropped attempt is gone; all that is left is "unknown".
+    if (spent === "started" || !isSameEpoch) return "other-epoch";
+    if (spent === undefined) this.#spent.set(key, "never-started");
+    return "revoked";
   }
 
   /** Drops ended attempts that are too old or too many. */
--- a/src/core/frames.ts
+++ b/src/core/frames.ts
@@ -1,10 +1,19 @@
 /** The numbered frames of one attempt, kept so that a reader can resume. */
 
 import type { Frame } from "../schema/index.js";
-import { assertInvariant } from "./errors.js";
+import { assertInvariant, type Refusal } from "./errors.js";
 
 export type FrameBody = Pick<Frame, "chunk" | "end" | "refusal">;
 
+/** `revision` is the highest that the sender knows. */
+export function createRefusalBody(
+  refusal: Refusal,
+  revision: number,
+): FrameBody {
+  const { code, ran, detail, retryAfterMs } = refusal;
+  return { refusal: { code, ran, detail, retryAfterMs, revision } };
+}
+
 /** Kept bytes of one attempt; a request or answer body is at most 1 MB. */
 export const MAX_FRAME_BYTES = 2_000_000;
 
--- a/src/core/gate_checks.ts
+++ b/src/core/gate_checks.ts
@@ -2,7 +2,7 @@
 
 import type { DispatchRequest, FleetState, Priority } from "../schema/index.js";
 import type { Attempt, GateRequest } from "./attempts.js";
-import { createRefusal, type Refusal } from "./errors.js";
+import { assertInvariant, createRefusal, type Refusal } from "./errors.js";
 import {
   checkPermission,
   isDataCentreOut,
@@ -160,3 +160,49 @@
     `Endpoint "${place.endpoint}" does not serve "${name}" now`,
   );
 }
+
+/**
+ * Asserts the promises of the gate at a start. It looks at the state itself
+ * rather than through the checks, so that a fault in them shows.
+ */
+export function assertMayStart(
+  attempt: Attempt,
+  place: GatePlace,
+  view: GateView,
+): void {
+  const { state } = view;
+  const { request, key } = attempt;
+  const account = Object.hasOwn(state.accounts, request.account)
+    ? state.accounts[request.account]
+    : undefined;
+  const isModel = request.service === "";
+  const isAllowed = isModel
+    ? account?.versions.includes(request.version)
+    : account?.services.includes(request.service);
+  assertInvariant(
+    isAllowed === true,
+    "notAllowed",
+    `account "${request.account}" starts "${key}" without permission`,
+  );
+  assertInvariant(
+    !isModel || state.versions[request.version]?.state === "active",
+    "withdrawnServed",
+    `version "${request.version}" is not active, attempt "${key}"`,
+  );
+  assertInvariant(
+    state.dataCentres[place.dataCentre]?.state !== "out",
+    "drainedDataCentreServed",
+    `data centre "${place.dataCentre}" is out, attempt "${key}"`,
+  );
+  assertInvariant(
+    place.leaving === undefined &&
+      state.endpoints[place.endpoint]?.state !== "out",
+    "leavingEndpointServed",
+    `endpoint "${place.endpoint}" is leaving or out, attempt "${key}"`,
+  );
+  assertInvariant(
+    attempt.idempotent || request.epoch === place.epoch,
+    "ranTwice",
+    `attempt "${key}" has epoch "${request.epoch}"`,
+  );
+}
--- a/src/core/ramp.ts
+++ b/src/core/ramp.ts
@@ -14,9 +14,9 @@
 const FASTER_WEIGHT = 0.2;
 const SLOWER_WEIGHT = 0.05;
 /**
- * An engine may turn cold and show it by failures only. Each failure after a
- * restart doubles the time before the next doubling, so an engine that stays
- * cold for 20 s is overloaded about three times, not once a second.
+ * An engine may turn cold and show it by failures only. Each failure above the
+ * cold slots doubles the time before the limit may grow again, so an engine
+ * that stays cold for 20 s is overloaded about three times.
  */
 const MIN_HOLD_MS = 3_000;
 const MAX_HOLD_MS = 30_000;
@@ -84,16 +84,12 @@
     return undefined;
   }
 
-  /** `startedAtMs` is that of the attempt that failed. */
-  applyFailure(startedAtMs: number, nowMs: number): RestartReason {
-    // The failures of one restart count once: later ones are older work.
-    if (startedAtMs >= this.#changedAtMs) {
-      this.#holdMs = Math.min(
-        MAX_HOLD_MS,
-        Math.max(MIN_HOLD_MS, this.#holdMs * 2),
-      );
-    }
+  applyFailure(nowMs: number): RestartReason {
+    const isOverload = this.#limit > this.#coldSlots;
+    const holdMs = isOverload ? this.#holdMs * 2 : this.#holdMs;
+    this.#holdMs = Math.min(MAX_HOLD_MS, Math.max(MIN_HOLD_MS, holdMs));
     this.#holdUntilMs = nowMs + this.#holdMs;
+    this.#lastBusyMs = nowMs;
     return this.#restart("failure", nowMs);
   }
 
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -4,7 +4,7 @@
 import { isIPv6 } from "node:net";
 import { performance } from "node:perf_hooks";
 import { Server, ServerCredentials } from "@grpc/grpc-js";
-import { type EngineReport, Gate } from "../core/index.js";
+import { type EngineReport, Gate, TICK_MS } from "../core/index.js";
 import { GateService, type Settings } from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
 import type { RunBackend } from "./endpoint_backend.js";
@@ -34,10 +34,9 @@
   readonly stopped: Promise<void>;
 }
 
-const TICK_MS = 50;
 const DEFAULT_STOP_MS = 30_000;
 const DEFAULT_BODY_BYTES = 1_000_000;
-/** Time that entries have to read the last frames and close their streams. */
+/** Part of the stop time kept for the last frames and closing streams. */
 const CLOSE_MS = 1_000;
 
 function createGate(options: EndpointOptions): Gate {
@@ -83,7 +82,7 @@
 
 function closeServer(server: Server, waitMs: number): Promise<void> {
   return new Promise((resolve) => {
-    const force = setTimeout(() => server.forceShutdown(), waitMs);
+    const force = setTimeout(() => server.forceShutdown(), Math.max(1, waitMs));
     server.tryShutdown(() => {
       clearTimeout(force);
       resolve();
@@ -91,6 +90,25 @@
   });
 }
 
+async function runBeforeClose(
+  options: EndpointOptions,
+  waitMs: number,
+): Promise<void> {
+  if (options.beforeClose === undefined) return;
+  const limit = new AbortController();
+  const timer = setTimeout(() => limit.abort(), Math.max(1, waitMs));
+  const limitReached = new Promise<void>((resolve) => {
+    limit.signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+  try {
+    await Promise.race([options.beforeClose(limit.signal), limitReached]);
+  } catch (error) {
+    options.log.error({ error: `${error}` }, "work before the close failed");
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
 /** Serves until the signal aborts and the running work has ended. */
 export async function startEndpoint(
   options: EndpointOptions,
@@ -108,29 +126,28 @@
   );
   const port = await bindServer(server, settings);
   const ticker = setInterval(() => {
-    runner.handle({ type: "tick" });
+    runner.tick();
     watchers.update(getNowMs());
   }, TICK_MS);
   config.addListener(() => runner.handle({ type: "tick" }), signal);
-  log.info({ endpoint: settings.name, epoch: gate.epoch }, "endpoint serves");
+  log.info(
+    { endpoint: settings.name, epoch: gate.describeStatus().epoch },
+    "endpoint serves",
+  );
 
   async function stop(): Promise<void> {
     const stopMs = settings.limits?.stopMs ?? DEFAULT_STOP_MS;
     const limitAtMs = getNowMs() + stopMs;
     runner.handle({ type: "leaving", reason: "stopping" });
     watchers.update(getNowMs());
-    const hasEnded = await waitForWork(gate, limitAtMs);
-    if (!hasEnded) {
+    const closeMs = Math.min(CLOSE_MS, stopMs / 4);
+    if (!(await waitForWork(gate, limitAtMs - closeMs))) {
       log.warn({ inFlight: gate.inFlight }, "stop time is over, work is cut");
       runner.abortAll();
     }
-    const leftMs = Math.max(1, limitAtMs - getNowMs());
-    const closing = AbortSignal.timeout(Math.ceil(leftMs));
-    await options.beforeClose?.(closing).catch((error: unknown) => {
-      log.error({ error: `${error}` }, "work before the close failed");
-    });
+    await runBeforeClose(options, limitAtMs - getNowMs() - closeMs / 2);
     watchers.close();
-    await closeServer(server, Math.min(CLOSE_MS, leftMs));
+    await closeServer(server, limitAtMs - getNowMs());
     clearInterval(ticker);
     log.info({ endpoint: settings.name }, "endpoint stopped");
   }
--- a/src/roles/endpoint_runner.ts
+++ b/src/roles/endpoint_runner.ts
@@ -3,9 +3,12 @@
 import { match } from "ts-pattern";
 import {
   createAttemptKey,
+  createRefusal,
+  createRefusalBody,
   type Gate,
   type GateDecision,
   type GateEvent,
+  InvariantError,
   type Refusal,
 } from "../core/index.js";
 import type {
@@ -51,19 +54,52 @@
 
 /** Longest wait for a revision that a dispatch names. */
 const MAX_FETCH_MS = 2_000;
+/**
+ * An entry resumes a broken stream within seconds. Idempotent work that no one
+ * reads after this time only holds a slot.
+ */
+const ORPHAN_MS = 10_000;
+
+/** Logs a fault; `property` names the promise when an invariant failed. */
+export function logFault(
+  log: EndpointLog,
+  source: string,
+  error: unknown,
+): void {
+  const property = error instanceof InvariantError ? error.property : "";
+  log.error({ source, property, error: `${error}` }, "gate fault");
+}
 
 export class EndpointRunner {
   readonly #options: RunnerOptions;
   readonly #requests = new Map<string, DispatchRequest>();
   readonly #readers = new Map<string, Set<Reader>>();
   readonly #aborts = new Map<string, AbortController>();
+  /** Since when each attempt that has not ended is without a reader. */
+  readonly #orphanedSinceMs = new Map<string, number>();
 
   constructor(options: RunnerOptions) {
     this.#options = options;
   }
 
   handle(event: GateEvent): void {
-    this.#apply(this.#options.gate.handle(event, this.#options.getNowMs()));
+    const { gate, getNowMs, log } = this.#options;
+    try {
+      this.#apply(gate.handle(event, getNowMs()));
+    } catch (error) {
+      logFault(log, event.type, error);
+    }
+  }
+
+  /** Called every `TICK_MS`. */
+  tick(): void {
+    this.handle({ type: "tick" });
+    const oldestMs = this.#options.getNowMs() - ORPHAN_MS;
+    for (const [key, sinceMs] of this.#orphanedSinceMs) {
+      if (sinceMs > oldestMs) continue;
+      this.#orphanedSinceMs.delete(key);
+      this.handle({ type: "cancel", key });
+    }
   }
 
   /** Starts a dispatch; gives the function that detaches its reader. */
@@ -73,7 +109,8 @@
     const decisions = gate.handle({ type: "dispatch", request }, getNowMs());
     const rejected = decisions.find((decision) => decision.type === "reject");
     if (rejected?.type === "reject") {
-      this.#writeRefusal(request, rejected.refusal, sink);
+      this.#writeRefusal({ ...request, sequence: 0 }, rejected.refusal, sink);
+      this.#apply(decisions);
       return () => undefined;
     }
     this.#requests.set(key, request);
@@ -82,13 +119,19 @@
     return detach;
   }
 
-  /** Sends frames from a sequence number on; `undefined` when not possible. */
-  resume(request: ResumeRequest, sink: FrameReader): (() => void) | undefined {
-    const key = createAttemptKey(request.requestId, request.attempt);
-    const attempt = this.#options.gate.findAttempt(key);
-    const frames = attempt?.frames.listFrom(request.fromSequence);
-    if (frames === undefined) return undefined;
-    return this.#addReader(key, request.fromSequence, sink);
+  /** Sends the frames of an attempt again, from a sequence number on. */
+  resume(request: ResumeRequest, sink: FrameReader): () => void {
+    const { requestId, attempt, fromSequence } = request;
+    const key = createAttemptKey(requestId, attempt);
+    const frames = this.#options.gate.findAttempt(key)?.frames;
+    if (frames?.listFrom(fromSequence) !== undefined) {
+      return this.#addReader(key, fromSequence, sink);
+    }
+    const detail = `Frames of attempt "${key}" are not kept from ${fromSequence} on`;
+    const refusal = createRefusal("outcome-unknown", detail);
+    const place = { requestId, attempt, sequence: fromSequence };
+    this.#writeRefusal(place, refusal, sink);
+    return () => undefined;
   }
 
   cancel(request: CancelRequest): void {
@@ -113,6 +156,7 @@
     const readers = this.#readers.get(key) ?? new Set();
     readers.add(reader);
     this.#readers.set(key, readers);
+    this.#orphanedSinceMs.delete(key);
     const frames = this.#options.gate.findAttempt(key)?.frames.listFrom(from);
     for (const frame of frames ?? []) this.#send(key, reader, frame);
     return () => this.#removeReader(key, reader);
@@ -120,8 +164,12 @@
 
   #removeReader(key: string, reader: Reader): void {
     const readers = this.#readers.get(key);
-    readers?.delete(reader);
-    if (readers?.size === 0) this.#readers.delete(key);
+    if (readers?.delete(reader) !== true || readers.size > 0) return;
+    this.#readers.delete(key);
+    const { gate, getNowMs } = this.#options;
+    const attempt = gate.findAttempt(key);
+    if (attempt === undefined || attempt.state === "ended") return;
+    this.#orphanedSinceMs.set(key, getNowMs());
   }
 
   #send(key: string, reader: Reader, frame: Frame): void {
@@ -134,7 +182,10 @@
   }
 
   #broadcast(key: string, frame: Frame): void {
-    if (frame.chunk === undefined) this.#requests.delete(key);
+    if (frame.chunk === undefined) {
+      this.#requests.delete(key);
+      this.#orphanedSinceMs.delete(key);
+    }
     for (const reader of [...(this.#readers.get(key) ?? [])]) {
       this.#send(key, reader, frame);
     }
@@ -193,19 +244,14 @@
   }
 
   #writeRefusal(
-    request: DispatchRequest,
+    place: Pick<Frame, "requestId" | "attempt" | "sequence">,
     refusal: Refusal,
     sink: FrameReader,
   ): void {
-    const { code, ran, detail, retryAfterMs } = refusal;
+    const { requestId, attempt, sequence } = place;
     const { revision } = this.#options.config.state;
-    const { requestId, attempt } = request;
-    sink.write({
-      requestId,
-      attempt,
-      sequence: 0,
-      refusal: { code, ran, detail, retryAfterMs, revision },
-    });
+    const body = createRefusalBody(refusal, revision);
+    sink.write({ requestId, attempt, sequence, ...body });
     sink.end();
   }
 }
--- a/src/roles/endpoint_service.ts
+++ b/src/roles/endpoint_service.ts
@@ -6,7 +6,6 @@
   type sendUnaryData,
   status,
 } from "@grpc/grpc-js";
-import { InvariantError } from "../core/index.js";
 import type {
   AttachRequest,
   EndpointStatus,
@@ -15,10 +14,11 @@
   HoldReceiptRequest,
   ReleaseReceiptsRequest,
 } from "../schema/index.js";
-import type {
-  EndpointLog,
-  EndpointRunner,
-  FrameReader,
+import {
+  type EndpointLog,
+  type EndpointRunner,
+  type FrameReader,
+  logFault,
 } from "./endpoint_runner.js";
 
 /** Keeps the second copies of receipts. */
@@ -41,11 +41,6 @@
   return { code: status.INTERNAL, details: `Gate failed: "${error}"` };
 }
 
-function logFault(log: EndpointLog, call: string, error: unknown): void {
-  const property = error instanceof InvariantError ? error.property : "";
-  log.error({ call, property, error: `${error}` }, "gate call failed");
-}
-
 function createReader(call: ServerWritableStream<unknown, Frame>): FrameReader {
   return {
     write: (frame) => void call.write(frame),
@@ -72,18 +67,11 @@
 
   function answerFrames<Request>(
     name: string,
-    handle: (request: Request, reader: FrameReader) => (() => void) | undefined,
+    handle: (request: Request, reader: FrameReader) => () => void,
   ) {
     return (call: ServerWritableStream<Request, Frame>) => {
       try {
         const detach = handle(call.request, createReader(call));
-        if (detach === undefined) {
-          call.emit("error", {
-            code: status.NOT_FOUND,
-            details: "Frames of the attempt are not kept",
-          });
-          return;
-        }
         call.on("cancelled", detach);
         call.on("error", detach);
       } catch (error) {
--- a/src/roles/endpoint_status.ts
+++ b/src/roles/endpoint_status.ts
@@ -22,6 +22,7 @@
 export class StatusWatchers {
   readonly #describe: () => EndpointStatus;
   readonly #calls = new Set<AttachCall>();
+  #isClosed = false;
   #lastUrgentPart = "";
   #lastSentMs = Number.NEGATIVE_INFINITY;
 
@@ -30,10 +31,14 @@
   }
 
   add(call: AttachCall): void {
+    call.write(this.#describe());
+    if (this.#isClosed) {
+      call.end();
+      return;
+    }
     this.#calls.add(call);
     call.on("cancelled", () => this.#calls.delete(call));
     call.on("error", () => this.#calls.delete(call));
-    call.write(this.#describe());
   }
 
   /** Sends the status when it changed or the period is over. */
@@ -47,7 +52,9 @@
     for (const call of this.#calls) call.write(status);
   }
 
+  /** Ends all streams, after the last status was sent. */
   close(): void {
+    this.#isClosed = true;
     for (const call of this.#calls) call.end();
     this.#calls.clear();
   }
