--- /dev/null
+++ b/src/core/gate_capacity_test.ts
@@ -0,0 +1,121 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  createDispatch,
+  createRig,
+  DONE,
+  describeDecision,
+  FAILED,
+  listStarts,
+} from "./gate_fixtures_test.js";
+
+describe("gate capacity", () => {
+  it("refuses at once, with a time, what would wait past its deadline", () => {
+    const { dispatch, finish, gate, advance } = createRig({ slots: 1 });
+    dispatch({ requestId: "r0" });
+    advance(2_000);
+    finish("r0/1", 2_000);
+    dispatch({ requestId: "r0", attempt: 2 }, 2_000);
+    const refused = dispatch({ remainingMs: 1_900 }, 2_000);
+    assert.equal(describeDecision(refused), "capacity");
+    const frame = gate.findAttempt("r1/1")?.frames.lastFrame;
+    assert.equal(frame?.refusal?.retryAfterMs, 2_000);
+    const kept = dispatch({ attempt: 2, remainingMs: 2_100 }, 2_000);
+    assert.equal(describeDecision(kept, "r1/2"), "none");
+  });
+
+  it("starts urgent work first and gives accounts equal turns", () => {
+    const { dispatch, finish } = createRig({ slots: 1 });
+    const remainingMs = 3_000_000;
+    dispatch({ requestId: "r0", remainingMs });
+    for (const n of [1, 2, 3]) dispatch({ requestId: `p${n}`, remainingMs });
+    dispatch({ requestId: "q1", account: "ropes", remainingMs });
+    dispatch({ requestId: "u1", priority: "urgent", remainingMs });
+    const order: string[] = [];
+    let key = "r0/1";
+    for (let nowMs = 10; key !== ""; nowMs += 10) {
+      key = listStarts(finish(key, nowMs))[0] ?? "";
+      order.push(key);
+    }
+    assert.deepEqual(order, ["u1/1", "q1/1", "p1/1", "p2/1", "p3/1", ""]);
+  });
+
+  it("holds a cold engine to its cold slots until the old work has ended", () => {
+    const { gate, dispatch, finish } = createRig({
+      slots: 8,
+      slotsWhileCold: 1,
+    });
+    const running: string[] = [];
+    let nowMs = 0;
+    let count = 0;
+    const fill = () => {
+      for (let index = 0; index < 20; index += 1) {
+        count += 1;
+        const fields = { requestId: `r${count}`, remainingMs: 600_000 };
+        running.push(...listStarts(dispatch(fields, nowMs)));
+      }
+    };
+    fill();
+    assert.equal(running.length, 1);
+    for (let round = 0; round < 40; round += 1) {
+      nowMs += 100;
+      for (const key of running.splice(0)) {
+        running.push(...listStarts(finish(key, nowMs)));
+      }
+      fill();
+    }
+    assert.equal(gate.inFlight, 8);
+    // The engine turned cold without any sign; the first failure shows it.
+    const old = running.splice(0);
+    old.forEach((key, index) => {
+      const starts = listStarts(finish(key, nowMs + index, FAILED));
+      running.push(...starts);
+      assert.equal(starts.length, index === old.length - 1 ? 1 : 0);
+    });
+    assert.equal(gate.describeStatus().limit, 1);
+    // Two seconds of normal service are too early to grow again.
+    for (let round = 0; round < 20; round += 1) {
+      nowMs += 100;
+      const next = listStarts(finish(running.splice(0)[0] ?? "", nowMs));
+      running.push(...next);
+      assert.equal(gate.inFlight, 1);
+      fill();
+    }
+  });
+
+  it("restarts at a new engine start id and at a cold flag", () => {
+    const { gate, report } = createRig({ slots: 4, slotsWhileCold: 2 });
+    const grow = (nowMs: number, prefix: string) => {
+      for (let index = 0; index < 4; index += 1) {
+        const requestId = `${prefix}${index}`;
+        const request = createDispatch({ requestId });
+        gate.handle({ type: "dispatch", request }, nowMs + index);
+        const key = `${requestId}/1`;
+        gate.handle({ type: "finished", key, outcome: DONE }, nowMs + index);
+      }
+    };
+    grow(10, "a");
+    assert.equal(gate.describeStatus().limit, 4);
+    const restarted = { ...report, startId: "s2" };
+    gate.handle({ type: "report", report: restarted }, 20);
+    assert.equal(gate.describeStatus().limit, 2);
+    grow(30, "b");
+    assert.equal(gate.describeStatus().limit, 4);
+    const cold = { ...restarted, cold: true };
+    gate.handle({ type: "report", report: cold }, 40);
+    grow(50, "c");
+    assert.equal(gate.describeStatus().limit, 2);
+    assert.equal(gate.describeStatus().cold, true);
+  });
+
+  it("lowers the limit by a report but never raises it", () => {
+    const { gate, report } = createRig({ slots: 4, slotsWhileCold: 2 });
+    const apply = (slots: number) => {
+      gate.handle({ type: "report", report: { ...report, slots } }, 10);
+      return gate.describeStatus().limit;
+    };
+    assert.equal(apply(64), 2);
+    assert.equal(apply(1), 1);
+    assert.equal(apply(0), 1);
+  });
+});
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -9,6 +9,7 @@
 export * from "./gate_events.js";
 export * from "./gate_queue.js";
 export * from "./gate_waiting.js";
+export * from "./leases.js";
 export * from "./ramp.js";
 export * from "./receipt_clock.js";
 export * from "./tickets.js";
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -7,7 +7,9 @@
 import { type EngineReport, Gate, TICK_MS } from "../core/index.js";
 import { GateService, type Settings } from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
+import { delay } from "./delay.js";
 import type { RunBackend } from "./endpoint_backend.js";
+import { pollReports, type ReadReport } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
 import { createGateService, type ReceiptHolder } from "./endpoint_service.js";
 import { StatusWatchers } from "./endpoint_status.js";
@@ -16,6 +18,8 @@
   readonly settings: Settings;
   readonly config: ConfigView;
   readonly backend: RunBackend;
+  /** Reads the engine's load report; absent for a plain service. */
+  readonly readReport?: ReadReport;
   readonly receipts: ReceiptHolder;
   readonly log: EndpointLog;
   /** Begins the graceful shutdown. */
@@ -26,6 +30,9 @@
 
 export interface Endpoint {
   readonly port: number;
+  readonly epoch: string;
+  /** Versions that the engine's last report named; `undefined` before it. */
+  listLoaded(): readonly string[] | undefined;
   /** Takes a load report of the engine. */
   applyReport(report: EngineReport): void;
   /** Follows the host list, which may name this host as leaving. */
@@ -68,10 +75,6 @@
   });
 }
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Waits until no work runs, at most until `limitAtMs`. */
 async function waitForWork(gate: Gate, limitAtMs: number): Promise<boolean> {
   while (gate.inFlight > 0 && performance.now() < limitAtMs) {
@@ -130,10 +133,8 @@
     watchers.update(getNowMs());
   }, TICK_MS);
   config.addListener(() => runner.handle({ type: "tick" }), signal);
-  log.info(
-    { endpoint: settings.name, epoch: gate.describeStatus().epoch },
-    "endpoint serves",
-  );
+  const { epoch } = gate.describeStatus();
+  log.info({ endpoint: settings.name, epoch }, "endpoint serves");
 
   async function stop(): Promise<void> {
     const stopMs = settings.limits?.stopMs ?? DEFAULT_STOP_MS;
@@ -149,9 +150,23 @@
     watchers.close();
     await closeServer(server, limitAtMs - getNowMs());
     clearInterval(ticker);
+    polling.abort();
     log.info({ endpoint: settings.name }, "endpoint stopped");
   }
 
+  let lastReport: EngineReport | undefined;
+  function applyReport(report: EngineReport): void {
+    lastReport = report;
+    runner.handle({ type: "report", report });
+    watchers.update(getNowMs());
+  }
+
+  const { readReport } = options;
+  const polling = new AbortController();
+  if (readReport !== undefined) {
+    const poll = { readReport, onReport: applyReport, log };
+    void pollReports(poll, polling.signal);
+  }
   const stopped = new Promise<void>((resolve, reject) => {
     const begin = () => stop().then(resolve, reject);
     if (signal.aborted) void begin();
@@ -160,10 +175,9 @@
   return {
     port,
     stopped,
-    applyReport: (report) => {
-      runner.handle({ type: "report", report });
-      watchers.update(getNowMs());
-    },
+    epoch,
+    listLoaded: () => lastReport?.versions,
+    applyReport,
     setLeaving: (leaving) => {
       if (signal.aborted) return;
       const reason = leaving ? "draining" : undefined;
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -2,9 +2,13 @@
 import { afterEach, describe, it } from "node:test";
 import { credentials } from "@grpc/grpc-js";
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { createEmptyState, type Refusal } from "../core/index.js";
 import {
-  type DispatchRequest,
+  createDispatch,
+  createTestState,
+  ORDER,
+} from "../core/gate_fixtures_test.js";
+import type { Refusal } from "../core/index.js";
+import {
   type EndpointStatus,
   type FleetState,
   type Frame,
@@ -18,71 +22,6 @@
 
 const SILENT_LOG = { info() {}, warn() {}, error() {} };
 
-function createTestState(): FleetState {
-  return {
-    ...createEmptyState(),
-    revision: 5,
-    accounts: {
-      pumps: {
-        name: "pumps",
-        apiKeySha256: ["0".repeat(64)],
-        versions: ["small-1"],
-        services: ["orders"],
-        classes: [],
-      },
-    },
-    versions: {
-      "small-1": {
-        name: "small-1",
-        model: "small",
-        state: "active",
-        costPerKiloToken: 1,
-      },
-    },
-    services: {
-      orders: {
-        name: "orders",
-        idempotent: false,
-        priority: "urgent",
-        deadlineMs: 5_000,
-      },
-    },
-  };
-}
-
-function createDispatch(fields: Partial<DispatchRequest>): DispatchRequest {
-  return {
-    requestId: "r1",
-    attempt: 1,
-    entry: "e1",
-    account: "pumps",
-    requestClass: "chat",
-    version: "small-1",
-    service: "",
-    method: "",
-    path: "",
-    body: Buffer.from("{}"),
-    revision: 5,
-    remainingMs: 5_000,
-    priority: "interactive",
-    idempotent: true,
-    epoch: "",
-    claim: "",
-    session: "",
-    ...fields,
-  };
-}
-
-const ORDER: Partial<DispatchRequest> = {
-  requestId: "o1",
-  version: "",
-  service: "orders",
-  method: "POST",
-  path: "/orders",
-  idempotent: false,
-  claim: "claims/pumps/k1",
-};
-
 const ANSWER: BackendAnswer = {
   status: 200,
   promptTokens: 7,
