--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -158,10 +158,11 @@
     const attempt = this.#attempts.get(key);
     if (attempt?.state === "running") return "running";
     if (attempt?.startedAtMs !== undefined) return "ended";
-    if (attempt !== undefined) return "revoked";
     const spent = this.findSpent(key);
     // The result of a dropped attempt is gone; all that is left is "unknown".
-    if (spent === "started" || !isSameEpoch) return "other-epoch";
+    if (spent === "started") return "other-epoch";
+    if (attempt === undefined && !isSameEpoch) return "other-epoch";
+    // Also for a refused attempt: the memory of it may be dropped later.
     if (spent === undefined) this.#spent.set(key, "never-started");
     return "revoked";
   }
--- a/src/core/gate_fixtures_test.ts
+++ b/src/core/gate_fixtures_test.ts
@@ -106,6 +106,7 @@
 
 interface RigOptions {
   kind?: "model" | "service";
+  services?: string[];
   slots?: number;
   slotsWhileCold?: number;
   memoryLimits?: MemoryLimits;
@@ -124,7 +125,7 @@
     endpoint: "ep1",
     dataCentre: "dc1",
     kind,
-    services: kind === "service" ? ["orders"] : [],
+    services: options.services ?? (kind === "service" ? ["orders"] : []),
     slots,
     slotsWhileCold: options.slotsWhileCold ?? slots,
     maxBodyBytes: 1_000,
@@ -135,7 +136,8 @@
     view,
     memoryLimits: options.memoryLimits,
   });
-  const versions = ["small-1", "small-2"];
+  // The gate's rules are the same for both kinds, so one rig can serve both.
+  const versions = ["small-1", "small-2", ...(options.services ?? [])];
   const report = { startId: "s1", cold: false, versions };
   gate.handle({ type: "report", report }, 0);
   const dispatch = (fields: Partial<DispatchRequest>, nowMs = 0) =>
--- a/src/core/gate_test.ts
+++ b/src/core/gate_test.ts
@@ -132,6 +132,22 @@
     assert.equal(lookUp("o1"), "ended");
   });
 
+  it("keeps a revocation after the refused attempt is dropped", () => {
+    const memoryLimits = {
+      maxEnded: 1,
+      maxBytes: 1_000,
+      keepEndedMs: 1_000,
+      maxSpent: 9,
+    };
+    const { gate, dispatch } = createRig({ memoryLimits });
+    dispatch({ remainingMs: 0 });
+    const request = { requestId: "r1", attempt: 1, epoch: "epoch-1" };
+    assert.equal(gate.lookUp(request, 1).reply.state, "revoked");
+    dispatch({ requestId: "r2", remainingMs: 0 }, 2);
+    assert.equal(gate.findAttempt("r1/1"), undefined);
+    assert.equal(describeDecision(dispatch({}, 3)), "attempt-revoked");
+  });
+
   it("bars dropped non-idempotent attempts, and renews a full epoch", () => {
     const { gate, dispatch, finish } = createRig({
       kind: "service",
