--- /dev/null
+++ b/src/roles/endpoint_pause_test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
+import { performance } from "node:perf_hooks";
+import { describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import { credentials } from "@grpc/grpc-js";
+import { ResultAsync } from "neverthrow";
+import { createDispatch, createTestState } from "../core/gate_fixtures_test.js";
+import { createRefusal } from "../core/index.js";
+import { GateClient } from "../schema/index.js";
+import type { ConfigView } from "./config_view.js";
+import { delay } from "./delay.js";
+import { startEndpoint } from "./endpoint.js";
+import {
+  ANSWER,
+  createSettings,
+  readFrames,
+} from "./endpoint_fixtures_test.js";
+
+const CHILD_FLAG = "HORNBEAMRILL_PAUSE_TEST_CHILD";
+const FRESHNESS_MS = 1_000;
+const PAUSE_MS = 2_000;
+const RUN_MS = 300;
+
+/** Confirms every 200 ms by a question whose reply takes 100 ms. */
+function createConfig(): ConfigView {
+  let confirmedAtMs = performance.now();
+  setInterval(() => {
+    const sentAtMs = performance.now();
+    setTimeout(() => {
+      confirmedAtMs = sentAtMs;
+    }, 100);
+  }, 200);
+  return {
+    state: createTestState(),
+    checkFreshness: () =>
+      performance.now() - confirmedAtMs > FRESHNESS_MS
+        ? createRefusal("isolated", "Confirmation is too old")
+        : undefined,
+    fetchRevision: async () => {},
+    addListener() {},
+  };
+}
+
+async function runChild(): Promise<void> {
+  let runs = 0;
+  const endpoint = await startEndpoint({
+    settings: createSettings({ slots: 1, slotsWhileCold: 1 }),
+    config: createConfig(),
+    backend: () => {
+      runs += 1;
+      const answer = { ...ANSWER, outputTokens: runs };
+      return ResultAsync.fromSafePromise(delay(RUN_MS).then(() => answer));
+    },
+    receipts: { hold: () => false, release() {} },
+    log: { info() {}, warn() {}, error() {} },
+    signal: new AbortController().signal,
+  });
+  endpoint.applyReport({ startId: "s1", cold: false, versions: ["small-1"] });
+  process.send?.({ port: endpoint.port });
+}
+
+async function checkPause(child: ChildProcess): Promise<void> {
+  const [message] = await once(child, "message");
+  const address = `127.0.0.1:${(message as { port: number }).port}`;
+  const client = new GateClient(address, credentials.createInsecure());
+  const send = (requestId: string, remainingMs = 20_000) =>
+    readFrames(client.dispatch(createDispatch({ requestId, remainingMs })));
+  const running = send("running");
+  const queued = send("queued");
+  await delay(RUN_MS / 2);
+  child.kill("SIGSTOP");
+  const sentInPause = send("sent-in-pause", PAUSE_MS / 2);
+  await delay(PAUSE_MS);
+  child.kill("SIGCONT");
+  assert.equal((await running).at(-1)?.end?.outputTokens, 1);
+  assert.equal((await queued).at(-1)?.refusal?.code, "isolated");
+  assert.equal((await sentInPause).at(-1)?.refusal?.ran, "no");
+  await delay(FRESHNESS_MS / 2);
+  // The second run of the back end: neither of the two refused ones ran.
+  assert.equal((await send("later")).at(-1)?.end?.outputTokens, 2);
+  client.close();
+}
+
+if (process.env[CHILD_FLAG] === "1") {
+  await runChild();
+} else {
+  describe("endpoint after SIGSTOP", () => {
+    it("starts nothing on a confirmation from before the pause", async () => {
+      const { NODE_TEST_CONTEXT: _context, ...rest } = process.env;
+      const env = { ...rest, [CHILD_FLAG]: "1" };
+      const child = fork(fileURLToPath(import.meta.url), {
+        env,
+        silent: true,
+      });
+      try {
+        await checkPause(child);
+      } finally {
+        child.kill("SIGKILL");
+      }
+    });
+  });
+}
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -1,101 +1,20 @@
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
-import { credentials } from "@grpc/grpc-js";
-import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import {
-  createDispatch,
-  createTestState,
-  ORDER,
-} from "../core/gate_fixtures_test.js";
-import type { Refusal } from "../core/index.js";
-import {
-  type EndpointStatus,
-  type FleetState,
-  type Frame,
+import { describe, it } from "node:test";
+import { errAsync, okAsync } from "neverthrow";
+import { createDispatch, ORDER } from "../core/gate_fixtures_test.js";
+import type {
+  EndpointStatus,
   GateClient,
-  type LookUpAttemptReply,
-  type LookUpAttemptRequest,
-  type Settings,
+  LookUpAttemptReply,
+  LookUpAttemptRequest,
 } from "../schema/index.js";
-import { type Endpoint, startEndpoint } from "./endpoint.js";
-import type { BackendAnswer, RunBackend } from "./endpoint_backend.js";
-
-const SILENT_LOG = { info() {}, warn() {}, error() {} };
-
-const ANSWER: BackendAnswer = {
-  status: 200,
-  promptTokens: 7,
-  outputTokens: 2,
-  body: new Uint8Array(),
-  contentType: "",
-};
-
-interface Rig {
-  client: GateClient;
-  endpoint: Endpoint;
-  stop: AbortController;
-  view: { state: FleetState; refusal: Refusal | undefined };
-}
-
-const rigs: Rig[] = [];
-
-async function startRig(
-  backend: RunBackend,
-  kind: "model" | "service" = "model",
-): Promise<Rig> {
-  const stop = new AbortController();
-  const view: Rig["view"] = { state: createTestState(), refusal: undefined };
-  const place = { address: "127.0.0.1", port: 1, slots: 4 };
-  const settings: Settings = {
-    role: "endpoint",
-    name: "ep1",
-    host: "h1",
-    dataCentre: "dc1",
-    listen: { address: "127.0.0.1", controlPort: 0 },
-    hostList: { address: "127.0.0.1", port: 1 },
-    limits: { stopMs: 2_000 },
-    ...(kind === "model"
-      ? { engine: { ...place, slotsWhileCold: 2 } }
-      : { service: { ...place, names: ["orders"] } }),
-  };
-  const endpoint = await startEndpoint({
-    settings,
-    config: {
-      get state() {
-        return view.state;
-      },
-      checkFreshness: () => view.refusal,
-      fetchRevision: async (revision) => {
-        if (revision <= 9) view.state = { ...view.state, revision };
-      },
-      addListener() {},
-    },
-    backend,
-    receipts: { hold: (request) => request.owner === "e1", release() {} },
-    log: SILENT_LOG,
-    signal: stop.signal,
-  });
-  endpoint.applyReport({ startId: "s1", cold: false, versions: ["small-1"] });
-  const address = `127.0.0.1:${endpoint.port}`;
-  const client = new GateClient(address, credentials.createInsecure());
-  const rig = { client, endpoint, stop, view };
-  rigs.push(rig);
-  return rig;
-}
-
-afterEach(async () => {
-  for (const { client, stop, endpoint } of rigs.splice(0)) {
-    stop.abort();
-    await endpoint.stopped;
-    client.close();
-  }
-});
-
-async function readFrames(stream: AsyncIterable<Frame>): Promise<Frame[]> {
-  const frames: Frame[] = [];
-  for await (const frame of stream) frames.push(frame);
-  return frames;
-}
+import {
+  ANSWER,
+  createSlowBackend,
+  readEpoch,
+  readFrames,
+  startRig,
+} from "./endpoint_fixtures_test.js";
 
 function lookUp(
   client: GateClient,
@@ -108,27 +27,6 @@
   });
 }
 
-async function readEpoch(client: GateClient): Promise<string> {
-  const stream = client.attach({ entry: "e1", incarnation: "i1" });
-  stream.on("error", () => undefined);
-  const status = await new Promise<EndpointStatus>((resolve) =>
-    stream.once("data", resolve),
-  );
-  stream.cancel();
-  return status.epoch;
-}
-
-function createSlowBackend(): { run: RunBackend; release: () => void } {
-  let release = () => {};
-  const released = new Promise<void>((resolve) => {
-    release = resolve;
-  });
-  return {
-    run: () => ResultAsync.fromSafePromise(released.then(() => ANSWER)),
-    release,
-  };
-}
-
 describe("endpoint over gRPC", () => {
   it("streams numbered frames with one last frame, and resumes them", async () => {
     const { client } = await startRig((_request, onChunk) => {
