--- a/src/core/gate_capacity_test.ts
+++ b/src/core/gate_capacity_test.ts
@@ -8,6 +8,7 @@
   FAILED,
   listStarts,
 } from "./gate_fixtures_test.js";
+import { Ramp } from "./ramp.js";
 
 describe("gate capacity", () => {
   it("refuses at once, with a time, what would wait past its deadline", () => {
@@ -108,6 +109,36 @@
     assert.equal(gate.describeStatus().cold, true);
   });
 
+  it("restarts when service gets slow, or after an idle time", () => {
+    const ramp = new Ramp({ slots: 4, slotsWhileCold: 1 });
+    let nowMs = 0;
+    const complete = (count: number, serviceMs: number) => {
+      for (let index = 0; index < count; index += 1) {
+        const startedAtMs = nowMs;
+        nowMs += serviceMs;
+        const completion = { name: "v", startedAtMs, serviceMs, units: 1 };
+        ramp.applyCompletion(completion, nowMs);
+      }
+    };
+    complete(3, 100);
+    assert.equal(ramp.limit, 4);
+    complete(4, 290);
+    assert.equal(ramp.limit, 4);
+    complete(4, 100);
+    complete(3, 900);
+    assert.equal(ramp.limit, 4);
+    complete(1, 900);
+    assert.equal(ramp.limit, 1);
+    complete(60, 100);
+    assert.equal(ramp.limit, 4);
+    assert.equal(ramp.noteIdleStart(nowMs + 9_000), undefined);
+    assert.equal(ramp.noteIdleStart(nowMs + 19_000), "idle");
+    assert.equal(ramp.limit, 1);
+    // Work from before the restart is no evidence of the engine's present state.
+    complete(8, 100);
+    assert.equal(ramp.limit, 1);
+  });
+
   it("lowers the limit by a report but never raises it", () => {
     const { gate, report } = createRig({ slots: 4, slotsWhileCold: 2 });
     const apply = (slots: number) => {
--- a/src/core/gate_test.ts
+++ b/src/core/gate_test.ts
@@ -28,6 +28,13 @@
     });
   });
 
+  it("refuses a version that the engine has not loaded", () => {
+    const { gate, report, dispatch } = createRig();
+    const other = { ...report, versions: ["small-2"] };
+    gate.handle({ type: "report", report: other }, 0);
+    assert.equal(describeDecision(dispatch({})), "no-endpoint");
+  });
+
   it("refuses malformed fields without a record of the attempt", () => {
     const { gate, dispatch } = createRig();
     const cases: Partial<DispatchRequest>[] = [
--- a/src/core/ramp.ts
+++ b/src/core/ramp.ts
@@ -7,8 +7,9 @@
 const NEAR_NORMAL_RATIO = 2;
 /** Mean service time above this multiple of the norm is a sign of a cold engine. */
 const COLD_RATIO = 3;
-/** Completions that a doubling or a restart for slowness is judged on. */
+/** Most completions that the limit is judged on. */
 const MAX_EVIDENCE = 8;
+/** Fewer than the limit show that the engine is slow, but not that it isn't. */
 const MIN_SLOW_EVIDENCE = 4;
 /** The norm follows faster service quickly and slower service slowly. */
 const FASTER_WEIGHT = 0.2;
@@ -23,6 +24,10 @@
 /** An engine that served nothing for this long may have turned cold unseen. */
 export const IDLE_RESTART_MS = 10_000;
 
+const MIN_UNITS = 0.001;
+/** Shorter times count as this long: below it, scheduling noise rules. */
+const MIN_SERVICE_MS = 20;
+
 export type RestartReason =
   | "start-id"
   | "cold-flag"
@@ -39,6 +44,13 @@
   readonly units: number;
 }
 
+interface Evidence {
+  readonly name: string;
+  readonly units: number;
+  readonly actualMs: number;
+  readonly expectedMs: number;
+}
+
 export class Ramp {
   readonly #slots: number;
   readonly #coldSlots: number;
@@ -51,7 +63,8 @@
   #lastBusyMs: number | undefined;
   #isFlaggedCold = false;
   #startId: string | undefined;
-  #evidence = { count: 0, actualMs: 0, expectedMs: 0 };
+  /** Completions since the limit last changed or was judged. */
+  #evidence: Evidence[] = [];
 
   constructor(options: { slots: number; slotsWhileCold: number }) {
     this.#slots = Math.max(1, options.slots);
@@ -107,41 +120,58 @@
     nowMs: number,
   ): RestartReason | undefined {
     this.#lastBusyMs = nowMs;
-    const units = Math.max(completion.units, 0.001);
-    const perUnitMs = completion.serviceMs / units;
-    const norm = this.#norms.get(completion.name) ?? perUnitMs;
-    const weight = perUnitMs < norm ? FASTER_WEIGHT : SLOWER_WEIGHT;
-    this.#norms.set(completion.name, norm + weight * (perUnitMs - norm));
+    const { name } = completion;
+    const units = Math.max(completion.units, MIN_UNITS);
+    const actualMs = Math.max(completion.serviceMs, MIN_SERVICE_MS);
+    const norm = this.#norms.get(name) ?? actualMs / units;
+    this.#norms.set(name, norm);
     // Work from before the last change says nothing about the present limit.
     if (completion.startedAtMs < this.#changedAtMs) return undefined;
-    this.#evidence.count += 1;
-    this.#evidence.actualMs += completion.serviceMs;
-    this.#evidence.expectedMs += norm * units;
+    const expectedMs = Math.max(norm * units, MIN_SERVICE_MS);
+    this.#evidence.push({ name, units, actualMs, expectedMs });
     return this.#judge(nowMs);
   }
 
   #judge(nowMs: number): RestartReason | undefined {
-    const { count, actualMs, expectedMs } = this.#evidence;
-    if (count >= MIN_SLOW_EVIDENCE && actualMs > COLD_RATIO * expectedMs) {
-      return this.#restart("slow", nowMs);
-    }
-    if (count < Math.min(this.#limit, MAX_EVIDENCE)) return undefined;
-    if (nowMs < this.#holdUntilMs || this.#isFlaggedCold) return undefined;
-    const isNormal = actualMs <= NEAR_NORMAL_RATIO * expectedMs;
-    if (isNormal && this.#limit < this.#slots) {
+    const count = this.#evidence.length;
+    const wanted = Math.min(this.#limit, MAX_EVIDENCE);
+    if (count < Math.min(wanted, MIN_SLOW_EVIDENCE)) return undefined;
+    const actualMs = sum(this.#evidence.map((one) => one.actualMs));
+    const expectedMs = sum(this.#evidence.map((one) => one.expectedMs));
+    if (actualMs > COLD_RATIO * expectedMs) return this.#restart("slow", nowMs);
+    if (count < wanted) return undefined;
+    const mayGrow = nowMs >= this.#holdUntilMs && !this.#isFlaggedCold;
+    if (!mayGrow && count < MAX_EVIDENCE) return undefined;
+    this.#updateNorms();
+    if (!mayGrow || actualMs > NEAR_NORMAL_RATIO * expectedMs) return undefined;
+    if (this.#limit === this.#slots) {
+      this.#holdMs = 0;
+    } else {
       this.#limit = Math.min(this.#slots, this.#limit * 2);
       this.#changedAtMs = nowMs;
-    } else if (isNormal) {
-      this.#holdMs = 0;
     }
-    this.#evidence = { count: 0, actualMs: 0, expectedMs: 0 };
     return undefined;
   }
 
+  /** Ends the evidence; the norms stand still while it is gathered. */
+  #updateNorms(): void {
+    for (const { name, units, actualMs } of this.#evidence) {
+      const perUnitMs = actualMs / units;
+      const norm = this.#norms.get(name) ?? perUnitMs;
+      const weight = perUnitMs < norm ? FASTER_WEIGHT : SLOWER_WEIGHT;
+      this.#norms.set(name, norm + weight * (perUnitMs - norm));
+    }
+    this.#evidence = [];
+  }
+
   #restart(reason: RestartReason, nowMs: number): RestartReason {
+    this.#updateNorms();
     this.#limit = this.#coldSlots;
     this.#changedAtMs = nowMs;
-    this.#evidence = { count: 0, actualMs: 0, expectedMs: 0 };
     return reason;
   }
 }
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
