--- a/src/schema/documents.ts
+++ b/src/schema/documents.ts
@@ -5,6 +5,13 @@
  * via the `definition` "Priority".
  */
 export type Priority = "urgent" | "interactive" | "batch";
+/**
+ * What the system keeps in the object store about orders and bills.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "StoredRecord".
+ */
+export type StoredRecord = Claim | LedgerPage | RecoveredReceipt | HeldRecord;
 
 /**
  * This interface was referenced by `Documents`'s JSON-Schema
@@ -351,3 +358,129 @@
   address: string;
   port: number;
 }
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "ReceiptStep".
+ */
+export interface ReceiptStep {
+  /**
+   * Absent for a plain service.
+   */
+  version?: string;
+  /**
+   * Absent for a model call.
+   */
+  service?: string;
+  endpoint: string;
+  dataCentre?: string;
+  promptTokens: number;
+  outputTokens: number;
+  cost: number;
+}
+/**
+ * The bill of one request with every step that ran, retries and cascade steps included.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "Receipt".
+ */
+export interface Receipt {
+  requestId: string;
+  account: string;
+  requestClass: string;
+  steps: ReceiptStep[];
+  /**
+   * Sum over the steps.
+   */
+  cost: number;
+  /**
+   * End of the request, milliseconds since 1970.
+   */
+  atMs: number;
+}
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "KeptAnswer".
+ */
+export interface KeptAnswer {
+  status: number;
+  contentType: string;
+  bodyBytes: number;
+  /**
+   * Absent when the body is too long to keep.
+   */
+  bodyBase64?: string;
+}
+/**
+ * The claim of one order. The quote is its bill if it runs; the bill is present once it is known to have run.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "Claim".
+ */
+export interface Claim {
+  account: string;
+  key: string;
+  bodySha256: string;
+  state: "claimed" | "done" | "unknown" | "released";
+  requestId: string;
+  /**
+   * The dispatch carries this number.
+   */
+  attempt: number;
+  endpoint: string;
+  epoch: string;
+  /**
+   * New with each write, so that a writer knows its own after a lost reply.
+   */
+  nonce: string;
+  quote: Receipt;
+  answer?: KeptAnswer;
+  bill?: Receipt;
+}
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "LedgerPage".
+ */
+export interface LedgerPage {
+  /**
+   * A seal ends the owner's pages.
+   */
+  kind: "page" | "seal";
+  owner: string;
+  page: number;
+  receipts: Receipt[];
+  sealedBy?: string;
+}
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "RecoveredReceipt".
+ */
+export interface RecoveredReceipt {
+  owner: string;
+  receipt: Receipt;
+}
+/**
+ * The result of an order whose claim is still to be updated.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "Completion".
+ */
+export interface Completion {
+  key: string;
+  attempt: number;
+  answer: KeptAnswer;
+}
+/**
+ * The second copy of a receipt, kept by an endpoint. An order has a completion, and its bill goes into the claim.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "HeldRecord".
+ */
+export interface HeldRecord {
+  owner: string;
+  /**
+   * First page of the owner that can contain the receipt.
+   */
+  fromPage: number;
+  receipt: Receipt;
+  completion?: Completion;
+}
--- a/src/schema/schemas.ts
+++ b/src/schema/schemas.ts
@@ -713,3 +713,303 @@
     }
   }
 } as const;
+
+export const recordsSchema = {
+  "$id": "records.json",
+  "title": "StoredRecord",
+  "description": "What the system keeps in the object store about orders and bills.",
+  "anyOf": [
+    {
+      "$ref": "#/definitions/Claim"
+    },
+    {
+      "$ref": "#/definitions/LedgerPage"
+    },
+    {
+      "$ref": "#/definitions/RecoveredReceipt"
+    },
+    {
+      "$ref": "#/definitions/HeldRecord"
+    }
+  ],
+  "definitions": {
+    "ReceiptStep": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "endpoint",
+        "promptTokens",
+        "outputTokens",
+        "cost"
+      ],
+      "properties": {
+        "version": {
+          "type": "string",
+          "description": "Absent for a plain service."
+        },
+        "service": {
+          "type": "string",
+          "description": "Absent for a model call."
+        },
+        "endpoint": {
+          "type": "string"
+        },
+        "dataCentre": {
+          "type": "string"
+        },
+        "promptTokens": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "outputTokens": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "cost": {
+          "type": "number",
+          "minimum": 0
+        }
+      }
+    },
+    "Receipt": {
+      "type": "object",
+      "additionalProperties": false,
+      "description": "The bill of one request with every step that ran, retries and cascade steps included.",
+      "required": [
+        "requestId",
+        "account",
+        "requestClass",
+        "steps",
+        "cost",
+        "atMs"
+      ],
+      "properties": {
+        "requestId": {
+          "type": "string",
+          "minLength": 1
+        },
+        "account": {
+          "type": "string",
+          "minLength": 1
+        },
+        "requestClass": {
+          "type": "string"
+        },
+        "steps": {
+          "type": "array",
+          "items": {
+            "$ref": "#/definitions/ReceiptStep"
+          }
+        },
+        "cost": {
+          "type": "number",
+          "minimum": 0,
+          "description": "Sum over the steps."
+        },
+        "atMs": {
+          "type": "integer",
+          "minimum": 0,
+          "description": "End of the request, milliseconds since 1970."
+        }
+      }
+    },
+    "KeptAnswer": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "status",
+        "contentType",
+        "bodyBytes"
+      ],
+      "properties": {
+        "status": {
+          "type": "integer",
+          "minimum": 100,
+          "maximum": 599
+        },
+        "contentType": {
+          "type": "string"
+        },
+        "bodyBytes": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "bodyBase64": {
+          "type": "string",
+          "description": "Absent when the body is too long to keep."
+        }
+      }
+    },
+    "Claim": {
+      "type": "object",
+      "additionalProperties": false,
+      "description": "The claim of one order. The quote is its bill if it runs; the bill is present once it is known to have run.",
+      "required": [
+        "account",
+        "key",
+        "bodySha256",
+        "state",
+        "requestId",
+        "attempt",
+        "endpoint",
+        "epoch",
+        "nonce",
+        "quote"
+      ],
+      "properties": {
+        "account": {
+          "type": "string",
+          "minLength": 1
+        },
+        "key": {
+          "type": "string",
+          "minLength": 1
+        },
+        "bodySha256": {
+          "type": "string"
+        },
+        "state": {
+          "type": "string",
+          "enum": [
+            "claimed",
+            "done",
+            "unknown",
+            "released"
+          ]
+        },
+        "requestId": {
+          "type": "string",
+          "minLength": 1
+        },
+        "attempt": {
+          "type": "integer",
+          "minimum": 1,
+          "description": "The dispatch carries this number."
+        },
+        "endpoint": {
+          "type": "string"
+        },
+        "epoch": {
+          "type": "string"
+        },
+        "nonce": {
+          "type": "string",
+          "description": "New with each write, so that a writer knows its own after a lost reply."
+        },
+        "quote": {
+          "$ref": "#/definitions/Receipt"
+        },
+        "answer": {
+          "$ref": "#/definitions/KeptAnswer"
+        },
+        "bill": {
+          "$ref": "#/definitions/Receipt"
+        }
+      }
+    },
+    "LedgerPage": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "kind",
+        "owner",
+        "page",
+        "receipts"
+      ],
+      "properties": {
+        "kind": {
+          "type": "string",
+          "enum": [
+            "page",
+            "seal"
+          ],
+          "description": "A seal ends the owner's pages."
+        },
+        "owner": {
+          "type": "string",
+          "minLength": 1
+        },
+        "page": {
+          "type": "integer",
+          "minimum": 1
+        },
+        "receipts": {
+          "type": "array",
+          "items": {
+            "$ref": "#/definitions/Receipt"
+          }
+        },
+        "sealedBy": {
+          "type": "string"
+        }
+      }
+    },
+    "RecoveredReceipt": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "owner",
+        "receipt"
+      ],
+      "properties": {
+        "owner": {
+          "type": "string",
+          "minLength": 1
+        },
+        "receipt": {
+          "$ref": "#/definitions/Receipt"
+        }
+      }
+    },
+    "Completion": {
+      "type": "object",
+      "additionalProperties": false,
+      "description": "The result of an order whose claim is still to be updated.",
+      "required": [
+        "key",
+        "attempt",
+        "answer"
+      ],
+      "properties": {
+        "key": {
+          "type": "string",
+          "minLength": 1
+        },
+        "attempt": {
+          "type": "integer",
+          "minimum": 1
+        },
+        "answer": {
+          "$ref": "#/definitions/KeptAnswer"
+        }
+      }
+    },
+    "HeldRecord": {
+      "type": "object",
+      "additionalProperties": false,
+      "description": "The second copy of a receipt, kept by an endpoint. An order has a completion, and its bill goes into the claim.",
+      "required": [
+        "owner",
+        "fromPage",
+        "receipt"
+      ],
+      "properties": {
+        "owner": {
+          "type": "string",
+          "minLength": 1
+        },
+        "fromPage": {
+          "type": "integer",
+          "minimum": 1,
+          "description": "First page of the owner that can contain the receipt."
+        },
+        "receipt": {
+          "$ref": "#/definitions/Receipt"
+        },
+        "completion": {
+          "$ref": "#/definitions/Completion"
+        }
+      }
+    }
+  }
+} as const;
