Add claim keeper, entry ledger and held receipts

Orders take a claim before dispatch and bill into it. Other receipts go into ordered ledger pages, with a second copy at an endpoint until a page has them; a survivor seals the pages of a lost owner and writes what they lack.

--- a/src/core/receipts.ts
+++ b/src/core/receipts.ts
@@ -64,6 +64,11 @@
     return this.#waitingBytes >= PAGE_BYTES;
   }
 
+  /** First page that can contain a receipt added now. */
+  get nextPage(): number {
+    return this.#nextPage;
+  }
+
   /** Adds a receipt; gives the first page that can contain it. */
   add(receipt: Receipt): number {
     const { requestId } = receipt;
@@ -128,20 +133,24 @@
   }
 
   /**
-   * A survivor sealed the owner's pages: gives the receipts that are in none.
-   * Each is then written by itself and confirmed with `confirmRecovered`.
+   * A survivor sealed the owner's pages. Each open receipt is then written by
+   * itself and confirmed with `confirmRecovered`.
    */
-  seal(): Receipt[] {
-    const open = [
-      ...(this.#frozen?.page.receipts ?? []),
-      ...[...this.#waiting.values()].map(({ receipt }) => receipt),
-    ];
+  seal(): void {
+    const open = this.listOpen();
     this.#frozen = undefined;
     this.#isSealed = true;
     this.#waiting.clear();
     this.#waitingBytes = 0;
     for (const receipt of open) this.add(receipt);
-    return open;
+  }
+
+  /** Receipts that no confirmed page contains. */
+  listOpen(): Receipt[] {
+    return [
+      ...(this.#frozen?.page.receipts ?? []),
+      ...[...this.#waiting.values()].map(({ receipt }) => receipt),
+    ];
   }
 
   /** The receipt is in the store outside of the pages. */
@@ -163,3 +172,8 @@
   );
   return held.filter(({ receipt }) => !written.has(receipt.requestId));
 }
+
+/** The process of an owner `{entry}-{incarnation}.{generation}`. */
+export function getOwnerProcess(owner: string): string {
+  return owner.slice(0, owner.lastIndexOf("."));
+}
--- /dev/null
+++ b/src/roles/claim_writes.ts
@@ -0,0 +1,106 @@
+/** Reads and writes claim documents; shared by entries and endpoints. */
+
+import type { ObjectStore } from "../adapters/index.js";
+import {
+  assertInvariant,
+  getClaimKey,
+  type OrderResult,
+  settleClaim,
+} from "../core/index.js";
+import type { Claim } from "../schema/index.js";
+import { readObject, type Unavailable, writeObject } from "./store_writes.js";
+
+/** Other writers of a claim are few; more conflicts mean a fault. */
+const MAX_SETTLE_TRIES = 8;
+
+/** A claim with the version under which the store has it. */
+export interface StoredClaim {
+  readonly claim: Claim;
+  readonly version: number;
+}
+
+export type ClaimWriteOutcome =
+  | { readonly kind: "written"; readonly stored: StoredClaim }
+  | { readonly kind: "conflict"; readonly current: StoredClaim | undefined }
+  | Unavailable;
+
+export async function readClaim(
+  store: ObjectStore,
+  id: { account: string; key: string },
+  options: { signal: AbortSignal },
+): Promise<{ kind: "read"; stored: StoredClaim | undefined } | Unavailable> {
+  const key = getClaimKey(id.account, id.key);
+  const outcome = await readObject(store, key, options);
+  if (outcome.kind === "unavailable") return outcome;
+  const { object } = outcome;
+  if (object === undefined) return { kind: "read", stored: undefined };
+  const stored = { claim: object.value as Claim, version: object.version };
+  return { kind: "read", stored };
+}
+
+/** Writes the claim over the given version; 0 creates it. */
+export async function writeClaim(
+  store: ObjectStore,
+  next: StoredClaim,
+  options: { signal: AbortSignal },
+): Promise<ClaimWriteOutcome> {
+  const { claim, version } = next;
+  const outcome = await writeObject(
+    store,
+    {
+      key: getClaimKey(claim.account, claim.key),
+      value: claim,
+      ifVersion: version,
+      isOwn: (value) => (value as Claim).nonce === claim.nonce,
+    },
+    options,
+  );
+  if (outcome.kind === "unavailable") return outcome;
+  if (outcome.kind === "written") {
+    return { kind: "written", stored: { claim, version: outcome.version } };
+  }
+  const { current } = outcome;
+  if (current === undefined) return { kind: "conflict", current };
+  return {
+    kind: "conflict",
+    current: { claim: current.value as Claim, version: current.version },
+  };
+}
+
+/** Brings the result of an attempt that ran into its claim, once. */
+export async function storeResult(
+  store: ObjectStore,
+  result: OrderResult,
+  options: {
+    signal: AbortSignal;
+    createId: () => string;
+    /** The claim as last seen, which saves a read. */
+    known?: StoredClaim;
+  },
+): Promise<{ kind: "stored"; claim: Claim } | Unavailable> {
+  let known = options.known;
+  for (let attempt = 0; attempt < MAX_SETTLE_TRIES; attempt += 1) {
+    if (known === undefined) {
+      const read = await readClaim(store, result, options);
+      if (read.kind === "unavailable") return read;
+      assertInvariant(
+        read.stored !== undefined,
+        "falseNotRun",
+        `Order "${result.key}" ran and has no claim`,
+      );
+      known = read.stored;
+    }
+    const next = settleClaim(known.claim, result, options.createId());
+    if (next === undefined) return { kind: "stored", claim: known.claim };
+    const write = await writeClaim(
+      store,
+      { claim: next, version: known.version },
+      options,
+    );
+    if (write.kind === "unavailable") return write;
+    if (write.kind === "written") return { kind: "stored", claim: next };
+    known = write.current;
+  }
+  const detail = `Claim of "${result.key}" changed ${MAX_SETTLE_TRIES} times`;
+  return { kind: "unavailable", detail };
+}
--- /dev/null
+++ b/src/roles/clock.ts
@@ -0,0 +1,19 @@
+/** Time as the roles see it, so that tests run in virtual time. */
+
+import { setTimeout as delay } from "node:timers/promises";
+
+export interface Clock {
+  /** Milliseconds since 1970. */
+  now(): number;
+  /** Resolves after the time, or at once when the signal aborts. */
+  sleep(ms: number, signal: AbortSignal): Promise<void>;
+}
+
+export function createSystemClock(): Clock {
+  return {
+    now: () => Date.now(),
+    sleep: async (ms, signal) => {
+      await delay(ms, undefined, { signal, ref: false }).catch(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/src/roles/endpoint_receipts.ts
@@ -0,0 +1,214 @@
+/**
+ * Second copies of receipts, kept by an endpoint until their owner has
+ * written them. The copies of a lost owner are recovered: the owner's pages
+ * are sealed, and what they lack is written receipt by receipt.
+ */
+
+import type { ObjectStore } from "../adapters/index.js";
+import {
+  assertInvariant,
+  getOwnerProcess,
+  MAX_RECEIPT_BYTES,
+  MAX_RECEIPTS,
+} from "../core/index.js";
+import type {
+  HeldRecord,
+  HoldReceiptRequest,
+  ReleaseReceiptsRequest,
+} from "../schema/index.js";
+import type { Clock } from "./clock.js";
+import { recoverRecords } from "./receipt_recovery.js";
+
+/** Longer than any pause that an entry survives, so seals are rare. */
+const OWNER_LOST_MS = 30_000;
+
+/** A live owner's copy of this age has most likely lost its release. */
+const STALE_COPY_MS = 120_000;
+
+const CHECK_INTERVAL_MS = 5_000;
+
+/** Between two tries to hand over on a graceful shutdown. */
+const HAND_OVER_INTERVAL_MS = 250;
+
+interface HeldCopy {
+  readonly record: HeldRecord;
+  readonly request: HoldReceiptRequest;
+  readonly bytes: number;
+  readonly heldAtMs: number;
+}
+
+export interface HeldReceiptsOptions {
+  /** Without a store nothing is held, since it could not be recovered. */
+  readonly store: ObjectStore | undefined;
+  readonly clock: Clock;
+  readonly createId: () => string;
+  /** Name of this endpoint; it marks the seals. */
+  readonly endpoint: string;
+  /**
+   * True while the entry process, named `{entry}-{incarnation}`, has a stream
+   * to this endpoint.
+   */
+  readonly isProcessLive: (process: string) => boolean;
+  /** `HoldReceipt` at any other endpoint; false when none takes it. */
+  readonly forwardReceipt: (
+    request: HoldReceiptRequest,
+    signal: AbortSignal,
+  ) => Promise<boolean>;
+  readonly maxReceipts?: number;
+  readonly maxBytes?: number;
+}
+
+export class HeldReceipts {
+  readonly #options: HeldReceiptsOptions;
+  /** By owner, then by request id. */
+  readonly #copies = new Map<string, Map<string, HeldCopy>>();
+  readonly #seenAtMs = new Map<string, number>();
+  #count = 0;
+  #bytes = 0;
+  #isStopping = false;
+
+  constructor(options: HeldReceiptsOptions) {
+    this.#options = options;
+  }
+
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Keeps a copy; false when there is no room or no way to recover it. */
+  hold(request: HoldReceiptRequest): boolean {
+    const { owner, requestId, receipt } = request;
+    const { clock, maxReceipts, maxBytes, store } = this.#options;
+    const bytes = Buffer.byteLength(receipt);
+    if (store === undefined || this.#isStopping) return false;
+    const copies = this.#copies.get(owner) ?? new Map<string, HeldCopy>();
+    this.#seenAtMs.set(owner, clock.now());
+    if (copies.has(requestId)) return true;
+    if (this.#count >= (maxReceipts ?? MAX_RECEIPTS)) return false;
+    if (this.#bytes + bytes > (maxBytes ?? MAX_RECEIPT_BYTES)) return false;
+    const record = parseRecord(receipt);
+    if (record === undefined) return false;
+    copies.set(requestId, { record, request, bytes, heldAtMs: clock.now() });
+    this.#copies.set(owner, copies);
+    this.#count += 1;
+    this.#bytes += bytes;
+    return true;
+  }
+
+  /** The owner has written these receipts. */
+  release(request: ReleaseReceiptsRequest): void {
+    this.#seenAtMs.set(request.owner, this.#options.clock.now());
+    for (const requestId of request.requestIds) {
+      this.#drop(request.owner, requestId);
+    }
+  }
+
+  #drop(owner: string, requestId: string): void {
+    const copies = this.#copies.get(owner);
+    const copy = copies?.get(requestId);
+    if (copies === undefined || copy === undefined) return;
+    copies.delete(requestId);
+    this.#count -= 1;
+    this.#bytes -= copy.bytes;
+    if (copies.size > 0) return;
+    this.#copies.delete(owner);
+    this.#seenAtMs.delete(owner);
+  }
+
+  /** Recovers the copies of lost owners once; false when some are left. */
+  async recoverLost(signal: AbortSignal): Promise<boolean> {
+    const { clock, isProcessLive } = this.#options;
+    let isDone = true;
+    for (const owner of [...this.#copies.keys()]) {
+      if (signal.aborted) return false;
+      if (isProcessLive(getOwnerProcess(owner))) {
+        this.#seenAtMs.set(owner, clock.now());
+        await this.#dropWritten(owner, signal);
+        continue;
+      }
+      const unseenMs = clock.now() - (this.#seenAtMs.get(owner) ?? 0);
+      if (unseenMs < OWNER_LOST_MS) continue;
+      isDone = (await this.#recover(owner, { signal, seal: true })) && isDone;
+    }
+    return isDone;
+  }
+
+  /** Drops old copies of a live owner that its pages contain. */
+  async #dropWritten(owner: string, signal: AbortSignal): Promise<void> {
+    const copies = this.#copies.get(owner)?.values().next().value;
+    if (copies === undefined) return;
+    const ageMs = this.#options.clock.now() - copies.heldAtMs;
+    if (ageMs < STALE_COPY_MS) return;
+    await this.#recover(owner, { signal, seal: false });
+  }
+
+  async #recover(
+    owner: string,
+    options: { signal: AbortSignal; seal: boolean },
+  ): Promise<boolean> {
+    const { store, createId, endpoint } = this.#options;
+    const copies = [...(this.#copies.get(owner)?.values() ?? [])];
+    if (store === undefined || copies.length === 0) return true;
+    const outcome = await recoverRecords(
+      { owner, records: copies.map((copy) => copy.record), endpoint },
+      store,
+      { ...options, createId },
+    );
+    for (const requestId of outcome.written) this.#drop(owner, requestId);
+    return outcome.isComplete;
+  }
+
+  /** Looks for lost owners until the signal aborts. */
+  async start(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#options.clock.sleep(CHECK_INTERVAL_MS, signal);
+      if (!signal.aborted) await this.recoverLost(signal);
+    }
+  }
+
+  /**
+   * Graceful shutdown: gives each copy to another endpoint, or writes it.
+   * Until the signal aborts, owners can still write and release theirs.
+   */
+  async handOver(signal: AbortSignal): Promise<void> {
+    this.#isStopping = true;
+    while (this.#count > 0 && !signal.aborted) {
+      await this.#forwardAll(signal);
+      for (const owner of [...this.#copies.keys()]) {
+        await this.#recover(owner, { signal, seal: true });
+      }
+      if (this.#count === 0) return;
+      await this.#options.clock.sleep(HAND_OVER_INTERVAL_MS, signal);
+    }
+    const { isProcessLive } = this.#options;
+    for (const owner of this.#copies.keys()) {
+      // A live owner still has its own copy and writes it.
+      assertInvariant(
+        isProcessLive(getOwnerProcess(owner)),
+        "unbilled",
+        `Receipts of lost owner "${owner}" have no holder`,
+      );
+    }
+  }
+
+  async #forwardAll(signal: AbortSignal): Promise<void> {
+    for (const [owner, copies] of [...this.#copies]) {
+      for (const [requestId, { request }] of [...copies]) {
+        const isHeld = await this.#options
+          .forwardReceipt(request, signal)
+          .catch(() => false);
+        // Without a taker the rest is written instead.
+        if (!isHeld) return;
+        this.#drop(owner, requestId);
+      }
+    }
+  }
+}
+
+function parseRecord(text: string): HeldRecord | undefined {
+  try {
+    return JSON.parse(text) as HeldRecord;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/roles/pending_results.ts
@@ -0,0 +1,126 @@
+/**
+ * Results of orders whose claims the store could not take. They are tried
+ * again until the store has them; meanwhile an endpoint keeps a copy.
+ */
+
+import type { ObjectStore } from "../adapters/index.js";
+import {
+  assertInvariant,
+  createRefusal,
+  type OrderResult,
+  type Refusal,
+} from "../core/index.js";
+import type { HeldRecord } from "../schema/index.js";
+import { storeResult } from "./claim_writes.js";
+import type { Clock } from "./clock.js";
+import type { ReceiptHolders } from "./receipt_holders.js";
+
+/** With answers of up to 64 KB each, the memory stays under 64 MB. */
+const MAX_PENDING_RESULTS = 1_000;
+
+const RETRY_INTERVAL_MS = 1_000;
+
+/** Bounds the calls that all entries together make during an outage. */
+const MAX_RETRY_INTERVAL_MS = 5_000;
+
+export interface PendingResult {
+  readonly result: OrderResult;
+  /** The endpoint that ran the order; it is asked first to keep a copy. */
+  readonly endpoint: string;
+}
+
+export interface PendingResultsOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly createId: () => string;
+  readonly holders: ReceiptHolders;
+  /** The owner under which endpoints keep the copies. */
+  readonly getOwner: () => string;
+  /** Endpoints that can keep a copy when the first one does not. */
+  readonly listHolders: () => readonly string[];
+}
+
+export class PendingResults {
+  readonly #options: PendingResultsOptions;
+  readonly #pending = new Map<string, PendingResult>();
+
+  constructor(options: PendingResultsOptions) {
+    this.#options = options;
+  }
+
+  get count(): number {
+    return this.#pending.size;
+  }
+
+  /** Refuses new orders when too many results wait for the store. */
+  checkRoom(): Refusal | undefined {
+    if (this.#pending.size < MAX_PENDING_RESULTS) return undefined;
+    const detail = `${this.#pending.size} order results wait for the store`;
+    return createRefusal("ledger-full", detail, {
+      retryAfterMs: MAX_RETRY_INTERVAL_MS,
+    });
+  }
+
+  /** Keeps the result; resolves when an endpoint has a copy or refused. */
+  async add(pending: PendingResult, signal: AbortSignal): Promise<void> {
+    const { bill } = pending.result;
+    if (this.#pending.has(bill.requestId)) return;
+    this.#pending.set(bill.requestId, pending);
+    await this.#hold(pending, signal);
+  }
+
+  async #hold(pending: PendingResult, signal: AbortSignal): Promise<boolean> {
+    const { getOwner, holders, listHolders } = this.#options;
+    const { key, attempt, answer, bill } = pending.result;
+    const record: HeldRecord = {
+      owner: getOwner(),
+      fromPage: 1,
+      receipt: bill,
+      completion: { key, attempt, answer },
+    };
+    const others = listHolders().filter((name) => name !== pending.endpoint);
+    return holders.hold(record, [pending.endpoint, ...others], signal);
+  }
+
+  /** Tries each pending result once; true when the store has them all. */
+  async flush(signal: AbortSignal): Promise<boolean> {
+    const { store, createId, holders } = this.#options;
+    for (const [requestId, { result }] of [...this.#pending]) {
+      const outcome = await storeResult(store, result, { signal, createId });
+      if (outcome.kind === "unavailable") return false;
+      this.#pending.delete(requestId);
+      holders.noteWritten(requestId);
+    }
+    return this.#pending.size === 0;
+  }
+
+  /** Retries in the background until the signal aborts. */
+  async start(signal: AbortSignal): Promise<void> {
+    let intervalMs = RETRY_INTERVAL_MS;
+    while (!signal.aborted) {
+      const isDone = await this.flush(signal);
+      intervalMs = isDone
+        ? RETRY_INTERVAL_MS
+        : Math.min(intervalMs * 2, MAX_RETRY_INTERVAL_MS);
+      await this.#options.clock.sleep(intervalMs, signal);
+    }
+  }
+
+  /** Stores or hands over what is left, until the signal aborts. */
+  async close(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !(await this.flush(signal))) {
+      await this.#options.clock.sleep(RETRY_INTERVAL_MS, signal);
+    }
+    for (const [requestId, pending] of this.#pending) {
+      const isHeld =
+        this.#options.holders.isHeld(requestId) ||
+        // The time for the store is over; the hand-over has its own limit.
+        (await this.#hold(pending, new AbortController().signal));
+      assertInvariant(
+        isHeld,
+        "unbilled",
+        `The result of order "${pending.result.key}" has no holder`,
+      );
+    }
+  }
+}
