--- a/src/roles/claim_outcomes.ts
+++ b/src/roles/claim_outcomes.ts
@@ -55,29 +55,25 @@
 export type ReleaseOutcome =
   /** The attempt did not run, and no other caller has the claim. */
   | { readonly kind: "released" }
-  /** Another caller has the claim: acquire again to join it. */
+  /** Another caller has the claim: `rejoin` finds its result. */
   | { readonly kind: "taken" }
   | { readonly kind: "refused"; readonly refusal: Refusal };
 
-/** @internal */
+/** Refuses at once; ran is "unknown" when another caller has the claim. @internal */
 export function refuseUnavailable(outcome: Unavailable) {
-  const retryAfterMs = outcome.retryAfterMs ?? STORE_RETRY_AFTER_MS;
+  const options = {
+    ran: outcome.isContended ? ("unknown" as const) : ("no" as const),
+    retryAfterMs: outcome.retryAfterMs ?? STORE_RETRY_AFTER_MS,
+  };
   return {
     kind: "refused" as const,
-    refusal: createRefusal("store-unavailable", outcome.detail, {
-      retryAfterMs,
-    }),
+    refusal: createRefusal("store-unavailable", outcome.detail, options),
   };
 }
 
-/** @internal */
+/** Another caller may have the claim and may have run the order. @internal */
 export function refuseUnconfirmed(outcome: Unavailable) {
-  const { refusal } = refuseUnavailable(outcome);
-  // Another caller may have the claim and may have run the order.
-  return {
-    kind: "refused" as const,
-    refusal: { ...refusal, ran: "unknown" as const },
-  };
+  return refuseUnavailable({ ...outcome, isContended: true });
 }
 
 /** @internal */
--- a/src/roles/entry_claims.ts
+++ b/src/roles/entry_claims.ts
@@ -77,6 +77,8 @@
   readonly signal: AbortSignal;
   /** Questions to gates that stayed without a reply. */
   readonly unreachable: { count: number };
+  /** True when an attempt of this very request may have run. */
+  readonly isRejoin: boolean;
 }
 
 export class ClaimKeeper {
@@ -86,25 +88,43 @@
     this.#options = options;
   }
 
-  /**
-   * Takes the order's claim, or joins the attempt that has it. Called again
-   * after a broken dispatch, it finds out what became of the attempt.
-   */
+  /** Takes the order's claim, or joins the attempt that has it. */
   async acquire(
     order: AcquireRequest,
     signal: AbortSignal,
   ): Promise<AcquireOutcome> {
     const full = this.#options.pending.checkRoom();
     if (full !== undefined) return { kind: "refused", refusal: full };
-    const options = { signal, unreachable: { count: 0 } };
-    let step: Step = { kind: "again", stored: undefined };
+    const options = { signal, unreachable: { count: 0 }, isRejoin: false };
+    return this.#follow(order, undefined, options);
+  }
+
+  /**
+   * Finds out what became of an acquired attempt, after its dispatch broke or
+   * another caller took the claim. Since the order may have run, no refusal
+   * says "not run".
+   */
+  async rejoin(
+    order: AcquireRequest,
+    stored: StoredClaim,
+    signal: AbortSignal,
+  ): Promise<AcquireOutcome> {
+    const options = { signal, unreachable: { count: 0 }, isRejoin: true };
+    return this.#follow(order, stored, options);
+  }
+
+  async #follow(
+    order: AcquireRequest,
+    stored: StoredClaim | undefined,
+    options: StepOptions,
+  ): Promise<AcquireOutcome> {
+    let step: Step = { kind: "again", stored };
     for (let count = 0; count < MAX_ACQUIRE_STEPS; count += 1) {
       if (step.kind === "reread") {
+        const { signal } = options;
         const read = await readClaim(this.#options.store, order, { signal });
-        if (read.kind === "unavailable") {
-          // The claim was seen, so the order may be running.
-          return refuseUnconfirmed(read);
-        }
+        // The claim was seen, so the order may be running.
+        if (read.kind === "unavailable") return refuseUnconfirmed(read);
         step = { kind: "again", stored: read.stored };
       }
       if (step.kind !== "again") return step;
@@ -124,25 +144,29 @@
     if (next.kind === "key-reused") return refuseReused(order.key);
     if (stored === undefined) {
       const claim = createClaim(order, this.#options.createId());
-      return this.#take({ claim, version: 0 }, options.signal);
+      return this.#take({ claim, version: 0 }, options);
     }
     return next.kind === "take-over"
-      ? this.#takeOver(order, stored, options.signal)
+      ? this.#takeOver(order, stored, options)
       : this.#lookUp(order, stored, options);
   }
 
   async #takeOver(
     order: AcquireRequest,
     stored: StoredClaim,
-    signal: AbortSignal,
+    options: StepOptions,
   ): Promise<Step> {
     const claim = takeOverClaim(stored.claim, order, this.#options.createId());
-    return this.#take({ claim, version: stored.version }, signal);
+    return this.#take({ claim, version: stored.version }, options);
   }
 
-  async #take(next: StoredClaim, signal: AbortSignal): Promise<Step> {
-    const outcome = await writeClaim(this.#options.store, next, { signal });
-    if (outcome.kind === "unavailable") return refuseUnavailable(outcome);
+  async #take(next: StoredClaim, options: StepOptions): Promise<Step> {
+    const outcome = await writeClaim(this.#options.store, next, options);
+    if (outcome.kind === "unavailable") {
+      return options.isRejoin
+        ? refuseUnconfirmed(outcome)
+        : refuseUnavailable(outcome);
+    }
     return outcome.kind === "conflict"
       ? { kind: "again", stored: outcome.current }
       : { kind: "acquired", stored: outcome.stored };
@@ -157,7 +181,7 @@
     const report = await this.#options.lookUpAttempt(stored.claim, signal);
     switch (report.kind) {
       case "revoked":
-        return this.#takeOver(order, stored, signal);
+        return this.#takeOver(order, stored, options);
       case "ended":
         return this.#settle(stored, report, signal);
       case "failed":
--- a/src/roles/store_writes.ts
+++ b/src/roles/store_writes.ts
@@ -33,6 +33,8 @@
   readonly kind: "unavailable";
   readonly detail: string;
   readonly retryAfterMs?: number;
+  /** True when the key is known to have another writer's value. */
+  readonly isContended?: boolean;
 }
 
 export type ReadOutcome =
@@ -83,7 +85,9 @@
     }
     // A conflict can be this write's own earlier try, which took effect late.
     const back = await readObject(store, key, options);
-    if (back.kind === "unavailable") return back;
+    if (back.kind === "unavailable") {
+      return { ...back, isContended: failure.kind === "conflict" };
+    }
     const current = back.object;
     if (current !== undefined && write.isOwn(current.value)) {
       return { kind: "written", version: current.version };
