--- a/src/roles/entry_claims.ts
+++ b/src/roles/entry_claims.ts
@@ -77,8 +77,6 @@
   readonly signal: AbortSignal;
   /** Questions to gates that stayed without a reply. */
   readonly unreachable: { count: number };
-  /** True when an attempt of this very request may have run. */
-  readonly isRejoin: boolean;
 }
 
 export class ClaimKeeper {
@@ -95,21 +93,21 @@
   ): Promise<AcquireOutcome> {
     const full = this.#options.pending.checkRoom();
     if (full !== undefined) return { kind: "refused", refusal: full };
-    const options = { signal, unreachable: { count: 0 }, isRejoin: false };
+    const options = { signal, unreachable: { count: 0 } };
     return this.#follow(order, undefined, options);
   }
 
   /**
    * Finds out what became of an acquired attempt, after its dispatch broke or
-   * another caller took the claim. Since the order may have run, no refusal
-   * says "not run".
+   * another caller took the claim. Starting from the known claim instead of
+   * a new one, no refusal says "not run" of an attempt that ran.
    */
   async rejoin(
     order: AcquireRequest,
     stored: StoredClaim,
     signal: AbortSignal,
   ): Promise<AcquireOutcome> {
-    const options = { signal, unreachable: { count: 0 }, isRejoin: true };
+    const options = { signal, unreachable: { count: 0 } };
     return this.#follow(order, stored, options);
   }
 
@@ -162,11 +160,8 @@
 
   async #take(next: StoredClaim, options: StepOptions): Promise<Step> {
     const outcome = await writeClaim(this.#options.store, next, options);
-    if (outcome.kind === "unavailable") {
-      return options.isRejoin
-        ? refuseUnconfirmed(outcome)
-        : refuseUnavailable(outcome);
-    }
+    // Every attempt before this one is known not to have run.
+    if (outcome.kind === "unavailable") return refuseUnavailable(outcome);
     return outcome.kind === "conflict"
       ? { kind: "again", stored: outcome.current }
       : { kind: "acquired", stored: outcome.stored };
