--- a/src/roles/receipt_holders.ts
+++ b/src/roles/receipt_holders.ts
@@ -1,6 +1,7 @@
 /** Calls to the endpoints that keep second copies of an entry's receipts. */
 
 import type { HeldRecord } from "../schema/index.js";
+import { callWithin } from "./time_limit.js";
 
 /** Longest wait for one endpoint, so that the next can still be asked. */
 const HOLD_TIMEOUT_MS = 500;
@@ -70,11 +71,9 @@
     for (const endpoint of endpoints.slice(0, MAX_HOLDERS_ASKED)) {
       if (signal.aborted || copy.isWritten || copy.isHeld) break;
       copy.asked.add(endpoint);
-      const limit = AbortSignal.timeout(HOLD_TIMEOUT_MS);
-      const call = AbortSignal.any([signal, limit]);
-      copy.isHeld = await this.#calls
-        .holdReceipt(endpoint, record, call)
-        .catch(() => false);
+      copy.isHeld = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
+        this.#calls.holdReceipt(endpoint, record, limited),
+      ).catch(() => false);
     }
     copy.isAsking = false;
     if (copy.isWritten) this.#queueRelease(requestId, copy);
@@ -126,14 +125,10 @@
   ): Promise<boolean> {
     for (const [owner, ids] of [...releases.byOwner]) {
       const requestIds = [...ids].slice(0, RELEASE_BATCH);
-      const limit = AbortSignal.timeout(HOLD_TIMEOUT_MS);
-      const isSent = await this.#calls
-        .releaseReceipts(
-          endpoint,
-          { owner, requestIds },
-          AbortSignal.any([signal, limit]),
-        )
-        .catch(() => false);
+      const release = { owner, requestIds };
+      const isSent = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
+        this.#calls.releaseReceipts(endpoint, release, limited),
+      ).catch(() => false);
       if (!isSent) return false;
       for (const requestId of requestIds) ids.delete(requestId);
       if (ids.size === 0) releases.byOwner.delete(owner);
--- a/src/roles/receipt_recovery.ts
+++ b/src/roles/receipt_recovery.ts
@@ -9,7 +9,7 @@
 } from "../core/index.js";
 import type { HeldRecord, LedgerPage } from "../schema/index.js";
 import { storeResult } from "./claim_writes.js";
-import { limitCall, writeObject } from "./store_writes.js";
+import { callStore, writeObject } from "./store_writes.js";
 
 /** Pages in one list call: 4 MB at most. */
 const LIST_LIMIT = 8;
@@ -116,13 +116,13 @@
   const pages: LedgerPage[] = [];
   let last = Math.min(...records.map((record) => record.fromPage)) - 1;
   while (pages.length < MAX_PAGES_READ && !options.signal.aborted) {
-    const listed = await store.list(
-      {
-        prefix: getPagePrefix(owner),
-        after: getPageKey(owner, last),
-        limit: LIST_LIMIT,
-      },
-      limitCall(options.signal),
+    const listOptions = {
+      prefix: getPagePrefix(owner),
+      after: getPageKey(owner, last),
+      limit: LIST_LIMIT,
+    };
+    const listed = await callStore(options.signal, (signal) =>
+      store.list(listOptions, signal),
     );
     if (listed.isErr()) return undefined;
     for (const { value } of listed.value) pages.push(value as LedgerPage);
--- a/src/roles/store_writes.ts
+++ b/src/roles/store_writes.ts
@@ -3,7 +3,13 @@
  * read back, and the writer recognises its own value.
  */
 
-import type { ObjectStore, StoredObject } from "../adapters/index.js";
+import type { Result, ResultAsync } from "neverthrow";
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreFailure,
+} from "../adapters/index.js";
+import { callWithin } from "./time_limit.js";
 
 /**
  * Longest store call: well above its usual milliseconds, and short enough
@@ -41,9 +47,12 @@
   | { readonly kind: "read"; readonly object: StoredObject | undefined }
   | Unavailable;
 
-/** Bounds a store call in time. */
-export function limitCall(signal: AbortSignal): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(STORE_CALL_TIMEOUT_MS)]);
+/** Makes a store call that is bounded in time. */
+export function callStore<T>(
+  signal: AbortSignal,
+  call: (signal: AbortSignal) => ResultAsync<T, StoreFailure>,
+): Promise<Result<T, StoreFailure>> {
+  return callWithin(STORE_CALL_TIMEOUT_MS, signal, call);
 }
 
 export async function readObject(
@@ -51,7 +60,9 @@
   key: string,
   options: { signal: AbortSignal },
 ): Promise<ReadOutcome> {
-  const result = await store.read(key, limitCall(options.signal));
+  const result = await callStore(options.signal, (signal) =>
+    store.read(key, signal),
+  );
   return result.match<ReadOutcome>(
     (object) => ({ kind: "read", object }),
     (failure) => ({
@@ -71,9 +82,8 @@
 ): Promise<WriteOutcome> {
   const { key, value, ifVersion } = write;
   for (let attempt = 0; attempt < MAX_WRITE_TRIES; attempt += 1) {
-    const result = await store.write(
-      { key, value, ifVersion },
-      limitCall(options.signal),
+    const result = await callStore(options.signal, (signal) =>
+      store.write({ key, value, ifVersion }, signal),
     );
     if (result.isOk()) return { kind: "written", version: result.value };
     const failure = result.error;
