--- a/src/roles/entry_ledger_test.ts
+++ b/src/roles/entry_ledger_test.ts
@@ -1,42 +1,18 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { LedgerPage, Receipt } from "../schema/index.js";
 import { HeldReceipts } from "./endpoint_receipts.js";
 import { EntryLedger } from "./entry_ledger.js";
-import { FakeStore, type Fault, VirtualClock } from "./fake_store_test.js";
+import {
+  countPlaces,
+  createReceipt,
+  FakeStore,
+  type Fault,
+  VirtualClock,
+} from "./fake_store_test.js";
 import { ReceiptHolders } from "./receipt_holders.js";
 
 const NEVER = new AbortController().signal;
 
-export function createReceipt(requestId: string, padding = 0): Receipt {
-  const step = { endpoint: "gpu-1", promptTokens: 10, outputTokens: 5 };
-  return {
-    requestId,
-    account: "pumps",
-    requestClass: "chat".padEnd(padding + 4, "."),
-    steps: [
-      { ...step, version: "small-1", cost: 1 },
-      { ...step, version: "large-1", cost: 4 },
-    ],
-    cost: 5,
-    atMs: 1,
-  };
-}
-
-/** Each request id with the number of places that contain it. */
-export function countPlaces(store: FakeStore): Map<string, number> {
-  const places = new Map<string, number>();
-  for (const { key, value } of store.listAll("ledger/")) {
-    const receipts = key.startsWith("ledger/recovered/")
-      ? [(value as { receipt: Receipt }).receipt]
-      : (value as LedgerPage).receipts;
-    for (const { requestId } of receipts) {
-      places.set(requestId, (places.get(requestId) ?? 0) + 1);
-    }
-  }
-  return places;
-}
-
 function createCase(faults: Fault[] = [], maxReceipts?: number) {
   const clock = new VirtualClock();
   const store = FakeStore.script(clock, faults);
--- a/src/roles/fake_store_test.ts
+++ b/src/roles/fake_store_test.ts
@@ -12,6 +12,7 @@
   StoreFailure,
   WriteRequest,
 } from "../adapters/index.js";
+import type { LedgerPage, Receipt } from "../schema/index.js";
 import type { Clock } from "./clock.js";
 
 export class VirtualClock implements Clock {
@@ -153,6 +154,35 @@
   }
 }
 
+export function createReceipt(requestId: string, padding = 0): Receipt {
+  const step = { endpoint: "gpu-1", promptTokens: 10, outputTokens: 5 };
+  return {
+    requestId,
+    account: "pumps",
+    requestClass: "chat".padEnd(padding + 4, "."),
+    steps: [
+      { ...step, version: "small-1", cost: 1 },
+      { ...step, version: "large-1", cost: 4 },
+    ],
+    cost: 5,
+    atMs: 1,
+  };
+}
+
+/** Each request id with the number of places that contain it. */
+export function countPlaces(store: FakeStore): Map<string, number> {
+  const places = new Map<string, number>();
+  for (const { key, value } of store.listAll("ledger/")) {
+    const receipts = key.startsWith("ledger/recovered/")
+      ? [(value as { receipt: Receipt }).receipt]
+      : (value as LedgerPage).receipts;
+    for (const { requestId } of receipts) {
+      places.set(requestId, (places.get(requestId) ?? 0) + 1);
+    }
+  }
+  return places;
+}
+
 it("loses the reply after the effect, so that callers must read back", async () => {
   const clock = new VirtualClock();
   const store = FakeStore.script(clock, ["lost-reply"]);
--- /dev/null
+++ b/src/roles/ledger_model_test.ts
@@ -0,0 +1,313 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { type Result, ResultAsync } from "neverthrow";
+import type { ObjectStore, StoreFailure } from "../adapters/index.js";
+import { HeldReceipts } from "./endpoint_receipts.js";
+import { EntryLedger } from "./entry_ledger.js";
+import {
+  countPlaces,
+  createRandom,
+  createReceipt,
+  FakeStore,
+  type Fault,
+  type Random,
+  VirtualClock,
+} from "./fake_store_test.js";
+import { ReceiptHolders } from "./receipt_holders.js";
+
+const FAULTS: Fault[] = ["unavailable", "lost-reply", "lost", "late"];
+const ENDPOINTS = ["gpu-0", "gpu-1", "gpu-2"];
+
+/** A process that can be killed or frozen between any two steps. */
+class FakeProcess {
+  isAlive = true;
+  frozenUntilMs = 0;
+  readonly stopping = new AbortController();
+  readonly #clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  get isRunning(): boolean {
+    return this.isAlive && this.#clock.now() >= this.frozenUntilMs;
+  }
+
+  kill() {
+    this.isAlive = false;
+    this.stopping.abort();
+  }
+
+  /** Never resolves in a killed process. */
+  async step(): Promise<void> {
+    const leftMs = this.frozenUntilMs - this.#clock.now();
+    if (leftMs > 0) await this.#clock.sleep(leftMs);
+    if (!this.isAlive) await new Promise(() => undefined);
+  }
+
+  async call<T>(run: () => PromiseLike<T>): Promise<T> {
+    await this.step();
+    const result = await run();
+    await this.step();
+    return result;
+  }
+
+  wrapStore(store: ObjectStore): ObjectStore {
+    const wrap = <T>(run: () => PromiseLike<Result<T, StoreFailure>>) =>
+      new ResultAsync(this.call(run));
+    return {
+      read: (...args) => wrap(() => store.read(...args)),
+      write: (...args) => wrap(() => store.write(...args)),
+      list: (...args) => wrap(() => store.list(...args)),
+      watch: (...args) => wrap(() => store.watch(...args)),
+    };
+  }
+}
+
+interface Endpoint {
+  process: FakeProcess;
+  held: HeldReceipts;
+}
+
+interface Entry {
+  process: FakeProcess;
+  ledger: EntryLedger;
+}
+
+/** Entries and endpoints that call each other in virtual time. */
+class FakeFleet {
+  readonly clock = new VirtualClock();
+  readonly store: FakeStore;
+  readonly random: Random;
+  readonly entries = new Map<string, Entry>();
+  readonly endpoints = new Map<string, Endpoint>();
+  /** Who confirmed a copy of each request's receipt. */
+  readonly holders = new Map<string, FakeProcess[]>();
+  isQuiet = false;
+  #incarnations = 0;
+
+  constructor(seed: number) {
+    this.random = createRandom(seed);
+    this.store = new FakeStore(this.clock, () => this.#pickFault());
+    for (const name of ["entry0", "entry1"]) this.startEntry(name);
+    for (const name of ENDPOINTS) this.startEndpoint(name);
+  }
+
+  #pickFault(): Fault {
+    if (this.isQuiet || this.random(4) > 0) return "none";
+    return FAULTS[this.random(FAULTS.length)] ?? "none";
+  }
+
+  startEndpoint(name: string) {
+    const process = new FakeProcess(this.clock);
+    const held = new HeldReceipts({
+      store: process.wrapStore(this.store),
+      clock: this.clock,
+      createId: () => "id",
+      endpoint: name,
+      isProcessLive: (owner) =>
+        this.entries.get(owner)?.process.isRunning ?? false,
+      forwardReceipt: async (request, signal) => {
+        const other = ENDPOINTS.find((candidate) => candidate !== name) ?? name;
+        return this.#hold(other, request, signal);
+      },
+    });
+    this.endpoints.set(name, { process, held });
+    void held.start(process.stopping.signal);
+  }
+
+  async #hold(
+    name: string,
+    request: { owner: string; receipt: string; requestId: string },
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    await this.clock.sleep(this.random(40));
+    const endpoint = this.endpoints.get(name);
+    if (!endpoint?.process.isRunning || signal.aborted) return false;
+    if (!endpoint.held.hold(request)) return false;
+    const holders = this.holders.get(request.requestId) ?? [];
+    this.holders.set(request.requestId, [...holders, endpoint.process]);
+    await this.clock.sleep(this.random(40));
+    return this.isQuiet || this.random(6) > 0;
+  }
+
+  startEntry(name: string) {
+    const process = new FakeProcess(this.clock);
+    this.#incarnations += 1;
+    const incarnation = `i${this.#incarnations}`;
+    const holders = new ReceiptHolders({
+      holdReceipt: (endpoint, record, signal) =>
+        process.call(() => {
+          const { owner } = record;
+          const receipt = JSON.stringify(record);
+          const { requestId } = record.receipt;
+          return this.#hold(endpoint, { owner, receipt, requestId }, signal);
+        }),
+      releaseReceipts: (endpoint, release) =>
+        process.call(async () => {
+          await this.clock.sleep(this.random(40));
+          if (this.random(6) === 0) return false;
+          this.endpoints.get(endpoint)?.held.release(release);
+          return true;
+        }),
+    });
+    const ledger = new EntryLedger({
+      store: process.wrapStore(this.store),
+      clock: this.clock,
+      holders,
+      entry: name,
+      incarnation,
+    });
+    for (const [key, entry] of this.entries) {
+      if (key.startsWith(`${name}-`)) entry.process.kill();
+    }
+    this.entries.set(`${name}-${incarnation}`, { process, ledger });
+    void ledger.start(process.stopping.signal);
+  }
+
+  listLiveEntries(): Entry[] {
+    return [...this.entries.values()].filter(({ process }) => process.isAlive);
+  }
+}
+
+type Step =
+  | { kind: "add"; entry: number; count: number }
+  | { kind: "kill-entry" | "kill-endpoint" | "stop-endpoint"; index: number }
+  | { kind: "freeze"; entry: number }
+  | { kind: "store"; down: boolean }
+  | { kind: "pass"; ms: number };
+
+const steps: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("add" as const),
+      entry: fc.nat(1),
+      count: fc.integer({ min: 1, max: 3 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constantFrom(
+        "kill-entry" as const,
+        "kill-endpoint" as const,
+        "stop-endpoint" as const,
+      ),
+      index: fc.nat(2),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("freeze" as const),
+      entry: fc.nat(1),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("store" as const),
+      down: fc.boolean(),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("pass" as const),
+      ms: fc.constantFrom(3, 40, 500, 2_000, 33_000),
+    }),
+  },
+);
+
+interface Added {
+  requestId: string;
+  owner: FakeProcess;
+}
+
+function apply(fleet: FakeFleet, step: Step, added: Added[]) {
+  const { clock, endpoints } = fleet;
+  if (step.kind === "store") fleet.store.isDown = step.down;
+  if (step.kind === "freeze") {
+    const entry = fleet.listLiveEntries()[step.entry];
+    if (entry) entry.process.frozenUntilMs = clock.now() + 36_000;
+  }
+  if (step.kind === "kill-entry") fleet.startEntry(`entry${step.index % 2}`);
+  if (step.kind === "kill-endpoint" || step.kind === "stop-endpoint") {
+    const name = ENDPOINTS[step.index];
+    const old = endpoints.get(name ?? "");
+    if (name === undefined || old === undefined) return;
+    if (step.kind === "kill-endpoint") old.process.kill();
+    else void old.held.handOver(new AbortController().signal);
+    fleet.startEndpoint(name);
+  }
+  if (step.kind !== "add") return;
+  const entry = fleet.listLiveEntries()[step.entry];
+  if (entry === undefined) return;
+  for (let count = 0; count < step.count; count += 1) {
+    const requestId = `r${added.length}`;
+    added.push({ requestId, owner: entry.process });
+    const first = fleet.random(3);
+    const holders = ENDPOINTS.map((_, i) => ENDPOINTS[(first + i) % 3] ?? "");
+    const { signal } = entry.process.stopping;
+    void entry.ledger.add(createReceipt(requestId), { holders }, signal);
+  }
+}
+
+async function runModel(seed: number, plan: Step[]) {
+  const fleet = new FakeFleet(seed);
+  const added: Added[] = [];
+  for (const step of plan) {
+    apply(fleet, step, added);
+    await fleet.clock.run(step.kind === "pass" ? step.ms : fleet.random(30));
+  }
+  fleet.isQuiet = true;
+  fleet.store.isDown = false;
+  await fleet.clock.run(200_000);
+  for (const { process } of fleet.entries.values()) process.stopping.abort();
+  const left = [...fleet.endpoints.values()].map(({ held }) => held.count);
+  for (const { process } of fleet.endpoints.values()) process.stopping.abort();
+  return { fleet, added, left };
+}
+
+describe("ledger under crashes and lost replies", () => {
+  it("puts each receipt with a surviving holder into exactly one place", async () => {
+    const totals = { pages: 0, recovered: 0, seals: 0, lost: 0 };
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.array(steps, { minLength: 4, maxLength: 25 }),
+        async (seed, plan) => {
+          const { fleet, added, left } = await runModel(seed, plan);
+          const places = countPlaces(fleet.store);
+          for (const { requestId, owner } of added) {
+            const count = places.get(requestId) ?? 0;
+            assert.ok(count <= 1, `${requestId} is billed twice`);
+            const holders = fleet.holders.get(requestId) ?? [];
+            const survives = [owner, ...holders].some((p) => p.isAlive);
+            if (survives) assert.equal(count, 1, `${requestId} is unbilled`);
+            else if (count === 0) totals.lost += 1;
+          }
+          assert.ok(
+            left.every((count) => count === 0),
+            "copies stay held",
+          );
+          for (const { key, value } of fleet.store.listAll("ledger/")) {
+            if (key.startsWith("ledger/recovered/")) totals.recovered += 1;
+            else if ((value as { kind: string }).kind === "seal") {
+              totals.seals += 1;
+            } else totals.pages += 1;
+          }
+        },
+      ),
+      {
+        numRuns: 150,
+        seed: 11,
+        interruptAfterTimeLimit: 25_000,
+        includeErrorInReport: true,
+      },
+    );
+    assert.ok(totals.pages > 0 && totals.recovered > 0 && totals.seals > 0);
+  });
+});
--- a/src/roles/receipt_recovery.ts
+++ b/src/roles/receipt_recovery.ts
@@ -89,7 +89,9 @@
   const written = records
     .map((r) => r.receipt.requestId)
     .filter((requestId) => !missingIds.has(requestId));
-  if (!options.seal) return { written, isComplete: true };
+  // A live owner that is not sealed writes the rest itself.
+  const isSealed = options.seal || pages.at(-1)?.kind === "seal";
+  if (!isSealed) return { written, isComplete: true };
 
   for (const { receipt } of missing) {
     const key = getRecoveredKey(receipt.requestId);
