--- /dev/null
+++ b/src/core/burn.ts
@@ -0,0 +1,257 @@
+/**
+ * Error budgets and multi-window burn rates. A burn rate of 1 uses up the
+ * budget exactly in the objective's period; an alert needs a long and a short
+ * window over the threshold, so it ends soon after the fault does.
+ */
+
+import type { Objective, SloDocument } from "../schema/index.js";
+import { HOUR_MS } from "./slo_counts.js";
+
+const MINUTE_MS = 60_000;
+
+/**
+ * Windows and thresholds of the usual multi-window alerts: 2% of a 30 day
+ * budget in 1 h, 5% in 6 h and 10% in 3 d.
+ */
+export const BURN_WINDOWS = [
+  { longMs: HOUR_MS, shortMs: 5 * MINUTE_MS, threshold: 14.4 },
+  { longMs: 6 * HOUR_MS, shortMs: 30 * MINUTE_MS, threshold: 6 },
+  { longMs: 72 * HOUR_MS, shortMs: 6 * HOUR_MS, threshold: 1 },
+] as const;
+
+/** Versions and data centres named for each objective. */
+const MAX_CULPRITS = 5;
+
+export type ObjectiveKind = "availability" | "latency" | "quality";
+
+/** A share of the requests with the part that missed the objective. */
+export interface BadCount {
+  total: number;
+  bad: number;
+}
+
+export interface BurnWindow {
+  readonly longMs: number;
+  readonly shortMs: number;
+  readonly threshold: number;
+  readonly longRate: number;
+  readonly shortRate: number;
+  readonly isFiring: boolean;
+}
+
+export interface Culprit extends BadCount {
+  readonly name: string;
+  /** Part of the objective's bad requests. */
+  readonly share: number;
+}
+
+export interface ObjectiveBurn extends BadCount {
+  readonly account: string;
+  readonly kind: ObjectiveKind;
+  /** Least share of good requests. */
+  readonly target: number;
+  /** Part of the period's budget that is left; negative when overspent. */
+  readonly budgetLeft: number;
+  readonly windows: BurnWindow[];
+  /** Those with the most bad requests, highest first. */
+  readonly versions: Culprit[];
+  readonly dataCentres: Culprit[];
+  /** Burn rate of each hour of the period with requests. */
+  readonly hours: { readonly atMs: number; readonly rate: number }[];
+}
+
+export interface BurnReport {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** False when some counts of the period could not be read. */
+  readonly isComplete: boolean;
+  readonly objectives: ObjectiveBurn[];
+}
+
+interface Sums {
+  readonly account: string;
+  readonly kind: ObjectiveKind;
+  readonly target: number;
+  readonly period: BadCount;
+  /** By window length. */
+  readonly windows: Map<number, BadCount>;
+  readonly versions: Map<string, BadCount>;
+  readonly dataCentres: Map<string, BadCount>;
+  readonly hours: Map<number, BadCount>;
+}
+
+const WINDOW_LENGTHS = [
+  ...new Set(BURN_WINDOWS.flatMap(({ longMs, shortMs }) => [longMs, shortMs])),
+];
+
+export interface BurnPeriod {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** Adds up count documents, one at a time, so memory stays bounded. */
+export class BurnTotals {
+  readonly #period: BurnPeriod;
+  readonly #objectives: Readonly<Record<string, Objective>>;
+  readonly #sums = new Map<string, Sums>();
+
+  constructor(
+    period: BurnPeriod,
+    objectives: Readonly<Record<string, Objective>>,
+  ) {
+    this.#period = period;
+    this.#objectives = objectives;
+  }
+
+  add(document: SloDocument): void {
+    for (const series of document.series) {
+      const { account, version, dataCentre } = series;
+      const objective = this.#objectives[account] ?? this.#objectives["*"];
+      if (objective === undefined) continue;
+      for (const minute of series.minutes) {
+        const atMs = document.hour * HOUR_MS + (minute[0] ?? 0) * MINUTE_MS;
+        for (const { kind, target, count } of judge(objective, minute)) {
+          if (count.total === 0) continue;
+          const sums = this.#getSums(account, kind, target);
+          this.#addTo(sums, { atMs, version, dataCentre }, count);
+        }
+      }
+    }
+  }
+
+  #getSums(account: string, kind: ObjectiveKind, target: number): Sums {
+    const key = JSON.stringify([account, kind]);
+    const sums = this.#sums.get(key) ?? {
+      account,
+      kind,
+      target,
+      period: { total: 0, bad: 0 },
+      windows: new Map(),
+      versions: new Map(),
+      dataCentres: new Map(),
+      hours: new Map(),
+    };
+    this.#sums.set(key, sums);
+    return sums;
+  }
+
+  #addTo(
+    sums: Sums,
+    where: { atMs: number; version: string; dataCentre: string },
+    count: BadCount,
+  ): void {
+    const { atMs, version, dataCentre } = where;
+    const { fromMs, toMs } = this.#period;
+    if (atMs + MINUTE_MS <= fromMs || atMs > toMs) return;
+    for (const lengthMs of WINDOW_LENGTHS) {
+      // The window's first minute counts only when it lies inside.
+      if (atMs < toMs - lengthMs) continue;
+      addCount(getCount(sums.windows, lengthMs), count);
+    }
+    addCount(sums.period, count);
+    addCount(getCount(sums.versions, version), count);
+    addCount(getCount(sums.dataCentres, dataCentre), count);
+    addCount(getCount(sums.hours, Math.floor(atMs / HOUR_MS)), count);
+  }
+
+  createReport(isComplete: boolean): BurnReport {
+    const objectives = [...this.#sums.values()]
+      .map(createObjectiveBurn)
+      .sort((a, b) => a.budgetLeft - b.budgetLeft);
+    return { ...this.#period, isComplete, objectives };
+  }
+}
+
+interface Judgement {
+  kind: ObjectiveKind;
+  target: number;
+  count: BadCount;
+}
+
+/** Compares a minute's counts with each part of the objective. */
+function judge(objective: Objective, minute: readonly number[]): Judgement[] {
+  const [, total = 0, failed = 0, slow = 0, rated = 0, bad = 0] = minute;
+  const judgements: Judgement[] = [
+    {
+      kind: "availability",
+      target: objective.availability,
+      count: { total, bad: failed },
+    },
+  ];
+  if (objective.latencyMs !== undefined) {
+    judgements.push({
+      kind: "latency",
+      target: objective.latencyShare ?? DEFAULT_LATENCY_SHARE,
+      count: { total, bad: slow },
+    });
+  }
+  if (objective.quality !== undefined) {
+    judgements.push({
+      kind: "quality",
+      target: objective.quality,
+      count: { total: rated, bad },
+    });
+  }
+  return judgements;
+}
+
+/** The latency that objectives name is one for 95 in 100 requests. */
+const DEFAULT_LATENCY_SHARE = 0.95;
+
+function getCount<K>(counts: Map<K, BadCount>, key: K): BadCount {
+  const count = counts.get(key) ?? { total: 0, bad: 0 };
+  counts.set(key, count);
+  return count;
+}
+
+function addCount(sum: BadCount, count: BadCount): void {
+  sum.total += count.total;
+  sum.bad += count.bad;
+}
+
+/** Bad share relative to the allowed one. */
+export function computeBurnRate(count: BadCount, target: number): number {
+  return count.total === 0 ? 0 : count.bad / count.total / (1 - target);
+}
+
+function createObjectiveBurn(sums: Sums): ObjectiveBurn {
+  const { account, kind, target, period, windows } = sums;
+  const getRate = (lengthMs: number) =>
+    computeBurnRate(getCount(windows, lengthMs), target);
+  return {
+    account,
+    kind,
+    target,
+    ...period,
+    budgetLeft: 1 - computeBurnRate(period, target),
+    windows: BURN_WINDOWS.map(({ longMs, shortMs, threshold }) => {
+      const longRate = getRate(longMs);
+      const shortRate = getRate(shortMs);
+      const isFiring = longRate >= threshold && shortRate >= threshold;
+      return { longMs, shortMs, threshold, longRate, shortRate, isFiring };
+    }),
+    versions: listCulprits(sums.versions, period),
+    dataCentres: listCulprits(sums.dataCentres, period),
+    hours: [...sums.hours]
+      .sort(([a], [b]) => a - b)
+      .map(([hour, count]) => ({
+        atMs: hour * HOUR_MS,
+        rate: computeBurnRate(count, target),
+      })),
+  };
+}
+
+function listCulprits(
+  counts: Map<string, BadCount>,
+  period: BadCount,
+): Culprit[] {
+  return [...counts]
+    .filter(([, count]) => count.bad > 0)
+    .sort(([, a], [, b]) => b.bad - a.bad)
+    .slice(0, MAX_CULPRITS)
+    .map(([name, count]) => ({
+      name,
+      ...count,
+      share: count.bad / period.bad,
+    }));
+}
--- /dev/null
+++ b/src/core/burn_html.ts
@@ -0,0 +1,124 @@
+/** Renders the burn report as one HTML page that needs no other file. */
+
+import type { BurnReport, Culprit, ObjectiveBurn } from "./burn.js";
+import { formatLength, formatPercent } from "./burn_text.js";
+
+const WIDTH = 720;
+const HEIGHT = 180;
+const MARGIN = 36;
+
+/** Least height of the chart's scale, so that a quiet chart looks quiet. */
+const MIN_SCALE = 2;
+
+const STYLE = `
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto; max-width: 48rem; padding: 0 1rem; color: #1c2430; background: #fff; }
+table { border-collapse: collapse; margin: .5rem 0; }
+th, td { text-align: left; padding: .15rem .9rem .15rem 0; font-variant-numeric: tabular-nums; }
+.over { color: #b3261e; font-weight: 600; }
+svg { width: 100%; height: auto; }
+svg text { font: 11px system-ui, sans-serif; fill: currentColor; }
+.axis { stroke: #8a94a3; stroke-width: 1; }
+.budget { stroke: #b3261e; stroke-width: 1; stroke-dasharray: 4 3; }
+.rate { fill: none; stroke: #1f6feb; stroke-width: 2; }
+@media (prefers-color-scheme: dark) { body { color: #e4e8ee; background: #12161c; } .rate { stroke: #6ea8ff; } .budget { stroke: #ff8a80; } .over { color: #ff8a80; } }
+`;
+
+const ENTITIES: Record<string, string> = {
+  "&": "&amp;",
+  "<": "&lt;",
+  ">": "&gt;",
+  '"': "&quot;",
+  "'": "&#39;",
+};
+
+function escapeHtml(text: string): string {
+  return text.replace(/[&<>"']/g, (character) => ENTITIES[character] ?? "");
+}
+
+/** Chart of the hourly burn rate; the dashed line marks a rate of 1. */
+function renderChart(objective: ObjectiveBurn, report: BurnReport): string {
+  const { hours, account, kind } = objective;
+  const top = Math.max(MIN_SCALE, ...hours.map((hour) => hour.rate)) * 1.1;
+  const lengthMs = Math.max(1, report.toMs - report.fromMs);
+  const toX = (atMs: number) => {
+    const share = (atMs - report.fromMs) / lengthMs;
+    const inside = Math.min(1, Math.max(0, share));
+    return (MARGIN + inside * (WIDTH - 2 * MARGIN)).toFixed(1);
+  };
+  const toY = (rate: number) =>
+    (HEIGHT - MARGIN - (rate / top) * (HEIGHT - 2 * MARGIN)).toFixed(1);
+  const points = hours.map(({ atMs, rate }) => `${toX(atMs)},${toY(rate)}`);
+  const right = WIDTH - MARGIN;
+  const title = escapeHtml(`Hourly burn rate of ${account} ${kind}`);
+  const marks = [0, 1, top / 1.1].map(
+    (rate) =>
+      `<text x="${MARGIN - 6}" y="${toY(rate)}" text-anchor="end">${rate.toFixed(1)}</text>`,
+  );
+  const times = [report.fromMs, report.toMs].map((atMs, index) => {
+    const text = new Date(atMs).toISOString().slice(0, 16);
+    const anchor = index === 0 ? "start" : "end";
+    return `<text x="${toX(atMs)}" y="${HEIGHT - 12}" text-anchor="${anchor}">${text}</text>`;
+  });
+  return [
+    `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img"><title>${title}</title>`,
+    `<line class="axis" x1="${MARGIN}" x2="${right}" y1="${toY(0)}" y2="${toY(0)}"/>`,
+    `<line class="budget" x1="${MARGIN}" x2="${right}" y1="${toY(1)}" y2="${toY(1)}"/>`,
+    ...marks,
+    ...times,
+    `<polyline class="rate" points="${points.join(" ")}"/>`,
+    ...hours.map(
+      ({ atMs, rate }) =>
+        `<circle cx="${toX(atMs)}" cy="${toY(rate)}" r="2" fill="#1f6feb"><title>${new Date(atMs).toISOString()}: ${rate.toFixed(2)}</title></circle>`,
+    ),
+    "</svg>",
+  ].join("\n");
+}
+
+function renderWindows(objective: ObjectiveBurn): string {
+  const rows = objective.windows.map((window) => {
+    const lengths = [window.longMs, window.shortMs].map(formatLength);
+    const cells = [window.longRate, window.shortRate, window.threshold];
+    const marked = window.isFiring ? ' class="over"' : "";
+    return `<tr${marked}><td>${lengths.join(" / ")}</td>${cells
+      .map((rate) => `<td>${rate.toFixed(2)}</td>`)
+      .join("")}</tr>`;
+  });
+  return `<table><tr><th>windows</th><th>long</th><th>short</th><th>alert at</th></tr>${rows.join("")}</table>`;
+}
+
+function renderCulprits(title: string, culprits: readonly Culprit[]): string {
+  if (culprits.length === 0) return "";
+  const rows = culprits.map(
+    ({ name, bad, total, share }) =>
+      `<tr><td>${escapeHtml(name)}</td><td>${bad} of ${total}</td><td>${formatPercent(share)}</td></tr>`,
+  );
+  return `<table><tr><th>${title}</th><th>bad</th><th>share</th></tr>${rows.join("")}</table>`;
+}
+
+function renderObjective(objective: ObjectiveBurn, report: BurnReport): string {
+  const { account, kind, target, total, bad, budgetLeft } = objective;
+  const marked = budgetLeft < 0 ? ' class="over"' : "";
+  return [
+    `<h2>${escapeHtml(account)}: ${kind}</h2>`,
+    `<p>Target ${formatPercent(target)}, ${bad} bad of ${total}, <span${marked}>budget left ${formatPercent(budgetLeft)}</span></p>`,
+    renderChart(objective, report),
+    renderWindows(objective),
+    renderCulprits("version", objective.versions),
+    renderCulprits("data centre", objective.dataCentres),
+  ].join("\n");
+}
+
+export function renderBurnHtml(report: BurnReport): string {
+  const from = new Date(report.fromMs).toISOString();
+  const to = new Date(report.toMs).toISOString();
+  return [
+    '<!doctype html><html lang="en"><head><meta charset="utf-8">',
+    '<meta name="viewport" content="width=device-width, initial-scale=1">',
+    `<title>Burn report ${to}</title><style>${STYLE}</style></head><body>`,
+    `<h1>Burn report</h1><p>${from} to ${to}</p>`,
+    report.isComplete ? "" : '<p class="over">Counts are missing.</p>',
+    report.objectives.length === 0 ? "<p>No requests were counted.</p>" : "",
+    ...report.objectives.map((one) => renderObjective(one, report)),
+    "</body></html>\n",
+  ].join("\n");
+}
--- a/src/schema/documents.ts
+++ b/src/schema/documents.ts
@@ -11,7 +11,7 @@
  * This interface was referenced by `Documents`'s JSON-Schema
  * via the `definition` "StoredRecord".
  */
-export type StoredRecord = Claim | LedgerPage | RecoveredReceipt | HeldRecord;
+export type StoredRecord = Claim | LedgerPage | RecoveredReceipt | HeldRecord | SloDocument;
 
 /**
  * This interface was referenced by `Documents`'s JSON-Schema
@@ -484,3 +484,31 @@
   receipt: Receipt;
   completion?: Completion;
 }
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "SloSeries".
+ */
+export interface SloSeries {
+  account: string;
+  requestClass: string;
+  version: string;
+  dataCentre: string;
+  /**
+   * Per minute with requests: minute of the hour, total, failed, slow, rated, bad.
+   */
+  minutes: number[][];
+}
+/**
+ * Service-level counts of one entry in one hour, whole with each write.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "SloDocument".
+ */
+export interface SloDocument {
+  /**
+   * Hours since 1970.
+   */
+  hour: number;
+  source: string;
+  series: SloSeries[];
+}
--- a/src/schema/schemas.ts
+++ b/src/schema/schemas.ts
@@ -730,6 +730,9 @@
     },
     {
       "$ref": "#/definitions/HeldRecord"
+    },
+    {
+      "$ref": "#/definitions/SloDocument"
     }
   ],
   "definitions": {
@@ -1010,6 +1013,71 @@
           "$ref": "#/definitions/Completion"
         }
       }
+    },
+    "SloSeries": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "account",
+        "requestClass",
+        "version",
+        "dataCentre",
+        "minutes"
+      ],
+      "properties": {
+        "account": {
+          "type": "string"
+        },
+        "requestClass": {
+          "type": "string"
+        },
+        "version": {
+          "type": "string"
+        },
+        "dataCentre": {
+          "type": "string"
+        },
+        "minutes": {
+          "type": "array",
+          "description": "Per minute with requests: minute of the hour, total, failed, slow, rated, bad.",
+          "items": {
+            "type": "array",
+            "items": {
+              "type": "integer",
+              "minimum": 0
+            },
+            "minItems": 6,
+            "maxItems": 6
+          }
+        }
+      }
+    },
+    "SloDocument": {
+      "type": "object",
+      "additionalProperties": false,
+      "description": "Service-level counts of one entry in one hour, whole with each write.",
+      "required": [
+        "hour",
+        "source",
+        "series"
+      ],
+      "properties": {
+        "hour": {
+          "type": "integer",
+          "minimum": 0,
+          "description": "Hours since 1970."
+        },
+        "source": {
+          "type": "string",
+          "minLength": 1
+        },
+        "series": {
+          "type": "array",
+          "items": {
+            "$ref": "#/definitions/SloSeries"
+          }
+        }
+      }
     }
   }
 } as const;
