--- a/src/core/cost_report.ts
+++ b/src/core/cost_report.ts
@@ -38,9 +38,9 @@
     this.#toMs = toMs;
   }
 
-  /** Adds a receipt; one outside of the period is left out. */
+  /** Adds a receipt of the period; a host's clock can be ahead of its end. */
   add(receipt: Receipt): void {
-    if (receipt.atMs < this.#fromMs || receipt.atMs >= this.#toMs) return;
+    if (receipt.atMs < this.#fromMs) return;
     const whole = { ...sumSteps(receipt.steps), cost: receipt.cost };
     addTo(this.#total, whole);
     addTo(getRow(this.#accounts, receipt.account), whole);
--- /dev/null
+++ b/src/roles/claims_model_test.ts
@@ -0,0 +1,251 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import type { Claim } from "../schema/index.js";
+import type {
+  AcquireOutcome,
+  AttemptReport,
+  LookUpAttempt,
+} from "./claim_outcomes.js";
+import type { StoredClaim } from "./claim_writes.js";
+import type { ClaimKeeper } from "./entry_claims.js";
+import {
+  ANSWER,
+  createEntry,
+  createOrder,
+  NEVER,
+  readClaims,
+  TEXT,
+} from "./fake_orders_test.js";
+import {
+  createRandom,
+  FakeStore,
+  type Fault,
+  type Random,
+  VirtualClock,
+} from "./fake_store_test.js";
+
+/** A gate with its memory of attempts; a restart forgets them. */
+class FakeGate {
+  epoch = 1;
+  readonly runs = new Map<string, string[]>();
+  readonly #attempts = new Map<string, "refused" | "running" | string>();
+  readonly #clock: VirtualClock;
+  readonly #random: Random;
+
+  constructor(clock: VirtualClock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  restart() {
+    this.epoch += 1;
+    this.#attempts.clear();
+  }
+
+  async dispatch(claim: Claim): Promise<string | "not-run" | "broken"> {
+    await this.#clock.sleep(this.#random(20));
+    const name = `${claim.requestId}/${claim.attempt}`;
+    if (claim.epoch !== String(this.epoch)) return "not-run";
+    if (this.#attempts.has(name)) return "not-run";
+    if (this.#random(4) === 0) {
+      this.#attempts.set(name, "refused");
+      return "not-run";
+    }
+    this.#attempts.set(name, "running");
+    const runs = this.runs.get(claim.key) ?? [];
+    runs.push(claim.requestId);
+    this.runs.set(claim.key, runs);
+    const { epoch } = this;
+    await this.#clock.sleep(this.#random(800));
+    if (epoch !== this.epoch) return "broken";
+    this.#attempts.set(name, `answer of ${name}`);
+    return this.#random(4) === 0 ? "broken" : `answer of ${name}`;
+  }
+
+  async lookUp(claim: Parameters<LookUpAttempt>[0]): Promise<AttemptReport> {
+    await this.#clock.sleep(this.#random(20));
+    if (claim.epoch !== String(this.epoch)) return { kind: "other-epoch" };
+    const name = `${claim.requestId}/${claim.attempt}`;
+    const attempt = this.#attempts.get(name);
+    if (attempt === undefined) this.#attempts.set(name, "refused");
+    if (this.#random(6) === 0) return { kind: "unreachable" };
+    if (attempt === undefined || attempt === "refused") {
+      return { kind: "revoked" };
+    }
+    return attempt === "running"
+      ? { kind: "running" }
+      : { kind: "ended", ...ANSWER, body: TEXT.encode(attempt) };
+  }
+}
+
+const FAULTS: Fault[] = ["unavailable", "lost-reply", "lost", "late"];
+
+const steps = fc.record({
+  kind: fc.constantFrom(
+    ...Array.from({ length: 6 }, () => "order" as const),
+    "kill" as const,
+    "restart-gate" as const,
+    "store-down" as const,
+    "store-up" as const,
+  ),
+  entry: fc.nat(2),
+  key: fc.nat(1),
+  pauseMs: fc.constantFrom(0, 0, 50, 3_000),
+});
+
+type Step = typeof steps extends fc.Arbitrary<infer T> ? T : never;
+
+interface Answer {
+  key: string;
+  requestId: string;
+  kind: "done" | "not-run" | "unknown";
+  body: string;
+  /** False once the entry that answered was killed. */
+  isAlive: () => boolean;
+}
+
+/** Runs one caller's order as the entry does. */
+async function callOrder(
+  parts: { clock: VirtualClock; gate: FakeGate; keeper: ClaimKeeper },
+  call: { requestId: string; key: string; pauseMs: number; isAlive(): boolean },
+): Promise<Answer | undefined> {
+  const { clock, gate, keeper } = parts;
+  const { requestId, key, pauseMs } = call;
+  const reply = (kind: Answer["kind"], body = "") => {
+    return call.isAlive()
+      ? { key, requestId, kind, body, isAlive: call.isAlive }
+      : undefined;
+  };
+  const order = createOrder(clock, {
+    requestId,
+    key,
+    epoch: String(gate.epoch),
+  });
+  let held: StoredClaim | undefined;
+  for (let attempt = 0; attempt < 5 && call.isAlive(); attempt += 1) {
+    const outcome: AcquireOutcome =
+      held === undefined
+        ? await keeper.acquire(order, NEVER)
+        : await keeper.rejoin(order, held, NEVER);
+    if (outcome.kind === "done") {
+      const body = Buffer.from(outcome.answer.bodyBase64 ?? "", "base64");
+      return reply("done", body.toString());
+    }
+    if (outcome.kind === "unknown") return reply("unknown");
+    if (outcome.kind === "refused") {
+      return reply(outcome.refusal.ran === "no" ? "not-run" : "unknown");
+    }
+    held = outcome.stored;
+    await clock.sleep(pauseMs);
+    if (!call.isAlive()) return undefined;
+    const result = await gate.dispatch(outcome.stored.claim);
+    if (!call.isAlive()) return undefined;
+    if (result === "not-run") {
+      const released = await keeper.release(outcome.stored, NEVER);
+      if (released.kind === "released") return reply("not-run");
+      if (released.kind === "refused") return reply("unknown");
+    } else if (result !== "broken") {
+      const body = TEXT.encode(result);
+      await keeper.complete(outcome.stored, { ...ANSWER, body }, NEVER);
+      return reply("done", result);
+    }
+  }
+  return reply("unknown");
+}
+
+async function runModel(seed: number, plan: Step[]) {
+  const clock = new VirtualClock();
+  const random = createRandom(seed);
+  let isQuiet = false;
+  const store = new FakeStore(clock, () => {
+    if (isQuiet || random(4) > 0) return "none";
+    return FAULTS[random(FAULTS.length)] ?? "none";
+  });
+  const gate = new FakeGate(clock, random);
+  const lookUpAttempt: LookUpAttempt = (claim) => gate.lookUp(claim);
+  const createAlive = () => ({
+    isAlive: true,
+    ...createEntry({ clock, store, lookUpAttempt }),
+  });
+  const entries = [createAlive(), createAlive(), createAlive()];
+  const calls: Promise<Answer | undefined>[] = [];
+  for (const [index, step] of plan.entries()) {
+    if (step.kind === "restart-gate") gate.restart();
+    if (step.kind.startsWith("store"))
+      store.isDown = step.kind === "store-down";
+    if (step.kind === "kill") {
+      const killed = entries[step.entry];
+      if (killed !== undefined) killed.isAlive = false;
+      entries[step.entry] = createAlive();
+    }
+    if (step.kind === "order") {
+      const entry = entries[step.entry];
+      if (entry === undefined) continue;
+      const call = {
+        requestId: `r${index}`,
+        key: `k${step.key}`,
+        pauseMs: step.pauseMs,
+        isAlive: () => entry.isAlive,
+      };
+      calls.push(callOrder({ clock, gate, keeper: entry.keeper }, call));
+    }
+    await clock.run(random(200));
+  }
+  isQuiet = true;
+  store.isDown = false;
+  const answers = await clock.finish(Promise.all(calls));
+  for (const entry of entries) await clock.finish(entry.pending.flush(NEVER));
+  return { answers: answers.filter((a) => a !== undefined), gate, store };
+}
+
+describe("order claims under faults", () => {
+  it("runs each key at most once, tells the truth and keeps one answer", async () => {
+    const kinds = { done: 0, "not-run": 0, unknown: 0 };
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.array(steps, { minLength: 3, maxLength: 25 }),
+        async (seed, plan) => {
+          const { answers, gate, store } = await runModel(seed, plan);
+          for (const runs of gate.runs.values()) {
+            assert.equal(runs.length, 1, "an order ran twice");
+          }
+          const bodies = new Map<string, string>();
+          for (const answer of answers) {
+            kinds[answer.kind] += 1;
+            const runs = gate.runs.get(answer.key) ?? [];
+            if (answer.kind === "not-run") {
+              assert.ok(!runs.includes(answer.requestId), "false not run");
+            }
+            if (answer.kind !== "done") continue;
+            const body = bodies.get(answer.key) ?? answer.body;
+            bodies.set(answer.key, body);
+            assert.equal(answer.body, body, "answers of one key differ");
+          }
+          const billed = new Set(
+            readClaims(store).flatMap((c) => (c.bill ? [c.key] : [])),
+          );
+          for (const { kind, key, isAlive } of answers) {
+            if (kind !== "done" || !isAlive()) continue;
+            assert.ok(billed.has(key), "a done order has no bill");
+          }
+          for (const claim of readClaims(store)) {
+            if (claim.bill === undefined) continue;
+            const runs = gate.runs.get(claim.key) ?? [];
+            assert.ok(runs.includes(claim.bill.requestId), "billed unrun");
+          }
+        },
+      ),
+      {
+        numRuns: 400,
+        seed: 7,
+        interruptAfterTimeLimit: 20_000,
+        includeErrorInReport: true,
+      },
+    );
+    for (const [kind, count] of Object.entries(kinds)) {
+      assert.ok(count > 0, `no answer of kind "${kind}" was exercised`);
+    }
+  });
+});
--- /dev/null
+++ b/src/roles/fake_orders_test.ts
@@ -0,0 +1,81 @@
+/** Orders and an entry's claim keeper on a fake store. */
+
+import type { Claim } from "../schema/index.js";
+import type { LookUpAttempt } from "./claim_outcomes.js";
+import { type AcquireRequest, ClaimKeeper } from "./entry_claims.js";
+import type { FakeStore, VirtualClock } from "./fake_store_test.js";
+import { PendingResults } from "./pending_results.js";
+import { ReceiptHolders } from "./receipt_holders.js";
+
+export const NEVER = new AbortController().signal;
+export const TEXT = new TextEncoder();
+
+export function createOrder(
+  clock: VirtualClock,
+  part: Partial<AcquireRequest> = {},
+): AcquireRequest {
+  const requestId = part.requestId ?? "r1";
+  const quote = {
+    requestId,
+    account: "pumps",
+    requestClass: "order",
+    steps: [],
+    cost: 2,
+    atMs: clock.now(),
+  };
+  return {
+    account: "pumps",
+    key: "k1",
+    bodySha256: "b1",
+    requestId,
+    endpoint: "orders-1",
+    epoch: "e1",
+    quote,
+    deadlineAtMs: clock.now() + 5_000,
+    ...part,
+  };
+}
+
+interface EntryParts {
+  clock: VirtualClock;
+  store: FakeStore;
+  lookUpAttempt: LookUpAttempt;
+  holdReceipt?: () => Promise<boolean>;
+}
+
+let nextId = 0;
+
+export function createEntry({ clock, store, ...parts }: EntryParts) {
+  const createId = () => `id${++nextId}`;
+  const holders = new ReceiptHolders({
+    holdReceipt: parts.holdReceipt ?? (async () => true),
+    releaseReceipts: async () => true,
+  });
+  const pending = new PendingResults({
+    store,
+    clock,
+    createId,
+    holders,
+    getOwner: () => "entry1-a.1",
+    listHolders: () => [],
+  });
+  const { lookUpAttempt } = parts;
+  const keeper = new ClaimKeeper({
+    store,
+    clock,
+    createId,
+    lookUpAttempt,
+    pending,
+  });
+  return { keeper, pending };
+}
+
+export function readClaims(store: FakeStore): Claim[] {
+  return store.listAll("claims/").map(({ value }) => value as Claim);
+}
+
+export const ANSWER = {
+  status: 201,
+  contentType: "text/plain",
+  body: TEXT.encode("made"),
+};
--- a/src/roles/ledger_model_test.ts
+++ b/src/roles/ledger_model_test.ts
@@ -171,56 +171,24 @@
   }
 }
 
-type Step =
-  | { kind: "add"; entry: number; count: number }
-  | { kind: "kill-entry" | "kill-endpoint" | "stop-endpoint"; index: number }
-  | { kind: "freeze"; entry: number; ms: number }
-  | { kind: "store"; down: boolean }
-  | { kind: "pass"; ms: number };
+const steps = fc.record({
+  kind: fc.constantFrom(
+    ...Array.from({ length: 6 }, () => "add" as const),
+    ...Array.from({ length: 4 }, () => "pass" as const),
+    ...Array.from({ length: 2 }, () => "freeze" as const),
+    "kill-entry" as const,
+    "kill-endpoint" as const,
+    "stop-endpoint" as const,
+    "store-down" as const,
+    "store-up" as const,
+  ),
+  index: fc.nat(2),
+  count: fc.integer({ min: 1, max: 3 }),
+  passMs: fc.constantFrom(3, 40, 500, 2_000, 33_000),
+  freezeMs: fc.integer({ min: 29_000, max: 40_000 }),
+});
 
-const steps: fc.Arbitrary<Step> = fc.oneof(
-  {
-    weight: 6,
-    arbitrary: fc.record({
-      kind: fc.constant("add" as const),
-      entry: fc.nat(1),
-      count: fc.integer({ min: 1, max: 3 }),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constantFrom(
-        "kill-entry" as const,
-        "kill-endpoint" as const,
-        "stop-endpoint" as const,
-      ),
-      index: fc.nat(2),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constant("freeze" as const),
-      entry: fc.nat(1),
-      ms: fc.integer({ min: 29_000, max: 40_000 }),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constant("store" as const),
-      down: fc.boolean(),
-    }),
-  },
-  {
-    weight: 4,
-    arbitrary: fc.record({
-      kind: fc.constant("pass" as const),
-      ms: fc.constantFrom(3, 40, 500, 2_000, 33_000),
-    }),
-  },
-);
+type Step = typeof steps extends fc.Arbitrary<infer T> ? T : never;
 
 interface Added {
   requestId: string;
@@ -229,10 +197,12 @@
 
 function apply(fleet: FakeFleet, step: Step, added: Added[]) {
   const { clock, endpoints } = fleet;
-  if (step.kind === "store") fleet.store.isDown = step.down;
+  if (step.kind.startsWith("store")) {
+    fleet.store.isDown = step.kind === "store-down";
+  }
   if (step.kind === "freeze") {
-    const entry = fleet.listLiveEntries()[step.entry];
-    if (entry) entry.process.frozenUntilMs = clock.now() + step.ms;
+    const entry = fleet.listLiveEntries()[step.index % 2];
+    if (entry) entry.process.frozenUntilMs = clock.now() + step.freezeMs;
   }
   if (step.kind === "kill-entry") fleet.startEntry(`entry${step.index % 2}`);
   if (step.kind === "kill-endpoint" || step.kind === "stop-endpoint") {
@@ -244,7 +214,7 @@
     fleet.startEndpoint(name);
   }
   if (step.kind !== "add") return;
-  const entry = fleet.listLiveEntries()[step.entry];
+  const entry = fleet.listLiveEntries()[step.index % 2];
   if (entry === undefined) return;
   for (let count = 0; count < step.count; count += 1) {
     const requestId = `r${added.length}`;
@@ -261,7 +231,9 @@
   const added: Added[] = [];
   for (const step of plan) {
     apply(fleet, step, added);
-    await fleet.clock.run(step.kind === "pass" ? step.ms : fleet.random(30));
+    await fleet.clock.run(
+      step.kind === "pass" ? step.passMs : fleet.random(30),
+    );
   }
   fleet.isQuiet = true;
   fleet.store.isDown = false;
--- a/src/roles/reports.ts
+++ b/src/roles/reports.ts
@@ -43,8 +43,7 @@
 ): Promise<Result<CostReport, StoreFailure>> {
   const { nowMs, hours } = options;
   const fromMs = nowMs - Math.min(hours, MAX_REPORT_HOURS) * HOUR_MS;
-  // The newest receipts can carry the clock of a host that is ahead.
-  const totals = new CostTotals(fromMs, nowMs + HOUR_MS);
+  const totals = new CostTotals(fromMs, nowMs);
   const scan = new StoreScan(store, options);
 
   const owners = await scan.listOwners();
--- /dev/null
+++ b/src/roles/reports_test.ts
@@ -0,0 +1,101 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { formatCostReport } from "../core/index.js";
+import { createReceipt, FakeStore, VirtualClock } from "./fake_store_test.js";
+import { readBurnReport, readCostReport } from "./reports.js";
+import { SloCounter } from "./slo_counts.js";
+
+const SIGNAL = new AbortController().signal;
+const HOUR_MS = 3_600_000;
+
+function put(store: FakeStore, key: string, value: unknown) {
+  store.objects.set(key, { key, version: 1, value });
+}
+
+function createStore(clock: VirtualClock, pages: number) {
+  const store = FakeStore.script(clock);
+  const owner = "entry1-a.1";
+  for (let page = 1; page <= pages; page += 1) {
+    const atMs = clock.now() - (pages - page) * 60_000;
+    const receipts = [{ ...createReceipt(`p${page}`), atMs }];
+    const key = `ledger/${owner}/${String(page).padStart(8, "0")}`;
+    put(store, key, { kind: "page", owner, page, receipts });
+  }
+  const receipt = { ...createReceipt("lost"), atMs: clock.now() };
+  put(store, "ledger/recovered/lost", { owner, receipt });
+  const bill = { ...receipt, requestId: "order", account: "ropes" };
+  put(store, "claims/ropes/k-1", { state: "done", bill });
+  put(store, "claims/ropes/k-2", { state: "claimed", quote: bill });
+  return store;
+}
+
+describe("cost report", () => {
+  it("counts pages, recovered receipts and claims, each once", async () => {
+    const clock = new VirtualClock();
+    const store = createStore(clock, 600);
+    const report = await clock.finish(
+      readCostReport(store, { nowMs: clock.now(), hours: 1, signal: SIGNAL }),
+    );
+    const { total, accounts, versions, isComplete } = report._unsafeUnwrap();
+    // 61 pages lie in the hour, both ends included.
+    assert.deepEqual([total.requests, total.cost], [63, 315]);
+    assert.deepEqual(
+      accounts.map(({ name, requests }) => [name, requests]),
+      [
+        ["pumps", 62],
+        ["ropes", 1],
+      ],
+    );
+    assert.deepEqual(
+      versions.map(({ name, cost }) => [name, cost]),
+      [
+        ["large-1", 252],
+        ["small-1", 63],
+      ],
+    );
+    assert.ok(isComplete && store.calls < 60, `${store.calls} calls`);
+    assert.match(formatCostReport(report._unsafeUnwrap()), /large-1 +63/);
+  });
+
+  it("says that it is partial instead of reading without bound", async () => {
+    const clock = new VirtualClock();
+    const store = createStore(clock, 100);
+    const options = { hours: 9, signal: SIGNAL, maxCalls: 10 };
+    const report = await clock.finish(
+      readCostReport(store, { ...options, nowMs: clock.now() }),
+    );
+    assert.equal(report._unsafeUnwrap().isComplete, false);
+    assert.ok(store.calls <= 10);
+  });
+});
+
+describe("service-level counts in the store", () => {
+  it("count each request once through lost replies and an outage", async () => {
+    const clock = new VirtualClock();
+    const store = FakeStore.script(clock, ["lost-reply", "late", "none"]);
+    const counter = new SloCounter({ store, clock, source: "entry1-a" });
+    const stop = new AbortController();
+    void counter.start(stop.signal);
+    const names = { requestClass: "chat", version: "v1", dataCentre: "dc1" };
+    const flags = { failed: false, slow: true, total: 1 as const };
+    for (let count = 0; count < 200; count += 1) {
+      const atMs = clock.now();
+      counter.add({ atMs, account: "pumps", ...names, ...flags });
+      store.isDown = count > 50 && count < 150;
+      await clock.run(60_000);
+    }
+    stop.abort();
+    await clock.finish(counter.close(SIGNAL));
+    await clock.finish(counter.close(new AbortController().signal));
+    const objectives = { "*": { availability: 0.99, latencyMs: 100 } };
+    const options = { nowMs: clock.now(), hours: 72, signal: SIGNAL };
+    const report = await clock.finish(
+      readBurnReport(store, objectives, options),
+    );
+    const [latency, availability] = report._unsafeUnwrap().objectives;
+    assert.deepEqual([latency?.kind, latency?.bad], ["latency", 200]);
+    assert.deepEqual([availability?.total, availability?.bad], [200, 0]);
+    assert.ok(latency && latency.hours.length >= 200 / 60);
+    assert.ok(latency.hours.every(({ atMs }) => atMs % HOUR_MS === 0));
+  });
+});
