--- a/src/roles/ledger_model_test.ts
+++ b/src/roles/ledger_model_test.ts
@@ -110,7 +110,12 @@
         this.entries.get(owner)?.process.isRunning ?? false,
       forwardReceipt: async (request, signal) => {
         const other = ENDPOINTS.find((candidate) => candidate !== name) ?? name;
-        return this.#hold(other, request, signal);
+        const isHeld = await this.#hold(other, request, signal);
+        // The copy moves, so this process holds it no longer.
+        const holders = this.holders.get(request.requestId) ?? [];
+        const others = holders.filter((holder) => holder !== process);
+        if (isHeld) this.holders.set(request.requestId, others);
+        return isHeld;
       },
     });
     this.endpoints.set(name, { process, held });
