--- /dev/null
+++ b/src/roles/endpoint_directory.ts
@@ -0,0 +1,171 @@
+/**
+ * The endpoints that an entry can reach: the host list names them, and a
+ * stream to each one carries its live status.
+ */
+
+import { type ClientReadableStream, Metadata } from "@grpc/grpc-js";
+import { type Logger, openClient } from "../adapters/index.js";
+import { type EndpointStatus, GateClient } from "../schema/index.js";
+
+/** An endpoint process as the host list names it. */
+export interface EndpointHost {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  readonly controlPort: number;
+  readonly leaving: boolean;
+}
+
+export interface EndpointDirectoryOptions {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly log: Logger;
+  readonly onStatus: (status: EndpointStatus) => void;
+  readonly onGone: (endpoint: string) => void;
+}
+
+interface Connection {
+  readonly host: EndpointHost;
+  readonly client: GateClient;
+  readonly controller: AbortController;
+  status?: EndpointStatus;
+}
+
+/** A status older than this says that the endpoint can't be reached. */
+const MAX_STATUS_AGE_MS = 3_500;
+const RECONNECT_MS = 300;
+const MAX_RECONNECT_MS = 3_000;
+
+/** Connects to the endpoints of the host list and reports their status. */
+export class EndpointDirectory {
+  readonly #options: EndpointDirectoryOptions;
+  readonly #connections = new Map<string, Connection>();
+  readonly #signal: AbortSignal;
+
+  constructor(options: EndpointDirectoryOptions, signal: AbortSignal) {
+    this.#options = options;
+    this.#signal = signal;
+    signal.addEventListener("abort", () => this.#closeAll(), { once: true });
+  }
+
+  /** Live status by endpoint name. */
+  listStatus(): EndpointStatus[] {
+    return [...this.#connections.values()].flatMap((connection) =>
+      connection.status === undefined ? [] : [connection.status],
+    );
+  }
+
+  getClient(endpoint: string): GateClient | undefined {
+    return this.#connections.get(endpoint)?.client;
+  }
+
+  getStatus(endpoint: string): EndpointStatus | undefined {
+    return this.#connections.get(endpoint)?.status;
+  }
+
+  /** Connects to new hosts and drops those that left the list. */
+  updateHosts(hosts: readonly EndpointHost[]): void {
+    if (this.#signal.aborted) return;
+    const listed = new Map(hosts.map((host) => [host.name, host]));
+    for (const [name, connection] of this.#connections) {
+      const host = listed.get(name);
+      if (host === undefined || !isSameAddress(host, connection.host)) {
+        this.#close(name);
+      }
+    }
+    for (const host of hosts) this.#update(host);
+  }
+
+  #update(host: EndpointHost): void {
+    const known = this.#connections.get(host.name);
+    if (known === undefined) {
+      this.#open(host);
+      return;
+    }
+    if (known.host.leaving === host.leaving) return;
+    const updated = { ...known, host };
+    this.#connections.set(host.name, updated);
+    if (known.status !== undefined) this.#report(updated, known.status);
+  }
+
+  #open(host: EndpointHost): void {
+    const controller = new AbortController();
+    const address = `${host.address}:${host.controlPort}`;
+    const client = openClient(GateClient, address, controller.signal);
+    this.#connections.set(host.name, { host, client, controller });
+    this.#attach(host.name, RECONNECT_MS);
+  }
+
+  #attach(name: string, backoffMs: number): void {
+    const connection = this.#connections.get(name);
+    if (connection === undefined) return;
+    const { controller, client } = connection;
+    if (controller.signal.aborted) return;
+    const { entry, incarnation } = this.#options;
+    const stream = client.attach({ entry, incarnation }, new Metadata());
+    let nextBackoffMs = backoffMs;
+    const watchdog = createWatchdog(stream);
+    stream.on("data", (status: EndpointStatus) => {
+      nextBackoffMs = RECONNECT_MS;
+      watchdog.refresh();
+      const current = this.#connections.get(name);
+      if (current?.controller === controller) this.#report(current, status);
+    });
+    let ended = false;
+    const reconnect = () => {
+      if (ended) return;
+      ended = true;
+      clearTimeout(watchdog);
+      if (this.#connections.get(name)?.controller !== controller) return;
+      this.#reportGone(name);
+      setTimeout(
+        () => this.#attach(name, Math.min(nextBackoffMs * 2, MAX_RECONNECT_MS)),
+        nextBackoffMs,
+      ).unref();
+    };
+    stream.on("error", reconnect);
+    stream.on("end", reconnect);
+    controller.signal.addEventListener("abort", () => stream.cancel(), {
+      once: true,
+    });
+  }
+
+  #report(connection: Connection, status: EndpointStatus): void {
+    connection.status = status;
+    const leaving = status.leaving || connection.host.leaving;
+    this.#options.onStatus({ ...status, leaving });
+  }
+
+  #reportGone(name: string): void {
+    const connection = this.#connections.get(name);
+    if (connection?.status === undefined) return;
+    connection.status = undefined;
+    this.#options.log.info("endpoint-unreachable", { endpoint: name });
+    this.#options.onGone(name);
+  }
+
+  #close(name: string): void {
+    const connection = this.#connections.get(name);
+    if (connection === undefined) return;
+    this.#reportGone(name);
+    this.#connections.delete(name);
+    connection.controller.abort();
+  }
+
+  #closeAll(): void {
+    for (const name of [...this.#connections.keys()]) this.#close(name);
+  }
+}
+
+function isSameAddress(left: EndpointHost, right: EndpointHost): boolean {
+  return (
+    left.address === right.address && left.controlPort === right.controlPort
+  );
+}
+
+/** Ends a stream that went silent, such as one to a frozen process. */
+function createWatchdog(
+  stream: ClientReadableStream<EndpointStatus>,
+): NodeJS.Timeout {
+  return setTimeout(() => stream.cancel(), MAX_STATUS_AGE_MS).unref();
+}
--- a/src/schema/documents.ts
+++ b/src/schema/documents.ts
@@ -351,3 +351,32 @@
   address: string;
   port: number;
 }
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "ChatMessage".
+ */
+export interface ChatMessage {
+  role: string;
+  content: string;
+  [k: string]: unknown;
+}
+/**
+ * Body of POST /v1/chat/completions. Keys that are not listed are passed on to the engine.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "ChatRequest".
+ */
+export interface ChatRequest {
+  /**
+   * A model, a version or auto.
+   */
+  model?: string;
+  /**
+   * @minItems 1
+   * @maxItems 1000
+   */
+  messages: ChatMessage[];
+  stream?: boolean;
+  max_tokens?: number;
+  [k: string]: unknown;
+}
--- a/src/schema/schemas.ts
+++ b/src/schema/schemas.ts
@@ -713,3 +713,56 @@
     }
   }
 } as const;
+
+export const chatRequestSchema = {
+  "$id": "chat_request.json",
+  "title": "ChatRequest",
+  "description": "Body of POST /v1/chat/completions. Keys that are not listed are passed on to the engine.",
+  "type": "object",
+  "required": [
+    "messages"
+  ],
+  "additionalProperties": true,
+  "properties": {
+    "model": {
+      "type": "string",
+      "minLength": 1,
+      "maxLength": 128,
+      "description": "A model, a version or auto."
+    },
+    "messages": {
+      "type": "array",
+      "minItems": 1,
+      "maxItems": 1000,
+      "items": {
+        "$ref": "#/definitions/ChatMessage"
+      }
+    },
+    "stream": {
+      "type": "boolean"
+    },
+    "max_tokens": {
+      "type": "integer",
+      "minimum": 1,
+      "maximum": 1000000
+    }
+  },
+  "definitions": {
+    "ChatMessage": {
+      "type": "object",
+      "additionalProperties": true,
+      "required": [
+        "role",
+        "content"
+      ],
+      "properties": {
+        "role": {
+          "type": "string"
+        },
+        "content": {
+          "type": "string"
+        }
+      }
+    }
+  }
+} as const;
