--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,89 @@
+#!/usr/bin/env node
+/** The daemon: starts one role from a settings file and stops on SIGTERM. */
+
+import { readFileSync } from "node:fs";
+import meow from "meow";
+import {
+  createLogger,
+  formatDocumentFailure,
+  parseSettings,
+} from "../adapters/index.js";
+import { startEndpointRole, startEntryRole } from "../roles/index.js";
+import type { Settings } from "../schema/index.js";
+
+/** Exit codes of the daemon. */
+const EXIT_STOPPED = 0;
+const EXIT_FAILED = 1;
+const EXIT_SETTINGS = 2;
+
+const cli = meow(
+  `
+  Usage
+    $ hornbeamrilld --settings FILE
+
+  Options
+    --settings FILE  settings in JSON with comments; see docs/settings.md
+
+  Exit codes
+    0 stopped by SIGTERM or SIGINT, 1 failed, 2 wrong usage or settings
+`,
+  {
+    importMeta: import.meta,
+    flags: { settings: { type: "string" } },
+  },
+);
+
+function readSettings(file: string | undefined): Settings | undefined {
+  if (file === undefined) {
+    process.stderr.write("hornbeamrilld: Option --settings is missing\n");
+    return undefined;
+  }
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    process.stderr.write(
+      `hornbeamrilld: Cannot read settings file "${file}": ${String(error)}\n`,
+    );
+    return undefined;
+  }
+  const settings = parseSettings(text, file);
+  if (settings.isOk()) return settings.value;
+  process.stderr.write(`${formatDocumentFailure(settings.error)}\n`);
+  return undefined;
+}
+
+async function runDaemon(settings: Settings): Promise<number> {
+  const log = createLogger(settings.log, {
+    fields: {
+      role: settings.role,
+      process: settings.name,
+      dataCentre: settings.dataCentre,
+    },
+  });
+  const stop = new AbortController();
+  for (const name of ["SIGTERM", "SIGINT"] as const) {
+    process.once(name, () => {
+      log.info("stop-requested", { signal: name });
+      stop.abort();
+    });
+  }
+  const start =
+    settings.role === "entry" ? startEntryRole : startEndpointRole;
+  try {
+    const role = await start(settings, { log, signal: stop.signal });
+    log.info("started", { pid: process.pid });
+    process.stdout.write("ready\n");
+    await role.stopped;
+    log.info("stopped");
+    return EXIT_STOPPED;
+  } catch (error) {
+    log.error("failed", { error: String(error) });
+    return EXIT_FAILED;
+  }
+}
+
+const settings = readSettings(cli.flags.settings);
+process.exit(
+  settings === undefined ? EXIT_SETTINGS : await runDaemon(settings),
+);
