--- /dev/null
+++ b/src/adapters/call_failure.ts
@@ -0,0 +1,35 @@
+/** Failure of a call to an outside system that may safely be repeated. */
+
+import { err, ok, type Result } from "neverthrow";
+import type { Ran } from "../core/index.js";
+import type { HttpReply, TransportFailure } from "./http_client.js";
+
+export interface CallFailure {
+  readonly kind: "unavailable" | "timeout" | "aborted" | "malformed";
+  /** Whether the call can have taken effect. */
+  readonly ran: Ran;
+  readonly detail: string;
+}
+
+export function toCallFailure(failure: TransportFailure): CallFailure {
+  const { kind, ran, detail } = failure;
+  if (kind === "timeout" || kind === "aborted") return { kind, ran, detail };
+  return {
+    kind: kind === "too-large" ? "malformed" : "unavailable",
+    ran,
+    detail,
+  };
+}
+
+export function toMalformed(failure: { detail: string }): CallFailure {
+  return { kind: "malformed", ran: "yes", detail: failure.detail };
+}
+
+/** Passes a successful reply on; a refusal below 500 and 503 did nothing. */
+export function checkStatus(reply: HttpReply): Result<HttpReply, CallFailure> {
+  const { status } = reply;
+  if (status >= 200 && status < 300) return ok(reply);
+  const ran = status === 503 || status < 500 ? "no" : "unknown";
+  const detail = `Service answered with status ${status}`;
+  return err({ kind: "unavailable", ran, detail });
+}
--- /dev/null
+++ b/src/adapters/http_engine.ts
@@ -0,0 +1,229 @@
+/** HTTP adapter of a model engine with an OpenAI-style interface. */
+
+import type { IncomingMessage } from "node:http";
+import { err, errAsync, type Result, type ResultAsync } from "neverthrow";
+import type {
+  ChunkListener,
+  Completion,
+  CompletionRequest,
+  Engine,
+  EngineFailure,
+  EngineLoad,
+  EngineOrder,
+} from "./engine.js";
+import { readCompletion } from "./engine_stream.js";
+import {
+  HttpClient,
+  type HttpReply,
+  type HttpTarget,
+  readReply,
+  type TransportFailure,
+} from "./http_client.js";
+import { createParser, readErrorCode } from "./replies.js";
+
+export interface EngineTarget extends HttpTarget {
+  /** Longest pause of an answer's stream, the wait for its start included. */
+  readonly idleMs?: number;
+  /** Longest time of an answer; `timeoutMs` bounds the other calls. */
+  readonly answerTimeoutMs?: number;
+}
+
+const DEFAULT_ANSWER_TIMEOUT_MS = 300_000;
+const DEFAULT_IDLE_MS = 30_000;
+
+const parseLoad = createParser<EngineLoad>({
+  type: "object",
+  required: [
+    "startId",
+    "running",
+    "queued",
+    "slots",
+    "cold",
+    "versions",
+    "loading",
+  ],
+  properties: {
+    startId: { type: "string", minLength: 1 },
+    running: { type: "integer", minimum: 0 },
+    queued: { type: "integer", minimum: 0 },
+    slots: { type: "integer", minimum: 0 },
+    cold: { type: "boolean" },
+    versions: { type: "array", items: { type: "string" } },
+    loading: { type: "array", items: { type: "string" } },
+  },
+});
+const parseOrdered = createParser<{ startId: string }>({
+  type: "object",
+  required: ["startId"],
+  properties: { startId: { type: "string", minLength: 1 } },
+});
+const parseBody = createParser<Record<string, unknown>>({ type: "object" });
+
+export function createHttpEngine(target: EngineTarget): Engine {
+  return new HttpEngine(target);
+}
+
+class HttpEngine implements Engine {
+  readonly #client: HttpClient;
+  readonly #answerTimeoutMs: number;
+  readonly #idleMs: number;
+
+  constructor(target: EngineTarget) {
+    this.#client = new HttpClient(target);
+    this.#answerTimeoutMs = target.answerTimeoutMs ?? DEFAULT_ANSWER_TIMEOUT_MS;
+    this.#idleMs = target.idleMs ?? DEFAULT_IDLE_MS;
+  }
+
+  complete(
+    request: CompletionRequest,
+    onChunk: ChunkListener,
+    signal: AbortSignal,
+  ): ResultAsync<Completion, EngineFailure> {
+    const body = createBody(request);
+    if (body.isErr()) return errAsync(body.error);
+    const progress = { chunks: 0, engineStartId: undefined };
+    const call = {
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: createHeaders(request),
+      body: body.value,
+      timeoutMs: this.#answerTimeoutMs,
+      idleMs: this.#idleMs,
+    };
+    const read = (message: IncomingMessage) =>
+      readAnswer(message, progress, onChunk);
+    return this.#client
+      .stream(call, read, signal)
+      .mapErr((failure) => toFailure(failure, progress))
+      .andThen((result) => result);
+  }
+
+  readLoad(signal: AbortSignal): ResultAsync<EngineLoad, EngineFailure> {
+    return this.#client
+      .send({ method: "GET", path: "/load" }, signal)
+      .mapErr((failure) => toFailure({ ...failure, ran: "no" }))
+      .andThen((reply) =>
+        reply.status === 200
+          ? parseLoad(reply.body).mapErr(({ detail }) =>
+              createFailure("malformed", "no", detail),
+            )
+          : err(toRefusal(reply.status, reply.body)),
+      );
+  }
+
+  order(order: EngineOrder, signal: AbortSignal) {
+    return this.#client
+      .send(
+        { method: "POST", path: "/orders", body: JSON.stringify(order) },
+        signal,
+      )
+      .mapErr((failure) => toFailure(failure))
+      .andThen(readOrdered);
+  }
+}
+
+/** What had arrived when a stream failed. */
+interface Progress {
+  chunks: number;
+  engineStartId: string | undefined;
+}
+
+async function readAnswer(
+  message: IncomingMessage,
+  progress: Progress,
+  onChunk: ChunkListener,
+): Promise<Result<Completion, EngineFailure>> {
+  const { statusCode = 0, headers } = message;
+  if (statusCode !== 200) {
+    const { body } = await readReply(message);
+    return err(toRefusal(statusCode, body));
+  }
+  const startId = headers["engine-start-id"];
+  if (typeof startId === "string") progress.engineStartId = startId;
+  const answer = await readCompletion(message, async (chunk) => {
+    progress.chunks += 1;
+    await onChunk(chunk);
+  });
+  const { chunks, engineStartId = "" } = progress;
+  return answer
+    .map((usage) => ({ ...usage, chunks, engineStartId }))
+    .mapErr(({ kind, detail }) => ({
+      ...createFailure(kind, "yes", detail),
+      ...progress,
+    }));
+}
+
+function createBody(request: CompletionRequest): Result<string, EngineFailure> {
+  return parseBody(Buffer.from(request.body))
+    .map((body) =>
+      JSON.stringify({
+        ...body,
+        model: request.version,
+        stream: true,
+        stream_options: { include_usage: true },
+      }),
+    )
+    .mapErr(() =>
+      createFailure("bad-request", "no", "Body is not a JSON object"),
+    );
+}
+
+function createHeaders(request: CompletionRequest): Record<string, string> {
+  const { requestId, priority, account, session } = request;
+  return {
+    "content-type": "application/json",
+    "hornbeamrill-request": requestId,
+    "hornbeamrill-priority": priority,
+    ...(account && { "hornbeamrill-account": account }),
+    ...(session && { "hornbeamrill-session": session }),
+  };
+}
+
+function readOrdered(reply: HttpReply) {
+  if (reply.status !== 202) return err(toRefusal(reply.status, reply.body));
+  return parseOrdered(reply.body)
+    .map(({ startId }) => ({ engineStartId: startId }))
+    .mapErr(({ detail }) => createFailure("malformed", "unknown", detail));
+}
+
+function createFailure(
+  kind: EngineFailure["kind"],
+  ran: EngineFailure["ran"],
+  detail: string,
+): EngineFailure {
+  return { kind, ran, detail, chunks: 0 };
+}
+
+function toRefusal(status: number, body: Buffer): EngineFailure {
+  const code = readErrorCode(body);
+  const detail = `Engine answered with status ${status} "${code}"`;
+  if (status === 429) return createFailure("overloaded", "no", detail);
+  if (status === 409) return createFailure("old-fence", "no", detail);
+  if (status === 404 && code === "version-not-loaded") {
+    return createFailure("version-not-loaded", "no", detail);
+  }
+  if (status >= 400 && status < 500) {
+    return createFailure("bad-request", "no", detail);
+  }
+  return createFailure("failed", "yes", detail);
+}
+
+const TRANSPORT_KINDS = {
+  refused: "unavailable",
+  broken: "truncated",
+  "too-large": "malformed",
+  timeout: "timeout",
+  aborted: "aborted",
+} as const satisfies Record<TransportFailure["kind"], EngineFailure["kind"]>;
+
+function toFailure(
+  failure: TransportFailure,
+  progress?: Progress,
+): EngineFailure {
+  const { kind, ran, detail } = failure;
+  const began = progress?.engineStartId !== undefined;
+  return {
+    ...createFailure(TRANSPORT_KINDS[kind], began ? "yes" : ran, detail),
+    ...progress,
+  };
+}
--- /dev/null
+++ b/src/standins/engine.ts
@@ -0,0 +1,247 @@
+/**
+ * Stand-in for a model engine: streams answers over server-sent events for
+ * the versions it has loaded, reports its load late and takes load orders.
+ */
+
+import { randomUUID } from "node:crypto";
+import { createAnswer } from "./answers.js";
+import { Batch, type BatchOptions } from "./engine_batch.js";
+import { EngineRun, type RunRecord } from "./engine_run.js";
+import { EngineVersions } from "./engine_versions.js";
+import { applyOptions, type Options } from "./options.js";
+import { countTokens, PrefixCache } from "./prefix_cache.js";
+import { hashToShare } from "./random.js";
+import {
+  type Call,
+  type Handler,
+  parseJson,
+  type Reply,
+  ReplyError,
+} from "./server.js";
+
+export const ENGINE_OPTIONS = {
+  slots: 8,
+  slotsWhileCold: 2,
+  coldStartMs: 0,
+  maxQueue: 32,
+  /** Decode speed of a slot that runs alone. */
+  tokensPerSecond: 500,
+  prefillTokensPerSecond: 20_000,
+  speedFactor: 1,
+  /** Memory of the prompt prefix cache. */
+  prefixCacheTokens: 100_000,
+  /** Tokens of an answer whose request sets no `max_tokens`. */
+  outputTokens: 16,
+  /** Age of the report that `GET /load` shows. */
+  loadLagMs: 0,
+  /** Time that an order to load a version takes. */
+  loadMs: 200,
+  honoursFencing: true,
+  /** Versions loaded at the start, separated by commas. */
+  versions: "",
+  /** Share of acceptable answers, as "version=share,…"; 1 when absent. */
+  acceptable: "",
+  /** True: running answers stop where they are until it is false. */
+  frozen: false,
+} satisfies Options;
+
+interface LoadReport {
+  readonly atMs: number;
+  readonly startId: string;
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+  readonly cold: boolean;
+  readonly versions: string[];
+  readonly loading: string[];
+}
+
+export class EngineStandin {
+  readonly #options = { ...ENGINE_OPTIONS };
+  readonly #startId: string = randomUUID();
+  readonly #batch: Batch;
+  readonly #versions: EngineVersions;
+  readonly #cache: PrefixCache;
+  readonly #record: RunRecord[] = [];
+  readonly #coldOverloads: object[] = [];
+  readonly #badVersions = new Set<string>();
+  #reports: LoadReport[] = [];
+  #coldSinceMs = performance.now();
+  #runningAtCold = 0;
+
+  constructor(options: object = {}) {
+    applyOptions(this.#options, options);
+    const versions = this.#options.versions.split(",").filter(Boolean);
+    this.#versions = new EngineVersions(versions, () => this.#addReport());
+    this.#cache = new PrefixCache(this.#options.prefixCacheTokens);
+    this.#batch = new Batch(this.#options satisfies BatchOptions, () =>
+      this.#isCold(),
+    );
+    this.#addReport();
+  }
+
+  readonly handle: Handler = async (call) => {
+    switch (`${call.method} /${call.path.join("/")}`) {
+      case "POST /v1/chat/completions":
+        return this.#complete(call);
+      case "GET /load":
+        return { status: 200, body: this.#showReport() };
+      case "POST /orders":
+        return this.#order(call);
+      case "POST /control":
+        return this.#control(call);
+      case "GET /record":
+        return { status: 200, body: this.#showRecord() };
+      default:
+        throw new ReplyError(404, "no-route");
+    }
+  };
+
+  close(): void {
+    this.#batch.close();
+  }
+
+  #isCold(): boolean {
+    return performance.now() < this.#coldSinceMs + this.#options.coldStartMs;
+  }
+
+  #complete(call: Call): undefined {
+    const body = parseJson(call.text);
+    const version = body.model;
+    if (typeof version !== "string" || body.stream !== true) {
+      throw new ReplyError(400, "bad-request");
+    }
+    if (!this.#versions.loaded.has(version)) {
+      throw new ReplyError(404, "version-not-loaded");
+    }
+    const run = this.#createRun(call, { version, body });
+    const admission = this.#batch.admit(run);
+    this.#addReport();
+    if (admission === "admitted") {
+      call.response.once("close", () => {
+        this.#batch.cancel(run);
+        run.cancel();
+        this.#addReport();
+      });
+      return undefined;
+    }
+    if (admission === "queue-full") throw new ReplyError(429, "overloaded");
+    const atMs = Date.now();
+    const sinceColdMs = performance.now() - this.#coldSinceMs;
+    this.#coldOverloads.push({ atMs, sinceColdMs });
+    run.onFail(admission);
+    return undefined;
+  }
+
+  #createRun(
+    call: Call,
+    request: { version: string; body: Record<string, unknown> },
+  ): EngineRun {
+    const { version, body } = request;
+    const prompt = JSON.stringify(body.messages ?? []);
+    const requestId = String(call.headers["hornbeamrill-request"] ?? "");
+    const maxTokens = Number(body.max_tokens ?? this.#options.outputTokens);
+    const chunks = createAnswer({
+      requestId,
+      version,
+      chunks: maxTokens,
+      acceptable: this.#isAcceptable(requestId, version),
+    });
+    const promptTokens = countTokens(prompt);
+    const cachedTokens = Math.min(promptTokens, this.#cache.use(prompt));
+    const run = new EngineRun(call, {
+      requestId,
+      version,
+      startId: this.#startId,
+      chunks,
+      promptTokens,
+      cachedTokens,
+    });
+    this.#record.push(run.record);
+    return run;
+  }
+
+  #isAcceptable(requestId: string, version: string): boolean {
+    if (this.#badVersions.has(version)) return false;
+    const shares = new URLSearchParams(
+      this.#options.acceptable.replaceAll(",", "&"),
+    );
+    const difficulty = hashToShare(`difficulty ${requestId}`);
+    return difficulty < Number(shares.get(version) ?? 1);
+  }
+
+  #order(call: Call): Reply {
+    const { kind, version, fence } = parseJson(call.text);
+    if (
+      (kind !== "load" && kind !== "unload") ||
+      typeof version !== "string" ||
+      typeof fence !== "number"
+    ) {
+      throw new ReplyError(400, "bad-request");
+    }
+    const { honoursFencing: honour, loadMs } = this.#options;
+    const accepted = this.#versions.accept(
+      { kind, version, fence },
+      { honour, loadMs },
+    );
+    this.#addReport();
+    const startId = this.#startId;
+    if (accepted) return { status: 202, body: { startId } };
+    const { highestFence } = this.#versions;
+    return { status: 409, body: { code: "old-fence", highestFence } };
+  }
+
+  #control(call: Call): Reply {
+    const { turnCold, turnBad, turnGood, ...patch } = parseJson(call.text);
+    applyOptions(this.#options, patch);
+    if (typeof turnBad === "string") this.#badVersions.add(turnBad);
+    if (typeof turnGood === "string") this.#badVersions.delete(turnGood);
+    if (turnCold === true) this.#turnCold();
+    this.#addReport();
+    return { status: 200, body: this.#options };
+  }
+
+  #turnCold(): void {
+    this.#coldSinceMs = performance.now();
+    this.#runningAtCold = this.#batch.running;
+    this.#cache.clear();
+    if (this.#batch.running + this.#batch.queued > this.#options.slotsWhileCold)
+      this.#batch.failAll("turned-cold");
+  }
+
+  #addReport(): void {
+    const atMs = performance.now();
+    const kept = this.#reports.findLastIndex(
+      (report) => report.atMs <= atMs - this.#options.loadLagMs,
+    );
+    this.#reports.splice(0, Math.max(0, kept));
+    this.#reports.push({
+      atMs,
+      startId: this.#startId,
+      running: this.#batch.running,
+      queued: this.#batch.queued,
+      slots: this.#options.slots,
+      cold: this.#isCold(),
+      versions: [...this.#versions.loaded],
+      loading: this.#versions.loading,
+    });
+  }
+
+  #showReport(): LoadReport | undefined {
+    this.#addReport();
+    const shownMs = performance.now() - this.#options.loadLagMs;
+    const shown = this.#reports.findLast((report) => report.atMs <= shownMs);
+    return shown ?? this.#reports[0];
+  }
+
+  #showRecord() {
+    return {
+      startId: this.#startId,
+      runs: this.#record,
+      orders: this.#versions.record,
+      maxRunningWhileCold: this.#batch.maxRunningWhileCold,
+      runningAtCold: this.#runningAtCold,
+      coldOverloads: this.#coldOverloads,
+    };
+  }
+}
--- /dev/null
+++ b/src/standins/engine_batch.ts
@@ -0,0 +1,170 @@
+/**
+ * Continuous batch of the engine stand-in: a queue by priority, one prefill
+ * at a time, and decoding that slows down as slots fill.
+ */
+
+import type { Priority } from "../schema/index.js";
+
+/** Decode speed of a slot when all slots are in use, relative to one alone. */
+const FULL_BATCH_SPEED = 0.6;
+const TICK_MS = 5;
+const PRIORITY_ORDER: Record<Priority, number> = {
+  urgent: 0,
+  interactive: 1,
+  batch: 2,
+};
+
+export interface BatchOptions {
+  readonly slots: number;
+  readonly slotsWhileCold: number;
+  readonly maxQueue: number;
+  readonly tokensPerSecond: number;
+  readonly prefillTokensPerSecond: number;
+  readonly speedFactor: number;
+  readonly frozen: boolean;
+}
+
+export interface Run {
+  readonly priority: Priority;
+  /** Prompt tokens that are not cached. */
+  readonly prefillTokens: number;
+  readonly outputTokens: number;
+  onStart(): void;
+  /** Called with the number of tokens decoded so far. */
+  onProgress(tokens: number): void;
+  onEnd(): void;
+  onFail(reason: string): void;
+}
+
+interface Slot {
+  readonly run: Run;
+  prefillLeft: number;
+  decoded: number;
+}
+
+export type Admission = "admitted" | "queue-full" | "cold-overload";
+
+export class Batch {
+  readonly #options: BatchOptions;
+  readonly #isCold: () => boolean;
+  #slots: Slot[] = [];
+  readonly #queue: Run[] = [];
+  #timer: NodeJS.Timeout | undefined;
+  #tickedAtMs = 0;
+  maxRunningWhileCold = 0;
+
+  constructor(options: BatchOptions, isCold: () => boolean) {
+    this.#options = options;
+    this.#isCold = isCold;
+  }
+
+  get running(): number {
+    return this.#slots.length;
+  }
+
+  get queued(): number {
+    return this.#queue.length;
+  }
+
+  /** Starts or queues a run. A cold engine has no queue: too much fails all. */
+  admit(run: Run): Admission {
+    const { slots, slotsWhileCold, maxQueue } = this.#options;
+    if (this.#isCold()) {
+      const running = this.running + 1;
+      this.maxRunningWhileCold = Math.max(this.maxRunningWhileCold, running);
+      if (running > slotsWhileCold) {
+        this.failAll("cold-overload");
+        return "cold-overload";
+      }
+      this.#start(run);
+      return "admitted";
+    }
+    if (this.running < slots) {
+      this.#start(run);
+      return "admitted";
+    }
+    if (this.queued >= maxQueue) return "queue-full";
+    const order = PRIORITY_ORDER[run.priority];
+    const at = this.#queue.findIndex(
+      (other) => PRIORITY_ORDER[other.priority] > order,
+    );
+    this.#queue.splice(at < 0 ? this.queued : at, 0, run);
+    return "admitted";
+  }
+
+  cancel(run: Run): void {
+    const at = this.#queue.indexOf(run);
+    if (at >= 0) this.#queue.splice(at, 1);
+    this.#slots = this.#slots.filter((slot) => slot.run !== run);
+    this.#startQueued();
+  }
+
+  failAll(reason: string): void {
+    const runs = [...this.#slots.map((slot) => slot.run), ...this.#queue];
+    this.#slots = [];
+    this.#queue.length = 0;
+    for (const run of runs) run.onFail(reason);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  #start(run: Run): void {
+    this.#slots.push({ run, prefillLeft: run.prefillTokens, decoded: 0 });
+    run.onStart();
+    if (this.#timer !== undefined) return;
+    this.#tickedAtMs = performance.now();
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  #startQueued(): void {
+    const limit = this.#isCold()
+      ? this.#options.slotsWhileCold
+      : this.#options.slots;
+    while (this.running < limit) {
+      const run = this.#queue.shift();
+      if (run === undefined) break;
+      this.#start(run);
+    }
+    if (this.running > 0) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  #tick(): void {
+    const nowMs = performance.now();
+    const seconds = (nowMs - this.#tickedAtMs) / 1_000;
+    this.#tickedAtMs = nowMs;
+    if (this.#options.frozen) return;
+    const factor = this.#options.speedFactor * seconds;
+    let prefill = this.#options.prefillTokensPerSecond * factor;
+    const decode = this.#options.tokensPerSecond * this.#batchSpeed() * factor;
+    for (const slot of [...this.#slots]) {
+      if (slot.prefillLeft > 0) {
+        const done = Math.min(prefill, slot.prefillLeft);
+        slot.prefillLeft -= done;
+        prefill -= done;
+        continue;
+      }
+      this.#decode(slot, decode);
+    }
+    this.#startQueued();
+  }
+
+  #decode(slot: Slot, tokens: number): void {
+    const { run } = slot;
+    slot.decoded = Math.min(run.outputTokens, slot.decoded + tokens);
+    run.onProgress(Math.floor(slot.decoded));
+    if (slot.decoded < run.outputTokens) return;
+    this.#slots = this.#slots.filter((other) => other !== slot);
+    run.onEnd();
+  }
+
+  #batchSpeed(): number {
+    const { slots } = this.#options;
+    if (slots <= 1) return 1;
+    const used = (this.running - 1) / (slots - 1);
+    return 1 - (1 - FULL_BATCH_SPEED) * Math.min(1, used);
+  }
+}
--- /dev/null
+++ b/src/standins/engine_run.ts
@@ -0,0 +1,136 @@
+/** One answer of the engine stand-in on its way over server-sent events. */
+
+import type { Priority } from "../schema/index.js";
+import type { Run } from "./engine_batch.js";
+import { type Call, sendReply } from "./server.js";
+
+export interface RunSpec {
+  readonly requestId: string;
+  readonly version: string;
+  readonly startId: string;
+  readonly chunks: string[];
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+}
+
+/** What `GET /record` shows of a run. */
+export interface RunRecord {
+  readonly requestId: string;
+  readonly version: string;
+  readonly account: string;
+  readonly session: string;
+  readonly priority: Priority;
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly arrivedAtMs: number;
+  startAtMs?: number;
+  endAtMs?: number;
+  outputTokens: number;
+  outcome: "running" | "done" | "cancelled" | "failed";
+  reason?: string;
+}
+
+function readHeader(call: Call, name: string): string {
+  return String(call.headers[name] ?? "");
+}
+
+function readPriority(call: Call): Priority {
+  const text = readHeader(call, "hornbeamrill-priority");
+  return text === "urgent" || text === "batch" ? text : "interactive";
+}
+
+export class EngineRun implements Run {
+  readonly priority: Priority;
+  readonly prefillTokens: number;
+  readonly outputTokens: number;
+  readonly record: RunRecord;
+  readonly #call: Call;
+  readonly #spec: RunSpec;
+  #sent = 0;
+
+  constructor(call: Call, spec: RunSpec) {
+    this.#call = call;
+    this.#spec = spec;
+    this.priority = readPriority(call);
+    this.prefillTokens = spec.promptTokens - spec.cachedTokens;
+    this.outputTokens = spec.chunks.length;
+    this.record = {
+      requestId: spec.requestId,
+      version: spec.version,
+      account: readHeader(call, "hornbeamrill-account"),
+      session: readHeader(call, "hornbeamrill-session"),
+      priority: this.priority,
+      promptTokens: spec.promptTokens,
+      cachedTokens: spec.cachedTokens,
+      arrivedAtMs: Date.now(),
+      outputTokens: 0,
+      outcome: "running",
+    };
+  }
+
+  onStart(): void {
+    this.record.startAtMs = Date.now();
+  }
+
+  onProgress(tokens: number): void {
+    while (this.#sent < tokens) {
+      const content = this.#spec.chunks[this.#sent];
+      this.#sendEvent({ choices: [{ index: 0, delta: { content } }] });
+      this.#sent += 1;
+    }
+    this.record.outputTokens = this.#sent;
+  }
+
+  onEnd(): void {
+    const { promptTokens, cachedTokens, chunks } = this.#spec;
+    const last = { index: 0, delta: {}, finish_reason: "stop" };
+    this.#sendEvent({ choices: [last] });
+    const usage = {
+      prompt_tokens: promptTokens,
+      completion_tokens: chunks.length,
+      total_tokens: promptTokens + chunks.length,
+      prompt_tokens_details: { cached_tokens: cachedTokens },
+    };
+    this.#sendEvent({ choices: [], usage });
+    this.#finish("done");
+    this.#call.response.end("data: [DONE]\n\n");
+  }
+
+  onFail(reason: string): void {
+    this.#finish("failed", reason);
+    const { response } = this.#call;
+    if (!response.headersSent) {
+      sendReply(response, { status: 500, body: { code: reason } });
+      return;
+    }
+    const data = JSON.stringify({ error: { code: reason } });
+    response.end(`event: error\ndata: ${data}\n\n`);
+  }
+
+  /** The caller closed the connection. */
+  cancel(): void {
+    this.#finish("cancelled");
+  }
+
+  #finish(outcome: RunRecord["outcome"], reason?: string): void {
+    if (this.record.outcome !== "running") return;
+    Object.assign(this.record, { outcome, reason, endAtMs: Date.now() });
+  }
+
+  #sendEvent(event: object): void {
+    const { response } = this.#call;
+    if (!response.headersSent) {
+      response.writeHead(200, {
+        "content-type": "text/event-stream",
+        "engine-start-id": this.#spec.startId,
+      });
+    }
+    const chunk = {
+      id: this.#spec.requestId,
+      object: "chat.completion.chunk",
+      model: this.#spec.version,
+      ...event,
+    };
+    response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+  }
+}
--- /dev/null
+++ b/src/standins/object_store.ts
@@ -0,0 +1,217 @@
+/**
+ * Stand-in for the object store: versions by key, conditional updates, lists
+ * and watches, with rate limits and faults. Data survive an outage.
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { applyOptions, type Options } from "./options.js";
+import { RateLimit } from "./rate_limit.js";
+import {
+  type Call,
+  type Handler,
+  parseJson,
+  type Reply,
+  ReplyError,
+} from "./server.js";
+
+export const OBJECT_STORE_OPTIONS = {
+  writesPerSecond: 400,
+  readsPerSecond: 2_000,
+  maxValueBytes: 1_000_000,
+  /** "none", or how calls fail: "refuse", "reset" or "hang". */
+  outage: "none",
+  /** Half before the effect and half after it. */
+  delayMs: 0,
+  /** Share of writes whose reply is lost after they took effect. */
+  loseReplyShare: 0,
+} satisfies Options;
+
+interface Stored {
+  version: number;
+  value: unknown;
+  bytes: number;
+}
+
+interface WriteEntry {
+  readonly atMs: number;
+  readonly key: string;
+  readonly version: number;
+  readonly value: unknown;
+  readonly replyLost: boolean;
+}
+
+const DEFAULT_PAGE = 100;
+const MAX_PAGE = 1_000;
+/** Bounds the size of a page of large values. */
+const MAX_PAGE_BYTES = 4_000_000;
+const MAX_WAIT_MS = 60_000;
+/** Closes the connection of a call that an outage leaves hanging. */
+const HANG_MS = 60_000;
+
+export class ObjectStoreStandin {
+  readonly #options = { ...OBJECT_STORE_OPTIONS };
+  readonly #random: () => number;
+  readonly #objects = new Map<string, Stored>();
+  readonly #record: WriteEntry[] = [];
+  readonly #wakers = new Set<() => void>();
+  readonly #writes = new RateLimit(performance.now.bind(performance));
+  readonly #reads = new RateLimit(performance.now.bind(performance));
+
+  constructor(random: () => number, options: object = {}) {
+    this.#random = random;
+    applyOptions(this.#options, options);
+  }
+
+  readonly handle: Handler = async (call) => {
+    const [root, ...rest] = call.path;
+    if (root === "control" && call.method === "POST")
+      return this.#control(call);
+    if (root === "record" && call.method === "GET") {
+      return { status: 200, body: { writes: this.#record } };
+    }
+    if (root !== "objects") throw new ReplyError(404, "no-route");
+    if (call.method === "PUT") return this.#write(call, rest.join("/"));
+    if (call.method !== "GET") throw new ReplyError(405, "no-route");
+    this.#checkRate(this.#reads, this.#options.readsPerSecond);
+    if (rest.length === 0)
+      return this.#passFaults(call, () => this.#list(call));
+    if (call.query.has("waitMs")) return this.#watch(call, rest.join("/"));
+    return this.#passFaults(call, () => this.#read(rest.join("/")));
+  };
+
+  #control(call: Call): Reply {
+    applyOptions(this.#options, parseJson(call.text));
+    this.#wake();
+    return { status: 200, body: this.#options };
+  }
+
+  #checkRate(limit: RateLimit, perSecond: number): void {
+    const waitMs = limit.take(perSecond);
+    if (waitMs === 0) return;
+    throw new ReplyError(429, "rate-limited", {
+      "retry-after-ms": `${waitMs}`,
+    });
+  }
+
+  async #passFaults(
+    call: Call,
+    act: () => Reply,
+    loseReply = false,
+  ): Promise<Reply | undefined> {
+    if (await this.#failByOutage(call)) return undefined;
+    await sleep(this.#options.delayMs / 2);
+    if (await this.#failByOutage(call)) return undefined;
+    const reply = act();
+    if (loseReply && reply.status === 200) {
+      call.request.socket.destroy();
+      return undefined;
+    }
+    await sleep(this.#options.delayMs / 2);
+    return reply;
+  }
+
+  /** True when the outage took the call without an answer. */
+  async #failByOutage(call: Call): Promise<boolean> {
+    const { outage } = this.#options;
+    if (outage === "none") return false;
+    if (outage === "refuse") throw new ReplyError(503, "outage");
+    if (outage === "hang") await sleep(HANG_MS, undefined, { ref: false });
+    call.request.socket.destroy();
+    return true;
+  }
+
+  async #write(call: Call, key: string): Promise<Reply | undefined> {
+    this.#checkRate(this.#writes, this.#options.writesPerSecond);
+    const { value, ifVersion } = parseJson(call.text);
+    if (value === undefined || typeof ifVersion !== "number") {
+      throw new ReplyError(400, "bad-request");
+    }
+    const bytes = Buffer.byteLength(JSON.stringify(value));
+    if (bytes > this.#options.maxValueBytes) {
+      throw new ReplyError(413, "too-large");
+    }
+    const replyLost = this.#random() < this.#options.loseReplyShare;
+    return this.#passFaults(
+      call,
+      () => this.#put({ key, ifVersion, replyLost }, { value, bytes }),
+      replyLost,
+    );
+  }
+
+  #put(
+    target: { key: string; ifVersion: number; replyLost: boolean },
+    content: { value: unknown; bytes: number },
+  ): Reply {
+    const { key, ifVersion, replyLost } = target;
+    const current = this.#objects.get(key)?.version ?? 0;
+    if (current !== ifVersion) {
+      return { status: 409, body: { code: "conflict", version: current } };
+    }
+    const version = current + 1;
+    this.#objects.set(key, { version, ...content });
+    const { value } = content;
+    this.#record.push({ atMs: Date.now(), key, version, value, replyLost });
+    this.#wake();
+    return { status: 200, body: { version } };
+  }
+
+  #read(key: string): Reply {
+    const stored = this.#objects.get(key);
+    if (stored === undefined) return { status: 404, body: { code: "absent" } };
+    const { version, value } = stored;
+    return { status: 200, body: { key, version, value } };
+  }
+
+  #list(call: Call): Reply {
+    const prefix = call.query.get("prefix") ?? "";
+    const after = call.query.get("after") ?? "";
+    const limit = Number(call.query.get("limit") ?? DEFAULT_PAGE);
+    const keys = [...this.#objects.keys()]
+      .filter((key) => key.startsWith(prefix) && key > after)
+      .sort();
+    const objects = [];
+    let bytes = 0;
+    for (const key of keys.slice(0, Math.min(limit, MAX_PAGE))) {
+      const stored = this.#objects.get(key);
+      if (stored === undefined) continue;
+      bytes += stored.bytes;
+      if (objects.length > 0 && bytes > MAX_PAGE_BYTES) break;
+      objects.push({ key, version: stored.version, value: stored.value });
+    }
+    const more = objects.length < keys.length;
+    return { status: 200, body: { objects, more } };
+  }
+
+  async #watch(call: Call, key: string): Promise<Reply | undefined> {
+    const version = Number(call.query.get("version") ?? 0);
+    const waitMs = Math.min(Number(call.query.get("waitMs")), MAX_WAIT_MS);
+    const endMs = performance.now() + waitMs;
+    while (!call.response.destroyed) {
+      if (await this.#failByOutage(call)) return undefined;
+      const changed = (this.#objects.get(key)?.version ?? 0) !== version;
+      const leftMs = endMs - performance.now();
+      if (changed || leftMs <= 0) break;
+      await this.#waitForChange(call, leftMs);
+    }
+    return this.#passFaults(call, () => this.#read(key));
+  }
+
+  /** Resolves at any write or control call, the time's end or a closed call. */
+  #waitForChange(call: Call, waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.#wakers.delete(wake);
+        call.response.off("close", wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, waitMs);
+      this.#wakers.add(wake);
+      call.response.once("close", wake);
+    });
+  }
+
+  #wake(): void {
+    for (const wake of [...this.#wakers]) wake();
+  }
+}
--- /dev/null
+++ b/src/standins/service.ts
@@ -0,0 +1,145 @@
+/**
+ * Stand-in for the plain services (order, spool release, stock). Each call
+ * that reaches its effect is recorded, so that a second run shows.
+ */
+
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { applyOptions, type Options } from "./options.js";
+import {
+  type Call,
+  type Handler,
+  parseJson,
+  type Reply,
+  ReplyError,
+} from "./server.js";
+
+export const SERVICE_OPTIONS = {
+  slots: 16,
+  slotsWhileCold: 4,
+  coldStartMs: 0,
+  workMs: 10,
+  /** Share of runs whose reply is lost after the effect. */
+  loseReplyShare: 0,
+  /** True: calls hang at their start, without effect, until it is false. */
+  frozen: false,
+} satisfies Options;
+
+interface RunEntry {
+  readonly requestId: string;
+  readonly idempotencyKey: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly startAtMs: number;
+  endAtMs?: number;
+  /** "ran" when the effect took place. */
+  outcome: "running" | "ran" | "failed" | "cold-overload";
+  replyLost: boolean;
+}
+
+const FREEZE_POLL_MS = 10;
+
+export class ServiceStandin {
+  readonly #options = { ...SERVICE_OPTIONS };
+  readonly #random: () => number;
+  readonly #startId: string = randomUUID();
+  readonly #record: RunEntry[] = [];
+  readonly #running = new Set<RunEntry>();
+  #coldUntilMs: number;
+  #maxRunningWhileCold = 0;
+  #effects = 0;
+
+  constructor(random: () => number, options: object = {}) {
+    this.#random = random;
+    applyOptions(this.#options, options);
+    this.#coldUntilMs = performance.now() + this.#options.coldStartMs;
+  }
+
+  readonly handle: Handler = async (call) => {
+    if (call.path[0] === "control") return this.#control(call);
+    if (call.path[0] === "record") return { status: 200, body: this.#report() };
+    return this.#run(call);
+  };
+
+  #control(call: Call): Reply {
+    const { turnCold, ...patch } = parseJson(call.text);
+    applyOptions(this.#options, patch);
+    if (turnCold === true) {
+      this.#coldUntilMs = performance.now() + this.#options.coldStartMs;
+      if (this.#running.size > this.#options.slotsWhileCold) this.#failAll();
+    }
+    return { status: 200, body: this.#options };
+  }
+
+  #report() {
+    const maxRunningWhileCold = this.#maxRunningWhileCold;
+    return { startId: this.#startId, maxRunningWhileCold, runs: this.#record };
+  }
+
+  async #run(call: Call): Promise<Reply | undefined> {
+    const entry = createEntry(call);
+    this.#admit(entry);
+    await sleep(this.#options.workMs / 2);
+    while (this.#options.frozen) await sleep(FREEZE_POLL_MS);
+    if (entry.outcome === "running") this.#takeEffect(entry);
+    await sleep(this.#options.workMs / 2);
+    this.#running.delete(entry);
+    entry.endAtMs = Date.now();
+    if (entry.outcome !== "ran") throw new ReplyError(500, entry.outcome);
+    if (entry.replyLost) {
+      call.request.socket.destroy();
+      return undefined;
+    }
+    return this.#createReply(entry);
+  }
+
+  #admit(entry: RunEntry): void {
+    const { slots, slotsWhileCold } = this.#options;
+    const running = this.#running.size + 1;
+    if (performance.now() < this.#coldUntilMs) {
+      this.#maxRunningWhileCold = Math.max(this.#maxRunningWhileCold, running);
+      if (running > slotsWhileCold) {
+        this.#failAll();
+        this.#record.push({ ...entry, outcome: "cold-overload" });
+        throw new ReplyError(500, "cold-overload");
+      }
+    }
+    if (running > slots) throw new ReplyError(429, "overloaded");
+    this.#record.push(entry);
+    this.#running.add(entry);
+  }
+
+  #takeEffect(entry: RunEntry): void {
+    this.#effects += 1;
+    entry.outcome = "ran";
+    entry.replyLost = this.#random() < this.#options.loseReplyShare;
+  }
+
+  /** A run past its effect stays recorded as run, though its caller sees 500. */
+  #failAll(): void {
+    for (const entry of this.#running) {
+      if (entry.outcome === "running") entry.outcome = "failed";
+    }
+    this.#running.clear();
+  }
+
+  #createReply(entry: RunEntry): Reply {
+    const { requestId, idempotencyKey, service } = entry;
+    const body = { requestId, idempotencyKey, service, run: this.#effects };
+    return { status: 200, body, headers: { "start-id": this.#startId } };
+  }
+}
+
+function createEntry(call: Call): RunEntry {
+  return {
+    requestId: String(call.headers["hornbeamrill-request"] ?? ""),
+    idempotencyKey: String(call.headers["idempotency-key"] ?? ""),
+    service: call.path[0] ?? "",
+    method: call.method,
+    path: call.path.join("/"),
+    startAtMs: Date.now(),
+    outcome: "running",
+    replyLost: false,
+  };
+}
