--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,4 +1,5 @@
 export * from "./attempts.js";
+export * from "./claims.js";
 export * from "./endpoint_index.js";
 export * from "./errors.js";
 export * from "./events.js";
@@ -8,5 +9,6 @@
 export * from "./gate_checks.js";
 export * from "./pending.js";
 export * from "./ramp.js";
+export * from "./receipts.js";
 export * from "./router.js";
 export * from "./tickets.js";
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -68,8 +68,7 @@
       stop.abort();
     });
   }
-  const start =
-    settings.role === "entry" ? startEntryRole : startEndpointRole;
+  const start = settings.role === "entry" ? startEntryRole : startEndpointRole;
   try {
     const role = await start(settings, { log, signal: stop.signal });
     log.info("started", { pid: process.pid });
