--- a/src/adapters/channels.ts
+++ b/src/adapters/channels.ts
@@ -12,7 +12,7 @@
 import { err, ok, ResultAsync } from "neverthrow";
 
 /** Fields of a failed call that decide what may have happened. */
-export interface CallFailure {
+export interface PeerFailure {
   readonly kind: "unreachable" | "timeout" | "cancelled" | "call-failed";
   readonly detail: string;
 }
@@ -52,7 +52,7 @@
 }
 
 /** Says what a failed call means for the request it carried. */
-export function classifyCallError(error: ServiceError): CallFailure {
+export function classifyCallError(error: ServiceError): PeerFailure {
   const detail = error.details || error.message;
   if (error.code === status.UNAVAILABLE) return { kind: "unreachable", detail };
   if (error.code === status.DEADLINE_EXCEEDED) {
@@ -79,7 +79,7 @@
   method: UnaryMethod<Q, R>,
   request: Q,
   options: UnaryOptions,
-): ResultAsync<R, CallFailure> {
+): ResultAsync<R, PeerFailure> {
   const promise = new Promise<R>((resolve, reject) => {
     const deadline = new Date(Date.now() + options.timeoutMs);
     const call = method(
@@ -98,8 +98,8 @@
   });
   return new ResultAsync(
     promise.then(
-      (reply) => ok<R, CallFailure>(reply),
-      (error: ServiceError) => err<R, CallFailure>(classifyCallError(error)),
+      (reply) => ok<R, PeerFailure>(reply),
+      (error: ServiceError) => err<R, PeerFailure>(classifyCallError(error)),
     ),
   );
 }
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -17,6 +17,7 @@
   "unknown-service": { status: 404, ran: "no" },
   "not-found": { status: 404, ran: "no" },
   "in-progress": { status: 409, ran: "unknown" },
+  "answer-not-kept": { status: 409, ran: "yes" },
   "body-too-large": { status: 413, ran: "no" },
   "headers-too-large": { status: 431, ran: "no" },
   "key-reused": { status: 422, ran: "no" },
--- a/src/roles/endpoint_backend.ts
+++ b/src/roles/endpoint_backend.ts
@@ -20,6 +20,9 @@
   readonly contentType: string;
   readonly priority: Priority;
   readonly idempotent: boolean;
+  readonly account: string;
+  readonly session: string;
+  readonly idempotencyKey: string;
 }
 
 /** The answer of a back end; a model's output went through `onChunk`. */
@@ -106,11 +109,9 @@
     }));
 }
 
-export function createBackendRequest(
-  request: Omit<BackendRequest, "contentType">,
-): BackendRequest {
+export function createBackendRequest(request: BackendRequest): BackendRequest {
   const { requestId, version, service, method, path, body } = request;
-  const { priority, idempotent } = request;
+  const { priority, idempotent, account, session, idempotencyKey } = request;
   return {
     requestId,
     version,
@@ -118,9 +119,12 @@
     method,
     path,
     body,
-    contentType: JSON_TYPE,
+    contentType: request.contentType || JSON_TYPE,
     priority,
     idempotent,
+    account,
+    session,
+    idempotencyKey,
   };
 }
 
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -69,6 +69,8 @@
     epoch: "",
     claim: "",
     session: "",
+    contentType: "application/json",
+    idempotencyKey: "",
     ...fields,
   };
 }
--- a/src/schema/documents.ts
+++ b/src/schema/documents.ts
@@ -491,9 +491,9 @@
  * The result of an order whose claim is still to be updated.
  *
  * This interface was referenced by `Documents`'s JSON-Schema
- * via the `definition` "Completion".
+ * via the `definition` "OrderCompletion".
  */
-export interface Completion {
+export interface OrderCompletion {
   key: string;
   attempt: number;
   answer: KeptAnswer;
@@ -511,5 +511,5 @@
    */
   fromPage: number;
   receipt: Receipt;
-  completion?: Completion;
+  completion?: OrderCompletion;
 }
--- a/src/schema/messages.ts
+++ b/src/schema/messages.ts
@@ -75,6 +75,9 @@
   claim: string;
   /** The session the request belongs to; empty for none. */
   session: string;
+  /** Passed on to a plain service. */
+  contentType: string;
+  idempotencyKey: string;
 }
 
 export interface Frame {
@@ -498,6 +501,8 @@
     epoch: "",
     claim: "",
     session: "",
+    contentType: "",
+    idempotencyKey: "",
   };
 }
 
@@ -554,6 +559,12 @@
     if (message.session !== "") {
       writer.uint32(138).string(message.session);
     }
+    if (message.contentType !== "") {
+      writer.uint32(146).string(message.contentType);
+    }
+    if (message.idempotencyKey !== "") {
+      writer.uint32(154).string(message.idempotencyKey);
+    }
     return writer;
   },
 
@@ -706,6 +717,22 @@
             message.session = reader.string();
             continue;
           }
+          case 18: {
+            if (tag !== 146) {
+              break;
+            }
+
+            message.contentType = reader.string();
+            continue;
+          }
+          case 19: {
+            if (tag !== 154) {
+              break;
+            }
+
+            message.idempotencyKey = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -740,6 +767,8 @@
     message.epoch = object.epoch ?? "";
     message.claim = object.claim ?? "";
     message.session = object.session ?? "";
+    message.contentType = object.contentType ?? "";
+    message.idempotencyKey = object.idempotencyKey ?? "";
     return message;
   },
 };
--- a/src/schema/schemas.ts
+++ b/src/schema/schemas.ts
@@ -1014,7 +1014,7 @@
         }
       }
     },
-    "Completion": {
+    "OrderCompletion": {
       "type": "object",
       "additionalProperties": false,
       "description": "The result of an order whose claim is still to be updated.",
@@ -1060,7 +1060,7 @@
           "$ref": "#/definitions/Receipt"
         },
         "completion": {
-          "$ref": "#/definitions/Completion"
+          "$ref": "#/definitions/OrderCompletion"
         }
       }
     }
