--- /dev/null
+++ b/src/core/canonical.ts
@@ -0,0 +1,51 @@
+/** Stable serialization and hashes of documents, and rendezvous ranking. */
+
+import { createHash } from "node:crypto";
+
+function sortKeys(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(sortKeys);
+  if (value === null || typeof value !== "object") return value;
+  const entries = Object.entries(value)
+    .filter(([, item]) => item !== undefined)
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([key, item]): [string, unknown] => [key, sortKeys(item)]);
+  return Object.fromEntries(entries);
+}
+
+/** JSON with sorted keys, so equal documents give equal text. */
+export function serializeCanonical(value: unknown): string {
+  return JSON.stringify(sortKeys(value));
+}
+
+export function hashText(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+/** Hash of a document, independent of the order of its keys. */
+export function hashDocument(value: unknown): string {
+  return hashText(serializeCanonical(value));
+}
+
+/**
+ * Ranks names by rendezvous hash for a key: a name that joins or leaves moves
+ * no other two names relative to each other.
+ */
+export function rankByRendezvous(
+  key: string,
+  names: readonly string[],
+): string[] {
+  const scored = names.map((name) => ({
+    name,
+    score: hashText(JSON.stringify([key, name])),
+  }));
+  scored.sort((a, b) =>
+    a.score === b.score
+      ? a.name < b.name
+        ? -1
+        : 1
+      : a.score < b.score
+        ? 1
+        : -1,
+  );
+  return scored.map((item) => item.name);
+}
--- /dev/null
+++ b/src/roles/config_handlers.ts
@@ -0,0 +1,33 @@
+/** gRPC handlers of the `ConfigSync` service, for an entry's server. */
+
+import { type handleUnaryCall, status } from "@grpc/grpc-js";
+import { InvariantError } from "../core/index.js";
+import type {
+  ConfigSyncServer,
+  ConfirmStateReply,
+  ConfirmStateRequest,
+} from "../schema/index.js";
+import type { ConfigSync } from "./config_sync.js";
+
+type Handler = handleUnaryCall<ConfirmStateRequest, ConfirmStateReply>;
+
+/** Handlers for `server.addService(ConfigSyncService, …)`. */
+export function createConfigSyncHandlers(sync: ConfigSync): ConfigSyncServer {
+  const confirmState: Handler = (call, callback) => {
+    const controller = new AbortController();
+    call.on("cancelled", () => controller.abort());
+    sync.confirmState(call.request, controller.signal).then(
+      (reply) => callback(null, reply),
+      (error: Error) => {
+        callback({ code: status.INTERNAL, details: error.message });
+        // A broken invariant must end the process, not only this call.
+        if (error instanceof InvariantError) {
+          setImmediate(() => {
+            throw error;
+          });
+        }
+      },
+    );
+  };
+  return { confirmState };
+}
--- /dev/null
+++ b/src/roles/config_sync.ts
@@ -0,0 +1,305 @@
+/**
+ * Keeps the fleet state of a process fresh. Watchers watch the object store;
+ * the other processes ask a watcher of their data centre, then of others.
+ */
+
+import { performance } from "node:perf_hooks";
+import type { ObjectStore } from "../adapters/index.js";
+import {
+  chooseWatchers,
+  type EvidenceListener,
+  formatSource,
+  hasMajority,
+  type Peer,
+  type RatingIncrease,
+  RatingTotals,
+  type Refusal,
+} from "../core/index.js";
+import type {
+  ConfirmStateReply,
+  ConfirmStateRequest,
+  FleetState,
+} from "../schema/index.js";
+import { ConfigExchange, getAsker } from "./config_exchange.js";
+import { ConfigHolder } from "./config_holder.js";
+import { type AskPeer, PeerClients } from "./config_peers.js";
+import { ConfigRounds } from "./config_rounds.js";
+import type { ConfigView } from "./config_view.js";
+import { PeerOrder } from "./peer_order.js";
+import { runWithTimeout, waitFor } from "./scope.js";
+import { StoreWatch } from "./store_watch.js";
+
+export interface ConfigSyncOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Absent for an endpoint, which asks entries only. */
+  readonly store?: ObjectStore;
+  /** The fleet as the host list has it, this process included. */
+  readonly listPeers: () => readonly Peer[];
+  readonly freshnessMs?: number;
+  /** Called with ratings that other entries reported. */
+  readonly onEvidence?: EvidenceListener;
+  readonly log?: (event: string, fields: Record<string, unknown>) => void;
+  /** @internal */
+  readonly ask?: AskPeer;
+  /** Monotonic clock. @internal */
+  readonly getNowMs?: () => number;
+  /** @internal */
+  readonly getRandom?: () => number;
+}
+
+const LONG_POLL_MS = 2_000;
+const FETCH_TIMEOUT_MS = 1_500;
+/** Covers a watcher's fetch of the new revision. */
+const SPREAD_TIMEOUT_MS = 2_000;
+const TICK_MS = 250;
+/** The store answers in milliseconds; after this the peers are asked too. */
+const FETCH_HEAD_START_MS = 300;
+const MAX_FETCHES = 2;
+const MAX_INFORMANTS = 2;
+
+/** A revision that another process knows. */
+interface RevisionHint {
+  readonly revision: number;
+  /** The process that knows it. */
+  readonly informant: string;
+  readonly signal: AbortSignal;
+}
+
+/** Who of the watchers holds a revision. */
+export interface Spread {
+  readonly watchers: readonly string[];
+  readonly holding: readonly string[];
+  /** True when more than half of the watchers hold it. */
+  readonly accepted: boolean;
+}
+
+export class ConfigSync implements ConfigView {
+  readonly #options: ConfigSyncOptions;
+  readonly #holder: ConfigHolder;
+  readonly #totals = new RatingTotals();
+  readonly #source: string;
+  readonly #clients = new PeerClients();
+  readonly #exchange: ConfigExchange;
+  readonly #order: PeerOrder;
+  readonly #rounds: ConfigRounds;
+  readonly #storeWatch: StoreWatch | undefined;
+  readonly #getNowMs: () => number;
+  #fetching: Promise<void> | undefined;
+  #lifetime: AbortSignal = new AbortController().signal;
+
+  constructor(options: ConfigSyncOptions) {
+    const { name, dataCentre, store, listPeers } = options;
+    const getNowMs = options.getNowMs ?? (() => performance.now());
+    const getRandom = options.getRandom ?? Math.random;
+    const holder = new ConfigHolder(options.freshnessMs);
+    this.#options = options;
+    this.#getNowMs = getNowMs;
+    this.#holder = holder;
+    // The wall clock only orders the lives of a process.
+    this.#source = formatSource(name, Date.now());
+    this.#exchange = new ConfigExchange({
+      source: this.#source,
+      dataCentre,
+      holder,
+      totals: this.#totals,
+      onEvidence: options.onEvidence ?? (() => {}),
+      ask: options.ask ?? this.#clients.ask,
+      getNowMs,
+    });
+    this.#order = new PeerOrder({ name, dataCentre }, getRandom);
+    this.#storeWatch =
+      store === undefined
+        ? undefined
+        : new StoreWatch({ store, holder, getNowMs });
+    this.#rounds = new ConfigRounds({
+      name,
+      holder,
+      exchange: this.#exchange,
+      order: this.#order,
+      storeWatch: this.#storeWatch,
+      listPeers,
+      getNowMs,
+      getRandom,
+      log: options.log ?? (() => {}),
+    });
+  }
+
+  get state(): FleetState {
+    return this.#holder.state;
+  }
+
+  checkFreshness(): Refusal | undefined {
+    return this.#holder.freshness.check(this.#getNowMs());
+  }
+
+  addListener(
+    listener: (state: FleetState) => void,
+    signal: AbortSignal,
+  ): void {
+    this.#holder.addListener(listener, signal);
+  }
+
+  /**
+   * Runs until the signal aborts. Rejects when an invariant does not hold; the
+   * process must end then.
+   */
+  async start(signal: AbortSignal): Promise<void> {
+    this.#lifetime = signal;
+    try {
+      await Promise.all([
+        this.#rounds.run(signal),
+        this.#rounds.runExchange(signal),
+        this.#runTicks(signal),
+      ]);
+    } finally {
+      this.#clients.close();
+    }
+  }
+
+  /** Adds ratings that this process has seen; other entries learn of them. */
+  addRatings(increase: RatingIncrease): void {
+    this.#totals.add(this.#source, increase);
+  }
+
+  /** Records what a process reported of itself by another way. */
+  recordRevision(process: string, revision: number): void {
+    this.#exchange.recordRevision(process, revision);
+  }
+
+  /** Revision that each process of the host list is known to hold. */
+  listRevisions(): { process: string; revision: number | undefined }[] {
+    return this.#options.listPeers().map((peer) => ({
+      process: peer.name,
+      revision:
+        peer.name === this.#options.name
+          ? this.#holder.revision
+          : this.#exchange.getRevision(peer.name),
+    }));
+  }
+
+  /** Takes over a state that this process committed. */
+  adoptCommitted(state: FleetState): void {
+    this.#holder.freshness.recordHead(state.revision);
+    if (state.revision > this.#holder.revision) this.#holder.adopt(state);
+  }
+
+  async fetchRevision(revision: number, signal: AbortSignal): Promise<void> {
+    const { name } = this.#options;
+    await this.#fetchFrom({ revision, informant: name, signal });
+  }
+
+  /** Fetches from the store, or from the process that told of the revision. */
+  async #fetchFrom(hint: RevisionHint): Promise<void> {
+    // A fetch under way may have begun before the revision was committed.
+    for (let attempt = 0; attempt < MAX_FETCHES; attempt++) {
+      if (hint.revision <= this.#holder.revision) return;
+      if (hint.signal.aborted) return;
+      this.#fetching ??= this.#fetchNow(hint).finally(() => {
+        this.#fetching = undefined;
+      });
+      await this.#fetching;
+    }
+  }
+
+  #fetchNow(hint: RevisionHint): Promise<void> {
+    // Other callers wait for the same fetch, so it outlives its first caller.
+    const signal = this.#lifetime;
+    const timeoutMs = FETCH_TIMEOUT_MS;
+    return runWithTimeout({ signal, timeoutMs }, async (scope) => {
+      const read = this.#storeWatch?.read(scope);
+      await Promise.race([read, waitFor(FETCH_HEAD_START_MS, scope)]);
+      if (this.#holder.revision >= hint.revision) return;
+      const question = { immediate: true, timeoutMs, signal: scope };
+      const asks = this.#listInformants(hint.informant).map((peer) =>
+        this.#exchange.ask(peer, question),
+      );
+      await Promise.race([
+        Promise.all([read, ...asks]),
+        this.#holder.waitForRevision(hint.revision, scope),
+      ]);
+    });
+  }
+
+  #listInformants(informant: string): Peer[] {
+    const ordered = this.#order.list(this.#options.listPeers());
+    const named = ordered.filter((peer) => peer.name === informant);
+    return [...named, ...ordered.slice(0, MAX_INFORMANTS)];
+  }
+
+  /**
+   * Asks each watcher with a revision; one that is behind fetches it. More
+   * than half of them must hold it before its ticket counts as accepted.
+   */
+  async spreadRevision(revision: number, signal: AbortSignal): Promise<Spread> {
+    const watchers = chooseWatchers(this.#options.listPeers());
+    const question = { immediate: true, timeoutMs: SPREAD_TIMEOUT_MS, signal };
+    const names = await Promise.all(
+      watchers.map(async (peer) => {
+        if (peer.name === this.#options.name) {
+          return this.#holder.revision >= revision ? peer.name : undefined;
+        }
+        const answer = await this.#exchange.ask(peer, question);
+        if (answer.isErr() || answer.value.revision < revision) return;
+        return peer.name;
+      }),
+    );
+    const holding = names.filter((name) => name !== undefined);
+    const members = watchers.map((peer) => peer.name);
+    const accepted = hasMajority(members, new Set(holding));
+    return { watchers: members, holding, accepted };
+  }
+
+  /** Answers `ConfirmState`. @internal */
+  async confirmState(
+    request: ConfirmStateRequest,
+    signal: AbortSignal,
+  ): Promise<ConfirmStateReply> {
+    const arrivedAtMs = this.#getNowMs();
+    const asker = getAsker(request);
+    this.#exchange.recordRevision(asker, request.revision);
+    this.#exchange.mergeEvidence(request.evidence);
+    const { revision } = request;
+    await this.#fetchFrom({ revision, informant: asker, signal });
+    if (!request.seeksEvidence && this.#holder.revision <= request.revision) {
+      await runWithTimeout({ signal, timeoutMs: LONG_POLL_MS }, (scope) =>
+        this.#holder.waitForRenewal(scope),
+      );
+    }
+    return this.#createReply(request, arrivedAtMs);
+  }
+
+  #createReply(
+    request: ConfirmStateRequest,
+    arrivedAtMs: number,
+  ): ConfirmStateReply {
+    const { revision, json, freshness } = this.#holder;
+    const isEntry = this.#options
+      .listPeers()
+      .some((p) => p.role === "entry" && p.name === getAsker(request));
+    return {
+      revision,
+      state: revision > request.revision ? json : "",
+      // Counted from the question's arrival: the asker subtracts it from the
+      // moment of sending, and the wait in between must not count twice.
+      confirmedAgeMs: Math.ceil(freshness.getAgeMs(arrivedAtMs)),
+      storeAgeMs: Math.floor(this.#rounds.getStoreAgeMs(this.#getNowMs())),
+      watcher: this.#rounds.isWatcher,
+      evidence: isEntry ? this.#totals.takeFor(request.process) : [],
+    };
+  }
+
+  async #runTicks(signal: AbortSignal): Promise<void> {
+    const { freshness } = this.#holder;
+    while (!signal.aborted) {
+      if (freshness.recordTick(this.#getNowMs())) {
+        this.#options.log?.("process-stalled", {});
+      }
+      const peers = this.#options.listPeers();
+      this.#clients.prune(peers);
+      this.#exchange.prune(peers);
+      this.#order.prune(peers);
+      await waitFor(TICK_MS, signal);
+    }
+  }
+}
--- /dev/null
+++ b/src/roles/peer_order.ts
@@ -0,0 +1,81 @@
+/** Whom a process asks next: near watchers first, failing ones later. */
+
+import { chooseWatchers, type Peer, rankByRendezvous } from "../core/index.js";
+
+const FIRST_BACKOFF_MS = 250;
+/** Under the freshness bound, so a lone watcher that returns is found. */
+const MAX_BACKOFF_MS = 3_000;
+
+interface Backoff {
+  readonly failures: number;
+  readonly untilMs: number;
+}
+
+export class PeerOrder {
+  readonly #self: { readonly name: string; readonly dataCentre: string };
+  readonly #getRandom: () => number;
+  readonly #backoffs = new Map<string, Backoff>();
+
+  constructor(
+    self: { readonly name: string; readonly dataCentre: string },
+    getRandom: () => number,
+  ) {
+    this.#self = self;
+    this.#getRandom = getRandom;
+  }
+
+  /**
+   * Watchers of the own data centre, watchers of the others, other entries.
+   * The rank by own name spreads the processes over the watchers.
+   */
+  list(peers: readonly Peer[]): Peer[] {
+    const watchers = new Set(chooseWatchers(peers).map((peer) => peer.name));
+    const byName = new Map(
+      peers
+        .filter((peer) => peer.role === "entry")
+        .filter((peer) => peer.name !== this.#self.name)
+        .map((peer) => [peer.name, peer]),
+    );
+    const ranked = rankByRendezvous(this.#self.name, [...byName.keys()]);
+    const getClass = (peer: Peer) => {
+      if (!watchers.has(peer.name)) return 2;
+      return peer.dataCentre === this.#self.dataCentre ? 0 : 1;
+    };
+    return ranked
+      .flatMap((name) => byName.get(name) ?? [])
+      .sort((a, b) => getClass(a) - getClass(b));
+  }
+
+  /** The first one that is not in backoff, else the one that leaves it first. */
+  choose(peers: readonly Peer[], nowMs: number): Peer | undefined {
+    const ordered = this.list(peers);
+    const getUntil = (peer: Peer) =>
+      this.#backoffs.get(peer.name)?.untilMs ?? 0;
+    const ready = ordered.find((peer) => getUntil(peer) <= nowMs);
+    if (ready !== undefined) return ready;
+    return ordered.sort((a, b) => getUntil(a) - getUntil(b))[0];
+  }
+
+  recordSuccess(name: string): void {
+    this.#backoffs.delete(name);
+  }
+
+  recordFailure(name: string, nowMs: number): void {
+    const failures = (this.#backoffs.get(name)?.failures ?? 0) + 1;
+    const limit = Math.min(
+      MAX_BACKOFF_MS,
+      FIRST_BACKOFF_MS * 2 ** Math.min(failures, 10),
+    );
+    // Jitter over the upper half spreads the askers of a watcher that failed.
+    const delayMs = limit * (0.5 + 0.5 * this.#getRandom());
+    this.#backoffs.set(name, { failures, untilMs: nowMs + delayMs });
+  }
+
+  /** Forgets the processes that are gone. */
+  prune(peers: readonly Peer[]): void {
+    const names = new Set(peers.map((peer) => peer.name));
+    for (const name of this.#backoffs.keys()) {
+      if (!names.has(name)) this.#backoffs.delete(name);
+    }
+  }
+}
