Make the adapters' failures exact and the stand-ins' limits strict

A path that Node can't send crashed the caller; it is now a typed failure that did not run. A request that ended without reply or error waited for ever. The rate limit allowed twice its calls in the first second.

--- a/src/adapters/engine.ts
+++ b/src/adapters/engine.ts
@@ -20,7 +20,7 @@
 export interface CompletionChunk {
   /** The event's JSON as the engine sent it. */
   readonly data: string;
-  /** Text that the piece adds to the answer. */
+  /** Text that the piece adds to the answer; may be empty. */
   readonly text: string;
 }
 
--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -3,7 +3,6 @@
  * says whether the call can have taken effect on the other side.
  */
 
-import { once } from "node:events";
 import {
   Agent,
   type ClientRequest,
@@ -41,7 +40,14 @@
 
 /** No whole reply came. */
 export interface TransportFailure {
-  readonly kind: "refused" | "timeout" | "aborted" | "broken" | "too-large";
+  readonly kind:
+    | "refused"
+    /** Node can't send the path or a header. */
+    | "invalid"
+    | "timeout"
+    | "aborted"
+    | "broken"
+    | "too-large";
   /** "no" when the connection was never made, so nothing was sent. */
   readonly ran: "no" | "unknown";
   readonly detail: string;
@@ -87,9 +93,14 @@
     let cause: TransportFailure["kind"] | undefined;
     let connected = false;
     if (signal.aborted) return err(createFailure(call, "aborted", "no"));
-    const request = this.#open(call, () => {
-      connected = true;
-    });
+    let request: ClientRequest;
+    try {
+      request = this.#open(call, () => {
+        connected = true;
+      });
+    } catch (error) {
+      return err(createFailure(call, "invalid", "no", error));
+    }
     const stop = (reason: "timeout" | "aborted") => {
       cause ??= reason;
       request.destroy();
@@ -104,7 +115,8 @@
     try {
       return ok(await readFrom(request, read));
     } catch (error) {
-      if (error instanceof ReplyTooLarge) cause ??= "too-large";
+      if (!isTransportError(error)) throw error;
+      if (error.code === TOO_LARGE) cause ??= "too-large";
       cause ??= connected ? "broken" : "refused";
       const ran = connected ? "unknown" : "no";
       return err(createFailure(call, cause, ran, error));
@@ -134,20 +146,38 @@
   }
 }
 
-class ReplyTooLarge extends Error {
-  override readonly name = "ReplyTooLarge";
+const TOO_LARGE = "REPLY_TOO_LARGE";
+
+/** Node's errors carry a code; any other error is a fault of the reader. */
+function isTransportError(error: unknown): error is NodeJS.ErrnoException {
+  return error instanceof Error && "code" in error;
+}
+
+function createCodedError(code: string, message: string): Error {
+  return Object.assign(new Error(message), { code });
+}
+
+function waitForReply(request: ClientRequest): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request.once("response", resolve).once("error", reject);
+    // A request that ends in neither way would otherwise wait for ever.
+    request.once("close", () =>
+      reject(createCodedError("ECONNRESET", "Connection closed")),
+    );
+  });
 }
 
 async function readFrom<T>(
   request: ClientRequest,
   read: (message: IncomingMessage) => Promise<T>,
 ): Promise<T> {
-  const [message] = (await once(request, "response")) as [IncomingMessage];
+  const message = await waitForReply(request);
   try {
     return await read(message);
   } finally {
     // Bytes left unread would block the connection's next call.
-    if (!message.readableEnded) message.destroy();
+    if (message.complete) message.resume();
+    else message.destroy();
   }
 }
 
@@ -158,7 +188,8 @@
   for await (const part of message) {
     size += part.length;
     if (size > MAX_REPLY_BYTES) {
-      throw new ReplyTooLarge(`Reply exceeds ${MAX_REPLY_BYTES} bytes`);
+      const message = `Reply exceeds ${MAX_REPLY_BYTES} bytes`;
+      throw createCodedError(TOO_LARGE, message);
     }
     parts.push(part);
   }
--- a/src/adapters/http_engine.ts
+++ b/src/adapters/http_engine.ts
@@ -140,7 +140,9 @@
   }
   const startId = headers["engine-start-id"];
   if (typeof startId === "string") progress.engineStartId = startId;
-  const answer = await readCompletion(message, async (chunk) => {
+  // Keeps the connection open for reuse when the answer's end was read.
+  const stream = message.iterator({ destroyOnReturn: false });
+  const answer = await readCompletion(stream, async (chunk) => {
     progress.chunks += 1;
     await onChunk(chunk);
   });
@@ -205,11 +207,12 @@
   if (status >= 400 && status < 500) {
     return createFailure("bad-request", "no", detail);
   }
-  return createFailure("failed", "yes", detail);
+  return createFailure("failed", "unknown", detail);
 }
 
 const TRANSPORT_KINDS = {
   refused: "unavailable",
+  invalid: "bad-request",
   broken: "truncated",
   "too-large": "malformed",
   timeout: "timeout",
--- a/src/adapters/http_object_store.ts
+++ b/src/adapters/http_object_store.ts
@@ -119,9 +119,9 @@
       const page = await this.#client
         .send({ method: "GET", path: `/objects?${query}` }, signal)
         .mapErr(toReadFailure)
-        .andThen((reply) => readPage(reply, after));
+        .andThen((reply) => readPage(reply, { prefix, after }));
       if (page.isErr()) return err(page.error);
-      objects.push(...page.value.objects);
+      objects.push(...page.value.objects.slice(0, limit - objects.length));
       const last = page.value.objects.at(-1);
       if (!page.value.more || last === undefined) break;
       after = last.key;
@@ -150,16 +150,16 @@
   return errAsync({ kind: "unavailable", detail });
 }
 
-function readPage(reply: HttpReply, after: string) {
+function readPage(reply: HttpReply, asked: { prefix: string; after: string }) {
   if (reply.status !== 200) return err(toRefusal(reply));
   return parsePage(reply.body)
     .mapErr(toReadFailure)
     .andThen((page) => {
-      let last = after;
+      let last = asked.after;
       for (const { key } of page.objects) {
         // Keys that do not rise would make the paging endless.
-        if (key <= last) {
-          const detail = `Key "${key}" follows "${last}" in a list`;
+        if (key <= last || !key.startsWith(asked.prefix)) {
+          const detail = `Key "${key}" after "${last}" is no key of the list`;
           return err({ kind: "unavailable" as const, detail });
         }
         last = key;
--- a/src/adapters/plain_service.ts
+++ b/src/adapters/plain_service.ts
@@ -30,6 +30,8 @@
 export interface ServiceFailure {
   readonly kind: /** No connection, so nothing was sent. */
     | "unavailable"
+    /** The path or a header can't be sent. */
+    | "invalid"
     /** Refused before it started: no room. */
     | "overloaded"
     /** The service answered that it failed; it may have taken effect. */
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -45,13 +45,15 @@
   frozen: false,
 } satisfies Options;
 
+const MAX_OUTPUT_TOKENS = 100_000;
+
 interface LoadReport {
   readonly atMs: number;
+  readonly coldUntilMs: number;
   readonly startId: string;
   readonly running: number;
   readonly queued: number;
   readonly slots: number;
-  readonly cold: boolean;
   readonly versions: string[];
   readonly loading: string[];
 }
@@ -125,7 +127,10 @@
       });
       return undefined;
     }
-    if (admission === "queue-full") throw new ReplyError(429, "overloaded");
+    if (admission === "queue-full") {
+      run.refuse();
+      throw new ReplyError(429, "overloaded");
+    }
     const atMs = Date.now();
     const sinceColdMs = performance.now() - this.#coldSinceMs;
     this.#coldOverloads.push({ atMs, sinceColdMs });
@@ -141,6 +146,9 @@
     const prompt = JSON.stringify(body.messages ?? []);
     const requestId = String(call.headers["hornbeamrill-request"] ?? "");
     const maxTokens = Number(body.max_tokens ?? this.#options.outputTokens);
+    if (!(maxTokens >= 1 && maxTokens <= MAX_OUTPUT_TOKENS)) {
+      throw new ReplyError(400, "bad-request");
+    }
     const chunks = createAnswer({
       requestId,
       version,
@@ -217,21 +225,22 @@
     this.#reports.splice(0, Math.max(0, kept));
     this.#reports.push({
       atMs,
+      coldUntilMs: this.#coldSinceMs + this.#options.coldStartMs,
       startId: this.#startId,
       running: this.#batch.running,
       queued: this.#batch.queued,
       slots: this.#options.slots,
-      cold: this.#isCold(),
       versions: [...this.#versions.loaded],
       loading: this.#versions.loading,
     });
   }
 
-  #showReport(): LoadReport | undefined {
+  #showReport(): object {
     this.#addReport();
     const shownMs = performance.now() - this.#options.loadLagMs;
     const shown = this.#reports.findLast((report) => report.atMs <= shownMs);
-    return shown ?? this.#reports[0];
+    const { coldUntilMs = 0, ...report } = shown ?? this.#reports[0] ?? {};
+    return { ...report, cold: Math.max(0, shownMs) < coldUntilMs };
   }
 
   #showRecord() {
--- a/src/standins/engine_run.ts
+++ b/src/standins/engine_run.ts
@@ -26,7 +26,7 @@
   startAtMs?: number;
   endAtMs?: number;
   outputTokens: number;
-  outcome: "running" | "done" | "cancelled" | "failed";
+  outcome: "running" | "done" | "cancelled" | "failed" | "refused";
   reason?: string;
 }
 
@@ -107,6 +107,11 @@
     response.end(`event: error\ndata: ${data}\n\n`);
   }
 
+  /** The engine had no room for it. */
+  refuse(): void {
+    this.#finish("refused");
+  }
+
   /** The caller closed the connection. */
   cancel(): void {
     this.#finish("cancelled");
--- a/src/standins/engine_versions.ts
+++ b/src/standins/engine_versions.ts
@@ -56,7 +56,8 @@
     if (refused) return false;
     this.#highestFence = Math.max(this.#highestFence, order.fence);
     this.#running.add(entry);
-    const takesMs = order.kind === "load" ? options.loadMs : 0;
+    const loads = order.kind === "load" && !this.loaded.has(order.version);
+    const takesMs = loads ? options.loadMs : 0;
     setTimeout(() => this.#end(entry), takesMs).unref();
     return true;
   }
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -3,6 +3,7 @@
 import meow, { type AnyFlag } from "meow";
 import { isStandinKind, STANDIN_KINDS, startStandin } from "./kinds.js";
 import type { Options } from "./options.js";
+import { ReplyError } from "./server.js";
 
 const EXIT_USAGE = 2;
 
@@ -49,12 +50,17 @@
       value !== undefined && Object.hasOwn(STANDIN_KINDS[kind].defaults, name),
   ),
 );
-const server = await startStandin(kind, {
-  port: Number(port),
-  seed: Number(seed),
-  options,
-});
-process.once("SIGTERM", () => {
-  void server.close().then(() => process.exit(0));
-});
-process.stdout.write(`ready port=${server.port}\n`);
+try {
+  const server = await startStandin(kind, {
+    port: Number(port),
+    seed: Number(seed),
+    options,
+  });
+  process.once("SIGTERM", () => {
+    void server.close().then(() => process.exit(0));
+  });
+  process.stdout.write(`ready port=${server.port}\n`);
+} catch (error) {
+  process.stderr.write(`Stand-in "${kind}" failed to start: ${error}\n`);
+  process.exit(error instanceof ReplyError ? EXIT_USAGE : 1);
+}
--- a/src/standins/object_store.ts
+++ b/src/standins/object_store.ts
@@ -26,6 +26,9 @@
   loseReplyShare: 0,
 } satisfies Options;
 
+/** Short forms of the option `outage` in a control call. */
+const OUTAGES: Record<string, string> = { true: "refuse", false: "none" };
+
 interface Stored {
   version: number;
   value: unknown;
@@ -67,9 +70,11 @@
     if (root === "control" && call.method === "POST")
       return this.#control(call);
     if (root === "record" && call.method === "GET") {
-      return { status: 200, body: { writes: this.#record } };
+      const after = Number(call.query.get("after") ?? 0);
+      return { status: 200, body: { writes: this.#record.slice(after) } };
     }
     if (root !== "objects") throw new ReplyError(404, "no-route");
+    if (await this.#failByOutage(call)) return undefined;
     if (call.method === "PUT") return this.#write(call, rest.join("/"));
     if (call.method !== "GET") throw new ReplyError(405, "no-route");
     this.#checkRate(this.#reads, this.#options.readsPerSecond);
@@ -80,7 +85,11 @@
   };
 
   #control(call: Call): Reply {
-    applyOptions(this.#options, parseJson(call.text));
+    const { outage, ...patch } = parseJson(call.text);
+    if (outage !== undefined) {
+      Object.assign(patch, { outage: OUTAGES[String(outage)] ?? outage });
+    }
+    applyOptions(this.#options, patch);
     this.#wake();
     return { status: 200, body: this.#options };
   }
@@ -98,7 +107,6 @@
     act: () => Reply,
     loseReply = false,
   ): Promise<Reply | undefined> {
-    if (await this.#failByOutage(call)) return undefined;
     await sleep(this.#options.delayMs / 2);
     if (await this.#failByOutage(call)) return undefined;
     const reply = act();
@@ -110,7 +118,7 @@
     return reply;
   }
 
-  /** True when the outage took the call without an answer. */
+  /** True when the outage took the call without an answer; no effect follows. */
   async #failByOutage(call: Call): Promise<boolean> {
     const { outage } = this.#options;
     if (outage === "none") return false;
--- a/src/standins/options.ts
+++ b/src/standins/options.ts
@@ -9,7 +9,7 @@
 export function applyOptions(options: Options, patch: object): void {
   const entries = Object.entries(patch);
   for (const [name, value] of entries) {
-    if (typeof options[name] !== typeof value) {
+    if (typeof options[name] !== typeof value || Number.isNaN(value)) {
       throw new ReplyError(400, `Bad option "${name}"`);
     }
   }
--- a/src/standins/rate_limit.ts
+++ b/src/standins/rate_limit.ts
@@ -1,25 +1,26 @@
-/** Token bucket that holds one second's worth of calls. */
+/** Limit on the calls of any second. */
+
+const WINDOW_MS = 1_000;
 
 export class RateLimit {
   readonly #clock: () => number;
-  #tokens = Number.POSITIVE_INFINITY;
-  #filledAtMs: number;
+  /** Times of the calls taken within the window, oldest first. */
+  readonly #takenAtMs: number[] = [];
 
   constructor(clock: () => number) {
     this.#clock = clock;
-    this.#filledAtMs = clock();
   }
 
   /** Takes a call, or gives the milliseconds until there is room for one. */
   take(perSecond: number): number {
     const nowMs = this.#clock();
-    const refill = ((nowMs - this.#filledAtMs) * perSecond) / 1_000;
-    this.#tokens = Math.min(perSecond, this.#tokens + refill);
-    this.#filledAtMs = nowMs;
-    if (this.#tokens < 1) {
-      return Math.ceil(((1 - this.#tokens) * 1_000) / perSecond);
+    const kept = this.#takenAtMs.findIndex((at) => at > nowMs - WINDOW_MS);
+    this.#takenAtMs.splice(0, kept < 0 ? this.#takenAtMs.length : kept);
+    if (this.#takenAtMs.length < perSecond) {
+      this.#takenAtMs.push(nowMs);
+      return 0;
     }
-    this.#tokens -= 1;
-    return 0;
+    const oldestMs = this.#takenAtMs[0] ?? nowMs;
+    return Math.ceil(oldestMs + WINDOW_MS - nowMs) || 1;
   }
 }
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -84,9 +84,8 @@
     while (this.#options.frozen) await sleep(FREEZE_POLL_MS);
     if (entry.outcome === "running") this.#takeEffect(entry);
     await sleep(this.#options.workMs / 2);
-    this.#running.delete(entry);
     entry.endAtMs = Date.now();
-    if (entry.outcome !== "ran") throw new ReplyError(500, entry.outcome);
+    if (!this.#running.delete(entry)) throw new ReplyError(500, "failed");
     if (entry.replyLost) {
       call.request.socket.destroy();
       return undefined;
@@ -126,7 +125,8 @@
 
   #createReply(entry: RunEntry): Reply {
     const { requestId, idempotencyKey, service } = entry;
-    const body = { requestId, idempotencyKey, service, run: this.#effects };
+    const run = this.#effects;
+    const body = { requestId, idempotencyKey, service, path: entry.path, run };
     return { status: 200, body, headers: { "start-id": this.#startId } };
   }
 }
