--- /dev/null
+++ b/src/roles/caller_server.ts
@@ -0,0 +1,235 @@
+/** Serves callers over HTTP: chat completions, model list, plain services. */
+
+import { randomUUID } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import {
+  type Logger,
+  readBody,
+  sendJson,
+  sendRefusal,
+} from "../adapters/index.js";
+import { createRefusal, type Refusal } from "../core/index.js";
+import type { ClientAccount } from "../schema/index.js";
+import {
+  EventStreamAnswerWriter,
+  JsonAnswerWriter,
+  ServiceAnswerWriter,
+} from "./answers.js";
+import {
+  authenticate,
+  type CallerRequest,
+  parseChatRequest,
+  parseServiceRequest,
+} from "./caller_requests.js";
+import type { ConfigView } from "./config_view.js";
+import type { RequestRunner, RequestSession } from "./request_runner.js";
+
+export interface SessionResult extends RequestSession {
+  readonly version?: string;
+}
+
+export interface CallerServerOptions {
+  readonly config: ConfigView;
+  readonly runner: RequestRunner;
+  readonly log: Logger;
+  readonly now: () => number;
+  readonly bodyBytes: number;
+  readonly headerBytes: number;
+  /** Refuses new work, such as while stopping or with a full ledger. */
+  readonly checkAdmission: () => Refusal | undefined;
+  /** Finds the version of the request's session. */
+  readonly resolveSession: (
+    request: CallerRequest,
+    signal: AbortSignal,
+  ) => Promise<SessionResult | Refusal>;
+}
+
+type Parse = typeof parseChatRequest;
+
+function isRefusal(value: object): value is Refusal {
+  return "kind" in value && value.kind === "refusal";
+}
+
+/** Aborts when the caller goes away before its answer is complete. */
+function watchCaller(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+class CallerHandler {
+  readonly #options: CallerServerOptions;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+  }
+
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { pathname } = new URL(request.url ?? "/", "http://entry");
+    if (pathname === "/healthz") {
+      this.#sendHealth(response);
+      return;
+    }
+    const account = authenticate(request, this.#options.config.state);
+    if (account.isErr()) {
+      this.#refuse(response, account.error);
+      return;
+    }
+    if (pathname === "/v1/models" && request.method === "GET") {
+      this.#sendModels(response, account.value);
+    } else if (
+      pathname === "/v1/chat/completions" &&
+      request.method === "POST"
+    ) {
+      await this.#run(request, response, {
+        account: account.value,
+        parse: parseChatRequest,
+      });
+    } else if (pathname.startsWith("/services/")) {
+      await this.#run(request, response, {
+        account: account.value,
+        parse: parseServiceRequest,
+      });
+    } else {
+      const detail = `No route ${request.method} "${pathname}"`;
+      this.#refuse(response, createRefusal("not-found", detail));
+    }
+  }
+
+  /** The platform's balancer asks whether to send new connections here. */
+  #sendHealth(response: ServerResponse): void {
+    const refusal =
+      this.#options.checkAdmission() ?? this.#options.config.checkFreshness();
+    if (refusal === undefined) sendJson(response, 200, { status: "ready" });
+    else this.#refuse(response, refusal);
+  }
+
+  #sendModels(response: ServerResponse, account: ClientAccount): void {
+    const { versions } = this.#options.config.state;
+    const data = account.versions
+      .filter((name) => versions[name]?.state === "active")
+      .map((name) => ({
+        id: name,
+        object: "model",
+        owned_by: versions[name]?.model ?? "",
+      }));
+    sendJson(response, 200, { object: "list", data });
+  }
+
+  async #run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: { account: ClientAccount; parse: Parse },
+  ): Promise<void> {
+    const { runner, now, bodyBytes } = this.#options;
+    const arrivedAtMs = now();
+    const body = await readBody(request, bodyBytes);
+    if (!Buffer.isBuffer(body)) {
+      this.#refuse(response, body);
+      return;
+    }
+    const unready =
+      this.#options.checkAdmission() ?? this.#options.config.checkFreshness();
+    if (unready !== undefined) {
+      this.#refuse(response, unready);
+      return;
+    }
+    const parsed = options.parse(request, options.account, {
+      state: this.#options.config.state,
+      nowMs: arrivedAtMs,
+      body,
+    });
+    if (parsed.isErr()) {
+      this.#refuse(response, parsed.error);
+      return;
+    }
+    const signal = watchCaller(response);
+    const session = await this.#options.resolveSession(parsed.value, signal);
+    if (isRefusal(session)) {
+      this.#refuse(response, session, parsed.value.route.id);
+      return;
+    }
+    const { route, work } = parsed.value;
+    const writer = this.#createWriter(parsed.value, response);
+    await runner.run(
+      { ...route, sessionVersion: session.version },
+      { work, session, writer, signal },
+    );
+  }
+
+  #createWriter(request: CallerRequest, response: ServerResponse) {
+    if (request.route.kind === "service") {
+      return new ServiceAnswerWriter(response);
+    }
+    return request.work.stream
+      ? new EventStreamAnswerWriter(response)
+      : new JsonAnswerWriter(response);
+  }
+
+  #refuse(
+    response: ServerResponse,
+    refusal: Refusal,
+    requestId: string = randomUUID(),
+  ): void {
+    this.#options.log.info("refused", {
+      request: requestId,
+      code: refusal.code,
+      detail: refusal.detail,
+    });
+    sendRefusal(response, refusal, requestId);
+  }
+}
+
+/** Answers what Node's parser turned down, such as headers over the limit. */
+function answerParseError(
+  error: NodeJS.ErrnoException,
+  socket: { writable: boolean; end: (text?: string) => void },
+): void {
+  if (!socket.writable) return;
+  const isOverflow = error.code === "HPE_HEADER_OVERFLOW";
+  const refusal = isOverflow
+    ? createRefusal("headers-too-large", "Headers exceed the limit")
+    : createRefusal("bad-request", "The request is not valid HTTP");
+  const body = JSON.stringify({
+    title: refusal.code,
+    status: refusal.status,
+    detail: refusal.detail,
+    code: refusal.code,
+    ran: refusal.ran,
+  });
+  socket.end(
+    `HTTP/1.1 ${refusal.status} ${refusal.code}\r\n` +
+      "content-type: application/problem+json\r\nretry-after: 1\r\n" +
+      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
+
+export function createCallerServer(options: CallerServerOptions): Server {
+  const handler = new CallerHandler(options);
+  const server = createServer(
+    { maxHeaderSize: options.headerBytes },
+    (request, response) => {
+      handler.handle(request, response).catch((error: unknown) => {
+        options.log.error("request-failed", { error: String(error) });
+        const detail = "The entry failed while it handled the request";
+        sendRefusal(
+          response,
+          createRefusal("outcome-unknown", detail),
+          randomUUID(),
+        );
+      });
+    },
+  );
+  server.on("clientError", answerParseError);
+  return server;
+}
--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -10,6 +10,7 @@
   type EvidenceListener,
   formatSource,
   hasMajority,
+  NEVER_MS,
   type Peer,
   type RatingIncrease,
   RatingTotals,
@@ -129,6 +130,17 @@
     return this.#holder.state;
   }
 
+  /** True when this process watches the store. */
+  get isWatcher(): boolean {
+    return this.#rounds.isWatcher;
+  }
+
+  /** Time since the revision was last confirmed; null before the first time. */
+  getConfirmationAgeMs(): number | null {
+    const ageMs = this.#holder.freshness.getAgeMs(this.#getNowMs());
+    return ageMs >= NEVER_MS ? null : Math.round(ageMs);
+  }
+
   checkFreshness(): Refusal | undefined {
     return this.#holder.freshness.check(this.#getNowMs());
   }
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -30,6 +30,8 @@
   applyReport(report: EngineReport): void;
   /** Follows the host list, which may name this host as leaving. */
   setLeaving(leaving: boolean): void;
+  /** True while the entry process `{entry}-{incarnation}` is attached. */
+  isAttached(process: string): boolean;
   /** Settles when the server has closed. */
   readonly stopped: Promise<void>;
 }
@@ -143,6 +145,7 @@
   return {
     port,
     stopped,
+    isAttached: (process) => watchers.has(process),
     applyReport: (report) => {
       runner.handle({ type: "report", report });
       watchers.update(getNowMs());
--- a/src/roles/endpoint_directory.ts
+++ b/src/roles/endpoint_directory.ts
@@ -3,6 +3,7 @@
  * stream to each one carries its live status.
  */
 
+import { performance } from "node:perf_hooks";
 import { type ClientReadableStream, Metadata } from "@grpc/grpc-js";
 import { type Logger, openClient } from "../adapters/index.js";
 import { type EndpointStatus, GateClient } from "../schema/index.js";
@@ -33,6 +34,8 @@
 
 /** A status older than this says that the endpoint can't be reached. */
 const MAX_STATUS_AGE_MS = 3_500;
+/** Longer than the host list's lag. */
+const LIST_SETTLED_MS = 30_000;
 const RECONNECT_MS = 300;
 const MAX_RECONNECT_MS = 3_000;
 
@@ -41,6 +44,7 @@
   readonly #options: EndpointDirectoryOptions;
   readonly #connections = new Map<string, Connection>();
   readonly #signal: AbortSignal;
+  #firstListAtMs: number | undefined;
 
   constructor(options: EndpointDirectoryOptions, signal: AbortSignal) {
     this.#options = options;
@@ -63,9 +67,20 @@
     return this.#connections.get(endpoint)?.status;
   }
 
+  /**
+   * True when the host list has not named the endpoint for long. A list that
+   * was read only just now may lag behind the endpoint's start.
+   */
+  isGone(endpoint: string): boolean {
+    const firstListAtMs = this.#firstListAtMs ?? Number.POSITIVE_INFINITY;
+    const isSettled = performance.now() - firstListAtMs > LIST_SETTLED_MS;
+    return isSettled && !this.#connections.has(endpoint);
+  }
+
   /** Connects to new hosts and drops those that left the list. */
   updateHosts(hosts: readonly EndpointHost[]): void {
     if (this.#signal.aborted) return;
+    this.#firstListAtMs ??= performance.now();
     const listed = new Map(hosts.map((host) => [host.name, host]));
     for (const [name, connection] of this.#connections) {
       const host = listed.get(name);
--- a/src/roles/endpoint_status.ts
+++ b/src/roles/endpoint_status.ts
@@ -36,6 +36,13 @@
     call.write(this.#describe());
   }
 
+  /** True while the entry process `{entry}-{incarnation}` is attached. */
+  has(process: string): boolean {
+    return [...this.#calls].some(
+      ({ request }) => `${request.entry}-${request.incarnation}` === process,
+    );
+  }
+
   /** Sends the status when it changed or the period is over. */
   update(nowMs: number): void {
     const status = this.#describe();
