--- a/src/roles/caller_server.ts
+++ b/src/roles/caller_server.ts
@@ -27,7 +27,8 @@
   parseServiceRequest,
 } from "./caller_requests.js";
 import type { ConfigView } from "./config_view.js";
-import type { RequestRunner, RequestSession } from "./request_runner.js";
+import type { RequestSession } from "./pending_request.js";
+import type { RequestRunner } from "./request_runner.js";
 
 export interface SessionResult extends RequestSession {
   readonly version?: string;
--- a/src/roles/order_runner.ts
+++ b/src/roles/order_runner.ts
@@ -1,7 +1,7 @@
 /** Runs a non-idempotent call under its claim, so that it runs at most once. */
 
 import { createRefusal, type Refusal } from "../core/index.js";
-import type { End, KeptAnswer, Receipt } from "../schema/index.js";
+import type { End, KeptAnswer } from "../schema/index.js";
 import type { StoredClaim } from "./claim_writes.js";
 import type { AcquireRequest, ClaimKeeper } from "./entry_claims.js";
 
@@ -99,35 +99,3 @@
     ),
   };
 }
-
-/** The bill of a plain service's call. */
-export function createServiceBill(
-  call: {
-    requestId: string;
-    account: string;
-    service: string;
-    endpoint: string;
-    dataCentre: string;
-  },
-  cost: number,
-  atMs: number,
-): Receipt {
-  const { requestId, account, service, endpoint, dataCentre } = call;
-  return {
-    requestId,
-    account,
-    requestClass: service,
-    steps: [
-      {
-        service,
-        endpoint,
-        dataCentre,
-        promptTokens: 0,
-        outputTokens: 0,
-        cost,
-      },
-    ],
-    cost,
-    atMs,
-  };
-}
--- a/src/roles/request_runner.ts
+++ b/src/roles/request_runner.ts
@@ -14,24 +14,17 @@
   type RouterAction,
   type RouterEvent,
 } from "../core/index.js";
-import type {
-  DispatchRequest,
-  End,
-  Receipt,
-  ReceiptStep,
-} from "../schema/index.js";
+import type { End, Receipt } from "../schema/index.js";
 import type { AnswerInfo, AnswerWriter } from "./answers.js";
+import { AttemptRunner, type AttemptRunnerOptions } from "./attempt_runner.js";
 import type { RequestWork } from "./caller_requests.js";
-import type { ConfigView } from "./config_view.js";
-import { AttemptCall } from "./dispatch.js";
-import type { EndpointDirectory } from "./endpoint_directory.js";
-import type { ClaimKeeper } from "./entry_claims.js";
 import type { EntryLedger } from "./entry_ledger.js";
-import {
-  createServiceBill,
-  type DispatchOutcome,
-  runOrder,
-} from "./order_runner.js";
+import type {
+  Attempt,
+  PendingRequest,
+  RequestSession,
+} from "./pending_request.js";
+import { createReceipt, createReceiptStep } from "./request_receipts.js";
 
 /** How a request ended, for metrics and service-level counts. */
 export interface RequestOutcome {
@@ -44,64 +37,32 @@
   readonly answer?: string;
 }
 
-export interface RequestRunnerOptions {
-  readonly entry: string;
+export interface RequestRunnerOptions extends AttemptRunnerOptions {
   readonly router: Router;
-  readonly directory: EndpointDirectory;
-  readonly config: ConfigView;
-  readonly claims: ClaimKeeper;
   readonly ledger: EntryLedger;
   readonly ratings?: RatingService;
   readonly log: Logger;
-  /** Monotonic milliseconds. */
-  readonly now: () => number;
   readonly onHold: (version: string, reason: string) => void;
   readonly onOutcome: (outcome: RequestOutcome) => void;
 }
 
-export interface RequestSession {
-  readonly token?: string;
-  readonly moved?: string;
-}
-
-interface Attempt {
-  readonly number: number;
-  readonly endpoint: string;
-  readonly version: string;
-  readonly isFinal: boolean;
-  readonly controller: AbortController;
-  readonly chunks: Uint8Array[];
-  end?: End;
-}
-
-interface PendingRequest {
-  readonly route: RouteRequest;
-  readonly work: RequestWork;
-  readonly session: RequestSession;
-  readonly writer: AnswerWriter;
-  readonly startedAtMs: number;
-  readonly attempts: Map<number, Attempt>;
-  readonly steps: ReceiptStep[];
-  hasWritten: boolean;
-  settle: () => void;
-}
-
 type ActionOf<T extends RouterAction["type"]> = Extract<
   RouterAction,
   { type: T }
 >;
 
-const TOKENS_PER_COST_UNIT = 1_000;
 const JUDGE_TIMEOUT_MS = 2_000;
 
 export class RequestRunner {
   readonly #options: RequestRunnerOptions;
+  readonly #attempts: AttemptRunner;
   readonly #pending = new Map<string, PendingRequest>();
   readonly #signal: AbortSignal;
 
   /** `signal` ends all work that is still running, after the graceful stop. */
   constructor(options: RequestRunnerOptions, signal: AbortSignal) {
     this.#options = options;
+    this.#attempts = new AttemptRunner(options, signal);
     this.#signal = signal;
   }
 
@@ -191,22 +152,38 @@
   #startAttempt(pending: PendingRequest, attempt: Attempt): void {
     const { id: requestId } = pending.route;
     let hasStarted = false;
-    this.#call(pending, attempt, {
-      number: attempt.number,
-      onChunk: (chunk) => {
-        if (!hasStarted) {
-          hasStarted = true;
-          this.handle({ type: "started", requestId, attempt: attempt.number });
-        }
-        this.#takeChunk(pending, attempt, chunk);
-      },
-    }).then((outcome) => {
-      if (outcome.kind === "ended")
-        this.#complete(pending, attempt, outcome.end);
-      else this.#fail(pending, attempt, outcome.refusal);
+    const onChunk = (chunk: Uint8Array) => {
+      if (!hasStarted) {
+        hasStarted = true;
+        this.handle({ type: "started", requestId, attempt: attempt.number });
+      }
+      this.#takeChunk(pending, attempt, chunk);
+    };
+    void this.#attempts.run(pending, attempt, onChunk).then((outcome) => {
+      if (outcome.kind === "refused") {
+        this.#fail(pending, attempt, outcome.refusal);
+        return;
+      }
+      pending.steps.push(this.#createStep(pending, attempt, outcome.end));
+      this.#complete(pending, attempt, outcome.end);
     });
   }
 
+  async #startOrder(pending: PendingRequest, attempt: Attempt): Promise<void> {
+    const outcome = await this.#attempts.runOrder(pending, attempt);
+    match(outcome)
+      .with({ kind: "ended" }, ({ end }) =>
+        this.#complete(pending, attempt, end),
+      )
+      .with({ kind: "not-run" }, ({ refusal }) =>
+        this.#fail(pending, attempt, refusal),
+      )
+      .with({ kind: "refused" }, ({ refusal }) =>
+        this.#endOrder(pending, refusal),
+      )
+      .exhaustive();
+  }
+
   #takeChunk(
     pending: PendingRequest,
     attempt: Attempt,
@@ -220,7 +197,6 @@
 
   #complete(pending: PendingRequest, attempt: Attempt, end: End): void {
     attempt.end = end;
-    pending.steps.push(this.#createStep(pending, attempt, end));
     this.handle({
       type: "completed",
       requestId: pending.route.id,
@@ -255,60 +231,6 @@
     });
   }
 
-  async #startOrder(pending: PendingRequest, attempt: Attempt): Promise<void> {
-    const { route, work } = pending;
-    const { claims, directory, config, now } = this.#options;
-    const status = directory.getStatus(attempt.endpoint);
-    const cost = config.state.services[route.service]?.costPerCall ?? 0;
-    const remainingMs = route.deadlineAtMs - now();
-    const outcome = await runOrder(
-      {
-        account: route.account,
-        key: work.idempotencyKey ?? route.id,
-        bodySha256: work.bodySha256,
-        requestId: route.id,
-        endpoint: attempt.endpoint,
-        epoch: status?.epoch ?? "",
-        deadlineAtMs: Date.now() + remainingMs,
-        quote: createServiceBill(
-          {
-            requestId: route.id,
-            account: route.account,
-            service: route.service,
-            endpoint: attempt.endpoint,
-            dataCentre: status?.dataCentre ?? "",
-          },
-          cost,
-          Date.now(),
-        ),
-      },
-      {
-        claims,
-        getRemainingMs: () => route.deadlineAtMs - now(),
-        dispatch: (claim) =>
-          this.#call(pending, attempt, {
-            number: claim.attempt,
-            epoch: claim.epoch,
-            claim: work.idempotencyKey ?? route.id,
-            onChunk: () => {},
-          }),
-      },
-      this.#signal,
-    );
-    if (outcome.kind === "ended") {
-      attempt.end = outcome.end;
-      this.handle({
-        type: "completed",
-        requestId: route.id,
-        attempt: attempt.number,
-        promptTokens: 0,
-        outputTokens: 0,
-      });
-    } else if (outcome.kind === "not-run") {
-      this.#fail(pending, attempt, outcome.refusal);
-    } else this.#endOrder(pending, outcome.refusal);
-  }
-
   /** The claim gave the final answer, so the router only forgets the request. */
   #endOrder(pending: PendingRequest, refusal: Refusal): void {
     const requestId = pending.route.id;
@@ -316,70 +238,6 @@
     this.#refuse(requestId, refusal);
   }
 
-  #call(
-    pending: PendingRequest,
-    attempt: Attempt,
-    options: {
-      number: number;
-      epoch?: string;
-      claim?: string;
-      onChunk: (chunk: Uint8Array) => void;
-    },
-  ): Promise<DispatchOutcome> {
-    const client = this.#options.directory.getClient(attempt.endpoint);
-    if (client === undefined) {
-      const refusal = createRefusal(
-        "no-endpoint",
-        `Endpoint "${attempt.endpoint}" is gone`,
-      );
-      return Promise.resolve({ kind: "refused", refusal });
-    }
-    const request = this.#createDispatch(pending, attempt, options);
-    const signal = AbortSignal.any([attempt.controller.signal, this.#signal]);
-    return new Promise((resolve) => {
-      const call = new AttemptCall(client, request, {
-        signal,
-        handlers: {
-          onChunk: options.onChunk,
-          onEnd: (end) => resolve({ kind: "ended", end }),
-          onRefusal: (refusal) => resolve({ kind: "refused", refusal }),
-        },
-      });
-      call.start();
-    });
-  }
-
-  #createDispatch(
-    pending: PendingRequest,
-    attempt: Attempt,
-    options: { number: number; epoch?: string; claim?: string },
-  ): DispatchRequest {
-    const { route, work } = pending;
-    const { entry, config, directory, now } = this.#options;
-    return {
-      requestId: route.id,
-      attempt: options.number,
-      entry,
-      account: route.account,
-      requestClass: route.requestClass,
-      version: attempt.version,
-      service: route.service,
-      method: work.method,
-      path: work.path,
-      body: work.body,
-      revision: config.state.revision,
-      remainingMs: Math.max(0, Math.floor(route.deadlineAtMs - now())),
-      priority: route.priority,
-      idempotent: route.idempotent,
-      epoch:
-        options.epoch ?? directory.getStatus(attempt.endpoint)?.epoch ?? "",
-      claim: options.claim ?? "",
-      session: work.session ?? "",
-      contentType: work.contentType,
-      idempotencyKey: work.idempotencyKey ?? "",
-    };
-  }
-
   #cancel(action: ActionOf<"cancel-attempt">): void {
     const pending = this.#pending.get(action.requestId);
     // An order that was dispatched runs to its end; only its claim may tell.
@@ -420,7 +278,7 @@
     let receipt: Receipt | undefined;
     // An order's bill is in its claim.
     if (pending.route.idempotent) {
-      receipt = this.#createReceipt(pending);
+      receipt = createReceipt(pending, Date.now());
       const holders = this.#listHolders(attempt.endpoint);
       await this.#options.ledger.add(receipt, { holders }, this.#signal);
     }
@@ -483,39 +341,19 @@
     return [endpoint, ...others];
   }
 
-  #createStep(
-    pending: PendingRequest,
-    attempt: Attempt,
-    end: End,
-  ): ReceiptStep {
+  #createStep(pending: PendingRequest, attempt: Attempt, end: End) {
     const { config, directory } = this.#options;
-    const { promptTokens, outputTokens } = end;
-    const { service } = pending.route;
-    const price = config.state.versions[attempt.version]?.costPerKiloToken ?? 0;
-    const cost =
-      service === ""
-        ? ((promptTokens + outputTokens) / TOKENS_PER_COST_UNIT) * price
-        : (config.state.services[service]?.costPerCall ?? 0);
-    return {
-      ...(service === "" ? { version: attempt.version } : { service }),
-      endpoint: attempt.endpoint,
-      dataCentre: directory.getStatus(attempt.endpoint)?.dataCentre ?? "",
-      promptTokens,
-      outputTokens,
-      cost,
-    };
-  }
-
-  #createReceipt(pending: PendingRequest): Receipt {
-    const { route, steps } = pending;
-    return {
-      requestId: route.id,
-      account: route.account,
-      requestClass: route.requestClass,
-      steps,
-      cost: steps.reduce((sum, step) => sum + step.cost, 0),
-      atMs: Date.now(),
-    };
+    return createReceiptStep(
+      {
+        version: attempt.version,
+        service: pending.route.service,
+        endpoint: attempt.endpoint,
+        dataCentre: directory.getStatus(attempt.endpoint)?.dataCentre ?? "",
+        promptTokens: end.promptTokens,
+        outputTokens: end.outputTokens,
+      },
+      config.state,
+    );
   }
 
   #createInfo(pending: PendingRequest, attempt: Attempt): AnswerInfo {
