--- a/src/roles/store_writes.ts
+++ b/src/roles/store_writes.ts
@@ -3,7 +3,13 @@
  * read back, and the writer recognises its own value.
  */
 
-import type { ObjectStore, StoredObject } from "../adapters/index.js";
+import type { Result, ResultAsync } from "neverthrow";
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreFailure,
+} from "../adapters/index.js";
+import { callWithin } from "./time_limit.js";
 
 /**
  * Longest store call: well above its usual milliseconds, and short enough
@@ -33,15 +39,20 @@
   readonly kind: "unavailable";
   readonly detail: string;
   readonly retryAfterMs?: number;
+  /** True when the key is known to have another writer's value. */
+  readonly isContended?: boolean;
 }
 
 export type ReadOutcome =
   | { readonly kind: "read"; readonly object: StoredObject | undefined }
   | Unavailable;
 
-/** Bounds a store call in time. */
-export function limitCall(signal: AbortSignal): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(STORE_CALL_TIMEOUT_MS)]);
+/** Makes a store call that is bounded in time. */
+export function callStore<T>(
+  signal: AbortSignal,
+  call: (signal: AbortSignal) => ResultAsync<T, StoreFailure>,
+): Promise<Result<T, StoreFailure>> {
+  return callWithin(STORE_CALL_TIMEOUT_MS, signal, call);
 }
 
 export async function readObject(
@@ -49,7 +60,9 @@
   key: string,
   options: { signal: AbortSignal },
 ): Promise<ReadOutcome> {
-  const result = await store.read(key, limitCall(options.signal));
+  const result = await callStore(options.signal, (signal) =>
+    store.read(key, signal),
+  );
   return result.match<ReadOutcome>(
     (object) => ({ kind: "read", object }),
     (failure) => ({
@@ -69,9 +82,8 @@
 ): Promise<WriteOutcome> {
   const { key, value, ifVersion } = write;
   for (let attempt = 0; attempt < MAX_WRITE_TRIES; attempt += 1) {
-    const result = await store.write(
-      { key, value, ifVersion },
-      limitCall(options.signal),
+    const result = await callStore(options.signal, (signal) =>
+      store.write({ key, value, ifVersion }, signal),
     );
     if (result.isOk()) return { kind: "written", version: result.value };
     const failure = result.error;
@@ -83,7 +95,9 @@
     }
     // A conflict can be this write's own earlier try, which took effect late.
     const back = await readObject(store, key, options);
-    if (back.kind === "unavailable") return back;
+    if (back.kind === "unavailable") {
+      return { ...back, isContended: failure.kind === "conflict" };
+    }
     const current = back.object;
     if (current !== undefined && write.isOwn(current.value)) {
       return { kind: "written", version: current.version };
