--- /dev/null
+++ b/src/adapters/failures_test.ts
@@ -0,0 +1,236 @@
+import assert from "node:assert/strict";
+import { it, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ResultAsync } from "neverthrow";
+import { openLink } from "../standins/link.js";
+import {
+  createTarget,
+  findClosedPort,
+  NEVER,
+  startRawServer,
+  startTestStandin,
+  TEST_TIMEOUT_MS,
+} from "../standins/testing.js";
+import {
+  createHttpEngine,
+  createHttpHostList,
+  createHttpObjectStore,
+  createHttpRatingService,
+  createHttpService,
+} from "./index.js";
+
+const limits = { timeout: 2 * TEST_TIMEOUT_MS };
+const SHORT_MS = 80;
+
+interface Failure {
+  kind: string;
+  ran?: string;
+}
+
+const ANSWER = {
+  requestId: "r1",
+  requestClass: "c",
+  version: "v",
+  answer: "a",
+};
+const COMPLETION = {
+  requestId: "r1",
+  version: "v",
+  body: "{}",
+  priority: "batch",
+} as const;
+const SERVICE_CALL = {
+  method: "POST",
+  path: "/order",
+  body: "{}",
+  contentType: "application/json",
+};
+
+/** One call of each kind; `ran` is absent for the store's failures. */
+function createCalls(port: number, timeoutMs = TEST_TIMEOUT_MS) {
+  const target = { ...createTarget(port), timeoutMs };
+  const store = createHttpObjectStore(target);
+  const engine = createHttpEngine({ ...target, answerTimeoutMs: timeoutMs });
+  const ratings = createHttpRatingService(target);
+  const load = { kind: "load", version: "v", fence: 1 } as const;
+  type Call = (signal: AbortSignal) => ResultAsync<unknown, Failure>;
+  return {
+    read: (signal) => store.read("k", signal),
+    list: (signal) => store.list({ prefix: "k" }, signal),
+    watch: (signal) =>
+      store.watch({ key: "k", version: 0, waitMs: 10 }, signal),
+    write: (signal) =>
+      store.write({ key: "k", value: 1, ifVersion: 0 }, signal),
+    complete: (signal) => engine.complete(COMPLETION, () => {}, signal),
+    order: (signal) => engine.order(load, signal),
+    load: (signal) => engine.readLoad(signal),
+    service: (signal) =>
+      createHttpService(target).callService(SERVICE_CALL, signal),
+    judge: (signal) => ratings.judge(ANSWER, signal),
+    ratings: (signal) => ratings.readRatings(0, signal),
+    hosts: (signal) => createHttpHostList(target).readHosts(signal),
+  } satisfies Record<string, Call> as Record<string, Call>;
+}
+
+/** Kind and `ran` of each call's failure. */
+async function collectFailures(
+  calls: ReturnType<typeof createCalls>,
+  createSignal: () => AbortSignal = () => NEVER,
+) {
+  const failures: Record<string, string> = {};
+  for (const [name, call] of Object.entries(calls)) {
+    const { kind, ran } = (await call(createSignal()))._unsafeUnwrapErr();
+    failures[name] = ran === undefined ? kind : `${kind} ${ran}`;
+  }
+  return failures;
+}
+
+async function startSilentServer(context: TestContext) {
+  const server = await startRawServer(() => {});
+  context.after(() => server.close());
+  return server.port;
+}
+
+it(
+  "says that nothing was sent when no connection is made",
+  limits,
+  async () => {
+    const failures = await collectFailures(createCalls(await findClosedPort()));
+    for (const [name, failure] of Object.entries(failures)) {
+      const store = ["read", "list", "watch", "write"].includes(name);
+      assert.equal(failure, store ? "unavailable" : "unavailable no", name);
+    }
+  },
+);
+
+it(
+  "says that a call without an answer in time may have run",
+  limits,
+  async (t) => {
+    const port = await startSilentServer(t);
+    const failures = await collectFailures(createCalls(port, SHORT_MS));
+    assert.deepEqual(failures, {
+      read: "unavailable",
+      list: "unavailable",
+      watch: "unavailable",
+      write: "outcome-unknown",
+      complete: "timeout unknown",
+      order: "timeout unknown",
+      load: "timeout no",
+      service: "timeout unknown",
+      judge: "timeout unknown",
+      ratings: "timeout unknown",
+      hosts: "timeout unknown",
+    });
+  },
+);
+
+it(
+  "tells a call aborted before it was sent from one aborted after",
+  limits,
+  async (t) => {
+    const calls = createCalls(await startSilentServer(t));
+    const before = await collectFailures(calls, () => AbortSignal.abort());
+    const after = await collectFailures(calls, () =>
+      AbortSignal.timeout(SHORT_MS),
+    );
+    for (const name of ["complete", "order", "service", "judge", "hosts"]) {
+      assert.equal(before[name], "aborted no", name);
+      assert.equal(after[name], "aborted unknown", name);
+    }
+    assert.equal(before.write, "unavailable");
+    assert.equal(after.write, "outcome-unknown");
+  },
+);
+
+it(
+  "gives a path or header that can't be sent a typed failure",
+  limits,
+  async (t) => {
+    const { target } = await startTestStandin(t, "service");
+    const service = createHttpService(target);
+    for (const change of [{ path: "/a b\r\nx: y" }, { requestId: "a\r\nb" }]) {
+      const call = { ...SERVICE_CALL, ...change };
+      const failure = (
+        await service.callService(call, NEVER)
+      )._unsafeUnwrapErr();
+      assert.deepEqual([failure.kind, failure.ran], ["invalid", "no"]);
+    }
+  },
+);
+
+it(
+  "refuses a body that is no JSON object before it is sent",
+  limits,
+  async (t) => {
+    const { target, readRecord } = await startTestStandin(t, "engine", {
+      versions: "v",
+    });
+    const engine = createHttpEngine(target);
+    for (const body of ["", "[]", "{"]) {
+      const request = { ...COMPLETION, body };
+      const result = await engine.complete(request, () => {}, NEVER);
+      const failure = result._unsafeUnwrapErr();
+      assert.deepEqual([failure.kind, failure.ran], ["bad-request", "no"]);
+    }
+    assert.deepEqual((await readRecord<{ runs: unknown[] }>()).runs, []);
+  },
+);
+
+it(
+  "ends an answer whose stream stalls, and says that it ran",
+  limits,
+  async (t) => {
+    const { target, control } = await startTestStandin(t, "engine", {
+      versions: "v",
+      tokensPerSecond: 200,
+    });
+    const engine = createHttpEngine({ ...target, idleMs: 300 });
+    const body = '{"max_tokens":1000}';
+    const request = { ...COMPLETION, body };
+    const asked = engine.complete(request, () => {}, NEVER);
+    await sleep(150);
+    await control({ frozen: true });
+    const failure = (await asked)._unsafeUnwrapErr();
+    assert.deepEqual([failure.kind, failure.ran], ["timeout", "yes"]);
+    assert.ok(failure.chunks > 0 && failure.engineStartId !== undefined);
+  },
+);
+
+it(
+  "lets a fault in the reader of an answer surface, not pass as a broken stream",
+  limits,
+  async (t) => {
+    const { target } = await startTestStandin(t, "engine", { versions: "v" });
+    const fault = new Error("fault in the listener");
+    await assert.rejects(
+      async () =>
+        await createHttpEngine(target).complete(
+          COMPLETION,
+          () => {
+            throw fault;
+          },
+          NEVER,
+        ),
+      fault,
+    );
+  },
+);
+
+it(
+  "reuses the connection after an answer, so that load opens no new ones",
+  limits,
+  async (t) => {
+    const { target } = await startTestStandin(t, "engine", { versions: "v" });
+    const { signal } = new AbortController();
+    const link = await openLink({ targetPort: target.port, signal });
+    t.after(() => link.close());
+    const engine = createHttpEngine(createTarget(link.port));
+    for (let count = 0; count < 5; count += 1) {
+      (await engine.complete(COMPLETION, () => {}, NEVER))._unsafeUnwrap();
+      // The connection is free once the reply's last bytes arrived.
+      await sleep(20);
+    }
+    assert.equal(link.opened, 1);
+  },
+);
--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -177,10 +177,23 @@
   } finally {
     // Bytes left unread would block the connection's next call.
     if (message.complete) message.resume();
-    else message.destroy();
+    else if (!message.readableFlowing) message.destroy();
   }
 }
 
+/** For the few bytes between a stream's end mark and the reply's end. */
+const DRAIN_MS = 1_000;
+
+/** Keeps the connection for reuse when a reply's rest does not matter. */
+export function drainReply(message: IncomingMessage): void {
+  message.resume();
+  const timer = setTimeout(() => {
+    if (!message.complete) message.destroy();
+  }, DRAIN_MS);
+  timer.unref();
+  message.once("close", () => clearTimeout(timer));
+}
+
 /** Reads a whole reply; throws when it breaks off or is too large. */
 export async function readReply(message: IncomingMessage): Promise<HttpReply> {
   const parts: Buffer[] = [];
--- a/src/adapters/http_engine.ts
+++ b/src/adapters/http_engine.ts
@@ -13,6 +13,7 @@
 } from "./engine.js";
 import { readCompletion } from "./engine_stream.js";
 import {
+  drainReply,
   HttpClient,
   type HttpReply,
   type HttpTarget,
@@ -140,12 +141,12 @@
   }
   const startId = headers["engine-start-id"];
   if (typeof startId === "string") progress.engineStartId = startId;
-  // Keeps the connection open for reuse when the answer's end was read.
   const stream = message.iterator({ destroyOnReturn: false });
   const answer = await readCompletion(stream, async (chunk) => {
     progress.chunks += 1;
     await onChunk(chunk);
   });
+  if (answer.isOk()) drainReply(message);
   const { chunks, engineStartId = "" } = progress;
   return answer
     .map((usage) => ({ ...usage, chunks, engineStartId }))
--- /dev/null
+++ b/src/adapters/malformed_replies_test.ts
@@ -0,0 +1,239 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { after, before, it } from "node:test";
+import fc from "fast-check";
+import { checkAnswer, createAnswer } from "../standins/answers.js";
+import {
+  createTarget,
+  NEVER,
+  type RawServer,
+  startRawServer,
+} from "../standins/testing.js";
+import {
+  createHttpEngine,
+  createHttpHostList,
+  createHttpObjectStore,
+  createHttpRatingService,
+  createHttpService,
+} from "./index.js";
+
+/** Bounds the test; each run takes about a millisecond. */
+const RUNS = {
+  numRuns: 150,
+  interruptAfterTimeLimit: 20_000,
+  markInterruptAsFailure: true,
+};
+const limits = { timeout: 30_000 };
+
+let reply: Uint8Array = new Uint8Array();
+let reset = false;
+let server: RawServer;
+
+function answer(socket: Socket): void {
+  socket.write(reply);
+  if (reset) socket.resetAndDestroy();
+  else socket.end();
+}
+
+before(async () => {
+  server = await startRawServer(answer);
+});
+after(() => server.close());
+
+function createReply(status: number, body: string | Uint8Array): Buffer {
+  const length = Buffer.byteLength(body);
+  const head = `HTTP/1.1 ${status} X\r\nContent-Length: ${length}\r\n\r\n`;
+  return Buffer.concat([Buffer.from(head), Buffer.from(body)]);
+}
+
+function createStream(events: string[]): Buffer {
+  const chunks = events.map((event) => {
+    const data = `data: ${event}\n\n`;
+    return `${Buffer.byteLength(data).toString(16)}\r\n${data}\r\n`;
+  });
+  const head =
+    "HTTP/1.1 200 OK\r\nEngine-Start-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  return Buffer.from(`${head}${chunks.join("")}0\r\n\r\n`);
+}
+
+const ANSWER = createAnswer({
+  requestId: "r1",
+  version: "v",
+  chunks: 8,
+  acceptable: true,
+});
+const EVENTS = [
+  ...ANSWER.map((content) =>
+    JSON.stringify({ choices: [{ delta: { content } }] }),
+  ),
+  JSON.stringify({
+    choices: [],
+    usage: { prompt_tokens: 3, completion_tokens: 8 },
+  }),
+  "[DONE]",
+];
+
+async function complete() {
+  const engine = createHttpEngine(createTarget(server.port));
+  let text = "";
+  const request = {
+    requestId: "r1",
+    version: "v",
+    body: "{}",
+    priority: "batch",
+  } as const;
+  const result = await engine.complete(
+    request,
+    (chunk) => {
+      text += chunk.text;
+    },
+    NEVER,
+  );
+  return { result, text };
+}
+
+async function write() {
+  const store = createHttpObjectStore(createTarget(server.port));
+  return await store.write({ key: "k", value: 1, ifVersion: 0 }, NEVER);
+}
+
+async function callService() {
+  const service = createHttpService(createTarget(server.port));
+  const call = { method: "POST", path: "/o", body: "{}", contentType: "" };
+  return await service.callService(call, NEVER);
+}
+
+/** Calls whose result must be an object of a known form. */
+function listReads() {
+  const target = createTarget(server.port);
+  const ratings = createHttpRatingService(target);
+  const store = createHttpObjectStore(target);
+  return [
+    store.read("k", NEVER),
+    store.list({ prefix: "" }, NEVER),
+    createHttpHostList(target).readHosts(NEVER),
+    ratings.readRatings(0, NEVER),
+    createHttpEngine(target).readLoad(NEVER),
+  ];
+}
+
+/** Any bytes, or a whole reply with any status and any JSON or text. */
+const anyReply = fc.oneof(
+  fc.uint8Array({ maxLength: 200 }),
+  fc
+    .record({
+      status: fc.integer({ min: 200, max: 599 }),
+      body: fc.oneof(fc.json(), fc.string()),
+    })
+    .map(({ status, body }) => createReply(status, body)),
+);
+
+function readStatus(bytes: Uint8Array): number {
+  const text = Buffer.from(bytes).toString("latin1");
+  return Number(/^HTTP\/1\.1 (\d{3})/.exec(text)?.[1] ?? 0);
+}
+
+it(
+  "never takes a malformed reply as an answer or as proof of no effect",
+  limits,
+  async () => {
+    await fc.assert(
+      fc.asyncProperty(anyReply, fc.boolean(), async (bytes, resets) => {
+        reply = bytes;
+        reset = resets;
+        const status = readStatus(bytes);
+        const asked = await complete();
+        assert.ok(asked.result.isErr());
+        if (status < 400) assert.notEqual(asked.result.error.ran, "no");
+        const written = await write();
+        if (written.isOk()) assert.equal(status, 200);
+        else if (status < 400)
+          assert.equal(written.error.kind, "outcome-unknown");
+        const called = await callService();
+        if (called.isErr())
+          assert.equal(called.error.ran, status === 429 ? "no" : "unknown");
+        else assert.ok(status >= 200 && status < 500);
+        // An absent object is the one read that a status alone answers.
+        for (const read of listReads()) {
+          const result = await read;
+          assert.ok(
+            result.isErr() || result.value === undefined || status === 200,
+          );
+        }
+      }),
+      RUNS,
+    );
+  },
+);
+
+it(
+  "takes an answer as whole only when its stream came to the end",
+  limits,
+  async () => {
+    const whole = createStream(EVENTS);
+    reset = false;
+    reply = whole;
+    const { result, text } = await complete();
+    assert.deepEqual(result._unsafeUnwrap(), {
+      promptTokens: 3,
+      outputTokens: 8,
+      chunks: 8,
+      engineStartId: "s1",
+    });
+    assert.ok(checkAnswer(text).whole);
+    const endMark = whole.indexOf("[DONE]\n\n") + "[DONE]\n\n".length;
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(endMark - 1),
+        fc.boolean(),
+        async (length, resets) => {
+          reply = whole.subarray(0, length);
+          reset = resets;
+          const cut = await complete();
+          const failure = cut.result._unsafeUnwrapErr();
+          assert.equal(failure.kind, "truncated");
+          assert.notEqual(failure.ran, "no");
+        },
+      ),
+      RUNS,
+    );
+  },
+);
+
+it("reports an answer with a broken event as malformed", limits, async () => {
+  reset = false;
+  const place = fc.nat(EVENTS.length - 1);
+  const junk = fc
+    .oneof(fc.json(), fc.string())
+    .filter((text) => !/[\r\n]/.test(text) && !text.includes('"choices"'));
+  await fc.assert(
+    fc.asyncProperty(place, junk, async (at, event) => {
+      reply = createStream(EVENTS.with(at, event));
+      const { result } = await complete();
+      assert.equal(result._unsafeUnwrapErr().kind, "malformed");
+    }),
+    RUNS,
+  );
+});
+
+it("never takes a reply that is cut short as a result", limits, async () => {
+  reset = false;
+  const bodies = [{ version: 1 }, { key: "k", version: 1, value: 1 }];
+  const replies = bodies.map((body) => createReply(200, JSON.stringify(body)));
+  await fc.assert(
+    fc.asyncProperty(
+      fc.constantFrom(...replies),
+      fc.nat(200),
+      async (full, cut) => {
+        reply = full.subarray(0, Math.min(cut, full.length - 1));
+        const written = await write();
+        assert.equal(written._unsafeUnwrapErr().kind, "outcome-unknown");
+        const called = await callService();
+        const failure = called._unsafeUnwrapErr();
+        assert.deepEqual([failure.kind, failure.ran], ["broken", "unknown"]);
+        for (const read of listReads()) assert.ok((await read).isErr());
+      },
+    ),
+    RUNS,
+  );
+});
--- /dev/null
+++ b/src/standins/link.ts
@@ -0,0 +1,218 @@
+/**
+ * TCP relay between two ports of 127.0.0.1, in the process of the test. It
+ * cuts, delays and heals the connections that run through it.
+ */
+
+import { connect, createServer, type Server, type Socket } from "node:net";
+
+/** As seen from the side that opens connections. */
+export type Direction = "both" | "requests" | "replies";
+
+export interface CutOptions {
+  /**
+   * "hold" keeps connections open and their bytes until the link is healed,
+   * as a network partition does; "reset" breaks them and refuses new ones.
+   */
+  readonly mode: "hold" | "reset";
+  /** Directions that are held; "both" when absent. */
+  readonly direction?: Direction;
+}
+
+export interface LinkOptions {
+  readonly targetPort: number;
+  /** Port to listen on; a free one when absent. */
+  readonly port?: number;
+  /** Closes the link. */
+  readonly signal: AbortSignal;
+}
+
+/** Above it a relay stops reading from its source. */
+const MAX_QUEUED_BYTES = 1_000_000;
+
+type Item = { dueMs: number } & (
+  | { chunk: Buffer }
+  | { chunk?: undefined; last: "end" | "close" | "reset" }
+);
+
+interface FlowState {
+  held: boolean;
+  delayMs: number;
+}
+
+/** One direction of a connection. */
+class Flow {
+  readonly #source: Socket;
+  readonly #sink: Socket;
+  readonly #state: FlowState;
+  readonly #items: Item[] = [];
+  #bytes = 0;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(source: Socket, sink: Socket, state: FlowState) {
+    this.#source = source;
+    this.#sink = sink;
+    this.#state = state;
+    let failed = false;
+    source.on("data", (chunk) => {
+      this.#bytes += chunk.length;
+      if (this.#bytes > MAX_QUEUED_BYTES) source.pause();
+      this.#add({ dueMs: this.#dueMs(), chunk });
+    });
+    source.on("end", () => this.#add({ dueMs: this.#dueMs(), last: "end" }));
+    source.on("error", () => {
+      failed = true;
+    });
+    source.on("close", () => {
+      const last = failed ? "reset" : "close";
+      this.#add({ dueMs: this.#dueMs(), last });
+    });
+    sink.on("drain", () => this.pump());
+  }
+
+  /** Hands on what is due, in order. */
+  pump(): void {
+    clearTimeout(this.#timer);
+    for (;;) {
+      const [item] = this.#items;
+      if (item === undefined || this.#state.held) return;
+      if (this.#sink.writableNeedDrain) return;
+      const leftMs = item.dueMs - performance.now();
+      if (leftMs > 0) {
+        this.#timer = setTimeout(() => this.pump(), Math.ceil(leftMs));
+        return;
+      }
+      this.#items.shift();
+      this.#handOn(item);
+    }
+  }
+
+  #dueMs(): number {
+    return performance.now() + this.#state.delayMs;
+  }
+
+  #add(item: Item): void {
+    this.#items.push(item);
+    if (this.#items.length === 1) this.pump();
+  }
+
+  #handOn(item: Item): void {
+    const sink = this.#sink;
+    if (item.chunk !== undefined) {
+      this.#bytes -= item.chunk.length;
+      if (this.#bytes <= MAX_QUEUED_BYTES) this.#source.resume();
+      if (sink.writable) sink.write(item.chunk);
+    } else if (item.last === "end") sink.end();
+    else if (item.last === "close") sink.destroySoon();
+    else sink.resetAndDestroy();
+  }
+}
+
+export class Link {
+  readonly #server: Server;
+  readonly #targetPort: number;
+  readonly #sockets = new Set<Socket>();
+  readonly #flows = new Set<Flow>();
+  readonly #requests: FlowState = { held: false, delayMs: 0 };
+  readonly #replies: FlowState = { held: false, delayMs: 0 };
+  #refusing = false;
+  /** Connections opened through the link so far. */
+  opened = 0;
+
+  /** @internal */
+  constructor(targetPort: number) {
+    this.#targetPort = targetPort;
+    this.#server = createServer({ allowHalfOpen: true }, (socket) =>
+      this.#relay(socket),
+    );
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address !== null ? address.port : 0;
+  }
+
+  cut(options: CutOptions): void {
+    if (options.mode === "reset") {
+      this.#refusing = true;
+      this.#resetAll();
+      return;
+    }
+    const { direction = "both" } = options;
+    this.#requests.held = direction !== "replies";
+    this.#replies.held = direction !== "requests";
+  }
+
+  /** Ends a cut; held bytes are handed on. */
+  heal(): void {
+    this.#refusing = false;
+    this.#requests.held = false;
+    this.#replies.held = false;
+    for (const flow of this.#flows) flow.pump();
+  }
+
+  /** Delays bytes that arrive from now on, in each of the directions. */
+  delay(delayMs: number): void {
+    this.#requests.delayMs = delayMs;
+    this.#replies.delayMs = delayMs;
+  }
+
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+    this.#refusing = true;
+    this.#resetAll();
+    await closed;
+  }
+
+  /** @internal */
+  async listen(port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, "127.0.0.1", resolve);
+    });
+  }
+
+  #resetAll(): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
+  #relay(caller: Socket): void {
+    if (this.#refusing) {
+      caller.resetAndDestroy();
+      return;
+    }
+    this.opened += 1;
+    const target = connect({
+      port: this.#targetPort,
+      host: "127.0.0.1",
+      allowHalfOpen: true,
+      noDelay: true,
+    });
+    caller.setNoDelay(true);
+    const flows = [
+      new Flow(caller, target, this.#requests),
+      new Flow(target, caller, this.#replies),
+    ];
+    for (const flow of flows) this.#flows.add(flow);
+    let open = 2;
+    for (const socket of [caller, target]) {
+      this.#sockets.add(socket);
+      socket.once("close", () => {
+        this.#sockets.delete(socket);
+        open -= 1;
+        if (open > 0) return;
+        for (const flow of flows) this.#flows.delete(flow);
+      });
+    }
+  }
+}
+
+/** Opens a relay from a port of its own to the target's port. */
+export async function openLink(options: LinkOptions): Promise<Link> {
+  const { targetPort, port = 0, signal } = options;
+  const link = new Link(targetPort);
+  await link.listen(port);
+  signal.addEventListener("abort", () => void link.close(), { once: true });
+  return link;
+}
--- /dev/null
+++ b/src/standins/object_store_test.ts
@@ -0,0 +1,241 @@
+import assert from "node:assert/strict";
+import { it, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createHttpObjectStore } from "../adapters/index.js";
+import { RateLimit } from "./rate_limit.js";
+import { NEVER, startTestStandin, TEST_TIMEOUT_MS } from "./testing.js";
+
+interface WriteRecord {
+  writes: { key: string; version: number; replyLost: boolean }[];
+}
+
+async function startStore(context: TestContext, options: object = {}) {
+  const standin = await startTestStandin(context, "object-store", options);
+  return { standin, store: createHttpObjectStore(standin.target) };
+}
+
+const limits = { timeout: 2 * TEST_TIMEOUT_MS };
+
+it(
+  "lets one of many racing writers win, so a commit is never lost",
+  limits,
+  async (t) => {
+    const { store, standin } = await startStore(t);
+    const race = (ifVersion: number) =>
+      Promise.all(
+        Array.from({ length: 20 }, (_, value) =>
+          store.write({ key: "config/head", value, ifVersion }, NEVER),
+        ),
+      );
+    for (const ifVersion of [0, 1]) {
+      const results = await race(ifVersion);
+      const won = results.filter((result) => result.isOk());
+      assert.deepEqual(
+        won.map((result) => result._unsafeUnwrap()),
+        [ifVersion + 1],
+      );
+      const kinds = new Set(
+        results.filter((r) => r.isErr()).map((r) => r._unsafeUnwrapErr().kind),
+      );
+      assert.deepEqual([...kinds], ["conflict"]);
+    }
+    const { writes } = await standin.readRecord<WriteRecord>();
+    assert.deepEqual(
+      writes.map(({ version }) => version),
+      [1, 2],
+    );
+  },
+);
+
+it(
+  "lists a prefix in key order over pages, so no receipt is skipped",
+  limits,
+  async (t) => {
+    const { store } = await startStore(t, { writesPerSecond: 1_000 });
+    const keys = Array.from(
+      { length: 230 },
+      (_, i) => `ledger/e 1-ä/${1000 + i}`,
+    );
+    for (const key of ["ledger/e0/1", ...keys, "leases/x"]) {
+      (
+        await store.write({ key, value: key, ifVersion: 0 }, NEVER)
+      )._unsafeUnwrap();
+    }
+    const prefix = "ledger/e 1-ä/";
+    const all = (await store.list({ prefix }, NEVER))._unsafeUnwrap();
+    assert.deepEqual(
+      all.map(({ key, value }) => [key, value]),
+      keys.map((k) => [k, k]),
+    );
+    const after = keys[9];
+    const part = (
+      await store.list({ prefix, after, limit: 150 }, NEVER)
+    )._unsafeUnwrap();
+    assert.deepEqual(
+      part.map(({ key }) => key),
+      keys.slice(10, 160),
+    );
+  },
+);
+
+it(
+  "lists values of a megabyte whole, so a page's size bound loses none",
+  limits,
+  async (t) => {
+    const { store } = await startStore(t);
+    const value = "x".repeat(900_000);
+    for (let page = 0; page < 9; page += 1) {
+      await store.write(
+        { key: `ledger/a/${page}`, value, ifVersion: 0 },
+        NEVER,
+      );
+    }
+    const pages = (
+      await store.list({ prefix: "ledger/a/" }, NEVER)
+    )._unsafeUnwrap();
+    assert.deepEqual(
+      pages.map(({ key }) => key.at(-1)),
+      [..."012345678"],
+    );
+  },
+);
+
+it(
+  "wakes a watch at a write and not before, so news is fast and calls few",
+  limits,
+  async (t) => {
+    const { store } = await startStore(t);
+    const key = "config/head";
+    const watch = (version: number, waitMs: number) =>
+      store.watch({ key, version, waitMs }, NEVER);
+    const started = performance.now();
+    const waiting = watch(0, 4_000);
+    await sleep(100);
+    await store.write({ key: "config/other", value: 1, ifVersion: 0 }, NEVER);
+    await store.write({ key, value: "new", ifVersion: 0 }, NEVER);
+    const seen = (await waiting)._unsafeUnwrap();
+    const tookMs = performance.now() - started;
+    assert.equal(seen?.value, "new");
+    assert.ok(tookMs >= 100 && tookMs < 2_000, `Watch took ${tookMs} ms`);
+    assert.equal((await watch(0, 4_000))._unsafeUnwrap()?.version, 1);
+    assert.equal((await watch(1, 60))._unsafeUnwrap()?.version, 1);
+    assert.ok(performance.now() - started < 3_000);
+  },
+);
+
+it(
+  "keeps data and fails every call and waiting watch in an outage",
+  limits,
+  async (t) => {
+    const { store, standin } = await startStore(t);
+    const key = "config/head";
+    await store.write({ key, value: 1, ifVersion: 0 }, NEVER);
+    const waiting = store.watch({ key, version: 1, waitMs: 4_000 }, NEVER);
+    await sleep(50);
+    for (const outage of [true, "reset"]) {
+      await standin.control({ outage });
+      const failures = [
+        await waiting,
+        await store.read(key, NEVER),
+        await store.list({ prefix: "" }, NEVER),
+        await store.watch({ key, version: 1, waitMs: 9 }, NEVER),
+      ];
+      for (const result of failures) {
+        assert.equal(result._unsafeUnwrapErr().kind, "unavailable");
+      }
+      const write = await store.write({ key, value: 2, ifVersion: 1 }, NEVER);
+      const kind = outage === true ? "unavailable" : "outcome-unknown";
+      assert.equal(write._unsafeUnwrapErr().kind, kind);
+    }
+    await standin.control({ outage: false });
+    assert.equal((await store.read(key, NEVER))._unsafeUnwrap()?.value, 1);
+    assert.equal(
+      (await store.list({ prefix: "" }, NEVER))._unsafeUnwrap().length,
+      1,
+    );
+  },
+);
+
+it(
+  "loses a reply after the write took effect, and shows it in the record",
+  limits,
+  async (t) => {
+    const { store, standin } = await startStore(t);
+    await standin.control({ loseReplyShare: 1 });
+    const lost = await store.write({ key: "a", value: 5, ifVersion: 0 }, NEVER);
+    assert.equal(lost._unsafeUnwrapErr().kind, "outcome-unknown");
+    assert.equal((await store.read("a", NEVER))._unsafeUnwrap()?.value, 5);
+    await standin.control({ loseReplyShare: 0 });
+    const { writes } = await standin.readRecord<WriteRecord>();
+    assert.deepEqual(
+      writes.map(({ key, replyLost }) => [key, replyLost]),
+      [["a", true]],
+    );
+  },
+);
+
+it(
+  "gives a write that timed out its effect later, as a real store may",
+  limits,
+  async (t) => {
+    const { standin } = await startStore(t, { delayMs: 400 });
+    const store = createHttpObjectStore({ ...standin.target, timeoutMs: 60 });
+    const late = await store.write({ key: "a", value: 5, ifVersion: 0 }, NEVER);
+    assert.equal(late._unsafeUnwrapErr().kind, "outcome-unknown");
+    assert.deepEqual((await standin.readRecord<WriteRecord>()).writes, []);
+    await sleep(300);
+    assert.equal((await standin.readRecord<WriteRecord>()).writes.length, 1);
+  },
+);
+
+it("refuses a value over a megabyte without an effect", limits, async (t) => {
+  const { store } = await startStore(t);
+  const value = "x".repeat(1_000_000);
+  const failure = await store.write({ key: "a", value, ifVersion: 0 }, NEVER);
+  assert.equal(failure._unsafeUnwrapErr().kind, "unavailable");
+  assert.equal((await store.read("a", NEVER))._unsafeUnwrap(), undefined);
+});
+
+it(
+  "counts reads and waiting watches as calls and writes apart",
+  limits,
+  async (t) => {
+    const { store } = await startStore(t, {
+      readsPerSecond: 3,
+      writesPerSecond: 1,
+    });
+    const watches = [1, 2].map(() =>
+      store.watch({ key: "a", version: 0, waitMs: 100 }, NEVER),
+    );
+    const read = store.read("a", NEVER);
+    await Promise.all([...watches, read]);
+    const refused = (await store.read("a", NEVER))._unsafeUnwrapErr();
+    assert.equal(refused.kind, "rate-limited");
+    const waitMs = refused.kind === "rate-limited" ? refused.retryAfterMs : 0;
+    assert.ok(waitMs > 0 && waitMs <= 1_000, `Wait is ${waitMs} ms`);
+    assert.ok(
+      (await store.write({ key: "a", value: 1, ifVersion: 0 }, NEVER)).isOk(),
+    );
+    const second = await store.write(
+      { key: "a", value: 1, ifVersion: 1 },
+      NEVER,
+    );
+    assert.equal(second._unsafeUnwrapErr().kind, "rate-limited");
+    await sleep(waitMs + 5);
+    assert.ok((await store.read("a", NEVER)).isOk());
+  },
+);
+
+it("allows no second with more calls than the limit", () => {
+  let nowMs = 0;
+  const limit = new RateLimit(() => nowMs);
+  const taken: number[] = [];
+  for (; nowMs < 5_000; nowMs += 7) {
+    if (limit.take(50) === 0) taken.push(nowMs);
+  }
+  for (const at of taken) {
+    const within = taken.filter((other) => other >= at && other < at + 1_000);
+    assert.ok(within.length <= 50, `${within.length} calls after ${at} ms`);
+  }
+  assert.ok(taken.length >= 245, `Only ${taken.length} calls in 5 s`);
+});
--- /dev/null
+++ b/src/standins/process.ts
@@ -0,0 +1,202 @@
+/**
+ * Starts and ends processes of this project for the demo, the soak test and
+ * tests. A guard process ends them when this process ends in any way.
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { Socket } from "node:net";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+
+export interface ProcessSpec {
+  /** JavaScript file under `dist`. */
+  readonly file: string;
+  readonly args: readonly string[];
+  /** Ends the process, whatever it is doing. */
+  readonly signal: AbortSignal;
+  /** Takes the output; without it the output is dropped. */
+  readonly logFile?: string;
+  /** Longest wait for the ready line. */
+  readonly readyMs?: number;
+}
+
+export interface StartFailure {
+  readonly kind: "exited" | "timeout" | "aborted";
+  readonly detail: string;
+}
+
+export interface ExitStatus {
+  /** Absent when a signal ended the process. */
+  readonly code?: number;
+  readonly signal?: NodeJS.Signals;
+}
+
+/** The start of the line by which a process says that it serves. */
+const READY_LINE = /^ready\b/;
+const DEFAULT_READY_MS = 15_000;
+/** Above the longest graceful shutdown; a process that exceeds it is killed. */
+const DEFAULT_STOP_MS = 30_000;
+
+/** Starts a Node process and waits for its ready line. */
+export function startProcess(
+  spec: ProcessSpec,
+): ResultAsync<ManagedProcess, StartFailure> {
+  return new ResultAsync(waitForStart(spec));
+}
+
+async function waitForStart(
+  spec: ProcessSpec,
+): Promise<Result<ManagedProcess, StartFailure>> {
+  const { file, args, signal, readyMs = DEFAULT_READY_MS } = spec;
+  if (signal.aborted) {
+    return err({ kind: "aborted", detail: `"${file}" was not started` });
+  }
+  const child = spawn(process.execPath, [file, ...args], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const managed = new ManagedProcess(child, signal);
+  const ready = readLines(child, spec.logFile);
+  const timer = new AbortController();
+  const outcome = await Promise.race([
+    ready.then((line) => ({ line })),
+    managed.exited.then((status) => ({ status })),
+    waitMs(readyMs, timer.signal),
+  ]);
+  timer.abort();
+  if (outcome !== undefined && "line" in outcome) {
+    managed.readyLine = outcome.line;
+    return ok(managed);
+  }
+  await managed.kill();
+  if (signal.aborted) {
+    return err({ kind: "aborted", detail: `"${file}" was aborted` });
+  }
+  if (outcome === undefined) {
+    const detail = `"${file}" was not ready within ${readyMs} ms`;
+    return err({ kind: "timeout", detail });
+  }
+  const status = JSON.stringify(outcome.status);
+  return err({ kind: "exited", detail: `"${file}" exited with ${status}` });
+}
+
+/** Resolves with undefined after the time; never once the signal aborts. */
+function waitMs(timeMs: number, signal: AbortSignal): Promise<undefined> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, timeMs, undefined);
+    signal.addEventListener("abort", () => clearTimeout(timer), { once: true });
+  });
+}
+
+/** Copies the output to the log; resolves with the ready line. */
+function readLines(child: ChildProcess, logFile?: string): Promise<string> {
+  if (logFile === undefined) child.stderr?.resume();
+  else {
+    const log = createWriteStream(logFile, { flags: "a" });
+    child.stdout?.pipe(log, { end: false });
+    child.stderr?.pipe(log, { end: false });
+    child.once("close", () => log.end());
+  }
+  return new Promise((resolve) => {
+    if (child.stdout === null) return;
+    createInterface({ input: child.stdout }).on("line", (line) => {
+      if (READY_LINE.test(line)) resolve(line);
+    });
+  });
+}
+
+export class ManagedProcess {
+  readonly #child: ChildProcess;
+  /** Resolves when the process has ended. */
+  readonly exited: Promise<ExitStatus>;
+  readyLine = "";
+  #running = true;
+
+  /** @internal */
+  constructor(child: ChildProcess, signal: AbortSignal) {
+    this.#child = child;
+    const { pid } = child;
+    if (pid !== undefined) reportToGuard(`+${pid}`);
+    const kill = () => this.#send("SIGKILL");
+    signal.addEventListener("abort", kill, { once: true });
+    this.exited = waitForExit(child).finally(() => {
+      this.#running = false;
+      signal.removeEventListener("abort", kill);
+      if (pid !== undefined) reportToGuard(`-${pid}`);
+    });
+  }
+
+  get pid(): number | undefined {
+    return this.#child.pid;
+  }
+
+  /** Port named by the ready line, such as `ready port=4000`. */
+  get port(): number {
+    return Number(/\bport=(\d+)/.exec(this.readyLine)?.[1] ?? 0);
+  }
+
+  /** Asks for a graceful shutdown; kills the process when that takes too long. */
+  async stop(stopMs = DEFAULT_STOP_MS): Promise<ExitStatus> {
+    this.#send("SIGTERM");
+    // A frozen process would not see the signal.
+    this.wake();
+    const timer = setTimeout(() => this.#send("SIGKILL"), stopMs);
+    const status = await this.exited;
+    clearTimeout(timer);
+    return status;
+  }
+
+  kill(): Promise<ExitStatus> {
+    this.#send("SIGKILL");
+    return this.exited;
+  }
+
+  /** Halts the process as a long pause of its host does. */
+  freeze(): void {
+    this.#send("SIGSTOP");
+  }
+
+  wake(): void {
+    this.#send("SIGCONT");
+  }
+
+  /** The id may belong to another process once this one has ended. */
+  #send(signal: NodeJS.Signals): void {
+    if (this.#running) this.#child.kill(signal);
+  }
+}
+
+async function waitForExit(child: ChildProcess): Promise<ExitStatus> {
+  try {
+    const [code, signal] = await once(child, "exit");
+    return { code: code ?? undefined, signal: signal ?? undefined };
+  } catch {
+    // The process was never started, so it has neither code nor signal.
+    return {};
+  }
+}
+
+let guard: ChildProcess | undefined;
+
+function reportToGuard(line: string): void {
+  guard ??= startGuard();
+  guard.stdin?.write(`${line}\n`);
+}
+
+/** In a session of its own, so that a signal to this one's group spares it. */
+function startGuard(): ChildProcess {
+  const file = fileURLToPath(new URL("./process_guard.js", import.meta.url));
+  const child = spawn(process.execPath, [file], {
+    detached: true,
+    stdio: ["pipe", "ignore", "ignore"],
+  });
+  child.unref();
+  // The pipe is a socket, whose handle would keep this process running.
+  if (child.stdin instanceof Socket) child.stdin.unref();
+  child.stdin?.on("error", () => {
+    // The guard is gone; the processes still end by their signals.
+  });
+  return child;
+}
