Add session versions and the operators' ticket service

Cause: a session must see one version at every entry; a ticket is accepted only when more than half of the watchers hold it. Change: signed tokens, rendezvous assignment, records in the store with a bounded backlog; TicketService with typed answers and status. A ticket that still decides on a subject stays in the list, so its number is not reused.

--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -147,12 +147,15 @@
     this.#headRevision = Math.max(this.#headRevision, revision);
   }
 
-  /** Gives true when the confirmation is later than the last one. */
+  /**
+   * Gives true when the confirmation is later than the last one. A lower
+   * revision confirms too: what was accepted until then is held.
+   */
   confirm(confirmation: Confirmation): boolean {
     const { sentAtMs, ageMs, revision } = confirmation;
     const confirmedAtMs = sentAtMs - ageMs;
     if (
-      revision !== this.#heldRevision ||
+      revision > this.#heldRevision ||
       this.isBehind ||
       sentAtMs < this.#wokeAtMs ||
       confirmedAtMs <= this.#confirmedAtMs
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -4,5 +4,6 @@
 export * from "./fleet_state.js";
 export * from "./freshness.js";
 export * from "./rating_totals.js";
+export * from "./sessions.js";
 export * from "./ticket_check.js";
 export * from "./tickets.js";
--- /dev/null
+++ b/src/core/sessions.ts
@@ -0,0 +1,169 @@
+/**
+ * Versions of sessions: the signed token that carries one, the assignment for
+ * callers that only have an id, and what ends a session's hold on a version.
+ */
+
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import type { FleetState } from "../schema/index.js";
+import { hashText, rankByRendezvous } from "./canonical.js";
+import { createRefusal, type Refusal } from "./errors.js";
+
+export const MAX_SESSION_ID_CHARS = 128;
+const MAX_TOKEN_CHARS = 2_048;
+const TOKEN_FORMAT = "1";
+
+/** Why a session lost its version. */
+export type SessionMove = "withdrawn" | "not-allowed";
+
+export interface SessionClaims {
+  readonly account: string;
+  readonly session: string;
+  readonly requestClass: string;
+  readonly version: string;
+}
+
+function signText(text: string, key: string): Buffer {
+  return createHmac("sha256", key).update(text).digest();
+}
+
+export function signSessionToken(claims: SessionClaims, key: string): string {
+  const { account, session, requestClass, version } = claims;
+  const fields = [TOKEN_FORMAT, account, session, requestClass, version];
+  const payload = Buffer.from(JSON.stringify(fields)).toString("base64url");
+  return `${payload}.${signText(payload, key).toString("base64url")}`;
+}
+
+function parseClaims(payload: string): SessionClaims | undefined {
+  const text = Buffer.from(payload, "base64url").toString("utf8");
+  const fields: unknown = JSON.parse(text);
+  if (!Array.isArray(fields) || fields.length !== 5) return undefined;
+  if (!fields.every((field) => typeof field === "string")) return undefined;
+  const [format, account, session, requestClass, version] = fields as [
+    string,
+    string,
+    string,
+    string,
+    string,
+  ];
+  if (format !== TOKEN_FORMAT) return undefined;
+  return { account, session, requestClass, version };
+}
+
+/** Gives the claims when the signature is the key's. */
+export function verifySessionToken(
+  token: string,
+  key: string,
+): SessionClaims | undefined {
+  if (token.length > MAX_TOKEN_CHARS) return undefined;
+  const [payload, signature, ...rest] = token.split(".");
+  if (payload === undefined || signature === undefined) return undefined;
+  if (rest.length > 0) return undefined;
+  const given = Buffer.from(signature, "base64url");
+  const expected = signText(payload, key);
+  if (given.length !== expected.length) return undefined;
+  return timingSafeEqual(given, expected) ? parseClaims(payload) : undefined;
+}
+
+/**
+ * Checks a session id's length and form. A lone surrogate would be replaced
+ * when it is encoded, so two ids would share a key.
+ */
+export function checkSessionId(sessionId: string): Refusal | undefined {
+  const { length } = sessionId;
+  const isWellFormed =
+    Buffer.from(sessionId, "utf8").toString("utf8") === sessionId;
+  if (length > 0 && length <= MAX_SESSION_ID_CHARS && isWellFormed) {
+    return undefined;
+  }
+  const shown = JSON.stringify(sessionId.slice(0, 40));
+  return createRefusal(
+    "bad-request",
+    `Session id ${shown} must have 1 to ${MAX_SESSION_ID_CHARS} well-formed characters`,
+  );
+}
+
+/**
+ * Key of a session's record. The id is a caller's text: base64url leaves no
+ * slash or dot segment in the key. Classes have different versions, so a
+ * session that uses two of them has a record for each.
+ */
+export function formatSessionKey(session: {
+  readonly account: string;
+  readonly sessionId: string;
+  readonly requestClass: string;
+}): string {
+  const [account, requestClass] = [session.account, session.requestClass].map(
+    encodeURIComponent,
+  );
+  const id = Buffer.from(session.sessionId, "utf8").toString("base64url");
+  return `sessions/${account}/${id}.${requestClass}`;
+}
+
+/** Why the session may not keep the version; undefined when it may. */
+export function findSessionMove(
+  state: FleetState,
+  session: Omit<SessionClaims, "session">,
+): SessionMove | undefined {
+  const { account, requestClass, version } = session;
+  if (state.versions[version]?.state !== "active") return "withdrawn";
+  const isOfAccount = state.accounts[account]?.versions.includes(version);
+  const versions = state.classes[requestClass]?.versions;
+  const isOfClass = versions?.includes(version) ?? true;
+  return isOfAccount && isOfClass ? undefined : "not-allowed";
+}
+
+export interface SessionAssignment {
+  readonly account: string;
+  readonly sessionId: string;
+  readonly candidates: readonly string[];
+}
+
+function computeFraction(text: string): number {
+  return Number.parseInt(hashText(text).slice(0, 8), 16) / 2 ** 32;
+}
+
+/**
+ * Assigns a version to a session without one. Every entry of the same revision
+ * gives the same version. A version in roll-out takes part only in its share
+ * of the sessions, and a higher share only adds sessions to it.
+ */
+export function assignSessionVersion(
+  state: FleetState,
+  assignment: SessionAssignment,
+): string | undefined {
+  const { account, sessionId, candidates } = assignment;
+  const session = JSON.stringify([account, sessionId]);
+  const active = candidates.filter(
+    (version) => state.versions[version]?.state === "active",
+  );
+  const unheld = active.filter((version) => !(version in state.holds));
+  const eligible = unheld.filter((version) => {
+    const share = state.rollouts[version]?.share ?? 1;
+    return computeFraction(JSON.stringify([session, version])) < share;
+  });
+  const pool = [eligible, unheld, active].find((names) => names.length > 0);
+  return rankByRendezvous(session, pool ?? [])[0];
+}
+
+/** Reads a session's record as the store has it. */
+export interface SessionRecord {
+  readonly version: string;
+  /** Revision on which the version was chosen. */
+  readonly revision: number;
+}
+
+export function parseSessionRecord(
+  value: unknown,
+): Result<SessionRecord, Refusal> {
+  const record = value as Partial<SessionRecord> | null;
+  if (
+    typeof record?.version === "string" &&
+    typeof record.revision === "number"
+  ) {
+    return ok({ version: record.version, revision: record.revision });
+  }
+  return err(
+    createRefusal("store-unavailable", "The session's record is not readable"),
+  );
+}
--- a/src/core/ticket_check.ts
+++ b/src/core/ticket_check.ts
@@ -7,6 +7,7 @@
   type Ticket,
   ticketSchema,
 } from "../schema/index.js";
+import { listSubjects } from "./tickets.js";
 
 /** Names the first key that is wrong, its value and what was expected. */
 export interface InvalidTicket {
@@ -48,7 +49,34 @@
   };
 }
 
+/** Finds what the schema can't say: each subject once, and at least one. */
+function findSubjectFailure(ticket: Ticket): InvalidTicket | undefined {
+  const subjects = listSubjects(ticket);
+  if (subjects.length === 0) {
+    return {
+      kind: "invalid-ticket",
+      key: "/",
+      value: "no subject",
+      expected: "at least one subject to set or remove",
+    };
+  }
+  const seen = new Set<string>();
+  for (const subject of subjects) {
+    if (seen.has(subject)) {
+      return {
+        kind: "invalid-ticket",
+        key: "/",
+        value: subject,
+        expected: "each subject once",
+      };
+    }
+    seen.add(subject);
+  }
+  return undefined;
+}
+
 export function checkTicket(value: unknown): Result<Ticket, InvalidTicket> {
-  if (validate(value)) return ok(value);
-  return err(createFailure(validate.errors?.[0]));
+  if (!validate(value)) return err(createFailure(validate.errors?.[0]));
+  const failure = findSubjectFailure(value);
+  return failure === undefined ? ok(value) : err(failure);
 }
--- a/src/core/tickets.ts
+++ b/src/core/tickets.ts
@@ -4,7 +4,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
-import type { FleetState, Ticket } from "../schema/index.js";
+import type { AcceptedTicket, FleetState, Ticket } from "../schema/index.js";
 
 export type TicketFailure =
   | { kind: "superseded"; subject: string; by: number }
@@ -15,7 +15,7 @@
   | { kind: "applied"; state: FleetState }
   | { kind: "already-accepted"; revision: number };
 
-/** Accepted tickets kept in the state, to answer a repeated ticket. */
+/** Latest accepted tickets kept in the state, to answer a repeated ticket. */
 const MAX_KEPT_TICKETS = 500;
 
 const COLLECTIONS = {
@@ -128,6 +128,21 @@
   return next;
 }
 
+/**
+ * Drops old tickets, but none that still decides on a subject: its number
+ * would pass for a new one, and other content could take its place.
+ */
+function trimTickets(
+  subjects: FleetState["subjects"],
+  tickets: AcceptedTicket[],
+): AcceptedTicket[] {
+  const inForce = new Set(Object.values(subjects));
+  const firstKept = tickets.length - MAX_KEPT_TICKETS;
+  return tickets.filter(
+    (ticket, index) => index >= firstKept || inForce.has(ticket.number),
+  );
+}
+
 /**
  * Applies a ticket. `sha256` is the hash of its content: the same number with
  * the same hash is a repeat, with another hash it is a conflict.
@@ -152,10 +167,10 @@
   if (dangling !== undefined) return err(dangling);
 
   next.revision = state.revision + 1;
-  next.tickets = [
+  next.tickets = trimTickets(next.subjects, [
     ...state.tickets,
     { number: ticket.number, sha256, revision: next.revision },
-  ].slice(-MAX_KEPT_TICKETS);
+  ]);
   return ok({ kind: "applied", state: next });
 }
 
--- a/src/core/tickets_test.ts
+++ b/src/core/tickets_test.ts
@@ -63,4 +63,18 @@
     const ticket = { number: 1, rollouts: [{ version: "small-2", share: 0 }] };
     assert.deepEqual(applyOk(held, ticket, "h1").holds, {});
   });
+
+  it("remembers a ticket in force however many follow, so none takes its number", () => {
+    const first = { number: 1, dataCentres: [DATA_CENTRE_OUT] };
+    let state = applyOk(createEmptyState(), first, "h1");
+    for (let number = 2; number < 600; number++) {
+      const dataCentres = [{ name: "dc2", state: "in" as const }];
+      state = applyOk(state, { number, dataCentres }, `h${number}`);
+    }
+    assert.equal(
+      applyTicket(state, first, "other")._unsafeUnwrapErr().kind,
+      "number-taken",
+    );
+    assert.equal(state.tickets.length, 501);
+  });
 });
--- a/src/roles/config_rounds.ts
+++ b/src/roles/config_rounds.ts
@@ -32,13 +32,22 @@
 const OUTAGE_PAUSE_MS = 600;
 /** Guards against a store or peer that answers a long wait at once. */
 const MIN_ROUND_MS = 50;
+/** A healthy chain gives confirmations of at most 4 s, and a long poll. */
+const STALE_ANSWER_MS = 6_500;
+const CHOICE_KEPT_MS = 500;
 /** Between two exchanges of rating totals among watchers. */
 const EXCHANGE_PAUSE_MS = 3_000;
 
 export class ConfigRounds {
   readonly #options: RoundOptions;
-  /** The watchers at the last contact with the store, direct or reported. */
+  #watchers: readonly Peer[] = [];
+  #chosenAtMs = Number.NEGATIVE_INFINITY;
+  /**
+   * The watchers at the last own contact with the store. A host list that
+   * loses a data centre during a partition must not shrink the majority.
+   */
   #contactWatchers: readonly string[] = [];
+  /** The last contact with the store, own or reported by a watcher. */
   #contactAtMs = Number.NEGATIVE_INFINITY;
   /** True after a failed poll: the next answer is due at once. */
   #isUrgent = true;
@@ -49,13 +58,24 @@
   }
 
   get isWatcher(): boolean {
-    const { name, storeWatch, listPeers } = this.#options;
+    const { name, storeWatch } = this.#options;
     return (
       storeWatch !== undefined &&
-      chooseWatchers(listPeers()).some((peer) => peer.name === name)
+      this.listWatchers().some((peer) => peer.name === name)
     );
   }
 
+  /** The watchers; the choice hashes all names, so it is kept for a while. */
+  listWatchers(): readonly Peer[] {
+    const { getNowMs, listPeers } = this.#options;
+    const nowMs = getNowMs();
+    if (nowMs - this.#chosenAtMs >= CHOICE_KEPT_MS) {
+      this.#watchers = chooseWatchers(listPeers());
+      this.#chosenAtMs = nowMs;
+    }
+    return this.#watchers;
+  }
+
   /** Age of this process's own last store contact, for other watchers. */
   getStoreAgeMs(nowMs: number): number {
     const contact = this.#options.storeWatch?.contact;
@@ -79,13 +99,11 @@
 
   /** Exchanges rating totals with another watcher, from time to time. */
   async runExchange(signal: AbortSignal): Promise<void> {
-    const { name, exchange, getRandom, listPeers } = this.#options;
+    const { name, exchange, getRandom } = this.#options;
     while (!signal.aborted) {
       await waitFor(EXCHANGE_PAUSE_MS * (0.5 + getRandom()), signal);
       if (signal.aborted || !this.isWatcher) continue;
-      const others = chooseWatchers(listPeers()).filter(
-        (peer) => peer.name !== name,
-      );
+      const others = this.listWatchers().filter((peer) => peer.name !== name);
       const peer = others[Math.floor(getRandom() * others.length)];
       if (peer === undefined) continue;
       const timeoutMs = IMMEDIATE_TIMEOUT_MS;
@@ -123,17 +141,16 @@
   }
 
   #recordStoreContact(storeWatch: StoreWatch): void {
+    this.#contactWatchers = this.#listWatcherNames();
     this.#recordContact(storeWatch.contact?.receivedAtMs ?? 0);
   }
 
   #recordContact(atMs: number): void {
-    if (atMs <= this.#contactAtMs) return;
-    this.#contactAtMs = atMs;
-    this.#contactWatchers = this.#listWatcherNames();
+    this.#contactAtMs = Math.max(this.#contactAtMs, atMs);
   }
 
   #listWatcherNames(): string[] {
-    return chooseWatchers(this.#options.listPeers()).map((peer) => peer.name);
+    return this.listWatchers().map((peer) => peer.name);
   }
 
   /** Asks all watchers at once, and judges whether the store is out for all. */
@@ -195,11 +212,8 @@
 
   /** An answer that confirms nothing: another process may be better off. */
   #isStale(answer: PeerAnswer): boolean {
-    const { holder, getNowMs } = this.#options;
-    const ageMs = getNowMs() - answer.sentAtMs + answer.confirmedAgeMs;
-    return answer.revision < holder.revision || ageMs > STALE_ANSWER_MS;
+    const ageMs =
+      this.#options.getNowMs() - answer.sentAtMs + answer.confirmedAgeMs;
+    return ageMs > STALE_ANSWER_MS;
   }
 }
-
-/** A healthy chain gives answers of at most 4 s and a long poll. */
-const STALE_ANSWER_MS = 6_500;
--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -6,7 +6,6 @@
 import { performance } from "node:perf_hooks";
 import type { ObjectStore } from "../adapters/index.js";
 import {
-  chooseWatchers,
   type EvidenceListener,
   formatSource,
   hasMajority,
@@ -26,6 +25,7 @@
 import { ConfigRounds } from "./config_rounds.js";
 import type { ConfigView } from "./config_view.js";
 import { PeerOrder } from "./peer_order.js";
+import { RevisionFetcher } from "./revision_fetch.js";
 import { runWithTimeout, waitFor } from "./scope.js";
 import { StoreWatch } from "./store_watch.js";
 
@@ -49,23 +49,9 @@
 }
 
 const LONG_POLL_MS = 2_000;
-const FETCH_TIMEOUT_MS = 1_500;
 /** Covers a watcher's fetch of the new revision. */
 const SPREAD_TIMEOUT_MS = 2_000;
 const TICK_MS = 250;
-/** The store answers in milliseconds; after this the peers are asked too. */
-const FETCH_HEAD_START_MS = 300;
-const MAX_FETCHES = 2;
-const MAX_INFORMANTS = 2;
-
-/** A revision that another process knows. */
-interface RevisionHint {
-  readonly revision: number;
-  /** The process that knows it. */
-  readonly informant: string;
-  readonly signal: AbortSignal;
-}
-
 /** Who of the watchers holds a revision. */
 export interface Spread {
   readonly watchers: readonly string[];
@@ -83,10 +69,9 @@
   readonly #exchange: ConfigExchange;
   readonly #order: PeerOrder;
   readonly #rounds: ConfigRounds;
+  readonly #fetcher: RevisionFetcher;
   readonly #storeWatch: StoreWatch | undefined;
   readonly #getNowMs: () => number;
-  #fetching: Promise<void> | undefined;
-  #lifetime: AbortSignal = new AbortController().signal;
 
   constructor(options: ConfigSyncOptions) {
     const { name, dataCentre, store, listPeers } = options;
@@ -108,17 +93,19 @@
       getNowMs,
     });
     this.#order = new PeerOrder({ name, dataCentre }, getRandom);
-    this.#storeWatch =
-      store === undefined
-        ? undefined
-        : new StoreWatch({ store, holder, getNowMs });
-    this.#rounds = new ConfigRounds({
-      name,
+    const storeWatch = store && new StoreWatch({ store, holder, getNowMs });
+    const parts = {
       holder,
       exchange: this.#exchange,
       order: this.#order,
-      storeWatch: this.#storeWatch,
+      storeWatch,
       listPeers,
+    };
+    this.#storeWatch = storeWatch;
+    this.#fetcher = new RevisionFetcher(parts);
+    this.#rounds = new ConfigRounds({
+      ...parts,
+      name,
       getNowMs,
       getRandom,
       log: options.log ?? (() => {}),
@@ -145,7 +132,7 @@
    * process must end then.
    */
   async start(signal: AbortSignal): Promise<void> {
-    this.#lifetime = signal;
+    this.#fetcher.start(signal);
     try {
       await Promise.all([
         this.#rounds.run(signal),
@@ -178,6 +165,11 @@
     }));
   }
 
+  /** Reads the head now, so that the held state is the latest if it can be. */
+  async refresh(signal: AbortSignal): Promise<void> {
+    await this.#storeWatch?.read(signal);
+  }
+
   /** Takes over a state that this process committed. */
   adoptCommitted(state: FleetState): void {
     this.#holder.freshness.recordHead(state.revision);
@@ -185,46 +177,7 @@
   }
 
   async fetchRevision(revision: number, signal: AbortSignal): Promise<void> {
-    const { name } = this.#options;
-    await this.#fetchFrom({ revision, informant: name, signal });
-  }
-
-  /** Fetches from the store, or from the process that told of the revision. */
-  async #fetchFrom(hint: RevisionHint): Promise<void> {
-    // A fetch under way may have begun before the revision was committed.
-    for (let attempt = 0; attempt < MAX_FETCHES; attempt++) {
-      if (hint.revision <= this.#holder.revision) return;
-      if (hint.signal.aborted) return;
-      this.#fetching ??= this.#fetchNow(hint).finally(() => {
-        this.#fetching = undefined;
-      });
-      await this.#fetching;
-    }
-  }
-
-  #fetchNow(hint: RevisionHint): Promise<void> {
-    // Other callers wait for the same fetch, so it outlives its first caller.
-    const signal = this.#lifetime;
-    const timeoutMs = FETCH_TIMEOUT_MS;
-    return runWithTimeout({ signal, timeoutMs }, async (scope) => {
-      const read = this.#storeWatch?.read(scope);
-      await Promise.race([read, waitFor(FETCH_HEAD_START_MS, scope)]);
-      if (this.#holder.revision >= hint.revision) return;
-      const question = { immediate: true, timeoutMs, signal: scope };
-      const asks = this.#listInformants(hint.informant).map((peer) =>
-        this.#exchange.ask(peer, question),
-      );
-      await Promise.race([
-        Promise.all([read, ...asks]),
-        this.#holder.waitForRevision(hint.revision, scope),
-      ]);
-    });
-  }
-
-  #listInformants(informant: string): Peer[] {
-    const ordered = this.#order.list(this.#options.listPeers());
-    const named = ordered.filter((peer) => peer.name === informant);
-    return [...named, ...ordered.slice(0, MAX_INFORMANTS)];
+    await this.#fetcher.fetch({ revision, informant: "", signal });
   }
 
   /**
@@ -232,7 +185,7 @@
    * than half of them must hold it before its ticket counts as accepted.
    */
   async spreadRevision(revision: number, signal: AbortSignal): Promise<Spread> {
-    const watchers = chooseWatchers(this.#options.listPeers());
+    const watchers = this.#rounds.listWatchers();
     const question = { immediate: true, timeoutMs: SPREAD_TIMEOUT_MS, signal };
     const names = await Promise.all(
       watchers.map(async (peer) => {
@@ -260,7 +213,7 @@
     this.#exchange.recordRevision(asker, request.revision);
     this.#exchange.mergeEvidence(request.evidence);
     const { revision } = request;
-    await this.#fetchFrom({ revision, informant: asker, signal });
+    await this.#fetcher.fetch({ revision, informant: asker, signal });
     if (!request.seeksEvidence && this.#holder.revision <= request.revision) {
       await runWithTimeout({ signal, timeoutMs: LONG_POLL_MS }, (scope) =>
         this.#holder.waitForRenewal(scope),
--- /dev/null
+++ b/src/roles/session_store.ts
@@ -0,0 +1,276 @@
+/** Resolves the version of a session's request, the same at every entry. */
+
+import { LRUCache } from "lru-cache";
+import { err, ok, type Result } from "neverthrow";
+import type { ObjectStore } from "../adapters/index.js";
+import {
+  assignSessionVersion,
+  checkSessionId,
+  createRefusal,
+  findSessionMove,
+  formatSessionKey,
+  type Refusal,
+  type SessionClaims,
+  type SessionMove,
+  type SessionRecord,
+  signSessionToken,
+  verifySessionToken,
+} from "../core/index.js";
+import type { FleetState } from "../schema/index.js";
+import { waitFor } from "./scope.js";
+import { settleRecord } from "./session_records.js";
+
+export interface SessionRequest {
+  readonly account: string;
+  readonly requestClass: string;
+  /** From the caller; the token's session when absent. */
+  readonly sessionId?: string;
+  readonly token?: string;
+  /** Versions from which a session without one may get its version. */
+  readonly candidates: readonly string[];
+  readonly state: FleetState;
+}
+
+export interface ResolvedSession {
+  readonly version: string;
+  /** Absent when no session key is set. */
+  readonly token?: string;
+  /** Present when the session lost the version it had. */
+  readonly moved?: SessionMove;
+}
+
+export interface SessionResolverOptions {
+  readonly store: ObjectStore;
+  /** Secret of all entries; without it tokens are neither made nor read. */
+  readonly sessionKey?: string;
+  readonly log?: (event: string, fields: Record<string, unknown>) => void;
+  /** @internal */
+  readonly getRandom?: () => number;
+}
+
+/** About 10 MB. */
+const MAX_CACHED_SESSIONS = 50_000;
+/** Sessions that began while the store was out, about 3 MB. */
+const MAX_BACKLOG = 10_000;
+/** A few entries together stay far below several hundred writes a second. */
+const BACKLOG_PAUSE_MS = 50;
+const MAX_BACKLOG_PAUSE_MS = 5_000;
+const IDLE_PAUSE_MS = 500;
+
+interface CachedSession {
+  readonly version: string;
+  readonly stamp: string;
+}
+
+interface Session extends SessionRequest {
+  readonly sessionId: string;
+  readonly key: string;
+}
+
+/** Tickets that decide on a version's use: a change asks for a new look. */
+function formatStamp(request: SessionRequest, version: string): string {
+  const { account, requestClass, state } = request;
+  return [`version/${version}`, `account/${account}`, `class/${requestClass}`]
+    .map((subject) => state.subjects[subject] ?? 0)
+    .join(":");
+}
+
+export class SessionResolver {
+  readonly #options: SessionResolverOptions;
+  readonly #cache = new LRUCache<string, CachedSession>({
+    max: MAX_CACHED_SESSIONS,
+  });
+  /** Records to write once the store is back. */
+  readonly #backlog = new Map<string, SessionRecord>();
+
+  constructor(options: SessionResolverOptions) {
+    this.#options = options;
+  }
+
+  get backlogSize(): number {
+    return this.#backlog.size;
+  }
+
+  async resolve(
+    request: SessionRequest,
+    signal: AbortSignal,
+  ): Promise<Result<ResolvedSession, Refusal>> {
+    const claims = this.#readToken(request);
+    const sessionId = request.sessionId ?? claims?.session;
+    if (sessionId === undefined) {
+      return err(createRefusal("bad-request", "Session token is not valid"));
+    }
+    const invalid = checkSessionId(sessionId);
+    if (invalid !== undefined) return err(invalid);
+    const { account, requestClass, state } = request;
+    const version = findClaimedVersion(claims, { requestClass, sessionId });
+    const lost =
+      version === undefined
+        ? undefined
+        : findSessionMove(state, { account, requestClass, version });
+    if (version !== undefined && lost === undefined) {
+      return ok({ version, token: request.token });
+    }
+    const key = formatSessionKey({ account, sessionId, requestClass });
+    const settled = await this.#settle({ ...request, sessionId, key }, signal);
+    return settled.map(({ version, moved }) => ({
+      version,
+      token: this.#sign({ account, session: sessionId, requestClass, version }),
+      moved: moved ?? lost,
+    }));
+  }
+
+  /** Writes the records of sessions that began while the store was out. */
+  async run(signal: AbortSignal): Promise<void> {
+    const getRandom = this.#options.getRandom ?? Math.random;
+    let failures = 0;
+    while (!signal.aborted) {
+      const [next] = this.#backlog;
+      if (next === undefined) {
+        await waitFor(IDLE_PAUSE_MS, signal);
+        continue;
+      }
+      const isDone = await this.#writeLate(next, signal);
+      failures = isDone ? 0 : failures + 1;
+      const limit = BACKLOG_PAUSE_MS * 2 ** Math.min(failures, 10);
+      const pauseMs = Math.min(MAX_BACKLOG_PAUSE_MS, limit);
+      await waitFor(pauseMs * (0.5 + getRandom()), signal);
+    }
+  }
+
+  async #writeLate(
+    [key, record]: [string, SessionRecord],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const settled = await settleRecord(this.#options.store, {
+      key,
+      decide: (current) => ok(current === undefined ? record : undefined),
+      signal,
+    });
+    if (settled.isErr() && settled.error.kind === "records-unavailable") {
+      return false;
+    }
+    this.#backlog.delete(key);
+    if (settled.isErr() || settled.value.record.version !== record.version) {
+      // The record is older than the outage: it holds, and not the cache.
+      this.#cache.delete(key);
+      this.#options.log?.("session-record-differs", { key });
+    }
+    return true;
+  }
+
+  #readToken(request: SessionRequest): SessionClaims | undefined {
+    const { sessionKey } = this.#options;
+    if (request.token === undefined || sessionKey === undefined) return;
+    const claims = verifySessionToken(request.token, sessionKey);
+    return claims?.account === request.account ? claims : undefined;
+  }
+
+  #sign(claims: SessionClaims): string | undefined {
+    const { sessionKey } = this.#options;
+    if (sessionKey === undefined) return undefined;
+    return signSessionToken(claims, sessionKey);
+  }
+
+  async #settle(
+    session: Session,
+    signal: AbortSignal,
+  ): Promise<Result<SettledVersion, Refusal>> {
+    const { key } = session;
+    const cached = this.#cache.get(key);
+    const lost = cached && findMove(session, cached.version);
+    if (cached !== undefined && lost === undefined) {
+      const stamp = formatStamp(session, cached.version);
+      if (cached.stamp === stamp) return ok({ version: cached.version });
+    }
+    const settled = await settleRecord(this.#options.store, {
+      key,
+      decide: (current) => decideRecord(session, current),
+      signal,
+    });
+    if (settled.isOk()) {
+      const { record, replaced } = settled.value;
+      const { version } = record;
+      const moved = replaced && findMove(session, replaced.version);
+      this.#keep(session, version);
+      return ok({ version, moved: moved ?? lost });
+    }
+    const { error } = settled;
+    if (error.kind === "refusal") return err(error);
+    return this.#settleWithoutStore(session, lost);
+  }
+
+  /** During an outage no ticket changes the map, so the assignment stays. */
+  #settleWithoutStore(
+    session: Session,
+    lost: SessionMove | undefined,
+  ): Result<SettledVersion, Refusal> {
+    const { key, state } = session;
+    const known = this.#backlog.get(key) ?? this.#cache.get(key);
+    if (known !== undefined && findMove(session, known.version) === undefined) {
+      return ok({ version: known.version });
+    }
+    const version = assignSessionVersion(state, session);
+    if (version === undefined) return err(createNoVersionRefusal(session));
+    if (this.#backlog.size < MAX_BACKLOG) {
+      this.#backlog.set(key, { version, revision: state.revision });
+    } else {
+      this.#options.log?.("session-backlog-full", { key });
+    }
+    this.#keep(session, version);
+    return ok({ version, moved: lost });
+  }
+
+  #keep(session: Session, version: string): void {
+    const stamp = formatStamp(session, version);
+    this.#cache.set(session.key, { version, stamp });
+  }
+}
+
+interface SettledVersion {
+  readonly version: string;
+  readonly moved?: SessionMove;
+}
+
+/** The token's version, when the token is of this session and class. */
+function findClaimedVersion(
+  claims: SessionClaims | undefined,
+  expected: { requestClass: string; sessionId: string },
+): string | undefined {
+  const isSame =
+    claims?.session === expected.sessionId &&
+    claims.requestClass === expected.requestClass;
+  return isSame ? claims.version : undefined;
+}
+
+function findMove(session: Session, version: string): SessionMove | undefined {
+  const { account, requestClass, state } = session;
+  return findSessionMove(state, { account, requestClass, version });
+}
+
+function createNoVersionRefusal(session: Session): Refusal {
+  const { account, requestClass } = session;
+  return createRefusal(
+    "not-allowed",
+    `Account "${account}" has no active version for class "${requestClass}"`,
+  );
+}
+
+/** Keeps a record whose version is allowed, else chooses a version. */
+function decideRecord(
+  session: Session,
+  current: SessionRecord | undefined,
+): Result<SessionRecord | undefined, Refusal> {
+  const { state } = session;
+  if (current !== undefined) {
+    if (findMove(session, current.version) === undefined) return ok(undefined);
+    if (current.revision > state.revision) {
+      // The state here is older than the choice and must not undo it.
+      const detail = `The session was decided on revision ${current.revision}, this process holds ${state.revision}`;
+      return err(createRefusal("stale-revision", detail));
+    }
+  }
+  const version = assignSessionVersion(state, session);
+  if (version === undefined) return err(createNoVersionRefusal(session));
+  return ok({ version, revision: state.revision });
+}
--- a/src/roles/store_watch.ts
+++ b/src/roles/store_watch.ts
@@ -92,6 +92,9 @@
       if (revision > holder.revision) holder.adopt(state.value);
     }
     this.#headVersion = Math.max(this.#headVersion, position.version);
+    // A head below the held revision is an old answer, or a store that lost
+    // updates: neither confirms anything.
+    if (revision < holder.revision) return undefined;
     holder.confirm({ sentAtMs: options.sentAtMs, ageMs: 0, revision });
     return undefined;
   }
--- a/src/roles/ticket_commit.ts
+++ b/src/roles/ticket_commit.ts
@@ -3,7 +3,6 @@
  * conditional update of the head, which is the commit point.
  */
 
-import { setTimeout as sleep } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
 import type { ObjectStore, WriteRequest } from "../adapters/index.js";
 import {
@@ -24,6 +23,7 @@
   readCurrent,
   readRevision,
 } from "./revision_store.js";
+import { runWithTimeout, waitFor } from "./scope.js";
 
 export interface Committed {
   readonly kind: "committed";
@@ -34,6 +34,10 @@
   readonly repeated: boolean;
 }
 
+export interface CommittedTicket extends Committed {
+  readonly number: number;
+}
+
 export type CommitFailure =
   | InvalidTicket
   | TicketFailure
@@ -95,7 +99,7 @@
 
 async function pause(attempt: number, signal: AbortSignal): Promise<void> {
   const limit = Math.min(MAX_PAUSE_MS, 5 * 2 ** Math.min(attempt, 8));
-  await sleep(Math.random() * limit, undefined, { signal }).catch(() => {});
+  await waitFor(Math.random() * limit, signal);
 }
 
 class Commit {
@@ -114,10 +118,7 @@
     this.#store = store;
     this.#cause = options.cause;
     this.#change = options.change;
-    this.#signal = AbortSignal.any([
-      options.signal,
-      AbortSignal.timeout(COMMIT_DEADLINE_MS),
-    ]);
+    this.#signal = options.signal;
   }
 
   async run(): Promise<Result<Committed, CommitFailure>> {
@@ -190,12 +191,22 @@
   }
 }
 
+function runCommit(
+  store: ObjectStore,
+  options: { cause: RevisionCause; change: Change; signal: AbortSignal },
+): Promise<Result<Committed, CommitFailure>> {
+  const { signal } = options;
+  return runWithTimeout({ signal, timeoutMs: COMMIT_DEADLINE_MS }, (scope) =>
+    new Commit(store, { ...options, signal: scope }).run(),
+  );
+}
+
 /** Commits a ticket. Its spread is a matter of the answer's acceptance. */
 export async function commitTicket(
   store: ObjectStore,
   ticket: unknown,
   signal: AbortSignal,
-): Promise<Result<Committed, CommitFailure>> {
+): Promise<Result<CommittedTicket, CommitFailure>> {
   const checked = checkTicket(ticket);
   if (checked.isErr()) return err(checked.error);
   const sha256 = hashDocument(checked.value);
@@ -206,7 +217,8 @@
         : { repeatedAt: outcome.revision },
     );
   const cause = { ticket: checked.value };
-  return new Commit(store, { cause, change, signal }).run();
+  const committed = await runCommit(store, { cause, change, signal });
+  return committed.map((value) => ({ ...value, number: checked.value.number }));
 }
 
 /** Number of the last ticket that decided on the version or its roll-out. */
@@ -233,5 +245,5 @@
     return ok(applyHold(state, version, reason));
   };
   const cause = { hold: { version, reason } };
-  return new Commit(store, { cause, change, signal }).run();
+  return runCommit(store, { cause, change, signal });
 }
--- /dev/null
+++ b/src/roles/ticket_service.ts
@@ -0,0 +1,119 @@
+/** Answers operators' tickets: commits, spreads, and tells their status. */
+
+import { err, ok, type Result } from "neverthrow";
+import type { ObjectStore } from "../adapters/index.js";
+import type { ConfigSync, Spread } from "./config_sync.js";
+import { waitFor } from "./scope.js";
+import {
+  type CommitFailure,
+  type Committed,
+  commitHold,
+  commitTicket,
+  type HoldRequest,
+} from "./ticket_commit.js";
+
+/** A committed ticket; `spreading` becomes `accepted` when it is repeated. */
+export interface TicketAnswer {
+  /** `accepted` when more than half of the watchers hold the revision. */
+  readonly kind: "accepted" | "spreading";
+  readonly number: number;
+  readonly revision: number;
+  /** True when an earlier call had committed the ticket. */
+  readonly repeated: boolean;
+  readonly watchers: readonly string[];
+  readonly holding: readonly string[];
+}
+
+export interface ProcessRevision {
+  readonly process: string;
+  /** Absent when nothing is known of the process. */
+  readonly revision: number | undefined;
+}
+
+export type TicketStatus =
+  | {
+      /** `superseded` when later tickets decide on all of its subjects. */
+      readonly kind: "accepted" | "spreading" | "superseded";
+      readonly number: number;
+      readonly revision: number;
+      readonly processes: readonly ProcessRevision[];
+    }
+  | {
+      readonly kind: "unknown";
+      readonly number: number;
+      /** False when this process can't tell whether its state is the latest. */
+      readonly isFresh: boolean;
+    };
+
+export interface TicketServiceOptions {
+  readonly store: ObjectStore;
+  readonly sync: ConfigSync;
+}
+
+/** Tries to reach a majority of the watchers for this long. */
+const MAX_SPREAD_ROUNDS = 3;
+const SPREAD_PAUSE_MS = 300;
+
+export class TicketService {
+  readonly #options: TicketServiceOptions;
+
+  constructor(options: TicketServiceOptions) {
+    this.#options = options;
+  }
+
+  async submit(
+    ticket: unknown,
+    signal: AbortSignal,
+  ): Promise<Result<TicketAnswer, CommitFailure>> {
+    const { store, sync } = this.#options;
+    const committed = await commitTicket(store, ticket, signal);
+    if (committed.isErr()) return err(committed.error);
+    const { state, revision, repeated, number } = committed.value;
+    sync.adoptCommitted(state);
+    const spread = await this.#spread(revision, signal);
+    const { watchers, holding } = spread;
+    const kind = spread.accepted ? "accepted" : "spreading";
+    return ok({ kind, number, revision, repeated, watchers, holding });
+  }
+
+  /** Commits a hold; it spreads by the watches and needs no acceptance. */
+  async hold(
+    request: HoldRequest,
+    signal: AbortSignal,
+  ): Promise<Result<Committed, CommitFailure>> {
+    const { store, sync } = this.#options;
+    const committed = await commitHold(store, request, signal);
+    if (committed.isOk()) sync.adoptCommitted(committed.value.state);
+    return committed;
+  }
+
+  async getStatus(number: number, signal: AbortSignal): Promise<TicketStatus> {
+    const { sync } = this.#options;
+    await sync.refresh(signal);
+    const { tickets, subjects } = sync.state;
+    const found = tickets.find((ticket) => ticket.number === number);
+    if (found === undefined) {
+      const isFresh = sync.checkFreshness() === undefined;
+      return { kind: "unknown", number, isFresh };
+    }
+    const { revision } = found;
+    const { accepted } = await sync.spreadRevision(revision, signal);
+    const processes = sync.listRevisions();
+    if (!Object.values(subjects).includes(number)) {
+      return { kind: "superseded", number, revision, processes };
+    }
+    const kind = accepted ? "accepted" : "spreading";
+    return { kind, number, revision, processes };
+  }
+
+  async #spread(revision: number, signal: AbortSignal): Promise<Spread> {
+    const { sync } = this.#options;
+    for (let round = 1; ; round++) {
+      const spread = await sync.spreadRevision(revision, signal);
+      if (spread.accepted || round === MAX_SPREAD_ROUNDS || signal.aborted) {
+        return spread;
+      }
+      await waitFor(SPREAD_PAUSE_MS, signal);
+    }
+  }
+}
