--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -14,5 +14,6 @@
 export * from "./rating_totals.js";
 export * from "./receipts.js";
 export * from "./router.js";
+export * from "./sessions.js";
 export * from "./ticket_check.js";
 export * from "./tickets.js";
--- a/src/roles/index.ts
+++ b/src/roles/index.ts
@@ -5,4 +5,6 @@
 export * from "./endpoint_role.js";
 export * from "./entry.js";
 export * from "./revision_store.js";
+export * from "./session_store.js";
 export * from "./ticket_commit.js";
+export * from "./ticket_service.js";
