--- /dev/null
+++ b/src/roles/fake_config_store_test.ts
@@ -0,0 +1,107 @@
+/** In-memory object store for tests, with faults for each of its clients. */
+
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreFailure,
+  WriteRequest,
+} from "../adapters/index.js";
+
+/**
+ * What happens to one call. `lost-before` and `lost-after` lose the reply
+ * before or after the write took effect; `late` writes after the reply is lost.
+ */
+export type Fault = "none" | "down" | "lost-before" | "lost-after" | "late";
+
+type Outcome<T> = { ok: T } | { failure: StoreFailure };
+
+const DOWN: StoreFailure = { kind: "unavailable", detail: "down" };
+const LOST: StoreFailure = { kind: "outcome-unknown", detail: "lost" };
+
+export class FakeStore {
+  readonly objects = new Map<string, StoredObject>();
+  /** Every write that took effect, in order. */
+  readonly writes: StoredObject[] = [];
+  calls = 0;
+  readonly #changed = new Set<() => void>();
+
+  /** A client; `takeFault` is asked before each call. */
+  connect(
+    takeFault: () => Fault = () => "none",
+    delay: () => Promise<void> = () => new Promise(setImmediate),
+  ): ObjectStore {
+    const run = <T>(call: () => Outcome<T>, isWrite = false) => {
+      this.calls++;
+      const attempt = async (): Promise<Outcome<T>> => {
+        await delay();
+        const fault = takeFault();
+        if (fault === "none") return call();
+        if (fault === "down") return { failure: DOWN };
+        if (fault === "lost-after") call();
+        if (fault === "late" && isWrite) void delay().then(delay).then(call);
+        return { failure: LOST };
+      };
+      return settle(attempt());
+    };
+    return {
+      read: (key) => run(() => ({ ok: this.objects.get(key) })),
+      write: (request) => run(() => this.#write(request), true),
+      list: ({ prefix }) =>
+        run(() => ({
+          ok: [...this.objects.values()].filter((object) =>
+            object.key.startsWith(prefix),
+          ),
+        })),
+      watch: ({ key, version, waitMs }, signal) => {
+        const wait = async (): Promise<Outcome<StoredObject | undefined>> => {
+          if (takeFault() !== "none") return { failure: DOWN };
+          await this.#waitForChange({ key, version, waitMs, signal });
+          if (takeFault() !== "none") return { failure: LOST };
+          return { ok: this.objects.get(key) };
+        };
+        return settle(wait());
+      },
+    };
+  }
+
+  #write({ key, value, ifVersion }: WriteRequest): Outcome<number> {
+    const version = this.objects.get(key)?.version ?? 0;
+    if (version !== ifVersion) return { failure: { kind: "conflict", key } };
+    const object = { key, version: version + 1, value: structuredClone(value) };
+    this.objects.set(key, object);
+    this.writes.push(object);
+    for (const notify of [...this.#changed]) notify();
+    return { ok: object.version };
+  }
+
+  #waitForChange(options: {
+    key: string;
+    version: number;
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<void> {
+    const { key, version, waitMs, signal } = options;
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.#changed.delete(check);
+        signal.removeEventListener("abort", end);
+        resolve();
+      };
+      const check = () => {
+        if ((this.objects.get(key)?.version ?? 0) !== version) end();
+      };
+      const timer = setTimeout(end, waitMs);
+      this.#changed.add(check);
+      signal.addEventListener("abort", end, { once: true });
+      check();
+    });
+  }
+}
+
+function settle<T>(attempt: Promise<Outcome<T>>): ResultAsync<T, StoreFailure> {
+  return ResultAsync.fromSafePromise(attempt).andThen((outcome) =>
+    "ok" in outcome ? okAsync(outcome.ok) : errAsync(outcome.failure),
+  );
+}
--- a/src/roles/ticket_commit_test.ts
+++ b/src/roles/ticket_commit_test.ts
@@ -3,7 +3,7 @@
 import fc from "fast-check";
 import { createEmptyState, hashDocument } from "../core/index.js";
 import type { Ticket } from "../schema/index.js";
-import { FakeStore, type Fault } from "./fake_store_test.js";
+import { FakeStore, type Fault } from "./fake_config_store_test.js";
 import {
   HEAD_KEY,
   type Head,
