--- a/src/roles/caller_server.ts
+++ b/src/roles/caller_server.ts
@@ -160,10 +160,16 @@
       this.#refuse(response, session, parsed.value.route.id);
       return;
     }
+    if (signal.aborted) return;
     const { route, work } = parsed.value;
     const writer = this.#createWriter(parsed.value, response);
+    const { version } = session;
+    const pinned = version && {
+      sessionVersion: version,
+      candidates: [version],
+    };
     await runner.run(
-      { ...route, sessionVersion: session.version },
+      { ...route, ...pinned },
       { work, session, writer, signal },
     );
   }
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -20,7 +20,8 @@
 } from "../adapters/index.js";
 import { createRefusal, type Refusal, Router } from "../core/index.js";
 import { ConfigSyncService, type Settings } from "../schema/index.js";
-import { createCallerServer } from "./caller_server.js";
+import type { CallerRequest } from "./caller_requests.js";
+import { createCallerServer, type SessionResult } from "./caller_server.js";
 import { createSystemClock } from "./clock.js";
 import { createConfigSyncHandlers } from "./config_handlers.js";
 import { ConfigSync } from "./config_sync.js";
@@ -39,7 +40,8 @@
 import { ReceiptHolders } from "./receipt_holders.js";
 import { type RequestOutcome, RequestRunner } from "./request_runner.js";
 import { waitFor } from "./scope.js";
-import { commitHold } from "./ticket_commit.js";
+import { SessionResolver } from "./session_store.js";
+import { TicketService } from "./ticket_service.js";
 
 export interface RoleOptions {
   readonly log: Logger;
@@ -74,6 +76,8 @@
   readonly #hosts: HostWatcher;
   readonly #directory: EndpointDirectory;
   readonly #sync: ConfigSync;
+  readonly #tickets: TicketService;
+  readonly #sessions: SessionResolver;
   readonly #ledger: EntryLedger;
   readonly #pendingResults: PendingResults;
   readonly #runner: RequestRunner;
@@ -101,6 +105,12 @@
       onHosts: (hosts) => this.#directory.updateHosts(listEndpoints(hosts)),
     });
     this.#sync = this.#createSync();
+    this.#tickets = new TicketService({ store: this.#store, sync: this.#sync });
+    this.#sessions = new SessionResolver({
+      store: this.#store,
+      sessionKey: settings.sessionKey,
+      log: (event, fields) => this.#log.info(event, fields),
+    });
     const holders = new ReceiptHolders(createHolderCalls(this.#directory));
     const clock = createSystemClock();
     this.#ledger = new EntryLedger({
@@ -175,6 +185,7 @@
     });
     void this.#ledger.start(signal);
     void this.#pendingResults.start(signal);
+    void this.#sessions.run(signal);
     void this.#ratings?.start(signal);
     setInterval(() => this.#tick(), TICK_MS).unref();
     await this.#serveCallers();
@@ -258,7 +269,8 @@
       bodyBytes: limits?.bodyBytes ?? DEFAULT_BODY_BYTES,
       headerBytes: limits?.headerBytes ?? DEFAULT_HEADER_BYTES,
       checkAdmission: () => this.#checkAdmission(),
-      resolveSession: () => Promise.resolve({}),
+      resolveSession: (request, signal) =>
+        this.#resolveSession(request, signal),
     });
     await this.#listen(server, requireSetting(listen.callerPort, "callerPort"));
   }
@@ -266,7 +278,7 @@
   async #serveOperators(): Promise<void> {
     const { listen, operatorTokenSha256 } = this.#settings;
     const server = createOperatorServer({
-      store: this.#store,
+      tickets: this.#tickets,
       sync: this.#sync,
       log: this.#log,
       tokenSha256: operatorTokenSha256,
@@ -299,6 +311,31 @@
     return this.#ledger.checkRoom();
   }
 
+  async #resolveSession(
+    request: CallerRequest,
+    signal: AbortSignal,
+  ): Promise<SessionResult | Refusal> {
+    const { route, work } = request;
+    const { session: sessionId, sessionToken: token } = work;
+    const hasSession = sessionId !== undefined || token !== undefined;
+    if (route.kind !== "model" || !hasSession) return {};
+    const resolved = await this.#sessions.resolve(
+      {
+        account: route.account,
+        requestClass: route.requestClass,
+        sessionId,
+        token,
+        candidates: route.candidates,
+        state: this.#sync.state,
+      },
+      signal,
+    );
+    return resolved.match<SessionResult | Refusal>(
+      (session) => session,
+      (refusal) => refusal,
+    );
+  }
+
   #tick(): void {
     this.#runner.handle({ type: "tick" });
     this.#metrics.setGauge(METRICS.receiptsOpen, this.#ledger.count);
@@ -308,15 +345,11 @@
   async #hold(version: string, reason: string): Promise<void> {
     this.#log.warn("hold", { version, reason });
     const basis = this.#sync.state;
-    const outcome = await commitHold(
-      this.#store,
+    const outcome = await this.#tickets.hold(
       { version, reason, basis },
       this.#lifetime.signal,
     );
-    if (outcome.isOk()) {
-      this.#sync.adoptCommitted(outcome.value.state);
-      return;
-    }
+    if (outcome.isOk()) return;
     this.#log.warn("hold-failed", { version, kind: outcome.error.kind });
   }
 
--- a/src/roles/operator_server.ts
+++ b/src/roles/operator_server.ts
@@ -12,17 +12,17 @@
   formatDocumentFailure,
   getBearerToken,
   type Logger,
-  type ObjectStore,
   parseTicket,
   readBody,
   sendJson,
   sendRefusal,
 } from "../adapters/index.js";
 import { createRefusal, type Refusal } from "../core/index.js";
-import type { FleetState, Ticket } from "../schema/index.js";
+import type { Ticket } from "../schema/index.js";
 import { hashSha256 } from "./caller_requests.js";
 import type { ConfigSync } from "./config_sync.js";
-import { type CommitFailure, commitTicket } from "./ticket_commit.js";
+import type { CommitFailure } from "./ticket_commit.js";
+import type { TicketService } from "./ticket_service.js";
 
 export interface Report {
   readonly text: string;
@@ -31,7 +31,7 @@
 }
 
 export interface OperatorServerOptions {
-  readonly store: ObjectStore;
+  readonly tickets: TicketService;
   readonly sync: ConfigSync;
   readonly log: Logger;
   readonly tokenSha256: string | undefined;
@@ -71,10 +71,6 @@
   return { status, code, detail };
 }
 
-function findTicket(state: FleetState, number: number) {
-  return state.tickets.find((ticket) => ticket.number === number);
-}
-
 class OperatorHandler {
   readonly #options: OperatorServerOptions;
 
@@ -138,53 +134,41 @@
   }
 
   async #commit(ticket: Ticket, response: ServerResponse): Promise<void> {
-    const { store, sync, signal, log } = this.#options;
-    const outcome = await commitTicket(store, ticket, signal);
+    const { tickets, signal, log } = this.#options;
+    const outcome = await tickets.submit(ticket, signal);
     if (outcome.isErr()) {
       const { status, code, detail } = describeFailure(outcome.error);
       log.info("ticket-refused", { ticket: ticket.number, code, detail });
       sendJson(response, status, { code, detail });
       return;
     }
-    const { revision, state } = outcome.value;
-    sync.adoptCommitted(state);
-    const spread = await sync.spreadRevision(revision, signal);
-    const ticketState = spread.accepted ? "accepted" : "spreading";
+    const { kind: state, revision, watchers, holding } = outcome.value;
     log.info("ticket-committed", {
       ticket: ticket.number,
       revision,
-      state: ticketState,
-      watchers: spread.watchers.length,
-      holding: spread.holding.length,
-    });
-    sendJson(response, spread.accepted ? 200 : 202, {
-      number: ticket.number,
-      state: ticketState,
-      revision,
+      state,
+      watchers: watchers.length,
+      holding: holding.length,
     });
+    const status = state === "accepted" ? 200 : 202;
+    sendJson(response, status, { number: ticket.number, state, revision });
   }
 
   async #showTicket(url: URL, response: ServerResponse): Promise<void> {
-    const { sync, signal } = this.#options;
+    const { tickets, signal } = this.#options;
     const number = Number(url.pathname.slice("/tickets/".length));
-    const ticket = findTicket(sync.state, number);
-    if (ticket === undefined) {
-      const detail = `Ticket ${number} is not known at revision ${sync.state.revision}`;
+    const ticket = await tickets.getStatus(number, signal);
+    if (ticket.kind === "unknown") {
+      const certainty = ticket.isFresh ? "" : "; this entry is not up to date";
+      const detail = `Ticket ${number} is not known${certainty}`;
       sendJson(response, 404, { code: "unknown-ticket", detail });
       return;
     }
-    const spread = await sync.spreadRevision(ticket.revision, signal);
+    const { kind: state, revision, processes } = ticket;
     const holders = Object.fromEntries(
-      sync
-        .listRevisions()
-        .map(({ process, revision }) => [process, revision ?? 0]),
+      processes.map((item) => [item.process, item.revision ?? 0]),
     );
-    sendJson(response, 200, {
-      number,
-      state: spread.accepted ? "accepted" : "spreading",
-      revision: ticket.revision,
-      holders,
-    });
+    sendJson(response, 200, { number, state, revision, holders });
   }
 
   async #sendReport(
