Choose endpoints by least expected time

The share of the limit in use ignored that endpoints differ in speed. Choice now compares measured time per unit of work over sampled candidates, and skips endpoints that can't end the work in time.

--- a/src/core/endpoint_index.ts
+++ b/src/core/endpoint_index.ts
@@ -8,12 +8,15 @@
   status: EndpointStatus;
   /** Attempts that this entry has sent and that have not ended. */
   ownInFlight: number;
-  /** `ownInFlight` when the last status arrived. */
-  ownAtStatus: number;
+  /** Running mean of the reported requests that other entries sent. */
+  othersInFlight: number;
   /** No new work goes to the endpoint before this time. */
   avoidUntilMs: number;
-  /** Own running mean of attempt time over the status' mean; 1 is normal. */
+  /** Measured time per unit of work over that of other endpoints. */
   slowness: number;
+  speedSamples: number;
+  /** Running mean of the time from dispatch to start. */
+  startDelayMs: number;
 }
 
 /** Endpoints of one data centre that serve one version or service. */
@@ -33,13 +36,21 @@
   ];
 }
 
-/** Requests at the endpoint: the last report plus own changes since then. */
+/**
+ * Weight of the newest report. Reports lag, so one report mixes others' work
+ * with own attempts that have ended since; the mean cancels that out.
+ */
+const REPORT_WEIGHT = 0.3;
+
+/** Requests at the endpoint: own ones, which are exact, and others' ones. */
 export function estimateLoad(view: EndpointView): number {
-  const reported = view.status.inFlight + view.status.queued;
-  return Math.max(
-    view.ownInFlight,
-    reported + view.ownInFlight - view.ownAtStatus,
-  );
+  return view.ownInFlight + Math.max(0, Math.round(view.othersInFlight));
+}
+
+function addReport(view: EndpointView, status: EndpointStatus): void {
+  view.status = status;
+  const others = status.inFlight + status.queued - view.ownInFlight;
+  view.othersInFlight += REPORT_WEIGHT * (others - view.othersInFlight);
 }
 
 export class EndpointIndex {
@@ -66,9 +77,11 @@
         name: status.endpoint,
         status,
         ownInFlight: 0,
-        ownAtStatus: 0,
+        othersInFlight: status.inFlight + status.queued,
         avoidUntilMs: 0,
         slowness: 1,
+        speedSamples: 0,
+        startDelayMs: 0,
       };
       this.#views.set(status.endpoint, created);
       this.#link(created);
@@ -79,8 +92,7 @@
       before !== listTargets(status).join() ||
       view.status.dataCentre !== status.dataCentre;
     if (moved) this.#unlink(view);
-    view.status = status;
-    view.ownAtStatus = view.ownInFlight;
+    addReport(view, status);
     if (moved) this.#link(view);
     return view;
   }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -3,5 +3,7 @@
 export * from "./events.js";
 export * from "./fleet_state.js";
 export * from "./pending.js";
+export * from "./placement.js";
 export * from "./router.js";
+export * from "./speeds.js";
 export * from "./tickets.js";
--- a/src/core/pending.ts
+++ b/src/core/pending.ts
@@ -8,7 +8,10 @@
   readonly version: string;
   readonly sentAtMs: number;
   readonly final: boolean;
-  started: boolean;
+  readonly target: string;
+  /** Requests at the endpoint when the attempt was sent, itself included. */
+  readonly load: number;
+  startedAtMs?: number;
 }
 
 export interface PendingRequest {
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,150 @@
+/** Endpoint choice: least expected time over a few sampled candidates. */
+
+import type { FleetState } from "../schema/index.js";
+import {
+  type EndpointGroup,
+  type EndpointIndex,
+  type EndpointView,
+  estimateLoad,
+} from "./endpoint_index.js";
+import { isDataCentreOut, isEndpointOut } from "./fleet_state.js";
+import type { SpeedEstimates } from "./speeds.js";
+
+export interface PlacementRequest {
+  readonly target: string;
+  /** Expected work, see `countUnits`. */
+  readonly units: number;
+  readonly remainingMs: number;
+  readonly tried: ReadonlySet<string>;
+  readonly prefixHash?: string;
+}
+
+export interface PlacementOptions {
+  random: () => number;
+  dataCentre: string;
+  endpoints: EndpointIndex;
+  speeds: SpeedEstimates;
+}
+
+/** Up to this many endpoints are all compared; above it they are sampled. */
+const MAX_COMPARED = 8;
+const LOCAL_SAMPLES = 3;
+const REMOTE_SAMPLES = 3;
+/** Samples of the second look, when the first finds no free endpoint. */
+const SECOND_LOOK_FACTOR = 3;
+/** Largest share of the expected time that a cached prefix is worth. */
+const AFFINITY_SHARE = 0.15;
+const MAX_AFFINITY_MS = 500;
+const MAX_PREFIXES = 10_000;
+
+export class Placement {
+  readonly #options: PlacementOptions;
+  /** Endpoint that last served a prefix, oldest first. */
+  readonly #prefixes = new Map<string, string>();
+
+  constructor(options: PlacementOptions) {
+    this.#options = options;
+  }
+
+  /** The endpoint with the least expected time, or none with a free slot. */
+  choose(
+    state: FleetState,
+    request: PlacementRequest,
+    nowMs: number,
+  ): EndpointView | undefined {
+    const groups = this.#options.endpoints
+      .listGroups(request.target)
+      .filter((group) => !isDataCentreOut(state, group.dataCentre));
+    for (const factor of [1, SECOND_LOOK_FACTOR]) {
+      const best = this.#compare(
+        this.#sample(groups, factor).filter((view) =>
+          this.#isUsable(state, view, request, nowMs),
+        ),
+        request,
+      );
+      if (best !== undefined) {
+        this.#rememberPrefix(request.prefixHash, best.name);
+        return best;
+      }
+    }
+    return undefined;
+  }
+
+  #isUsable(
+    state: FleetState,
+    view: EndpointView,
+    request: PlacementRequest,
+    nowMs: number,
+  ): boolean {
+    return (
+      !view.status.leaving &&
+      view.avoidUntilMs <= nowMs &&
+      !request.tried.has(view.name) &&
+      !isEndpointOut(state, view.name) &&
+      estimateLoad(view) < view.status.limit
+    );
+  }
+
+  #compare(
+    views: readonly EndpointView[],
+    request: PlacementRequest,
+  ): EndpointView | undefined {
+    const { speeds } = this.#options;
+    const preferred = this.#prefixes.get(request.prefixHash ?? "");
+    let best: EndpointView | undefined;
+    let bestMs = Number.POSITIVE_INFINITY;
+    for (const view of views) {
+      const workMs = speeds.expectMs(view, request.target, request.units);
+      // A slot that ends after the deadline is better left to other work.
+      if (workMs > request.remainingMs) continue;
+      const bonusMs =
+        view.name === preferred
+          ? Math.min(MAX_AFFINITY_MS, workMs * AFFINITY_SHARE)
+          : 0;
+      const totalMs = workMs + view.startDelayMs - bonusMs;
+      if (totalMs >= bestMs) continue;
+      best = view;
+      bestMs = totalMs;
+    }
+    return best;
+  }
+
+  #sample(groups: readonly EndpointGroup[], factor: number): EndpointView[] {
+    const total = groups.reduce((sum, g) => sum + g.endpoints.length, 0);
+    if (total <= MAX_COMPARED) return groups.flatMap((g) => g.endpoints);
+    const { dataCentre } = this.#options;
+    const local = groups.find((group) => group.dataCentre === dataCentre);
+    const remote = groups.filter((group) => group !== local);
+    return [
+      ...this.#pick(local === undefined ? [] : [local], LOCAL_SAMPLES * factor),
+      ...this.#pick(remote, REMOTE_SAMPLES * factor),
+    ];
+  }
+
+  /** Draws with replacement, uniform over the endpoints of the groups. */
+  #pick(groups: readonly EndpointGroup[], count: number): EndpointView[] {
+    const total = groups.reduce((sum, g) => sum + g.endpoints.length, 0);
+    const picked: EndpointView[] = [];
+    for (let i = 0; i < Math.min(count, total); i++) {
+      let position = Math.floor(this.#options.random() * total);
+      for (const { endpoints } of groups) {
+        const view = endpoints[position];
+        if (view !== undefined) {
+          picked.push(view);
+          break;
+        }
+        position -= endpoints.length;
+      }
+    }
+    return picked;
+  }
+
+  #rememberPrefix(prefixHash: string | undefined, endpoint: string): void {
+    if (prefixHash === undefined) return;
+    this.#prefixes.delete(prefixHash);
+    this.#prefixes.set(prefixHash, endpoint);
+    if (this.#prefixes.size <= MAX_PREFIXES) return;
+    const oldest = this.#prefixes.keys().next().value;
+    if (oldest !== undefined) this.#prefixes.delete(oldest);
+  }
+}
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -5,20 +5,17 @@
 
 import { match } from "ts-pattern";
 import type { FleetState } from "../schema/index.js";
-import {
-  createTarget,
-  EndpointIndex,
-  type EndpointView,
-  estimateLoad,
-} from "./endpoint_index.js";
+import { createTarget, EndpointIndex, estimateLoad } from "./endpoint_index.js";
 import { createRefusal, type Ran, type Refusal } from "./errors.js";
 import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
+import { createEmptyState } from "./fleet_state.js";
 import {
-  createEmptyState,
-  isDataCentreOut,
-  isEndpointOut,
-} from "./fleet_state.js";
-import { type PendingRequest, PendingRequests } from "./pending.js";
+  type PendingRequest,
+  PendingRequests,
+  type RunningAttempt,
+} from "./pending.js";
+import { Placement } from "./placement.js";
+import { countUnits, LengthEstimates, SpeedEstimates } from "./speeds.js";
 
 export interface RouterOptions {
   /** Uniform in 0..1. */
@@ -32,11 +29,16 @@
 /** Retries that may be saved up for a burst of failures. */
 const MAX_RETRY_TOKENS = 50;
 
+/** Weight of the newest observation of the time from dispatch to start. */
+const START_DELAY_WEIGHT = 0.1;
+
 type EventOf<T extends RouterEvent["type"]> = Extract<RouterEvent, { type: T }>;
 
 export class Router {
-  readonly #options: RouterOptions;
   readonly #endpoints = new EndpointIndex();
+  readonly #speeds = new SpeedEstimates();
+  readonly #lengths = new LengthEstimates();
+  readonly #placement: Placement;
   readonly #pending = new PendingRequests();
   #state: FleetState = createEmptyState();
   #retryTokens = MAX_RETRY_TOKENS;
@@ -44,7 +46,12 @@
   #nowMs = 0;
 
   constructor(options: RouterOptions) {
-    this.#options = options;
+    this.#placement = new Placement({
+      random: options.random,
+      dataCentre: options.dataCentre ?? "",
+      endpoints: this.#endpoints,
+      speeds: this.#speeds,
+    });
   }
 
   /** Applies one event; `nowMs` is monotonic. */
@@ -118,7 +125,18 @@
       request.kind === "service"
         ? createTarget("service", request.service)
         : createTarget("model", version);
-    const endpoint = this.#chooseEndpoint(target, pending.tried);
+    const remainingMs = Math.max(0, request.deadlineAtMs - this.#nowMs);
+    const endpoint = this.#placement.choose(
+      this.#state,
+      {
+        target,
+        units: this.#estimateUnits(request),
+        remainingMs,
+        tried: pending.tried,
+        prefixHash: request.prefixHash,
+      },
+      this.#nowMs,
+    );
     if (endpoint === undefined) {
       const detail = `no endpoint is free for "${target}"`;
       this.#refuse(pending, createRefusal("no-endpoint", detail));
@@ -131,7 +149,8 @@
       version,
       sentAtMs: this.#nowMs,
       final: pending.steps.length === 1,
-      started: false,
+      target,
+      load: estimateLoad(endpoint),
     };
     this.#actions.push({
       type: "dispatch",
@@ -139,27 +158,15 @@
       attempt: pending.attempt,
       endpoint: endpoint.name,
       version,
-      remainingMs: Math.max(0, request.deadlineAtMs - this.#nowMs),
+      remainingMs,
       final: pending.running.final,
     });
   }
 
-  #chooseEndpoint(
-    target: string,
-    tried: ReadonlySet<string>,
-  ): EndpointView | undefined {
-    const usable = this.#endpoints
-      .listGroups(target)
-      .filter((group) => !isDataCentreOut(this.#state, group.dataCentre))
-      .flatMap((group) => group.endpoints)
-      .filter((view) => !view.status.leaving && !tried.has(view.name))
-      .filter((view) => !isEndpointOut(this.#state, view.name));
-    const getShare = (view: EndpointView) =>
-      (estimateLoad(view) + 1) / Math.max(1, view.status.limit);
-    const offset = Math.floor(this.#options.random() * usable.length);
-    return [...usable.slice(offset), ...usable.slice(0, offset)].toSorted(
-      (a, b) => getShare(a) - getShare(b),
-    )[0];
+  #estimateUnits(request: RouteRequest): number {
+    if (request.kind === "service") return 1;
+    const { meanLog } = this.#lengths.get(request.requestClass);
+    return countUnits(request.promptTokens, Math.exp(meanLog));
   }
 
   /** Ends the running attempt; undefined when the event is about another. */
@@ -178,8 +185,31 @@
 
   #markStarted(event: EventOf<"started">): void {
     const pending = this.#pending.find(event.requestId);
-    if (pending?.running === undefined) return;
-    if (pending.attempt === event.attempt) pending.running.started = true;
+    const running = pending?.running;
+    if (running === undefined || pending?.attempt !== event.attempt) return;
+    running.startedAtMs = this.#nowMs;
+    const endpoint = this.#endpoints.find(running.endpoint);
+    if (endpoint === undefined) return;
+    const delayMs = this.#nowMs - running.sentAtMs;
+    const change = START_DELAY_WEIGHT * (delayMs - endpoint.startDelayMs);
+    endpoint.startDelayMs += change;
+  }
+
+  #observeSpeed(
+    request: RouteRequest,
+    running: RunningAttempt,
+    event: EventOf<"completed">,
+  ): void {
+    const endpoint = this.#endpoints.find(running.endpoint);
+    if (endpoint === undefined) return;
+    const isModel = request.kind === "model";
+    if (isModel)
+      this.#lengths.observe(request.requestClass, event.outputTokens);
+    this.#speeds.observe(endpoint, running.target, {
+      units: isModel ? countUnits(event.promptTokens, event.outputTokens) : 1,
+      ms: this.#nowMs - (running.startedAtMs ?? running.sentAtMs),
+      load: (running.load + estimateLoad(endpoint) + 1) / 2,
+    });
   }
 
   #complete(event: EventOf<"completed">): void {
@@ -187,6 +217,7 @@
     if (ended === undefined) return;
     const { pending, running } = ended;
     pending.mayHaveRun = true;
+    this.#observeSpeed(pending.request, running, event);
     if (running.final) {
       this.#answer(pending);
       return;
