Admit, queue and retry by priority, deadline and fair share

Requests without a free slot wait in the entry by priority, account weight and deadline; those whose predicted wait leaves no time are refused at once with a computed Retry-After.

--- a/src/core/endpoint_index.ts
+++ b/src/core/endpoint_index.ts
@@ -29,7 +29,8 @@
   return `${kind}/${name}`;
 }
 
-function listTargets(status: EndpointStatus): string[] {
+/** What the endpoint serves. */
+export function listTargets(status: EndpointStatus): string[] {
   return [
     ...status.versions.map((name) => createTarget("model", name)),
     ...status.services.map((name) => createTarget("service", name)),
--- a/src/core/pending.ts
+++ b/src/core/pending.ts
@@ -19,8 +19,16 @@
   readonly submittedAtMs: number;
   /** Number of the latest attempt; 0 before the first. */
   attempt: number;
-  /** Versions still to try: cascade steps in order; the last one is final. */
+  /** Versions still to try: cascade steps in order; "" for a service. */
   steps: string[];
+  /** True when the judge also rates the last step. */
+  judgeLast: boolean;
+  /** Attempts of the current step. */
+  stepAttempts: number;
+  /** Work of the request, known once a step is done. */
+  knownUnits?: number;
+  /** Target whose queue holds the request. */
+  waitingFor?: string;
   running?: RunningAttempt;
   /** Version whose output waits for the judge. */
   judging?: string;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -14,6 +14,8 @@
   readonly target: string;
   /** Expected work, see `countUnits`. */
   readonly units: number;
+  /** Work at which ending in time still counts as likely enough. */
+  readonly leastUnits: number;
   readonly remainingMs: number;
   readonly tried: ReadonlySet<string>;
   readonly prefixHash?: string;
@@ -57,8 +59,11 @@
       .filter((group) => !isDataCentreOut(state, group.dataCentre));
     for (const factor of [1, SECOND_LOOK_FACTOR]) {
       const best = this.#compare(
-        this.#sample(groups, factor).filter((view) =>
-          this.#isUsable(state, view, request, nowMs),
+        this.#sample(groups, factor).filter(
+          (view) =>
+            isPermitted(state, view, request) &&
+            view.avoidUntilMs <= nowMs &&
+            estimateLoad(view) < view.status.limit,
         ),
         request,
       );
@@ -70,19 +75,19 @@
     return undefined;
   }
 
-  #isUsable(
-    state: FleetState,
-    view: EndpointView,
-    request: PlacementRequest,
-    nowMs: number,
-  ): boolean {
-    return (
-      !view.status.leaving &&
-      view.avoidUntilMs <= nowMs &&
-      !request.tried.has(view.name) &&
-      !isEndpointOut(state, view.name) &&
-      estimateLoad(view) < view.status.limit
-    );
+  /** Least time of the work on any sampled endpoint, free or not. */
+  estimateLeastMs(state: FleetState, request: PlacementRequest): number {
+    const { endpoints, speeds } = this.#options;
+    const groups = endpoints
+      .listGroups(request.target)
+      .filter((group) => !isDataCentreOut(state, group.dataCentre));
+    let leastMs = Number.POSITIVE_INFINITY;
+    for (const view of this.#sample(groups, 1)) {
+      if (!isPermitted(state, view, request)) continue;
+      const ms = speeds.expectMs(view, request.target, request.leastUnits);
+      leastMs = Math.min(leastMs, ms);
+    }
+    return leastMs;
   }
 
   #compare(
@@ -96,7 +101,8 @@
     for (const view of views) {
       const workMs = speeds.expectMs(view, request.target, request.units);
       // A slot that ends after the deadline is better left to other work.
-      if (workMs > request.remainingMs) continue;
+      const leastMs = (workMs * request.leastUnits) / request.units;
+      if (leastMs > request.remainingMs) continue;
       const bonusMs =
         view.name === preferred
           ? Math.min(MAX_AFFINITY_MS, workMs * AFFINITY_SHARE)
@@ -148,3 +154,15 @@
     if (oldest !== undefined) this.#prefixes.delete(oldest);
   }
 }
+
+function isPermitted(
+  state: FleetState,
+  view: EndpointView,
+  request: PlacementRequest,
+): boolean {
+  return (
+    !view.status.leaving &&
+    !request.tried.has(view.name) &&
+    !isEndpointOut(state, view.name)
+  );
+}
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -5,17 +5,12 @@
 
 import { match } from "ts-pattern";
 import type { FleetState } from "../schema/index.js";
-import { createTarget, EndpointIndex, estimateLoad } from "./endpoint_index.js";
+import { Dispatcher, type EndedWork } from "./dispatcher.js";
 import { createRefusal, type Ran, type Refusal } from "./errors.js";
 import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
 import { createEmptyState } from "./fleet_state.js";
-import {
-  type PendingRequest,
-  PendingRequests,
-  type RunningAttempt,
-} from "./pending.js";
-import { Placement } from "./placement.js";
-import { countUnits, LengthEstimates, SpeedEstimates } from "./speeds.js";
+import { type PendingRequest, PendingRequests } from "./pending.js";
+import { RetryBudget } from "./retries.js";
 
 export interface RouterOptions {
   /** Uniform in 0..1. */
@@ -24,33 +19,23 @@
   dataCentre?: string;
 }
 
-/** Retries as a share of submitted requests. */
-const RETRY_SHARE = 0.1;
-/** Retries that may be saved up for a burst of failures. */
-const MAX_RETRY_TOKENS = 50;
-
-/** Weight of the newest observation of the time from dispatch to start. */
-const START_DELAY_WEIGHT = 0.1;
-
 type EventOf<T extends RouterEvent["type"]> = Extract<RouterEvent, { type: T }>;
+type AttemptEnd = "completed" | "refused" | "failed";
 
 export class Router {
-  readonly #endpoints = new EndpointIndex();
-  readonly #speeds = new SpeedEstimates();
-  readonly #lengths = new LengthEstimates();
-  readonly #placement: Placement;
+  readonly #dispatcher: Dispatcher;
   readonly #pending = new PendingRequests();
+  readonly #retries = new RetryBudget();
   #state: FleetState = createEmptyState();
-  #retryTokens = MAX_RETRY_TOKENS;
   #actions: RouterAction[] = [];
   #nowMs = 0;
 
   constructor(options: RouterOptions) {
-    this.#placement = new Placement({
+    this.#dispatcher = new Dispatcher({
       random: options.random,
       dataCentre: options.dataCentre ?? "",
-      endpoints: this.#endpoints,
-      speeds: this.#speeds,
+      refuse: (pending, refusal) => this.#refuse(pending, refusal),
+      act: (action) => this.#actions.push(action),
     });
   }
 
@@ -67,35 +52,40 @@
       .with({ type: "failed" }, (e) => this.#retryFailed(e))
       .with({ type: "judged" }, (e) => this.#applyVerdict(e))
       .with({ type: "rated" }, () => {})
-      .with({ type: "endpoint-status" }, (e) => {
-        this.#endpoints.update(e.status);
-      })
-      .with({ type: "endpoint-gone" }, (e) => {
-        this.#endpoints.remove(e.endpoint);
-      })
-      .with({ type: "state" }, (e) => {
-        this.#state = e.state;
-      })
+      .with({ type: "endpoint-status" }, (e) =>
+        this.#dispatcher.updateEndpoint(e.status, nowMs),
+      )
+      .with({ type: "endpoint-gone" }, (e) =>
+        this.#dispatcher.removeEndpoint(e.endpoint),
+      )
+      .with({ type: "state" }, (e) => this.#setState(e.state))
       .with({ type: "tick" }, () => this.#expire())
       .exhaustive();
     return this.#actions;
   }
 
+  #setState(state: FleetState): void {
+    this.#state = state;
+    this.#dispatcher.setState(state);
+  }
+
   #submit(request: RouteRequest): void {
-    this.#retryTokens = Math.min(
-      MAX_RETRY_TOKENS,
-      this.#retryTokens + RETRY_SHARE,
-    );
+    this.#retries.earn();
     const pending: PendingRequest = {
       request,
       submittedAtMs: this.#nowMs,
       attempt: 0,
+      stepAttempts: 0,
       steps: this.#planSteps(request),
+      judgeLast: false,
       tried: new Set(),
       mayHaveRun: false,
     };
     this.#pending.add(pending);
-    this.#dispatch(pending);
+    if (pending.steps.length === 0) {
+      const detail = `no version is open to class "${request.requestClass}"`;
+      this.#refuse(pending, createRefusal("no-endpoint", detail));
+    } else this.#dispatcher.submit(pending, this.#nowMs);
   }
 
   #planSteps(request: RouteRequest): string[] {
@@ -114,118 +104,39 @@
     return this.#state.versions[version]?.costPerKiloToken ?? 0;
   }
 
-  #dispatch(pending: PendingRequest): void {
-    const { request } = pending;
-    const [version] = pending.steps;
-    if (version === undefined) {
-      this.#refuse(pending, createRefusal("no-endpoint", "no version is free"));
-      return;
-    }
-    const target =
-      request.kind === "service"
-        ? createTarget("service", request.service)
-        : createTarget("model", version);
-    const remainingMs = Math.max(0, request.deadlineAtMs - this.#nowMs);
-    const endpoint = this.#placement.choose(
-      this.#state,
-      {
-        target,
-        units: this.#estimateUnits(request),
-        remainingMs,
-        tried: pending.tried,
-        prefixHash: request.prefixHash,
-      },
-      this.#nowMs,
-    );
-    if (endpoint === undefined) {
-      const detail = `no endpoint is free for "${target}"`;
-      this.#refuse(pending, createRefusal("no-endpoint", detail));
-      return;
-    }
-    endpoint.ownInFlight++;
-    pending.attempt++;
-    pending.running = {
-      endpoint: endpoint.name,
-      version,
-      sentAtMs: this.#nowMs,
-      final: pending.steps.length === 1,
-      target,
-      load: estimateLoad(endpoint),
-    };
-    this.#actions.push({
-      type: "dispatch",
-      requestId: request.id,
-      attempt: pending.attempt,
-      endpoint: endpoint.name,
-      version,
-      remainingMs,
-      final: pending.running.final,
-    });
-  }
-
-  #estimateUnits(request: RouteRequest): number {
-    if (request.kind === "service") return 1;
-    const { meanLog } = this.#lengths.get(request.requestClass);
-    return countUnits(request.promptTokens, Math.exp(meanLog));
-  }
-
   /** Ends the running attempt; undefined when the event is about another. */
-  #endAttempt(requestId: string, attempt: number) {
-    const pending = this.#pending.find(requestId);
-    const running = pending?.running;
-    if (pending === undefined || running === undefined) return undefined;
-    if (pending.attempt !== attempt) return undefined;
-    const endpoint = this.#endpoints.find(running.endpoint);
-    if (endpoint !== undefined) {
-      endpoint.ownInFlight = Math.max(0, endpoint.ownInFlight - 1);
-    }
-    pending.running = undefined;
-    return { pending, running };
+  #endAttempt(
+    event: { requestId: string; attempt: number },
+    how: AttemptEnd,
+    work?: EndedWork,
+  ) {
+    const pending = this.#pending.find(event.requestId);
+    if (pending?.attempt !== event.attempt) return undefined;
+    const nowMs = this.#nowMs;
+    const running = this.#dispatcher.endAttempt(pending, how, { nowMs, work });
+    return running && { pending, running };
   }
 
   #markStarted(event: EventOf<"started">): void {
     const pending = this.#pending.find(event.requestId);
-    const running = pending?.running;
-    if (running === undefined || pending?.attempt !== event.attempt) return;
-    running.startedAtMs = this.#nowMs;
-    const endpoint = this.#endpoints.find(running.endpoint);
-    if (endpoint === undefined) return;
-    const delayMs = this.#nowMs - running.sentAtMs;
-    const change = START_DELAY_WEIGHT * (delayMs - endpoint.startDelayMs);
-    endpoint.startDelayMs += change;
-  }
-
-  #observeSpeed(
-    request: RouteRequest,
-    running: RunningAttempt,
-    event: EventOf<"completed">,
-  ): void {
-    const endpoint = this.#endpoints.find(running.endpoint);
-    if (endpoint === undefined) return;
-    const isModel = request.kind === "model";
-    if (isModel)
-      this.#lengths.observe(request.requestClass, event.outputTokens);
-    this.#speeds.observe(endpoint, running.target, {
-      units: isModel ? countUnits(event.promptTokens, event.outputTokens) : 1,
-      ms: this.#nowMs - (running.startedAtMs ?? running.sentAtMs),
-      load: (running.load + estimateLoad(endpoint) + 1) / 2,
-    });
+    if (pending?.running === undefined) return;
+    if (pending.attempt !== event.attempt) return;
+    this.#dispatcher.markStarted(pending.running, this.#nowMs);
   }
 
   #complete(event: EventOf<"completed">): void {
-    const ended = this.#endAttempt(event.requestId, event.attempt);
+    const ended = this.#endAttempt(event, "completed", event);
     if (ended === undefined) return;
     const { pending, running } = ended;
     pending.mayHaveRun = true;
-    this.#observeSpeed(pending.request, running, event);
-    if (running.final) {
-      this.#answer(pending);
-      return;
+    if (running.final) this.#answer(pending);
+    else {
+      pending.judging = running.version;
+      const { requestId, attempt } = event;
+      const { version } = running;
+      this.#actions.push({ type: "judge", requestId, attempt, version });
     }
-    pending.judging = running.version;
-    const { requestId, attempt } = event;
-    const { version } = running;
-    this.#actions.push({ type: "judge", requestId, attempt, version });
+    this.#dispatcher.drainEndpoint(running.endpoint, this.#nowMs);
   }
 
   #applyVerdict(event: EventOf<"judged">): void {
@@ -239,42 +150,34 @@
       return;
     }
     pending.tried.clear();
-    this.#dispatch(pending);
+    pending.stepAttempts = 0;
+    this.#dispatcher.submit(pending, this.#nowMs);
   }
 
   #retryRefused(event: EventOf<"refused">): void {
-    const ended = this.#endAttempt(event.requestId, event.attempt);
+    const ended = this.#endAttempt(event, "refused");
     if (ended === undefined) return;
-    this.#retry(ended.pending, ended.running.endpoint, event.refusal, "no");
+    this.#retry(ended.pending, event.refusal, { ran: "no", delivered: false });
   }
 
   #retryFailed(event: EventOf<"failed">): void {
-    const ended = this.#endAttempt(event.requestId, event.attempt);
+    const ended = this.#endAttempt(event, "failed");
     if (ended === undefined) return;
-    const { pending, running } = ended;
-    if (event.ran !== "no") pending.mayHaveRun = true;
-    if (event.delivered) {
-      this.#refuse(pending, event.refusal);
-      return;
-    }
-    this.#retry(pending, running.endpoint, event.refusal, event.ran);
+    if (event.ran !== "no") ended.pending.mayHaveRun = true;
+    this.#retry(ended.pending, event.refusal, event);
   }
 
-  /** A non-idempotent call is sent again only when it surely did not run. */
   #retry(
     pending: PendingRequest,
-    endpoint: string,
     refusal: Refusal,
-    ran: Ran,
+    how: { ran: Ran; delivered: boolean },
   ): void {
-    pending.tried.add(endpoint);
-    const harmless = ran === "no" || pending.request.idempotent;
-    if (!harmless || this.#retryTokens < 1) {
-      this.#refuse(pending, refusal);
-      return;
-    }
-    this.#retryTokens--;
-    this.#dispatch(pending);
+    const { idempotent } = pending.request;
+    const { stepAttempts } = pending;
+    const { ran, delivered } = how;
+    if (this.#retries.spend({ idempotent, ran, delivered, stepAttempts })) {
+      this.#dispatcher.submit(pending, this.#nowMs);
+    } else this.#refuse(pending, refusal);
   }
 
   #answer(pending: PendingRequest): void {
@@ -294,30 +197,34 @@
     });
   }
 
-  #cancelRunning(pending: PendingRequest): void {
-    const running = pending.running;
+  #cancel(pending: PendingRequest): void {
+    this.#dispatcher.forget(pending);
+    const nowMs = this.#nowMs;
+    const running = this.#dispatcher.endAttempt(pending, "cancelled", {
+      nowMs,
+    });
     if (running === undefined) return;
     pending.mayHaveRun = true;
-    this.#endAttempt(pending.request.id, pending.attempt);
     this.#actions.push({
       type: "cancel-attempt",
       requestId: pending.request.id,
       attempt: pending.attempt,
       endpoint: running.endpoint,
     });
+    this.#dispatcher.drainEndpoint(running.endpoint, nowMs);
   }
 
   #abandon(requestId: string): void {
     const pending = this.#pending.find(requestId);
     if (pending === undefined) return;
-    this.#cancelRunning(pending);
     this.#pending.remove(pending);
+    this.#cancel(pending);
   }
 
   #expire(): void {
     for (const pending of this.#pending.listExpired(this.#nowMs)) {
       const ran = pending.running !== undefined;
-      this.#cancelRunning(pending);
+      this.#cancel(pending);
       const code =
         ran && !pending.request.idempotent
           ? "outcome-unknown"
@@ -325,5 +232,6 @@
       const detail = `deadline passed after attempt ${pending.attempt}`;
       this.#refuse(pending, createRefusal(code, detail));
     }
+    this.#dispatcher.tick(this.#nowMs);
   }
 }
