--- a/src/bench/router_driver.ts
+++ b/src/bench/router_driver.ts
@@ -38,6 +38,7 @@
     this.#router = new Router({
       random: createRandom(seed + 2_000_003),
       dataCentre: ENTRY_DATA_CENTRE,
+      judgeCostPerCall: assumptions.judge.costPerCall,
     });
     this.#state = createFleetState(assumptions);
   }
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -90,6 +90,12 @@
     return (ahead + 1) * lane.intervalMs;
   }
 
+  /** Wait of a request behind all that wait for the target. */
+  predictMeanWaitMs(target: string): number {
+    const lane = this.#lanes.get(target);
+    return lane === undefined ? 0 : (lane.size + 1) * lane.intervalMs;
+  }
+
   add(target: string, pending: PendingRequest): void {
     let lane = this.#lanes.get(target);
     if (lane === undefined) {
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointStatus, FleetState } from "../schema/index.js";
 import { AdmissionQueue, PRIORITY_RANKS } from "./admission.js";
+import type { VersionPace } from "./chooser.js";
 import {
   createTarget,
   EndpointIndex,
@@ -129,7 +130,7 @@
     if (work !== undefined) {
       const isModel = request.kind === "model";
       if (isModel) {
-        this.lengths.observe(request.requestClass, work.outputTokens);
+        this.lengths.observe(request.requestClass, work);
         pending.knownUnits = countUnits(work.promptTokens, work.outputTokens);
       }
       this.speeds.observe(endpoint, running.target, {
@@ -155,6 +156,21 @@
     this.#drain(targets, nowMs);
   }
 
+  /** Speed of a version for the next request. */
+  getPace(version: string): VersionPace {
+    const target = createTarget("model", version);
+    const pace = this.#placement.estimatePace(this.#state, target);
+    const waitMs = this.#queue.predictMeanWaitMs(target);
+    return { unitMs: pace, waitMs };
+  }
+
+  /** False when the current step can't end in time on any endpoint. */
+  canEnd(pending: PendingRequest, nowMs: number): boolean {
+    const waitMs = this.#queue.predictWaitMs(getTarget(pending), pending);
+    const workMs = this.#estimateLeastMs(pending);
+    return waitMs + workMs <= pending.request.deadlineAtMs - nowMs;
+  }
+
   countUnits(pending: PendingRequest): { units: number; leastUnits: number } {
     const { request, knownUnits } = pending;
     if (request.kind === "service") return { units: 1, leastUnits: 1 };
--- a/src/core/pending.ts
+++ b/src/core/pending.ts
@@ -21,6 +21,8 @@
   attempt: number;
   /** Versions still to try: cascade steps in order; "" for a service. */
   steps: string[];
+  /** Version whose answer the judge rejected in an earlier step. */
+  rejectedVersion?: string;
   /** True when the judge also rates the last step. */
   judgeLast: boolean;
   /** Attempts of the current step. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -38,6 +38,7 @@
 const AFFINITY_SHARE = 0.15;
 const MAX_AFFINITY_MS = 500;
 const MAX_PREFIXES = 10_000;
+const NONE_TRIED: ReadonlySet<string> = new Set();
 
 export class Placement {
   readonly #options: PlacementOptions;
@@ -90,6 +91,28 @@
     return leastMs;
   }
 
+  /**
+   * Time per unit of work on the fastest sampled endpoint with a free slot, or
+   * on the fastest at all when none is free.
+   */
+  estimatePace(state: FleetState, target: string): number {
+    const { endpoints, speeds } = this.#options;
+    const groups = endpoints
+      .listGroups(target)
+      .filter((group) => !isDataCentreOut(state, group.dataCentre));
+    const request = { target, tried: NONE_TRIED };
+    let freeMs = Number.POSITIVE_INFINITY;
+    let leastMs = Number.POSITIVE_INFINITY;
+    for (const view of this.#sample(groups, 1)) {
+      if (!isPermitted(state, view, request)) continue;
+      const ms = speeds.expectMs(view, target, 1);
+      leastMs = Math.min(leastMs, ms);
+      if (estimateLoad(view) >= view.status.limit) continue;
+      freeMs = Math.min(freeMs, ms);
+    }
+    return freeMs < Number.POSITIVE_INFINITY ? freeMs : leastMs;
+  }
+
   #compare(
     views: readonly EndpointView[],
     request: PlacementRequest,
@@ -158,7 +181,7 @@
 function isPermitted(
   state: FleetState,
   view: EndpointView,
-  request: PlacementRequest,
+  request: { tried: ReadonlySet<string> },
 ): boolean {
   return (
     !view.status.leaving &&
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -5,8 +5,14 @@
 
 import { match } from "ts-pattern";
 import type { FleetState } from "../schema/index.js";
+import { Chooser } from "./chooser.js";
 import { Dispatcher, type EndedWork } from "./dispatcher.js";
 import { createRefusal, type Ran, type Refusal } from "./errors.js";
+import {
+  type AnswerRole,
+  computeEscalatedQuality,
+  QualityEstimates,
+} from "./estimates.js";
 import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
 import { createEmptyState } from "./fleet_state.js";
 import { type PendingRequest, PendingRequests } from "./pending.js";
@@ -17,8 +23,13 @@
   random: () => number;
   /** Data centre of this entry, preferred for endpoints. */
   dataCentre?: string;
+  /** Price of one judge call, in the unit of `costPerKiloToken`. */
+  judgeCostPerCall?: number;
 }
 
+/** Requests between two updates of the judge's estimated chances. */
+const JUDGE_UPDATE_REQUESTS = 200;
+
 type EventOf<T extends RouterEvent["type"]> = Extract<RouterEvent, { type: T }>;
 type AttemptEnd = "completed" | "refused" | "failed";
 
@@ -26,9 +37,12 @@
   readonly #dispatcher: Dispatcher;
   readonly #pending = new PendingRequests();
   readonly #retries = new RetryBudget();
+  readonly #quality = new QualityEstimates();
+  readonly #chooser: Chooser;
   #state: FleetState = createEmptyState();
   #actions: RouterAction[] = [];
   #nowMs = 0;
+  #submitted = 0;
 
   constructor(options: RouterOptions) {
     this.#dispatcher = new Dispatcher({
@@ -37,6 +51,14 @@
       refuse: (pending, refusal) => this.#refuse(pending, refusal),
       act: (action) => this.#actions.push(action),
     });
+    this.#chooser = new Chooser({
+      random: options.random,
+      quality: this.#quality,
+      getCost: (name) => this.#state.versions[name]?.costPerKiloToken ?? 0,
+      getPace: (name) => this.#dispatcher.getPace(name),
+      getLength: (name) => this.#dispatcher.lengths.get(name),
+      judgeCostPerCall: options.judgeCostPerCall ?? 0,
+    });
   }
 
   /** Applies one event; `nowMs` is monotonic. */
@@ -51,7 +73,9 @@
       .with({ type: "refused" }, (e) => this.#retryRefused(e))
       .with({ type: "failed" }, (e) => this.#retryFailed(e))
       .with({ type: "judged" }, (e) => this.#applyVerdict(e))
-      .with({ type: "rated" }, () => {})
+      .with({ type: "rated" }, (e) =>
+        this.#quality.recordRatings(e.requestClass, e.version, e),
+      )
       .with({ type: "endpoint-status" }, (e) =>
         this.#dispatcher.updateEndpoint(e.status, nowMs),
       )
@@ -67,10 +91,14 @@
   #setState(state: FleetState): void {
     this.#state = state;
     this.#dispatcher.setState(state);
+    this.#chooser.clearPlans();
   }
 
   #submit(request: RouteRequest): void {
     this.#retries.earn();
+    if (++this.#submitted % JUDGE_UPDATE_REQUESTS === 0) {
+      this.#quality.learnJudge();
+    }
     const pending: PendingRequest = {
       request,
       submittedAtMs: this.#nowMs,
@@ -91,17 +119,16 @@
   #planSteps(request: RouteRequest): string[] {
     if (request.kind === "service") return [""];
     if (request.sessionVersion !== undefined) return [request.sessionVersion];
-    const usable = request.candidates.filter(
+    const candidates = request.candidates.filter(
       (name) => this.#state.holds[name] === undefined,
     );
-    const priced = usable.toSorted(
-      (a, b) => this.#getCost(b) - this.#getCost(a),
+    const { requestClass, qualityTarget = 0, deadlineAtMs } = request;
+    const remainingMs = deadlineAtMs - this.#nowMs;
+    const plan = this.#chooser.choose(
+      { requestClass, candidates, qualityTarget, remainingMs },
+      this.#nowMs,
     );
-    return priced.slice(0, 1);
-  }
-
-  #getCost(version: string): number {
-    return this.#state.versions[version]?.costPerKiloToken ?? 0;
+    return [...(plan?.steps ?? [])];
   }
 
   /** Ends the running attempt; undefined when the event is about another. */
@@ -129,8 +156,12 @@
     if (ended === undefined) return;
     const { pending, running } = ended;
     pending.mayHaveRun = true;
-    if (running.final) this.#answer(pending);
-    else {
+    if (running.final) {
+      const isEscalated = pending.rejectedVersion !== undefined;
+      const role = isEscalated ? "escalated" : "single";
+      this.#recordRole(pending, running.version, role);
+      this.#answer(pending);
+    } else {
       pending.judging = running.version;
       const { requestId, attempt } = event;
       const { version } = running;
@@ -143,15 +174,51 @@
     const pending = this.#pending.find(event.requestId);
     if (pending?.judging === undefined) return;
     if (pending.attempt !== event.attempt) return;
+    const { request, judging: version } = pending;
+    const { requestClass } = request;
     pending.judging = undefined;
+    if (event.passed !== undefined) {
+      this.#quality.recordVerdict(requestClass, version, event.passed);
+    }
     pending.steps = pending.steps.slice(1);
     if (event.passed === true || pending.steps.length === 0) {
+      this.#recordRole(pending, version, "passed");
       this.#answer(pending);
       return;
     }
+    pending.rejectedVersion = version;
     pending.tried.clear();
     pending.stepAttempts = 0;
-    this.#dispatcher.submit(pending, this.#nowMs);
+    if (
+      this.#dispatcher.canEnd(pending, this.#nowMs) ||
+      !this.#acceptRejected(pending, version)
+    ) {
+      this.#dispatcher.submit(pending, this.#nowMs);
+    }
+  }
+
+  /** Answers with a rejected output when no better one can be ready in time. */
+  #acceptRejected(pending: PendingRequest, version: string): boolean {
+    const { requestClass, qualityTarget = 0 } = pending.request;
+    const { mean } = this.#quality.estimate(requestClass, version);
+    const judge = this.#quality.judge;
+    const quality = computeEscalatedQuality(mean, mean, judge);
+    if (!this.#chooser.spendCredit(requestClass, qualityTarget - quality)) {
+      return false;
+    }
+    this.#answer(pending);
+    return true;
+  }
+
+  #recordRole(
+    pending: PendingRequest,
+    version: string,
+    role: AnswerRole,
+  ): void {
+    const { kind, requestClass } = pending.request;
+    if (kind === "service") return;
+    const from = pending.rejectedVersion;
+    this.#quality.recordAnswer(requestClass, version, { role, from });
   }
 
   #retryRefused(event: EventOf<"refused">): void {
--- a/src/core/speeds.ts
+++ b/src/core/speeds.ts
@@ -18,6 +18,7 @@
  */
 const DEFAULT_LOG_LENGTH = 0;
 const DEFAULT_LOG_VARIANCE = 0.25;
+const DEFAULT_KILO_TOKENS = 1;
 /** Observations until the smoothed weight applies instead of the plain mean. */
 const SETTLED_COUNT = 1 / SMOOTHING;
 
@@ -41,6 +42,8 @@
 export interface LengthEstimate {
   meanLog: number;
   varianceLog: number;
+  /** Thousands of prompt and output tokens of one step. */
+  meanKiloTokens: number;
   count: number;
 }
 
@@ -53,6 +56,7 @@
       estimate = {
         meanLog: DEFAULT_LOG_LENGTH,
         varianceLog: DEFAULT_LOG_VARIANCE,
+        meanKiloTokens: DEFAULT_KILO_TOKENS,
         count: 0,
       };
       this.#classes.set(requestClass, estimate);
@@ -60,10 +64,16 @@
     return estimate;
   }
 
-  observe(requestClass: string, outputTokens: number): void {
+  observe(
+    requestClass: string,
+    tokens: { promptTokens: number; outputTokens: number },
+  ): void {
+    const { promptTokens, outputTokens } = tokens;
     const estimate = this.get(requestClass);
     const log = Math.log(Math.max(1, outputTokens));
     const weight = 1 / Math.min(++estimate.count, 500);
+    const kiloTokens = (promptTokens + outputTokens) / 1000;
+    estimate.meanKiloTokens += weight * (kiloTokens - estimate.meanKiloTokens);
     const difference = log - estimate.meanLog;
     estimate.meanLog += weight * difference;
     if (estimate.count < 10) return;
