--- a/src/bench/engine.ts
+++ b/src/bench/engine.ts
@@ -158,6 +158,8 @@
     const [head] = this.#prefill;
     if (head !== undefined && head.prefillLeft <= EPSILON) {
       this.#prefill.shift();
+      // A rounding residue would leave the prompt unbilled.
+      head.prefillLeft = 0;
       this.#decode.push(head);
     }
     while (this.running < (gated ? this.limit : spec.slots)) {
