Use quality credit on the plan that saves most for its shortfall

The cheapest plan of all was far below target, so credit rarely paid for it, and lower bounds charged uncertainty to the credit for good.

--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -47,7 +47,7 @@
 }
 
 /** Standard deviations of the estimate below its mean. */
-const BOUND_DEVIATIONS = 1.28;
+const BOUND_DEVIATIONS = 0.5;
 /**
  * Standard deviations by which the share over an hour may fall short by
  * chance; the target is raised by them so that each hour meets it.
@@ -64,6 +64,7 @@
 const EXPLORED_SHARE = 0.1;
 /** Quality above target saved up for cheaper plans, in answers. */
 const MAX_CREDIT = 5;
+const MIN_SHORTFALL = 0.001;
 const MAX_KEPT_PLANS = 1_000;
 
 interface PlanChoice {
@@ -94,6 +95,25 @@
   return approximateNormal((Math.log(units) - length.meanLog) / deviation);
 }
 
+/** The plan below target that saves most for its shortfall. */
+function findShort(
+  plans: readonly Plan[],
+  safe: Plan,
+  raisedTarget: number,
+): Plan | undefined {
+  let short: Plan | undefined;
+  let most = 0;
+  for (const plan of plans) {
+    if (plan.lowerBound >= raisedTarget || plan.score >= safe.score) continue;
+    const shortfall = Math.max(MIN_SHORTFALL, raisedTarget - plan.quality);
+    const saved = (safe.score - plan.score) / shortfall;
+    if (saved <= most) continue;
+    most = saved;
+    short = plan;
+  }
+  return short;
+}
+
 export class Chooser {
   readonly #options: ChooserOptions;
   readonly #plans = new Map<string, PlanChoice>();
@@ -119,8 +139,9 @@
       this.#plans.set(key, choice);
     }
     const plan = this.#pick(choice, account);
-    const surplus = plan.lowerBound - choice.raisedTarget;
-    account.credit = Math.min(MAX_CREDIT, account.credit + surplus);
+    const surplus = plan.quality - choice.raisedTarget;
+    const credit = account.credit + surplus;
+    account.credit = Math.max(-MAX_CREDIT, Math.min(MAX_CREDIT, credit));
     return plan;
   }
 
@@ -140,7 +161,7 @@
       if (plan !== undefined) return plan;
     }
     if (short === undefined) return safe;
-    const shortfall = choice.raisedTarget - short.lowerBound;
+    const shortfall = choice.raisedTarget - short.quality;
     return account.credit >= shortfall ? short : safe;
   }
 
@@ -184,11 +205,7 @@
     }
     safe ??= best;
     if (safe === undefined) return undefined;
-    let short: Plan | undefined;
-    for (const plan of plans) {
-      if (plan.lowerBound >= raisedTarget || plan.score >= safe.score) continue;
-      if (short === undefined || plan.score < short.score) short = plan;
-    }
+    const short = findShort(plans, safe, raisedTarget);
     const explore = plans.filter(
       ({ steps: [first = "", last] }) =>
         last === served.at(-1) &&
