--- a/src/core/pending.ts
+++ b/src/core/pending.ts
@@ -8,7 +8,10 @@
   readonly version: string;
   readonly sentAtMs: number;
   readonly final: boolean;
-  started: boolean;
+  readonly target: string;
+  /** Requests at the endpoint when the attempt was sent, itself included. */
+  readonly load: number;
+  startedAtMs?: number;
 }
 
 export interface PendingRequest {
@@ -16,8 +19,18 @@
   readonly submittedAtMs: number;
   /** Number of the latest attempt; 0 before the first. */
   attempt: number;
-  /** Versions still to try: cascade steps in order; the last one is final. */
+  /** Versions still to try: cascade steps in order; "" for a service. */
   steps: string[];
+  /** Version whose answer the judge rejected in an earlier step. */
+  rejectedVersion?: string;
+  /** True when the judge also rates the last step. */
+  judgeLast: boolean;
+  /** Attempts of the current step. */
+  stepAttempts: number;
+  /** Work of the request, known once a step is done. */
+  knownUnits?: number;
+  /** Target whose queue holds the request. */
+  waitingFor?: string;
   running?: RunningAttempt;
   /** Version whose output waits for the judge. */
   judging?: string;
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -5,46 +5,60 @@
 
 import { match } from "ts-pattern";
 import type { FleetState } from "../schema/index.js";
-import {
-  createTarget,
-  EndpointIndex,
-  type EndpointView,
-  estimateLoad,
-} from "./endpoint_index.js";
+import { Chooser } from "./chooser.js";
+import { Dispatcher, type EndedWork } from "./dispatcher.js";
 import { createRefusal, type Ran, type Refusal } from "./errors.js";
-import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
 import {
-  createEmptyState,
-  isDataCentreOut,
-  isEndpointOut,
-} from "./fleet_state.js";
+  type AnswerRole,
+  computeEscalatedQuality,
+  QualityEstimates,
+} from "./estimates.js";
+import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
+import { createEmptyState } from "./fleet_state.js";
 import { type PendingRequest, PendingRequests } from "./pending.js";
+import { RetryBudget } from "./retries.js";
 
 export interface RouterOptions {
   /** Uniform in 0..1. */
   random: () => number;
   /** Data centre of this entry, preferred for endpoints. */
   dataCentre?: string;
+  /** Price of one judge call, in the unit of `costPerKiloToken`. */
+  judgeCostPerCall?: number;
 }
 
-/** Retries as a share of submitted requests. */
-const RETRY_SHARE = 0.1;
-/** Retries that may be saved up for a burst of failures. */
-const MAX_RETRY_TOKENS = 50;
+/** Requests between two updates of the judge's estimated chances. */
+const JUDGE_UPDATE_REQUESTS = 200;
 
 type EventOf<T extends RouterEvent["type"]> = Extract<RouterEvent, { type: T }>;
+type AttemptEnd = "completed" | "refused" | "failed";
 
 export class Router {
-  readonly #options: RouterOptions;
-  readonly #endpoints = new EndpointIndex();
+  readonly #dispatcher: Dispatcher;
   readonly #pending = new PendingRequests();
+  readonly #retries = new RetryBudget();
+  readonly #quality = new QualityEstimates();
+  readonly #chooser: Chooser;
   #state: FleetState = createEmptyState();
-  #retryTokens = MAX_RETRY_TOKENS;
   #actions: RouterAction[] = [];
   #nowMs = 0;
+  #submitted = 0;
 
   constructor(options: RouterOptions) {
-    this.#options = options;
+    this.#dispatcher = new Dispatcher({
+      random: options.random,
+      dataCentre: options.dataCentre ?? "",
+      refuse: (pending, refusal) => this.#refuse(pending, refusal),
+      act: (action) => this.#actions.push(action),
+    });
+    this.#chooser = new Chooser({
+      random: options.random,
+      quality: this.#quality,
+      getCost: (name) => this.#state.versions[name]?.costPerKiloToken ?? 0,
+      getPace: (name) => this.#dispatcher.getPace(name),
+      getLength: (name) => this.#dispatcher.lengths.get(name),
+      judgeCostPerCall: options.judgeCostPerCall ?? 0,
+    });
   }
 
   /** Applies one event; `nowMs` is monotonic. */
@@ -59,191 +73,178 @@
       .with({ type: "refused" }, (e) => this.#retryRefused(e))
       .with({ type: "failed" }, (e) => this.#retryFailed(e))
       .with({ type: "judged" }, (e) => this.#applyVerdict(e))
-      .with({ type: "rated" }, () => {})
-      .with({ type: "endpoint-status" }, (e) => {
-        this.#endpoints.update(e.status);
-      })
-      .with({ type: "endpoint-gone" }, (e) => {
-        this.#endpoints.remove(e.endpoint);
-      })
-      .with({ type: "state" }, (e) => {
-        this.#state = e.state;
-      })
+      .with({ type: "rated" }, (e) =>
+        this.#quality.recordRatings(e.requestClass, e.version, e),
+      )
+      .with({ type: "endpoint-status" }, (e) =>
+        this.#dispatcher.updateEndpoint(e.status, nowMs),
+      )
+      .with({ type: "endpoint-gone" }, (e) =>
+        this.#dispatcher.removeEndpoint(e.endpoint),
+      )
+      .with({ type: "state" }, (e) => this.#setState(e.state))
       .with({ type: "tick" }, () => this.#expire())
       .exhaustive();
     return this.#actions;
   }
 
+  #setState(state: FleetState): void {
+    this.#state = state;
+    this.#dispatcher.setState(state);
+    this.#chooser.clearPlans();
+  }
+
   #submit(request: RouteRequest): void {
-    this.#retryTokens = Math.min(
-      MAX_RETRY_TOKENS,
-      this.#retryTokens + RETRY_SHARE,
-    );
+    this.#retries.earn();
+    if (++this.#submitted % JUDGE_UPDATE_REQUESTS === 0) {
+      this.#quality.learnJudge();
+    }
     const pending: PendingRequest = {
       request,
       submittedAtMs: this.#nowMs,
       attempt: 0,
+      stepAttempts: 0,
       steps: this.#planSteps(request),
+      judgeLast: false,
       tried: new Set(),
       mayHaveRun: false,
     };
     this.#pending.add(pending);
-    this.#dispatch(pending);
+    if (pending.steps.length === 0) {
+      const detail = `no version is open to class "${request.requestClass}"`;
+      this.#refuse(pending, createRefusal("no-endpoint", detail));
+    } else this.#dispatcher.submit(pending, this.#nowMs);
   }
 
   #planSteps(request: RouteRequest): string[] {
     if (request.kind === "service") return [""];
     if (request.sessionVersion !== undefined) return [request.sessionVersion];
-    const usable = request.candidates.filter(
+    const candidates = request.candidates.filter(
       (name) => this.#state.holds[name] === undefined,
     );
-    const priced = usable.toSorted(
-      (a, b) => this.#getCost(b) - this.#getCost(a),
+    const { requestClass, qualityTarget = 0, deadlineAtMs } = request;
+    const remainingMs = deadlineAtMs - this.#nowMs;
+    const plan = this.#chooser.choose(
+      { requestClass, candidates, qualityTarget, remainingMs },
+      this.#nowMs,
     );
-    return priced.slice(0, 1);
-  }
-
-  #getCost(version: string): number {
-    return this.#state.versions[version]?.costPerKiloToken ?? 0;
-  }
-
-  #dispatch(pending: PendingRequest): void {
-    const { request } = pending;
-    const [version] = pending.steps;
-    if (version === undefined) {
-      this.#refuse(pending, createRefusal("no-endpoint", "no version is free"));
-      return;
-    }
-    const target =
-      request.kind === "service"
-        ? createTarget("service", request.service)
-        : createTarget("model", version);
-    const endpoint = this.#chooseEndpoint(target, pending.tried);
-    if (endpoint === undefined) {
-      const detail = `no endpoint is free for "${target}"`;
-      this.#refuse(pending, createRefusal("no-endpoint", detail));
-      return;
-    }
-    endpoint.ownInFlight++;
-    pending.attempt++;
-    pending.running = {
-      endpoint: endpoint.name,
-      version,
-      sentAtMs: this.#nowMs,
-      final: pending.steps.length === 1,
-      started: false,
-    };
-    this.#actions.push({
-      type: "dispatch",
-      requestId: request.id,
-      attempt: pending.attempt,
-      endpoint: endpoint.name,
-      version,
-      remainingMs: Math.max(0, request.deadlineAtMs - this.#nowMs),
-      final: pending.running.final,
-    });
-  }
-
-  #chooseEndpoint(
-    target: string,
-    tried: ReadonlySet<string>,
-  ): EndpointView | undefined {
-    const usable = this.#endpoints
-      .listGroups(target)
-      .filter((group) => !isDataCentreOut(this.#state, group.dataCentre))
-      .flatMap((group) => group.endpoints)
-      .filter((view) => !view.status.leaving && !tried.has(view.name))
-      .filter((view) => !isEndpointOut(this.#state, view.name));
-    const getShare = (view: EndpointView) =>
-      (estimateLoad(view) + 1) / Math.max(1, view.status.limit);
-    const offset = Math.floor(this.#options.random() * usable.length);
-    return [...usable.slice(offset), ...usable.slice(0, offset)].toSorted(
-      (a, b) => getShare(a) - getShare(b),
-    )[0];
+    return [...(plan?.steps ?? [])];
   }
 
   /** Ends the running attempt; undefined when the event is about another. */
-  #endAttempt(requestId: string, attempt: number) {
-    const pending = this.#pending.find(requestId);
-    const running = pending?.running;
-    if (pending === undefined || running === undefined) return undefined;
-    if (pending.attempt !== attempt) return undefined;
-    const endpoint = this.#endpoints.find(running.endpoint);
-    if (endpoint !== undefined) {
-      endpoint.ownInFlight = Math.max(0, endpoint.ownInFlight - 1);
-    }
-    pending.running = undefined;
-    return { pending, running };
+  #endAttempt(
+    event: { requestId: string; attempt: number },
+    how: AttemptEnd,
+    work?: EndedWork,
+  ) {
+    const pending = this.#pending.find(event.requestId);
+    if (pending?.attempt !== event.attempt) return undefined;
+    const nowMs = this.#nowMs;
+    const running = this.#dispatcher.endAttempt(pending, how, { nowMs, work });
+    return running && { pending, running };
   }
 
   #markStarted(event: EventOf<"started">): void {
     const pending = this.#pending.find(event.requestId);
     if (pending?.running === undefined) return;
-    if (pending.attempt === event.attempt) pending.running.started = true;
+    if (pending.attempt !== event.attempt) return;
+    this.#dispatcher.markStarted(pending.running, this.#nowMs);
   }
 
   #complete(event: EventOf<"completed">): void {
-    const ended = this.#endAttempt(event.requestId, event.attempt);
+    const ended = this.#endAttempt(event, "completed", event);
     if (ended === undefined) return;
     const { pending, running } = ended;
     pending.mayHaveRun = true;
     if (running.final) {
+      const isEscalated = pending.rejectedVersion !== undefined;
+      const role = isEscalated ? "escalated" : "single";
+      this.#recordRole(pending, running.version, role);
       this.#answer(pending);
-      return;
+    } else {
+      pending.judging = running.version;
+      const { requestId, attempt } = event;
+      const { version } = running;
+      this.#actions.push({ type: "judge", requestId, attempt, version });
     }
-    pending.judging = running.version;
-    const { requestId, attempt } = event;
-    const { version } = running;
-    this.#actions.push({ type: "judge", requestId, attempt, version });
+    this.#dispatcher.drainEndpoint(running.endpoint, this.#nowMs);
   }
 
   #applyVerdict(event: EventOf<"judged">): void {
     const pending = this.#pending.find(event.requestId);
     if (pending?.judging === undefined) return;
     if (pending.attempt !== event.attempt) return;
+    const { request, judging: version } = pending;
+    const { requestClass } = request;
     pending.judging = undefined;
+    if (event.passed !== undefined) {
+      this.#quality.recordVerdict(requestClass, version, event.passed);
+    }
     pending.steps = pending.steps.slice(1);
     if (event.passed === true || pending.steps.length === 0) {
+      this.#recordRole(pending, version, "passed");
       this.#answer(pending);
       return;
     }
+    pending.rejectedVersion = version;
     pending.tried.clear();
-    this.#dispatch(pending);
+    pending.stepAttempts = 0;
+    if (
+      this.#dispatcher.canEnd(pending, this.#nowMs) ||
+      !this.#acceptRejected(pending, version)
+    ) {
+      this.#dispatcher.submit(pending, this.#nowMs);
+    }
+  }
+
+  /** Answers with a rejected output when no better one can be ready in time. */
+  #acceptRejected(pending: PendingRequest, version: string): boolean {
+    const { requestClass, qualityTarget = 0 } = pending.request;
+    const { mean } = this.#quality.estimate(requestClass, version);
+    const judge = this.#quality.judge;
+    const quality = computeEscalatedQuality(mean, mean, judge);
+    if (!this.#chooser.spendCredit(requestClass, qualityTarget - quality)) {
+      return false;
+    }
+    this.#answer(pending);
+    return true;
+  }
+
+  #recordRole(
+    pending: PendingRequest,
+    version: string,
+    role: AnswerRole,
+  ): void {
+    const { kind, requestClass } = pending.request;
+    if (kind === "service") return;
+    const from = pending.rejectedVersion;
+    this.#quality.recordAnswer(requestClass, version, { role, from });
   }
 
   #retryRefused(event: EventOf<"refused">): void {
-    const ended = this.#endAttempt(event.requestId, event.attempt);
+    const ended = this.#endAttempt(event, "refused");
     if (ended === undefined) return;
-    this.#retry(ended.pending, ended.running.endpoint, event.refusal, "no");
+    this.#retry(ended.pending, event.refusal, { ran: "no", delivered: false });
   }
 
   #retryFailed(event: EventOf<"failed">): void {
-    const ended = this.#endAttempt(event.requestId, event.attempt);
+    const ended = this.#endAttempt(event, "failed");
     if (ended === undefined) return;
-    const { pending, running } = ended;
-    if (event.ran !== "no") pending.mayHaveRun = true;
-    if (event.delivered) {
-      this.#refuse(pending, event.refusal);
-      return;
-    }
-    this.#retry(pending, running.endpoint, event.refusal, event.ran);
+    if (event.ran !== "no") ended.pending.mayHaveRun = true;
+    this.#retry(ended.pending, event.refusal, event);
   }
 
-  /** A non-idempotent call is sent again only when it surely did not run. */
   #retry(
     pending: PendingRequest,
-    endpoint: string,
     refusal: Refusal,
-    ran: Ran,
+    how: { ran: Ran; delivered: boolean },
   ): void {
-    pending.tried.add(endpoint);
-    const harmless = ran === "no" || pending.request.idempotent;
-    if (!harmless || this.#retryTokens < 1) {
-      this.#refuse(pending, refusal);
-      return;
-    }
-    this.#retryTokens--;
-    this.#dispatch(pending);
+    const { idempotent } = pending.request;
+    const { stepAttempts } = pending;
+    const { ran, delivered } = how;
+    if (this.#retries.spend({ idempotent, ran, delivered, stepAttempts })) {
+      this.#dispatcher.submit(pending, this.#nowMs);
+    } else this.#refuse(pending, refusal);
   }
 
   #answer(pending: PendingRequest): void {
@@ -263,30 +264,34 @@
     });
   }
 
-  #cancelRunning(pending: PendingRequest): void {
-    const running = pending.running;
+  #cancel(pending: PendingRequest): void {
+    this.#dispatcher.forget(pending);
+    const nowMs = this.#nowMs;
+    const running = this.#dispatcher.endAttempt(pending, "cancelled", {
+      nowMs,
+    });
     if (running === undefined) return;
     pending.mayHaveRun = true;
-    this.#endAttempt(pending.request.id, pending.attempt);
     this.#actions.push({
       type: "cancel-attempt",
       requestId: pending.request.id,
       attempt: pending.attempt,
       endpoint: running.endpoint,
     });
+    this.#dispatcher.drainEndpoint(running.endpoint, nowMs);
   }
 
   #abandon(requestId: string): void {
     const pending = this.#pending.find(requestId);
     if (pending === undefined) return;
-    this.#cancelRunning(pending);
     this.#pending.remove(pending);
+    this.#cancel(pending);
   }
 
   #expire(): void {
     for (const pending of this.#pending.listExpired(this.#nowMs)) {
       const ran = pending.running !== undefined;
-      this.#cancelRunning(pending);
+      this.#cancel(pending);
       const code =
         ran && !pending.request.idempotent
           ? "outcome-unknown"
@@ -294,5 +299,6 @@
       const detail = `deadline passed after attempt ${pending.attempt}`;
       this.#refuse(pending, createRefusal(code, detail));
     }
+    this.#dispatcher.tick(this.#nowMs);
   }
 }
