--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -4,10 +4,12 @@
 import { isIPv6 } from "node:net";
 import { performance } from "node:perf_hooks";
 import { Server, ServerCredentials } from "@grpc/grpc-js";
-import { type EngineReport, Gate } from "../core/index.js";
+import { type EngineReport, Gate, TICK_MS } from "../core/index.js";
 import { GateService, type Settings } from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
+import { delay } from "./delay.js";
 import type { RunBackend } from "./endpoint_backend.js";
+import { pollReports, type ReadReport } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
 import { createGateService, type ReceiptHolder } from "./endpoint_service.js";
 import { StatusWatchers } from "./endpoint_status.js";
@@ -16,6 +18,8 @@
   readonly settings: Settings;
   readonly config: ConfigView;
   readonly backend: RunBackend;
+  /** Reads the engine's load report; absent for a plain service. */
+  readonly readReport?: ReadReport;
   readonly receipts: ReceiptHolder;
   readonly log: EndpointLog;
   /** Begins the graceful shutdown. */
@@ -26,6 +30,9 @@
 
 export interface Endpoint {
   readonly port: number;
+  readonly epoch: string;
+  /** Versions that the engine's last report named; `undefined` before it. */
+  listLoaded(): readonly string[] | undefined;
   /** Takes a load report of the engine. */
   applyReport(report: EngineReport): void;
   /** Follows the host list, which may name this host as leaving. */
@@ -36,10 +43,9 @@
   readonly stopped: Promise<void>;
 }
 
-const TICK_MS = 50;
 const DEFAULT_STOP_MS = 30_000;
 const DEFAULT_BODY_BYTES = 1_000_000;
-/** Time that entries have to read the last frames and close their streams. */
+/** Part of the stop time kept for the last frames and closing streams. */
 const CLOSE_MS = 1_000;
 
 function createGate(options: EndpointOptions): Gate {
@@ -71,10 +77,6 @@
   });
 }
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Waits until no work runs, at most until `limitAtMs`. */
 async function waitForWork(gate: Gate, limitAtMs: number): Promise<boolean> {
   while (gate.inFlight > 0 && performance.now() < limitAtMs) {
@@ -85,7 +87,7 @@
 
 function closeServer(server: Server, waitMs: number): Promise<void> {
   return new Promise((resolve) => {
-    const force = setTimeout(() => server.forceShutdown(), waitMs);
+    const force = setTimeout(() => server.forceShutdown(), Math.max(1, waitMs));
     server.tryShutdown(() => {
       clearTimeout(force);
       resolve();
@@ -93,6 +95,25 @@
   });
 }
 
+async function runBeforeClose(
+  options: EndpointOptions,
+  waitMs: number,
+): Promise<void> {
+  if (options.beforeClose === undefined) return;
+  const limit = new AbortController();
+  const timer = setTimeout(() => limit.abort(), Math.max(1, waitMs));
+  const limitReached = new Promise<void>((resolve) => {
+    limit.signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+  try {
+    await Promise.race([options.beforeClose(limit.signal), limitReached]);
+  } catch (error) {
+    options.log.error({ error: `${error}` }, "work before the close failed");
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
 /** Serves until the signal aborts and the running work has ended. */
 export async function startEndpoint(
   options: EndpointOptions,
@@ -110,33 +131,44 @@
   );
   const port = await bindServer(server, settings);
   const ticker = setInterval(() => {
-    runner.handle({ type: "tick" });
+    runner.tick();
     watchers.update(getNowMs());
   }, TICK_MS);
   config.addListener(() => runner.handle({ type: "tick" }), signal);
-  log.info({ endpoint: settings.name, epoch: gate.epoch }, "endpoint serves");
+  const { epoch } = gate.describeStatus();
+  log.info({ endpoint: settings.name, epoch }, "endpoint serves");
 
   async function stop(): Promise<void> {
     const stopMs = settings.limits?.stopMs ?? DEFAULT_STOP_MS;
     const limitAtMs = getNowMs() + stopMs;
     runner.handle({ type: "leaving", reason: "stopping" });
     watchers.update(getNowMs());
-    const hasEnded = await waitForWork(gate, limitAtMs);
-    if (!hasEnded) {
+    const closeMs = Math.min(CLOSE_MS, stopMs / 4);
+    if (!(await waitForWork(gate, limitAtMs - closeMs))) {
       log.warn({ inFlight: gate.inFlight }, "stop time is over, work is cut");
       runner.abortAll();
     }
-    const leftMs = Math.max(1, limitAtMs - getNowMs());
-    const closing = AbortSignal.timeout(Math.ceil(leftMs));
-    await options.beforeClose?.(closing).catch((error: unknown) => {
-      log.error({ error: `${error}` }, "work before the close failed");
-    });
+    await runBeforeClose(options, limitAtMs - getNowMs() - closeMs / 2);
     watchers.close();
-    await closeServer(server, Math.min(CLOSE_MS, leftMs));
+    await closeServer(server, limitAtMs - getNowMs());
     clearInterval(ticker);
+    polling.abort();
     log.info({ endpoint: settings.name }, "endpoint stopped");
   }
 
+  let lastReport: EngineReport | undefined;
+  function applyReport(report: EngineReport): void {
+    lastReport = report;
+    runner.handle({ type: "report", report });
+    watchers.update(getNowMs());
+  }
+
+  const { readReport } = options;
+  const polling = new AbortController();
+  if (readReport !== undefined) {
+    const poll = { readReport, onReport: applyReport, log };
+    void pollReports(poll, polling.signal);
+  }
   const stopped = new Promise<void>((resolve, reject) => {
     const begin = () => stop().then(resolve, reject);
     if (signal.aborted) void begin();
@@ -145,11 +177,17 @@
   return {
     port,
     stopped,
+<<<<<<< HEAD
     isAttached: (process) => watchers.has(process),
     applyReport: (report) => {
       runner.handle({ type: "report", report });
       watchers.update(getNowMs());
     },
+=======
+    epoch,
+    listLoaded: () => lastReport?.versions,
+    applyReport,
+>>>>>>> gate
     setLeaving: (leaving) => {
       if (signal.aborted) return;
       const reason = leaving ? "draining" : undefined;
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -2,9 +2,13 @@
 import { afterEach, describe, it } from "node:test";
 import { credentials } from "@grpc/grpc-js";
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { createEmptyState, type Refusal } from "../core/index.js";
 import {
-  type DispatchRequest,
+  createDispatch,
+  createTestState,
+  ORDER,
+} from "../core/gate_fixtures_test.js";
+import type { Refusal } from "../core/index.js";
+import {
   type EndpointStatus,
   type FleetState,
   type Frame,
@@ -18,6 +22,7 @@
 
 const SILENT_LOG = { info() {}, warn() {}, error() {} };
 
+<<<<<<< HEAD
 function createTestState(): FleetState {
   return {
     ...createEmptyState(),
@@ -85,6 +90,8 @@
   claim: "claims/pumps/k1",
 };
 
+=======
+>>>>>>> gate
 const ANSWER: BackendAnswer = {
   status: 200,
   promptTokens: 7,
