--- /dev/null
+++ b/src/core/freshness_test.ts
@@ -0,0 +1,138 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import {
+  chooseWatchers,
+  Freshness,
+  judgeOutage,
+  NEVER_MS,
+  type Peer,
+  STALL_MS,
+  type WatcherAnswer,
+} from "./freshness.js";
+
+function createEntries(dataCentre: string, count: number): Peer[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `${dataCentre}-${index}`,
+    role: "entry",
+    dataCentre,
+    address: "127.0.0.1",
+    controlPort: 1,
+    leaving: false,
+  }));
+}
+
+function createAnswer(name: string, revision: number): WatcherAnswer {
+  return { name, revision, storeAgeMs: 5_000, watcher: true };
+}
+
+describe("watcher choice", () => {
+  it("gives three per data centre and keeps the others when one leaves, so a replacement does not move the majority", () => {
+    const peers = [...createEntries("dc1", 8), ...createEntries("dc2", 2)];
+    const before = chooseWatchers(peers).map((peer) => peer.name);
+    assert.equal(before.length, 5);
+    const leaver = before[0];
+    const after = chooseWatchers(
+      peers.map((peer) => ({ ...peer, leaving: peer.name === leaver })),
+    ).map((peer) => peer.name);
+    assert.equal(before.filter((name) => after.includes(name)).length, 4);
+  });
+});
+
+describe("evidence of a store outage", () => {
+  it("never counts once more than half of the watchers hold a higher revision, whoever answers", () => {
+    const property = fc.property(
+      fc.integer({ min: 1, max: 19 }),
+      fc.infiniteStream(fc.boolean()),
+      fc.infiniteStream(fc.boolean()),
+      (count, holds, answering) => {
+        const names = Array.from({ length: count }, (_, i) => `w${i}`);
+        const holders = new Set(names.filter(() => holds.next().value));
+        const self = createAnswer("w0", 4);
+        if (holders.has("w0") || holders.size * 2 <= count) return;
+        const answers = names
+          .slice(1)
+          .filter(() => answering.next().value)
+          .map((name) => createAnswer(name, holders.has(name) ? 5 : 4));
+        const question = { self, contactAgeMs: 5_000, answers };
+        assert.equal(judgeOutage({ ...question, quorums: [names] }), false);
+      },
+    );
+    fc.assert(property, { numRuns: 2_000 });
+  });
+
+  const names = ["w0", "w1", "w2", "w3", "w4"];
+  const self = createAnswer("w0", 4);
+  const agreeing = [createAnswer("w1", 4), createAnswer("w2", 3)];
+  const question = { self, contactAgeMs: 5_000, quorums: [names] };
+
+  it("counts with more than half and not with half, so two halves never both serve", () => {
+    assert.ok(judgeOutage({ ...question, answers: agreeing }));
+    const quorums = [[...names, "w5"]];
+    assert.equal(
+      judgeOutage({ ...question, answers: agreeing, quorums }),
+      false,
+    );
+  });
+
+  it("leaves out a watcher that has reached the store since, or not at all since its start", () => {
+    for (const storeAgeMs of [0, NEVER_MS]) {
+      const answers = [
+        agreeing[0] as WatcherAnswer,
+        { ...createAnswer("w2", 4), storeAgeMs },
+      ];
+      assert.equal(judgeOutage({ ...question, answers }), false);
+    }
+  });
+
+  it("needs the majority of the earlier watchers too, so a host list cut in half does not help", () => {
+    const quorums = [["w0", "w5", "w6", "w7", "w8"], ["w0"]];
+    assert.equal(judgeOutage({ ...question, answers: [], quorums }), false);
+  });
+});
+
+describe("freshness", () => {
+  function createFresh(): Freshness {
+    const freshness = new Freshness(8_000);
+    freshness.recordTick(0);
+    freshness.recordHeld(4);
+    return freshness;
+  }
+
+  /** Ticks as a running event loop does. */
+  function runUntil(freshness: Freshness, fromMs: number, toMs: number): void {
+    for (let ms = fromMs; ms <= toMs; ms += 250) freshness.recordTick(ms);
+  }
+
+  it("refuses after the bound, counted from the moment of the question", () => {
+    const freshness = createFresh();
+    assert.equal(freshness.check(0)?.code, "isolated");
+    freshness.confirm({ sentAtMs: 100, ageMs: 50, revision: 4 });
+    runUntil(freshness, 0, 8_000);
+    assert.equal(freshness.check(8_050), undefined);
+    assert.equal(freshness.check(8_051)?.code, "isolated");
+  });
+
+  it("does not trust what it was told before it was stalled", () => {
+    const freshness = createFresh();
+    freshness.confirm({ sentAtMs: 100, ageMs: 0, revision: 4 });
+    assert.equal(freshness.check(100 + STALL_MS)?.code, "isolated");
+    assert.ok(freshness.recordTick(100 + STALL_MS));
+    // An answer that waited in the socket while the process was frozen.
+    freshness.confirm({ sentAtMs: 200, ageMs: 0, revision: 4 });
+    assert.equal(freshness.check(100 + STALL_MS)?.code, "isolated");
+    freshness.confirm({ sentAtMs: 100 + STALL_MS, ageMs: 0, revision: 4 });
+    assert.equal(freshness.check(100 + STALL_MS), undefined);
+  });
+
+  it("does not count as confirmed while the head names a revision that it can't read", () => {
+    const freshness = createFresh();
+    freshness.confirm({ sentAtMs: 10, ageMs: 0, revision: 4 });
+    freshness.recordHead(5);
+    freshness.confirm({ sentAtMs: 20, ageMs: 0, revision: 4 });
+    assert.equal(freshness.check(20)?.code, "isolated");
+    assert.equal(freshness.getAgeMs(20), NEVER_MS);
+    freshness.recordHeld(5);
+    assert.equal(freshness.check(20), undefined);
+  });
+});
--- a/src/roles/config_rounds.ts
+++ b/src/roles/config_rounds.ts
@@ -1,5 +1,6 @@
 /** The rounds in which a process renews its confirmation. */
 
+import { setMaxListeners } from "node:events";
 import {
   chooseWatchers,
   judgeOutage,
@@ -88,6 +89,8 @@
   /** Renews the confirmation until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { getNowMs } = this.#options;
+    // All watchers are asked at once, each call with its own listener.
+    setMaxListeners(0, signal);
     while (!signal.aborted) {
       const startMs = getNowMs();
       if (this.isWatcher) await this.#watch(signal);
@@ -116,7 +119,7 @@
     if (storeWatch === undefined) return;
     const failure = this.#storeFailed
       ? await this.#readDuringOutage(storeWatch, signal)
-      : await storeWatch.watch(signal);
+      : await this.#watchOrRead(storeWatch, signal);
     if (signal.aborted) return;
     if (failure === undefined) {
       if (this.#storeFailed) log("store-reached", {});
@@ -129,6 +132,13 @@
     await this.#seekEvidence(signal);
   }
 
+  /** Reads at once after a start or a stall, when nothing is confirmed. */
+  #watchOrRead(storeWatch: StoreWatch, signal: AbortSignal) {
+    const { holder, getNowMs } = this.#options;
+    const isConfirmed = holder.freshness.getAgeMs(getNowMs()) < NEVER_MS;
+    return isConfirmed ? storeWatch.watch(signal) : storeWatch.read(signal);
+  }
+
   async #readDuringOutage(storeWatch: StoreWatch, signal: AbortSignal) {
     const { getRandom } = this.#options;
     await waitFor(OUTAGE_PAUSE_MS * (0.5 + getRandom()), signal);
--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -3,6 +3,7 @@
  * the other processes ask a watcher of their data centre, then of others.
  */
 
+import { setMaxListeners } from "node:events";
 import { performance } from "node:perf_hooks";
 import type { ObjectStore } from "../adapters/index.js";
 import {
@@ -186,6 +187,7 @@
    */
   async spreadRevision(revision: number, signal: AbortSignal): Promise<Spread> {
     const watchers = this.#rounds.listWatchers();
+    setMaxListeners(0, signal);
     const question = { immediate: true, timeoutMs: SPREAD_TIMEOUT_MS, signal };
     const names = await Promise.all(
       watchers.map(async (peer) => {
