--- a/src/core/gate_fixtures_test.ts
+++ b/src/core/gate_fixtures_test.ts
@@ -74,6 +74,8 @@
     epoch: "",
     claim: "",
     session: "",
+    contentType: "application/json",
+    idempotencyKey: "",
     ...fields,
   };
 }
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -3,6 +3,7 @@
  * centre taken out and brought back, and a graceful stop. Prints a table.
  */
 
+import { setMaxListeners } from "node:events";
 import { mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -74,6 +75,7 @@
   readonly #rows: DemoRow[] = [];
   readonly #problems: string[] = [];
   #orders = 0;
+  #warmUps = 0;
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
@@ -137,10 +139,14 @@
     }
   }
 
-  /** Waits until every endpoint carries its full load at every entry. */
+  /**
+   * Waits until every entry sees every endpoint out of its cold start, which
+   * takes some traffic: the ramp rises on evidence of normal service.
+   */
   async #waitUntilReady(): Promise<void> {
     const limitMs = performance.now() + READY_TIMEOUT_MS;
     while (performance.now() < limitMs) {
+      await this.#warmUp();
       const reports = await Promise.all(
         ENTRIES.map(({ name }) => this.#readStatus(name)),
       );
@@ -155,6 +161,17 @@
     this.#check(false, "endpoints were not ready in time");
   }
 
+  async #warmUp(): Promise<void> {
+    const calls = WORKLOADS.flatMap((workload) =>
+      workload.kinds
+        .filter((kind) => kind.idempotent)
+        .map((kind, index) => this.#send(workload, kind, index)),
+    );
+    this.#warmUps += calls.length;
+    const outcomes = await Promise.all(calls);
+    this.#warmUps -= outcomes.filter((o) => o.kind !== "answered").length;
+  }
+
   async #readStatus(entry: string) {
     const { operatorPort: port } = this.#fleet.getMember(entry);
     const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` };
@@ -308,7 +325,7 @@
       if (key.startsWith("claims/")) ids.push(key);
     }
     const sent = this.#rows.reduce((sum, row) => sum + row[1], 0);
-    const extra = 1 + ENTRIES.length * 2;
+    const extra = 1 + ENTRIES.length * 2 + this.#warmUps;
     this.#check(
       ids.length === sent + extra && new Set(ids).size === ids.length,
       `${ids.length} bills for ${sent + extra} requests`,
@@ -355,6 +372,8 @@
 
 const folder = mkdtempSync(join(tmpdir(), "hornbeamrill-demo-"));
 const lifetime = new AbortController();
+// Every process and link of the fleet listens to it.
+setMaxListeners(0, lifetime.signal);
 const fleet = new Fleet(
   {
     entries: ENTRIES,
--- a/src/roles/config_sync_test.ts
+++ b/src/roles/config_sync_test.ts
@@ -9,7 +9,7 @@
 import { ConfigHolder } from "./config_holder.js";
 import { PeerClients } from "./config_peers.js";
 import { ConfigSync } from "./config_sync.js";
-import { FakeStore } from "./fake_store_test.js";
+import { FakeStore } from "./fake_config_store_test.js";
 import { HEAD_KEY, type Head } from "./revision_store.js";
 import { TicketService } from "./ticket_service.js";
 
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -177,17 +177,10 @@
   return {
     port,
     stopped,
-<<<<<<< HEAD
     isAttached: (process) => watchers.has(process),
-    applyReport: (report) => {
-      runner.handle({ type: "report", report });
-      watchers.update(getNowMs());
-    },
-=======
     epoch,
     listLoaded: () => lastReport?.versions,
     applyReport,
->>>>>>> gate
     setLeaving: (leaving) => {
       if (signal.aborted) return;
       const reason = leaving ? "draining" : undefined;
--- a/src/roles/endpoint_role.ts
+++ b/src/roles/endpoint_role.ts
@@ -1,6 +1,8 @@
 /** The endpoint role: joins the gate to its engine or plain service. */
 
 import { randomUUID } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
 import {
   createHttpEngine,
   createHttpHostList,
@@ -17,7 +19,9 @@
 import { ConfigSync } from "./config_sync.js";
 import { type Endpoint, startEndpoint } from "./endpoint.js";
 import type { BackendFailure, RunBackend } from "./endpoint_backend.js";
+import { type LoadOrder, runEngineOrders } from "./endpoint_orders.js";
 import { HeldReceipts } from "./endpoint_receipts.js";
+import type { EndpointLog } from "./endpoint_runner.js";
 import type { RoleOptions, RunningRole } from "./entry.js";
 import { HostWatcher } from "./host_watcher.js";
 import { waitFor } from "./scope.js";
@@ -25,8 +29,8 @@
 const STORE_TIMEOUT_MS = 2_000;
 const HOST_LIST_TIMEOUT_MS = 2_000;
 /** Longer than the longest deadline; the gate aborts at the deadline. */
+const LOAD_POLL_MS = 500;
 const BACKEND_TIMEOUT_MS = 900_000;
-const LOAD_INTERVAL_MS = 500;
 
 function toBackendFailure(
   failure: EngineFailure | ServiceFailure,
@@ -92,17 +96,12 @@
   return { run: createPlainBackend(createHttpService(target)) };
 }
 
-/** Passes the engine's lagging load reports to the gate. */
-async function followEngine(
-  engine: Engine,
-  endpoint: Endpoint,
-  signal: AbortSignal,
-): Promise<void> {
-  while (!signal.aborted) {
-    const load = await engine.readLoad(signal);
-    if (load.isOk()) endpoint.applyReport(load.value);
-    await waitFor(LOAD_INTERVAL_MS, signal);
-  }
+/** Reads the engine's lagging load report. */
+function createReportReader(engine: Engine | undefined) {
+  return (
+    engine &&
+    ((signal: AbortSignal) => engine.readLoad(signal).mapErr(toBackendFailure))
+  );
 }
 
 function createStore(settings: Settings) {
@@ -115,6 +114,58 @@
   );
 }
 
+/** Orders a load and waits until the engine reports the version. */
+function loadVersion(
+  engine: Engine,
+  order: LoadOrder,
+  signal: AbortSignal,
+): ResultAsync<void, BackendFailure> {
+  const waitUntilLoaded = async (): Promise<Result<void, BackendFailure>> => {
+    while (!signal.aborted) {
+      const load = await engine.readLoad(signal);
+      if (load.isOk() && load.value.versions.includes(order.version))
+        return ok();
+      await waitFor(LOAD_POLL_MS, signal);
+    }
+    const detail = `Load of version "${order.version}" was not seen to end`;
+    return err({ kind: "aborted", ran: "unknown", detail });
+  };
+  return engine
+    .order(order, signal)
+    .mapErr(toBackendFailure)
+    .andThen(() => new ResultAsync(waitUntilLoaded()));
+}
+
+/** Loads the versions that the fleet state assigns; needs store and engine. */
+function startOrders(
+  settings: Settings,
+  parts: {
+    endpoint: Endpoint;
+    config: ConfigSync;
+    engine: Engine | undefined;
+    log: EndpointLog;
+    signal: AbortSignal;
+  },
+): void {
+  const { endpoint, config, engine, log, signal } = parts;
+  const store = createStore(settings);
+  if (engine === undefined || store === undefined) return;
+  const orders = {
+    endpoint: settings.name,
+    epoch: endpoint.epoch,
+    honoursFencing: settings.engine?.honoursFencing ?? false,
+    config,
+    store,
+    orderEngine: (order: LoadOrder, scope: AbortSignal) =>
+      loadVersion(engine, order, scope),
+    listLoaded: () => endpoint.listLoaded(),
+    log,
+    getNowMs: () => performance.now(),
+    getRandom: Math.random,
+  };
+  void runEngineOrders(orders, signal);
+}
+
 /** Starts an endpoint process; it serves until the signal aborts. */
 export async function startEndpointRole(
   settings: Settings,
@@ -151,17 +202,19 @@
     forwardReceipt: () => Promise.resolve(false),
   });
   const backend = createBackend(settings);
+  const endpointLog: EndpointLog = {
+    info: (fields, event) => log.info(event, { ...fields }),
+    warn: (fields, event) => log.warn(event, { ...fields }),
+    error: (fields, event) => log.error(event, { ...fields }),
+  };
   await hosts.start(lifetime.signal);
   endpoint = await startEndpoint({
     settings,
     config,
     backend: backend.run,
     receipts,
-    log: {
-      info: (fields, event) => log.info(event, { ...fields }),
-      warn: (fields, event) => log.warn(event, { ...fields }),
-      error: (fields, event) => log.error(event, { ...fields }),
-    },
+    log: endpointLog,
+    readReport: createReportReader(backend.engine),
     signal,
     beforeClose: (closing) => receipts.handOver(closing),
   });
@@ -172,8 +225,12 @@
     });
   });
   void receipts.start(lifetime.signal);
-  if (backend.engine !== undefined) {
-    void followEngine(backend.engine, endpoint, lifetime.signal);
-  }
+  startOrders(settings, {
+    endpoint,
+    config,
+    engine: backend.engine,
+    log: endpointLog,
+    signal: lifetime.signal,
+  });
   return { stopped: endpoint.stopped.finally(() => lifetime.abort()) };
 }
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -26,18 +26,11 @@
 import { createConfigSyncHandlers } from "./config_handlers.js";
 import { ConfigSync } from "./config_sync.js";
 import { EndpointDirectory } from "./endpoint_directory.js";
-import { ClaimKeeper } from "./entry_claims.js";
-import { EntryLedger } from "./entry_ledger.js";
-import {
-  createHolderCalls,
-  createLookUpAttempt,
-  listHolderNames,
-} from "./gate_calls.js";
+import { EntryBilling } from "./entry_billing.js";
+import { EntryReports } from "./entry_reports.js";
 import { HostWatcher } from "./host_watcher.js";
 import { createOperatorServer } from "./operator_server.js";
-import { PendingResults } from "./pending_results.js";
 import { RatingCollector } from "./rating_collector.js";
-import { ReceiptHolders } from "./receipt_holders.js";
 import { type RequestOutcome, RequestRunner } from "./request_runner.js";
 import { waitFor } from "./scope.js";
 import { SessionResolver } from "./session_store.js";
@@ -78,8 +71,8 @@
   readonly #sync: ConfigSync;
   readonly #tickets: TicketService;
   readonly #sessions: SessionResolver;
-  readonly #ledger: EntryLedger;
-  readonly #pendingResults: PendingResults;
+  readonly #billing: EntryBilling;
+  readonly #reports: EntryReports;
   readonly #runner: RequestRunner;
   readonly #ratings: RatingCollector | undefined;
   readonly #servers: HttpServer[] = [];
@@ -111,31 +104,23 @@
       sessionKey: settings.sessionKey,
       log: (event, fields) => this.#log.info(event, fields),
     });
-    const holders = new ReceiptHolders(createHolderCalls(this.#directory));
     const clock = createSystemClock();
-    this.#ledger = new EntryLedger({
-      store: this.#store,
-      clock,
-      holders,
-      entry: settings.name,
-      incarnation: this.#incarnation,
-      maxReceipts: settings.limits?.receiptCount,
-      maxBytes: settings.limits?.receiptBytes,
-    });
-    this.#pendingResults = new PendingResults({
-      store: this.#store,
+    const { name } = settings;
+    const incarnation = this.#incarnation;
+    const store = this.#store;
+    const directory = this.#directory;
+    this.#billing = new EntryBilling({
+      settings,
+      store,
       clock,
-      createId: randomUUID,
-      holders,
-      getOwner: () => this.#ledger.owner,
-      listHolders: () => listHolderNames(this.#directory),
+      directory,
+      incarnation,
     });
-    const claims = new ClaimKeeper({
-      store: this.#store,
+    this.#reports = new EntryReports({
+      store,
       clock,
-      createId: randomUUID,
-      lookUpAttempt: createLookUpAttempt(this.#directory),
-      pending: this.#pendingResults,
+      source: `${name}-${incarnation}`,
+      objectives: settings.objectives ?? {},
     });
     const ratingService = createRatings(settings);
     this.#runner = new RequestRunner(
@@ -147,8 +132,8 @@
         }),
         directory: this.#directory,
         config: this.#sync,
-        claims,
-        ledger: this.#ledger,
+        claims: this.#billing.claims,
+        ledger: this.#billing.ledger,
         ratings: ratingService,
         log: this.#log,
         now: () => performance.now(),
@@ -162,9 +147,10 @@
       new RatingCollector({
         service: ratingService,
         log: this.#log,
-        onRatings: (increase) => {
+        onRating: (increase, event) => {
           this.#runner.handle({ type: "rated", ...increase });
           this.#sync.addRatings(increase);
+          this.#reports.recordRating(event, increase.accepted > 0);
         },
       });
   }
@@ -183,8 +169,8 @@
         throw error;
       });
     });
-    void this.#ledger.start(signal);
-    void this.#pendingResults.start(signal);
+    this.#billing.start(signal);
+    void this.#reports.start(signal);
     void this.#sessions.run(signal);
     void this.#ratings?.start(signal);
     setInterval(() => this.#tick(), TICK_MS).unref();
@@ -202,9 +188,8 @@
     if (this.#runner.openCount > 0) {
       this.#log.warn("stop-cuts-work", { open: this.#runner.openCount });
     }
-    const holders = listHolderNames(this.#directory);
-    await this.#ledger.close({ holders }, limit);
-    await this.#pendingResults.close(limit);
+    await this.#billing.close(limit);
+    await this.#reports.close(limit);
     for (const server of this.#servers) {
       server.close();
       server.closeIdleConnections();
@@ -283,8 +268,8 @@
       log: this.#log,
       tokenSha256: operatorTokenSha256,
       describeStatus: () => this.#describeStatus(),
-      createReport: () =>
-        Promise.resolve(createRefusal("not-found", "No such report")),
+      createReport: (kind, hours, signal) =>
+        this.#reports.createReport(kind, hours, signal),
       signal: this.#lifetime.signal,
     });
     await this.#listen(
@@ -308,7 +293,7 @@
         retryAfterMs: STOP_RETRY_AFTER_MS,
       });
     }
-    return this.#ledger.checkRoom();
+    return this.#billing.ledger.checkRoom();
   }
 
   async #resolveSession(
@@ -338,7 +323,7 @@
 
   #tick(): void {
     this.#runner.handle({ type: "tick" });
-    this.#metrics.setGauge(METRICS.receiptsOpen, this.#ledger.count);
+    this.#metrics.setGauge(METRICS.receiptsOpen, this.#billing.ledger.count);
     this.#metrics.setGauge(METRICS.revision, this.#sync.state.revision);
   }
 
@@ -371,9 +356,11 @@
       code: refusal?.code,
       ran: refusal?.ran,
     });
+    const event = this.#reports.record(outcome);
     if (answer !== undefined && route.kind === "model") {
       const { id: requestId, requestClass } = route;
-      this.#ratings?.submit({ requestId, requestClass, version, answer });
+      const rated = { requestId, requestClass, version, answer };
+      this.#ratings?.submit(rated, event);
     }
   }
 
@@ -386,7 +373,7 @@
       confirmationAgeMs: this.#sync.getConfirmationAgeMs(),
       watcher: this.#sync.isWatcher,
       openRequests: this.#runner.openCount,
-      openReceipts: this.#ledger.count,
+      openReceipts: this.#billing.ledger.count,
       holds: Object.keys(state.holds),
       endpoints: this.#directory.listStatus(),
     };
--- /dev/null
+++ b/src/roles/entry_billing.ts
@@ -0,0 +1,73 @@
+/** The parts of an entry that keep claims and receipts. */
+
+import { randomUUID } from "node:crypto";
+import type { ObjectStore } from "../adapters/index.js";
+import type { Settings } from "../schema/index.js";
+import type { Clock } from "./clock.js";
+import type { EndpointDirectory } from "./endpoint_directory.js";
+import { ClaimKeeper } from "./entry_claims.js";
+import { EntryLedger } from "./entry_ledger.js";
+import {
+  createHolderCalls,
+  createLookUpAttempt,
+  listHolderNames,
+} from "./gate_calls.js";
+import { PendingResults } from "./pending_results.js";
+import { ReceiptHolders } from "./receipt_holders.js";
+
+export interface EntryBillingOptions {
+  readonly settings: Settings;
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly directory: EndpointDirectory;
+  /** Id of this start of the process. */
+  readonly incarnation: string;
+}
+
+export class EntryBilling {
+  readonly ledger: EntryLedger;
+  readonly claims: ClaimKeeper;
+  readonly #pending: PendingResults;
+  readonly #listHolders: () => string[];
+
+  constructor(options: EntryBillingOptions) {
+    const { settings, store, clock, directory, incarnation } = options;
+    const holders = new ReceiptHolders(createHolderCalls(directory));
+    this.#listHolders = () => listHolderNames(directory);
+    this.ledger = new EntryLedger({
+      store,
+      clock,
+      holders,
+      entry: settings.name,
+      incarnation,
+      maxReceipts: settings.limits?.receiptCount,
+      maxBytes: settings.limits?.receiptBytes,
+    });
+    this.#pending = new PendingResults({
+      store,
+      clock,
+      createId: randomUUID,
+      holders,
+      getOwner: () => this.ledger.owner,
+      listHolders: this.#listHolders,
+    });
+    this.claims = new ClaimKeeper({
+      store,
+      clock,
+      createId: randomUUID,
+      lookUpAttempt: createLookUpAttempt(directory),
+      pending: this.#pending,
+    });
+  }
+
+  start(signal: AbortSignal): void {
+    void this.ledger.start(signal);
+    void this.#pending.start(signal);
+  }
+
+  /** Writes what is open, or hands it over when the signal aborts. */
+  async close(signal: AbortSignal): Promise<void> {
+    await this.ledger.close({ holders: this.#listHolders() }, signal);
+    await this.#pending.close(signal);
+  }
+}
--- a/src/roles/rating_collector.ts
+++ b/src/roles/rating_collector.ts
@@ -2,6 +2,7 @@
 
 import { LRUCache } from "lru-cache";
 import type { Logger, RatedAnswer, RatingService } from "../adapters/index.js";
+import type { SloEvent } from "../core/index.js";
 import { waitFor } from "./scope.js";
 
 export interface RatingIncrease {
@@ -14,7 +15,7 @@
 export interface RatingCollectorOptions {
   readonly service: RatingService;
   readonly log: Logger;
-  readonly onRatings: (increase: RatingIncrease) => void;
+  readonly onRating: (increase: RatingIncrease, event: SloEvent) => void;
 }
 
 const POLL_MS = 1_000;
@@ -23,7 +24,7 @@
 
 export class RatingCollector {
   readonly #options: RatingCollectorOptions;
-  readonly #open = new LRUCache<string, true>({ max: MAX_OPEN_ANSWERS });
+  readonly #open = new LRUCache<string, SloEvent>({ max: MAX_OPEN_ANSWERS });
   #cursor = 0;
   #signal: AbortSignal = new AbortController().signal;
 
@@ -32,8 +33,8 @@
   }
 
   /** Best effort: a lost answer is only one rating less. */
-  submit(answer: RatedAnswer): void {
-    this.#open.set(answer.requestId, true);
+  submit(answer: RatedAnswer, event: SloEvent): void {
+    this.#open.set(answer.requestId, event);
     void this.#options.service.submitForRating(answer, this.#signal);
   }
 
@@ -54,13 +55,15 @@
     this.#cursor = page.value.next;
     for (const rating of page.value.ratings) {
       // Other entries count the ratings of their own answers and share totals.
-      if (!this.#open.delete(rating.requestId)) continue;
-      this.#options.onRatings({
-        requestClass: rating.requestClass,
-        version: rating.version,
-        accepted: rating.accepted ? 1 : 0,
-        rejected: rating.accepted ? 0 : 1,
-      });
+      const event = this.#open.get(rating.requestId);
+      if (event === undefined) continue;
+      this.#open.delete(rating.requestId);
+      const { requestClass, version, accepted: isAccepted } = rating;
+      const accepted = isAccepted ? 1 : 0;
+      this.#options.onRating(
+        { requestClass, version, accepted, rejected: 1 - accepted },
+        event,
+      );
     }
   }
 }
