--- /dev/null
+++ b/src/core/endpoint_index.ts
@@ -0,0 +1,129 @@
+/** The endpoints that an entry knows, indexed by what they serve. */
+
+import type { EndpointStatus } from "../schema/index.js";
+
+/** An endpoint as seen from this entry. */
+export interface EndpointView {
+  readonly name: string;
+  status: EndpointStatus;
+  /** Attempts that this entry has sent and that have not ended. */
+  ownInFlight: number;
+  /** Running mean of the reported requests that other entries sent. */
+  othersInFlight: number;
+  /** No new work goes to the endpoint before this time. */
+  avoidUntilMs: number;
+  /** Measured time per unit of work over that of other endpoints. */
+  slowness: number;
+  speedSamples: number;
+  /** Running mean of the time from dispatch to start. */
+  startDelayMs: number;
+}
+
+/** Endpoints of one data centre that serve one version or service. */
+export interface EndpointGroup {
+  readonly dataCentre: string;
+  readonly endpoints: EndpointView[];
+}
+
+export function createTarget(kind: "model" | "service", name: string): string {
+  return `${kind}/${name}`;
+}
+
+/** What the endpoint serves. */
+export function listTargets(status: EndpointStatus): string[] {
+  return [
+    ...status.versions.map((name) => createTarget("model", name)),
+    ...status.services.map((name) => createTarget("service", name)),
+  ];
+}
+
+/**
+ * Weight of the newest report. Reports lag, so one report mixes others' work
+ * with own attempts that have ended since; the mean cancels that out.
+ */
+const REPORT_WEIGHT = 0.3;
+
+/** Requests at the endpoint: own ones, which are exact, and others' ones. */
+export function estimateLoad(view: EndpointView): number {
+  return view.ownInFlight + Math.max(0, Math.round(view.othersInFlight));
+}
+
+function addReport(view: EndpointView, status: EndpointStatus): void {
+  view.status = status;
+  const others = status.inFlight + status.queued - view.ownInFlight;
+  view.othersInFlight += REPORT_WEIGHT * (others - view.othersInFlight);
+}
+
+export class EndpointIndex {
+  readonly #views = new Map<string, EndpointView>();
+  readonly #groups = new Map<string, EndpointGroup[]>();
+
+  get size(): number {
+    return this.#views.size;
+  }
+
+  find(name: string): EndpointView | undefined {
+    return this.#views.get(name);
+  }
+
+  /** Groups by data centre; choosing samples them and never scans all. */
+  listGroups(target: string): readonly EndpointGroup[] {
+    return this.#groups.get(target) ?? [];
+  }
+
+  update(status: EndpointStatus): EndpointView {
+    const view = this.#views.get(status.endpoint);
+    if (view === undefined) {
+      const created: EndpointView = {
+        name: status.endpoint,
+        status,
+        ownInFlight: 0,
+        othersInFlight: status.inFlight + status.queued,
+        avoidUntilMs: 0,
+        slowness: 1,
+        speedSamples: 0,
+        startDelayMs: 0,
+      };
+      this.#views.set(status.endpoint, created);
+      this.#link(created);
+      return created;
+    }
+    const before = listTargets(view.status).join();
+    const moved =
+      before !== listTargets(status).join() ||
+      view.status.dataCentre !== status.dataCentre;
+    if (moved) this.#unlink(view);
+    addReport(view, status);
+    if (moved) this.#link(view);
+    return view;
+  }
+
+  remove(name: string): void {
+    const view = this.#views.get(name);
+    if (view === undefined) return;
+    this.#unlink(view);
+    this.#views.delete(name);
+  }
+
+  #link(view: EndpointView): void {
+    for (const target of listTargets(view.status)) {
+      const groups = this.#groups.get(target) ?? [];
+      this.#groups.set(target, groups);
+      const group = groups.find((g) => g.dataCentre === view.status.dataCentre);
+      if (group !== undefined) group.endpoints.push(view);
+      else {
+        const { dataCentre } = view.status;
+        groups.push({ dataCentre, endpoints: [view] });
+      }
+    }
+  }
+
+  #unlink(view: EndpointView): void {
+    for (const target of listTargets(view.status)) {
+      for (const group of this.#groups.get(target) ?? []) {
+        const position = group.endpoints.indexOf(view);
+        if (position >= 0) group.endpoints.splice(position, 1);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/roles/endpoint_role.ts
@@ -0,0 +1,236 @@
+/** The endpoint role: joins the gate to its engine or plain service. */
+
+import { randomUUID } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import {
+  createHttpEngine,
+  createHttpHostList,
+  createHttpObjectStore,
+  createHttpService,
+  type Engine,
+  type EngineFailure,
+  type HostEntry,
+  type Service,
+  type ServiceFailure,
+} from "../adapters/index.js";
+import type { Settings } from "../schema/index.js";
+import { createSystemClock } from "./clock.js";
+import { ConfigSync } from "./config_sync.js";
+import { type Endpoint, startEndpoint } from "./endpoint.js";
+import type { BackendFailure, RunBackend } from "./endpoint_backend.js";
+import { type LoadOrder, runEngineOrders } from "./endpoint_orders.js";
+import { HeldReceipts } from "./endpoint_receipts.js";
+import type { EndpointLog } from "./endpoint_runner.js";
+import type { RoleOptions, RunningRole } from "./entry.js";
+import { HostWatcher } from "./host_watcher.js";
+import { waitFor } from "./scope.js";
+
+const STORE_TIMEOUT_MS = 2_000;
+const HOST_LIST_TIMEOUT_MS = 2_000;
+/** Longer than the longest deadline; the gate aborts at the deadline. */
+const LOAD_POLL_MS = 500;
+const BACKEND_TIMEOUT_MS = 900_000;
+
+function toBackendFailure(
+  failure: EngineFailure | ServiceFailure,
+): BackendFailure {
+  const { ran, detail } = failure;
+  if (failure.kind === "overloaded") return { kind: "overloaded", ran, detail };
+  if (failure.kind === "aborted") return { kind: "aborted", ran, detail };
+  if (failure.kind === "bad-request") return { kind: "refused", ran, detail };
+  return { kind: "broken", ran, detail };
+}
+
+function createEngineBackend(engine: Engine): RunBackend {
+  return (request, onChunk, signal) =>
+    engine
+      .complete(
+        request,
+        (chunk) => {
+          if (chunk.text !== "") onChunk(Buffer.from(chunk.text, "utf8"));
+        },
+        signal,
+      )
+      .map(({ promptTokens, outputTokens }) => ({
+        status: 200,
+        promptTokens,
+        outputTokens,
+        body: new Uint8Array(),
+        contentType: "",
+      }))
+      .mapErr(toBackendFailure);
+}
+
+function createPlainBackend(service: Service): RunBackend {
+  return (request, _onChunk, signal) =>
+    service
+      .callService(request, signal)
+      .map(({ status, contentType, body }) => ({
+        status,
+        contentType,
+        body,
+        promptTokens: 0,
+        outputTokens: 0,
+      }))
+      .mapErr(toBackendFailure);
+}
+
+function createBackend(settings: Settings): {
+  run: RunBackend;
+  engine?: Engine;
+} {
+  const { engine, service } = settings;
+  if (engine !== undefined) {
+    const { address, port } = engine;
+    const adapter = createHttpEngine({
+      address,
+      port,
+      timeoutMs: BACKEND_TIMEOUT_MS,
+    });
+    return { run: createEngineBackend(adapter), engine: adapter };
+  }
+  if (service === undefined) throw new Error("No engine and no service is set");
+  const { address, port } = service;
+  const target = { address, port, timeoutMs: BACKEND_TIMEOUT_MS };
+  return { run: createPlainBackend(createHttpService(target)) };
+}
+
+/** Reads the engine's lagging load report. */
+function createReportReader(engine: Engine | undefined) {
+  return (
+    engine &&
+    ((signal: AbortSignal) => engine.readLoad(signal).mapErr(toBackendFailure))
+  );
+}
+
+function createStore(settings: Settings) {
+  return (
+    settings.objectStore &&
+    createHttpObjectStore({
+      ...settings.objectStore,
+      timeoutMs: STORE_TIMEOUT_MS,
+    })
+  );
+}
+
+/** Orders a load and waits until the engine reports the version. */
+function loadVersion(
+  engine: Engine,
+  order: LoadOrder,
+  signal: AbortSignal,
+): ResultAsync<void, BackendFailure> {
+  const waitUntilLoaded = async (): Promise<Result<void, BackendFailure>> => {
+    while (!signal.aborted) {
+      const load = await engine.readLoad(signal);
+      if (load.isOk() && load.value.versions.includes(order.version))
+        return ok();
+      await waitFor(LOAD_POLL_MS, signal);
+    }
+    const detail = `Load of version "${order.version}" was not seen to end`;
+    return err({ kind: "aborted", ran: "unknown", detail });
+  };
+  return engine
+    .order(order, signal)
+    .mapErr(toBackendFailure)
+    .andThen(() => new ResultAsync(waitUntilLoaded()));
+}
+
+/** Loads the versions that the fleet state assigns; needs store and engine. */
+function startOrders(
+  settings: Settings,
+  parts: {
+    endpoint: Endpoint;
+    config: ConfigSync;
+    engine: Engine | undefined;
+    log: EndpointLog;
+    signal: AbortSignal;
+  },
+): void {
+  const { endpoint, config, engine, log, signal } = parts;
+  const store = createStore(settings);
+  if (engine === undefined || store === undefined) return;
+  const orders = {
+    endpoint: settings.name,
+    epoch: endpoint.epoch,
+    honoursFencing: settings.engine?.honoursFencing ?? false,
+    config,
+    store,
+    orderEngine: (order: LoadOrder, scope: AbortSignal) =>
+      loadVersion(engine, order, scope),
+    listLoaded: () => endpoint.listLoaded(),
+    log,
+    getNowMs: () => performance.now(),
+    getRandom: Math.random,
+  };
+  void runEngineOrders(orders, signal);
+}
+
+/** Starts an endpoint process; it serves until the signal aborts. */
+export async function startEndpointRole(
+  settings: Settings,
+  options: RoleOptions,
+): Promise<RunningRole> {
+  const { log, signal } = options;
+  const lifetime = new AbortController();
+  let endpoint: Endpoint | undefined;
+  const followHosts = (hosts: readonly HostEntry[]) => {
+    const own = hosts.find((host) => host.name === settings.name);
+    if (own !== undefined) endpoint?.setLeaving(own.leaving);
+  };
+  const hosts = new HostWatcher({
+    hostList: createHttpHostList({
+      ...settings.hostList,
+      timeoutMs: HOST_LIST_TIMEOUT_MS,
+    }),
+    log,
+    onHosts: followHosts,
+  });
+  const config = new ConfigSync({
+    name: settings.name,
+    dataCentre: settings.dataCentre,
+    listPeers: () => hosts.hosts,
+    freshnessMs: settings.limits?.freshnessMs,
+    log: (event, fields) => log.info(event, fields),
+  });
+  const receipts = new HeldReceipts({
+    store: createStore(settings),
+    clock: createSystemClock(),
+    createId: randomUUID,
+    endpoint: settings.name,
+    isProcessLive: (process) => endpoint?.isAttached(process) ?? false,
+    forwardReceipt: () => Promise.resolve(false),
+  });
+  const backend = createBackend(settings);
+  const endpointLog: EndpointLog = {
+    info: (fields, event) => log.info(event, { ...fields }),
+    warn: (fields, event) => log.warn(event, { ...fields }),
+    error: (fields, event) => log.error(event, { ...fields }),
+  };
+  await hosts.start(lifetime.signal);
+  endpoint = await startEndpoint({
+    settings,
+    config,
+    backend: backend.run,
+    receipts,
+    log: endpointLog,
+    readReport: createReportReader(backend.engine),
+    signal,
+    beforeClose: (closing) => receipts.handOver(closing),
+  });
+  config.start(lifetime.signal).catch((error: unknown) => {
+    // The configuration can't be trusted any more: end the process.
+    setImmediate(() => {
+      throw error;
+    });
+  });
+  void receipts.start(lifetime.signal);
+  startOrders(settings, {
+    endpoint,
+    config,
+    engine: backend.engine,
+    log: endpointLog,
+    signal: lifetime.signal,
+  });
+  return { stopped: endpoint.stopped.finally(() => lifetime.abort()) };
+}
--- a/src/schema/documents.ts
+++ b/src/schema/documents.ts
@@ -358,6 +358,35 @@
   address: string;
   port: number;
 }
+/**
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "ChatMessage".
+ */
+export interface ChatMessage {
+  role: string;
+  content: string;
+  [k: string]: unknown;
+}
+/**
+ * Body of POST /v1/chat/completions. Keys that are not listed are passed on to the engine.
+ *
+ * This interface was referenced by `Documents`'s JSON-Schema
+ * via the `definition` "ChatRequest".
+ */
+export interface ChatRequest {
+  /**
+   * A model, a version or auto.
+   */
+  model?: string;
+  /**
+   * @minItems 1
+   * @maxItems 1000
+   */
+  messages: ChatMessage[];
+  stream?: boolean;
+  max_tokens?: number;
+  [k: string]: unknown;
+}
 /**
  * This interface was referenced by `Documents`'s JSON-Schema
  * via the `definition` "ReceiptStep".
@@ -462,9 +491,9 @@
  * The result of an order whose claim is still to be updated.
  *
  * This interface was referenced by `Documents`'s JSON-Schema
- * via the `definition` "Completion".
+ * via the `definition` "OrderCompletion".
  */
-export interface Completion {
+export interface OrderCompletion {
   key: string;
   attempt: number;
   answer: KeptAnswer;
@@ -482,7 +511,7 @@
    */
   fromPage: number;
   receipt: Receipt;
-  completion?: Completion;
+  completion?: OrderCompletion;
 }
 /**
  * This interface was referenced by `Documents`'s JSON-Schema
--- a/src/schema/schemas.ts
+++ b/src/schema/schemas.ts
@@ -714,6 +714,59 @@
   }
 } as const;
 
+export const chatRequestSchema = {
+  "$id": "chat_request.json",
+  "title": "ChatRequest",
+  "description": "Body of POST /v1/chat/completions. Keys that are not listed are passed on to the engine.",
+  "type": "object",
+  "required": [
+    "messages"
+  ],
+  "additionalProperties": true,
+  "properties": {
+    "model": {
+      "type": "string",
+      "minLength": 1,
+      "maxLength": 128,
+      "description": "A model, a version or auto."
+    },
+    "messages": {
+      "type": "array",
+      "minItems": 1,
+      "maxItems": 1000,
+      "items": {
+        "$ref": "#/definitions/ChatMessage"
+      }
+    },
+    "stream": {
+      "type": "boolean"
+    },
+    "max_tokens": {
+      "type": "integer",
+      "minimum": 1,
+      "maximum": 1000000
+    }
+  },
+  "definitions": {
+    "ChatMessage": {
+      "type": "object",
+      "additionalProperties": true,
+      "required": [
+        "role",
+        "content"
+      ],
+      "properties": {
+        "role": {
+          "type": "string"
+        },
+        "content": {
+          "type": "string"
+        }
+      }
+    }
+  }
+} as const;
+
 export const recordsSchema = {
   "$id": "records.json",
   "title": "StoredRecord",
@@ -964,7 +1017,7 @@
         }
       }
     },
-    "Completion": {
+    "OrderCompletion": {
       "type": "object",
       "additionalProperties": false,
       "description": "The result of an order whose claim is still to be updated.",
@@ -1010,7 +1063,7 @@
           "$ref": "#/definitions/Receipt"
         },
         "completion": {
-          "$ref": "#/definitions/Completion"
+          "$ref": "#/definitions/OrderCompletion"
         }
       }
     },
