Rejoin the claim after a broken dispatch instead of acquiring again

The order runner acquired a second time after a dispatch without a result. With the store down that gave store-unavailable with ran "no" of an order that had run.

--- a/src/roles/claim_outcomes.ts
+++ b/src/roles/claim_outcomes.ts
@@ -110,6 +110,6 @@
   const detail = `Order "${key}" ran; its answer of ${answer.bodyBytes} bytes was not kept`;
   return {
     kind: "refused" as const,
-    refusal: createRefusal("outcome-unknown", detail, { ran: "yes" }),
+    refusal: createRefusal("answer-not-kept", detail),
   };
 }
--- a/src/roles/claims_model_test.ts
+++ b/src/roles/claims_model_test.ts
@@ -1,13 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import { createRefusal } from "../core/index.js";
 import type { Claim } from "../schema/index.js";
-import type {
-  AcquireOutcome,
-  AttemptReport,
-  LookUpAttempt,
-} from "./claim_outcomes.js";
-import type { StoredClaim } from "./claim_writes.js";
+import type { AttemptReport, LookUpAttempt } from "./claim_outcomes.js";
 import type { ClaimKeeper } from "./entry_claims.js";
 import {
   ANSWER,
@@ -24,6 +20,7 @@
   type Random,
   VirtualClock,
 } from "./fake_store_test.js";
+import { type DispatchOutcome, runOrder } from "./order_runner.js";
 
 /** A gate with its memory of attempts; a restart forgets them. */
 class FakeGate {
@@ -105,53 +102,40 @@
   isAlive: () => boolean;
 }
 
-/** Runs one caller's order as the entry does. */
+/** Runs one caller's order as the entry does; a killed entry never replies. */
 async function callOrder(
   parts: { clock: VirtualClock; gate: FakeGate; keeper: ClaimKeeper },
   call: { requestId: string; key: string; pauseMs: number; isAlive(): boolean },
 ): Promise<Answer | undefined> {
   const { clock, gate, keeper } = parts;
-  const { requestId, key, pauseMs } = call;
-  const reply = (kind: Answer["kind"], body = "") => {
-    return call.isAlive()
-      ? { key, requestId, kind, body, isAlive: call.isAlive }
-      : undefined;
-  };
-  const order = createOrder(clock, {
-    requestId,
-    key,
-    epoch: String(gate.epoch),
-  });
-  let held: StoredClaim | undefined;
-  for (let attempt = 0; attempt < 5 && call.isAlive(); attempt += 1) {
-    const outcome: AcquireOutcome =
-      held === undefined
-        ? await keeper.acquire(order, NEVER)
-        : await keeper.rejoin(order, held, NEVER);
-    if (outcome.kind === "done") {
-      const body = Buffer.from(outcome.answer.bodyBase64 ?? "", "base64");
-      return reply("done", body.toString());
-    }
-    if (outcome.kind === "unknown") return reply("unknown");
-    if (outcome.kind === "refused") {
-      return reply(outcome.refusal.ran === "no" ? "not-run" : "unknown");
-    }
-    held = outcome.stored;
+  const { requestId, key, pauseMs, isAlive } = call;
+  const epoch = String(gate.epoch);
+  const dispatch = async (claim: Claim): Promise<DispatchOutcome> => {
     await clock.sleep(pauseMs);
-    if (!call.isAlive()) return undefined;
-    const result = await gate.dispatch(outcome.stored.claim);
-    if (!call.isAlive()) return undefined;
-    if (result === "not-run") {
-      const released = await keeper.release(outcome.stored, NEVER);
-      if (released.kind === "released") return reply("not-run");
-      if (released.kind === "refused") return reply("unknown");
-    } else if (result !== "broken") {
-      const body = TEXT.encode(result);
-      await keeper.complete(outcome.stored, { ...ANSWER, body }, NEVER);
-      return reply("done", result);
+    const result = isAlive() ? await gate.dispatch(claim) : "broken";
+    if (!isAlive()) return new Promise(() => undefined);
+    if (result === "not-run" || result === "broken") {
+      const code = result === "broken" ? "outcome-unknown" : "capacity";
+      return { kind: "refused", refusal: createRefusal(code, "") };
     }
+    const end = { ...ANSWER, promptTokens: 0, outputTokens: 0, chunks: 0 };
+    return { kind: "ended", end: { ...end, body: TEXT.encode(result) } };
+  };
+  const outcome = await Promise.race([
+    runOrder(
+      createOrder(clock, { requestId, key, epoch }),
+      { claims: keeper, dispatch, getRemainingMs: () => 1 },
+      NEVER,
+    ),
+    clock.sleep(40_000),
+  ]);
+  if (outcome === undefined || !isAlive()) return undefined;
+  if (outcome.kind === "ended") {
+    const body = Buffer.from(outcome.end.body).toString();
+    return { key, requestId, kind: "done", body, isAlive };
   }
-  return reply("unknown");
+  const kind = outcome.refusal.ran === "no" ? "not-run" : "unknown";
+  return { key, requestId, kind, body: "", isAlive };
 }
 
 async function runModel(seed: number, plan: Step[]) {
--- a/src/roles/order_runner.ts
+++ b/src/roles/order_runner.ts
@@ -2,6 +2,7 @@
 
 import { createRefusal, type Refusal } from "../core/index.js";
 import type { End, KeptAnswer } from "../schema/index.js";
+import type { AcquireOutcome } from "./claim_outcomes.js";
 import type { StoredClaim } from "./claim_writes.js";
 import type { AcquireRequest, ClaimKeeper } from "./entry_claims.js";
 
@@ -27,8 +28,8 @@
 /** Broken dispatches of one request that are looked into. */
 const MAX_ROUNDS = 5;
 
-function createKeptEnd(answer: KeptAnswer): End | undefined {
-  if (answer.bodyBase64 === undefined && answer.bodyBytes > 0) return undefined;
+/** The keeper refuses an answer whose body was not kept. */
+function createKeptEnd(answer: KeptAnswer): End {
   return {
     status: answer.status,
     promptTokens: 0,
@@ -39,18 +40,6 @@
   };
 }
 
-function answerKept(answer: KeptAnswer): OrderOutcome {
-  const end = createKeptEnd(answer);
-  if (end !== undefined) return { kind: "ended", end };
-  return {
-    kind: "refused",
-    refusal: createRefusal(
-      "answer-not-kept",
-      `The call ran with status ${answer.status}; its answer of ${answer.bodyBytes} bytes is not kept`,
-    ),
-  };
-}
-
 /** Acquires the claim, dispatches, and settles what became of it. */
 export async function runOrder(
   order: AcquireRequest,
@@ -58,21 +47,29 @@
   signal: AbortSignal,
 ): Promise<OrderOutcome> {
   const { claims } = options;
+  let held: StoredClaim | undefined;
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
-    const claim = await claims.acquire(order, signal);
-    if (claim.kind === "done") return answerKept(claim.answer);
+    // A second acquire could say "not run" of the dispatch that broke.
+    const claim: AcquireOutcome =
+      held === undefined
+        ? await claims.acquire(order, signal)
+        : await claims.rejoin(order, held, signal);
+    if (claim.kind === "done") {
+      return { kind: "ended", end: createKeptEnd(claim.answer) };
+    }
     if (claim.kind !== "acquired") {
       return { kind: "refused", refusal: claim.refusal };
     }
-    const outcome = await dispatchClaimed(claim.stored, options);
+    held = claim.stored;
+    const outcome = await dispatchClaimed(held, options);
     if (outcome.kind === "ended") {
-      await claims.complete(claim.stored, outcome.end, signal);
+      await claims.complete(held, outcome.end, signal);
       return outcome;
     }
     const { refusal } = outcome;
     // Whether it ran is open: the next round asks the gate through the claim.
     if (refusal.ran !== "no") continue;
-    const release = await claims.release(claim.stored, signal);
+    const release = await claims.release(held, signal);
     if (release.kind === "released") return { kind: "not-run", refusal };
     if (release.kind === "refused") return release;
   }
