Renew lost copies in an outage and give live owners time at a stop

A stopping endpoint sealed the pages of every live entry at once, which starts a new owner for each stop; live owners now get 5 s to write and release. When a holder leaves while the store is down, the entry asks another one. One failed hand-over no longer keeps order results from theirs.

--- a/src/roles/endpoint_receipts.ts
+++ b/src/roles/endpoint_receipts.ts
@@ -27,6 +27,12 @@
 
 const CHECK_INTERVAL_MS = 5_000;
 
+/**
+ * Time for live owners to write and release theirs before a stopping endpoint
+ * seals their pages: several page intervals.
+ */
+const OWNER_GRACE_MS = 5_000;
+
 /** Between two tries to hand over on a graceful shutdown. */
 const HAND_OVER_INTERVAL_MS = 250;
 
@@ -168,23 +174,27 @@
 
   /**
    * Graceful shutdown: gives each copy to another endpoint, or writes it.
-   * Until the signal aborts, owners can still write and release theirs.
+   * Live owners first get time to write and release theirs.
    */
   async handOver(signal: AbortSignal): Promise<void> {
+    const { clock, isProcessLive } = this.#options;
+    const isLive = (owner: string) => isProcessLive(getOwnerProcess(owner));
+    const startMs = clock.now();
     this.#isStopping = true;
     while (this.#count > 0 && !signal.aborted) {
       await this.#forwardAll(signal);
+      const isGraceOver = clock.now() - startMs >= OWNER_GRACE_MS;
       for (const owner of [...this.#copies.keys()]) {
+        if (isLive(owner) && !isGraceOver) continue;
         await this.#recover(owner, { signal, seal: true });
       }
       if (this.#count === 0) return;
-      await this.#options.clock.sleep(HAND_OVER_INTERVAL_MS, signal);
+      await clock.sleep(HAND_OVER_INTERVAL_MS, signal);
     }
-    const { isProcessLive } = this.#options;
     for (const owner of this.#copies.keys()) {
       // A live owner still has its own copy and writes it.
       assertInvariant(
-        isProcessLive(getOwnerProcess(owner)),
+        isLive(owner),
         "unbilled",
         `Receipts of lost owner "${owner}" have no holder`,
       );
--- a/src/roles/entry_billing.ts
+++ b/src/roles/entry_billing.ts
@@ -40,6 +40,7 @@
       holders,
       entry: settings.name,
       incarnation,
+      listHolders: this.#listHolders,
       maxReceipts: settings.limits?.receiptCount,
       maxBytes: settings.limits?.receiptBytes,
     });
@@ -67,7 +68,13 @@
 
   /** Writes what is open, or hands it over when the signal aborts. */
   async close(signal: AbortSignal): Promise<void> {
-    await this.ledger.close({ holders: this.#listHolders() }, signal);
-    await this.#pending.close(signal);
+    // A receipt without a holder must not keep the order results from theirs.
+    const closed = await Promise.allSettled([
+      this.ledger.close({ holders: this.#listHolders() }, signal),
+      this.#pending.close(signal),
+    ]);
+    for (const result of closed) {
+      if (result.status === "rejected") throw result.reason;
+    }
   }
 }
--- a/src/roles/entry_ledger.ts
+++ b/src/roles/entry_ledger.ts
@@ -9,16 +9,16 @@
   assertInvariant,
   createRefusal,
   getPageKey,
-  getRecoveredKey,
   MAX_RECEIPT_BYTES,
   MAX_RECEIPTS,
   PAGE_INTERVAL_MS,
   ReceiptBuffer,
   type Refusal,
 } from "../core/index.js";
-import type { LedgerPage, Receipt } from "../schema/index.js";
+import type { HeldRecord, LedgerPage, Receipt } from "../schema/index.js";
 import type { Clock } from "./clock.js";
 import type { ReceiptHolders } from "./receipt_holders.js";
+import { writeRecovered } from "./receipt_recovery.js";
 import { writeObject } from "./store_writes.js";
 
 /** Bounds the calls that all entries together make during an outage. */
@@ -27,6 +27,15 @@
 /** Between two tries to find a second holder for a receipt. */
 const HOLD_RETRY_MS = 250;
 
+/** Copies renewed after one failed flush. */
+const MAX_RENEWALS = 500;
+
+/** Longest single try to write at the end of a graceful shutdown. */
+const LAST_TRY_MS = 2_000;
+
+/** Hand-overs that fail in a row; more would hold the shutdown up. */
+const MAX_HAND_OVER_FAILURES = 5;
+
 /** Writes of recovered receipts at once, well under the store's rate. */
 const RECOVERY_WRITES = 8;
 
@@ -37,6 +46,8 @@
   /** The entry's name and the id of this start of its process. */
   readonly entry: string;
   readonly incarnation: string;
+  /** Endpoints that can keep a copy; used when a holder is lost. */
+  readonly listHolders?: () => readonly string[];
   readonly maxReceipts?: number;
   readonly maxBytes?: number;
 }
@@ -212,12 +223,9 @@
     receipt: Receipt,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const key = getRecoveredKey(receipt.requestId);
     const value = { owner: buffer.owner, receipt };
-    // Whoever wrote the key wrote the same receipt.
-    const write = { key, value, ifVersion: 0, isOwn: () => true };
-    const outcome = await writeObject(this.#options.store, write, { signal });
-    if (outcome.kind !== "written") return false;
+    const { store } = this.#options;
+    if (!(await writeRecovered(store, value, { signal }))) return false;
     buffer.confirmRecovered(receipt.requestId);
     this.#noteWritten(receipt.requestId);
     return true;
@@ -230,37 +238,62 @@
       await this.#options.clock.sleep(intervalMs, signal);
       if (signal.aborted) return;
       const isWritten = await this.flush(signal);
+      if (!isWritten) await this.#renewCopies(signal);
       intervalMs = isWritten
         ? PAGE_INTERVAL_MS
         : Math.min(intervalMs * 2, MAX_RETRY_INTERVAL_MS);
     }
   }
 
-  /** Writes what is left; after the signal aborts, hands it over. */
+  /** Finds new holders during an outage, when endpoints come and go. */
+  async #renewCopies(signal: AbortSignal): Promise<void> {
+    const { holders, listHolders = () => [] } = this.#options;
+    const isLost = (id: string) => holders.hasLostCopy(id);
+    const lost = this.#listRecords((id) => isLost(id)).slice(0, MAX_RENEWALS);
+    for (const record of lost) {
+      if (!isLost(record.receipt.requestId)) continue;
+      if (!(await holders.hold(record, listHolders(), signal))) return;
+    }
+  }
+
+  #listRecords(isWanted: (requestId: string) => boolean): HeldRecord[] {
+    return this.#listBuffers().flatMap((buffer) => {
+      const { owner, nextPage: fromPage } = buffer;
+      return buffer
+        .listOpen()
+        .filter(({ requestId }) => isWanted(requestId))
+        .map((receipt) => ({ owner, fromPage, receipt }));
+    });
+  }
+
+  /**
+   * Writes what is left; after the signal aborts, hands it over. One try to
+   * write is made even after running work has used up the time.
+   */
   async close(
     options: { holders: readonly string[] },
     signal: AbortSignal,
   ): Promise<void> {
-    while (!signal.aborted && !(await this.flush(signal))) {
+    let isWritten = await this.flush(AbortSignal.timeout(LAST_TRY_MS));
+    while (!signal.aborted && !isWritten) {
       await this.#options.clock.sleep(HOLD_RETRY_MS, signal);
+      isWritten = await this.flush(signal);
     }
     const { holders } = this.#options;
+    const isHeld = (id: string) => holders.isHeld(id);
     // The time for the store is over; each hand-over has its own limit.
     const handOver = new AbortController().signal;
-    for (const buffer of this.#listBuffers()) {
-      for (const receipt of buffer.listOpen()) {
-        const { requestId } = receipt;
-        const { owner, nextPage: fromPage } = buffer;
-        const record = { owner, fromPage, receipt };
-        const isHeld =
-          holders.isHeld(requestId) ||
-          (await holders.hold(record, options.holders, handOver));
-        assertInvariant(
-          isHeld,
-          "unbilled",
-          `The receipt of request "${requestId}" has no holder`,
-        );
-      }
+    let failures = 0;
+    for (const record of this.#listRecords((id) => !isHeld(id))) {
+      if (failures >= MAX_HAND_OVER_FAILURES) break;
+      if (await holders.hold(record, options.holders, handOver)) failures = 0;
+      else failures += 1;
     }
+    const lost = this.#listRecords((id) => !isHeld(id));
+    assertInvariant(
+      lost.length === 0,
+      "unbilled",
+      `${lost.length} receipts of "${this.owner}" have no holder`,
+    );
   }
 }
--- a/src/roles/entry_ledger_test.ts
+++ b/src/roles/entry_ledger_test.ts
@@ -16,7 +16,7 @@
 function createCase(faults: Fault[] = [], maxReceipts?: number) {
   const clock = new VirtualClock();
   const store = FakeStore.script(clock, faults);
-  const network = { isLive: true, canHold: true };
+  const network = { isLive: true, canHold: true, gone: "", asked: [""] };
   const held = new HeldReceipts({
     store,
     clock,
@@ -26,7 +26,9 @@
     forwardReceipt: async () => false,
   });
   const holders = new ReceiptHolders({
-    holdReceipt: async (_, record) => {
+    isHolderLive: (endpoint) => endpoint !== network.gone,
+    holdReceipt: async (endpoint, record) => {
+      network.asked.push(endpoint);
       await clock.sleep(5);
       if (!network.canHold) return false;
       const { requestId } = record.receipt;
@@ -44,6 +46,7 @@
     holders,
     entry: "entry1",
     incarnation: "a",
+    listHolders: () => ["gpu-2"],
     maxReceipts,
   });
   const add = (requestId: string, padding = 0) =>
@@ -160,6 +163,20 @@
     assert.equal(countPlaces(store).get("r1"), 1);
   });
 
+  it("finds a new holder when the first one leaves during an outage", async () => {
+    const { clock, store, ledger, network, add } = createCase();
+    const stop = new AbortController();
+    store.isDown = true;
+    void ledger.start(stop.signal);
+    await add("r1");
+    await clock.run(5_000);
+    assert.deepEqual(network.asked.slice(1), ["gpu-1"]);
+    network.gone = "gpu-1";
+    await clock.run(10_000);
+    stop.abort();
+    assert.deepEqual(network.asked.slice(1), ["gpu-1", "gpu-2"]);
+  });
+
   it("reports a receipt that would be lost with a stopping entry", async () => {
     const { clock, store, ledger, network } = createCase();
     network.canHold = false;
--- a/src/roles/gate_calls.ts
+++ b/src/roles/gate_calls.ts
@@ -26,6 +26,8 @@
 
 export function createHolderCalls(directory: EndpointDirectory): HolderCalls {
   return {
+    isHolderLive: (endpoint) =>
+      directory.getStatus(endpoint)?.leaving === false,
     holdReceipt: async (endpoint, record, signal) => {
       const client = directory.getClient(endpoint);
       if (client === undefined) return false;
--- a/src/roles/pending_results.ts
+++ b/src/roles/pending_results.ts
@@ -99,6 +99,7 @@
     let intervalMs = RETRY_INTERVAL_MS;
     while (!signal.aborted) {
       const isDone = await this.flush(signal);
+      if (!isDone) await this.#renewCopies(signal);
       intervalMs = isDone
         ? RETRY_INTERVAL_MS
         : Math.min(intervalMs * 2, MAX_RETRY_INTERVAL_MS);
@@ -106,6 +107,13 @@
     }
   }
 
+  async #renewCopies(signal: AbortSignal): Promise<void> {
+    for (const [requestId, pending] of [...this.#pending]) {
+      if (!this.#options.holders.hasLostCopy(requestId)) continue;
+      if (!(await this.#hold(pending, signal))) return;
+    }
+  }
+
   /** Stores or hands over what is left, until the signal aborts. */
   async close(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !(await this.flush(signal))) {
--- a/src/roles/receipt_holders.ts
+++ b/src/roles/receipt_holders.ts
@@ -16,6 +16,8 @@
 const RELEASE_BATCH = 1_000;
 
 export interface HolderCalls {
+  /** False when the endpoint has left or can't be reached. */
+  readonly isHolderLive?: (endpoint: string) => boolean;
   /** `HoldReceipt`; false when the endpoint refuses or does not reply. */
   readonly holdReceipt: (
     endpoint: string,
@@ -34,7 +36,8 @@
   readonly owner: string;
   /** Endpoints that may have a copy, those without a reply included. */
   readonly asked: Set<string>;
-  isHeld: boolean;
+  /** The endpoint that confirmed its copy last. */
+  heldBy: string | undefined;
   isAsking: boolean;
   isWritten: boolean;
 }
@@ -53,9 +56,21 @@
     this.#calls = calls;
   }
 
-  /** True when an endpoint has confirmed a copy. */
+  /** True when a live endpoint has confirmed a copy. */
   isHeld(requestId: string): boolean {
-    return this.#copies.get(requestId)?.isHeld ?? false;
+    const copy = this.#copies.get(requestId);
+    return copy !== undefined && this.#isHeld(copy);
+  }
+
+  /** True when the endpoint that had the only other copy is gone. */
+  hasLostCopy(requestId: string): boolean {
+    const copy = this.#copies.get(requestId);
+    return copy !== undefined && !copy.isAsking && !this.#isHeld(copy);
+  }
+
+  #isHeld({ heldBy }: Copy): boolean {
+    const { isHolderLive = () => true } = this.#calls;
+    return heldBy !== undefined && isHolderLive(heldBy);
   }
 
   /** Asks the endpoints in turn until one holds the record. */
@@ -69,15 +84,16 @@
     this.#copies.set(requestId, copy);
     copy.isAsking = true;
     for (const endpoint of endpoints.slice(0, MAX_HOLDERS_ASKED)) {
-      if (signal.aborted || copy.isWritten || copy.isHeld) break;
+      if (signal.aborted || copy.isWritten || this.#isHeld(copy)) break;
       copy.asked.add(endpoint);
-      copy.isHeld = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
+      const isHeld = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
         this.#calls.holdReceipt(endpoint, record, limited),
       ).catch(() => false);
+      if (isHeld) copy.heldBy = endpoint;
     }
     copy.isAsking = false;
     if (copy.isWritten) this.#queueRelease(requestId, copy);
-    return copy.isHeld;
+    return this.#isHeld(copy);
   }
 
   /** The store has the receipt, so its copies can go. */
@@ -141,7 +157,7 @@
   return {
     owner,
     asked: new Set(),
-    isHeld: false,
+    heldBy: undefined,
     isAsking: false,
     isWritten: false,
   };
--- a/src/roles/receipt_recovery.ts
+++ b/src/roles/receipt_recovery.ts
@@ -7,7 +7,11 @@
   getRecoveredKey,
   listMissing,
 } from "../core/index.js";
-import type { HeldRecord, LedgerPage } from "../schema/index.js";
+import type {
+  HeldRecord,
+  LedgerPage,
+  RecoveredReceipt,
+} from "../schema/index.js";
 import { storeResult } from "./claim_writes.js";
 import { callStore, writeObject } from "./store_writes.js";
 
@@ -94,17 +98,26 @@
   if (!isSealed) return { written, isComplete: true };
 
   for (const { receipt } of missing) {
-    const key = getRecoveredKey(receipt.requestId);
-    const value = { owner, receipt };
-    // Whoever wrote the key wrote the same receipt.
-    const write = { key, value, ifVersion: 0, isOwn: () => true };
-    const outcome = await writeObject(store, write, options);
-    if (outcome.kind !== "written") return { written, isComplete: false };
+    const isWritten = await writeRecovered(store, { owner, receipt }, options);
+    if (!isWritten) return { written, isComplete: false };
     written.push(receipt.requestId);
   }
   return { written, isComplete: true };
 }
 
+/** Writes a receipt that is in no page; true when the store has it. */
+export async function writeRecovered(
+  store: ObjectStore,
+  value: RecoveredReceipt,
+  options: { signal: AbortSignal },
+): Promise<boolean> {
+  const key = getRecoveredKey(value.receipt.requestId);
+  // Whoever wrote the key wrote the same receipt.
+  const write = { key, value, ifVersion: 0, isOwn: () => true };
+  const outcome = await writeObject(store, write, options);
+  return outcome.kind === "written";
+}
+
 /**
  * Reads the owner's pages that can contain the records, and seals them first
  * if asked: without a seal the owner could still write another page.
--- a/src/roles/slo_counts.ts
+++ b/src/roles/slo_counts.ts
@@ -17,6 +17,12 @@
 
 const WRITE_INTERVAL_MS = 60_000;
 
+/** Between two tries to write on a graceful shutdown. */
+const CLOSE_RETRY_MS = 500;
+
+/** Longest single try at the end of a graceful shutdown. */
+const LAST_TRY_MS = 2_000;
+
 /**
  * Hours kept in memory, each under 1 MB, so that counts survive store outages
  * of several hours and ratings that come late.
@@ -121,17 +127,19 @@
     }
   }
 
-  /** Writes what is left, until the store has it or the signal aborts. */
+  /**
+   * Writes what is left, until the store has it or the signal aborts. One try
+   * is made even after running work has used up the time.
+   */
   async close(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !(await this.flush(signal))) {
+    let isWritten = await this.flush(AbortSignal.timeout(LAST_TRY_MS));
+    while (!signal.aborted && !isWritten) {
       await this.#options.clock.sleep(CLOSE_RETRY_MS, signal);
+      isWritten = await this.flush(signal);
     }
   }
 }
 
-/** Between two tries to write on a graceful shutdown. */
-const CLOSE_RETRY_MS = 500;
-
 /** The first hour of a report over some hours up to now. */
 export function getFirstHour(nowMs: number, hours: number): number {
   return getHour(nowMs - hours * HOUR_MS);
