--- a/src/roles/endpoint_receipts.ts
+++ b/src/roles/endpoint_receipts.ts
@@ -92,7 +92,7 @@
     if (copies.has(requestId)) return true;
     if (this.#count >= (maxReceipts ?? MAX_RECEIPTS)) return false;
     if (this.#bytes + bytes > (maxBytes ?? MAX_RECEIPT_BYTES)) return false;
-    const record = parseRecord(receipt);
+    const record = parseRecord(request);
     if (record === undefined) return false;
     copies.set(requestId, { record, request, bytes, heldAtMs: clock.now() });
     this.#copies.set(owner, copies);
@@ -215,9 +215,15 @@
   }
 }
 
-function parseRecord(text: string): HeldRecord | undefined {
+/** Reads a record; one that recovery could not use is not held. */
+function parseRecord(request: HoldReceiptRequest): HeldRecord | undefined {
   try {
-    return JSON.parse(text) as HeldRecord;
+    const record = JSON.parse(request.receipt) as Partial<HeldRecord>;
+    const isUsable =
+      record.owner === request.owner &&
+      record.receipt?.requestId === request.requestId &&
+      Number.isInteger(record.fromPage);
+    return isUsable ? (record as HeldRecord) : undefined;
   } catch {
     return undefined;
   }
--- a/src/roles/entry_claims_test.ts
+++ b/src/roles/entry_claims_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type AttemptReport, createAttemptReport } from "./claim_outcomes.js";
+import { HeldReceipts } from "./endpoint_receipts.js";
 import {
   ANSWER,
   createEntry,
@@ -94,6 +95,40 @@
     assert.equal(readClaims(store)[0]?.bill?.cost, 2);
   });
 
+  it("bills an order whose entry is killed in the outage, from the endpoint", async () => {
+    const clock = new VirtualClock();
+    const store = FakeStore.script(clock);
+    const held = new HeldReceipts({
+      store,
+      clock,
+      createId: () => "survivor",
+      endpoint: "orders-1",
+      isProcessLive: () => false,
+      forwardReceipt: async () => false,
+    });
+    const { keeper } = createEntry({
+      clock,
+      store,
+      lookUpAttempt: async () => ({ kind: "running" }),
+      holdReceipt: async (_, record) => {
+        const { requestId } = record.receipt;
+        const receipt = JSON.stringify(record);
+        return held.hold({ owner: record.owner, receipt, requestId });
+      },
+    });
+    const first = await clock.finish(keeper.acquire(createOrder(clock), NEVER));
+    assert.ok(first.kind === "acquired");
+    store.isDown = true;
+    await clock.finish(keeper.complete(first.stored, ANSWER, NEVER));
+    await clock.run(31_000);
+    assert.equal(await clock.finish(held.recoverLost(NEVER)), false);
+    store.isDown = false;
+    assert.equal(await clock.finish(held.recoverLost(NEVER)), true);
+    const claim = readClaims(store)[0];
+    assert.deepEqual([claim?.state, claim?.bill?.cost], ["done", 2]);
+    assert.equal(store.listAll("ledger/").length, 0, "billed twice");
+  });
+
   it("bills an answer that arrives after the claim became unknown", async () => {
     const { clock, store, keeper } = createCase([], { kind: "gone" });
     const order = createOrder(clock);
--- a/src/roles/fake_orders_test.ts
+++ b/src/roles/fake_orders_test.ts
@@ -5,7 +5,7 @@
 import { type AcquireRequest, ClaimKeeper } from "./entry_claims.js";
 import type { FakeStore, VirtualClock } from "./fake_store_test.js";
 import { PendingResults } from "./pending_results.js";
-import { ReceiptHolders } from "./receipt_holders.js";
+import { type HolderCalls, ReceiptHolders } from "./receipt_holders.js";
 
 export const NEVER = new AbortController().signal;
 export const TEXT = new TextEncoder();
@@ -40,7 +40,7 @@
   clock: VirtualClock;
   store: FakeStore;
   lookUpAttempt: LookUpAttempt;
-  holdReceipt?: () => Promise<boolean>;
+  holdReceipt?: HolderCalls["holdReceipt"];
 }
 
 let nextId = 0;
