--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -33,6 +33,8 @@
 export interface ChoiceRequest {
   readonly requestClass: string;
   readonly candidates: readonly string[];
+  /** Versions in roll-out, which the judge must be able to escalate from. */
+  readonly guarded: ReadonlySet<string>;
   readonly qualityTarget: number;
   readonly remainingMs: number;
 }
@@ -190,9 +192,11 @@
     const priced = request.candidates.toSorted(
       (a, b) => getCost(a) - getCost(b),
     );
-    const dearest = priced.at(-1);
-    if (dearest === undefined) return undefined;
-    quality.setDearest(request.requestClass, dearest);
+    const dearest = priced.findLast((v) => !request.guarded.has(v));
+    if (priced.length === 0) return undefined;
+    if (dearest !== undefined) {
+      quality.setDearest(request.requestClass, dearest);
+    }
     const served = priced.filter((v) => getPace(v).unitMs < Infinity);
     const plans = this.#listPlans(request, served.length > 0 ? served : priced);
     const raisedTarget = this.#raiseTarget(request, nowMs);
@@ -208,7 +212,7 @@
     const short = findShort(plans, safe, raisedTarget);
     const explore = plans.filter(
       ({ steps: [first = "", last] }) =>
-        last === served.at(-1) &&
+        last === dearest &&
         quality.countEvidence(request.requestClass, first) < EXPLORED_EVIDENCE,
     );
     return { safe, short, explore, raisedTarget, madeAtMs: nowMs };
@@ -244,10 +248,14 @@
     for (const [i, first] of known.entries()) {
       const firstMs = request.remainingMs - first.pace.waitMs;
       const inTime = computeFit(length, firstMs / first.pace.unitMs);
-      add([first.version], first.estimate, { cost: first.cost, inTime });
+      const isGuarded = request.guarded.has(first.version);
+      if (!isGuarded || versions.length === 1) {
+        add([first.version], first.estimate, { cost: first.cost, inTime });
+      }
       const pass = computePassChance(first.estimate.mean, judge);
       for (const second of known.slice(i + 1)) {
         if (second.cost <= first.cost) continue;
+        if (request.guarded.has(second.version)) continue;
         if (second.estimate.mean <= first.estimate.mean) continue;
         const { specificity } = judge;
         const miss = 1 - specificity;
--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -259,8 +259,9 @@
       endpoint: endpoint.name,
       version,
       sentAtMs: nowMs,
-      final: pending.steps.length === 1 && !pending.judgeLast,
+      final: pending.steps.length === 1,
       target,
+      expectedMs: workMs,
       load: estimateLoad(endpoint),
     };
     this.#options.act({
--- /dev/null
+++ b/src/core/guard.ts
@@ -0,0 +1,190 @@
+/**
+ * Roll-out guard: a version in roll-out gets more requests as evidence grows,
+ * and is cut when its verdicts, errors or times turn for the worse.
+ *
+ * Each version has a cumulative sum of log-likelihood ratios between "as
+ * before" and "half as good". A sum is used in place of a window because it
+ * reacts after the fewest requests for a given rate of false alarms.
+ */
+
+import type { FleetState } from "../schema/index.js";
+
+export interface GuardOptions {
+  random: () => number;
+}
+
+/** Sum at which the version is cut; about 15 verdicts of a bad version. */
+const CUT_SUM = 5;
+/** Sum at which the version only runs one request at a time. */
+const SUSPECT_SUM = 1.5;
+/** Share of good outcomes of a bad version, relative to before. */
+const BAD_FACTOR = 0.5;
+/** Weight of the expectation that a new version is like this. */
+const PRIOR = { good: 3, total: 4 };
+/** Errors and slow answers are rare on a sound version. */
+const HEALTH_PRIOR = { good: 58.2, total: 60 };
+const MAX_TOTAL = 200;
+/** Share of the roll-out that a version without evidence gets. */
+const FIRST_EXPOSURE = 0.1;
+/** Verdicts after which a version gets the whole share of its roll-out. */
+const FULL_EVIDENCE = 150;
+/** Requests without a verdict yet, which a sudden change would all spoil. */
+const MIN_OUTSTANDING = 2;
+const EVIDENCE_PER_OUTSTANDING = 40;
+/** Time over which failures on one endpoint count once. */
+const SAME_FAILURE_MS = 5_000;
+/** Time over expectation that counts as slow. */
+export const SLOW_FACTOR = 3;
+
+interface Expectation {
+  good: number;
+  total: number;
+}
+
+interface VersionWatch {
+  sum: number;
+  evidence: number;
+  outstanding: number;
+  cut: boolean;
+  readonly expectations: Map<string, Expectation>;
+  readonly failedAtMs: Map<string, number>;
+}
+
+export class Guard {
+  readonly #options: GuardOptions;
+  readonly #watches = new Map<string, VersionWatch>();
+  #state: FleetState | undefined;
+
+  constructor(options: GuardOptions) {
+    this.#options = options;
+  }
+
+  setState(state: FleetState): void {
+    const before = this.#state;
+    this.#state = state;
+    for (const version of this.#watches.keys()) {
+      const ended = state.rollouts[version] === undefined;
+      // A hold that an operator has lifted starts the roll-out afresh.
+      const wasHeld = before?.holds[version] !== undefined;
+      const lifted = wasHeld && state.holds[version] === undefined;
+      if (ended || lifted) this.#watches.delete(version);
+    }
+  }
+
+  isGuarded(version: string): boolean {
+    return this.#state?.rollouts[version] !== undefined;
+  }
+
+  /** Share of requests that may go to the version now. */
+  getExposure(version: string): number {
+    const share = this.#state?.rollouts[version]?.share;
+    if (share === undefined) return 1;
+    const evidence = this.#find(version).evidence;
+    const rise = FIRST_EXPOSURE + evidence / FULL_EVIDENCE;
+    return share * Math.min(1, rise);
+  }
+
+  /** Versions of the candidates that are open to the next request. */
+  filter(candidates: readonly string[]): string[] {
+    return candidates.filter((version) => {
+      if (this.#state?.holds[version] !== undefined) return false;
+      if (!this.isGuarded(version)) return true;
+      const watch = this.#find(version);
+      if (watch.cut || watch.outstanding >= getLimit(watch)) return false;
+      return this.#options.random() < this.getExposure(version);
+    });
+  }
+
+  begin(version: string): void {
+    if (this.isGuarded(version)) this.#find(version).outstanding++;
+  }
+
+  end(version: string): void {
+    const watch = this.#watches.get(version);
+    if (watch === undefined) return;
+    watch.outstanding = Math.max(0, watch.outstanding - 1);
+  }
+
+  /** Returns the reason to hold the version, once, when it has turned bad. */
+  recordVerdict(
+    version: string,
+    requestClass: string,
+    passed: boolean,
+  ): string | undefined {
+    return this.#record(version, `quality of ${requestClass}`, passed);
+  }
+
+  recordHealth(version: string, good: boolean): string | undefined {
+    return this.#record(version, "health", good);
+  }
+
+  /** An endpoint that fails all its work at once says little of a version. */
+  recordFailure(
+    version: string,
+    endpoint: string,
+    nowMs: number,
+  ): string | undefined {
+    if (!this.isGuarded(version)) return undefined;
+    const { failedAtMs } = this.#find(version);
+    const lastMs = failedAtMs.get(endpoint) ?? Number.NEGATIVE_INFINITY;
+    failedAtMs.set(endpoint, nowMs);
+    if (nowMs - lastMs < SAME_FAILURE_MS) return undefined;
+    return this.recordHealth(version, false);
+  }
+
+  #find(version: string): VersionWatch {
+    let watch = this.#watches.get(version);
+    if (watch === undefined) {
+      watch = {
+        sum: 0,
+        evidence: 0,
+        outstanding: 0,
+        cut: false,
+        expectations: new Map(),
+        failedAtMs: new Map(),
+      };
+      this.#watches.set(version, watch);
+    }
+    return watch;
+  }
+
+  #record(version: string, aspect: string, good: boolean): string | undefined {
+    if (!this.isGuarded(version)) return undefined;
+    const watch = this.#find(version);
+    if (watch.cut) return undefined;
+    let expected = watch.expectations.get(aspect);
+    if (expected === undefined) {
+      expected = aspect === "health" ? { ...HEALTH_PRIOR } : { ...PRIOR };
+      watch.expectations.set(aspect, expected);
+    }
+    const before = expected.good / expected.total;
+    const bad = before * BAD_FACTOR;
+    const change = good
+      ? Math.log(bad / before)
+      : Math.log((1 - bad) / (1 - before));
+    watch.sum = Math.max(0, watch.sum + change);
+    if (watch.sum >= CUT_SUM) {
+      watch.cut = true;
+      return `${aspect} fell: ${watch.sum.toFixed(1)} over ${CUT_SUM}`;
+    }
+    if (aspect !== "health") watch.evidence++;
+    // Suspect outcomes must not lower what is expected of the version.
+    if (watch.sum < SUSPECT_SUM) addOutcome(expected, good);
+    return undefined;
+  }
+}
+
+function getLimit(watch: VersionWatch): number {
+  if (watch.sum >= SUSPECT_SUM) return 1;
+  const earned = Math.floor(watch.evidence / EVIDENCE_PER_OUTSTANDING);
+  return MIN_OUTSTANDING + earned;
+}
+
+function addOutcome(expected: Expectation, good: boolean): void {
+  if (expected.total >= MAX_TOTAL) {
+    expected.good /= 2;
+    expected.total /= 2;
+  }
+  expected.total++;
+  if (good) expected.good++;
+}
--- a/src/core/pending.ts
+++ b/src/core/pending.ts
@@ -9,6 +9,8 @@
   readonly sentAtMs: number;
   readonly final: boolean;
   readonly target: string;
+  /** Expected time of the work from its start. */
+  readonly expectedMs: number;
   /** Requests at the endpoint when the attempt was sent, itself included. */
   readonly load: number;
   startedAtMs?: number;
@@ -23,8 +25,8 @@
   steps: string[];
   /** Version whose answer the judge rejected in an earlier step. */
   rejectedVersion?: string;
-  /** True when the judge also rates the last step. */
-  judgeLast: boolean;
+  /** Version in roll-out whose verdict is outstanding. */
+  watched?: string;
   /** Attempts of the current step. */
   stepAttempts: number;
   /** Work of the request, known once a step is done. */
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -5,18 +5,12 @@
 
 import { match } from "ts-pattern";
 import type { FleetState } from "../schema/index.js";
-import { Chooser } from "./chooser.js";
 import { Dispatcher, type EndedWork } from "./dispatcher.js";
 import { createRefusal, type Ran, type Refusal } from "./errors.js";
-import {
-  type AnswerRole,
-  computeEscalatedQuality,
-  QualityEstimates,
-} from "./estimates.js";
 import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
-import { createEmptyState } from "./fleet_state.js";
 import { type PendingRequest, PendingRequests } from "./pending.js";
 import { RetryBudget } from "./retries.js";
+import { Versions } from "./versions.js";
 
 export interface RouterOptions {
   /** Uniform in 0..1. */
@@ -27,9 +21,6 @@
   judgeCostPerCall?: number;
 }
 
-/** Requests between two updates of the judge's estimated chances. */
-const JUDGE_UPDATE_REQUESTS = 200;
-
 type EventOf<T extends RouterEvent["type"]> = Extract<RouterEvent, { type: T }>;
 type AttemptEnd = "completed" | "refused" | "failed";
 
@@ -37,12 +28,9 @@
   readonly #dispatcher: Dispatcher;
   readonly #pending = new PendingRequests();
   readonly #retries = new RetryBudget();
-  readonly #quality = new QualityEstimates();
-  readonly #chooser: Chooser;
-  #state: FleetState = createEmptyState();
+  readonly #versions: Versions;
   #actions: RouterAction[] = [];
   #nowMs = 0;
-  #submitted = 0;
 
   constructor(options: RouterOptions) {
     this.#dispatcher = new Dispatcher({
@@ -51,13 +39,13 @@
       refuse: (pending, refusal) => this.#refuse(pending, refusal),
       act: (action) => this.#actions.push(action),
     });
-    this.#chooser = new Chooser({
+    this.#versions = new Versions({
       random: options.random,
-      quality: this.#quality,
-      getCost: (name) => this.#state.versions[name]?.costPerKiloToken ?? 0,
+      judgeCostPerCall: options.judgeCostPerCall ?? 0,
       getPace: (name) => this.#dispatcher.getPace(name),
       getLength: (name) => this.#dispatcher.lengths.get(name),
-      judgeCostPerCall: options.judgeCostPerCall ?? 0,
+      hold: (version, reason) =>
+        this.#actions.push({ type: "hold-version", version, reason }),
     });
   }
 
@@ -73,9 +61,7 @@
       .with({ type: "refused" }, (e) => this.#retryRefused(e))
       .with({ type: "failed" }, (e) => this.#retryFailed(e))
       .with({ type: "judged" }, (e) => this.#applyVerdict(e))
-      .with({ type: "rated" }, (e) =>
-        this.#quality.recordRatings(e.requestClass, e.version, e),
-      )
+      .with({ type: "rated" }, (e) => this.#versions.recordRatings(e))
       .with({ type: "endpoint-status" }, (e) =>
         this.#dispatcher.updateEndpoint(e.status, nowMs),
       )
@@ -89,48 +75,29 @@
   }
 
   #setState(state: FleetState): void {
-    this.#state = state;
     this.#dispatcher.setState(state);
-    this.#chooser.clearPlans();
+    this.#versions.setState(state);
   }
 
   #submit(request: RouteRequest): void {
     this.#retries.earn();
-    if (++this.#submitted % JUDGE_UPDATE_REQUESTS === 0) {
-      this.#quality.learnJudge();
-    }
     const pending: PendingRequest = {
       request,
       submittedAtMs: this.#nowMs,
       attempt: 0,
       stepAttempts: 0,
-      steps: this.#planSteps(request),
-      judgeLast: false,
+      steps: this.#versions.planSteps(request, this.#nowMs),
       tried: new Set(),
       mayHaveRun: false,
     };
     this.#pending.add(pending);
+    this.#versions.watch(pending);
     if (pending.steps.length === 0) {
       const detail = `no version is open to class "${request.requestClass}"`;
       this.#refuse(pending, createRefusal("no-endpoint", detail));
     } else this.#dispatcher.submit(pending, this.#nowMs);
   }
 
-  #planSteps(request: RouteRequest): string[] {
-    if (request.kind === "service") return [""];
-    if (request.sessionVersion !== undefined) return [request.sessionVersion];
-    const candidates = request.candidates.filter(
-      (name) => this.#state.holds[name] === undefined,
-    );
-    const { requestClass, qualityTarget = 0, deadlineAtMs } = request;
-    const remainingMs = deadlineAtMs - this.#nowMs;
-    const plan = this.#chooser.choose(
-      { requestClass, candidates, qualityTarget, remainingMs },
-      this.#nowMs,
-    );
-    return [...(plan?.steps ?? [])];
-  }
-
   /** Ends the running attempt; undefined when the event is about another. */
   #endAttempt(
     event: { requestId: string; attempt: number },
@@ -156,10 +123,11 @@
     if (ended === undefined) return;
     const { pending, running } = ended;
     pending.mayHaveRun = true;
+    this.#versions.recordTime(running, this.#nowMs);
     if (running.final) {
       const isEscalated = pending.rejectedVersion !== undefined;
       const role = isEscalated ? "escalated" : "single";
-      this.#recordRole(pending, running.version, role);
+      this.#versions.recordAnswer(pending, running.version, role);
       this.#answer(pending);
     } else {
       pending.judging = running.version;
@@ -174,15 +142,12 @@
     const pending = this.#pending.find(event.requestId);
     if (pending?.judging === undefined) return;
     if (pending.attempt !== event.attempt) return;
-    const { request, judging: version } = pending;
-    const { requestClass } = request;
+    const { judging: version } = pending;
     pending.judging = undefined;
-    if (event.passed !== undefined) {
-      this.#quality.recordVerdict(requestClass, version, event.passed);
-    }
+    this.#versions.recordVerdict(pending, version, event.passed);
     pending.steps = pending.steps.slice(1);
     if (event.passed === true || pending.steps.length === 0) {
-      this.#recordRole(pending, version, "passed");
+      this.#versions.recordAnswer(pending, version, "passed");
       this.#answer(pending);
       return;
     }
@@ -190,35 +155,12 @@
     pending.tried.clear();
     pending.stepAttempts = 0;
     if (
-      this.#dispatcher.canEnd(pending, this.#nowMs) ||
-      !this.#acceptRejected(pending, version)
+      !this.#dispatcher.canEnd(pending, this.#nowMs) &&
+      this.#versions.acceptRejected(pending.request, version)
     ) {
-      this.#dispatcher.submit(pending, this.#nowMs);
-    }
-  }
-
-  /** Answers with a rejected output when no better one can be ready in time. */
-  #acceptRejected(pending: PendingRequest, version: string): boolean {
-    const { requestClass, qualityTarget = 0 } = pending.request;
-    const { mean } = this.#quality.estimate(requestClass, version);
-    const judge = this.#quality.judge;
-    const quality = computeEscalatedQuality(mean, mean, judge);
-    if (!this.#chooser.spendCredit(requestClass, qualityTarget - quality)) {
-      return false;
-    }
-    this.#answer(pending);
-    return true;
-  }
-
-  #recordRole(
-    pending: PendingRequest,
-    version: string,
-    role: AnswerRole,
-  ): void {
-    const { kind, requestClass } = pending.request;
-    if (kind === "service") return;
-    const from = pending.rejectedVersion;
-    this.#quality.recordAnswer(requestClass, version, { role, from });
+      // No better answer can be ready in time, and the target bears this one.
+      this.#answer(pending);
+    } else this.#dispatcher.submit(pending, this.#nowMs);
   }
 
   #retryRefused(event: EventOf<"refused">): void {
@@ -231,6 +173,7 @@
     const ended = this.#endAttempt(event, "failed");
     if (ended === undefined) return;
     if (event.ran !== "no") ended.pending.mayHaveRun = true;
+    this.#versions.recordFailure(ended.running, this.#nowMs);
     this.#retry(ended.pending, event.refusal, event);
   }
 
@@ -248,13 +191,18 @@
   }
 
   #answer(pending: PendingRequest): void {
-    this.#pending.remove(pending);
+    this.#close(pending);
     const { attempt, request } = pending;
     this.#actions.push({ type: "answer", requestId: request.id, attempt });
   }
 
-  #refuse(pending: PendingRequest, refusal: Refusal): void {
+  #close(pending: PendingRequest): void {
     this.#pending.remove(pending);
+    this.#versions.stopWatching(pending);
+  }
+
+  #refuse(pending: PendingRequest, refusal: Refusal): void {
+    this.#close(pending);
     const ran =
       pending.mayHaveRun && refusal.ran === "no" ? "unknown" : refusal.ran;
     this.#actions.push({
@@ -284,7 +232,7 @@
   #abandon(requestId: string): void {
     const pending = this.#pending.find(requestId);
     if (pending === undefined) return;
-    this.#pending.remove(pending);
+    this.#close(pending);
     this.#cancel(pending);
   }
 
