--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -41,8 +41,14 @@
   total: number;
 }
 
+/** Quality and health have sums of their own: one must not mask the other. */
+interface Sums {
+  quality: number;
+  health: number;
+}
+
 interface VersionWatch {
-  sum: number;
+  readonly sums: Sums;
   evidence: number;
   outstanding: number;
   cut: boolean;
@@ -111,11 +117,11 @@
     requestClass: string,
     passed: boolean,
   ): string | undefined {
-    return this.#record(version, `quality of ${requestClass}`, passed);
+    return this.#record(version, "quality", { good: passed, requestClass });
   }
 
   recordHealth(version: string, good: boolean): string | undefined {
-    return this.#record(version, "health", good);
+    return this.#record(version, "health", { good, requestClass: "" });
   }
 
   /** An endpoint that fails all its work at once says little of a version. */
@@ -136,7 +142,7 @@
     let watch = this.#watches.get(version);
     if (watch === undefined) {
       watch = {
-        sum: 0,
+        sums: { quality: 0, health: 0 },
         evidence: 0,
         outstanding: 0,
         cut: false,
@@ -148,34 +154,42 @@
     return watch;
   }
 
-  #record(version: string, aspect: string, good: boolean): string | undefined {
+  #record(
+    version: string,
+    aspect: keyof Sums,
+    outcome: { good: boolean; requestClass: string },
+  ): string | undefined {
     if (!this.isGuarded(version)) return undefined;
     const watch = this.#find(version);
     if (watch.cut) return undefined;
-    let expected = watch.expectations.get(aspect);
+    const { good, requestClass } = outcome;
+    const key = `${aspect} ${requestClass}`;
+    let expected = watch.expectations.get(key);
     if (expected === undefined) {
       expected = aspect === "health" ? { ...HEALTH_PRIOR } : { ...PRIOR };
-      watch.expectations.set(aspect, expected);
+      watch.expectations.set(key, expected);
     }
     const before = expected.good / expected.total;
     const bad = before * BAD_FACTOR;
     const change = good
       ? Math.log(bad / before)
       : Math.log((1 - bad) / (1 - before));
-    watch.sum = Math.max(0, watch.sum + change);
-    if (watch.sum >= CUT_SUM) {
+    const sum = Math.max(0, watch.sums[aspect] + change);
+    watch.sums[aspect] = sum;
+    if (sum >= CUT_SUM) {
       watch.cut = true;
-      return `${aspect} fell: ${watch.sum.toFixed(1)} over ${CUT_SUM}`;
+      return `${aspect} fell: evidence ${sum.toFixed(1)}, limit ${CUT_SUM}`;
     }
-    if (aspect !== "health") watch.evidence++;
+    if (aspect === "quality") watch.evidence++;
     // Suspect outcomes must not lower what is expected of the version.
-    if (watch.sum < SUSPECT_SUM) addOutcome(expected, good);
+    if (sum < SUSPECT_SUM) addOutcome(expected, good);
     return undefined;
   }
 }
 
 function getLimit(watch: VersionWatch): number {
-  if (watch.sum >= SUSPECT_SUM) return 1;
+  const { quality, health } = watch.sums;
+  if (Math.max(quality, health) >= SUSPECT_SUM) return 1;
   const earned = Math.floor(watch.evidence / EVIDENCE_PER_OUTSTANDING);
   return MIN_OUTSTANDING + earned;
 }
