Keep quality estimates honest on short evidence

Variances from plain shares claimed certainty after a run without a failure, verdicts were trusted beyond what is known of the judge, and the judge's sensitivity wandered between 0.80 and 0.99.

--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -54,7 +54,7 @@
  * Standard deviations by which the share over an hour may fall short by
  * chance; the target is raised by them so that each hour meets it.
  */
-const HOUR_DEVIATIONS = 2;
+const HOUR_DEVIATIONS = 2.5;
 const MIN_HOURLY_ANSWERS = 400;
 const HOUR_MS = 3_600_000;
 /** Price of a late answer, in answers of the dearest version. */
--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -26,9 +26,21 @@
 /** Beta prior of a version that nothing is known of. */
 const PRIOR = { mean: 0.7, weight: 4 };
 /** Beta prior of the dearest version: operators pay for its quality. */
-const DEAREST_PRIOR = { mean: 0.95, weight: 40 };
-/** Judge before any evidence, with the weight of this many observations. */
-const JUDGE_PRIOR = { sensitivity: 0.9, specificity: 0.9, weight: 300 };
+const DEAREST_PRIOR = { mean: 0.96, weight: 10 };
+/** Judge before any evidence. */
+const JUDGE_PRIOR = { sensitivity: 0.9, specificity: 0.9 };
+/**
+ * Weight of the prior in ratings: a deviation of 5% in the sensitivity and of
+ * 30% in the chance to miss. A looser prior let the sensitivity wander between
+ * 0.80 and 0.99 on a judge of 0.92.
+ */
+const SENSITIVITY_WEIGHT = 800;
+const MISS_WEIGHT = 25;
+/**
+ * Standard deviation of the judge's estimated chances. Verdicts alone never
+ * make a version's share more certain than the judge is.
+ */
+const JUDGE_DEVIATION = 0.02;
 
 interface VersionRecord {
   judged: number;
@@ -61,6 +73,31 @@
   return { mean, variance: (mean * (1 - mean)) / (weight + 1) };
 }
 
+/**
+ * Estimate of a share from counts. The variance comes from the share with two
+ * more of each outcome: the plain share of a short run without a failure would
+ * claim certainty.
+ */
+function estimateShare(good: number, total: number): QualityEstimate {
+  const shrunk = (good + 2) / (total + 4);
+  return {
+    mean: (good + 0.5) / (total + 1),
+    variance: (shrunk * (1 - shrunk)) / (total + 4),
+  };
+}
+
+/** Estimate of x from an estimate of offset + slope * x. */
+function solveLinear(
+  estimate: QualityEstimate,
+  offset: number,
+  slope: number,
+): QualityEstimate {
+  return {
+    mean: clampShare((estimate.mean - offset) / slope),
+    variance: estimate.variance / slope ** 2,
+  };
+}
+
 function combine(a: QualityEstimate, b: QualityEstimate): QualityEstimate {
   const weightA = 1 / a.variance;
   const weightB = 1 / b.variance;
@@ -195,10 +232,15 @@
   #invert({ judged, passed }: VersionRecord): QualityEstimate {
     const { sensitivity, specificity } = this.#judge;
     const slope = Math.max(MIN_SLOPE, sensitivity + specificity - 1);
-    const share = (passed + 0.7) / (judged + 1);
+    const { mean, variance } = solveLinear(
+      estimateShare(passed, judged),
+      1 - specificity,
+      slope,
+    );
+    const doubt = (JUDGE_DEVIATION / slope) ** 2;
     return {
-      mean: clampShare((share - (1 - specificity)) / slope),
-      variance: (share * (1 - share)) / (judged + 1) / slope ** 2,
+      mean,
+      variance: variance + doubt * (mean ** 2 + (1 - mean) ** 2),
     };
   }
 
@@ -216,7 +258,7 @@
     const answers = single + passedAnswers + escalated;
     if (rated === 0) return undefined;
     // Other entries' ratings arrive before any own answer.
-    if (answers === 0) return createBeta(clampShare(accepted / rated), rated);
+    if (answers === 0) return estimateShare(accepted, rated);
     const judge = this.#judge;
     let slope = single / answers;
     let offset = (passedAnswers / answers) * computePassedQuality(guess, judge);
@@ -230,11 +272,7 @@
       offset += (share * at0) / rejects;
     }
     if (slope < MIN_SLOPE) return undefined;
-    const share = (accepted + 0.9) / (rated + 1);
-    return {
-      mean: clampShare((share - offset) / slope),
-      variance: (share * (1 - share)) / (rated + 1) / slope ** 2,
-    };
+    return solveLinear(estimateShare(accepted, rated), offset, slope);
   }
 
   /** Estimate of a first step, from its verdicts only. */
@@ -256,11 +294,11 @@
     const x0 = 1 / JUDGE_PRIOR.sensitivity;
     const y0 = 1 / (1 - JUDGE_PRIOR.specificity);
     // The prior enters as a ridge in units of each unknown's own size.
-    let xx = JUDGE_PRIOR.weight / x0 ** 2;
-    let yy = JUDGE_PRIOR.weight / y0 ** 2;
+    let xx = SENSITIVITY_WEIGHT / x0 ** 2;
+    let yy = MISS_WEIGHT / y0 ** 2;
     let xy = 0;
-    let xz = JUDGE_PRIOR.weight / x0;
-    let yz = JUDGE_PRIOR.weight / y0;
+    let xz = SENSITIVITY_WEIGHT / x0;
+    let yz = MISS_WEIGHT / y0;
     for (const versions of this.#records.values()) {
       for (const record of versions.values()) {
         const rated = record.accepted + record.rejected;
