--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -25,7 +25,8 @@
   frozen: false,
 } satisfies Options;
 
-interface RunEntry {
+/** What `GET /record` shows of a run. */
+export interface RunEntry {
   readonly requestId: string;
   readonly idempotencyKey: string;
   readonly service: string;
--- a/src/standins/testing.ts
+++ b/src/standins/testing.ts
@@ -1,15 +1,23 @@
 /** Set-up that the tests of the stand-ins and of the adapters share. */
 
+import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import type { TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Result } from "neverthrow";
 import { type StandinKind, startStandin } from "./kinds.js";
 
 /** Bounds every call of a test; far above what a call takes. */
 export const TEST_TIMEOUT_MS = 5_000;
 
+/** Bounds a file of tests. */
+export const SUITE_TIMEOUT_MS = 60_000;
+
 /** For calls that nothing aborts. */
 export const NEVER: AbortSignal = new AbortController().signal;
 
+const POLL_MS = 10;
+
 export interface TestStandin {
   readonly target: { address: string; port: number; timeoutMs: number };
   control(patch: object): Promise<void>;
@@ -85,3 +93,42 @@
   await server.close();
   return server.port;
 }
+
+/** Polls until the condition holds; fails after the bound of a call. */
+export async function waitUntil(holds: () => Promise<boolean>): Promise<void> {
+  const endMs = performance.now() + TEST_TIMEOUT_MS;
+  while (!(await holds())) {
+    if (performance.now() > endMs) throw new Error(`Not true: ${holds}`);
+    await sleep(POLL_MS);
+  }
+}
+
+export async function expectOk<T, E>(
+  call: Result<T, E> | PromiseLike<Result<T, E>>,
+): Promise<T> {
+  return (await call)._unsafeUnwrap();
+}
+
+export async function expectErr<T, E>(
+  call: Result<T, E> | PromiseLike<Result<T, E>>,
+): Promise<E> {
+  return (await call)._unsafeUnwrapErr();
+}
+
+export interface AnyFailure {
+  readonly kind: string;
+  readonly ran?: string;
+}
+
+/** Gives a failure as its kind and whether the call can have run. */
+export function describeFailure({ kind, ran }: AnyFailure): string {
+  return ran === undefined ? kind : `${kind} ${ran}`;
+}
+
+/** Expects a failure such as "timeout unknown", or "conflict" of the store. */
+export async function expectFailure<T, E extends AnyFailure>(
+  call: Result<T, E> | PromiseLike<Result<T, E>>,
+  expected: string,
+): Promise<void> {
+  assert.equal(describeFailure(await expectErr(call)), expected);
+}
