Close gaps that mutations of the stand-ins and adapters showed

Trial mutations that no test noticed: a write with too high an expected version, a stream of unknown length that ends without its end mark, an ignored error event. Each now fails a test.

--- a/src/adapters/failures_test.ts
+++ b/src/adapters/failures_test.ts
@@ -9,6 +9,7 @@
   describeFailure,
   expectErr,
   expectFailure,
+  expectOk,
   findClosedPort,
   NEVER,
   SUITE_TIMEOUT_MS,
@@ -170,6 +171,19 @@
     await assert.rejects(async () => await asked, fault);
   });
 
+  it("lets many calls share a signal without a warning of a leak", async (t) => {
+    const warnings: Error[] = [];
+    const onWarning = (warning: Error) => warnings.push(warning);
+    process.on("warning", onWarning);
+    const { target } = await startTestStandin(t, "object-store");
+    const store = createHttpObjectStore(target);
+    const { signal } = new AbortController();
+    const reads = Array.from({ length: 20 }, () => store.read("a", signal));
+    for (const read of reads) await expectOk(read);
+    process.off("warning", onWarning);
+    assert.deepEqual(warnings, []);
+  });
+
   it("reuses the connection after an answer, so that load opens no new ones", async (t) => {
     const { target } = await startTestStandin(t, "engine", { versions: "v" });
     const { signal } = new AbortController();
--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -3,6 +3,7 @@
  * says whether the call can have taken effect on the other side.
  */
 
+import { setMaxListeners } from "node:events";
 import {
   Agent,
   type ClientRequest,
@@ -106,6 +107,8 @@
       request.destroy();
     };
     const onAbort = () => stop("aborted");
+    // Many calls share a process's signal; Node warns above 10 listeners.
+    setMaxListeners(0, signal);
     signal.addEventListener("abort", onAbort, { once: true });
     const timeoutMs = call.timeoutMs ?? this.#target.timeoutMs;
     const timer = setTimeout(stop, timeoutMs, "timeout");
--- a/src/adapters/malformed_replies_test.ts
+++ b/src/adapters/malformed_replies_test.ts
@@ -49,11 +49,14 @@
   return Buffer.concat([Buffer.from(head), Buffer.from(body)]);
 }
 
+function createEvents(events: string[]): string[] {
+  return events.map((event) => `data: ${event}\n\n`);
+}
+
 function createStream(events: string[]): Buffer {
-  const chunks = events.map((event) => {
-    const data = `data: ${event}\n\n`;
-    return `${Buffer.byteLength(data).toString(16)}\r\n${data}\r\n`;
-  });
+  const chunks = createEvents(events).map(
+    (event) => `${Buffer.byteLength(event).toString(16)}\r\n${event}\r\n`,
+  );
   const head =
     "HTTP/1.1 200 OK\r\nEngine-Start-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n";
   return Buffer.from(`${head}${chunks.join("")}0\r\n\r\n`);
@@ -165,9 +168,12 @@
     });
     assert.ok(checkAnswer(text).whole);
     const endMark = whole.indexOf("[DONE]\n\n") + "[DONE]\n\n".length;
+    const head = "HTTP/1.1 200 OK\r\nEngine-Start-Id: s1\r\n\r\n";
+    const unsized = Buffer.from(`${head}${createEvents(EVENTS).join("")}`);
     await fc.assert(
-      fc.asyncProperty(fc.nat(endMark - 1), async (length) => {
-        reply = whole.subarray(0, length);
+      fc.asyncProperty(fc.nat(endMark - 1), fc.boolean(), async (at, sized) => {
+        const full = sized ? whole : unsized;
+        reply = full.subarray(0, Math.min(at, full.length - 1));
         for (reset of [false, true]) {
           const { kind, ran } = await expectErr((await complete()).result);
           assert.equal(kind, "truncated");
--- a/src/standins/engine_test.ts
+++ b/src/standins/engine_test.ts
@@ -143,13 +143,17 @@
       slotsWhileCold: 2,
       tokensPerSecond: 300,
     };
-    const { ask, standin, readLoad } = await startEngine(t, options);
+    const { ask, standin, readLoad, readRuns } = await startEngine(t, options);
     const tokens = 1_000;
     const held = [ask("r1", { tokens }), ask("r2", { tokens })];
-    await waitUntil(async () => (await readLoad()).running === 2);
+    await waitUntil(async () => {
+      const runs = await readRuns();
+      return runs.length === 2 && runs.every((run) => run.outputTokens > 0);
+    });
     assert.equal((await readLoad()).cold, true);
-    for (const { result, text } of await Promise.all([...held, ask("r3")])) {
-      assert.equal(result._unsafeUnwrapErr().kind, "failed");
+    await expectFailure((await ask("r3")).result, "failed unknown");
+    for (const { result, text } of await Promise.all(held)) {
+      await expectFailure(result, "failed yes");
       assert.equal(checkAnswer(text).whole, false);
     }
     const record = await standin.readRecord<EngineRecord>();
--- a/src/standins/object_store_test.ts
+++ b/src/standins/object_store_test.ts
@@ -42,6 +42,10 @@
       );
       assert.deepEqual([...kinds], ["conflict"]);
     }
+    for (const key of ["config/head", "config/absent"]) {
+      const ahead = store.write({ key, value: 0, ifVersion: 3 }, NEVER);
+      await expectFailure(ahead, "conflict");
+    }
     const { writes } = await standin.readRecord<WriteRecord>();
     assert.deepEqual(
       writes.map(({ version }) => version),
--- a/src/standins/process.ts
+++ b/src/standins/process.ts
@@ -4,7 +4,7 @@
  */
 
 import { type ChildProcess, spawn } from "node:child_process";
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import { createWriteStream } from "node:fs";
 import { Socket } from "node:net";
 import { createInterface } from "node:readline";
@@ -120,6 +120,8 @@
     const { pid } = child;
     if (pid !== undefined) reportToGuard(`+${pid}`);
     const kill = () => this.#send("SIGKILL");
+    // Many processes share a signal; Node warns above 10 listeners.
+    setMaxListeners(0, signal);
     signal.addEventListener("abort", kill, { once: true });
     this.exited = waitForExit(child).finally(() => {
       this.#running = false;
