Bound retries towards failing peers and a failing store

Cause: with every peer in backoff a process asked the first one again at once, and each first contact of a session during an outage waited 310 ms. Change: a poll waits for the end of the backoff; after one failed settlement the next ones are a single short call. The reply's age counts from the question's arrival, as the message comments now say; the wait of a long poll would otherwise count twice, and three hops would reach 8 s.

--- a/src/roles/config_rounds.ts
+++ b/src/roles/config_rounds.ts
@@ -204,8 +204,11 @@
 
   async #poll(signal: AbortSignal): Promise<void> {
     const { exchange, order, getNowMs, listPeers } = this.#options;
-    const peer = order.choose(listPeers(), getNowMs());
-    if (peer === undefined) return waitFor(OUTAGE_PAUSE_MS, signal);
+    const choice = order.choose(listPeers(), getNowMs());
+    if (choice === undefined) return waitFor(OUTAGE_PAUSE_MS, signal);
+    const { peer, waitMs } = choice;
+    // The host list may name other peers in the meantime.
+    if (waitMs > 0) return waitFor(Math.min(waitMs, OUTAGE_PAUSE_MS), signal);
     const immediate = this.#isUrgent;
     const answer = await exchange.ask(peer, {
       immediate,
--- /dev/null
+++ b/src/roles/fake_fleet_test.ts
@@ -0,0 +1,136 @@
+/** Processes of a fleet on 127.0.0.1, for tests. */
+
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { err } from "neverthrow";
+import type { Peer } from "../core/index.js";
+import { ConfigSyncService } from "../schema/index.js";
+import { createConfigSyncHandlers } from "./config_handlers.js";
+import { PeerClients } from "./config_peers.js";
+import { ConfigSync } from "./config_sync.js";
+import { FakeStore } from "./fake_store_test.js";
+import { TicketService } from "./ticket_service.js";
+
+export const PEER: Peer = {
+  name: "",
+  role: "entry",
+  dataCentre: "dc1",
+  address: "127.0.0.1",
+  controlPort: 1,
+  leaving: false,
+};
+
+interface Node {
+  readonly sync: ConfigSync;
+  readonly tickets: TicketService;
+}
+
+/** Processes on 127.0.0.1; each pair and each way to the store can be cut. */
+export class Fleet {
+  readonly #servers: Server[] = [];
+  readonly #controller = new AbortController();
+  readonly store = new FakeStore();
+  readonly peers: Peer[] = [];
+  readonly nodes = new Map<string, Node>();
+  /** Names of the processes that can't reach the store. */
+  readonly storeCut = new Set<string>();
+  /** Group of each process; only processes of one group reach each other. */
+  readonly groups = new Map<string, number>();
+  readonly ratings: [string, number][] = [];
+  clockLeapMs = 0;
+
+  async add(name: string, dataCentre: string, role: Peer["role"] = "entry") {
+    const store = this.store.connect(() =>
+      this.storeCut.has(name) ? "down" : "none",
+    );
+    const clients = new PeerClients();
+    const sync = new ConfigSync({
+      name,
+      dataCentre,
+      store: role === "entry" ? store : undefined,
+      freshnessMs: 5_000,
+      listPeers: () => this.peers,
+      onEvidence: ({ accepted }) => this.ratings.push([name, accepted]),
+      getNowMs: () => performance.now() + this.clockLeapMs,
+      ask: async (peer, request, options) => {
+        const isCut = () =>
+          this.groups.get(peer.name) !== this.groups.get(name);
+        const failure = { peer: peer.name, detail: "cut" };
+        const kind = "peer-unreachable" as const;
+        if (isCut()) return err({ kind, ...failure });
+        const reply = await clients.ask(peer, request, options);
+        return isCut() ? err({ kind, ...failure }) : reply;
+      },
+    });
+    const server = new Server();
+    server.addService(ConfigSyncService, createConfigSyncHandlers(sync));
+    const controlPort = await bind(server);
+    this.#servers.push(server);
+    this.peers.push({ ...PEER, name, role, dataCentre, controlPort });
+    this.nodes.set(name, { sync, tickets: new TicketService({ store, sync }) });
+    this.#controller.signal.addEventListener("abort", () => clients.close());
+  }
+
+  async addEntries(count: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      await this.add(`e${index}`, `dc${index % 2}`);
+    }
+  }
+
+  async start(): Promise<void> {
+    for (const { sync } of this.nodes.values())
+      void sync.start(this.#controller.signal);
+    await this.waitUntil(() => this.listRefusing().length === 0);
+  }
+
+  stop(): void {
+    this.#controller.abort();
+    for (const server of this.#servers) server.forceShutdown();
+  }
+
+  get(name: string): Node {
+    const node = this.nodes.get(name);
+    assert.ok(node);
+    return node;
+  }
+
+  listRefusing(): string[] {
+    return [...this.nodes]
+      .filter(([, { sync }]) => sync.checkFreshness() !== undefined)
+      .map(([name]) => name);
+  }
+
+  listBehind(revision: number): string[] {
+    return [...this.nodes]
+      .filter(([, { sync }]) => sync.state.revision < revision)
+      .map(([name]) => name);
+  }
+
+  async waitUntil(condition: () => boolean, timeoutMs = 6_000): Promise<void> {
+    const endMs = performance.now() + timeoutMs;
+    while (!condition()) {
+      assert.ok(performance.now() < endMs, "the condition did not come true");
+      await sleep(20);
+    }
+  }
+
+  /** Checks for the time that nobody refuses new work. */
+  async expectService(ms: number, names: readonly string[]): Promise<void> {
+    const endMs = performance.now() + ms;
+    while (performance.now() < endMs) {
+      const refusing = this.listRefusing().filter((n) => names.includes(n));
+      assert.deepEqual(refusing, []);
+      await sleep(50);
+    }
+  }
+}
+
+function bind(server: Server): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const credentials = ServerCredentials.createInsecure();
+    server.bindAsync("127.0.0.1:0", credentials, (error, port) =>
+      error === null ? resolve(port) : reject(error),
+    );
+  });
+}
--- a/src/roles/peer_order.ts
+++ b/src/roles/peer_order.ts
@@ -11,6 +11,12 @@
   readonly untilMs: number;
 }
 
+export interface PeerChoice {
+  readonly peer: Peer;
+  /** Time until the peer may be asked. */
+  readonly waitMs: number;
+}
+
 export class PeerOrder {
   readonly #self: { readonly name: string; readonly dataCentre: string };
   readonly #getRandom: () => number;
@@ -47,13 +53,13 @@
   }
 
   /** The first one that is not in backoff, else the one that leaves it first. */
-  choose(peers: readonly Peer[], nowMs: number): Peer | undefined {
-    const ordered = this.list(peers);
-    const getUntil = (peer: Peer) =>
-      this.#backoffs.get(peer.name)?.untilMs ?? 0;
-    const ready = ordered.find((peer) => getUntil(peer) <= nowMs);
-    if (ready !== undefined) return ready;
-    return ordered.sort((a, b) => getUntil(a) - getUntil(b))[0];
+  choose(peers: readonly Peer[], nowMs: number): PeerChoice | undefined {
+    const choices = this.list(peers).map((peer) => {
+      const untilMs = this.#backoffs.get(peer.name)?.untilMs ?? nowMs;
+      return { peer, waitMs: Math.max(0, untilMs - nowMs) };
+    });
+    const ready = choices.find((choice) => choice.waitMs === 0);
+    return ready ?? choices.sort((a, b) => a.waitMs - b.waitMs)[0];
   }
 
   recordSuccess(name: string): void {
--- a/src/roles/session_records.ts
+++ b/src/roles/session_records.ts
@@ -7,12 +7,15 @@
   type Refusal,
   type SessionRecord,
 } from "../core/index.js";
-import { runWithTimeout } from "./scope.js";
+import { runWithTimeout, waitFor } from "./scope.js";
 
 /** A healthy store answers in milliseconds, and a caller waits. */
 const SETTLE_TIMEOUT_MS = 700;
-/** More than the entries that may meet on one session at the same time. */
+/** While the store is known to fail, one short call finds out if it is back. */
+const PROBE_TIMEOUT_MS = 150;
+/** Covers several lost replies, and entries that meet on one session. */
 const MAX_ATTEMPTS = 6;
+const FIRST_PAUSE_MS = 2;
 
 /** Gives the record to write, or undefined to keep the one that is there. */
 export type DecideRecord = (
@@ -33,6 +36,8 @@
 
 export interface SettleRequest {
   readonly key: string;
+  /** True while the store is known to fail. */
+  readonly isProbe: boolean;
   readonly decide: DecideRecord;
   readonly signal: AbortSignal;
 }
@@ -42,8 +47,9 @@
   store: ObjectStore,
   request: SettleRequest,
 ): Promise<Result<SettledRecord, Refusal | RecordsUnavailable>> {
-  const { signal } = request;
-  return runWithTimeout({ signal, timeoutMs: SETTLE_TIMEOUT_MS }, (scope) =>
+  const { signal, isProbe } = request;
+  const timeoutMs = isProbe ? PROBE_TIMEOUT_MS : SETTLE_TIMEOUT_MS;
+  return runWithTimeout({ signal, timeoutMs }, (scope) =>
     settleWithin(store, { ...request, signal: scope }),
   );
 }
@@ -52,10 +58,12 @@
   store: ObjectStore,
   request: SettleRequest,
 ): Promise<Result<SettledRecord, Refusal | RecordsUnavailable>> {
-  const { key, decide, signal } = request;
+  const { key, decide, signal, isProbe } = request;
+  const attempts = isProbe ? 1 : MAX_ATTEMPTS;
   let detail = "no attempt was made";
   let replaced: SessionRecord | undefined;
-  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+  for (let attempt = 0; attempt < attempts; attempt++) {
+    if (attempt > 0) await waitFor(FIRST_PAUSE_MS * 2 ** attempt, signal);
     if (signal.aborted) break;
     const read = await store.read(key, signal);
     if (read.isErr()) {
--- a/src/roles/session_store.ts
+++ b/src/roles/session_store.ts
@@ -80,6 +80,7 @@
   readonly #cache = new LRUCache<string, CachedSession>({
     max: MAX_CACHED_SESSIONS,
   });
+  #isStoreFailing = false;
   /** Records to write once the store is back. */
   readonly #backlog = new Map<string, SessionRecord>();
 
@@ -145,11 +146,13 @@
     const settled = await settleRecord(this.#options.store, {
       key,
       decide: (current) => ok(current === undefined ? record : undefined),
+      isProbe: false,
       signal,
     });
     if (settled.isErr() && settled.error.kind === "records-unavailable") {
       return false;
     }
+    this.#isStoreFailing = false;
     this.#backlog.delete(key);
     if (settled.isErr() || settled.value.record.version !== record.version) {
       // The record is older than the outage: it holds, and not the cache.
@@ -186,8 +189,11 @@
     const settled = await settleRecord(this.#options.store, {
       key,
       decide: (current) => decideRecord(session, current),
+      isProbe: this.#isStoreFailing,
       signal,
     });
+    this.#isStoreFailing =
+      settled.isErr() && settled.error.kind === "records-unavailable";
     if (settled.isOk()) {
       const { record, replaced } = settled.value;
       const { version } = record;
--- a/src/schema/messages.ts
+++ b/src/schema/messages.ts
@@ -157,10 +157,11 @@
 }
 
 export interface ConfirmStateRequest {
+  /** Name and life of the asker, such as e1/00k3x2a1b; a later life sorts after an earlier one. */
   process: string;
   dataCentre: string;
   revision: number;
-  /** True when a watcher asks because its own store calls fail. */
+  /** True when the reply is due at once, as when a watcher's own store calls fail. */
   seeksEvidence: boolean;
   evidence: EvidenceCount[];
 }
@@ -169,9 +170,15 @@
   revision: number;
   /** Fleet state as JSON as it stands in the store; empty when the asker has it. */
   state: string;
-  /** Age in milliseconds of the replier's confirmation when it replied. */
+  /**
+   * Age in milliseconds of the replier's confirmation when the question arrived, 0 when it is later.
+   * The asker subtracts it from the time at which it sent the question.
+   */
   confirmedAgeMs: number;
-  /** Milliseconds since the replier itself last reached the store. */
+  /**
+   * Milliseconds since the replier itself last reached the store; 4294967295 when it has not done so
+   * since its start, or knows of a revision that it can't read.
+   */
   storeAgeMs: number;
   watcher: boolean;
   evidence: EvidenceCount[];
@@ -179,6 +186,7 @@
 
 /** Totals of one process, so that a repeated report adds nothing. */
 export interface EvidenceCount {
+  /** Name and life of the process that counted. */
   source: string;
   requestClass: string;
   version: string;
