--- a/src/roles/config_sync_test.ts
+++ b/src/roles/config_sync_test.ts
@@ -116,6 +116,17 @@
     });
   });
 
+  it("ends a long poll at a new confirmation, so the waits of three hops don't add up to the bound", async () => {
+    const holder = new ConfigHolder(undefined);
+    let isEnded = false;
+    void holder.waitForRenewal(signal).then(() => {
+      isEnded = true;
+    });
+    holder.confirm({ sentAtMs: 1, ageMs: 0, revision: 0 });
+    await sleep(0);
+    assert.ok(isEnded);
+  });
+
   it("counts a confirmation from the question, so an answer that waited in the socket is old", async () => {
     let nowMs = 1_000;
     const holder = new ConfigHolder(undefined);
--- a/src/roles/session_store_test.ts
+++ b/src/roles/session_store_test.ts
@@ -158,6 +158,7 @@
       const store = new FakeStore();
       const [one, two] = [createResolver(store), createResolver(store)];
       const before = await resolveOk(one, createState({}), "s1");
+      await resolveOk(two, createState({}), "s1");
       const { moved, state } = createCase(before.version);
       const after = await resolveOk(one, state, "s1", before.token);
       assert.equal(after.moved, moved);
--- a/src/roles/ticket_commit_test.ts
+++ b/src/roles/ticket_commit_test.ts
@@ -162,7 +162,7 @@
     store.objects.set(head.key, {
       key: head.key,
       version: 1,
-      value: { state: createEmptyState() },
+      value: { state: { ...createEmptyState(), revision: 1 } },
     });
     const failure = (await readCurrent(client, SIGNAL))._unsafeUnwrapErr();
     assert.equal(failure.kind, "unreadable-revision");
