Close free connections before the other side does; describe the stand-ins

Node's agent ignores the server's keep-alive hint when it has no timeout of its own, so a call could meet a closing connection and an order would stay unknown for good without having run. Free connections now close after 4 s. The service's record shows cold overloads with the time since the start.

--- a/src/adapters/failures_test.ts
+++ b/src/adapters/failures_test.ts
@@ -1,4 +1,7 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { describe, it, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ResultAsync } from "neverthrow";
@@ -171,6 +174,41 @@
     await assert.rejects(async () => await asked, fault);
   });
 
+  it("closes a free connection first, so that no call meets a closing one", async (t) => {
+    let free = 0;
+    const server = createServer((_request, response) => response.end("{}"));
+    server.keepAliveTimeout = 5_000;
+    server.on("connection", (socket) => {
+      free += 1;
+      socket.once("end", () => {
+        free -= 1;
+      });
+    });
+    await once(server.listen(0, "127.0.0.1"), "listening");
+    t.after(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const service = createHttpService(createTarget(port));
+    await expectOk(service.callService(SERVICE_CALL, NEVER));
+    assert.equal(free, 1);
+    await sleep(4_500);
+    assert.equal(free, 0);
+  });
+
+  it("waits for a late reply longer than a free connection is kept", async (t) => {
+    const store = await startTestStandin(t, "object-store");
+    const options = { versions: "v", frozen: true };
+    const standin = await startTestStandin(t, "engine", options);
+    const watch = createHttpObjectStore(store.target).watch(
+      { key: "a", version: 0, waitMs: 4_600 },
+      NEVER,
+    );
+    const engine = createHttpEngine(standin.target);
+    const asked = engine.complete(COMPLETION, () => {}, NEVER);
+    await expectOk(watch);
+    await standin.control({ frozen: false });
+    await expectOk(asked);
+  });
+
   it("lets many calls share a signal without a warning of a leak", async (t) => {
     const warnings: Error[] = [];
     const onWarning = (warning: Error) => warnings.push(warning);
--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -57,10 +57,17 @@
 /** Above any reply of the outside systems; bounds the memory of a call. */
 const MAX_REPLY_BYTES = 16_000_000;
 
+/**
+ * A free connection is closed before the 5 s after which common servers close
+ * theirs. A call sent as the server closes fails with an unknown outcome,
+ * although it did not run.
+ */
+const FREE_SOCKET_MS = 4_000;
+
 /** One connection pool to one outside system. */
 export class HttpClient {
   readonly #target: HttpTarget;
-  readonly #agent = new Agent({ keepAlive: true });
+  readonly #agent = new Agent({ keepAlive: true, timeout: FREE_SOCKET_MS });
 
   constructor(target: HttpTarget) {
     this.#target = target;
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -47,14 +47,14 @@
   readonly #startId: string = randomUUID();
   readonly #record: RunEntry[] = [];
   readonly #running = new Set<RunEntry>();
-  #coldUntilMs: number;
+  readonly #coldOverloads: object[] = [];
+  #coldSinceMs = performance.now();
   #maxRunningWhileCold = 0;
   #effects = 0;
 
   constructor(random: () => number, options: object = {}) {
     this.#random = random;
     applyOptions(this.#options, options);
-    this.#coldUntilMs = performance.now() + this.#options.coldStartMs;
   }
 
   readonly handle: Handler = async (call) => {
@@ -67,7 +67,7 @@
     const { turnCold, ...patch } = parseJson(call.text);
     applyOptions(this.#options, patch);
     if (turnCold === true) {
-      this.#coldUntilMs = performance.now() + this.#options.coldStartMs;
+      this.#coldSinceMs = performance.now();
       if (this.#running.size > this.#options.slotsWhileCold) this.#failAll();
     }
     return { status: 200, body: this.#options };
@@ -75,7 +75,9 @@
 
   #report() {
     const maxRunningWhileCold = this.#maxRunningWhileCold;
-    return { startId: this.#startId, maxRunningWhileCold, runs: this.#record };
+    const coldOverloads = this.#coldOverloads;
+    const startId = this.#startId;
+    return { startId, maxRunningWhileCold, coldOverloads, runs: this.#record };
   }
 
   async #run(call: Call): Promise<Reply | undefined> {
@@ -97,10 +99,12 @@
   #admit(entry: RunEntry): void {
     const { slots, slotsWhileCold } = this.#options;
     const running = this.#running.size + 1;
-    if (performance.now() < this.#coldUntilMs) {
+    const sinceColdMs = performance.now() - this.#coldSinceMs;
+    if (sinceColdMs < this.#options.coldStartMs) {
       this.#maxRunningWhileCold = Math.max(this.#maxRunningWhileCold, running);
       if (running > slotsWhileCold) {
         this.#failAll();
+        this.#coldOverloads.push({ atMs: Date.now(), sinceColdMs });
         this.#record.push({ ...entry, outcome: "cold-overload" });
         throw new ReplyError(500, "cold-overload");
       }
--- a/src/standins/service_test.ts
+++ b/src/standins/service_test.ts
@@ -15,6 +15,7 @@
 
 interface ServiceRecord {
   maxRunningWhileCold: number;
+  coldOverloads: object[];
   runs: RunEntry[];
 }
 
@@ -79,6 +80,7 @@
     for (const call of cold) await expectFailure(call, "failed unknown");
     const record = await standin.readRecord<ServiceRecord>();
     assert.equal(record.maxRunningWhileCold, 3);
+    assert.equal(record.coldOverloads.length, 1);
     assert.ok(record.runs.every((run) => run.outcome !== "ran"));
     await sleep(options.coldStartMs);
     const warm = await Promise.all(["r4", "r5", "r6"].map((id) => order(id)));
