--- a/src/roles/config_sync_test.ts
+++ b/src/roles/config_sync_test.ts
@@ -10,20 +10,8 @@
 import { ConfirmStateReply } from "../schema/index.js";
 import { ConfigExchange } from "./config_exchange.js";
 import { ConfigHolder } from "./config_holder.js";
-
-<<<<<<< HEAD
-
-import { PeerClients } from "./config_peers.js";
-import { ConfigSync } from "./config_sync.js";
-import { FakeStore } from "./fake_config_store_test.js";
-
-=======
-
 import { FakeStore } from "./fake_config_store_test.js";
 import { Fleet, PEER } from "./fake_fleet_test.js";
-
->>>>>>> config
-
 import { HEAD_KEY, type Head } from "./revision_store.js";
 import { StoreWatch } from "./store_watch.js";
 
--- a/src/roles/fake_fleet_test.ts
+++ b/src/roles/fake_fleet_test.ts
@@ -9,7 +9,7 @@
 import { createConfigSyncHandlers } from "./config_handlers.js";
 import { PeerClients } from "./config_peers.js";
 import { ConfigSync } from "./config_sync.js";
-import { FakeStore } from "./fake_store_test.js";
+import { FakeStore } from "./fake_config_store_test.js";
 import { TicketService } from "./ticket_service.js";
 
 export const PEER: Peer = {
