Attach an entry to a bounded subset of endpoints

Cause: every entry kept a status stream to every endpoint; 930 statuses a second of about 150 bytes are 140 KB/s, against a budget of 2 KB/s for control. Other endpoints are called on connections that close when idle. The bytes on the wire are not measured yet.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -34,6 +34,7 @@
 export * from "./sessions.js";
 export * from "./slo_counts.js";
 export * from "./speeds.js";
+export * from "./subset.js";
 export * from "./ticket_check.js";
 export * from "./tickets.js";
 export * from "./versions.js";
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -11,7 +11,11 @@
 import type { RunBackend } from "./endpoint_backend.js";
 import { pollReports, type ReadReport } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
-import { createGateService, type ReceiptHolder } from "./endpoint_service.js";
+import {
+  type AttachCall,
+  createGateService,
+  type ReceiptHolder,
+} from "./endpoint_service.js";
 import { StatusWatchers } from "./endpoint_status.js";
 
 export interface EndpointOptions {
@@ -124,7 +128,7 @@
   const runner = new EndpointRunner({ ...options, gate, getNowMs });
   const watchers = new StatusWatchers(() => gate.describeStatus());
   const server = new Server();
-  const addWatcher = watchers.add.bind(watchers);
+  const addWatcher = (call: AttachCall) => watchers.add(call, getNowMs());
   server.addService(
     GateService,
     createGateService({ runner, addWatcher, receipts: options.receipts, log }),
--- a/src/roles/endpoint_directory.ts
+++ b/src/roles/endpoint_directory.ts
@@ -5,8 +5,14 @@
 
 import { performance } from "node:perf_hooks";
 import { type ClientReadableStream, Metadata } from "@grpc/grpc-js";
+import { LRUCache } from "lru-cache";
 import { type Logger, openClient } from "../adapters/index.js";
-import { type EndpointStatus, GateClient } from "../schema/index.js";
+import { chooseSubset, computeStatusPeriodMs } from "../core/index.js";
+import {
+  type EndpointStatus,
+  type FleetState,
+  GateClient,
+} from "../schema/index.js";
 
 /** An endpoint process as the host list names it. */
 export interface EndpointHost {
@@ -20,7 +26,10 @@
 export interface EndpointDirectoryOptions {
   readonly entry: string;
   readonly incarnation: string;
+  readonly dataCentre: string;
   readonly log: Logger;
+  /** Versions that operators assign to endpoints. */
+  readonly getAssignments: () => FleetState["endpoints"];
   readonly onStatus: (status: EndpointStatus) => void;
   readonly onGone: (endpoint: string) => void;
 }
@@ -32,8 +41,15 @@
   status?: EndpointStatus;
 }
 
-/** A status older than this says that the endpoint can't be reached. */
-const MAX_STATUS_AGE_MS = 3_500;
+interface SpareClient {
+  readonly client: GateClient;
+  readonly controller: AbortController;
+}
+
+const MAX_SPARE_CLIENTS = 16;
+const SPARE_IDLE_MS = 30_000;
+/** Periods without a status that say that the endpoint can't be reached. */
+const MAX_SILENT_PERIODS = 3.5;
 /** Longer than the host list's lag. */
 const LIST_SETTLED_MS = 30_000;
 const RECONNECT_MS = 300;
@@ -44,7 +60,18 @@
   readonly #options: EndpointDirectoryOptions;
   readonly #connections = new Map<string, Connection>();
   readonly #signal: AbortSignal;
+  /** Clients of endpoints outside the subset, closed when they fall idle. */
+  readonly #spare = new LRUCache<string, SpareClient>({
+    max: MAX_SPARE_CLIENTS,
+    ttl: SPARE_IDLE_MS,
+    ttlAutopurge: true,
+    updateAgeOnGet: true,
+    dispose: ({ controller }) => controller.abort(),
+  });
+  /** All endpoints of the host list, attached or not. */
+  #listed: ReadonlyMap<string, EndpointHost> = new Map();
   #firstListAtMs: number | undefined;
+  #statusPeriodMs = computeStatusPeriodMs(0);
 
   constructor(options: EndpointDirectoryOptions, signal: AbortSignal) {
     this.#options = options;
@@ -59,8 +86,19 @@
     );
   }
 
+  /** A client of any listed endpoint, such as one that a claim names. */
   getClient(endpoint: string): GateClient | undefined {
-    return this.#connections.get(endpoint)?.client;
+    const attached = this.#connections.get(endpoint)?.client;
+    if (attached !== undefined) return attached;
+    const host = this.#listed.get(endpoint);
+    if (host === undefined || this.#signal.aborted) return undefined;
+    const address = formatAddress(host);
+    const known = this.#spare.get(address);
+    if (known !== undefined) return known.client;
+    const controller = new AbortController();
+    const client = openClient(GateClient, address, controller.signal);
+    this.#spare.set(address, { client, controller });
+    return client;
   }
 
   getStatus(endpoint: string): EndpointStatus | undefined {
@@ -74,21 +112,31 @@
   isGone(endpoint: string): boolean {
     const firstListAtMs = this.#firstListAtMs ?? Number.POSITIVE_INFINITY;
     const isSettled = performance.now() - firstListAtMs > LIST_SETTLED_MS;
-    return isSettled && !this.#connections.has(endpoint);
+    return isSettled && !this.#listed.has(endpoint);
   }
 
   /** Connects to new hosts and drops those that left the list. */
   updateHosts(hosts: readonly EndpointHost[]): void {
     if (this.#signal.aborted) return;
     this.#firstListAtMs ??= performance.now();
-    const listed = new Map(hosts.map((host) => [host.name, host]));
+    this.#listed = new Map(hosts.map((host) => [host.name, host]));
+    const chosen = this.#choose(hosts);
+    this.#statusPeriodMs = computeStatusPeriodMs(chosen.length);
+    const attached = new Map(chosen.map((host) => [host.name, host]));
     for (const [name, connection] of this.#connections) {
-      const host = listed.get(name);
+      const host = attached.get(name);
       if (host === undefined || !isSameAddress(host, connection.host)) {
         this.#close(name);
       }
     }
-    for (const host of hosts) this.#update(host);
+    for (const host of chosen) this.#update(host);
+  }
+
+  #choose(hosts: readonly EndpointHost[]): EndpointHost[] {
+    const { entry, dataCentre, getAssignments } = this.#options;
+    const assignments = getAssignments();
+    const subset = chooseSubset(hosts, { entry, dataCentre, assignments });
+    return hosts.filter((host) => subset.has(host.name));
   }
 
   #update(host: EndpointHost): void {
@@ -105,8 +153,11 @@
 
   #open(host: EndpointHost): void {
     const controller = new AbortController();
-    const address = `${host.address}:${host.controlPort}`;
-    const client = openClient(GateClient, address, controller.signal);
+    const client = openClient(
+      GateClient,
+      formatAddress(host),
+      controller.signal,
+    );
     this.#connections.set(host.name, { host, client, controller });
     this.#attach(host.name, RECONNECT_MS);
   }
@@ -117,9 +168,16 @@
     const { controller, client } = connection;
     if (controller.signal.aborted) return;
     const { entry, incarnation } = this.#options;
-    const stream = client.attach({ entry, incarnation }, new Metadata());
+    const statusPeriodMs = this.#statusPeriodMs;
+    const stream = client.attach(
+      { entry, incarnation, statusPeriodMs },
+      new Metadata(),
+    );
     let nextBackoffMs = backoffMs;
-    const watchdog = createWatchdog(stream);
+    const watchdog = createWatchdog(
+      stream,
+      statusPeriodMs * MAX_SILENT_PERIODS,
+    );
     stream.on("data", (status: EndpointStatus) => {
       nextBackoffMs = RECONNECT_MS;
       watchdog.refresh();
@@ -169,9 +227,14 @@
 
   #closeAll(): void {
     for (const name of [...this.#connections.keys()]) this.#close(name);
+    this.#spare.clear();
   }
 }
 
+function formatAddress(host: EndpointHost): string {
+  return `${host.address}:${host.controlPort}`;
+}
+
 function isSameAddress(left: EndpointHost, right: EndpointHost): boolean {
   return (
     left.address === right.address && left.controlPort === right.controlPort
@@ -181,6 +244,7 @@
 /** Ends a stream that went silent, such as one to a frozen process. */
 function createWatchdog(
   stream: ClientReadableStream<EndpointStatus>,
+  maxSilenceMs: number,
 ): NodeJS.Timeout {
-  return setTimeout(() => stream.cancel(), MAX_STATUS_AGE_MS).unref();
+  return setTimeout(() => stream.cancel(), maxSilenceMs).unref();
 }
--- a/src/roles/endpoint_fixtures_test.ts
+++ b/src/roles/endpoint_fixtures_test.ts
@@ -101,7 +101,11 @@
 }
 
 export async function readEpoch(client: GateClient): Promise<string> {
-  const stream = client.attach({ entry: "e1", incarnation: "i1" });
+  const stream = client.attach({
+    entry: "e1",
+    incarnation: "i1",
+    statusPeriodMs: 0,
+  });
   stream.on("error", () => undefined);
   const status = await new Promise<EndpointStatus>((resolve) =>
     stream.once("data", resolve),
--- a/src/roles/endpoint_status.ts
+++ b/src/roles/endpoint_status.ts
@@ -3,7 +3,7 @@
 import type { EndpointStatus } from "../schema/index.js";
 import type { AttachCall } from "./endpoint_service.js";
 
-const STATUS_PERIOD_MS = 1_000;
+const MIN_STATUS_PERIOD_MS = 1_000;
 
 /** Changes that entries must hear of at once; counts wait for the period. */
 function formatUrgentPart(status: EndpointStatus): string {
@@ -21,48 +21,52 @@
 
 export class StatusWatchers {
   readonly #describe: () => EndpointStatus;
-  readonly #calls = new Set<AttachCall>();
+  /** Time of the last status by stream. */
+  readonly #calls = new Map<AttachCall, number>();
   #isClosed = false;
   #lastUrgentPart = "";
-  #lastSentMs = Number.NEGATIVE_INFINITY;
 
   constructor(describe: () => EndpointStatus) {
     this.#describe = describe;
   }
 
-  add(call: AttachCall): void {
+  add(call: AttachCall, nowMs: number): void {
     call.write(this.#describe());
     if (this.#isClosed) {
       call.end();
       return;
     }
-    this.#calls.add(call);
+    this.#calls.set(call, nowMs);
     call.on("cancelled", () => this.#calls.delete(call));
     call.on("error", () => this.#calls.delete(call));
   }
 
   /** True while the entry process `{entry}-{incarnation}` is attached. */
   has(process: string): boolean {
-    return [...this.#calls].some(
+    return [...this.#calls.keys()].some(
       ({ request }) => `${request.entry}-${request.incarnation}` === process,
     );
   }
 
-  /** Sends the status when it changed or the period is over. */
+  /** Sends the status on an urgent change and after each stream's period. */
   update(nowMs: number): void {
     const status = this.#describe();
     const urgentPart = formatUrgentPart(status);
-    const isDue = nowMs - this.#lastSentMs >= STATUS_PERIOD_MS;
-    if (!isDue && urgentPart === this.#lastUrgentPart) return;
+    const isUrgent = urgentPart !== this.#lastUrgentPart;
     this.#lastUrgentPart = urgentPart;
-    this.#lastSentMs = nowMs;
-    for (const call of this.#calls) call.write(status);
+    for (const [call, sentAtMs] of this.#calls) {
+      const { statusPeriodMs } = call.request;
+      const periodMs = Math.max(MIN_STATUS_PERIOD_MS, statusPeriodMs);
+      if (!isUrgent && nowMs - sentAtMs < periodMs) continue;
+      call.write(status);
+      this.#calls.set(call, nowMs);
+    }
   }
 
   /** Ends all streams, after the last status was sent. */
   close(): void {
     this.#isClosed = true;
-    for (const call of this.#calls) call.end();
+    for (const call of this.#calls.keys()) call.end();
     this.#calls.clear();
   }
 }
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -95,7 +95,11 @@
     const slow = createSlowBackend();
     const { client, stop, endpoint } = await startRig(slow.run);
     const statuses: EndpointStatus[] = [];
-    const attached = client.attach({ entry: "e1", incarnation: "i1" });
+    const attached = client.attach({
+      entry: "e1",
+      incarnation: "i1",
+      statusPeriodMs: 0,
+    });
     attached.on("error", () => undefined);
     attached.on("data", (status) => statuses.push(status));
     const running = client.dispatch(createDispatch({}));
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -203,7 +203,9 @@
       {
         entry: this.#settings.name,
         incarnation: this.#incarnation,
+        dataCentre: this.#settings.dataCentre,
         log: this.#log,
+        getAssignments: () => this.#sync.state.endpoints,
         onStatus: (status) => {
           this.#sync.recordRevision(status.endpoint, status.revision);
           this.#runner.handle({ type: "endpoint-status", status });
--- a/src/schema/messages.ts
+++ b/src/schema/messages.ts
@@ -28,6 +28,8 @@
 export interface AttachRequest {
   entry: string;
   incarnation: string;
+  /** Period of statuses without an urgent change; 0 stands for one second. */
+  statusPeriodMs: number;
 }
 
 export interface EndpointStatus {
@@ -198,7 +200,7 @@
 }
 
 function createBaseAttachRequest(): AttachRequest {
-  return { entry: "", incarnation: "" };
+  return { entry: "", incarnation: "", statusPeriodMs: 0 };
 }
 
 export const AttachRequest: MessageFns<AttachRequest> = {
@@ -209,6 +211,9 @@
     if (message.incarnation !== "") {
       writer.uint32(18).string(message.incarnation);
     }
+    if (message.statusPeriodMs !== 0) {
+      writer.uint32(24).uint32(message.statusPeriodMs);
+    }
     return writer;
   },
 
@@ -241,6 +246,14 @@
             message.incarnation = reader.string();
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.statusPeriodMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -260,6 +273,7 @@
     const message = createBaseAttachRequest();
     message.entry = object.entry ?? "";
     message.incarnation = object.incarnation ?? "";
+    message.statusPeriodMs = object.statusPeriodMs ?? 0;
     return message;
   },
 };
