Bound store calls by purpose: 1 s for an order, 10 s in the background

A page write that gave up after 1.5 s could never succeed on a store that is slow but works, so receipts would fill the buffer; an order still has to be refused soon.

--- a/src/roles/claim_writes.ts
+++ b/src/roles/claim_writes.ts
@@ -8,7 +8,12 @@
   settleClaim,
 } from "../core/index.js";
 import type { Claim } from "../schema/index.js";
-import { readObject, type Unavailable, writeObject } from "./store_writes.js";
+import {
+  readObject,
+  type StoreCallOptions,
+  type Unavailable,
+  writeObject,
+} from "./store_writes.js";
 
 /** Other writers of a claim are few; more conflicts mean a fault. */
 const MAX_SETTLE_TRIES = 8;
@@ -27,7 +32,7 @@
 export async function readClaim(
   store: ObjectStore,
   id: { account: string; key: string },
-  options: { signal: AbortSignal },
+  options: StoreCallOptions,
 ): Promise<{ kind: "read"; stored: StoredClaim | undefined } | Unavailable> {
   const key = getClaimKey(id.account, id.key);
   const outcome = await readObject(store, key, options);
@@ -42,7 +47,7 @@
 export async function writeClaim(
   store: ObjectStore,
   next: StoredClaim,
-  options: { signal: AbortSignal },
+  options: StoreCallOptions,
 ): Promise<ClaimWriteOutcome> {
   const { claim, version } = next;
   const outcome = await writeObject(
@@ -71,8 +76,7 @@
 export async function storeResult(
   store: ObjectStore,
   result: OrderResult,
-  options: {
-    signal: AbortSignal;
+  options: StoreCallOptions & {
     createId: () => string;
     /** The claim as last seen, which saves a read. */
     known?: StoredClaim;
--- a/src/roles/entry_claims.ts
+++ b/src/roles/entry_claims.ts
@@ -37,6 +37,12 @@
 import type { Clock } from "./clock.js";
 import type { PendingResult, PendingResults } from "./pending_results.js";
 
+/**
+ * Longest store call of an order: far above the usual milliseconds, and short
+ * enough that a refusal leaves the caller time to go elsewhere.
+ */
+const CLAIM_CALL_TIMEOUT_MS = 1_000;
+
 /** Between two questions to a gate whose attempt is running. */
 const JOIN_INTERVAL_MS = 200;
 
@@ -75,6 +81,7 @@
 
 interface StepOptions {
   readonly signal: AbortSignal;
+  readonly timeoutMs: number;
   /** Questions to gates that stayed without a reply. */
   readonly unreachable: { count: number };
 }
@@ -93,7 +100,7 @@
   ): Promise<AcquireOutcome> {
     const full = this.#options.pending.checkRoom();
     if (full !== undefined) return { kind: "refused", refusal: full };
-    const options = { signal, unreachable: { count: 0 } };
+    const options = createStepOptions(signal);
     return this.#follow(order, undefined, options);
   }
 
@@ -107,7 +114,7 @@
     stored: StoredClaim,
     signal: AbortSignal,
   ): Promise<AcquireOutcome> {
-    const options = { signal, unreachable: { count: 0 } };
+    const options = createStepOptions(signal);
     return this.#follow(order, stored, options);
   }
 
@@ -119,8 +126,7 @@
     let step: Step = { kind: "again", stored };
     for (let count = 0; count < MAX_ACQUIRE_STEPS; count += 1) {
       if (step.kind === "reread") {
-        const { signal } = options;
-        const read = await readClaim(this.#options.store, order, { signal });
+        const read = await readClaim(this.#options.store, order, options);
         // The claim was seen, so the order may be running.
         if (read.kind === "unavailable") return refuseUnconfirmed(read);
         step = { kind: "again", stored: read.stored };
@@ -213,7 +219,10 @@
     const { store, createId } = this.#options;
     const claim = loseClaim(stored.claim, createId());
     const next = { claim, version: stored.version };
-    const outcome = await writeClaim(store, next, { signal });
+    const outcome = await writeClaim(store, next, {
+      signal,
+      timeoutMs: CLAIM_CALL_TIMEOUT_MS,
+    });
     // Without the store the next caller with the key comes to the same end.
     return outcome.kind === "conflict"
       ? { kind: "again", stored: outcome.current }
@@ -228,7 +237,10 @@
     const { store, createId } = this.#options;
     const claim = releaseClaim(stored.claim, createId());
     const next = { claim, version: stored.version };
-    const outcome = await writeClaim(store, next, { signal });
+    const outcome = await writeClaim(store, next, {
+      signal,
+      timeoutMs: CLAIM_CALL_TIMEOUT_MS,
+    });
     if (outcome.kind === "written") return { kind: "released" };
     if (outcome.kind === "unavailable") return refuseUnconfirmed(outcome);
     const other = outcome.current?.claim;
@@ -258,7 +270,8 @@
       answer: createKeptAnswer(answer),
       bill: answer.bill ?? quote,
     };
-    const options = { signal, createId, known: stored };
+    const timeoutMs = CLAIM_CALL_TIMEOUT_MS;
+    const options = { signal, timeoutMs, createId, known: stored };
     const outcome = await storeResult(store, result, options);
     if (outcome.kind === "stored") return "stored";
     const kept: PendingResult = { result, endpoint };
@@ -266,3 +279,8 @@
     return "pending";
   }
 }
+
+function createStepOptions(signal: AbortSignal): StepOptions {
+  const timeoutMs = CLAIM_CALL_TIMEOUT_MS;
+  return { signal, timeoutMs, unreachable: { count: 0 } };
+}
--- a/src/roles/receipt_holders.ts
+++ b/src/roles/receipt_holders.ts
@@ -1,7 +1,7 @@
 /** Calls to the endpoints that keep second copies of an entry's receipts. */
 
 import type { HeldRecord } from "../schema/index.js";
-import { callWithin } from "./time_limit.js";
+import { runWithTimeout } from "./scope.js";
 
 /** Longest wait for one endpoint, so that the next can still be asked. */
 const HOLD_TIMEOUT_MS = 500;
@@ -86,8 +86,9 @@
     for (const endpoint of endpoints.slice(0, MAX_HOLDERS_ASKED)) {
       if (signal.aborted || copy.isWritten || this.#isHeld(copy)) break;
       copy.asked.add(endpoint);
-      const isHeld = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
-        this.#calls.holdReceipt(endpoint, record, limited),
+      const isHeld = await runWithTimeout(
+        { signal, timeoutMs: HOLD_TIMEOUT_MS },
+        (limited) => this.#calls.holdReceipt(endpoint, record, limited),
       ).catch(() => false);
       if (isHeld) copy.heldBy = endpoint;
     }
@@ -142,8 +143,9 @@
     for (const [owner, ids] of [...releases.byOwner]) {
       const requestIds = [...ids].slice(0, RELEASE_BATCH);
       const release = { owner, requestIds };
-      const isSent = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
-        this.#calls.releaseReceipts(endpoint, release, limited),
+      const isSent = await runWithTimeout(
+        { signal, timeoutMs: HOLD_TIMEOUT_MS },
+        (limited) => this.#calls.releaseReceipts(endpoint, release, limited),
       ).catch(() => false);
       if (!isSent) return false;
       for (const requestId of requestIds) ids.delete(requestId);
--- a/src/roles/receipt_recovery.ts
+++ b/src/roles/receipt_recovery.ts
@@ -136,7 +136,7 @@
       after: getPageKey(owner, last),
       limit: LIST_LIMIT,
     };
-    const listed = await callStore(options.signal, (signal) =>
+    const listed = await callStore(options, (signal) =>
       store.list(listOptions, signal),
     );
     if (listed.isErr()) return undefined;
--- a/src/roles/store_scan.ts
+++ b/src/roles/store_scan.ts
@@ -49,7 +49,7 @@
   }): Promise<Result<StoredObject[], StoreFailure>> {
     this.#calls += 1;
     if (!this.isComplete) return ok([]);
-    return callStore(this.#signal, (signal) =>
+    return callStore({ signal: this.#signal }, (signal) =>
       this.#store.list(options, signal),
     );
   }
--- a/src/roles/store_writes.ts
+++ b/src/roles/store_writes.ts
@@ -9,13 +9,19 @@
   StoredObject,
   StoreFailure,
 } from "../adapters/index.js";
-import { callWithin } from "./time_limit.js";
+import { runWithTimeout } from "./scope.js";
 
 /**
- * Longest store call: well above its usual milliseconds, and short enough
- * that an order is refused in time to go elsewhere.
+ * Longest store call in the background, where a slow answer is better than
+ * none. A call on a request's way sets a shorter time.
  */
-const STORE_CALL_TIMEOUT_MS = 1_500;
+const STORE_CALL_TIMEOUT_MS = 10_000;
+
+/** How long, and under whose signal, a store call may last. */
+export interface StoreCallOptions {
+  readonly signal: AbortSignal;
+  readonly timeoutMs?: number;
+}
 
 /** Writes tried in a row when replies are lost without effect. */
 const MAX_WRITE_TRIES = 3;
@@ -49,20 +55,19 @@
 
 /** Makes a store call that is bounded in time. */
 export function callStore<T>(
-  signal: AbortSignal,
+  options: StoreCallOptions,
   call: (signal: AbortSignal) => ResultAsync<T, StoreFailure>,
 ): Promise<Result<T, StoreFailure>> {
-  return callWithin(STORE_CALL_TIMEOUT_MS, signal, call);
+  const { signal, timeoutMs = STORE_CALL_TIMEOUT_MS } = options;
+  return runWithTimeout({ signal, timeoutMs }, call);
 }
 
 export async function readObject(
   store: ObjectStore,
   key: string,
-  options: { signal: AbortSignal },
+  options: StoreCallOptions,
 ): Promise<ReadOutcome> {
-  const result = await callStore(options.signal, (signal) =>
-    store.read(key, signal),
-  );
+  const result = await callStore(options, (signal) => store.read(key, signal));
   return result.match<ReadOutcome>(
     (object) => ({ kind: "read", object }),
     (failure) => ({
@@ -78,11 +83,11 @@
 export async function writeObject<T>(
   store: ObjectStore,
   write: ConfirmedWrite<T>,
-  options: { signal: AbortSignal },
+  options: StoreCallOptions,
 ): Promise<WriteOutcome> {
   const { key, value, ifVersion } = write;
   for (let attempt = 0; attempt < MAX_WRITE_TRIES; attempt += 1) {
-    const result = await callStore(options.signal, (signal) =>
+    const result = await callStore(options, (signal) =>
       store.write({ key, value, ifVersion }, signal),
     );
     if (result.isOk()) return { kind: "written", version: result.value };
