Write one page per flush instead of one per store call

Under load the flush loop took the receipts that arrived during each write as the next page. Sealed buffers move into a module of their own.

--- a/src/roles/entry_ledger.ts
+++ b/src/roles/entry_ledger.ts
@@ -18,7 +18,7 @@
 import type { HeldRecord, LedgerPage, Receipt } from "../schema/index.js";
 import type { Clock } from "./clock.js";
 import type { ReceiptHolders } from "./receipt_holders.js";
-import { writeRecovered } from "./receipt_recovery.js";
+import { SealedBuffers } from "./sealed_buffers.js";
 import { writeObject } from "./store_writes.js";
 
 /** Bounds the calls that all entries together make during an outage. */
@@ -36,8 +36,8 @@
 /** Hand-overs that fail in a row; more would hold the shutdown up. */
 const MAX_HAND_OVER_FAILURES = 5;
 
-/** Writes of recovered receipts at once, well under the store's rate. */
-const RECOVERY_WRITES = 8;
+/** At most ten pages a second when no endpoint holds receipts. */
+const SHARED_FLUSH_MS = 100;
 
 export interface EntryLedgerOptions {
   readonly store: ObjectStore;
@@ -58,16 +58,20 @@
 export class EntryLedger {
   readonly #options: EntryLedgerOptions;
   readonly #waiters = new Map<string, () => void>();
-  /** Buffers whose pages a survivor sealed, until all is recovered. */
-  readonly #sealed = new Set<ReceiptBuffer>();
+  readonly #sealed: SealedBuffers;
   #buffer: ReceiptBuffer;
   #generation = 1;
   #running: Promise<boolean> | undefined;
   #queued: Promise<boolean> | undefined;
+  #isFlushDue = false;
 
   constructor(options: EntryLedgerOptions) {
     this.#options = options;
     this.#buffer = this.#createBuffer();
+    this.#sealed = new SealedBuffers({
+      store: options.store,
+      onWritten: (requestId) => this.#noteWritten(requestId),
+    });
   }
 
   /** The name under which pages are written; new after a seal. */
@@ -85,7 +89,7 @@
   }
 
   #listBuffers(): ReceiptBuffer[] {
-    return [...this.#sealed, this.#buffer];
+    return [...this.#sealed.list(), this.#buffer];
   }
 
   /** Refuses new work when the store has taken no receipts for long. */
@@ -128,18 +132,16 @@
         this.#waiters.delete(requestId);
         return "held";
       }
-      void this.flush(signal);
-      await Promise.race([
-        written,
-        this.#options.clock.sleep(HOLD_RETRY_MS, signal),
-      ]);
+      this.#flushSoon(signal);
+      const retry = this.#options.clock.sleep(HOLD_RETRY_MS, signal);
+      await Promise.race([written, retry]);
       if (!buffer.has(requestId)) return "written";
     }
     this.#waiters.delete(requestId);
     return buffer.has(requestId) ? "unprotected" : "written";
   }
 
-  /** Writes what waits; true when the store has every receipt. */
+  /** Writes what waits; true when the store has all that waited. */
   flush(signal: AbortSignal): Promise<boolean> {
     if (this.#running === undefined) {
       this.#running = this.#writeAll(signal).finally(() => {
@@ -155,17 +157,31 @@
     return this.#queued;
   }
 
+  /** Lets the receipts of several requests without a holder share a page. */
+  #flushSoon(signal: AbortSignal): void {
+    if (this.#isFlushDue) return;
+    this.#isFlushDue = true;
+    void this.#options.clock.sleep(SHARED_FLUSH_MS, signal).then(() => {
+      this.#isFlushDue = false;
+      return this.flush(signal);
+    });
+  }
+
   async #writeAll(signal: AbortSignal): Promise<boolean> {
-    let isWritten = await this.#recoverSealed(signal);
-    let page = this.#buffer.takePage();
-    while (page !== undefined && !signal.aborted) {
+    let isWritten = await this.#sealed.recover(signal);
+    // Receipts that arrive meanwhile wait for their own page: writing them at
+    // once would make a page of a few receipts with every store call.
+    let left = this.#buffer.count;
+    while ((left > 0 || this.#buffer.hasFullPage) && !signal.aborted) {
+      const page = this.#buffer.takePage();
+      if (page === undefined) break;
       const outcome = await this.#writePage(page, signal);
       if (outcome === "unavailable") break;
-      if (outcome === "sealed") isWritten = await this.#recoverSealed(signal);
-      page = this.#buffer.takePage();
+      if (outcome === "sealed") isWritten = await this.#sealed.recover(signal);
+      left = outcome === "sealed" ? 0 : left - page.receipts.length;
     }
     await this.#options.holders.sendReleases(signal);
-    return isWritten && page === undefined;
+    return isWritten && left <= 0;
   }
 
   async #writePage(
@@ -191,7 +207,6 @@
   }
 
   #startNextOwner(): void {
-    this.#buffer.seal();
     this.#sealed.add(this.#buffer);
     this.#generation += 1;
     this.#buffer = this.#createBuffer();
@@ -203,34 +218,6 @@
     this.#waiters.delete(requestId);
   }
 
-  async #recoverSealed(signal: AbortSignal): Promise<boolean> {
-    for (const buffer of this.#sealed) {
-      const open = buffer.listOpen();
-      for (let start = 0; start < open.length; start += RECOVERY_WRITES) {
-        const batch = open.slice(start, start + RECOVERY_WRITES);
-        const done = await Promise.all(
-          batch.map((receipt) => this.#recover(buffer, receipt, signal)),
-        );
-        if (done.includes(false)) return false;
-      }
-      this.#sealed.delete(buffer);
-    }
-    return true;
-  }
-
-  async #recover(
-    buffer: ReceiptBuffer,
-    receipt: Receipt,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const value = { owner: buffer.owner, receipt };
-    const { store } = this.#options;
-    if (!(await writeRecovered(store, value, { signal }))) return false;
-    buffer.confirmRecovered(receipt.requestId);
-    this.#noteWritten(receipt.requestId);
-    return true;
-  }
-
   /** Writes a page each second until the signal aborts. */
   async start(signal: AbortSignal): Promise<void> {
     let intervalMs = PAGE_INTERVAL_MS;
--- /dev/null
+++ b/src/roles/fake_ledger_test.ts
@@ -0,0 +1,60 @@
+/** An entry's ledger and one endpoint that holds its copies, on a fake store. */
+
+import { HeldReceipts } from "./endpoint_receipts.js";
+import { EntryLedger } from "./entry_ledger.js";
+import {
+  createReceipt,
+  FakeStore,
+  type Fault,
+  VirtualClock,
+} from "./fake_store_test.js";
+import { ReceiptHolders } from "./receipt_holders.js";
+
+export const NEVER = new AbortController().signal;
+
+export function createCase(faults: Fault[] = [], maxReceipts?: number) {
+  const clock = new VirtualClock();
+  const store = FakeStore.script(clock, faults);
+  const network = { isLive: true, canHold: true, gone: "", asked: [""] };
+  const held = new HeldReceipts({
+    store,
+    clock,
+    createId: () => "id",
+    endpoint: "gpu-1",
+    isProcessLive: () => network.isLive,
+    forwardReceipt: async () => false,
+  });
+  const holders = new ReceiptHolders({
+    isHolderLive: (endpoint) => endpoint !== network.gone,
+    holdReceipt: async (endpoint, record) => {
+      network.asked.push(endpoint);
+      await clock.sleep(5);
+      if (!network.canHold) return false;
+      const { requestId } = record.receipt;
+      const receipt = JSON.stringify(record);
+      return held.hold({ owner: record.owner, receipt, requestId });
+    },
+    releaseReceipts: async (_, release) => {
+      held.release(release);
+      return network.canHold;
+    },
+  });
+  const ledger = new EntryLedger({
+    store,
+    clock,
+    holders,
+    entry: "entry1",
+    incarnation: "a",
+    listHolders: () => ["gpu-2"],
+    maxReceipts,
+  });
+  const add = (requestId: string, padding = 0) =>
+    clock.finish(
+      ledger.add(
+        createReceipt(requestId, padding),
+        { holders: ["gpu-1"] },
+        NEVER,
+      ),
+    );
+  return { clock, store, held, ledger, network, add };
+}
--- /dev/null
+++ b/src/roles/sealed_buffers.ts
@@ -0,0 +1,61 @@
+/** Buffers whose pages a survivor sealed, until all of their receipts are written. */
+
+import type { ObjectStore } from "../adapters/index.js";
+import type { ReceiptBuffer } from "../core/index.js";
+import type { Receipt } from "../schema/index.js";
+import { writeRecovered } from "./receipt_recovery.js";
+
+/** Writes at once, well under the store's rate. */
+const RECOVERY_WRITES = 8;
+
+export interface SealedBuffersOptions {
+  readonly store: ObjectStore;
+  readonly onWritten: (requestId: string) => void;
+}
+
+export class SealedBuffers {
+  readonly #options: SealedBuffersOptions;
+  readonly #buffers = new Set<ReceiptBuffer>();
+
+  constructor(options: SealedBuffersOptions) {
+    this.#options = options;
+  }
+
+  list(): ReceiptBuffer[] {
+    return [...this.#buffers];
+  }
+
+  add(buffer: ReceiptBuffer): void {
+    buffer.seal();
+    this.#buffers.add(buffer);
+  }
+
+  /** Writes each open receipt by itself; true when none is left. */
+  async recover(signal: AbortSignal): Promise<boolean> {
+    for (const buffer of this.#buffers) {
+      const open = buffer.listOpen();
+      for (let start = 0; start < open.length; start += RECOVERY_WRITES) {
+        const batch = open.slice(start, start + RECOVERY_WRITES);
+        const done = await Promise.all(
+          batch.map((receipt) => this.#write(buffer, receipt, signal)),
+        );
+        if (done.includes(false)) return false;
+      }
+      this.#buffers.delete(buffer);
+    }
+    return true;
+  }
+
+  async #write(
+    buffer: ReceiptBuffer,
+    receipt: Receipt,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { store, onWritten } = this.#options;
+    const value = { owner: buffer.owner, receipt };
+    if (!(await writeRecovered(store, value, { signal }))) return false;
+    buffer.confirmRecovered(receipt.requestId);
+    onWritten(receipt.requestId);
+    return true;
+  }
+}
