Look up old copies of a live owner at most every two minutes

Each endpoint asked for each entry's pages every 5 s once its copies were two minutes old. One endpoint with one owner now makes at most 30 calls in an hour without the store (720 before, counted from the interval).

--- a/src/roles/endpoint_receipts.ts
+++ b/src/roles/endpoint_receipts.ts
@@ -69,6 +69,8 @@
   /** By owner, then by request id. */
   readonly #copies = new Map<string, Map<string, HeldCopy>>();
   readonly #seenAtMs = new Map<string, number>();
+  /** Last look into a live owner's pages. */
+  readonly #checkedAtMs = new Map<string, number>();
   #count = 0;
   #bytes = 0;
   #isStopping = false;
@@ -119,6 +121,7 @@
     if (copies.size > 0) return;
     this.#copies.delete(owner);
     this.#seenAtMs.delete(owner);
+    this.#checkedAtMs.delete(owner);
   }
 
   /** Recovers the copies of lost owners once; false when some are left. */
@@ -141,10 +144,13 @@
 
   /** Drops old copies of a live owner that its pages contain. */
   async #dropWritten(owner: string, signal: AbortSignal): Promise<void> {
-    const copies = this.#copies.get(owner)?.values().next().value;
-    if (copies === undefined) return;
-    const ageMs = this.#options.clock.now() - copies.heldAtMs;
-    if (ageMs < STALE_COPY_MS) return;
+    const [oldest] = this.#copies.get(owner)?.values() ?? [];
+    if (oldest === undefined) return;
+    const nowMs = this.#options.clock.now();
+    const sinceMs = this.#checkedAtMs.get(owner) ?? oldest.heldAtMs;
+    if (nowMs - sinceMs < STALE_COPY_MS) return;
+    // In a long outage every endpoint has old copies of every entry.
+    this.#checkedAtMs.set(owner, nowMs);
     await this.#recover(owner, { signal, seal: false });
   }
 
--- a/src/roles/endpoint_receipts_test.ts
+++ b/src/roles/endpoint_receipts_test.ts
@@ -84,4 +84,18 @@
     const request = { owner: "entry1-a.1", receipt: "{}", requestId: "r9" };
     assert.equal(held.hold(request), false, "held while stopping");
   });
+
+  it("are looked up at a bounded rate in a long outage with a live owner", async () => {
+    const { clock, store, held, add } = createCase();
+    await add("r1");
+    const stop = new AbortController();
+    store.isDown = true;
+    const before = store.calls;
+    void held.start(stop.signal);
+    await clock.run(3_600_000);
+    stop.abort();
+    const calls = store.calls - before;
+    assert.ok(calls <= 30, `${calls} store calls of one endpoint in an hour`);
+    assert.equal(held.count, 1);
+  });
 });
