--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -3,6 +3,7 @@
  * says whether the call can have taken effect on the other side.
  */
 
+import { setMaxListeners } from "node:events";
 import {
   Agent,
   type ClientRequest,
@@ -56,10 +57,17 @@
 /** Above any reply of the outside systems; bounds the memory of a call. */
 const MAX_REPLY_BYTES = 16_000_000;
 
+/**
+ * A free connection is closed before the 5 s after which common servers close
+ * theirs. A call sent as the server closes fails with an unknown outcome,
+ * although it did not run.
+ */
+const FREE_SOCKET_MS = 4_000;
+
 /** One connection pool to one outside system. */
 export class HttpClient {
   readonly #target: HttpTarget;
-  readonly #agent = new Agent({ keepAlive: true });
+  readonly #agent = new Agent({ keepAlive: true, timeout: FREE_SOCKET_MS });
 
   constructor(target: HttpTarget) {
     this.#target = target;
@@ -106,6 +114,8 @@
       request.destroy();
     };
     const onAbort = () => stop("aborted");
+    // Many calls share a process's signal; Node warns above 10 listeners.
+    setMaxListeners(0, signal);
     signal.addEventListener("abort", onAbort, { once: true });
     const timeoutMs = call.timeoutMs ?? this.#target.timeoutMs;
     const timer = setTimeout(stop, timeoutMs, "timeout");
