--- a/src/roles/config_rounds.ts
+++ b/src/roles/config_rounds.ts
@@ -35,7 +35,7 @@
 const MIN_ROUND_MS = 50;
 /** A healthy chain gives confirmations of at most 4 s, and a long poll. */
 const STALE_ANSWER_MS = 6_500;
-const CHOICE_KEPT_MS = 500;
+const CHOICE_KEPT_MS = 1_000;
 /** Between two exchanges of rating totals among watchers. */
 const EXCHANGE_PAUSE_MS = 3_000;
 
--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -53,6 +53,7 @@
 /** Covers a watcher's fetch of the new revision. */
 const SPREAD_TIMEOUT_MS = 2_000;
 const TICK_MS = 250;
+const PRUNING_PAUSE_MS = 5_000;
 /** Who of the watchers holds a revision. */
 export interface Spread {
   readonly watchers: readonly string[];
@@ -144,6 +145,7 @@
         this.#rounds.run(signal),
         this.#rounds.runExchange(signal),
         this.#runTicks(signal),
+        this.#runPruning(signal),
       ]);
     } finally {
       this.#clients.close();
@@ -255,11 +257,18 @@
       if (freshness.recordTick(this.#getNowMs())) {
         this.#options.log?.("process-stalled", {});
       }
+      await waitFor(TICK_MS, signal);
+    }
+  }
+
+  /** Forgets the processes that are gone. */
+  async #runPruning(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
       const peers = this.#options.listPeers();
       this.#clients.prune(peers);
       this.#exchange.prune(peers);
       this.#order.prune(peers);
-      await waitFor(TICK_MS, signal);
+      await waitFor(PRUNING_PAUSE_MS, signal);
     }
   }
 }
--- a/src/roles/config_sync_test.ts
+++ b/src/roles/config_sync_test.ts
@@ -59,7 +59,7 @@
 
   it("refuses after the bound at a process that is cut off, and serves again once it is back", async () => {
     const fleet = await startFleet(4);
-    for (const name of ["e3", "p1"]) fleet.storeCut.add(name);
+    for (const name of ["e3", "p1"]) fleet.storeFaults.set(name, "hang");
     fleet.groups.set("e3", 1).set("p1", 2);
     await sleep(5_050);
     assert.deepEqual(fleet.listRefusing(), ["e3", "p1"]);
@@ -71,20 +71,20 @@
 
   it("serves on through a store outage and accepts no ticket in it", async () => {
     const fleet = await startFleet(5);
-    for (const { name } of fleet.peers) fleet.storeCut.add(name);
+    for (const { name } of fleet.peers) fleet.storeFaults.set(name, "hang");
     await fleet.expectService(8_000, [...fleet.nodes.keys()]);
     const stop = AbortSignal.timeout(200);
     const { tickets } = fleet.get("e0");
     const answer = await tickets.submit(createTicket(1), stop);
     assert.equal(answer._unsafeUnwrapErr().kind, "store-unavailable");
-    fleet.storeCut.clear();
+    fleet.storeFaults.clear();
     await fleet.expectService(3_000, [...fleet.nodes.keys()]);
   });
 
   it("gives a minority that still reaches the store no accepted ticket while the others serve on", async () => {
     const fleet = await startFleet(5);
     const majority = ["e0", "e1", "e2"];
-    for (const name of majority) fleet.storeCut.add(name);
+    for (const name of majority) fleet.storeFaults.set(name, "hang");
     for (const name of ["e3", "e4"]) fleet.groups.set(name, 1);
     assert.equal(chooseWatchers(fleet.peers).length, 5);
     const { tickets } = fleet.get("e3");
--- a/src/roles/fake_fleet_test.ts
+++ b/src/roles/fake_fleet_test.ts
@@ -9,7 +9,7 @@
 import { createConfigSyncHandlers } from "./config_handlers.js";
 import { PeerClients } from "./config_peers.js";
 import { ConfigSync } from "./config_sync.js";
-import { FakeStore } from "./fake_store_test.js";
+import { FakeStore, type Fault } from "./fake_store_test.js";
 import { TicketService } from "./ticket_service.js";
 
 export const PEER: Peer = {
@@ -24,32 +24,37 @@
 interface Node {
   readonly sync: ConfigSync;
   readonly tickets: TicketService;
+  readonly controller: AbortController;
+  readonly server: Server;
 }
 
 /** Processes on 127.0.0.1; each pair and each way to the store can be cut. */
 export class Fleet {
-  readonly #servers: Server[] = [];
-  readonly #controller = new AbortController();
   readonly store = new FakeStore();
   readonly peers: Peer[] = [];
   readonly nodes = new Map<string, Node>();
-  /** Names of the processes that can't reach the store. */
-  readonly storeCut = new Set<string>();
+  /** Processes whose store calls fail. */
+  readonly storeFaults = new Map<string, Fault>();
   /** Group of each process; only processes of one group reach each other. */
   readonly groups = new Map<string, number>();
   readonly ratings: [string, number][] = [];
+  readonly #freshnessMs: number;
   clockLeapMs = 0;
 
+  constructor(freshnessMs = 5_000) {
+    this.#freshnessMs = freshnessMs;
+  }
+
   async add(name: string, dataCentre: string, role: Peer["role"] = "entry") {
-    const store = this.store.connect(() =>
-      this.storeCut.has(name) ? "down" : "none",
+    const store = this.store.connect(
+      () => this.storeFaults.get(name) ?? "none",
     );
     const clients = new PeerClients();
     const sync = new ConfigSync({
       name,
       dataCentre,
       store: role === "entry" ? store : undefined,
-      freshnessMs: 5_000,
+      freshnessMs: this.#freshnessMs,
       listPeers: () => this.peers,
       onEvidence: ({ accepted }) => this.ratings.push([name, accepted]),
       getNowMs: () => performance.now() + this.clockLeapMs,
@@ -66,10 +71,22 @@
     const server = new Server();
     server.addService(ConfigSyncService, createConfigSyncHandlers(sync));
     const controlPort = await bind(server);
-    this.#servers.push(server);
+    const controller = new AbortController();
+    controller.signal.addEventListener("abort", () => clients.close());
+    const tickets = new TicketService({ store, sync });
     this.peers.push({ ...PEER, name, role, dataCentre, controlPort });
-    this.nodes.set(name, { sync, tickets: new TicketService({ store, sync }) });
-    this.#controller.signal.addEventListener("abort", () => clients.close());
+    this.nodes.set(name, { sync, tickets, controller, server });
+  }
+
+  /** Ends a process and starts it anew: it keeps its name and nothing else. */
+  async restart(name: string): Promise<void> {
+    const index = this.peers.findIndex((peer) => peer.name === name);
+    const [peer] = this.peers.splice(index, 1);
+    assert.ok(peer);
+    stopNode(this.get(name));
+    await this.add(name, peer.dataCentre, peer.role);
+    const { sync, controller } = this.get(name);
+    void sync.start(controller.signal);
   }
 
   async addEntries(count: number): Promise<void> {
@@ -79,14 +96,14 @@
   }
 
   async start(): Promise<void> {
-    for (const { sync } of this.nodes.values())
-      void sync.start(this.#controller.signal);
+    for (const { sync, controller } of this.nodes.values()) {
+      void sync.start(controller.signal);
+    }
     await this.waitUntil(() => this.listRefusing().length === 0);
   }
 
   stop(): void {
-    this.#controller.abort();
-    for (const server of this.#servers) server.forceShutdown();
+    for (const node of this.nodes.values()) stopNode(node);
   }
 
   get(name: string): Node {
@@ -126,6 +143,11 @@
   }
 }
 
+function stopNode({ controller, server }: Node): void {
+  controller.abort();
+  server.forceShutdown();
+}
+
 function bind(server: Server): Promise<number> {
   return new Promise((resolve, reject) => {
     const credentials = ServerCredentials.createInsecure();
--- a/src/roles/fake_store_test.ts
+++ b/src/roles/fake_store_test.ts
@@ -7,15 +7,24 @@
   StoreFailure,
   WriteRequest,
 } from "../adapters/index.js";
+import { waitFor } from "./scope.js";
 
 /**
  * What happens to one call. `lost-before` and `lost-after` lose the reply
- * before or after the write took effect; `late` writes after the reply is lost.
+ * before or after the write took effect; `late` writes after the reply is lost;
+ * `hang` gives no answer until the caller aborts.
  */
-export type Fault = "none" | "down" | "lost-before" | "lost-after" | "late";
+export type Fault =
+  | "none"
+  | "down"
+  | "hang"
+  | "lost-before"
+  | "lost-after"
+  | "late";
 
 type Outcome<T> = { ok: T } | { failure: StoreFailure };
 
+const MAX_HANG_MS = 30_000;
 const DOWN: StoreFailure = { kind: "unavailable", detail: "down" };
 const LOST: StoreFailure = { kind: "outcome-unknown", detail: "lost" };
 
@@ -31,13 +40,18 @@
     takeFault: () => Fault = () => "none",
     delay: () => Promise<void> = () => new Promise(setImmediate),
   ): ObjectStore {
-    const run = <T>(call: () => Outcome<T>, isWrite = false) => {
+    const run = <T>(
+      call: () => Outcome<T>,
+      signal: AbortSignal,
+      isWrite = false,
+    ) => {
       this.calls++;
       const attempt = async (): Promise<Outcome<T>> => {
         await delay();
         const fault = takeFault();
         if (fault === "none") return call();
         if (fault === "down") return { failure: DOWN };
+        if (fault === "hang") await waitFor(MAX_HANG_MS, signal);
         if (fault === "lost-after") call();
         if (fault === "late" && isWrite) void delay().then(delay).then(call);
         return { failure: LOST };
@@ -45,17 +59,14 @@
       return settle(attempt());
     };
     return {
-      read: (key) => run(() => ({ ok: this.objects.get(key) })),
-      write: (request) => run(() => this.#write(request), true),
-      list: ({ prefix }) =>
-        run(() => ({
-          ok: [...this.objects.values()].filter((object) =>
-            object.key.startsWith(prefix),
-          ),
-        })),
+      read: (key, signal) => run(() => ({ ok: this.objects.get(key) }), signal),
+      write: (request, signal) => run(() => this.#write(request), signal, true),
+      list: (_options, signal) => run(() => ({ failure: DOWN }), signal),
       watch: ({ key, version, waitMs }, signal) => {
         const wait = async (): Promise<Outcome<StoredObject | undefined>> => {
-          if (takeFault() !== "none") return { failure: DOWN };
+          const fault = takeFault();
+          if (fault === "hang") await waitFor(MAX_HANG_MS, signal);
+          if (fault !== "none") return { failure: DOWN };
           await this.#waitForChange({ key, version, waitMs, signal });
           if (takeFault() !== "none") return { failure: LOST };
           return { ok: this.objects.get(key) };
