--- a/src/bench/router_driver.ts
+++ b/src/bench/router_driver.ts
@@ -15,12 +15,7 @@
   createRandom,
   listClassVersions,
 } from "./workload.js";
-import {
-  type Driver,
-  ENTRY_DATA_CENTRE,
-  type OpenRequest,
-  type World,
-} from "./world.js";
+import type { Driver, OpenRequest, World } from "./world.js";
 
 /** Between an accepted ticket or hold and its effect in the entry. */
 const CONFIG_DELAY_MS = 1_000;
@@ -37,7 +32,7 @@
   constructor(assumptions: Assumptions, seed: number) {
     this.#router = new Router({
       random: createRandom(seed + 2_000_003),
-      dataCentre: ENTRY_DATA_CENTRE,
+      dataCentre: assumptions.dataCentres[0],
       judgeCostPerCall: assumptions.judge.costPerCall,
     });
     this.#state = createFleetState(assumptions);
--- a/src/bench/workload.ts
+++ b/src/bench/workload.ts
@@ -51,6 +51,8 @@
   name: string;
   seconds: number;
   dataCentres: string[];
+  /** Between data centres whose names differ in the first letter. */
+  betweenRegionsMs?: number;
   latencyMs: { betweenDataCentres: number; toClients: number };
   accounts: { count: number; zipfExponent: number };
   offeredLoadOfCapacity: number;
--- a/src/bench/world.ts
+++ b/src/bench/world.ts
@@ -35,8 +35,6 @@
 }
 
 const ROLLOUT_STEP_MS = 30_000;
-/** The entry's own data centre; others are one hop away. */
-export const ENTRY_DATA_CENTRE = "dc1";
 
 export class World {
   readonly assumptions: Assumptions;
@@ -167,8 +165,14 @@
   }
 
   getHopMs(engine: Engine): number {
-    const isLocal = engine.options.spec.dataCentre === ENTRY_DATA_CENTRE;
-    return isLocal ? 0 : this.assumptions.latencyMs.betweenDataCentres;
+    const { dataCentres, latencyMs, betweenRegionsMs } = this.assumptions;
+    // The entry is in the first data centre.
+    const [entry = ""] = dataCentres;
+    const { dataCentre } = engine.options.spec;
+    if (dataCentre === entry) return 0;
+    return betweenRegionsMs === undefined || dataCentre[0] === entry[0]
+      ? latencyMs.betweenDataCentres
+      : betweenRegionsMs;
   }
 
   /** Sends the request's latest attempt to its engine. */
--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -13,6 +13,7 @@
 /** One or two versions; the judge decides whether the second is needed. */
 export interface Plan {
   readonly steps: readonly string[];
+  readonly key: string;
   readonly quality: number;
   /** Lower bound of the quality, from the posterior's variance. */
   readonly lowerBound: number;
@@ -49,12 +50,12 @@
 }
 
 /** Standard deviations of the estimate below its mean. */
-const BOUND_DEVIATIONS = 0.5;
+const BOUND_DEVIATIONS = 0;
 /**
  * Standard deviations by which the share over an hour may fall short by
  * chance; the target is raised by them so that each hour meets it.
  */
-const HOUR_DEVIATIONS = 2.5;
+const HOUR_DEVIATIONS = 2.8;
 const MIN_HOURLY_ANSWERS = 400;
 const HOUR_MS = 3_600_000;
 /** Price of a late answer, in answers of the dearest version. */
@@ -66,6 +67,9 @@
 const EXPLORED_SHARE = 0.1;
 /** Quality above target saved up for cheaper plans, in answers. */
 const MAX_CREDIT = 5;
+const SPENDABLE_SHARE = 0.8;
+/** Per revaluation, of which there are up to two a second: about an hour. */
+const CREDIT_DECAY = 0.9999;
 const MIN_SHORTFALL = 0.001;
 const MAX_KEPT_PLANS = 1_000;
 
@@ -78,9 +82,21 @@
   readonly madeAtMs: number;
 }
 
+interface PlanCount {
+  quality: number;
+  count: number;
+}
+
 interface ClassAccount {
   /** Sum of expected quality over the target, in answers. */
   credit: number;
+  /** Part of the credit that rejected answers have used. */
+  spent: number;
+  /**
+   * Requests by plan. The credit is their sum at today's estimates, so an early
+   * mistake about a version is made good once evidence shows it.
+   */
+  readonly planCounts: Map<string, PlanCount>;
   firstAtMs: number;
   requests: number;
 }
@@ -142,19 +158,46 @@
     }
     const plan = this.#pick(choice, account);
     const surplus = plan.quality - choice.raisedTarget;
-    const credit = account.credit + surplus;
-    account.credit = Math.max(-MAX_CREDIT, Math.min(MAX_CREDIT, credit));
+    account.credit = Math.min(MAX_CREDIT, account.credit + surplus);
+    const counted = account.planCounts.get(plan.key);
+    if (counted !== undefined) counted.count++;
+    else {
+      const { quality } = plan;
+      account.planCounts.set(plan.key, { quality, count: 1 });
+    }
     return plan;
   }
 
-  /** Takes the shortfall of an answer below target from the class's credit. */
+  /**
+   * Takes the shortfall of an answer below target from the class's credit, if
+   * the credit is near its limit: cheaper plans make better use of it.
+   */
   spendCredit(requestClass: string, shortfall: number): boolean {
     const account = this.#accounts.get(requestClass);
-    if (account === undefined || account.credit < shortfall) return false;
+    if (account === undefined) return false;
+    if (account.credit < MAX_CREDIT * SPENDABLE_SHARE) return false;
     account.credit -= shortfall;
+    account.spent += shortfall;
     return true;
   }
 
+  /** Values past answers by the present estimates. */
+  #revalue(requestClass: string, plans: readonly Plan[], target: number): void {
+    const account = this.#accounts.get(requestClass);
+    if (account === undefined) return;
+    let credit = -account.spent;
+    for (const plan of plans) {
+      const counted = account.planCounts.get(plan.key);
+      if (counted !== undefined) counted.quality = plan.quality;
+    }
+    for (const counted of account.planCounts.values()) {
+      credit += counted.count * (counted.quality - target);
+      counted.count *= CREDIT_DECAY;
+    }
+    account.spent *= CREDIT_DECAY;
+    account.credit = Math.min(MAX_CREDIT, credit);
+  }
+
   #pick(choice: PlanChoice, account: ClassAccount): Plan {
     const { random } = this.#options;
     const { safe, short, explore } = choice;
@@ -170,7 +213,13 @@
   #countRequest(requestClass: string, nowMs: number): ClassAccount {
     let account = this.#accounts.get(requestClass);
     if (account === undefined) {
-      account = { credit: 0, firstAtMs: nowMs, requests: 0 };
+      account = {
+        credit: 0,
+        spent: 0,
+        planCounts: new Map(),
+        firstAtMs: nowMs,
+        requests: 0,
+      };
       this.#accounts.set(requestClass, account);
     }
     account.requests++;
@@ -200,6 +249,7 @@
     const served = priced.filter((v) => getPace(v).unitMs < Infinity);
     const plans = this.#listPlans(request, served.length > 0 ? served : priced);
     const raisedTarget = this.#raiseTarget(request, nowMs);
+    this.#revalue(request.requestClass, plans, raisedTarget);
     let safe: Plan | undefined;
     let best = plans[0];
     for (const plan of plans) {
@@ -239,6 +289,7 @@
       const deviation = Math.sqrt(estimate.variance);
       plans.push({
         steps,
+        key: steps.join(" "),
         quality: estimate.mean,
         lowerBound: estimate.mean - BOUND_DEVIATIONS * deviation,
         ...rest,
