Split the entry and its request runner by concern; send every listed metric

Eight of the 14 names in METRICS were never sent. Time to first byte, dispatches, failed attempts, verdicts, cost, the age of the confirmation and the endpoint's load are sent now. Gauges went out every 50 ms, which is about 40 datagrams a second against a budget of 2 KB/s; they go out every 5 s, and metrics share datagrams.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -24,7 +24,12 @@
 export type MetricName = (typeof METRICS)[keyof typeof METRICS];
 
 export interface Metrics {
-  addCount(name: MetricName, tags?: Record<string, string>): void;
+  /** Adds the amount, 1 when it is absent. */
+  addCount(
+    name: MetricName,
+    tags?: Record<string, string>,
+    amount?: number,
+  ): void;
   recordTime(
     name: MetricName,
     milliseconds: number,
@@ -33,6 +38,10 @@
   setGauge(name: MetricName, value: number): void;
 }
 
+/** Keeps a datagram within one Ethernet frame. */
+const MAX_PACKET_BYTES = 1_400;
+const FLUSH_INTERVAL_MS = 1_000;
+
 const NO_METRICS: Metrics = {
   addCount() {},
   recordTime() {},
@@ -50,6 +59,8 @@
     host: address.address,
     port: address.port,
     prefix: "hornbeamrill.",
+    maxBufferSize: MAX_PACKET_BYTES,
+    bufferFlushInterval: FLUSH_INTERVAL_MS,
     globalTags: {
       role: settings.role,
       name: settings.name,
@@ -62,7 +73,7 @@
     once: true,
   });
   return {
-    addCount: (name, tags) => client.increment(name, 1, tags),
+    addCount: (name, tags, amount = 1) => client.increment(name, amount, tags),
     recordTime: (name, milliseconds, tags) =>
       client.timing(name, milliseconds, tags),
     setGauge: (name, value) => client.gauge(name, value),
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -5,7 +5,11 @@
 import { performance } from "node:perf_hooks";
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import { type EngineReport, Gate, TICK_MS } from "../core/index.js";
-import { GateService, type Settings } from "../schema/index.js";
+import {
+  type EndpointStatus,
+  GateService,
+  type Settings,
+} from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
 import { delay } from "./delay.js";
 import type { RunBackend } from "./endpoint_backend.js";
@@ -33,6 +37,7 @@
   readonly epoch: string;
   /** Versions that the engine's last report named; `undefined` before it. */
   listLoaded(): readonly string[] | undefined;
+  describeStatus(): EndpointStatus;
   /** Takes a load report of the engine. */
   applyReport(report: EngineReport): void;
   /** Follows the host list, which may name this host as leaving. */
@@ -179,6 +184,7 @@
     stopped,
     isAttached: (process) => watchers.has(process),
     epoch,
+    describeStatus: () => gate.describeStatus(),
     listLoaded: () => lastReport?.versions,
     applyReport,
     setLeaving: (leaving) => {
--- a/src/roles/endpoint_role.ts
+++ b/src/roles/endpoint_role.ts
@@ -8,9 +8,11 @@
   createHttpHostList,
   createHttpObjectStore,
   createHttpService,
+  createMetrics,
   type Engine,
   type EngineFailure,
   type HostEntry,
+  METRICS,
   type Service,
   type ServiceFailure,
 } from "../adapters/index.js";
@@ -28,8 +30,10 @@
 
 const STORE_TIMEOUT_MS = 2_000;
 const HOST_LIST_TIMEOUT_MS = 2_000;
-/** Longer than the longest deadline; the gate aborts at the deadline. */
+/** As the entry sends its gauges. */
+const GAUGE_INTERVAL_MS = 5_000;
 const LOAD_POLL_MS = 500;
+/** Longer than the longest deadline; the gate aborts at the deadline. */
 const BACKEND_TIMEOUT_MS = 900_000;
 
 function toBackendFailure(
@@ -166,6 +170,25 @@
   void runEngineOrders(orders, signal);
 }
 
+function sendGauges(
+  settings: Settings,
+  parts: { endpoint: Endpoint; config: ConfigSync; signal: AbortSignal },
+): void {
+  const { endpoint, config, signal } = parts;
+  const metrics = createMetrics(settings.metrics, settings, signal);
+  const send = () => {
+    const { inFlight, limit, queued } = endpoint.describeStatus();
+    metrics.setGauge(METRICS.inFlight, inFlight);
+    metrics.setGauge(METRICS.limit, limit);
+    metrics.setGauge(METRICS.queued, queued);
+    metrics.setGauge(METRICS.revision, config.state.revision);
+    const ageMs = config.getConfirmationAgeMs();
+    if (ageMs !== null) metrics.setGauge(METRICS.confirmationAge, ageMs);
+  };
+  const timer = setInterval(send, GAUGE_INTERVAL_MS).unref();
+  signal.addEventListener("abort", () => clearInterval(timer), { once: true });
+}
+
 /** Starts an endpoint process; it serves until the signal aborts. */
 export async function startEndpointRole(
   settings: Settings,
@@ -225,6 +248,7 @@
     });
   });
   void receipts.start(lifetime.signal);
+  sendGauges(settings, { endpoint, config, signal: lifetime.signal });
   startOrders(settings, {
     endpoint,
     config,
--- /dev/null
+++ b/src/roles/entry_parts.ts
@@ -0,0 +1,216 @@
+/** The parts of an entry, joined to each other and to their adapters. */
+
+import { randomUUID } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import {
+  createHttpHostList,
+  createHttpObjectStore,
+  createHttpRatingService,
+  createMetrics,
+  type HostEntry,
+  type Logger,
+  type Metrics,
+  type ObjectStore,
+  type RatingService,
+} from "../adapters/index.js";
+import { Router } from "../core/index.js";
+import type { Settings } from "../schema/index.js";
+import { createSystemClock } from "./clock.js";
+import { ConfigSync } from "./config_sync.js";
+import { EndpointDirectory } from "./endpoint_directory.js";
+import { EntryBilling } from "./entry_billing.js";
+import { OutcomeRecorder } from "./entry_outcomes.js";
+import { EntryReports } from "./entry_reports.js";
+import { HostWatcher } from "./host_watcher.js";
+import { RatingCollector } from "./rating_collector.js";
+import { RequestRunner } from "./request_runner.js";
+import { SessionResolver } from "./session_store.js";
+import { TicketService } from "./ticket_service.js";
+
+export interface EntryPartsOptions {
+  readonly settings: Settings;
+  readonly log: Logger;
+  /** Aborts at the end of the graceful shutdown. */
+  readonly signal: AbortSignal;
+}
+
+const STORE_TIMEOUT_MS = 2_000;
+const HOST_LIST_TIMEOUT_MS = 2_000;
+const RATING_TIMEOUT_MS = 3_000;
+
+export class EntryParts {
+  readonly metrics: Metrics;
+  readonly directory: EndpointDirectory;
+  readonly hosts: HostWatcher;
+  readonly sync: ConfigSync;
+  readonly tickets: TicketService;
+  readonly sessions: SessionResolver;
+  readonly billing: EntryBilling;
+  readonly reports: EntryReports;
+  readonly runner: RequestRunner;
+  readonly ratings: RatingCollector | undefined;
+  readonly #options: EntryPartsOptions;
+  readonly #incarnation = randomUUID().slice(0, 8);
+  readonly #store: ObjectStore;
+
+  constructor(options: EntryPartsOptions) {
+    this.#options = options;
+    const { settings, log, signal } = options;
+    this.#store = createHttpObjectStore({
+      ...requireSetting(settings.objectStore, "objectStore"),
+      timeoutMs: STORE_TIMEOUT_MS,
+    });
+    this.metrics = createMetrics(settings.metrics, settings, signal);
+    this.directory = this.#createDirectory();
+    this.hosts = this.#createHosts();
+    this.sync = this.#createSync();
+    this.tickets = new TicketService({ store: this.#store, sync: this.sync });
+    this.sessions = new SessionResolver({
+      store: this.#store,
+      sessionKey: settings.sessionKey,
+      log: (event, fields) => log.info(event, fields),
+    });
+    this.billing = this.#createBilling();
+    this.reports = this.#createReports();
+    const ratings = createRatings(settings);
+    this.ratings = ratings && this.#createRatingCollector(ratings);
+    this.runner = this.#createRunner(ratings);
+  }
+
+  #createDirectory(): EndpointDirectory {
+    const { settings, log, signal } = this.#options;
+    return new EndpointDirectory(
+      {
+        entry: settings.name,
+        incarnation: this.#incarnation,
+        log,
+        onStatus: (status) => {
+          this.sync.recordRevision(status.endpoint, status.revision);
+          this.runner.handle({ type: "endpoint-status", status });
+        },
+        onGone: (endpoint) =>
+          this.runner.handle({ type: "endpoint-gone", endpoint }),
+      },
+      signal,
+    );
+  }
+
+  #createHosts(): HostWatcher {
+    const { settings, log } = this.#options;
+    const hostList = createHttpHostList({
+      ...settings.hostList,
+      timeoutMs: HOST_LIST_TIMEOUT_MS,
+    });
+    return new HostWatcher({
+      hostList,
+      log,
+      onHosts: (hosts) => this.directory.updateHosts(listEndpoints(hosts)),
+    });
+  }
+
+  #createSync(): ConfigSync {
+    const { settings, log } = this.#options;
+    return new ConfigSync({
+      name: settings.name,
+      dataCentre: settings.dataCentre,
+      store: this.#store,
+      listPeers: () => this.hosts.hosts,
+      freshnessMs: settings.limits?.freshnessMs,
+      onEvidence: (increase) =>
+        this.runner.handle({ type: "rated", ...increase }),
+      log: (event, fields) => log.info(event, fields),
+    });
+  }
+
+  #createBilling(): EntryBilling {
+    return new EntryBilling({
+      settings: this.#options.settings,
+      store: this.#store,
+      clock: createSystemClock(),
+      directory: this.directory,
+      incarnation: this.#incarnation,
+    });
+  }
+
+  #createReports(): EntryReports {
+    const { settings } = this.#options;
+    return new EntryReports({
+      store: this.#store,
+      clock: createSystemClock(),
+      source: `${settings.name}-${this.#incarnation}`,
+      objectives: settings.objectives ?? {},
+    });
+  }
+
+  #createRatingCollector(service: RatingService): RatingCollector {
+    return new RatingCollector({
+      service,
+      log: this.#options.log,
+      onRating: (increase, event) => {
+        this.runner.handle({ type: "rated", ...increase });
+        this.sync.addRatings(increase);
+        this.reports.recordRating(event, increase.accepted > 0);
+      },
+    });
+  }
+
+  #createRunner(ratings: RatingService | undefined): RequestRunner {
+    const { settings, log, signal } = this.#options;
+    const { sync, reports, metrics } = this;
+    const recorder = new OutcomeRecorder({
+      log,
+      metrics,
+      reports,
+      ratings: this.ratings,
+      getRevision: () => sync.state.revision,
+    });
+    const router = new Router({
+      random: Math.random,
+      dataCentre: settings.dataCentre,
+    });
+    return new RequestRunner(
+      {
+        entry: settings.name,
+        router,
+        directory: this.directory,
+        config: sync,
+        claims: this.billing.claims,
+        ledger: this.billing.ledger,
+        ratings,
+        log,
+        metrics,
+        now: () => performance.now(),
+        onHold: (version, reason) => void this.#hold(version, reason),
+        onOutcome: (outcome) => recorder.record(outcome),
+      },
+      signal,
+    );
+  }
+
+  async #hold(version: string, reason: string): Promise<void> {
+    const { log, signal } = this.#options;
+    log.warn("hold", { version, reason });
+    const basis = this.sync.state;
+    const outcome = await this.tickets.hold({ version, reason, basis }, signal);
+    if (outcome.isOk()) return;
+    log.warn("hold-failed", { version, kind: outcome.error.kind });
+  }
+}
+
+/** For settings that the check of the settings file guarantees. @internal */
+export function requireSetting<T>(value: T | undefined, key: string): T {
+  if (value === undefined) throw new Error(`Setting "${key}" is missing`);
+  return value;
+}
+
+function listEndpoints(hosts: readonly HostEntry[]): HostEntry[] {
+  return hosts.filter((host) => host.role === "endpoint");
+}
+
+function createRatings(settings: Settings): RatingService | undefined {
+  const { ratingService } = settings;
+  return (
+    ratingService &&
+    createHttpRatingService({ ...ratingService, timeoutMs: RATING_TIMEOUT_MS })
+  );
+}
--- a/src/roles/entry_reports.ts
+++ b/src/roles/entry_reports.ts
@@ -15,7 +15,7 @@
 import type { Clock } from "./clock.js";
 import type { Report } from "./operator_server.js";
 import { readBurnReport, readCostReport } from "./reports.js";
-import type { RequestOutcome } from "./request_runner.js";
+import type { RequestOutcome } from "./request_outcome.js";
 import { SloCounter } from "./slo_counts.js";
 
 export interface EntryReportsOptions {
--- a/src/roles/pending_request.ts
+++ b/src/roles/pending_request.ts
@@ -10,6 +10,15 @@
   readonly moved?: string;
 }
 
+/** What the caller's server hands over with a request. */
+export interface RunOptions {
+  readonly work: RequestWork;
+  readonly session: RequestSession;
+  readonly writer: AnswerWriter;
+  /** Aborts when the caller goes away. */
+  readonly signal: AbortSignal;
+}
+
 export interface Attempt {
   readonly number: number;
   readonly endpoint: string;
@@ -32,6 +41,15 @@
   readonly steps: ReceiptStep[];
   /** True once the caller has a part of the answer. */
   hasWritten: boolean;
+  /** When the first byte of the answer was sent. */
+  firstByteAtMs?: number;
   /** Ends `run` for the caller's server. */
   settle: () => void;
 }
+
+/** A request that has no attempt yet. */
+export function createPendingRequest(
+  parts: Omit<PendingRequest, "attempts" | "steps" | "hasWritten">,
+): PendingRequest {
+  return { ...parts, attempts: new Map(), steps: [], hasWritten: false };
+}
--- a/src/roles/request_runner.ts
+++ b/src/roles/request_runner.ts
@@ -4,7 +4,12 @@
  */
 
 import { match } from "ts-pattern";
-import type { Logger, RatingService } from "../adapters/index.js";
+import {
+  type Logger,
+  METRICS,
+  type Metrics,
+  type RatingService,
+} from "../adapters/index.js";
 import {
   assertInvariant,
   createRefusal,
@@ -15,33 +20,35 @@
   type RouterEvent,
 } from "../core/index.js";
 import type { End, Receipt } from "../schema/index.js";
-import type { AnswerInfo, AnswerWriter } from "./answers.js";
 import { AttemptRunner, type AttemptRunnerOptions } from "./attempt_runner.js";
-import type { RequestWork } from "./caller_requests.js";
 import type { EntryLedger } from "./entry_ledger.js";
-import type {
-  Attempt,
-  PendingRequest,
-  RequestSession,
+import {
+  type Attempt,
+  createPendingRequest,
+  type PendingRequest,
+  type RunOptions,
 } from "./pending_request.js";
-import { createReceipt, createReceiptStep } from "./request_receipts.js";
-
-/** How a request ended, for metrics and service-level counts. */
-export interface RequestOutcome {
-  readonly route: RouteRequest;
-  readonly version: string;
-  readonly dataCentre: string;
-  readonly durationMs: number;
-  readonly refusal?: Refusal;
-  readonly receipt?: Receipt;
-  readonly answer?: string;
-}
+import {
+  createAttempt,
+  createFailureEvent,
+  type DispatchAction,
+} from "./request_attempt.js";
+import { askJudge } from "./request_judge.js";
+import {
+  createAnswerInfo,
+  createAttemptStep,
+  createOutcome,
+  listReceiptHolders,
+  type RequestOutcome,
+} from "./request_outcome.js";
+import { createReceipt } from "./request_receipts.js";
 
 export interface RequestRunnerOptions extends AttemptRunnerOptions {
   readonly router: Router;
   readonly ledger: EntryLedger;
   readonly ratings?: RatingService;
   readonly log: Logger;
+  readonly metrics: Metrics;
   readonly onHold: (version: string, reason: string) => void;
   readonly onOutcome: (outcome: RequestOutcome) => void;
 }
@@ -51,8 +58,6 @@
   { type: T }
 >;
 
-const JUDGE_TIMEOUT_MS = 2_000;
-
 export class RequestRunner {
   readonly #options: RequestRunnerOptions;
   readonly #attempts: AttemptRunner;
@@ -77,33 +82,18 @@
   }
 
   /** Runs a request; settles when the caller has its answer or refusal. */
-  run(
-    route: RouteRequest,
-    options: {
-      work: RequestWork;
-      session: RequestSession;
-      writer: AnswerWriter;
-      signal: AbortSignal;
-    },
-  ): Promise<void> {
+  run(route: RouteRequest, options: RunOptions): Promise<void> {
     const { work, session, writer, signal } = options;
     return new Promise((resolve) => {
       const abandon = () => this.#abandon(route.id);
       signal.addEventListener("abort", abandon, { once: true });
-      this.#pending.set(route.id, {
-        route,
-        work,
-        session,
-        writer,
-        startedAtMs: this.#options.now(),
-        attempts: new Map(),
-        steps: [],
-        hasWritten: false,
-        settle: () => {
-          signal.removeEventListener("abort", abandon);
-          resolve();
-        },
-      });
+      const settle = () => {
+        signal.removeEventListener("abort", abandon);
+        resolve();
+      };
+      const startedAtMs = this.#options.now();
+      const parts = { route, work, session, writer, startedAtMs, settle };
+      this.#pending.set(route.id, createPendingRequest(parts));
       this.handle({ type: "submit", request: route });
     });
   }
@@ -121,30 +111,18 @@
       .exhaustive();
   }
 
-  #dispatch(action: ActionOf<"dispatch">): void {
+  #dispatch(action: DispatchAction): void {
     const pending = this.#pending.get(action.requestId);
     if (pending === undefined) return;
     const { route } = pending;
-    assertInvariant(
-      route.kind === "service" || route.candidates.includes(action.version),
-      "notAllowed",
-      `Version "${action.version}" was chosen for account "${route.account}"`,
-    );
-    assertInvariant(
-      route.sessionVersion === undefined ||
-        route.sessionVersion === action.version,
-      "sessionMoved",
-      `Version "${action.version}" was chosen for a session on "${route.sessionVersion}"`,
-    );
-    const attempt: Attempt = {
-      number: action.attempt,
-      endpoint: action.endpoint,
-      version: action.version,
-      isFinal: action.final,
-      controller: new AbortController(),
-      chunks: [],
-    };
+    const attempt = createAttempt(route, action);
     pending.attempts.set(action.attempt, attempt);
+    const { directory, metrics } = this.#options;
+    metrics.addCount(METRICS.dispatches, {
+      class: route.requestClass,
+      version: attempt.version || "-",
+      to: directory.getStatus(attempt.endpoint)?.dataCentre ?? "-",
+    });
     if (route.idempotent) this.#startAttempt(pending, attempt);
     else void this.#startOrder(pending, attempt);
   }
@@ -164,8 +142,11 @@
         this.#fail(pending, attempt, outcome.refusal);
         return;
       }
-      pending.steps.push(this.#createStep(pending, attempt, outcome.end));
-      this.#complete(pending, attempt, outcome.end);
+      const { end } = outcome;
+      const { directory, config } = this.#options;
+      const options = { end, directory, state: config.state };
+      pending.steps.push(createAttemptStep(pending, attempt, options));
+      this.#complete(pending, attempt, end);
     });
   }
 
@@ -192,6 +173,7 @@
     attempt.chunks.push(chunk);
     if (!attempt.isFinal || !pending.work.stream) return;
     pending.hasWritten = true;
+    pending.firstByteAtMs ??= this.#options.now();
     pending.writer.write(this.#createInfo(pending, attempt), chunk);
   }
 
@@ -207,28 +189,19 @@
   }
 
   #fail(pending: PendingRequest, attempt: Attempt, refusal: Refusal): void {
-    const requestId = pending.route.id;
     this.#options.log.debug("attempt-failed", {
-      request: requestId,
+      request: pending.route.id,
       attempt: attempt.number,
       endpoint: attempt.endpoint,
       code: refusal.code,
       ran: refusal.ran,
       detail: refusal.detail,
     });
-    if (refusal.ran === "no" && !pending.hasWritten) {
-      const number = attempt.number;
-      this.handle({ type: "refused", requestId, attempt: number, refusal });
-      return;
-    }
-    this.handle({
-      type: "failed",
-      requestId,
-      attempt: attempt.number,
-      ran: refusal.ran,
-      delivered: pending.hasWritten,
-      refusal,
+    this.#options.metrics.addCount(METRICS.attemptsFailed, {
+      class: pending.route.requestClass,
+      code: refusal.code,
     });
+    this.handle(createFailureEvent(pending, attempt, refusal));
   }
 
   /** The claim gave the final answer, so the router only forgets the request. */
@@ -246,22 +219,11 @@
   }
 
   async #judge(action: ActionOf<"judge">): Promise<void> {
-    const { requestId, attempt: number, version } = action;
+    const { requestId, attempt: number } = action;
     const pending = this.#pending.get(requestId);
     const attempt = pending?.attempts.get(number);
     if (pending === undefined || attempt === undefined) return;
-    const leftMs = pending.route.deadlineAtMs - this.#options.now();
-    const timeoutMs = Math.max(1, Math.min(JUDGE_TIMEOUT_MS, leftMs));
-    const verdict = await this.#options.ratings?.judge(
-      {
-        requestId,
-        requestClass: pending.route.requestClass,
-        version,
-        answer: Buffer.concat(attempt.chunks).toString("utf8"),
-      },
-      AbortSignal.timeout(Math.ceil(timeoutMs)),
-    );
-    const passed = verdict?.isOk() ? verdict.value : undefined;
+    const passed = await askJudge(pending, attempt, this.#options);
     this.handle({ type: "judged", requestId, attempt: number, passed });
   }
 
@@ -279,11 +241,13 @@
     // An order's bill is in its claim.
     if (pending.route.idempotent) {
       receipt = createReceipt(pending, Date.now());
-      const holders = this.#listHolders(attempt.endpoint);
+      const { directory } = this.#options;
+      const holders = listReceiptHolders(directory, attempt.endpoint);
       await this.#options.ledger.add(receipt, { holders }, this.#signal);
     }
     if (!this.#pending.delete(action.requestId)) return;
     const info = this.#createInfo(pending, attempt);
+    pending.firstByteAtMs ??= this.#options.now();
     pending.writer.finish(info, end, pending.hasWritten ? [] : attempt.chunks);
     this.#report(pending, attempt, { receipt });
     pending.settle();
@@ -317,52 +281,14 @@
     attempt: Attempt | undefined,
     result: { receipt?: Receipt; refusal?: Refusal },
   ): void {
-    const { directory, now } = this.#options;
-    this.#options.onOutcome({
-      route: pending.route,
-      version: attempt?.version ?? "",
-      dataCentre:
-        directory.getStatus(attempt?.endpoint ?? "")?.dataCentre ?? "",
-      durationMs: now() - pending.startedAtMs,
-      answer:
-        result.receipt && attempt
-          ? Buffer.concat(attempt.chunks).toString("utf8")
-          : undefined,
-      ...result,
-    });
-  }
-
-  /** The endpoint of the last step first, then any others. */
-  #listHolders(endpoint: string): string[] {
-    const others = this.#options.directory
-      .listStatus()
-      .filter((status) => status.endpoint !== endpoint && !status.leaving)
-      .map((status) => status.endpoint);
-    return [endpoint, ...others];
-  }
-
-  #createStep(pending: PendingRequest, attempt: Attempt, end: End) {
-    const { config, directory } = this.#options;
-    return createReceiptStep(
-      {
-        version: attempt.version,
-        service: pending.route.service,
-        endpoint: attempt.endpoint,
-        dataCentre: directory.getStatus(attempt.endpoint)?.dataCentre ?? "",
-        promptTokens: end.promptTokens,
-        outputTokens: end.outputTokens,
-      },
-      config.state,
+    const { directory, now, onOutcome } = this.#options;
+    onOutcome(
+      createOutcome(pending, { attempt, directory, nowMs: now(), ...result }),
     );
   }
 
-  #createInfo(pending: PendingRequest, attempt: Attempt): AnswerInfo {
-    return {
-      requestId: pending.route.id,
-      version: attempt.version,
-      revision: this.#options.config.state.revision,
-      sessionToken: pending.session.token,
-      sessionMoved: pending.session.moved,
-    };
+  #createInfo(pending: PendingRequest, attempt: Attempt) {
+    const { revision } = this.#options.config.state;
+    return createAnswerInfo(pending, attempt, revision);
   }
 }
