Start daemons with a small young generation

V8 lets the young generation grow to 16 MB semi-spaces under load, which a daemon with little live data has no use for, and setting the flag at run time has no effect.

--- a/src/standins/process.ts
+++ b/src/standins/process.ts
@@ -15,6 +15,8 @@
   /** JavaScript file under `dist`. */
   readonly file: string;
   readonly args: readonly string[];
+  /** Flags of Node itself, such as those in a daemon's first line. */
+  readonly nodeFlags?: readonly string[];
   /** Ends the process, whatever it is doing. */
   readonly signal: AbortSignal;
   /** Takes the output; without it the output is dropped. */
@@ -50,11 +52,12 @@
 async function waitForStart(
   spec: ProcessSpec,
 ): Promise<Result<ManagedProcess, StartFailure>> {
-  const { file, args, signal, readyMs = DEFAULT_READY_MS } = spec;
+  const { file, args, nodeFlags = [], signal } = spec;
+  const { readyMs = DEFAULT_READY_MS } = spec;
   if (signal.aborted) {
     return err({ kind: "aborted", detail: `"${file}" was not started` });
   }
-  const child = spawn(process.execPath, [file, ...args], {
+  const child = spawn(process.execPath, [...nodeFlags, file, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
   });
   const managed = new ManagedProcess(child, signal);
--- a/src/testbed/fleet.ts
+++ b/src/testbed/fleet.ts
@@ -63,6 +63,9 @@
   leaving: boolean;
 }
 
+/** As in the first line of the daemon's file; docs/operations.md says why. */
+export const DAEMON_NODE_FLAGS = ["--max-semi-space-size=2"] as const;
+
 export const OPERATOR_TOKEN = "operator-token";
 const SESSION_KEY = "session-key-of-the-test-bed";
 const ADDRESS = "127.0.0.1";
@@ -132,6 +135,7 @@
   async startMember(member: Member): Promise<void> {
     const started = await startProcess({
       file: this.#spec.daemonFile ?? getDistFile("daemon/main.js"),
+      nodeFlags: DAEMON_NODE_FLAGS,
       args: [
         "--settings",
         member.settingsFile,
