--- a/src/roles/config_chaos_test.ts
+++ b/src/roles/config_chaos_test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import fc from "fast-check";
+import type { Fault } from "./fake_config_store_test.js";
 import { Fleet } from "./fake_fleet_test.js";
-import type { Fault } from "./fake_store_test.js";
 
 const ENTRIES = 5;
 /** Short, so that a late ticket shows within the test's time. */
--- a/src/roles/fake_fleet_test.ts
+++ b/src/roles/fake_fleet_test.ts
@@ -9,17 +9,7 @@
 import { createConfigSyncHandlers } from "./config_handlers.js";
 import { PeerClients } from "./config_peers.js";
 import { ConfigSync } from "./config_sync.js";
-
-<<<<<<< HEAD
-
-import { FakeStore } from "./fake_config_store_test.js";
-
-=======
-
 import { FakeStore, type Fault } from "./fake_config_store_test.js";
-
->>>>>>> config
-
 import { TicketService } from "./ticket_service.js";
 
 export const PEER: Peer = {
