Lengthen the time between ledger pages with the number of entries

Cause: a page a second from each of 380 entries is 380 writes a second, the whole rate of the store. Change: the interval grows so that the fleet writes 20 pages a second (19 s at 380 entries). Receipts have two holders meanwhile. Today's fleets of up to 20 entries keep one second.

--- a/src/core/receipts.ts
+++ b/src/core/receipts.ts
@@ -12,6 +12,15 @@
 /** Half of a stored object's 1 MB, which leaves room for the last receipt. */
 export const PAGE_BYTES = 512 * 1024;
 export const PAGE_INTERVAL_MS = 1_000;
+/** Pages a second that all entries together write, of several hundred. */
+const PAGES_PER_SECOND = 20;
+const MS_PER_SECOND = 1_000;
+
+/** Time between two pages of an entry, so that the fleet keeps its rate. */
+export function computePageIntervalMs(entries: number): number {
+  const intervalMs = (entries / PAGES_PER_SECOND) * MS_PER_SECOND;
+  return Math.max(PAGE_INTERVAL_MS, Math.ceil(intervalMs));
+}
 
 /** Digits of a page number; key order is then page order. */
 const PAGE_DIGITS = 8;
--- a/src/roles/entry_billing.ts
+++ b/src/roles/entry_billing.ts
@@ -22,6 +22,8 @@
   readonly directory: EndpointDirectory;
   /** Id of this start of the process. */
   readonly incarnation: string;
+  /** Entries of the fleet, which share the store's rate. */
+  readonly countEntries: () => number;
 }
 
 export class EntryBilling {
@@ -41,6 +43,7 @@
       entry: settings.name,
       incarnation,
       listHolders: this.#listHolders,
+      countEntries: options.countEntries,
       maxReceipts: settings.limits?.receiptCount,
       maxBytes: settings.limits?.receiptBytes,
     });
--- a/src/roles/entry_ledger.ts
+++ b/src/roles/entry_ledger.ts
@@ -7,6 +7,7 @@
 import type { ObjectStore } from "../adapters/index.js";
 import {
   assertInvariant,
+  computePageIntervalMs,
   createRefusal,
   getPageKey,
   MAX_RECEIPT_BYTES,
@@ -48,6 +49,8 @@
   readonly incarnation: string;
   /** Endpoints that can keep a copy; used when a holder is lost. */
   readonly listHolders?: () => readonly string[];
+  /** Entries that share the store's rate; one when absent. */
+  readonly countEntries?: () => number;
   readonly maxReceipts?: number;
   readonly maxBytes?: number;
 }
@@ -220,6 +223,7 @@
 
   /** Writes a page each second until the signal aborts. */
   async start(signal: AbortSignal): Promise<void> {
+    const { countEntries = () => 1 } = this.#options;
     let intervalMs = PAGE_INTERVAL_MS;
     while (!signal.aborted) {
       await this.#options.clock.sleep(intervalMs, signal);
@@ -227,7 +231,7 @@
       const isWritten = await this.flush(signal);
       if (!isWritten) await this.#renewCopies(signal);
       intervalMs = isWritten
-        ? PAGE_INTERVAL_MS
+        ? computePageIntervalMs(countEntries())
         : Math.min(intervalMs * 2, MAX_RETRY_INTERVAL_MS);
     }
   }
--- a/src/roles/entry_parts.ts
+++ b/src/roles/entry_parts.ts
@@ -131,6 +131,8 @@
       clock: createSystemClock(),
       directory: this.directory,
       incarnation: this.#incarnation,
+      countEntries: () =>
+        this.hosts.hosts.filter((host) => host.role === "entry").length,
     });
   }
 
