--- /dev/null
+++ b/src/core/router.ts
@@ -0,0 +1,252 @@
+/**
+ * The router of one entry: a state machine from events to actions. It holds
+ * no clock and no source of randomness, so a seed replays its decisions.
+ */
+
+import { match } from "ts-pattern";
+import type { FleetState } from "../schema/index.js";
+import { Dispatcher, type EndedWork } from "./dispatcher.js";
+import { createRefusal, type Ran, type Refusal } from "./errors.js";
+import type { RouteRequest, RouterAction, RouterEvent } from "./events.js";
+import { type PendingRequest, PendingRequests } from "./pending.js";
+import { RetryBudget } from "./retries.js";
+import { Versions } from "./versions.js";
+
+export interface RouterOptions {
+  /** Uniform in 0..1. */
+  random: () => number;
+  /** Data centre of this entry, preferred for endpoints. */
+  dataCentre?: string;
+  /** Price of one judge call, in the unit of `costPerKiloToken`. */
+  judgeCostPerCall?: number;
+}
+
+type EventOf<T extends RouterEvent["type"]> = Extract<RouterEvent, { type: T }>;
+type AttemptEnd = "completed" | "refused" | "failed";
+
+export class Router {
+  readonly #dispatcher: Dispatcher;
+  readonly #pending = new PendingRequests();
+  readonly #retries = new RetryBudget();
+  readonly #versions: Versions;
+  #actions: RouterAction[] = [];
+  #nowMs = 0;
+
+  constructor(options: RouterOptions) {
+    this.#dispatcher = new Dispatcher({
+      random: options.random,
+      dataCentre: options.dataCentre ?? "",
+      refuse: (pending, refusal) => this.#refuse(pending, refusal),
+      act: (action) => this.#actions.push(action),
+    });
+    this.#versions = new Versions({
+      random: options.random,
+      judgeCostPerCall: options.judgeCostPerCall ?? 0,
+      getPace: (name) => this.#dispatcher.getPace(name),
+      getLength: (name) => this.#dispatcher.lengths.get(name),
+      hold: (version, reason) =>
+        this.#actions.push({ type: "hold-version", version, reason }),
+    });
+  }
+
+  /** Applies one event; `nowMs` is monotonic. */
+  handle(event: RouterEvent, nowMs: number): RouterAction[] {
+    this.#nowMs = nowMs;
+    this.#actions = [];
+    match(event)
+      .with({ type: "submit" }, (e) => this.#submit(e.request))
+      .with({ type: "abandon" }, (e) => this.#abandon(e.requestId))
+      .with({ type: "started" }, (e) => this.#markStarted(e))
+      .with({ type: "completed" }, (e) => this.#complete(e))
+      .with({ type: "refused" }, (e) => this.#retryRefused(e))
+      .with({ type: "failed" }, (e) => this.#retryFailed(e))
+      .with({ type: "judged" }, (e) => this.#applyVerdict(e))
+      .with({ type: "rated" }, (e) => this.#versions.recordRatings(e))
+      .with({ type: "endpoint-status" }, (e) =>
+        this.#dispatcher.updateEndpoint(e.status, nowMs),
+      )
+      .with({ type: "endpoint-gone" }, (e) =>
+        this.#dispatcher.removeEndpoint(e.endpoint),
+      )
+      .with({ type: "state" }, (e) => this.#setState(e.state))
+      .with({ type: "tick" }, () => this.#expire())
+      .exhaustive();
+    return this.#actions;
+  }
+
+  #setState(state: FleetState): void {
+    this.#dispatcher.setState(state);
+    this.#versions.setState(state);
+  }
+
+  #submit(request: RouteRequest): void {
+    this.#retries.earn();
+    const pending: PendingRequest = {
+      request,
+      submittedAtMs: this.#nowMs,
+      attempt: 0,
+      stepAttempts: 0,
+      steps: this.#versions.planSteps(request, this.#nowMs),
+      tried: new Set(),
+      mayHaveRun: false,
+    };
+    this.#pending.add(pending);
+    this.#versions.watch(pending);
+    if (pending.steps.length === 0) {
+      const detail = `no version is open to class "${request.requestClass}"`;
+      this.#refuse(pending, createRefusal("no-endpoint", detail));
+    } else this.#dispatcher.submit(pending, this.#nowMs);
+  }
+
+  /** Ends the running attempt; undefined when the event is about another. */
+  #endAttempt(
+    event: { requestId: string; attempt: number },
+    how: AttemptEnd,
+    work?: EndedWork,
+  ) {
+    const pending = this.#pending.find(event.requestId);
+    if (pending?.attempt !== event.attempt) return undefined;
+    const nowMs = this.#nowMs;
+    const running = this.#dispatcher.endAttempt(pending, how, { nowMs, work });
+    return running && { pending, running };
+  }
+
+  #markStarted(event: EventOf<"started">): void {
+    const pending = this.#pending.find(event.requestId);
+    if (pending?.running === undefined) return;
+    if (pending.attempt !== event.attempt) return;
+    this.#dispatcher.markStarted(pending.running, this.#nowMs);
+  }
+
+  #complete(event: EventOf<"completed">): void {
+    const ended = this.#endAttempt(event, "completed", event);
+    if (ended === undefined) return;
+    const { pending, running } = ended;
+    pending.mayHaveRun = true;
+    this.#versions.recordTime(running, this.#nowMs);
+    if (running.final) {
+      const isEscalated = pending.rejectedVersion !== undefined;
+      const role = isEscalated ? "escalated" : "single";
+      this.#versions.recordAnswer(pending, running.version, role);
+      this.#answer(pending);
+    } else {
+      pending.judging = running.version;
+      const { requestId, attempt } = event;
+      const { version } = running;
+      this.#actions.push({ type: "judge", requestId, attempt, version });
+    }
+    this.#dispatcher.drainEndpoint(running.endpoint, this.#nowMs);
+  }
+
+  #applyVerdict(event: EventOf<"judged">): void {
+    const pending = this.#pending.find(event.requestId);
+    if (pending?.judging === undefined) return;
+    if (pending.attempt !== event.attempt) return;
+    const { judging: version } = pending;
+    pending.judging = undefined;
+    this.#versions.recordVerdict(pending, version, event.passed);
+    pending.steps = pending.steps.slice(1);
+    if (event.passed === true || pending.steps.length === 0) {
+      this.#versions.recordAnswer(pending, version, "passed");
+      this.#answer(pending);
+      return;
+    }
+    pending.rejectedVersion = version;
+    pending.tried.clear();
+    pending.stepAttempts = 0;
+    if (
+      !this.#dispatcher.canEnd(pending, this.#nowMs) &&
+      this.#versions.acceptRejected(pending.request, version)
+    ) {
+      // No better answer can be ready in time, and the target bears this one.
+      this.#answer(pending);
+    } else this.#dispatcher.submit(pending, this.#nowMs);
+  }
+
+  #retryRefused(event: EventOf<"refused">): void {
+    const ended = this.#endAttempt(event, "refused");
+    if (ended === undefined) return;
+    this.#retry(ended.pending, event.refusal, { ran: "no", delivered: false });
+  }
+
+  #retryFailed(event: EventOf<"failed">): void {
+    const ended = this.#endAttempt(event, "failed");
+    if (ended === undefined) return;
+    if (event.ran !== "no") ended.pending.mayHaveRun = true;
+    this.#versions.recordFailure(ended.running, this.#nowMs);
+    this.#retry(ended.pending, event.refusal, event);
+  }
+
+  #retry(
+    pending: PendingRequest,
+    refusal: Refusal,
+    how: { ran: Ran; delivered: boolean },
+  ): void {
+    const { idempotent } = pending.request;
+    const { stepAttempts } = pending;
+    const { ran, delivered } = how;
+    if (this.#retries.spend({ idempotent, ran, delivered, stepAttempts })) {
+      this.#dispatcher.submit(pending, this.#nowMs);
+    } else this.#refuse(pending, refusal);
+  }
+
+  #answer(pending: PendingRequest): void {
+    this.#close(pending);
+    const { attempt, request } = pending;
+    this.#actions.push({ type: "answer", requestId: request.id, attempt });
+  }
+
+  #close(pending: PendingRequest): void {
+    this.#pending.remove(pending);
+    this.#versions.stopWatching(pending);
+  }
+
+  #refuse(pending: PendingRequest, refusal: Refusal): void {
+    this.#close(pending);
+    const ran =
+      pending.mayHaveRun && refusal.ran === "no" ? "unknown" : refusal.ran;
+    this.#actions.push({
+      type: "refuse",
+      requestId: pending.request.id,
+      refusal: { ...refusal, ran },
+    });
+  }
+
+  #cancel(pending: PendingRequest): void {
+    this.#dispatcher.forget(pending);
+    const nowMs = this.#nowMs;
+    const running = this.#dispatcher.endAttempt(pending, "cancelled", {
+      nowMs,
+    });
+    if (running === undefined) return;
+    pending.mayHaveRun = true;
+    this.#actions.push({
+      type: "cancel-attempt",
+      requestId: pending.request.id,
+      attempt: pending.attempt,
+      endpoint: running.endpoint,
+    });
+    this.#dispatcher.drainEndpoint(running.endpoint, nowMs);
+  }
+
+  #abandon(requestId: string): void {
+    const pending = this.#pending.find(requestId);
+    if (pending === undefined) return;
+    this.#close(pending);
+    this.#cancel(pending);
+  }
+
+  #expire(): void {
+    for (const pending of this.#pending.listExpired(this.#nowMs)) {
+      const ran = pending.running !== undefined;
+      this.#cancel(pending);
+      const code =
+        ran && !pending.request.idempotent
+          ? "outcome-unknown"
+          : "deadline-exceeded";
+      const detail = `deadline passed after attempt ${pending.attempt}`;
+      this.#refuse(pending, createRefusal(code, detail));
+    }
+    this.#dispatcher.tick(this.#nowMs);
+  }
+}
--- /dev/null
+++ b/src/roles/entry.ts
@@ -0,0 +1,236 @@
+/** The entry role: serves callers, operators and the other processes. */
+
+import { once } from "node:events";
+import type { Server as HttpServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { performance } from "node:perf_hooks";
+import { Server as GrpcServer, ServerCredentials } from "@grpc/grpc-js";
+import { type Logger, METRICS } from "../adapters/index.js";
+import { createRefusal, type Refusal } from "../core/index.js";
+import { ConfigSyncService, type Settings } from "../schema/index.js";
+import type { CallerRequest } from "./caller_requests.js";
+import { createCallerServer, type SessionResult } from "./caller_server.js";
+import { createConfigSyncHandlers } from "./config_handlers.js";
+import { EntryParts, requireSetting } from "./entry_parts.js";
+import { createOperatorServer } from "./operator_server.js";
+import { waitFor } from "./scope.js";
+
+export interface RoleOptions {
+  readonly log: Logger;
+  /** Begins the graceful shutdown. */
+  readonly signal: AbortSignal;
+}
+
+export interface RunningRole {
+  /** Settles when the graceful shutdown is complete. */
+  readonly stopped: Promise<void>;
+}
+
+const TICK_MS = 50;
+/** Each gauge is one small packet; control traffic stays under 2 KB/s. */
+const GAUGE_INTERVAL_MS = 5_000;
+const DEFAULT_BODY_BYTES = 1_000_000;
+const DEFAULT_HEADER_BYTES = 16_384;
+const DEFAULT_STOP_MS = 30_000;
+/** Gives the balancer time to see that the entry takes no new work. */
+const STOP_RETRY_AFTER_MS = 1_000;
+
+class Entry {
+  readonly #settings: Settings;
+  readonly #log: Logger;
+  readonly #stopSignal: AbortSignal;
+  /** Aborts at the end of the graceful shutdown. */
+  readonly #lifetime = new AbortController();
+  readonly #parts: EntryParts;
+  readonly #servers: HttpServer[] = [];
+  readonly #grpc = new GrpcServer();
+
+  constructor(settings: Settings, options: RoleOptions) {
+    this.#settings = settings;
+    this.#log = options.log;
+    this.#stopSignal = options.signal;
+    this.#parts = new EntryParts({
+      settings,
+      log: options.log,
+      signal: this.#lifetime.signal,
+    });
+  }
+
+  async start(): Promise<void> {
+    const { signal } = this.#lifetime;
+    const { hosts, sync, runner, billing, reports, sessions, ratings } =
+      this.#parts;
+    await this.#serveControl();
+    await hosts.start(signal);
+    sync.addListener((state) => {
+      this.#log.info("revision", { revision: state.revision });
+      runner.handle({ type: "state", state });
+    }, signal);
+    sync.start(signal).catch((error: unknown) => {
+      // The configuration can't be trusted any more: end the process.
+      setImmediate(() => {
+        throw error;
+      });
+    });
+    billing.start(signal);
+    void reports.start(signal);
+    void sessions.run(signal);
+    void ratings?.start(signal);
+    setInterval(() => runner.handle({ type: "tick" }), TICK_MS).unref();
+    setInterval(() => this.#sendGauges(), GAUGE_INTERVAL_MS).unref();
+    await this.#serveCallers();
+    await this.#serveOperators();
+  }
+
+  /** Refuses new work, ends running work and writes all receipts. */
+  async stop(): Promise<void> {
+    const { runner, billing, reports } = this.#parts;
+    const stopMs = this.#settings.limits?.stopMs ?? DEFAULT_STOP_MS;
+    const limit = AbortSignal.timeout(stopMs);
+    while (runner.openCount > 0 && !limit.aborted) {
+      await waitFor(TICK_MS, limit);
+    }
+    if (runner.openCount > 0) {
+      this.#log.warn("stop-cuts-work", { open: runner.openCount });
+    }
+    await billing.close(limit);
+    await reports.close(limit);
+    for (const server of this.#servers) {
+      server.close();
+      server.closeIdleConnections();
+    }
+    this.#lifetime.abort();
+    this.#grpc.forceShutdown();
+  }
+
+  async #serveControl(): Promise<void> {
+    const { address, controlPort } = this.#settings.listen;
+    this.#grpc.addService(
+      ConfigSyncService,
+      createConfigSyncHandlers(this.#parts.sync),
+    );
+    await new Promise<void>((resolve, reject) => {
+      this.#grpc.bindAsync(
+        `${address}:${controlPort}`,
+        ServerCredentials.createInsecure(),
+        (error) => (error === null ? resolve() : reject(error)),
+      );
+    });
+  }
+
+  async #serveCallers(): Promise<void> {
+    const { listen, limits } = this.#settings;
+    const server = createCallerServer({
+      config: this.#parts.sync,
+      runner: this.#parts.runner,
+      log: this.#log,
+      now: () => performance.now(),
+      bodyBytes: limits?.bodyBytes ?? DEFAULT_BODY_BYTES,
+      headerBytes: limits?.headerBytes ?? DEFAULT_HEADER_BYTES,
+      checkAdmission: () => this.#checkAdmission(),
+      resolveSession: (request, signal) =>
+        this.#resolveSession(request, signal),
+    });
+    await this.#listen(server, requireSetting(listen.callerPort, "callerPort"));
+  }
+
+  async #serveOperators(): Promise<void> {
+    const { listen, operatorTokenSha256 } = this.#settings;
+    const server = createOperatorServer({
+      tickets: this.#parts.tickets,
+      sync: this.#parts.sync,
+      log: this.#log,
+      tokenSha256: operatorTokenSha256,
+      describeStatus: () => this.#describeStatus(),
+      createReport: (kind, hours, signal) =>
+        this.#parts.reports.createReport(kind, hours, signal),
+      signal: this.#lifetime.signal,
+    });
+    await this.#listen(
+      server,
+      requireSetting(listen.operatorPort, "operatorPort"),
+    );
+  }
+
+  async #listen(server: HttpServer, port: number): Promise<void> {
+    server.listen(port, this.#settings.listen.address);
+    await once(server, "listening");
+    this.#servers.push(server);
+    this.#log.info("listening", {
+      port: (server.address() as AddressInfo).port,
+    });
+  }
+
+  #checkAdmission(): Refusal | undefined {
+    if (this.#stopSignal.aborted) {
+      return createRefusal("stopping", "The entry is stopping", {
+        retryAfterMs: STOP_RETRY_AFTER_MS,
+      });
+    }
+    return this.#parts.billing.ledger.checkRoom();
+  }
+
+  async #resolveSession(
+    request: CallerRequest,
+    signal: AbortSignal,
+  ): Promise<SessionResult | Refusal> {
+    const { route, work } = request;
+    const { session: sessionId, sessionToken: token } = work;
+    const hasSession = sessionId !== undefined || token !== undefined;
+    if (route.kind !== "model" || !hasSession) return {};
+    const resolved = await this.#parts.sessions.resolve(
+      {
+        account: route.account,
+        requestClass: route.requestClass,
+        sessionId,
+        token,
+        candidates: route.candidates,
+        state: this.#parts.sync.state,
+      },
+      signal,
+    );
+    return resolved.match<SessionResult | Refusal>(
+      (session) => session,
+      (refusal) => refusal,
+    );
+  }
+
+  #sendGauges(): void {
+    const { metrics, billing, sync } = this.#parts;
+    metrics.setGauge(METRICS.receiptsOpen, billing.ledger.count);
+    metrics.setGauge(METRICS.revision, sync.state.revision);
+    const ageMs = sync.getConfirmationAgeMs();
+    if (ageMs !== null) metrics.setGauge(METRICS.confirmationAge, ageMs);
+  }
+
+  #describeStatus() {
+    const { sync, runner, billing, directory } = this.#parts;
+    const { state } = sync;
+    return {
+      entry: this.#settings.name,
+      dataCentre: this.#settings.dataCentre,
+      revision: state.revision,
+      confirmationAgeMs: sync.getConfirmationAgeMs(),
+      watcher: sync.isWatcher,
+      openRequests: runner.openCount,
+      openReceipts: billing.ledger.count,
+      holds: Object.keys(state.holds),
+      endpoints: directory.listStatus(),
+    };
+  }
+}
+
+/** Starts an entry; it serves until the signal aborts. */
+export async function startEntryRole(
+  settings: Settings,
+  options: RoleOptions,
+): Promise<RunningRole> {
+  const entry = new Entry(settings, options);
+  await entry.start();
+  const stopped = new Promise<void>((resolve, reject) => {
+    const stop = () => entry.stop().then(resolve, reject);
+    if (options.signal.aborted) void stop();
+    else options.signal.addEventListener("abort", stop, { once: true });
+  });
+  return { stopped };
+}
--- /dev/null
+++ b/src/roles/entry_ledger_test.ts
@@ -0,0 +1,160 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createCase, NEVER } from "./fake_ledger_test.js";
+import { countPlaces, createReceipt } from "./fake_store_test.js";
+
+async function passOutage(outageMs: number) {
+  const { clock, store, held, ledger, add } = createCase();
+  const stop = new AbortController();
+  void ledger.start(stop.signal);
+  store.isDown = true;
+  for (let count = 0; count < 10; count += 1) {
+    assert.equal(await add(`r${count}`), "held");
+    await clock.run(outageMs / 10);
+  }
+  assert.equal(countPlaces(store).size, 0);
+  const callsInOutage = store.calls;
+  store.isDown = false;
+  await clock.run(6_000);
+  stop.abort();
+  assert.deepEqual([...countPlaces(store).values()], Array(10).fill(1));
+  assert.equal(held.count, 0, "copies were not released");
+  return callsInOutage;
+}
+
+describe("entry ledger", () => {
+  it("writes a page once although its reply is lost", async () => {
+    for (const fault of ["lost-reply", "lost", "late"] as const) {
+      const { clock, store, ledger, add } = createCase([fault]);
+      assert.equal(await add("r1"), "held");
+      assert.ok(await clock.finish(ledger.flush(NEVER)));
+      await clock.run(1_000);
+      assert.equal(countPlaces(store).get("r1"), 1, fault);
+    }
+  });
+
+  it("keeps receipts through 60 s without the store and writes them after", async () => {
+    await passOutage(60_000);
+  });
+
+  it("keeps receipts through an hour without the store at a bounded call rate", async () => {
+    const calls = await passOutage(3_600_000);
+    assert.ok(calls <= 3_600 / 3, `${calls} store calls in an hour`);
+  });
+
+  it("refuses new work when the buffer is full, so that nothing goes unbilled", async () => {
+    const { clock, store, ledger, add } = createCase([], 3);
+    store.isDown = true;
+    for (const requestId of ["r1", "r2", "r3"]) await add(requestId);
+    const refusal = ledger.checkRoom();
+    assert.ok(refusal?.code === "ledger-full" && refusal.ran === "no");
+    store.isDown = false;
+    await clock.finish(ledger.flush(NEVER));
+    assert.equal(ledger.checkRoom(), undefined);
+  });
+
+  it("flushes before the last byte when no endpoint holds a copy", async () => {
+    const { store, network, add } = createCase();
+    network.canHold = false;
+    assert.equal(await add("r1"), "written");
+    assert.equal(countPlaces(store).get("r1"), 1);
+  });
+
+  it("writes a page a second under a steady load, not one per store call", async () => {
+    const { clock, store, ledger } = createCase();
+    const stop = new AbortController();
+    void ledger.start(stop.signal);
+    for (let count = 0; count < 1_000; count += 1) {
+      const options = { holders: ["gpu-1"] };
+      void ledger.add(createReceipt(`r${count}`), options, NEVER);
+      await clock.run(10);
+    }
+    await clock.run(2_000);
+    stop.abort();
+    assert.equal(countPlaces(store).size, 1_000);
+    assert.ok(store.calls <= 13, `${store.calls} store calls in 12 s`);
+  });
+
+  it("keeps each page under the store's limit of 1 MB", async () => {
+    const { clock, store, ledger, add } = createCase();
+    store.isDown = true;
+    for (let count = 0; count < 30; count += 1) await add(`r${count}`, 60_000);
+    store.isDown = false;
+    await clock.finish(ledger.flush(NEVER));
+    const pages = store.listAll("ledger/entry1");
+    assert.ok(pages.length >= 4);
+    for (const { value } of pages) {
+      assert.ok(JSON.stringify(value).length < 600_000);
+    }
+  });
+
+  it("writes its receipts by themselves when a survivor sealed its page", async () => {
+    const { clock, store, ledger, add } = createCase();
+    await add("r1");
+    const seal = { kind: "seal", owner: ledger.owner, page: 1, receipts: [] };
+    const key = `ledger/${ledger.owner}/00000001`;
+    await clock.finish(
+      Promise.resolve(store.write({ key, value: seal, ifVersion: 0 })),
+    );
+    assert.ok(await clock.finish(ledger.flush(NEVER)));
+    assert.ok(store.objects.has("ledger/recovered/r1"));
+    assert.equal(ledger.owner, "entry1-a.2");
+    await add("r2");
+    await clock.finish(ledger.flush(NEVER));
+    assert.ok(store.objects.has("ledger/entry1-a.2/00000001"));
+    assert.deepEqual([...countPlaces(store).values()], [1, 1]);
+  });
+
+  it("hands its receipts over when it stops during an outage", async () => {
+    const { clock, store, ledger, held, network, add } = createCase();
+    await add("r1");
+    store.isDown = true;
+    const stop = new AbortController();
+    const closed = ledger.close({ holders: ["gpu-1"] }, stop.signal);
+    await clock.run(2_000);
+    stop.abort();
+    await clock.finish(closed);
+    network.isLive = false;
+    store.isDown = false;
+    await clock.run(31_000);
+    assert.ok(await clock.finish(held.recoverLost(NEVER)));
+    assert.equal(countPlaces(store).get("r1"), 1);
+  });
+
+  it("finds a new holder when the first one leaves during an outage", async () => {
+    const { clock, store, ledger, network, add } = createCase();
+    const stop = new AbortController();
+    store.isDown = true;
+    void ledger.start(stop.signal);
+    await add("r1");
+    await clock.run(5_000);
+    assert.deepEqual(network.asked.slice(1), ["gpu-1"]);
+    network.gone = "gpu-1";
+    await clock.run(10_000);
+    stop.abort();
+    assert.deepEqual(network.asked.slice(1), ["gpu-1", "gpu-2"]);
+  });
+
+  it("reports a receipt that would be lost with a stopping entry", async () => {
+    const { clock, store, ledger, network } = createCase();
+    network.canHold = false;
+    store.isDown = true;
+    const abandoned = new AbortController();
+    const added = ledger.add(
+      createReceipt("r1"),
+      { holders: ["gpu-1"] },
+      abandoned.signal,
+    );
+    await clock.run(500);
+    abandoned.abort();
+    assert.equal(await clock.finish(added), "unprotected");
+    const closed = ledger.close({ holders: ["gpu-1"] }, abandoned.signal);
+    await assert.rejects(clock.finish(closed), /unbilled/);
+  });
+
+  it("asserts that no request has two receipts", async () => {
+    const { add } = createCase();
+    await add("r1");
+    await assert.rejects(add("r1"), /billedTwice/);
+  });
+});
--- a/src/schema/messages.ts
+++ b/src/schema/messages.ts
@@ -28,6 +28,8 @@
 export interface AttachRequest {
   entry: string;
   incarnation: string;
+  /** Period of statuses without an urgent change; 0 stands for one second. */
+  statusPeriodMs: number;
 }
 
 export interface EndpointStatus {
@@ -75,6 +77,9 @@
   claim: string;
   /** The session the request belongs to; empty for none. */
   session: string;
+  /** Passed on to a plain service. */
+  contentType: string;
+  idempotencyKey: string;
 }
 
 export interface Frame {
@@ -157,10 +162,11 @@
 }
 
 export interface ConfirmStateRequest {
+  /** Name and life of the asker, such as e1/00k3x2a1b; a later life sorts after an earlier one. */
   process: string;
   dataCentre: string;
   revision: number;
-  /** True when a watcher asks because its own store calls fail. */
+  /** True when the reply is due at once, as when a watcher's own store calls fail. */
   seeksEvidence: boolean;
   evidence: EvidenceCount[];
 }
@@ -169,9 +175,15 @@
   revision: number;
   /** Fleet state as JSON as it stands in the store; empty when the asker has it. */
   state: string;
-  /** Age in milliseconds of the replier's confirmation when it replied. */
+  /**
+   * Age in milliseconds of the replier's confirmation when the question arrived, 0 when it is later.
+   * The asker subtracts it from the time at which it sent the question.
+   */
   confirmedAgeMs: number;
-  /** Milliseconds since the replier itself last reached the store. */
+  /**
+   * Milliseconds since the replier itself last reached the store; 4294967295 when it has not done so
+   * since its start, or knows of a revision that it can't read.
+   */
   storeAgeMs: number;
   watcher: boolean;
   evidence: EvidenceCount[];
@@ -179,6 +191,7 @@
 
 /** Totals of one process, so that a repeated report adds nothing. */
 export interface EvidenceCount {
+  /** Name and life of the process that counted. */
   source: string;
   requestClass: string;
   version: string;
@@ -187,7 +200,7 @@
 }
 
 function createBaseAttachRequest(): AttachRequest {
-  return { entry: "", incarnation: "" };
+  return { entry: "", incarnation: "", statusPeriodMs: 0 };
 }
 
 export const AttachRequest: MessageFns<AttachRequest> = {
@@ -198,6 +211,9 @@
     if (message.incarnation !== "") {
       writer.uint32(18).string(message.incarnation);
     }
+    if (message.statusPeriodMs !== 0) {
+      writer.uint32(24).uint32(message.statusPeriodMs);
+    }
     return writer;
   },
 
@@ -230,6 +246,14 @@
             message.incarnation = reader.string();
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.statusPeriodMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -249,6 +273,7 @@
     const message = createBaseAttachRequest();
     message.entry = object.entry ?? "";
     message.incarnation = object.incarnation ?? "";
+    message.statusPeriodMs = object.statusPeriodMs ?? 0;
     return message;
   },
 };
@@ -498,6 +523,8 @@
     epoch: "",
     claim: "",
     session: "",
+    contentType: "",
+    idempotencyKey: "",
   };
 }
 
@@ -554,6 +581,12 @@
     if (message.session !== "") {
       writer.uint32(138).string(message.session);
     }
+    if (message.contentType !== "") {
+      writer.uint32(146).string(message.contentType);
+    }
+    if (message.idempotencyKey !== "") {
+      writer.uint32(154).string(message.idempotencyKey);
+    }
     return writer;
   },
 
@@ -706,6 +739,22 @@
             message.session = reader.string();
             continue;
           }
+          case 18: {
+            if (tag !== 146) {
+              break;
+            }
+
+            message.contentType = reader.string();
+            continue;
+          }
+          case 19: {
+            if (tag !== 154) {
+              break;
+            }
+
+            message.idempotencyKey = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -740,6 +789,8 @@
     message.epoch = object.epoch ?? "";
     message.claim = object.claim ?? "";
     message.session = object.session ?? "";
+    message.contentType = object.contentType ?? "";
+    message.idempotencyKey = object.idempotencyKey ?? "";
     return message;
   },
 };
--- /dev/null
+++ b/src/standins/testing.ts
@@ -0,0 +1,134 @@
+/** Set-up that the tests of the stand-ins and of the adapters share. */
+
+import assert from "node:assert/strict";
+import { createServer, type Socket } from "node:net";
+import type { TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Result } from "neverthrow";
+import { type StandinKind, startStandin } from "./kinds.js";
+
+/** Bounds every call of a test; far above what a call takes. */
+export const TEST_TIMEOUT_MS = 5_000;
+
+/** Bounds a file of tests. */
+export const SUITE_TIMEOUT_MS = 60_000;
+
+/** For calls that nothing aborts. */
+export const NEVER: AbortSignal = new AbortController().signal;
+
+const POLL_MS = 10;
+
+export interface TestStandin {
+  readonly target: { address: string; port: number; timeoutMs: number };
+  control(patch: object): Promise<void>;
+  /** The stand-in's own record. */
+  readRecord<T>(): Promise<T>;
+  close(): Promise<void>;
+}
+
+/** Starts a stand-in in this process; it ends with the test. */
+export async function startTestStandin(
+  context: TestContext,
+  kind: StandinKind,
+  options: object = {},
+): Promise<TestStandin> {
+  const server = await startStandin(kind, { port: 0, seed: 7, options });
+  context.after(() => server.close());
+  const { port } = server;
+  const url = `http://127.0.0.1:${port}`;
+  const control = async (patch: object) => {
+    const body = JSON.stringify(patch);
+    const reply = await fetch(`${url}/control`, { method: "POST", body });
+    if (!reply.ok) throw new Error(`Control failed with ${reply.status}`);
+  };
+  const readRecord = async <T>() =>
+    (await (await fetch(`${url}/record`)).json()) as T;
+  return {
+    target: createTarget(port),
+    control,
+    readRecord,
+    close: server.close,
+  };
+}
+
+export function createTarget(port: number) {
+  return { address: "127.0.0.1", port, timeoutMs: TEST_TIMEOUT_MS };
+}
+
+export interface RawServer {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+/** Gives each connection that has sent a request to the listener. */
+export async function startRawServer(
+  onRequest: (socket: Socket) => void,
+): Promise<RawServer> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+    socket.on("error", () => {
+      // The adapter under test may close the connection at any time.
+    });
+    socket.once("data", () => onRequest(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === "object" && address !== null ? address.port : 0,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        for (const socket of sockets) socket.destroy();
+      }),
+  };
+}
+
+/** A port on which nothing listens. */
+export async function findClosedPort(): Promise<number> {
+  const server = await startRawServer(() => {});
+  await server.close();
+  return server.port;
+}
+
+/** Polls until the condition holds; fails after the bound of a call. */
+export async function waitUntil(holds: () => Promise<boolean>): Promise<void> {
+  const endMs = performance.now() + TEST_TIMEOUT_MS;
+  while (!(await holds())) {
+    if (performance.now() > endMs) throw new Error(`Not true: ${holds}`);
+    await sleep(POLL_MS);
+  }
+}
+
+export async function expectOk<T, E>(
+  call: Result<T, E> | PromiseLike<Result<T, E>>,
+): Promise<T> {
+  return (await call)._unsafeUnwrap();
+}
+
+export async function expectErr<T, E>(
+  call: Result<T, E> | PromiseLike<Result<T, E>>,
+): Promise<E> {
+  return (await call)._unsafeUnwrapErr();
+}
+
+export interface AnyFailure {
+  readonly kind: string;
+  readonly ran?: string;
+}
+
+/** Gives a failure as its kind and whether the call can have run. */
+export function describeFailure({ kind, ran }: AnyFailure): string {
+  return ran === undefined ? kind : `${kind} ${ran}`;
+}
+
+/** Expects a failure such as "timeout unknown", or "conflict" of the store. */
+export async function expectFailure<T, E extends AnyFailure>(
+  call: Result<T, E> | PromiseLike<Result<T, E>>,
+  expected: string,
+): Promise<void> {
+  assert.equal(describeFailure(await expectErr(call)), expected);
+}
