Take the start id of answers as a sign of a cold engine, and name more failures

A plain service has no load report, so only its answers show a restart. A version that is not loaded, an invalid path and a too large answer are no fault of the engine and no longer restart the slow start. Unused adapters are gone.

--- a/src/core/gate.ts
+++ b/src/core/gate.ts
@@ -235,8 +235,8 @@
       this.#end(attempt, this.#toBody(outcome.refusal), nowMs);
       return;
     }
-    this.#capacity.complete(attempt, outcome.outputTokens, nowMs);
-    const { kind: _kind, ...end } = outcome;
+    this.#capacity.complete(attempt, outcome, nowMs);
+    const { kind: _kind, startId: _startId, ...end } = outcome;
     const chunks = attempt.frames.nextSequence;
     this.#end(attempt, { end: { ...end, chunks } }, nowMs);
   }
--- a/src/core/gate_capacity.ts
+++ b/src/core/gate_capacity.ts
@@ -76,10 +76,13 @@
 
   complete(
     attempt: Attempt,
-    outputTokens: number,
+    outcome: RunOutcome & { kind: "completed" },
     nowMs: number,
   ): RestartReason | undefined {
+    const { outputTokens, startId = "" } = outcome;
     this.#running.delete(attempt.key);
+    // An answer names a new start before a lagging report does.
+    if (startId !== "") this.#ramp.applyStartId(startId, nowMs);
     const { request, startedAtMs = nowMs } = attempt;
     const serviceMs = nowMs - startedAtMs;
     const isModel = this.#kind === "model";
--- a/src/core/gate_capacity_test.ts
+++ b/src/core/gate_capacity_test.ts
@@ -88,14 +88,15 @@
   it("restarts at a new engine start id and at a cold flag", () => {
     const { gate, report } = createRig({ slots: 4, slotsWhileCold: 2 });
     let nowMs = 0;
-    const serve = (seconds: number) => {
+    const serve = (seconds: number, startId = "") => {
       const endMs = nowMs + seconds * 1_000;
       for (; nowMs < endMs; nowMs += 100) {
         const requestId = `r${nowMs}`;
         const request = createDispatch({ requestId });
         gate.handle({ type: "dispatch", request }, nowMs);
         const key = `${requestId}/1`;
-        gate.handle({ type: "finished", key, outcome: DONE }, nowMs + 50);
+        const outcome = { ...DONE, startId };
+        gate.handle({ type: "finished", key, outcome }, nowMs + 50);
       }
     };
     // A plain service gives no report and may be cold for 2 s after its start.
@@ -108,7 +109,11 @@
     assert.equal(gate.describeStatus().limit, 2);
     serve(4);
     assert.equal(gate.describeStatus().limit, 4);
-    const cold = { ...restarted, cold: true };
+    serve(0.1, "s3");
+    assert.equal(gate.describeStatus().limit, 2);
+    serve(4, "s3");
+    assert.equal(gate.describeStatus().limit, 4);
+    const cold = { ...report, startId: "s3", cold: true };
     gate.handle({ type: "report", report: cold }, nowMs);
     serve(4);
     assert.equal(gate.describeStatus().limit, 2);
--- a/src/core/gate_events.ts
+++ b/src/core/gate_events.ts
@@ -40,6 +40,8 @@
       readonly outputTokens: number;
       readonly body: Uint8Array;
       readonly contentType: string;
+      /** New at each start of the engine or service. */
+      readonly startId?: string;
     }
   | {
       readonly kind: "failed";
--- a/src/core/ramp.ts
+++ b/src/core/ramp.ts
@@ -94,16 +94,21 @@
     report: { startId: string; cold: boolean },
     nowMs: number,
   ): RestartReason | undefined {
-    const isNewStart =
-      this.#startId !== undefined && this.#startId !== report.startId;
-    this.#startId = report.startId;
     this.#reportedAtMs = nowMs;
     this.#isFlaggedCold = report.cold;
-    if (isNewStart) return this.#restart("start-id", nowMs);
+    const reason = this.applyStartId(report.startId, nowMs);
+    if (reason !== undefined) return reason;
     if (report.cold) return this.#restart("cold-flag", nowMs);
     return undefined;
   }
 
+  /** An id that differs from the last one, from a report or an answer. */
+  applyStartId(startId: string, nowMs: number): RestartReason | undefined {
+    const isNewStart = this.#startId !== undefined && this.#startId !== startId;
+    this.#startId = startId;
+    return isNewStart ? this.#restart("start-id", nowMs) : undefined;
+  }
+
   applyFailure(nowMs: number): RestartReason {
     if (this.#limit > this.#coldSlots) {
       this.#holdMs = Math.min(MAX_HOLD_MS, this.#holdMs * 2);
--- a/src/roles/endpoint_backend.ts
+++ b/src/roles/endpoint_backend.ts
@@ -32,15 +32,24 @@
   readonly outputTokens: number;
   readonly body: Uint8Array;
   readonly contentType: string;
+  /** New at each start of the engine or service; absent when it gives none. */
+  readonly startId?: string;
 }
 
 export interface BackendFailure {
   /**
-   * "refused": the back end turned the call down; "overloaded": it has no
-   * room; "broken": the call failed on the way or at work; "aborted": the
-   * signal ended it.
+   * "refused": the back end turned the call down; "not-loaded": it lacks the
+   * version; "overloaded": it has no room; "broken": the call failed on the
+   * way or at work; "too-large": the answer is over the limit; "aborted": the
+   * signal ended the call.
    */
-  readonly kind: "refused" | "overloaded" | "broken" | "aborted";
+  readonly kind:
+    | "refused"
+    | "not-loaded"
+    | "overloaded"
+    | "broken"
+    | "too-large"
+    | "aborted";
   /** "no" only when the call certainly did not reach the back end. */
   readonly ran: Ran;
   readonly detail: string;
@@ -54,61 +63,8 @@
   signal: AbortSignal,
 ) => ResultAsync<BackendAnswer, BackendFailure>;
 
-/** The part of the engine's HTTP adapter that runs requests. */
-export interface EngineCaller {
-  complete(
-    call: {
-      requestId: string;
-      version: string;
-      body: Uint8Array;
-      priority: Priority;
-    },
-    onChunk: (data: Uint8Array) => void,
-    signal: AbortSignal,
-  ): ResultAsync<
-    { promptTokens: number; outputTokens: number },
-    BackendFailure
-  >;
-}
-
-/** The plain service's HTTP adapter. */
-export type CallService = (
-  call: {
-    method: string;
-    path: string;
-    body: Uint8Array;
-    contentType: string;
-  },
-  signal: AbortSignal,
-) => ResultAsync<
-  { status: number; body: Uint8Array; contentType: string },
-  BackendFailure
->;
-
 const JSON_TYPE = "application/json";
 
-export function createModelBackend(engine: EngineCaller): RunBackend {
-  return ({ requestId, version, body, priority }, onChunk, signal) =>
-    engine
-      .complete({ requestId, version, body, priority }, onChunk, signal)
-      .map((usage) => ({
-        status: 200,
-        promptTokens: usage.promptTokens,
-        outputTokens: usage.outputTokens,
-        body: new Uint8Array(),
-        contentType: "",
-      }));
-}
-
-export function createServiceBackend(callService: CallService): RunBackend {
-  return ({ method, path, body, contentType }, _onChunk, signal) =>
-    callService({ method, path, body, contentType }, signal).map((answer) => ({
-      ...answer,
-      promptTokens: 0,
-      outputTokens: 0,
-    }));
-}
-
 export function createBackendRequest(request: BackendRequest): BackendRequest {
   const { requestId, version, service, method, path, body } = request;
   const { priority, idempotent, account, session, idempotencyKey } = request;
@@ -144,6 +100,9 @@
   if (failure.kind === "refused") {
     return createRefusal("bad-request", detail, options);
   }
+  if (failure.kind === "not-loaded") {
+    return createRefusal("no-endpoint", detail, options);
+  }
   return createRefusal("engine-failed", detail, options);
 }
 
--- a/src/roles/endpoint_role.ts
+++ b/src/roles/endpoint_role.ts
@@ -36,14 +36,23 @@
 /** Longer than the longest deadline; the gate aborts at the deadline. */
 const BACKEND_TIMEOUT_MS = 900_000;
 
+/** Kinds of the adapters by kind of the gate; all others are broken calls. */
+const FAILURE_KINDS: Partial<
+  Record<(EngineFailure | ServiceFailure)["kind"], BackendFailure["kind"]>
+> = {
+  overloaded: "overloaded",
+  aborted: "aborted",
+  "bad-request": "refused",
+  invalid: "refused",
+  "version-not-loaded": "not-loaded",
+  "too-large": "too-large",
+};
+
 function toBackendFailure(
   failure: EngineFailure | ServiceFailure,
 ): BackendFailure {
   const { ran, detail } = failure;
-  if (failure.kind === "overloaded") return { kind: "overloaded", ran, detail };
-  if (failure.kind === "aborted") return { kind: "aborted", ran, detail };
-  if (failure.kind === "bad-request") return { kind: "refused", ran, detail };
-  return { kind: "broken", ran, detail };
+  return { kind: FAILURE_KINDS[failure.kind] ?? "broken", ran, detail };
 }
 
 function createEngineBackend(engine: Engine): RunBackend {
@@ -56,7 +65,8 @@
         },
         signal,
       )
-      .map(({ promptTokens, outputTokens }) => ({
+      .map(({ promptTokens, outputTokens, engineStartId }) => ({
+        startId: engineStartId,
         status: 200,
         promptTokens,
         outputTokens,
@@ -70,7 +80,8 @@
   return (request, _onChunk, signal) =>
     service
       .callService(request, signal)
-      .map(({ status, contentType, body }) => ({
+      .map(({ status, contentType, body, serviceStartId }) => ({
+        startId: serviceStartId,
         status,
         contentType,
         body,
