Check tickets in one place, and refuse keys that a parser would hide

The schema check of tickets stood in core/ticket_check.ts and adapters/documents.ts; both use core/document_check.ts now, and a ticket file is also checked for subjects that stand twice. A key __proto__ became the prototype of the parsed object, so a ticket could carry content outside its hash; it is refused now, as is nesting that exhausts the stack.

--- a/src/adapters/documents.ts
+++ b/src/adapters/documents.ts
@@ -3,7 +3,6 @@
  * against their schema. Each problem names line, key, value and expectation.
  */
 
-import { Ajv, type ErrorObject, type ValidateFunction } from "ajv";
 import {
   findNodeAtLocation,
   getNodeValue,
@@ -14,12 +13,12 @@
 } from "jsonc-parser";
 import { err, ok, type Result } from "neverthrow";
 import {
-  fleetStateSchema,
-  type Settings,
-  settingsSchema,
-  type Ticket,
-  ticketSchema,
-} from "../schema/index.js";
+  checkTicketDocument,
+  createDocumentCheck,
+  type DocumentCheck,
+  type DocumentFault,
+} from "../core/index.js";
+import { type Settings, settingsSchema, type Ticket } from "../schema/index.js";
 
 export interface DocumentProblem {
   readonly line: number;
@@ -29,58 +28,48 @@
   readonly expected: string;
 }
 
+interface KeyFault extends DocumentFault {
+  readonly offset: number;
+}
+
 export interface DocumentFailure {
   readonly kind: "invalid-document";
   readonly file: string;
   readonly problems: readonly DocumentProblem[];
 }
 
-const ajv = new Ajv({ allErrors: true, strict: false, verbose: true });
-ajv.addSchema(fleetStateSchema);
-const checkSettings = ajv.compile<Settings>(settingsSchema);
-const checkTicket = ajv.compile<Ticket>(ticketSchema);
+/** A text with thousands of faults gets an answer of bounded size and cost. */
+const MAX_PROBLEMS = 20;
+const MAX_VALUE_CHARS = 200;
+
+const checkSettings = createDocumentCheck<Settings>(settingsSchema);
 
 function getLine(text: string, offset: number): number {
   return text.slice(0, offset).split("\n").length;
 }
 
-function parsePath(root: Node, pointer: string): (string | number)[] {
-  const path: (string | number)[] = [];
-  let node: Node | undefined = root;
-  for (const raw of pointer.split("/").slice(1)) {
-    const part = raw.replaceAll("~1", "/").replaceAll("~0", "~");
-    path.push(node?.type === "array" ? Number(part) : part);
-    node = findNodeAtLocation(root, path);
-  }
-  return path;
-}
-
-function describeExpectation(error: ErrorObject): string {
-  const { keyword, params } = error;
-  if (keyword === "required") return "a value; the key is missing";
-  if (keyword === "additionalProperties") return "no such key";
-  if (keyword === "enum") {
-    return `one of ${(params.allowedValues as unknown[]).join(", ")}`;
+/** Finds the key's node, or the nearest one around a missing key. */
+function findNearestNode(root: Node, path: readonly string[]): Node {
+  let node = root;
+  for (const part of path) {
+    const key = node.type === "array" ? Number(part) : part;
+    const child = findNodeAtLocation(node, [key]);
+    if (child === undefined) return node;
+    node = child;
   }
-  return error.message ?? keyword;
+  return node;
 }
 
 function createProblem(
   text: string,
   root: Node,
-  error: ErrorObject,
+  fault: DocumentFault,
 ): DocumentProblem {
-  const path = parsePath(root, error.instancePath);
-  const extra = error.params.missingProperty ?? error.params.additionalProperty;
-  const fullPath = extra === undefined ? path : [...path, String(extra)];
-  const node =
-    findNodeAtLocation(root, fullPath) ?? findNodeAtLocation(root, path);
   return {
-    line: getLine(text, node?.offset ?? 0),
-    key: fullPath.join("."),
-    value:
-      error.keyword === "required" ? undefined : node && getNodeValue(node),
-    expected: describeExpectation(error),
+    line: getLine(text, findNearestNode(root, fault.path).offset),
+    key: fault.path.join("."),
+    value: fault.value,
+    expected: fault.expected,
   };
 }
 
@@ -93,70 +82,114 @@
   };
 }
 
-/** A key that stands twice would be dropped silently by a JSON parser. */
-function listDuplicateKeys(text: string, node: Node): DocumentProblem[] {
+/** Keys that the parser would drop silently or that would be no own key. */
+function listKeyFaults(node: Node, path: readonly string[]): KeyFault[] {
   const children = node.children ?? [];
-  const problems = children.flatMap((child) => listDuplicateKeys(text, child));
-  if (node.type !== "object") return problems;
+  if (node.type === "array") {
+    return children.flatMap((child, index) =>
+      listKeyFaults(child, [...path, String(index)]),
+    );
+  }
   const seen = new Set<string>();
-  for (const property of children) {
-    const keyNode = property.children?.[0];
-    if (keyNode === undefined) continue;
-    if (seen.has(keyNode.value)) {
-      problems.push({
-        line: getLine(text, keyNode.offset),
-        key: keyNode.value,
-        value: keyNode.value,
-        expected: "each key once",
-      });
+  return children.flatMap((property) => {
+    const [keyNode, valueNode] = property.children ?? [];
+    if (keyNode === undefined) return [];
+    const key: string = keyNode.value;
+    const keyPath = [...path, key];
+    const faults = valueNode ? listKeyFaults(valueNode, keyPath) : [];
+    const fault = { path: keyPath, value: key, offset: keyNode.offset };
+    if (key === "__proto__") {
+      faults.push({ ...fault, expected: "no such key" });
+    } else if (seen.has(key)) {
+      faults.push({ ...fault, expected: "each key once" });
     }
-    seen.add(keyNode.value);
+    seen.add(key);
+    return faults;
+  });
+}
+
+interface ParsedDocument {
+  readonly root?: Node;
+  readonly problems: DocumentProblem[];
+}
+
+function parseDocument(text: string): ParsedDocument {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  if (errors.length > 0 || root === undefined) {
+    const problems = errors
+      .slice(0, MAX_PROBLEMS)
+      .map((error) => createSyntaxProblem(text, error));
+    const expected = "a JSON document";
+    const empty = { line: 1, key: "", value: text, expected };
+    return { problems: problems.length > 0 ? problems : [empty] };
+  }
+  const problems = listKeyFaults(root, [])
+    .slice(0, MAX_PROBLEMS)
+    .map(({ path, offset, value, expected }) => {
+      const line = getLine(text, offset);
+      return { line, key: path.join("."), value, expected };
+    });
+  return { root, problems };
+}
+
+function parseDocumentSafely(text: string): ParsedDocument {
+  try {
+    return parseDocument(text);
+  } catch (error) {
+    if (!(error instanceof RangeError)) throw error;
+    // The parser descends by recursion, so nesting can exhaust the stack.
+    const expected = "a document that is nested less deep";
+    const value = text.slice(0, MAX_VALUE_CHARS);
+    return { problems: [{ line: 1, key: "", value, expected }] };
   }
-  return problems;
 }
 
 function readDocument<T>(
   text: string,
   file: string,
-  check: ValidateFunction<T>,
+  check: DocumentCheck<T>,
 ): Result<T, DocumentFailure> {
-  const fail = (problems: DocumentProblem[]) =>
-    err({ kind: "invalid-document" as const, file, problems });
-  const errors: ParseError[] = [];
-  const root = parseTree(text, errors, { allowTrailingComma: true });
-  if (root === undefined || errors.length > 0) {
-    return fail(
-      errors.length > 0
-        ? errors.map((error) => createSyntaxProblem(text, error))
-        : [{ line: 1, key: "", value: text, expected: "a JSON document" }],
-    );
+  const kind = "invalid-document" as const;
+  const { root, problems } = parseDocumentSafely(text);
+  if (root === undefined || problems.length > 0) {
+    return err({ kind, file, problems });
   }
-  const duplicates = listDuplicateKeys(text, root);
-  if (duplicates.length > 0) return fail(duplicates);
-  const value: unknown = getNodeValue(root);
-  if (check(value)) return ok(value);
-  return fail(
-    (check.errors ?? []).map((error) => createProblem(text, root, error)),
-  );
-}
-
-/** Keys that a role needs; the schema covers what both roles need. */
-function listMissingForRole(settings: Settings): string[] {
-  if (settings.role === "entry") {
-    const missing: string[] = [];
-    if (settings.listen.callerPort === undefined) {
-      missing.push("listen.callerPort");
-    }
-    if (settings.listen.operatorPort === undefined) {
-      missing.push("listen.operatorPort");
-    }
-    if (settings.objectStore === undefined) missing.push("objectStore");
-    if (settings.sessionKey === undefined) missing.push("sessionKey");
-    return missing;
+  return check(getNodeValue(root)).mapErr((faults) => ({
+    kind,
+    file,
+    problems: faults
+      .slice(0, MAX_PROBLEMS)
+      .map((fault) => createProblem(text, root, fault)),
+  }));
+}
+
+/** What a role needs; the schema covers what both roles need. */
+function listRoleFaults(settings: Settings): DocumentFault[] {
+  const { role, listen, engine, service } = settings;
+  if (role === "endpoint") {
+    if ((engine === undefined) !== (service === undefined)) return [];
+    const expected = 'either engine or service for role "endpoint"';
+    const value = engine === undefined ? undefined : "both";
+    return [{ path: ["engine or service"], value, expected }];
   }
-  const hasOneBackEnd =
-    (settings.engine === undefined) !== (settings.service === undefined);
-  return hasOneBackEnd ? [] : ["engine or service"];
+  const needed: [string[], unknown][] = [
+    [["listen", "callerPort"], listen.callerPort],
+    [["listen", "operatorPort"], listen.operatorPort],
+    [["objectStore"], settings.objectStore],
+    [["sessionKey"], settings.sessionKey],
+  ];
+  const expected = `a value; role "${role}" needs it`;
+  return needed
+    .filter(([, value]) => value === undefined)
+    .map(([path]) => ({ path, value: undefined, expected }));
+}
+
+function checkSettingsOfRole(value: unknown) {
+  return checkSettings(value).andThen((settings) => {
+    const faults = listRoleFaults(settings);
+    return faults.length === 0 ? ok(settings) : err(faults);
+  });
 }
 
 /** Checks the text of a settings file. */
@@ -164,20 +197,7 @@
   text: string,
   file: string,
 ): Result<Settings, DocumentFailure> {
-  return readDocument(text, file, checkSettings).andThen((settings) => {
-    const missing = listMissingForRole(settings);
-    if (missing.length === 0) return ok(settings);
-    return err({
-      kind: "invalid-document" as const,
-      file,
-      problems: missing.map((key) => ({
-        line: 1,
-        key,
-        value: undefined,
-        expected: `a value; role "${settings.role}" needs it`,
-      })),
-    });
-  });
+  return readDocument(text, file, checkSettingsOfRole);
 }
 
 /** Checks the text of a ticket file or request body. */
@@ -185,15 +205,17 @@
   text: string,
   file: string,
 ): Result<Ticket, DocumentFailure> {
-  return readDocument(text, file, checkTicket);
+  return readDocument(text, file, checkTicketDocument);
 }
 
 /** One line per problem, for terminals and logs. */
 export function formatDocumentFailure(failure: DocumentFailure): string {
   return failure.problems
     .map((problem) => {
-      const value =
-        problem.value === undefined ? "nothing" : JSON.stringify(problem.value);
+      const value = (JSON.stringify(problem.value) ?? "nothing").slice(
+        0,
+        MAX_VALUE_CHARS,
+      );
       const key = problem.key === "" ? "document" : problem.key;
       return `${failure.file}:${problem.line}: ${key}: got ${value}, expected ${problem.expected}`;
     })
--- /dev/null
+++ b/src/core/document_check.ts
@@ -0,0 +1,59 @@
+/** Checks values against the JSON Schemas of the project's documents. */
+
+import { Ajv, type ErrorObject } from "ajv";
+import { err, ok, type Result } from "neverthrow";
+import { fleetStateSchema } from "../schema/index.js";
+
+/** One fault of a document: the key, its value and what was expected. */
+export interface DocumentFault {
+  /** Key by key from the root; empty for the document itself. */
+  readonly path: readonly string[];
+  /** Absent when the key is missing. */
+  readonly value: unknown;
+  readonly expected: string;
+}
+
+export type DocumentCheck<T> = (value: unknown) => Result<T, DocumentFault[]>;
+
+const ajv = new Ajv({ allErrors: true, strict: false, verbose: true });
+ajv.addSchema(fleetStateSchema);
+
+function parsePointer(pointer: string): string[] {
+  return pointer
+    .split("/")
+    .slice(1)
+    .map((part) => part.replaceAll("~1", "/").replaceAll("~0", "~"));
+}
+
+function describeExpectation({ keyword, params, message }: ErrorObject) {
+  if (keyword === "required") return "a value; the key is missing";
+  if (keyword === "additionalProperties") return "no such key";
+  if (keyword === "enum") {
+    return `one of ${(params.allowedValues as unknown[]).join(", ")}`;
+  }
+  return message ?? keyword;
+}
+
+function createFault(error: ErrorObject): DocumentFault {
+  const { instancePath, params, data } = error;
+  const path = parsePointer(instancePath);
+  const expected = describeExpectation(error);
+  const { missingProperty, additionalProperty } = params;
+  if (missingProperty !== undefined) {
+    return { path: [...path, missingProperty], value: undefined, expected };
+  }
+  if (additionalProperty !== undefined) {
+    const value = (data as Record<string, unknown>)[additionalProperty];
+    return { path: [...path, additionalProperty], value, expected };
+  }
+  return { path, value: data, expected };
+}
+
+/** Compiles the check of one kind of document; it lists every fault. */
+export function createDocumentCheck<T>(schema: object): DocumentCheck<T> {
+  const validate = ajv.compile<T>(schema);
+  return (value) =>
+    validate(value)
+      ? ok(value)
+      : err((validate.errors ?? []).map((error) => createFault(error)));
+}
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -8,6 +8,7 @@
 export * from "./claims.js";
 export * from "./cost_report.js";
 export * from "./dispatcher.js";
+export * from "./document_check.js";
 export * from "./endpoint_index.js";
 export * from "./errors.js";
 export * from "./estimates.js";
--- a/src/core/ticket_check.ts
+++ b/src/core/ticket_check.ts
@@ -1,12 +1,8 @@
-/** Checks a ticket against its JSON Schema. */
+/** Checks a ticket: its JSON Schema, and what a schema can't say. */
 
-import { Ajv, type ErrorObject } from "ajv";
 import { err, ok, type Result } from "neverthrow";
-import {
-  fleetStateSchema,
-  type Ticket,
-  ticketSchema,
-} from "../schema/index.js";
+import { type Ticket, ticketSchema } from "../schema/index.js";
+import { createDocumentCheck, type DocumentFault } from "./document_check.js";
 import { listSubjects } from "./tickets.js";
 
 /** Names the first key that is wrong, its value and what was expected. */
@@ -21,62 +17,44 @@
 
 const MAX_VALUE_CHARS = 120;
 
-const ajv = new Ajv({ allErrors: false, strict: false, verbose: true });
-ajv.addSchema(fleetStateSchema);
-const validate = ajv.compile<Ticket>(ticketSchema);
+const checkSchema = createDocumentCheck<Ticket>(ticketSchema);
 
-function describeExpectation(error: ErrorObject): string {
-  switch (error.keyword) {
-    case "enum":
-      return `one of ${JSON.stringify(error.params.allowedValues)}`;
-    case "additionalProperties":
-      return `no key "${error.params.additionalProperty}"`;
-    case "required":
-      return `key "${error.params.missingProperty}"`;
-    default:
-      return error.message ?? error.keyword;
-  }
-}
-
-function createFailure(error: ErrorObject | undefined): InvalidTicket {
-  const text = JSON.stringify(error?.data) ?? "undefined";
-  return {
-    kind: "invalid-ticket",
-    key: error?.instancePath || "/",
-    value: text.slice(0, MAX_VALUE_CHARS),
-    expected:
-      error === undefined ? "a valid ticket" : describeExpectation(error),
-  };
-}
-
-/** Finds what the schema can't say: each subject once, and at least one. */
-function findSubjectFailure(ticket: Ticket): InvalidTicket | undefined {
+/** Each subject once, and at least one. */
+function listSubjectFaults(ticket: Ticket): DocumentFault[] {
   const subjects = listSubjects(ticket);
   if (subjects.length === 0) {
-    return {
-      kind: "invalid-ticket",
-      key: "/",
-      value: "no subject",
-      expected: "at least one subject to set or remove",
-    };
-  }
-  const seen = new Set<string>();
-  for (const subject of subjects) {
-    if (seen.has(subject)) {
-      return {
-        kind: "invalid-ticket",
-        key: "/",
-        value: subject,
-        expected: "each subject once",
-      };
-    }
-    seen.add(subject);
+    const expected = "at least one subject to set or remove";
+    return [{ path: [], value: "no subject", expected }];
   }
-  return undefined;
+  const repeated = subjects.filter(
+    (subject, index) => subjects.indexOf(subject) < index,
+  );
+  return [...new Set(repeated)].map((subject) => ({
+    path: [],
+    value: subject,
+    expected: "each subject once",
+  }));
+}
+
+/** Gives the ticket or every fault; for files, which have lines to name. */
+export function checkTicketDocument(
+  value: unknown,
+): Result<Ticket, DocumentFault[]> {
+  return checkSchema(value).andThen((ticket) => {
+    const faults = listSubjectFaults(ticket);
+    return faults.length === 0 ? ok(ticket) : err(faults);
+  });
 }
 
+/** Gives the ticket or its first fault. */
 export function checkTicket(value: unknown): Result<Ticket, InvalidTicket> {
-  if (!validate(value)) return err(createFailure(validate.errors?.[0]));
-  const failure = findSubjectFailure(value);
-  return failure === undefined ? ok(value) : err(failure);
+  return checkTicketDocument(value).mapErr(([fault]) => ({
+    kind: "invalid-ticket" as const,
+    key: `/${fault?.path.join("/") ?? ""}`,
+    value: (JSON.stringify(fault?.value) ?? "nothing").slice(
+      0,
+      MAX_VALUE_CHARS,
+    ),
+    expected: fault?.expected ?? "a valid ticket",
+  }));
 }
