Keep a log event's fields apart from those of the logger

A field called pid, name, time or level replaced the logger's own or was dropped (the started event lost its pid), a value that JSON can't serialize threw, and three Unicode line breaks were left unescaped.

--- a/src/adapters/logs.ts
+++ b/src/adapters/logs.ts
@@ -16,26 +16,56 @@
 
 /** bunyan's own fields that a key=value line does without. */
 const OMITTED_FIELDS = new Set(["v", "hostname", "pid", "name", "msg", "src"]);
+/** Line breaks that JSON leaves as they are. */
+const LINE_BREAKS = /[\u0085\u2028\u2029]/g;
 
-function formatValue(value: unknown): string {
+function serializeValue(value: unknown): string {
+  if (typeof value === "string") return value;
   if (value instanceof Date) return value.toISOString();
-  const text = typeof value === "string" ? value : JSON.stringify(value);
-  if (text === undefined) return "-";
-  return /^[\w.:/+-]+$/.test(text) ? text : JSON.stringify(text);
+  if (value instanceof Error) return String(value);
+  if (typeof value !== "object" || value === null) return String(value);
+  try {
+    return JSON.stringify(value);
+  } catch {
+    // Circular, or with a BigInt: a log line must never end a process.
+    return String(value);
+  }
+}
+
+function formatValue(value: unknown): string {
+  const text = serializeValue(value);
+  if (/^[\w.:/+-]+$/.test(text)) return text;
+  return JSON.stringify(text).replace(
+    LINE_BREAKS,
+    (c) => `\\u${c.charCodeAt(0).toString(16).padStart(4, "0")}`,
+  );
+}
+
+function formatFields(fields: object): string[] {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => {
+      const name = key.replace(/[^\w.-]/g, "_") || "_";
+      return `${name}=${formatValue(value)}`;
+    });
 }
 
-/** Formats a bunyan record; exported for its test. */
+/**
+ * Formats a bunyan record; exported for its test. The event's own fields are
+ * under `fields`, where none of them can replace one of bunyan's.
+ */
 export function formatLogLine(record: Record<string, unknown>): string {
-  const { time, level, msg, ...rest } = record;
-  const fields = Object.entries(rest)
-    .filter(([key, value]) => !OMITTED_FIELDS.has(key) && value !== undefined)
-    .map(([key, value]) => `${key}=${formatValue(value)}`);
+  const { time, level, msg, fields, ...rest } = record;
+  const common = Object.entries(rest).filter(
+    ([key]) => !OMITTED_FIELDS.has(key),
+  );
   const levelName = bunyan.nameFromLevel[level as number] ?? String(level);
   return [
     `time=${formatValue(time)}`,
     `level=${levelName}`,
     `event=${formatValue(msg)}`,
-    ...fields,
+    ...formatFields(Object.fromEntries(common)),
+    ...formatFields(fields ?? {}),
   ].join(" ");
 }
 
@@ -79,9 +109,9 @@
     ...options.fields,
   });
   return {
-    debug: (event, fields = {}) => logger.debug(fields, event),
-    info: (event, fields = {}) => logger.info(fields, event),
-    warn: (event, fields = {}) => logger.warn(fields, event),
-    error: (event, fields = {}) => logger.error(fields, event),
+    debug: (event, fields = {}) => logger.debug({ fields }, "%s", event),
+    info: (event, fields = {}) => logger.info({ fields }, "%s", event),
+    warn: (event, fields = {}) => logger.warn({ fields }, "%s", event),
+    error: (event, fields = {}) => logger.error({ fields }, "%s", event),
   };
 }
