--- a/src/roles/attempt_runner.ts
+++ b/src/roles/attempt_runner.ts
@@ -114,6 +114,9 @@
     // AbortSignal.any would keep one entry for each call on the long-lived signal.
     const stop = () => controller.abort();
     this.#signal.addEventListener("abort", stop, { once: true });
+    const unlink = () => this.#signal.removeEventListener("abort", stop);
+    // A cancelled call has no outcome, so the promise below never settles.
+    controller.signal.addEventListener("abort", unlink, { once: true });
     return new Promise<DispatchOutcome>((resolve) => {
       const call = new AttemptCall(client, request, {
         signal: controller.signal,
@@ -124,7 +127,7 @@
         },
       });
       call.start();
-    }).finally(() => this.#signal.removeEventListener("abort", stop));
+    }).finally(unlink);
   }
 
   #createDispatch(
