Report an open outcome as such in the command-line tool

The second call of drain, restore, rollout and withdraw reused a connection, so no connect event came and a break after the ticket was sent passed for unreachable: nothing happened. Wrong URLs, numbers and unknown options give 2.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,20 +1,24 @@
 #!/usr/bin/env node
 /** Command-line tool for operators. */
 
-import { readFileSync, writeFileSync } from "node:fs";
 import meow from "meow";
 import { match, P } from "ts-pattern";
-import { formatDocumentFailure, parseSettings } from "../adapters/index.js";
-import type {
-  DataCentre,
-  FleetState,
-  ModelVersion,
-  Ticket,
-} from "../schema/index.js";
-import { EXIT_CODES, type ExitCode } from "./exit_codes.js";
-import { OperatorClient, type OperatorFailure } from "./operator_client.js";
-import { formatStatus, type StatusReport } from "./status_table.js";
-import { formatTable } from "./table.js";
+import { type CommandContext, reportUsage } from "./context.js";
+import type { ExitCode } from "./exit_codes.js";
+import { OperatorClient } from "./operator_client.js";
+import {
+  checkSettingsFile,
+  showBurnReport,
+  showCostReport,
+  showStatus,
+} from "./report_commands.js";
+import {
+  applyTicketFile,
+  setDataCentre,
+  setRollout,
+  showTicket,
+  withdrawVersion,
+} from "./ticket_commands.js";
 
 const cli = meow(
   `
@@ -44,10 +48,12 @@
 
   Exit codes
     0 done, 1 refused, 2 wrong usage or settings, 3 unreachable,
-    4 outcome unknown: ask with ticket status, or apply the ticket again
+    4 outcome unknown or not yet confirmed: ask with ticket status, or apply
+    the ticket again
 `,
   {
     importMeta: import.meta,
+    allowUnknownFlags: false,
     flags: {
       entry: { type: "string" },
       token: { type: "string" },
@@ -60,216 +66,64 @@
   },
 );
 
-interface TicketAnswer {
-  number: number;
-  state: string;
-  revision?: number;
-  holders?: Record<string, number>;
-}
-
-interface ReportAnswer {
-  text: string;
-  html?: string;
-  report: unknown;
-}
-
-function print(text: string): void {
-  process.stdout.write(`${text}\n`);
-}
-
-function printError(text: string): void {
-  process.stderr.write(`hornbeamrill: ${text}\n`);
-}
-
-function createClient(): OperatorClient {
-  return new OperatorClient({
-    entry:
-      cli.flags.entry ??
-      process.env.HORNBEAMRILL_ENTRY ??
-      "http://127.0.0.1:7003",
-    token: cli.flags.token ?? process.env.HORNBEAMRILL_TOKEN ?? "",
-  });
-}
-
-function reportFailure(failure: OperatorFailure): ExitCode {
-  if (cli.flags.json) print(JSON.stringify({ failure }));
-  return match(failure)
-    .with({ kind: "refused" }, (f) => {
-      printError(`${f.code}: ${f.detail}`);
-      return EXIT_CODES.refused;
-    })
-    .with({ kind: "unreachable" }, (f) => {
-      printError(`Cannot reach the entry: ${f.detail}`);
-      return EXIT_CODES.unreachable;
-    })
-    .with({ kind: "outcome-unknown" }, (f) => {
-      printError(`Outcome unknown: ${f.detail}`);
-      return EXIT_CODES.unknownOutcome;
-    })
-    .exhaustive();
-}
-
-function reportUsage(detail: string): ExitCode {
-  printError(`${detail}; see hornbeamrill --help`);
-  return EXIT_CODES.usage;
-}
-
-function printTicketAnswer(answer: TicketAnswer): void {
-  if (cli.flags.json) {
-    print(JSON.stringify(answer));
-    return;
-  }
-  print(
-    formatTable(
-      ["ticket", "state", "revision"],
-      [[answer.number, answer.state, answer.revision ?? "-"]],
-    ),
-  );
-  const holders = Object.entries(answer.holders ?? {});
-  if (holders.length === 0) return;
-  print("");
-  print(formatTable(["process", "revision"], holders));
-}
-
-async function sendTicket(text: string): Promise<ExitCode> {
-  const answer = await createClient().post<TicketAnswer>("/tickets", text);
-  if (answer.isErr()) return reportFailure(answer.error);
-  printTicketAnswer(answer.value);
-  return EXIT_CODES.done;
-}
-
-async function applyTicketFile(file: string): Promise<ExitCode> {
-  let text: string;
-  try {
-    text = readFileSync(file, "utf8");
-  } catch (error) {
-    return reportUsage(`Cannot read ticket file "${file}": ${String(error)}`);
-  }
-  return await sendTicket(text);
-}
-
-async function showTicket(number: string): Promise<ExitCode> {
-  if (!/^\d+$/.test(number)) {
-    return reportUsage(`Ticket number "${number}" is not a whole number`);
-  }
-  const answer = await createClient().get<TicketAnswer>(`/tickets/${number}`);
-  if (answer.isErr()) return reportFailure(answer.error);
-  printTicketAnswer(answer.value);
-  return EXIT_CODES.done;
-}
-
-function getNextNumber(state: FleetState): number {
-  return 1 + Math.max(0, ...Object.values(state.subjects));
-}
-
-/** Builds a ticket from the state in force and applies it. */
-async function changeState(
-  createChange: (state: FleetState) => Omit<Ticket, "number"> | undefined,
-  missing: string,
-): Promise<ExitCode> {
-  const state = await createClient().get<FleetState>("/state");
-  if (state.isErr()) return reportFailure(state.error);
-  const change = createChange(state.value);
-  if (change === undefined) return reportUsage(missing);
-  const number = cli.flags.number ?? getNextNumber(state.value);
-  return await sendTicket(JSON.stringify({ number, ...change }));
-}
-
-async function setDataCentre(
-  name: string,
-  state: DataCentre["state"],
-): Promise<ExitCode> {
-  return await changeState(
-    (current) =>
-      name in current.dataCentres
-        ? { dataCentres: [{ name, state }] }
-        : undefined,
-    `Data centre "${name}" is not known`,
-  );
-}
-
-async function setRollout(version: string): Promise<ExitCode> {
-  const { share } = cli.flags;
-  if (share === undefined || !(share >= 0 && share <= 1)) {
-    return reportUsage("Option --share needs a number from 0 to 1");
-  }
-  return await changeState(
-    (state) =>
-      version in state.versions
-        ? { rollouts: [{ version, share }] }
-        : undefined,
-    `Version "${version}" is not known`,
-  );
-}
-
-async function withdrawVersion(name: string): Promise<ExitCode> {
-  return await changeState((state) => {
-    const version: ModelVersion | undefined = state.versions[name];
-    return version && { versions: [{ ...version, state: "withdrawn" }] };
-  }, `Version "${name}" is not known`);
-}
+const DEFAULT_ENTRY = "http://127.0.0.1:7003";
 
-async function showStatus(): Promise<ExitCode> {
-  const answer = await createClient().get<StatusReport>("/status");
-  if (answer.isErr()) return reportFailure(answer.error);
-  print(
-    cli.flags.json ? JSON.stringify(answer.value) : formatStatus(answer.value),
-  );
-  return EXIT_CODES.done;
-}
+const { flags, input } = cli;
+const entry = flags.entry ?? process.env.HORNBEAMRILL_ENTRY ?? DEFAULT_ENTRY;
 
-function checkSettingsFile(file: string): ExitCode {
-  let text: string;
-  try {
-    text = readFileSync(file, "utf8");
-  } catch (error) {
-    return reportUsage(`Cannot read settings file "${file}": ${String(error)}`);
-  }
-  const settings = parseSettings(text, file);
-  if (settings.isOk()) {
-    print(cli.flags.json ? JSON.stringify({ ok: true }) : `${file}: ok`);
-    return EXIT_CODES.done;
+/** Names the first option whose value can't be used. */
+function findWrongOption(): string | undefined {
+  const { number, share, hours } = flags;
+  for (const [name, value] of Object.entries({ number, share, hours })) {
+    if (value !== undefined && !Number.isFinite(value)) {
+      return `Option --${name} is not a number`;
+    }
   }
-  if (cli.flags.json) print(JSON.stringify({ failure: settings.error }));
-  else printError(formatDocumentFailure(settings.error));
-  return EXIT_CODES.usage;
-}
-
-async function showReport(
-  kind: "cost" | "burn",
-  defaultHours: number,
-): Promise<ExitCode> {
-  const hours = cli.flags.hours ?? defaultHours;
-  const answer = await createClient().get<ReportAnswer>(
-    `/reports/${kind}?hours=${hours}`,
-  );
-  if (answer.isErr()) return reportFailure(answer.error);
-  const { text, html, report } = answer.value;
-  if (cli.flags.html !== undefined) {
-    if (html === undefined) return reportUsage(`Report ${kind} has no page`);
-    writeFileSync(cli.flags.html, html);
+  if (number !== undefined && !(Number.isSafeInteger(number) && number > 0)) {
+    return `Option --number is "${number}", expected a whole number from 1`;
   }
-  print(cli.flags.json ? JSON.stringify(report) : text);
-  return EXIT_CODES.done;
+  return URL.canParse(entry) && new URL(entry).protocol === "http:"
+    ? undefined
+    : `Option --entry is "${entry}", expected a URL such as ${DEFAULT_ENTRY}`;
 }
 
-async function runCommand(): Promise<ExitCode> {
-  return await match(cli.input)
-    .with(["ticket", "apply", P.string], ([, , file]) => applyTicketFile(file))
-    .with(["ticket", "status", P.string], ([, , number]) => showTicket(number))
-    .with(["drain", P.string], ([, name]) => setDataCentre(name, "out"))
-    .with(["restore", P.string], ([, name]) => setDataCentre(name, "in"))
-    .with(["rollout", P.string], ([, version]) => setRollout(version))
-    .with(["withdraw", P.string], ([, version]) => withdrawVersion(version))
-    .with(["status"], () => showStatus())
+async function runCommand(context: CommandContext): Promise<ExitCode> {
+  return await match(input)
+    .with(["ticket", "apply", P.string], ([, , file]) =>
+      applyTicketFile(file, context),
+    )
+    .with(["ticket", "status", P.string], ([, , number]) =>
+      showTicket(number, context),
+    )
+    .with(["drain", P.string], ([, name]) =>
+      setDataCentre(name, "out", context),
+    )
+    .with(["restore", P.string], ([, name]) =>
+      setDataCentre(name, "in", context),
+    )
+    .with(["rollout", P.string], ([, version]) => setRollout(version, context))
+    .with(["withdraw", P.string], ([, version]) =>
+      withdrawVersion(version, context),
+    )
+    .with(["status"], () => showStatus(context))
     .with(["settings", "check", P.string], ([, , file]) =>
-      Promise.resolve(checkSettingsFile(file)),
+      Promise.resolve(checkSettingsFile(file, context)),
     )
-    .with(["report", "cost"], () => showReport("cost", 24))
-    .with(["report", "burn"], () => showReport("burn", 72))
-    .otherwise((input) =>
+    .with(["report", "cost"], () => showCostReport(context))
+    .with(["report", "burn"], () => showBurnReport(context))
+    .otherwise(() =>
       Promise.resolve(reportUsage(`Unknown command "${input.join(" ")}"`)),
     );
 }
 
-process.exitCode = await runCommand();
+async function run(): Promise<ExitCode> {
+  const wrongOption = findWrongOption();
+  if (wrongOption !== undefined) return reportUsage(wrongOption);
+  const token = flags.token ?? process.env.HORNBEAMRILL_TOKEN ?? "";
+  return await runCommand({
+    flags,
+    client: new OperatorClient({ entry, token }),
+  });
+}
+
+process.exitCode = await run();
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -11,9 +11,9 @@
       readonly code: string;
       readonly detail: string;
     }
-  /** No connection was made, so nothing happened. */
+  /** No answer came, and nothing can have changed. */
   | { readonly kind: "unreachable"; readonly detail: string }
-  /** The call was sent but no answer came. */
+  /** A change was sent, and no answer says whether it took effect. */
   | { readonly kind: "outcome-unknown"; readonly detail: string };
 
 export interface OperatorClientOptions {
@@ -27,7 +27,10 @@
   text: string;
 }
 
+type Method = "GET" | "POST";
+
 const TIMEOUT_MS = 30_000;
+const MAX_DETAIL_CHARS = 200;
 const HTTP_ERROR_STATUS = 400;
 
 function parseBody(text: string): unknown {
@@ -38,16 +41,30 @@
   }
 }
 
-function toFailure(answer: RawAnswer): OperatorFailure {
-  const body = parseBody(answer.text) as
+function createFailure(method: Method, answer: RawAnswer): OperatorFailure {
+  const { status, text } = answer;
+  const body = parseBody(text) as
     | { code?: string; detail?: string }
-    | undefined;
-  return {
-    kind: "refused",
-    status: answer.status,
-    code: body?.code ?? "unreadable-answer",
-    detail: body?.detail ?? answer.text.slice(0, 200),
-  };
+    | undefined
+    | null;
+  const code = body?.code ?? "unreadable-answer";
+  const detail = body?.detail ?? text.slice(0, MAX_DETAIL_CHARS);
+  // Something between here and the entry may have answered in its place.
+  const isOpen = code === "outcome-unknown" || code === "unreadable-answer";
+  return method === "POST" && isOpen
+    ? { kind: "outcome-unknown", detail: `status ${status}: ${detail}` }
+    : { kind: "refused", status, code, detail };
+}
+
+/** A call that only reads can't leave its outcome open. */
+function createCallFailure(
+  method: Method,
+  call: { connected: boolean; detail: string },
+): OperatorFailure {
+  const { connected, detail } = call;
+  return method === "POST" && connected
+    ? { kind: "outcome-unknown", detail }
+    : { kind: "unreachable", detail };
 }
 
 export class OperatorClient {
@@ -66,18 +83,20 @@
   }
 
   #call<T>(
-    method: string,
+    method: Method,
     path: string,
     body: string,
   ): ResultAsync<T, OperatorFailure> {
     return this.#send(method, path, body).andThen((answer) => {
-      if (answer.status >= HTTP_ERROR_STATUS) return err(toFailure(answer));
-      return ok(parseBody(answer.text) as T);
+      const body = parseBody(answer.text);
+      return answer.status >= HTTP_ERROR_STATUS || body === undefined
+        ? err(createFailure(method, answer))
+        : ok(body as T);
     });
   }
 
   #send(
-    method: string,
+    method: Method,
     path: string,
     body: string,
   ): ResultAsync<RawAnswer, OperatorFailure> {
@@ -87,6 +106,7 @@
         new URL(path, this.#options.entry),
         {
           method,
+          agent: false,
           timeout: TIMEOUT_MS,
           headers: {
             authorization: `Bearer ${this.#options.token}`,
@@ -97,16 +117,16 @@
           const chunks: Buffer[] = [];
           response.on("data", (chunk) => chunks.push(chunk));
           response.on("error", reject);
-          response.on("end", () =>
-            resolve({
-              status: response.statusCode ?? 0,
-              text: Buffer.concat(chunks).toString("utf8"),
-            }),
-          );
+          response.on("end", () => {
+            const text = Buffer.concat(chunks).toString("utf8");
+            if (response.complete) {
+              resolve({ status: response.statusCode ?? 0, text });
+            } else reject(new Error("The answer was cut"));
+          });
         },
       );
       call.on("socket", (socket) => {
-        socket.on("connect", () => {
+        socket.once("connect", () => {
           connected = true;
         });
       });
@@ -114,9 +134,9 @@
       call.on("error", reject);
       call.end(body);
     });
-    return ResultAsync.fromPromise(promise, (error) => ({
-      kind: connected ? ("outcome-unknown" as const) : ("unreachable" as const),
-      detail: error instanceof Error ? error.message : String(error),
-    }));
+    return ResultAsync.fromPromise(promise, (error) => {
+      const detail = error instanceof Error ? error.message : String(error);
+      return createCallFailure(method, { connected, detail });
+    });
   }
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -29,6 +29,7 @@
 `,
   {
     importMeta: import.meta,
+    allowUnknownFlags: false,
     flags: { settings: { type: "string" } },
   },
 );
