Answer malformed and oversized calls at once and with the right type

A target such as // threw and was answered as outcome-unknown; it is a bad-request now. A body over the limit was read to its end before the refusal. A refusal of the HTTP parser had no request id and could stand in the midst of another answer. A query right after a service's name made it unknown. The service gets the normalized path that was checked. Operators' failures have the same shape as callers', with Retry-After.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -4,6 +4,8 @@
 import { createRefusal, type Refusal } from "../core/index.js";
 
 const MS_PER_SECOND = 1_000;
+/** Only completes relative targets. */
+const TARGET_BASE = "http://entry";
 
 /** Body of an error answer, as application/problem+json. */
 export interface ProblemDetails {
@@ -46,30 +48,57 @@
   response.end(text);
 }
 
-/** Sends a refusal with `Retry-After` in whole seconds, rounded up. */
-export function sendRefusal(
+/** `Retry-After` in whole seconds, rounded up. */
+export function formatRetryAfter(
+  problem: Pick<ProblemDetails, "retryAfterMs">,
+): string {
+  const seconds = Math.ceil(problem.retryAfterMs / MS_PER_SECOND);
+  return String(Math.max(1, seconds));
+}
+
+/** Sends a problem with `Retry-After`. */
+export function sendProblem(
   response: ServerResponse,
-  refusal: Refusal,
-  requestId: string,
+  problem: ProblemDetails,
 ): void {
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  const text = `${JSON.stringify(createProblemDetails(refusal, requestId))}\n`;
-  response.writeHead(refusal.status, {
+  const text = `${JSON.stringify(problem)}\n`;
+  response.writeHead(problem.status, {
     "content-type": "application/problem+json",
     "content-length": Buffer.byteLength(text),
-    "retry-after": String(
-      Math.max(1, Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)),
-    ),
-    "hornbeamrill-request": requestId,
+    "retry-after": formatRetryAfter(problem),
+    "hornbeamrill-request": problem.requestId,
   });
   response.end(text);
 }
 
-/** Reads a body of at most `maxBytes`; a longer one gives a refusal. */
-export async function readBody(
+export function sendRefusal(
+  response: ServerResponse,
+  refusal: Refusal,
+  requestId: string,
+): void {
+  sendProblem(response, createProblemDetails(refusal, requestId));
+}
+
+/** Time in which a sender whose body is not wanted can read the refusal. */
+const DISCARD_MS = 1_000;
+
+/** Drops the rest of a body, and the connection when it does not end soon. */
+function discardBody(request: IncomingMessage): void {
+  request.resume();
+  const timer = setTimeout(() => request.destroy(), DISCARD_MS);
+  request.once("close", () => clearTimeout(timer));
+  request.once("end", () => clearTimeout(timer));
+}
+
+/**
+ * Reads a body of at most `maxBytes`; a longer one gives a refusal at once.
+ * Rejects when the sender goes away.
+ */
+export function readBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | Refusal> {
@@ -78,16 +107,37 @@
     `Body exceeds ${maxBytes} bytes`,
   );
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-    request.resume();
-    return tooLarge;
+    discardBody(request);
+    return Promise.resolve(tooLarge);
   }
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request) {
-    size += chunk.length;
-    if (size <= maxBytes) chunks.push(chunk);
-  }
-  return size > maxBytes ? tooLarge : Buffer.concat(chunks);
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const takeChunk = (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maxBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      request.off("data", takeChunk);
+      discardBody(request);
+      resolve(tooLarge);
+    };
+    request.on("data", takeChunk);
+    request.once("end", () => resolve(Buffer.concat(chunks)));
+    request.once("error", reject);
+    request.once("close", () => {
+      if (!request.complete) reject(new Error("The sender went away"));
+    });
+  });
+}
+
+/** Parses the request's target; undefined when it is no URL. */
+export function parseTarget(request: IncomingMessage): URL | undefined {
+  const target = request.url ?? "/";
+  return URL.canParse(target, TARGET_BASE)
+    ? new URL(target, TARGET_BASE)
+    : undefined;
 }
 
 export function getHeader(
--- a/src/roles/caller_requests.ts
+++ b/src/roles/caller_requests.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from "node:http";
 import { Ajv } from "ajv";
 import { err, ok, type Result } from "neverthrow";
-import { getBearerToken, getHeader } from "../adapters/index.js";
+import { getBearerToken, getHeader, parseTarget } from "../adapters/index.js";
 import {
   createRefusal,
   findAccountByKey,
@@ -107,8 +107,8 @@
 ): Parsed<number | undefined> {
   const text = getHeader(request, name);
   if (text === undefined) return ok(undefined);
-  const value = Number(text);
-  if (text !== "" && value >= range.least && value <= range.most) {
+  const value = /^\d+(\.\d+)?$/.test(text) ? Number(text) : Number.NaN;
+  if (value >= range.least && value <= range.most) {
     return ok(value);
   }
   return refuse(
@@ -241,8 +241,10 @@
   options: ParseOptions,
 ): Parsed<CallerRequest> {
   const { state, nowMs, body } = options;
-  const [, , name = "", ...rest] = (request.url ?? "").split("/");
-  if (state.services[name] === undefined) {
+  // The normalized path, so that the service gets the path that was checked.
+  const { pathname = "", search = "" } = parseTarget(request) ?? {};
+  const [, , name = "", ...rest] = pathname.split("/");
+  if (!Object.hasOwn(state.services, name)) {
     return refuse("unknown-service", `Service "${name}" is not known`);
   }
   const service = findService(state, account, name);
@@ -259,7 +261,7 @@
   if (deadline.isErr()) return err(deadline.error);
   const key = parseIdempotencyKey(request, !service.idempotent);
   if (key.isErr()) return err(key.error);
-  const path = `/${rest.join("/")}`;
+  const path = `/${rest.join("/")}${search}`;
   const method = request.method ?? "GET";
   return ok({
     route: {
--- a/src/roles/caller_server.ts
+++ b/src/roles/caller_server.ts
@@ -6,9 +6,14 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
+import type { Duplex } from "node:stream";
 import {
+  createProblemDetails,
+  formatRetryAfter,
   type Logger,
+  parseTarget,
   readBody,
   sendJson,
   sendRefusal,
@@ -36,7 +41,7 @@
 
 export interface CallerServerOptions {
   readonly config: ConfigView;
-  readonly runner: RequestRunner;
+  readonly runner: Pick<RequestRunner, "run">;
   readonly log: Logger;
   readonly now: () => number;
   readonly bodyBytes: number;
@@ -76,7 +81,13 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { pathname } = new URL(request.url ?? "/", "http://entry");
+    const target = parseTarget(request);
+    if (target === undefined) {
+      const detail = `Cannot use target "${request.url}": expected a path`;
+      this.#refuse(response, createRefusal("bad-request", detail));
+      return;
+    }
+    const { pathname } = target;
     if (pathname === "/healthz") {
       this.#sendHealth(response);
       return;
@@ -197,36 +208,43 @@
   }
 }
 
-/** Answers what Node's parser turned down, such as headers over the limit. */
-function answerParseError(
-  error: NodeJS.ErrnoException,
-  socket: { writable: boolean; end: (text?: string) => void },
-): void {
-  if (!socket.writable) return;
-  const isOverflow = error.code === "HPE_HEADER_OVERFLOW";
-  const refusal = isOverflow
-    ? createRefusal("headers-too-large", "Headers exceed the limit")
+function createParseRefusal(code: string | undefined): Refusal {
+  if (code === "HPE_HEADER_OVERFLOW") {
+    return createRefusal("headers-too-large", "Headers exceed the limit");
+  }
+  return code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? createRefusal("bad-request", "The request did not arrive in time")
     : createRefusal("bad-request", "The request is not valid HTTP");
-  const body = JSON.stringify({
-    title: refusal.code,
-    status: refusal.status,
-    detail: refusal.detail,
-    code: refusal.code,
-    ran: refusal.ran,
-  });
+}
+
+/** Answers what Node's parser turned down, such as headers over the limit. */
+function answerParseError(error: NodeJS.ErrnoException, socket: Duplex): void {
+  const refusal = createParseRefusal(error.code);
+  const requestId = randomUUID();
+  const body = JSON.stringify(createProblemDetails(refusal, requestId));
   socket.end(
-    `HTTP/1.1 ${refusal.status} ${refusal.code}\r\n` +
-      "content-type: application/problem+json\r\nretry-after: 1\r\n" +
-      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+    `HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status]}\r\n` +
+      "content-type: application/problem+json\r\n" +
+      `retry-after: ${formatRetryAfter(refusal)}\r\n` +
+      `hornbeamrill-request: ${requestId}\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\n` +
+      `connection: close\r\n\r\n${body}`,
   );
 }
 
 export function createCallerServer(options: CallerServerOptions): Server {
   const handler = new CallerHandler(options);
+  /** The latest answer on each connection. */
+  const responses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     { maxHeaderSize: options.headerBytes },
     (request, response) => {
+      responses.set(request.socket, response);
       handler.handle(request, response).catch((error: unknown) => {
+        if (response.destroyed) {
+          options.log.info("caller-gone", { error: String(error) });
+          return;
+        }
         options.log.error("request-failed", { error: String(error) });
         const detail = "The entry failed while it handled the request";
         sendRefusal(
@@ -237,6 +255,12 @@
       });
     },
   );
-  server.on("clientError", answerParseError);
+  server.on("clientError", (error, socket) => {
+    const response = responses.get(socket);
+    // A refusal in the midst of another answer would pass for part of it.
+    const isAnswering = response !== undefined && !response.writableFinished;
+    if (isAnswering || !socket.writable) socket.destroy();
+    else answerParseError(error, socket);
+  });
   return server;
 }
--- a/src/roles/operator_server.ts
+++ b/src/roles/operator_server.ts
@@ -12,9 +12,11 @@
   formatDocumentFailure,
   getBearerToken,
   type Logger,
+  parseTarget,
   parseTicket,
   readBody,
   sendJson,
+  sendProblem,
   sendRefusal,
 } from "../adapters/index.js";
 import { createRefusal, type Refusal } from "../core/index.js";
@@ -31,8 +33,8 @@
 }
 
 export interface OperatorServerOptions {
-  readonly tickets: TicketService;
-  readonly sync: ConfigSync;
+  readonly tickets: Pick<TicketService, "submit" | "getStatus">;
+  readonly sync: Pick<ConfigSync, "state">;
   readonly log: Logger;
   readonly tokenSha256: string | undefined;
   readonly describeStatus: () => unknown;
@@ -54,6 +56,7 @@
 const REPORT_TIMEOUT_MS = 20_000;
 const MAX_REPORT_HOURS = 24 * 31;
 const DEFAULT_REPORT_HOURS = 24;
+const RETRY_AFTER_MS = 1_000;
 
 function describeFailure(failure: CommitFailure): FailureAnswer {
   const { kind: code } = failure;
@@ -71,6 +74,22 @@
   return { status, code, detail };
 }
 
+/** A ticket's failure has codes of its own; the shape is that of a refusal. */
+function sendFailure(response: ServerResponse, failure: FailureAnswer): void {
+  const { status, code, detail } = failure;
+  const ran = code === "outcome-unknown" ? "unknown" : "no";
+  sendProblem(response, {
+    type: `https://hornbeamrill.invalid/problems/${code}`,
+    title: code.replaceAll("-", " "),
+    status,
+    detail,
+    code,
+    ran,
+    requestId: "-",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 class OperatorHandler {
   readonly #options: OperatorServerOptions;
 
@@ -82,7 +101,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const url = new URL(request.url ?? "/", "http://entry");
+    const url = parseTarget(request);
+    if (url === undefined) {
+      const detail = `Cannot use target "${request.url}": expected a path`;
+      sendRefusal(response, createRefusal("bad-request", detail), "-");
+      return;
+    }
     const route = `${request.method} ${url.pathname}`;
     if (!this.#isOperator(request)) {
       const detail = "The operator token is missing or wrong";
@@ -127,7 +151,7 @@
     const ticket = parseTicket(body.toString("utf8"), "ticket");
     if (ticket.isErr()) {
       const detail = formatDocumentFailure(ticket.error);
-      sendJson(response, 400, { code: "invalid-ticket", detail });
+      sendFailure(response, { status: 400, code: "invalid-ticket", detail });
       return;
     }
     await this.#commit(ticket.value, response);
@@ -137,9 +161,10 @@
     const { tickets, signal, log } = this.#options;
     const outcome = await tickets.submit(ticket, signal);
     if (outcome.isErr()) {
-      const { status, code, detail } = describeFailure(outcome.error);
+      const failure = describeFailure(outcome.error);
+      const { code, detail } = failure;
       log.info("ticket-refused", { ticket: ticket.number, code, detail });
-      sendJson(response, status, { code, detail });
+      sendFailure(response, failure);
       return;
     }
     const { kind: state, revision, watchers, holding } = outcome.value;
@@ -156,12 +181,18 @@
 
   async #showTicket(url: URL, response: ServerResponse): Promise<void> {
     const { tickets, signal } = this.#options;
-    const number = Number(url.pathname.slice("/tickets/".length));
+    const text = url.pathname.slice("/tickets/".length);
+    const number = Number(text);
+    if (!/^[1-9]\d*$/.test(text) || !Number.isSafeInteger(number)) {
+      const detail = `Cannot use ticket number "${text}": expected a whole number from 1`;
+      sendRefusal(response, createRefusal("bad-request", detail), "-");
+      return;
+    }
     const ticket = await tickets.getStatus(number, signal);
     if (ticket.kind === "unknown") {
       const certainty = ticket.isFresh ? "" : "; this entry is not up to date";
       const detail = `Ticket ${number} is not known${certainty}`;
-      sendJson(response, 404, { code: "unknown-ticket", detail });
+      sendFailure(response, { status: 404, code: "unknown-ticket", detail });
       return;
     }
     const { kind: state, revision, processes } = ticket;
