--- a/src/adapters/documents.ts
+++ b/src/adapters/documents.ts
@@ -208,16 +208,21 @@
   return readDocument(text, file, checkTicketDocument);
 }
 
+const LINE_BREAKING = /[\p{Cc}\u2028\u2029]/gu;
+
 /** One line per problem, for terminals and logs. */
 export function formatDocumentFailure(failure: DocumentFailure): string {
   return failure.problems
-    .map((problem) => {
-      const value = (JSON.stringify(problem.value) ?? "nothing").slice(
+    .map(({ line, key, value, expected }) => {
+      const shown = (JSON.stringify(value) ?? "nothing").slice(
         0,
         MAX_VALUE_CHARS,
       );
-      const key = problem.key === "" ? "document" : problem.key;
-      return `${failure.file}:${problem.line}: ${key}: got ${value}, expected ${problem.expected}`;
+      return `${failure.file}:${line}: ${key || "document"}: got ${shown}, expected ${expected}`;
     })
+    .map((text) =>
+      // Keys and values are the file's own text.
+      text.replace(LINE_BREAKING, (c) => encodeURIComponent(c)),
+    )
     .join("\n");
 }
--- a/src/roles/order_runner.ts
+++ b/src/roles/order_runner.ts
@@ -19,7 +19,10 @@
   | { readonly kind: "refused"; readonly refusal: Refusal };
 
 export interface OrderRunnerOptions {
-  readonly claims: ClaimKeeper;
+  readonly claims: Pick<
+    ClaimKeeper,
+    "acquire" | "rejoin" | "complete" | "release"
+  >;
   /** Dispatches the attempt that the claim names. */
   readonly dispatch: (claim: StoredClaim["claim"]) => Promise<DispatchOutcome>;
   readonly getRemainingMs: () => number;
