--- a/src/roles/caller_server.ts
+++ b/src/roles/caller_server.ts
@@ -255,6 +255,11 @@
       });
     },
   );
+  // Node's own answer to an unknown Expect header has no problem details.
+  server.on("checkExpectation", (_request, response) => {
+    const refusal = createRefusal("bad-request", "Cannot meet header Expect");
+    sendRefusal(response, refusal, randomUUID());
+  });
   server.on("clientError", (error, socket) => {
     const response = responses.get(socket);
     // A refusal in the midst of another answer would pass for part of it.
--- /dev/null
+++ b/src/roles/caller_server_test.ts
@@ -0,0 +1,276 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { createRefusal, isRefusalCode } from "../core/index.js";
+import {
+  BODY_BYTES,
+  CHAT,
+  KEY,
+  sendRaw,
+  startCallerServer,
+} from "./caller_fixtures_test.js";
+
+const INFO = { requestId: "r1", version: "small-1", revision: 1 };
+const JSON_PROBLEM = "application/problem+json";
+
+async function readProblem(answer: Response) {
+  assert.equal(answer.headers.get("content-type"), JSON_PROBLEM);
+  assert.ok(Number(answer.headers.get("retry-after")) >= 1);
+  const problem = (await answer.json()) as Record<string, unknown>;
+  assert.equal(problem.status, answer.status);
+  assert.equal(problem.requestId, answer.headers.get("hornbeamrill-request"));
+  return problem;
+}
+
+async function expectRefusal(answer: Response, code: string): Promise<void> {
+  const problem = await readProblem(answer);
+  assert.deepEqual([problem.code, problem.ran], [code, "no"]);
+}
+
+describe("callers' HTTP", { timeout: 60_000 }, () => {
+  // Each refusal must be typed, and true in saying that nothing ran.
+  it("refuses what it can't accept with a code of its own", async (t) => {
+    const run = () => Promise.reject(new Error("must not run"));
+    const { call, chat } = await startCallerServer(t, { run });
+    const key = { authorization: "Bearer wrong" };
+    const farms = { authorization: "Bearer key-of-farms" };
+    const order = { method: "POST", body: "{}" };
+    const long = { "idempotency-key": "k".repeat(201) };
+    const cases: [Promise<Response>, string][] = [
+      [call("/v1/models", { headers: key }), "unauthorized"],
+      [call("/v1/models", { headers: { authorization: "" } }), "unauthorized"],
+      [call("/v2/models"), "not-found"],
+      [chat("{"), "bad-request"],
+      [chat({ messages: [] }), "bad-request"],
+      [chat({ ...CHAT, stream: "yes" }), "bad-request"],
+      [chat(CHAT, { "hornbeamrill-class": "order" }), "unknown-class"],
+      [chat(CHAT, { "hornbeamrill-deadline-ms": "0x10" }), "bad-request"],
+      [chat(CHAT, { "hornbeamrill-quality-target": "2" }), "bad-request"],
+      [chat({ ...CHAT, model: "huge" }), "unknown-model"],
+      [chat({ ...CHAT, model: "constructor" }), "unknown-model"],
+      [chat({ ...CHAT, model: "large-1" }), "version-withdrawn"],
+      [chat({ ...CHAT, model: "medium-1" }, farms), "not-allowed"],
+      [call("/services/sawmill/x"), "unknown-service"],
+      [call("/services/constructor/x"), "unknown-service"],
+      [call("/services/order/x", { ...order, headers: farms }), "not-allowed"],
+      [call("/services/order/x", order), "idempotency-key-required"],
+      [call("/services/order/x", { ...order, headers: long }), "bad-request"],
+      [chat("x".repeat(BODY_BYTES + 1)), "body-too-large"],
+    ];
+    for (const [answer, code] of cases) await expectRefusal(await answer, code);
+  });
+
+  it("gives JSON, server-sent events, the model list and a service's answer", async (t) => {
+    const { call, chat } = await startCallerServer(t);
+    const whole = await chat({ ...CHAT, model: "small" });
+    assert.equal(whole.headers.get("hornbeamrill-version"), "small-1");
+    const body = (await whole.json()) as { choices: { message: unknown }[] };
+    const message = { role: "assistant", content: "hello" };
+    assert.deepEqual(body.choices[0]?.message, message);
+    const stream = await (await chat({ ...CHAT, stream: true })).text();
+    assert.match(stream, /"hel".*"lo".*"stop".*data: \[DONE\]\n\n$/s);
+    const models = (await (await call("/v1/models")).json()) as {
+      data: { id: string }[];
+    };
+    const names = models.data.map(({ id }) => id);
+    assert.deepEqual(names, ["small-1", "small-2", "medium-1"]);
+    // The service gets the normalized path that was checked, and the query.
+    const path = "/services/stock_check/a/%2e%2e/b?part=7";
+    assert.equal(await (await call(path)).text(), "GET /b?part=7");
+    const root = await call("/services/stock_check?part=7");
+    assert.equal(await root.text(), "GET /?part=7");
+  });
+
+  it("ends a stream that breaks with an error event, never with [DONE]", async (t) => {
+    const { chat } = await startCallerServer(t, {
+      run: async (_route, { writer }) => {
+        writer.write(INFO, Buffer.from("hel"));
+        writer.refuse("r1", createRefusal("outcome-unknown", "cut"));
+      },
+    });
+    const text = await (await chat({ ...CHAT, stream: true })).text();
+    const [, event = ""] = text.split("event: error\ndata: ");
+    assert.equal(JSON.parse(event).code, "outcome-unknown");
+    assert.ok(!text.includes("[DONE]"));
+  });
+
+  it("refuses with the time to come back, in whole seconds", async (t) => {
+    const options = { retryAfterMs: 2_300 };
+    const refusal = createRefusal("stopping", "stopping", options);
+    const { chat, call } = await startCallerServer(t, { refusal });
+    const answer = await chat(CHAT);
+    assert.equal(answer.headers.get("retry-after"), "3");
+    await expectRefusal(answer, "stopping");
+    await expectRefusal(await call("/healthz"), "stopping");
+  });
+
+  // An endless body would hold the connection and the refusal back for ever.
+  it("refuses a body over the limit at once, without a content-length", async (t) => {
+    const { port } = await startCallerServer(t);
+    const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: ${KEY.authorization}\r\n`;
+    const chunk = "x".repeat(BODY_BYTES + 1);
+    const size = chunk.length.toString(16);
+    const chunked = `${head}transfer-encoding: chunked\r\n\r\n${size}\r\n${chunk}\r\n`;
+    assert.match(
+      await sendRaw(port, chunked),
+      /^HTTP\/1.1 413 .*body-too-large/s,
+    );
+    const declared = `${head}content-length: 99999999\r\n\r\nx`;
+    assert.match(await sendRaw(port, declared), /^HTTP\/1.1 413 /);
+  });
+
+  it("refuses what is no HTTP, and headers over the limit, as problems", async (t) => {
+    const { port } = await startCallerServer(t);
+    const header = `GET /v1/models HTTP/1.1\r\nx: ${"y".repeat(5_000)}\r\n\r\n`;
+    for (const [text, status, code] of [
+      [header, 431, "headers-too-large"],
+      ["GET\r\n\r\n", 400, "bad-request"],
+      ["GET // HTTP/1.1\r\nhost: a\r\n\r\n", 400, "bad-request"],
+    ] as const) {
+      const [head = "", body = ""] = (await sendRaw(port, text)).split(
+        "\r\n\r\n",
+      );
+      assert.match(head, new RegExp(`^HTTP/1.1 ${status} `));
+      assert.match(head, /retry-after: 1/i);
+      const problem = JSON.parse(body);
+      assert.deepEqual([problem.code, problem.ran], [code, "no"]);
+      assert.ok(problem.requestId.length > 0);
+    }
+  });
+
+  it("cuts a broken connection instead of writing into another answer", async (t) => {
+    const { port } = await startCallerServer(t, {
+      run: (_route, { writer, signal }) => {
+        writer.write(INFO, Buffer.from("hel"));
+        return new Promise((resolve) => {
+          signal.addEventListener("abort", () => resolve());
+        });
+      },
+    });
+    const body = JSON.stringify({ ...CHAT, stream: true });
+    const text = await sendRaw(
+      port,
+      `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: ${KEY.authorization}\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+      "\0broken\r\n\r\n",
+    );
+    assert.doesNotMatch(text, /HTTP\/1.1 400/);
+  });
+
+  it("tells the runner that the caller went away", async (t) => {
+    const { port, logged } = await startCallerServer(t, {
+      run: (_route, { signal }) =>
+        new Promise((resolve) => {
+          signal.addEventListener("abort", () => {
+            logged.push("aborted");
+            resolve();
+          });
+        }),
+    });
+    const head = `GET /services/stock_check/x HTTP/1.1\r\nhost: a\r\nauthorization: ${KEY.authorization}\r\n`;
+    await sendRaw(port, `${head}\r\n`);
+    assert.deepEqual(logged, ["aborted"]);
+    // Half a body: the request never starts.
+    await sendRaw(port, `${head}content-length: 9\r\n\r\nx`);
+    assert.deepEqual(logged, ["aborted", "caller-gone"]);
+  });
+});
+
+describe("callers' HTTP under fuzz", { timeout: 60_000 }, () => {
+  const word = fc.constantFrom(
+    "v1",
+    "chat",
+    "completions",
+    "models",
+    "services",
+    "order",
+    "stock_check",
+    "..",
+    "%2e%2e",
+    "%",
+    "%zz",
+    "",
+    "?",
+    "#",
+    "[",
+    "\\",
+    "constructor",
+    ":80",
+  );
+  const path = fc
+    .array(word, { maxLength: 6 })
+    .map((parts) => `/${parts.join("/")}`);
+  const headerName = fc.constantFrom(
+    "hornbeamrill-class",
+    "hornbeamrill-session",
+    "hornbeamrill-session-token",
+    "hornbeamrill-deadline-ms",
+    "hornbeamrill-quality-target",
+    "idempotency-key",
+    "content-type",
+    "authorization",
+    "expect",
+    "x",
+  );
+  const headerValue = fc.oneof(
+    fc.stringMatching(/^[ -~\u00a0-\u00ff]{0,30}$/),
+    fc.constantFrom("1", "-1", "part_match", KEY.authorization),
+  );
+  const body = fc.oneof(
+    fc.json(),
+    fc.string(),
+    fc
+      .record(
+        {
+          model: fc.oneof(
+            fc.string(),
+            fc.constantFrom("auto", "small", "__proto__"),
+          ),
+          messages: fc.array(
+            fc.record({ role: fc.string(), content: fc.string() }),
+          ),
+          stream: fc.oneof(fc.boolean(), fc.string()),
+          max_tokens: fc.oneof(fc.integer(), fc.double()),
+        },
+        { requiredKeys: [] },
+      )
+      .map((value) => JSON.stringify(value)),
+  );
+  const request = fc.record({
+    method: fc.constantFrom("POST", "GET", "DELETE", "PATCH", "FOO", ""),
+    path: fc.oneof(
+      path,
+      fc.constantFrom("/v1/chat/completions", "/services/order/calls"),
+    ),
+    headers: fc.array(fc.tuple(headerName, headerValue), { maxLength: 5 }),
+    isKeyed: fc.boolean(),
+    body,
+  });
+
+  it("gives each request a whole answer or a typed refusal", async (t) => {
+    const { port, logged } = await startCallerServer(t);
+    const property = fc.asyncProperty(request, async (input) => {
+      const lines = input.headers.map(([name, value]) => `${name}: ${value}`);
+      if (input.isKeyed) lines.unshift(`authorization: ${KEY.authorization}`);
+      const head = [
+        `${input.method} ${input.path} HTTP/1.1`,
+        "host: a",
+        "connection: close",
+        `content-length: ${Buffer.byteLength(input.body)}`,
+        ...lines,
+      ].join("\r\n");
+      const text = await sendRaw(port, `${head}\r\n\r\n${input.body}`);
+      const [top = "", ...rest] = text.split("\r\n\r\n");
+      const status = Number(/^HTTP\/1.1 (\d{3}) /.exec(top)?.[1]);
+      if (status === 200) return;
+      const problem = JSON.parse(rest.join("\r\n\r\n"));
+      assert.ok(isRefusalCode(problem.code), text);
+      assert.deepEqual([problem.status, problem.ran], [status, "no"]);
+      assert.match(top, /retry-after: \d/i);
+    });
+    await fc.assert(property, {
+      numRuns: 600,
+      interruptAfterTimeLimit: 20_000,
+    });
+    assert.ok(!logged.includes("request-failed"));
+  });
+});
