Prune plans and split the chooser

Versions that a cheaper one matches are left out, speeds are kept for a second and sorted candidates until the state changes.

--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -2,7 +2,7 @@
 
 import type { EndpointStatus, FleetState } from "../schema/index.js";
 import { AdmissionQueue, PRIORITY_RANKS } from "./admission.js";
-import type { VersionPace } from "./chooser.js";
+
 import {
   createTarget,
   EndpointIndex,
@@ -14,6 +14,7 @@
 import { createEmptyState } from "./fleet_state.js";
 import type { PendingRequest, RunningAttempt } from "./pending.js";
 import { Placement } from "./placement.js";
+import type { VersionPace } from "./plans.js";
 import { countUnits, LengthEstimates, SpeedEstimates } from "./speeds.js";
 
 export interface DispatcherOptions {
@@ -40,6 +41,8 @@
  * counts as feasible: about three in ten answers are shorter.
  */
 const FEASIBLE_DEVIATIONS = 0.52;
+/** Speeds of versions are kept this long; many plans use the same ones. */
+const PACE_MS = 1_000;
 /** Endpoint choices tried per freed slot before the rest must wait. */
 const MAX_DRAIN_MISSES = 3;
 
@@ -50,6 +53,7 @@
   readonly #queue: AdmissionQueue;
   readonly speeds = new SpeedEstimates();
   readonly lengths = new LengthEstimates();
+  readonly #paces = new Map<string, { pace: VersionPace; madeAtMs: number }>();
   #state: FleetState = createEmptyState();
 
   constructor(options: DispatcherOptions) {
@@ -67,6 +71,7 @@
 
   setState(state: FleetState): void {
     this.#state = state;
+    this.#paces.clear();
   }
 
   updateEndpoint(status: EndpointStatus, nowMs: number): void {
@@ -117,10 +122,9 @@
   ): RunningAttempt | undefined {
     const { running, request } = pending;
     const { nowMs, work } = options;
-    if (running === undefined) return undefined;
     pending.running = undefined;
-    const endpoint = this.#endpoints.find(running.endpoint);
-    if (endpoint === undefined) return running;
+    const endpoint = this.#endpoints.find(running?.endpoint ?? "");
+    if (running === undefined || endpoint === undefined) return running;
     endpoint.ownInFlight = Math.max(0, endpoint.ownInFlight - 1);
     if (how === "refused") endpoint.avoidUntilMs = nowMs + REFUSED_PAUSE_MS;
     if (how === "failed") {
@@ -157,11 +161,15 @@
   }
 
   /** Speed of a version for the next request. */
-  getPace(version: string): VersionPace {
+  getPace(version: string, nowMs: number): VersionPace {
+    const kept = this.#paces.get(version);
+    if (kept !== undefined && nowMs - kept.madeAtMs < PACE_MS) return kept.pace;
     const target = createTarget("model", version);
-    const pace = this.#placement.estimatePace(this.#state, target);
+    const unitMs = this.#placement.estimatePace(this.#state, target);
     const waitMs = this.#queue.predictMeanWaitMs(target);
-    return { unitMs: pace, waitMs };
+    const pace = { unitMs, waitMs };
+    this.#paces.set(version, { pace, madeAtMs: nowMs });
+    return pace;
   }
 
   /** False when the current step can't end in time on any endpoint. */
--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -8,6 +8,15 @@
  * The mix of roles that this entry has answered with corrects for that.
  */
 
+import {
+  computePassChance,
+  computePassedQuality,
+  JUDGE_PRIOR,
+  type JudgeEstimate,
+  type JudgeSample,
+  learnJudge,
+} from "./judge.js";
+
 /** How a version came to give the final answer. */
 export type AnswerRole = "single" | "passed" | "escalated";
 
@@ -27,15 +36,6 @@
 const PRIOR = { mean: 0.7, weight: 4 };
 /** Beta prior of the dearest version: operators pay for its quality. */
 const DEAREST_PRIOR = { mean: 0.96, weight: 10 };
-/** Judge before any evidence. */
-const JUDGE_PRIOR = { sensitivity: 0.9, specificity: 0.9 };
-/**
- * Weight of the prior in ratings: a deviation of 5% in the sensitivity and of
- * 30% in the chance to miss. A looser prior let the sensitivity wander between
- * 0.80 and 0.99 on a judge of 0.92.
- */
-const SENSITIVITY_WEIGHT = 800;
-const MISS_WEIGHT = 25;
 /**
  * Standard deviation of the judge's estimated chances. Verdicts alone never
  * make a version's share more certain than the judge is.
@@ -107,40 +107,9 @@
   };
 }
 
-/** Chances of the synchronous judge. */
-export interface JudgeEstimate {
-  sensitivity: number;
-  specificity: number;
-}
-
-/** Quality of an answer, given how it came about. */
-export function computePassChance(mean: number, judge: JudgeEstimate): number {
-  return mean * judge.sensitivity + (1 - mean) * (1 - judge.specificity);
-}
-
-export function computePassedQuality(mean: number, judge: JudgeEstimate) {
-  return (mean * judge.sensitivity) / computePassChance(mean, judge);
-}
-
-/**
- * Quality of the second version on what the judge rejected of the first. It
- * assumes that the second also solves all that the first solves; of all
- * overlaps this one leaves the second the least to gain.
- */
-export function computeEscalatedQuality(
-  first: number,
-  second: number,
-  judge: JudgeEstimate,
-): number {
-  const { sensitivity, specificity } = judge;
-  const wronged = Math.min(first, second) * (1 - sensitivity);
-  const gained = Math.max(0, second - first) * specificity;
-  return (wronged + gained) / (1 - computePassChance(first, judge));
-}
-
 export class QualityEstimates {
   readonly #records = new Map<string, Map<string, VersionRecord>>();
-  readonly #judge: JudgeEstimate = { ...JUDGE_PRIOR };
+  #judge: JudgeEstimate = JUDGE_PRIOR;
   #dearest = new Map<string, string>();
 
   get judge(): JudgeEstimate {
@@ -283,42 +252,21 @@
     return clampShare(combine(prior, this.#invert(record)).mean);
   }
 
-  /**
-   * Learns the judge. For a first step with pass share r and rated share q of
-   * passed answers, q·r = a·sensitivity and (1-q)·r = (1-a)·(1-specificity),
-   * so q·r / sensitivity + (1-q)·r / (1-specificity) = 1 whatever the
-   * version's share a. Least squares over all classes and versions gives both,
-   * pulled towards the prior.
-   */
+  /** Learns the judge from first steps with both verdicts and ratings. */
   learnJudge(): void {
-    const x0 = 1 / JUDGE_PRIOR.sensitivity;
-    const y0 = 1 / (1 - JUDGE_PRIOR.specificity);
-    // The prior enters as a ridge in units of each unknown's own size.
-    let xx = SENSITIVITY_WEIGHT / x0 ** 2;
-    let yy = MISS_WEIGHT / y0 ** 2;
-    let xy = 0;
-    let xz = SENSITIVITY_WEIGHT / x0;
-    let yz = MISS_WEIGHT / y0;
+    const samples: JudgeSample[] = [];
     for (const versions of this.#records.values()) {
       for (const record of versions.values()) {
         const rated = record.accepted + record.rejected;
         const isFirst = record.single === 0 && record.escalatedFrom.size === 0;
         if (!isFirst || rated === 0 || record.judged === 0) continue;
-        const passShare = record.passed / record.judged;
-        const x = (record.accepted / rated) * passShare;
-        const y = (record.rejected / rated) * passShare;
-        xx += rated * x * x;
-        yy += rated * y * y;
-        xy += rated * x * y;
-        xz += rated * x;
-        yz += rated * y;
+        samples.push({
+          rated,
+          acceptedShare: record.accepted / rated,
+          passShare: record.passed / record.judged,
+        });
       }
     }
-    const determinant = xx * yy - xy * xy;
-    const inverseSensitivity = (xz * yy - yz * xy) / determinant;
-    const inverseMiss = (yz * xx - xz * xy) / determinant;
-    const limit = (value: number) => Math.min(0.99, Math.max(0.6, value));
-    this.#judge.sensitivity = limit(1 / inverseSensitivity);
-    this.#judge.specificity = limit(1 - 1 / inverseMiss);
+    this.#judge = learnJudge(samples);
   }
 }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,5 +1,6 @@
 export * from "./admission.js";
 export * from "./chooser.js";
+export * from "./credit.js";
 export * from "./dispatcher.js";
 export * from "./endpoint_index.js";
 export * from "./errors.js";
@@ -7,8 +8,10 @@
 export * from "./events.js";
 export * from "./fleet_state.js";
 export * from "./guard.js";
+export * from "./judge.js";
 export * from "./pending.js";
 export * from "./placement.js";
+export * from "./plans.js";
 export * from "./retries.js";
 export * from "./router.js";
 export * from "./speeds.js";
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -42,7 +42,7 @@
     this.#versions = new Versions({
       random: options.random,
       judgeCostPerCall: options.judgeCostPerCall ?? 0,
-      getPace: (name) => this.#dispatcher.getPace(name),
+      getPace: (name) => this.#dispatcher.getPace(name, this.#nowMs),
       getLength: (name) => this.#dispatcher.lengths.get(name),
       hold: (version, reason) =>
         this.#actions.push({ type: "hold-version", version, reason }),
--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -1,16 +1,14 @@
 /** Everything the router knows and decides about versions. */
 
 import type { FleetState } from "../schema/index.js";
-import { Chooser, type VersionPace } from "./chooser.js";
-import {
-  type AnswerRole,
-  computeEscalatedQuality,
-  QualityEstimates,
-} from "./estimates.js";
+import { Chooser } from "./chooser.js";
+import { type AnswerRole, QualityEstimates } from "./estimates.js";
 import type { RouteRequest } from "./events.js";
 import { createEmptyState } from "./fleet_state.js";
 import { Guard, SLOW_FACTOR } from "./guard.js";
+import { computeEscalatedQuality } from "./judge.js";
 import type { PendingRequest, RunningAttempt } from "./pending.js";
+import type { VersionPace } from "./plans.js";
 import type { LengthEstimate } from "./speeds.js";
 
 export interface VersionsOptions {
@@ -137,7 +135,7 @@
     const { mean } = this.#quality.estimate(requestClass, version);
     const judge = this.#quality.judge;
     const quality = computeEscalatedQuality(mean, mean, judge);
-    return this.#chooser.spendCredit(requestClass, qualityTarget - quality);
+    return this.#chooser.credit.spend(requestClass, qualityTarget - quality);
   }
 
   #holdFor(version: string, reason: string | undefined): void {
