--- a/src/roles/config_rounds.ts
+++ b/src/roles/config_rounds.ts
@@ -21,13 +21,15 @@
   readonly order: PeerOrder;
   readonly storeWatch: StoreWatch | undefined;
   readonly listPeers: () => readonly Peer[];
+  /** Length of a long poll. */
+  readonly waitMs: number;
   readonly getNowMs: () => number;
   readonly getRandom: () => number;
   readonly log: (event: string, fields: Record<string, unknown>) => void;
 }
 
-/** A long poll of 2 s, and time for a late answer. */
-const POLL_TIMEOUT_MS = 2_700;
+/** Time for a late answer to a long poll. */
+const LATE_MS = 700;
 const IMMEDIATE_TIMEOUT_MS = 1_000;
 /** Between two rounds while the store does not answer. */
 const OUTAGE_PAUSE_MS = 600;
@@ -203,16 +205,18 @@
   }
 
   async #poll(signal: AbortSignal): Promise<void> {
-    const { exchange, order, getNowMs, listPeers } = this.#options;
+    const { exchange, order, getNowMs, listPeers, waitMs } = this.#options;
     const choice = order.choose(listPeers(), getNowMs());
     if (choice === undefined) return waitFor(OUTAGE_PAUSE_MS, signal);
-    const { peer, waitMs } = choice;
+    const { peer, backoffMs } = choice;
     // The host list may name other peers in the meantime.
-    if (waitMs > 0) return waitFor(Math.min(waitMs, OUTAGE_PAUSE_MS), signal);
+    if (backoffMs > 0) {
+      return waitFor(Math.min(backoffMs, OUTAGE_PAUSE_MS), signal);
+    }
     const immediate = this.#isUrgent;
     const answer = await exchange.ask(peer, {
       immediate,
-      timeoutMs: immediate ? IMMEDIATE_TIMEOUT_MS : POLL_TIMEOUT_MS,
+      timeoutMs: immediate ? IMMEDIATE_TIMEOUT_MS : waitMs + LATE_MS,
       signal,
     });
     if (signal.aborted) return;
--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -45,11 +45,14 @@
   readonly ask?: AskPeer;
   /** Monotonic clock. @internal */
   readonly getNowMs?: () => number;
+  /** Length of store watches and long polls. @internal */
+  readonly waitMs?: number;
   /** @internal */
   readonly getRandom?: () => number;
 }
 
-const LONG_POLL_MS = 2_000;
+/** Of a store watch and a long poll; the bound covers two of them and more. */
+const DEFAULT_WAIT_MS = 2_000;
 /** Covers a watcher's fetch of the new revision. */
 const SPREAD_TIMEOUT_MS = 2_000;
 const TICK_MS = 250;
@@ -95,7 +98,9 @@
       getNowMs,
     });
     this.#order = new PeerOrder({ name, dataCentre }, getRandom);
-    const storeWatch = store && new StoreWatch({ store, holder, getNowMs });
+    const waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
+    const storeWatch =
+      store && new StoreWatch({ store, holder, getNowMs, waitMs });
     const parts = {
       holder,
       exchange: this.#exchange,
@@ -108,6 +113,7 @@
     this.#rounds = new ConfigRounds({
       ...parts,
       name,
+      waitMs,
       getNowMs,
       getRandom,
       log: options.log ?? (() => {}),
@@ -224,7 +230,8 @@
     const { revision } = request;
     await this.#fetcher.fetch({ revision, informant: asker, signal });
     if (!request.seeksEvidence && this.#holder.revision <= request.revision) {
-      await runWithTimeout({ signal, timeoutMs: LONG_POLL_MS }, (scope) =>
+      const timeoutMs = this.#options.waitMs ?? DEFAULT_WAIT_MS;
+      await runWithTimeout({ signal, timeoutMs }, (scope) =>
         this.#holder.waitForRenewal(scope),
       );
     }
--- a/src/roles/peer_order.ts
+++ b/src/roles/peer_order.ts
@@ -14,7 +14,7 @@
 export interface PeerChoice {
   readonly peer: Peer;
   /** Time until the peer may be asked. */
-  readonly waitMs: number;
+  readonly backoffMs: number;
 }
 
 export class PeerOrder {
@@ -56,10 +56,10 @@
   choose(peers: readonly Peer[], nowMs: number): PeerChoice | undefined {
     const choices = this.list(peers).map((peer) => {
       const untilMs = this.#backoffs.get(peer.name)?.untilMs ?? nowMs;
-      return { peer, waitMs: Math.max(0, untilMs - nowMs) };
+      return { peer, backoffMs: Math.max(0, untilMs - nowMs) };
     });
-    const ready = choices.find((choice) => choice.waitMs === 0);
-    return ready ?? choices.sort((a, b) => a.waitMs - b.waitMs)[0];
+    const ready = choices.find((choice) => choice.backoffMs === 0);
+    return ready ?? choices.sort((a, b) => a.backoffMs - b.backoffMs)[0];
   }
 
   recordSuccess(name: string): void {
--- a/src/roles/store_watch.ts
+++ b/src/roles/store_watch.ts
@@ -11,9 +11,8 @@
 } from "./revision_store.js";
 import { runWithTimeout } from "./scope.js";
 
-const WATCH_MS = 2_000;
 /** A watch that is this late counts as failed. */
-const WATCH_TIMEOUT_MS = WATCH_MS + 700;
+const LATE_MS = 700;
 /** A healthy store answers in milliseconds. */
 const READ_TIMEOUT_MS = 1_000;
 
@@ -21,6 +20,8 @@
   readonly store: ObjectStore;
   readonly holder: ConfigHolder;
   readonly getNowMs: () => number;
+  /** Length of a watch. */
+  readonly waitMs: number;
 }
 
 /** Moments of the last contact with the store, in this process's life. */
@@ -45,11 +46,13 @@
 
   /** Waits for another head; gives undefined when the state is confirmed. */
   watch(signal: AbortSignal): Promise<RevisionFailure | undefined> {
-    return runWithTimeout({ signal, timeoutMs: WATCH_TIMEOUT_MS }, (scope) =>
+    const { store, waitMs } = this.#options;
+    const timeoutMs = waitMs + LATE_MS;
+    return runWithTimeout({ signal, timeoutMs }, (scope) =>
       this.#fetch(
         () =>
-          this.#options.store.watch(
-            { key: HEAD_KEY, version: this.#headVersion, waitMs: WATCH_MS },
+          store.watch(
+            { key: HEAD_KEY, version: this.#headVersion, waitMs },
             scope,
           ),
         scope,
