Refuse ticket numbers that can't be told apart, and inherited property names

Cause: 2^53 and 2^53+1 are read as one number, and a version named "constructor" passed for an existing one. Change: a typed failure for such numbers; look-ups by own properties.

--- a/src/core/sessions.ts
+++ b/src/core/sessions.ts
@@ -137,7 +137,9 @@
   const active = candidates.filter(
     (version) => state.versions[version]?.state === "active",
   );
-  const unheld = active.filter((version) => !(version in state.holds));
+  const unheld = active.filter(
+    (version) => !Object.hasOwn(state.holds, version),
+  );
   const eligible = unheld.filter((version) => {
     const share = state.rollouts[version]?.share ?? 1;
     return computeFraction(JSON.stringify([session, version])) < share;
--- a/src/core/ticket_check.ts
+++ b/src/core/ticket_check.ts
@@ -49,8 +49,17 @@
   };
 }
 
-/** Finds what the schema can't say: each subject once, and at least one. */
-function findSubjectFailure(ticket: Ticket): InvalidTicket | undefined {
+/** Finds what the schema can't say of the number and the subjects. */
+function findContentFailure(ticket: Ticket): InvalidTicket | undefined {
+  // Beyond this, different numbers in the text are read as the same one.
+  if (!Number.isSafeInteger(ticket.number)) {
+    return {
+      kind: "invalid-ticket",
+      key: "/number",
+      value: String(ticket.number),
+      expected: `an integer up to ${Number.MAX_SAFE_INTEGER}`,
+    };
+  }
   const subjects = listSubjects(ticket);
   if (subjects.length === 0) {
     return {
@@ -77,6 +86,6 @@
 
 export function checkTicket(value: unknown): Result<Ticket, InvalidTicket> {
   if (!validate(value)) return err(createFailure(validate.errors?.[0]));
-  const failure = findSubjectFailure(value);
+  const failure = findContentFailure(value);
   return failure === undefined ? ok(value) : err(failure);
 }
--- a/src/core/tickets.ts
+++ b/src/core/tickets.ts
@@ -83,15 +83,15 @@
     const references: [string, boolean][] = [
       ...account.versions.map((name): [string, boolean] => [
         `version/${name}`,
-        name in state.versions,
+        Object.hasOwn(state.versions, name),
       ]),
       ...account.services.map((name): [string, boolean] => [
         `service/${name}`,
-        name in state.services,
+        Object.hasOwn(state.services, name),
       ]),
       ...account.classes.map((name): [string, boolean] => [
         `class/${name}`,
-        name in state.classes,
+        Object.hasOwn(state.classes, name),
       ]),
     ];
     const missing = references.find(([, exists]) => !exists);
@@ -180,7 +180,7 @@
   version: string,
   reason: string,
 ): FleetState {
-  if (version in state.holds) return state;
+  if (Object.hasOwn(state.holds, version)) return state;
   const revision = state.revision + 1;
   return {
     ...state,
