--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -128,11 +128,6 @@
     return this.#holder.freshness.check(this.#getNowMs());
   }
 
-  /** Age of the last confirmation, for status and metrics. */
-  get confirmationAgeMs(): number {
-    return this.#holder.freshness.getAgeMs(this.#getNowMs());
-  }
-
   addListener(
     listener: (state: FleetState) => void,
     signal: AbortSignal,
