--- a/src/core/ticket_check.ts
+++ b/src/core/ticket_check.ts
@@ -19,8 +19,13 @@
 
 const checkSchema = createDocumentCheck<Ticket>(ticketSchema);
 
-/** Each subject once, and at least one. */
-function listSubjectFaults(ticket: Ticket): DocumentFault[] {
+/** What the schema can't say of the number and the subjects. */
+function listContentFaults(ticket: Ticket): DocumentFault[] {
+  // Beyond this, different numbers in the text are read as the same one.
+  if (!Number.isSafeInteger(ticket.number)) {
+    const expected = `an integer up to ${Number.MAX_SAFE_INTEGER}`;
+    return [{ path: ["number"], value: ticket.number, expected }];
+  }
   const subjects = listSubjects(ticket);
   if (subjects.length === 0) {
     const expected = "at least one subject to set or remove";
@@ -41,7 +46,7 @@
   value: unknown,
 ): Result<Ticket, DocumentFault[]> {
   return checkSchema(value).andThen((ticket) => {
-    const faults = listSubjectFaults(ticket);
+    const faults = listContentFaults(ticket);
     return faults.length === 0 ? ok(ticket) : err(faults);
   });
 }
