Add a first soak test: seeded faults, load, tickets and checks

A fleet of two or three data centres runs as separate processes under a seeded plan of faults, callers and racing operators. The checks judge the stand-ins' records, the store's writes, callers' answers, logs and exits.

--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -15,6 +15,7 @@
   sendChat,
   sendServiceCall,
 } from "../testbed/callers.js";
+import { delay } from "../testbed/delay.js";
 import { type EndpointSpec, Fleet, OPERATOR_TOKEN } from "../testbed/fleet.js";
 import { callJson } from "../testbed/http_calls.js";
 import {
@@ -66,10 +67,6 @@
 
 type DemoRow = [string, number, number, number, number, number];
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 class Demo {
   readonly #fleet: Fleet;
   readonly #rows: DemoRow[] = [];
--- /dev/null
+++ b/src/soak/check_logs.ts
@@ -0,0 +1,47 @@
+/** Judges the daemons' logs and exit codes. */
+
+import { readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { type Findings, isProperty, type Property } from "./findings.js";
+import type { Journal, Life } from "./journal.js";
+
+/** How an uncaught failed invariant or its log line names the property. */
+const FAULT_LINE =
+  /InvariantError: (\w+): |"?gate fault"?.* property=(\w+)|property=(\w+) /;
+const MAX_SHOWN = 400;
+
+function findProperty(line: string): Property | undefined {
+  const match = FAULT_LINE.exec(line);
+  const name = match?.slice(1).find((group) => group !== undefined);
+  if (name === undefined) return undefined;
+  return isProperty(name) ? name : "lostRequest";
+}
+
+export async function checkLog(
+  folder: string,
+  member: string,
+  findings: Findings,
+): Promise<void> {
+  const text = await readFile(join(folder, `${member}.log`), "utf8");
+  for (const line of text.split("\n")) {
+    const property = findProperty(line);
+    if (property === undefined) continue;
+    findings.addViolation(property, `${member}: ${line.slice(0, MAX_SHOWN)}`);
+  }
+}
+
+function isUnexpected(life: Life): boolean {
+  if (life.endedMs === undefined || life.killedMs !== undefined) return false;
+  return life.stopRequestedMs === undefined;
+}
+
+/** A process that ends by itself leaves its callers without an answer. */
+export function checkExits(journal: Journal, findings: Findings): void {
+  for (const life of journal.lives) {
+    if (!isUnexpected(life)) continue;
+    findings.addViolation(
+      "lostRequest",
+      `${life.member} ended by itself with ${JSON.stringify(life.status)} at ${life.endedMs}`,
+    );
+  }
+}
--- a/src/testbed/callers.ts
+++ b/src/testbed/callers.ts
@@ -10,6 +10,8 @@
       readonly version: string;
       readonly sessionToken?: string;
       readonly sessionMoved?: string;
+      /** Revision of the entry when it answered. */
+      readonly revision: number;
       readonly text: string;
       /** False when the answer is cut, changed or of another request. */
       readonly isWhole: boolean;
@@ -35,6 +37,7 @@
   readonly session?: string;
   readonly sessionToken?: string;
   readonly deadlineMs?: number;
+  readonly signal?: AbortSignal;
 }
 
 export interface ServiceCall {
@@ -45,6 +48,7 @@
   readonly body: unknown;
   readonly idempotencyKey?: string;
   readonly deadlineMs?: number;
+  readonly signal?: AbortSignal;
 }
 
 /** Above any deadline, so that a request that gets no answer shows as lost. */
@@ -105,6 +109,7 @@
     version: getHeader(answer, "hornbeamrill-version") ?? "",
     sessionToken: getHeader(answer, "hornbeamrill-session-token"),
     sessionMoved: getHeader(answer, "hornbeamrill-session-moved"),
+    revision: Number(getHeader(answer, "hornbeamrill-revision") ?? 0),
     text,
     isWhole,
   };
@@ -145,6 +150,7 @@
       method: "POST",
       path: "/v1/chat/completions",
       timeoutMs: CALL_TIMEOUT_MS,
+      signal: call.signal,
       headers: {
         authorization: `Bearer ${call.apiKey}`,
         "hornbeamrill-class": call.requestClass,
@@ -172,6 +178,7 @@
       method: "POST",
       path: `/services/${call.service}/${call.path}`,
       timeoutMs: CALL_TIMEOUT_MS,
+      signal: call.signal,
       headers: {
         authorization: `Bearer ${call.apiKey}`,
         ...(idempotencyKey && { "idempotency-key": idempotencyKey }),
@@ -182,8 +189,11 @@
     if (answer.status >= FIRST_ERROR_STATUS) return parseProblem(answer);
     // The stand-in names the request that ran and its key.
     const body = JSON.parse(answer.text);
+    // An order's answer may be that of an earlier request with its key.
     const isWhole =
-      idempotencyKey === undefined || body.idempotencyKey === idempotencyKey;
+      idempotencyKey === undefined
+        ? body.requestId === getHeader(answer, "hornbeamrill-request")
+        : body.idempotencyKey === idempotencyKey;
     return createAnswered(answer, answer.text, isWhole);
   });
 }
--- a/src/testbed/http_calls.ts
+++ b/src/testbed/http_calls.ts
@@ -9,6 +9,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: unknown;
   readonly timeoutMs?: number;
+  /** Closes the connection, as a caller that goes away does. */
+  readonly signal?: AbortSignal;
 }
 
 export interface HttpAnswer {
@@ -38,6 +40,7 @@
         path: spec.path,
         agent: false,
         timeout: spec.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+        signal: spec.signal,
         headers: {
           "content-type": "application/json",
           "content-length": String(Buffer.byteLength(text)),
--- a/src/testbed/workloads.ts
+++ b/src/testbed/workloads.ts
@@ -107,7 +107,8 @@
   );
 }
 
-function createVersion(name: string): ModelVersion {
+/** The version as the first ticket sets it. */
+export function createVersion(name: string): ModelVersion {
   return {
     name,
     model: name.split("-")[0] ?? name,
