--- a/src/soak/members.ts
+++ b/src/soak/members.ts
@@ -13,6 +13,7 @@
   readonly #journal: Journal;
   readonly #lives = new Map<string, Life>();
   readonly #restarts = new Set<Promise<void>>();
+  readonly #starts = new Map<string, Promise<void>>();
   #isClosing = false;
 
   constructor(fleet: Fleet, journal: Journal) {
@@ -89,8 +90,15 @@
     return life?.endedMs === undefined ? life : undefined;
   }
 
+  /** Two faults that ended the process start it once. */
   async #start(member: Member): Promise<void> {
-    if (this.#isClosing) return;
+    const starting = this.#starts.get(member.name) ?? this.#startOnce(member);
+    this.#starts.set(member.name, starting);
+    await starting.finally(() => this.#starts.delete(member.name));
+  }
+
+  async #startOnce(member: Member): Promise<void> {
+    if (this.#isClosing || this.#findLife(member) !== undefined) return;
     await this.#fleet.startMember(member);
     this.#watch(member);
   }
