--- a/src/roles/config_rounds.ts
+++ b/src/roles/config_rounds.ts
@@ -35,7 +35,7 @@
 const MIN_ROUND_MS = 50;
 /** A healthy chain gives confirmations of at most 4 s, and a long poll. */
 const STALE_ANSWER_MS = 6_500;
-const CHOICE_KEPT_MS = 500;
+const CHOICE_KEPT_MS = 1_000;
 /** Between two exchanges of rating totals among watchers. */
 const EXCHANGE_PAUSE_MS = 3_000;
 
@@ -204,8 +204,11 @@
 
   async #poll(signal: AbortSignal): Promise<void> {
     const { exchange, order, getNowMs, listPeers } = this.#options;
-    const peer = order.choose(listPeers(), getNowMs());
-    if (peer === undefined) return waitFor(OUTAGE_PAUSE_MS, signal);
+    const choice = order.choose(listPeers(), getNowMs());
+    if (choice === undefined) return waitFor(OUTAGE_PAUSE_MS, signal);
+    const { peer, waitMs } = choice;
+    // The host list may name other peers in the meantime.
+    if (waitMs > 0) return waitFor(Math.min(waitMs, OUTAGE_PAUSE_MS), signal);
     const immediate = this.#isUrgent;
     const answer = await exchange.ask(peer, {
       immediate,
--- a/src/roles/dispatch.ts
+++ b/src/roles/dispatch.ts
@@ -73,8 +73,9 @@
       "abort",
       () => {
         if (this.#settled) return;
-        this.#settled = true;
         this.#client.cancel({ requestId, attempt }, () => {});
+        // The caller of the attempt must not wait for ever.
+        this.#fail("The attempt was cancelled");
       },
       { once: true },
     );
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -5,13 +5,21 @@
 import { performance } from "node:perf_hooks";
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import { type EngineReport, Gate, TICK_MS } from "../core/index.js";
-import { GateService, type Settings } from "../schema/index.js";
+import {
+  type EndpointStatus,
+  GateService,
+  type Settings,
+} from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
 import { delay } from "./delay.js";
 import type { RunBackend } from "./endpoint_backend.js";
 import { pollReports, type ReadReport } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
-import { createGateService, type ReceiptHolder } from "./endpoint_service.js";
+import {
+  type AttachCall,
+  createGateService,
+  type ReceiptHolder,
+} from "./endpoint_service.js";
 import { StatusWatchers } from "./endpoint_status.js";
 
 export interface EndpointOptions {
@@ -33,6 +41,7 @@
   readonly epoch: string;
   /** Versions that the engine's last report named; `undefined` before it. */
   listLoaded(): readonly string[] | undefined;
+  describeStatus(): EndpointStatus;
   /** Takes a load report of the engine. */
   applyReport(report: EngineReport): void;
   /** Follows the host list, which may name this host as leaving. */
@@ -124,7 +133,7 @@
   const runner = new EndpointRunner({ ...options, gate, getNowMs });
   const watchers = new StatusWatchers(() => gate.describeStatus());
   const server = new Server();
-  const addWatcher = watchers.add.bind(watchers);
+  const addWatcher = (call: AttachCall) => watchers.add(call, getNowMs());
   server.addService(
     GateService,
     createGateService({ runner, addWatcher, receipts: options.receipts, log }),
@@ -179,6 +188,7 @@
     stopped,
     isAttached: (process) => watchers.has(process),
     epoch,
+    describeStatus: () => gate.describeStatus(),
     listLoaded: () => lastReport?.versions,
     applyReport,
     setLeaving: (leaving) => {
--- a/src/roles/endpoint_receipts.ts
+++ b/src/roles/endpoint_receipts.ts
@@ -27,6 +27,12 @@
 
 const CHECK_INTERVAL_MS = 5_000;
 
+/**
+ * Time for live owners to write and release theirs before a stopping endpoint
+ * seals their pages: several page intervals.
+ */
+const OWNER_GRACE_MS = 5_000;
+
 /** Between two tries to hand over on a graceful shutdown. */
 const HAND_OVER_INTERVAL_MS = 250;
 
@@ -63,6 +69,8 @@
   /** By owner, then by request id. */
   readonly #copies = new Map<string, Map<string, HeldCopy>>();
   readonly #seenAtMs = new Map<string, number>();
+  /** Last look into a live owner's pages. */
+  readonly #checkedAtMs = new Map<string, number>();
   #count = 0;
   #bytes = 0;
   #isStopping = false;
@@ -86,7 +94,7 @@
     if (copies.has(requestId)) return true;
     if (this.#count >= (maxReceipts ?? MAX_RECEIPTS)) return false;
     if (this.#bytes + bytes > (maxBytes ?? MAX_RECEIPT_BYTES)) return false;
-    const record = parseRecord(receipt);
+    const record = parseRecord(request);
     if (record === undefined) return false;
     copies.set(requestId, { record, request, bytes, heldAtMs: clock.now() });
     this.#copies.set(owner, copies);
@@ -113,6 +121,7 @@
     if (copies.size > 0) return;
     this.#copies.delete(owner);
     this.#seenAtMs.delete(owner);
+    this.#checkedAtMs.delete(owner);
   }
 
   /** Recovers the copies of lost owners once; false when some are left. */
@@ -135,10 +144,13 @@
 
   /** Drops old copies of a live owner that its pages contain. */
   async #dropWritten(owner: string, signal: AbortSignal): Promise<void> {
-    const copies = this.#copies.get(owner)?.values().next().value;
-    if (copies === undefined) return;
-    const ageMs = this.#options.clock.now() - copies.heldAtMs;
-    if (ageMs < STALE_COPY_MS) return;
+    const [oldest] = this.#copies.get(owner)?.values() ?? [];
+    if (oldest === undefined) return;
+    const nowMs = this.#options.clock.now();
+    const sinceMs = this.#checkedAtMs.get(owner) ?? oldest.heldAtMs;
+    if (nowMs - sinceMs < STALE_COPY_MS) return;
+    // In a long outage every endpoint has old copies of every entry.
+    this.#checkedAtMs.set(owner, nowMs);
     await this.#recover(owner, { signal, seal: false });
   }
 
@@ -168,23 +180,27 @@
 
   /**
    * Graceful shutdown: gives each copy to another endpoint, or writes it.
-   * Until the signal aborts, owners can still write and release theirs.
+   * Live owners first get time to write and release theirs.
    */
   async handOver(signal: AbortSignal): Promise<void> {
+    const { clock, isProcessLive } = this.#options;
+    const isLive = (owner: string) => isProcessLive(getOwnerProcess(owner));
+    const startMs = clock.now();
     this.#isStopping = true;
     while (this.#count > 0 && !signal.aborted) {
       await this.#forwardAll(signal);
+      const isGraceOver = clock.now() - startMs >= OWNER_GRACE_MS;
       for (const owner of [...this.#copies.keys()]) {
+        if (isLive(owner) && !isGraceOver) continue;
         await this.#recover(owner, { signal, seal: true });
       }
       if (this.#count === 0) return;
-      await this.#options.clock.sleep(HAND_OVER_INTERVAL_MS, signal);
+      await clock.sleep(HAND_OVER_INTERVAL_MS, signal);
     }
-    const { isProcessLive } = this.#options;
     for (const owner of this.#copies.keys()) {
       // A live owner still has its own copy and writes it.
       assertInvariant(
-        isProcessLive(getOwnerProcess(owner)),
+        isLive(owner),
         "unbilled",
         `Receipts of lost owner "${owner}" have no holder`,
       );
@@ -205,9 +221,15 @@
   }
 }
 
-function parseRecord(text: string): HeldRecord | undefined {
+/** Reads a record; one that recovery could not use is not held. */
+function parseRecord(request: HoldReceiptRequest): HeldRecord | undefined {
   try {
-    return JSON.parse(text) as HeldRecord;
+    const record = JSON.parse(request.receipt) as Partial<HeldRecord>;
+    const isUsable =
+      record.owner === request.owner &&
+      record.receipt?.requestId === request.requestId &&
+      Number.isInteger(record.fromPage);
+    return isUsable ? (record as HeldRecord) : undefined;
   } catch {
     return undefined;
   }
--- a/src/roles/entry_billing.ts
+++ b/src/roles/entry_billing.ts
@@ -22,6 +22,8 @@
   readonly directory: EndpointDirectory;
   /** Id of this start of the process. */
   readonly incarnation: string;
+  /** Entries of the fleet, which share the store's rate. */
+  readonly countEntries: () => number;
 }
 
 export class EntryBilling {
@@ -40,6 +42,8 @@
       holders,
       entry: settings.name,
       incarnation,
+      listHolders: this.#listHolders,
+      countEntries: options.countEntries,
       maxReceipts: settings.limits?.receiptCount,
       maxBytes: settings.limits?.receiptBytes,
     });
@@ -67,7 +71,13 @@
 
   /** Writes what is open, or hands it over when the signal aborts. */
   async close(signal: AbortSignal): Promise<void> {
-    await this.ledger.close({ holders: this.#listHolders() }, signal);
-    await this.#pending.close(signal);
+    // A receipt without a holder must not keep the order results from theirs.
+    const closed = await Promise.allSettled([
+      this.ledger.close({ holders: this.#listHolders() }, signal),
+      this.#pending.close(signal),
+    ]);
+    for (const result of closed) {
+      if (result.status === "rejected") throw result.reason;
+    }
   }
 }
--- a/src/roles/entry_ledger.ts
+++ b/src/roles/entry_ledger.ts
@@ -7,18 +7,19 @@
 import type { ObjectStore } from "../adapters/index.js";
 import {
   assertInvariant,
+  computePageIntervalMs,
   createRefusal,
   getPageKey,
-  getRecoveredKey,
   MAX_RECEIPT_BYTES,
   MAX_RECEIPTS,
   PAGE_INTERVAL_MS,
   ReceiptBuffer,
   type Refusal,
 } from "../core/index.js";
-import type { LedgerPage, Receipt } from "../schema/index.js";
+import type { HeldRecord, LedgerPage, Receipt } from "../schema/index.js";
 import type { Clock } from "./clock.js";
 import type { ReceiptHolders } from "./receipt_holders.js";
+import { SealedBuffers } from "./sealed_buffers.js";
 import { writeObject } from "./store_writes.js";
 
 /** Bounds the calls that all entries together make during an outage. */
@@ -27,8 +28,17 @@
 /** Between two tries to find a second holder for a receipt. */
 const HOLD_RETRY_MS = 250;
 
-/** Writes of recovered receipts at once, well under the store's rate. */
-const RECOVERY_WRITES = 8;
+/** Copies renewed after one failed flush. */
+const MAX_RENEWALS = 500;
+
+/** Longest single try to write at the end of a graceful shutdown. */
+const LAST_TRY_MS = 2_000;
+
+/** Hand-overs that fail in a row; more would hold the shutdown up. */
+const MAX_HAND_OVER_FAILURES = 5;
+
+/** At most ten pages a second when no endpoint holds receipts. */
+const SHARED_FLUSH_MS = 100;
 
 export interface EntryLedgerOptions {
   readonly store: ObjectStore;
@@ -37,6 +47,10 @@
   /** The entry's name and the id of this start of its process. */
   readonly entry: string;
   readonly incarnation: string;
+  /** Endpoints that can keep a copy; used when a holder is lost. */
+  readonly listHolders?: () => readonly string[];
+  /** Entries that share the store's rate; one when absent. */
+  readonly countEntries?: () => number;
   readonly maxReceipts?: number;
   readonly maxBytes?: number;
 }
@@ -47,16 +61,20 @@
 export class EntryLedger {
   readonly #options: EntryLedgerOptions;
   readonly #waiters = new Map<string, () => void>();
-  /** Buffers whose pages a survivor sealed, until all is recovered. */
-  readonly #sealed = new Set<ReceiptBuffer>();
+  readonly #sealed: SealedBuffers;
   #buffer: ReceiptBuffer;
   #generation = 1;
   #running: Promise<boolean> | undefined;
   #queued: Promise<boolean> | undefined;
+  #isFlushDue = false;
 
   constructor(options: EntryLedgerOptions) {
     this.#options = options;
     this.#buffer = this.#createBuffer();
+    this.#sealed = new SealedBuffers({
+      store: options.store,
+      onWritten: (requestId) => this.#noteWritten(requestId),
+    });
   }
 
   /** The name under which pages are written; new after a seal. */
@@ -74,7 +92,7 @@
   }
 
   #listBuffers(): ReceiptBuffer[] {
-    return [...this.#sealed, this.#buffer];
+    return [...this.#sealed.list(), this.#buffer];
   }
 
   /** Refuses new work when the store has taken no receipts for long. */
@@ -117,18 +135,16 @@
         this.#waiters.delete(requestId);
         return "held";
       }
-      void this.flush(signal);
-      await Promise.race([
-        written,
-        this.#options.clock.sleep(HOLD_RETRY_MS, signal),
-      ]);
+      this.#flushSoon(signal);
+      const retry = this.#options.clock.sleep(HOLD_RETRY_MS, signal);
+      await Promise.race([written, retry]);
       if (!buffer.has(requestId)) return "written";
     }
     this.#waiters.delete(requestId);
     return buffer.has(requestId) ? "unprotected" : "written";
   }
 
-  /** Writes what waits; true when the store has every receipt. */
+  /** Writes what waits; true when the store has all that waited. */
   flush(signal: AbortSignal): Promise<boolean> {
     if (this.#running === undefined) {
       this.#running = this.#writeAll(signal).finally(() => {
@@ -144,17 +160,31 @@
     return this.#queued;
   }
 
+  /** Lets the receipts of several requests without a holder share a page. */
+  #flushSoon(signal: AbortSignal): void {
+    if (this.#isFlushDue) return;
+    this.#isFlushDue = true;
+    void this.#options.clock.sleep(SHARED_FLUSH_MS, signal).then(() => {
+      this.#isFlushDue = false;
+      return this.flush(signal);
+    });
+  }
+
   async #writeAll(signal: AbortSignal): Promise<boolean> {
-    let isWritten = await this.#recoverSealed(signal);
-    let page = this.#buffer.takePage();
-    while (page !== undefined && !signal.aborted) {
+    let isWritten = await this.#sealed.recover(signal);
+    // Receipts that arrive meanwhile wait for their own page: writing them at
+    // once would make a page of a few receipts with every store call.
+    let left = this.#buffer.count;
+    while ((left > 0 || this.#buffer.hasFullPage) && !signal.aborted) {
+      const page = this.#buffer.takePage();
+      if (page === undefined) break;
       const outcome = await this.#writePage(page, signal);
       if (outcome === "unavailable") break;
-      if (outcome === "sealed") isWritten = await this.#recoverSealed(signal);
-      page = this.#buffer.takePage();
+      if (outcome === "sealed") isWritten = await this.#sealed.recover(signal);
+      left = outcome === "sealed" ? 0 : left - page.receipts.length;
     }
     await this.#options.holders.sendReleases(signal);
-    return isWritten && page === undefined;
+    return isWritten && left <= 0;
   }
 
   async #writePage(
@@ -180,7 +210,6 @@
   }
 
   #startNextOwner(): void {
-    this.#buffer.seal();
     this.#sealed.add(this.#buffer);
     this.#generation += 1;
     this.#buffer = this.#createBuffer();
@@ -192,75 +221,70 @@
     this.#waiters.delete(requestId);
   }
 
-  async #recoverSealed(signal: AbortSignal): Promise<boolean> {
-    for (const buffer of this.#sealed) {
-      const open = buffer.listOpen();
-      for (let start = 0; start < open.length; start += RECOVERY_WRITES) {
-        const batch = open.slice(start, start + RECOVERY_WRITES);
-        const done = await Promise.all(
-          batch.map((receipt) => this.#recover(buffer, receipt, signal)),
-        );
-        if (done.includes(false)) return false;
-      }
-      this.#sealed.delete(buffer);
-    }
-    return true;
-  }
-
-  async #recover(
-    buffer: ReceiptBuffer,
-    receipt: Receipt,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const key = getRecoveredKey(receipt.requestId);
-    const value = { owner: buffer.owner, receipt };
-    // Whoever wrote the key wrote the same receipt.
-    const write = { key, value, ifVersion: 0, isOwn: () => true };
-    const outcome = await writeObject(this.#options.store, write, { signal });
-    if (outcome.kind !== "written") return false;
-    buffer.confirmRecovered(receipt.requestId);
-    this.#noteWritten(receipt.requestId);
-    return true;
-  }
-
   /** Writes a page each second until the signal aborts. */
   async start(signal: AbortSignal): Promise<void> {
+    const { countEntries = () => 1 } = this.#options;
     let intervalMs = PAGE_INTERVAL_MS;
     while (!signal.aborted) {
       await this.#options.clock.sleep(intervalMs, signal);
       if (signal.aborted) return;
       const isWritten = await this.flush(signal);
+      if (!isWritten) await this.#renewCopies(signal);
       intervalMs = isWritten
-        ? PAGE_INTERVAL_MS
+        ? computePageIntervalMs(countEntries())
         : Math.min(intervalMs * 2, MAX_RETRY_INTERVAL_MS);
     }
   }
 
-  /** Writes what is left; after the signal aborts, hands it over. */
+  /** Finds new holders during an outage, when endpoints come and go. */
+  async #renewCopies(signal: AbortSignal): Promise<void> {
+    const { holders, listHolders = () => [] } = this.#options;
+    const isLost = (id: string) => holders.hasLostCopy(id);
+    const lost = this.#listRecords((id) => isLost(id)).slice(0, MAX_RENEWALS);
+    for (const record of lost) {
+      if (!isLost(record.receipt.requestId)) continue;
+      if (!(await holders.hold(record, listHolders(), signal))) return;
+    }
+  }
+
+  #listRecords(isWanted: (requestId: string) => boolean): HeldRecord[] {
+    return this.#listBuffers().flatMap((buffer) => {
+      const { owner, nextPage: fromPage } = buffer;
+      return buffer
+        .listOpen()
+        .filter(({ requestId }) => isWanted(requestId))
+        .map((receipt) => ({ owner, fromPage, receipt }));
+    });
+  }
+
+  /**
+   * Writes what is left; after the signal aborts, hands it over. One try to
+   * write is made even after running work has used up the time.
+   */
   async close(
     options: { holders: readonly string[] },
     signal: AbortSignal,
   ): Promise<void> {
-    while (!signal.aborted && !(await this.flush(signal))) {
+    let isWritten = await this.flush(AbortSignal.timeout(LAST_TRY_MS));
+    while (!signal.aborted && !isWritten) {
       await this.#options.clock.sleep(HOLD_RETRY_MS, signal);
+      isWritten = await this.flush(signal);
     }
     const { holders } = this.#options;
+    const isHeld = (id: string) => holders.isHeld(id);
     // The time for the store is over; each hand-over has its own limit.
     const handOver = new AbortController().signal;
-    for (const buffer of this.#listBuffers()) {
-      for (const receipt of buffer.listOpen()) {
-        const { requestId } = receipt;
-        const { owner, nextPage: fromPage } = buffer;
-        const record = { owner, fromPage, receipt };
-        const isHeld =
-          holders.isHeld(requestId) ||
-          (await holders.hold(record, options.holders, handOver));
-        assertInvariant(
-          isHeld,
-          "unbilled",
-          `The receipt of request "${requestId}" has no holder`,
-        );
-      }
+    let failures = 0;
+    for (const record of this.#listRecords((id) => !isHeld(id))) {
+      if (failures >= MAX_HAND_OVER_FAILURES) break;
+      if (await holders.hold(record, options.holders, handOver)) failures = 0;
+      else failures += 1;
     }
+    const lost = this.#listRecords((id) => !isHeld(id));
+    assertInvariant(
+      lost.length === 0,
+      "unbilled",
+      `${lost.length} receipts of "${this.owner}" have no holder`,
+    );
   }
 }
--- a/src/roles/receipt_holders.ts
+++ b/src/roles/receipt_holders.ts
@@ -1,7 +1,7 @@
 /** Calls to the endpoints that keep second copies of an entry's receipts. */
 
 import type { HeldRecord } from "../schema/index.js";
-import { callWithin } from "./time_limit.js";
+import { runWithTimeout } from "./scope.js";
 
 /** Longest wait for one endpoint, so that the next can still be asked. */
 const HOLD_TIMEOUT_MS = 500;
@@ -16,6 +16,8 @@
 const RELEASE_BATCH = 1_000;
 
 export interface HolderCalls {
+  /** False when the endpoint has left or can't be reached. */
+  readonly isHolderLive?: (endpoint: string) => boolean;
   /** `HoldReceipt`; false when the endpoint refuses or does not reply. */
   readonly holdReceipt: (
     endpoint: string,
@@ -34,7 +36,8 @@
   readonly owner: string;
   /** Endpoints that may have a copy, those without a reply included. */
   readonly asked: Set<string>;
-  isHeld: boolean;
+  /** The endpoint that confirmed its copy last. */
+  heldBy: string | undefined;
   isAsking: boolean;
   isWritten: boolean;
 }
@@ -53,9 +56,21 @@
     this.#calls = calls;
   }
 
-  /** True when an endpoint has confirmed a copy. */
+  /** True when a live endpoint has confirmed a copy. */
   isHeld(requestId: string): boolean {
-    return this.#copies.get(requestId)?.isHeld ?? false;
+    const copy = this.#copies.get(requestId);
+    return copy !== undefined && this.#isHeld(copy);
+  }
+
+  /** True when the endpoint that had the only other copy is gone. */
+  hasLostCopy(requestId: string): boolean {
+    const copy = this.#copies.get(requestId);
+    return copy !== undefined && !copy.isAsking && !this.#isHeld(copy);
+  }
+
+  #isHeld({ heldBy }: Copy): boolean {
+    const { isHolderLive = () => true } = this.#calls;
+    return heldBy !== undefined && isHolderLive(heldBy);
   }
 
   /** Asks the endpoints in turn until one holds the record. */
@@ -69,15 +84,17 @@
     this.#copies.set(requestId, copy);
     copy.isAsking = true;
     for (const endpoint of endpoints.slice(0, MAX_HOLDERS_ASKED)) {
-      if (signal.aborted || copy.isWritten || copy.isHeld) break;
+      if (signal.aborted || copy.isWritten || this.#isHeld(copy)) break;
       copy.asked.add(endpoint);
-      copy.isHeld = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
-        this.#calls.holdReceipt(endpoint, record, limited),
+      const isHeld = await runWithTimeout(
+        { signal, timeoutMs: HOLD_TIMEOUT_MS },
+        (limited) => this.#calls.holdReceipt(endpoint, record, limited),
       ).catch(() => false);
+      if (isHeld) copy.heldBy = endpoint;
     }
     copy.isAsking = false;
     if (copy.isWritten) this.#queueRelease(requestId, copy);
-    return copy.isHeld;
+    return this.#isHeld(copy);
   }
 
   /** The store has the receipt, so its copies can go. */
@@ -126,8 +143,9 @@
     for (const [owner, ids] of [...releases.byOwner]) {
       const requestIds = [...ids].slice(0, RELEASE_BATCH);
       const release = { owner, requestIds };
-      const isSent = await callWithin(HOLD_TIMEOUT_MS, signal, (limited) =>
-        this.#calls.releaseReceipts(endpoint, release, limited),
+      const isSent = await runWithTimeout(
+        { signal, timeoutMs: HOLD_TIMEOUT_MS },
+        (limited) => this.#calls.releaseReceipts(endpoint, release, limited),
       ).catch(() => false);
       if (!isSent) return false;
       for (const requestId of requestIds) ids.delete(requestId);
@@ -141,7 +159,7 @@
   return {
     owner,
     asked: new Set(),
-    isHeld: false,
+    heldBy: undefined,
     isAsking: false,
     isWritten: false,
   };
--- a/src/standins/process.ts
+++ b/src/standins/process.ts
@@ -4,7 +4,7 @@
  */
 
 import { type ChildProcess, spawn } from "node:child_process";
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import { createWriteStream } from "node:fs";
 import { Socket } from "node:net";
 import { createInterface } from "node:readline";
@@ -15,6 +15,8 @@
   /** JavaScript file under `dist`. */
   readonly file: string;
   readonly args: readonly string[];
+  /** Flags of Node itself, such as those in a daemon's first line. */
+  readonly nodeFlags?: readonly string[];
   /** Ends the process, whatever it is doing. */
   readonly signal: AbortSignal;
   /** Takes the output; without it the output is dropped. */
@@ -50,11 +52,12 @@
 async function waitForStart(
   spec: ProcessSpec,
 ): Promise<Result<ManagedProcess, StartFailure>> {
-  const { file, args, signal, readyMs = DEFAULT_READY_MS } = spec;
+  const { file, args, nodeFlags = [], signal } = spec;
+  const { readyMs = DEFAULT_READY_MS } = spec;
   if (signal.aborted) {
     return err({ kind: "aborted", detail: `"${file}" was not started` });
   }
-  const child = spawn(process.execPath, [file, ...args], {
+  const child = spawn(process.execPath, [...nodeFlags, file, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
   });
   const managed = new ManagedProcess(child, signal);
@@ -120,6 +123,8 @@
     const { pid } = child;
     if (pid !== undefined) reportToGuard(`+${pid}`);
     const kill = () => this.#send("SIGKILL");
+    // Many processes share a signal; Node warns above 10 listeners.
+    setMaxListeners(0, signal);
     signal.addEventListener("abort", kill, { once: true });
     this.exited = waitForExit(child).finally(() => {
       this.#running = false;
