Add guards to switch off and ordered faults to the soak test

Four compound faults reach guards that chance rarely reaches: late dispatches, a kill behind a cut, a seal of a live owner and bursts.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -3,17 +3,10 @@
 
 import { readFileSync } from "node:fs";
 import meow from "meow";
-import {
-  createLogger,
-  formatDocumentFailure,
-  parseSettings,
-} from "../adapters/index.js";
-import { startEndpointRole, startEntryRole } from "../roles/index.js";
+import { formatDocumentFailure, parseSettings } from "../adapters/index.js";
 import type { Settings } from "../schema/index.js";
+import { runDaemon } from "./run_daemon.js";
 
-/** Exit codes of the daemon. */
-const EXIT_STOPPED = 0;
-const EXIT_FAILED = 1;
 const EXIT_SETTINGS = 2;
 
 const cli = meow(
@@ -53,35 +46,6 @@
   return undefined;
 }
 
-async function runDaemon(settings: Settings): Promise<number> {
-  const log = createLogger(settings.log, {
-    fields: {
-      role: settings.role,
-      process: settings.name,
-      dataCentre: settings.dataCentre,
-    },
-  });
-  const stop = new AbortController();
-  for (const name of ["SIGTERM", "SIGINT"] as const) {
-    process.once(name, () => {
-      log.info("stop-requested", { signal: name });
-      stop.abort();
-    });
-  }
-  const start = settings.role === "entry" ? startEntryRole : startEndpointRole;
-  try {
-    const role = await start(settings, { log, signal: stop.signal });
-    log.info("started", { pid: process.pid });
-    process.stdout.write("ready\n");
-    await role.stopped;
-    log.info("stopped");
-    return EXIT_STOPPED;
-  } catch (error) {
-    log.error("failed", { error: String(error) });
-    return EXIT_FAILED;
-  }
-}
-
 const settings = readSettings(cli.flags.settings);
 process.exit(
   settings === undefined ? EXIT_SETTINGS : await runDaemon(settings),
--- a/src/roles/endpoint_role.ts
+++ b/src/roles/endpoint_role.ts
@@ -13,19 +13,23 @@
   type EngineFailure,
   type HostEntry,
   METRICS,
+  type ObjectStore,
   type Service,
   type ServiceFailure,
 } from "../adapters/index.js";
 import type { Settings } from "../schema/index.js";
 import { createSystemClock } from "./clock.js";
 import { ConfigSync } from "./config_sync.js";
+import type { ConfigView } from "./config_view.js";
 import { type Endpoint, startEndpoint } from "./endpoint.js";
 import type { BackendFailure, RunBackend } from "./endpoint_backend.js";
 import { type LoadOrder, runEngineOrders } from "./endpoint_orders.js";
 import { HeldReceipts } from "./endpoint_receipts.js";
 import type { EndpointLog } from "./endpoint_runner.js";
+import type { ReceiptHolder } from "./endpoint_service.js";
 import type { RoleOptions, RunningRole } from "./entry.js";
 import { HostWatcher } from "./host_watcher.js";
+import { applyHook, type RoleHooks } from "./role_hooks.js";
 import { waitFor } from "./scope.js";
 
 const STORE_TIMEOUT_MS = 2_000;
@@ -108,14 +112,16 @@
   );
 }
 
-function createStore(settings: Settings) {
-  return (
-    settings.objectStore &&
-    createHttpObjectStore({
-      ...settings.objectStore,
-      timeoutMs: STORE_TIMEOUT_MS,
-    })
-  );
+function createStore(
+  settings: Settings,
+  hooks: RoleHooks,
+): ObjectStore | undefined {
+  if (settings.objectStore === undefined) return undefined;
+  const store = createHttpObjectStore({
+    ...settings.objectStore,
+    timeoutMs: STORE_TIMEOUT_MS,
+  });
+  return applyHook(hooks.wrapStore, store);
 }
 
 /** Orders a load and waits until the engine reports the version. */
@@ -147,21 +153,23 @@
     endpoint: Endpoint;
     config: ConfigSync;
     engine: Engine | undefined;
+    store: ObjectStore | undefined;
     log: EndpointLog;
     signal: AbortSignal;
+    hooks: RoleHooks;
   },
 ): void {
-  const { endpoint, config, engine, log, signal } = parts;
-  const store = createStore(settings);
+  const { endpoint, config, engine, store, log, signal, hooks } = parts;
   if (engine === undefined || store === undefined) return;
+  const orderEngine = (order: LoadOrder, scope: AbortSignal) =>
+    loadVersion(engine, order, scope);
   const orders = {
     endpoint: settings.name,
     epoch: endpoint.epoch,
     honoursFencing: settings.engine?.honoursFencing ?? false,
     config,
     store,
-    orderEngine: (order: LoadOrder, scope: AbortSignal) =>
-      loadVersion(engine, order, scope),
+    orderEngine: applyHook(hooks.wrapOrders, orderEngine),
     listLoaded: () => endpoint.listLoaded(),
     log,
     getNowMs: () => performance.now(),
@@ -194,18 +202,19 @@
   settings: Settings,
   options: RoleOptions,
 ): Promise<RunningRole> {
-  const { log, signal } = options;
+  const { log, signal, hooks = {} } = options;
   const lifetime = new AbortController();
   let endpoint: Endpoint | undefined;
   const followHosts = (hosts: readonly HostEntry[]) => {
     const own = hosts.find((host) => host.name === settings.name);
     if (own !== undefined) endpoint?.setLeaving(own.leaving);
   };
+  const hostList = createHttpHostList({
+    ...settings.hostList,
+    timeoutMs: HOST_LIST_TIMEOUT_MS,
+  });
   const hosts = new HostWatcher({
-    hostList: createHttpHostList({
-      ...settings.hostList,
-      timeoutMs: HOST_LIST_TIMEOUT_MS,
-    }),
+    hostList: applyHook(hooks.wrapHostList, hostList),
     log,
     onHosts: followHosts,
   });
@@ -216,8 +225,9 @@
     freshnessMs: settings.limits?.freshnessMs,
     log: (event, fields) => log.info(event, fields),
   });
+  const store = createStore(settings, hooks);
   const receipts = new HeldReceipts({
-    store: createStore(settings),
+    store,
     clock: createSystemClock(),
     createId: randomUUID,
     endpoint: settings.name,
@@ -233,9 +243,9 @@
   await hosts.start(lifetime.signal);
   endpoint = await startEndpoint({
     settings,
-    config,
-    backend: backend.run,
-    receipts,
+    config: applyHook<ConfigView>(hooks.wrapGateView, config),
+    backend: applyHook(hooks.wrapBackend, backend.run),
+    receipts: applyHook<ReceiptHolder>(hooks.wrapReceipts, receipts),
     log: endpointLog,
     readReport: createReportReader(backend.engine),
     signal,
@@ -253,8 +263,10 @@
     endpoint,
     config,
     engine: backend.engine,
+    store,
     log: endpointLog,
     signal: lifetime.signal,
+    hooks,
   });
   return { stopped: endpoint.stopped.finally(() => lifetime.abort()) };
 }
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -13,12 +13,15 @@
 import { createConfigSyncHandlers } from "./config_handlers.js";
 import { EntryParts, requireSetting } from "./entry_parts.js";
 import { createOperatorServer } from "./operator_server.js";
+import type { RoleHooks } from "./role_hooks.js";
 import { waitFor } from "./scope.js";
 
 export interface RoleOptions {
   readonly log: Logger;
   /** Begins the graceful shutdown. */
   readonly signal: AbortSignal;
+  /** @internal */
+  readonly hooks?: RoleHooks;
 }
 
 export interface RunningRole {
@@ -39,6 +42,7 @@
   readonly #settings: Settings;
   readonly #log: Logger;
   readonly #stopSignal: AbortSignal;
+  readonly #hooks: RoleHooks;
   /** Aborts at the end of the graceful shutdown. */
   readonly #lifetime = new AbortController();
   readonly #parts: EntryParts;
@@ -49,10 +53,12 @@
     this.#settings = settings;
     this.#log = options.log;
     this.#stopSignal = options.signal;
+    this.#hooks = options.hooks ?? {};
     this.#parts = new EntryParts({
       settings,
       log: options.log,
       signal: this.#lifetime.signal,
+      hooks: this.#hooks,
     });
   }
 
@@ -178,6 +184,8 @@
     const { session: sessionId, sessionToken: token } = work;
     const hasSession = sessionId !== undefined || token !== undefined;
     if (route.kind !== "model" || !hasSession) return {};
+    const { resolveSession } = this.#hooks;
+    if (resolveSession !== undefined) return resolveSession();
     const resolved = await this.#parts.sessions.resolve(
       {
         account: route.account,
--- a/src/roles/entry_parts.ts
+++ b/src/roles/entry_parts.ts
@@ -24,6 +24,7 @@
 import { HostWatcher } from "./host_watcher.js";
 import { RatingCollector } from "./rating_collector.js";
 import { RequestRunner } from "./request_runner.js";
+import { applyHook, type RoleHooks } from "./role_hooks.js";
 import { SessionResolver } from "./session_store.js";
 import { TicketService } from "./ticket_service.js";
 
@@ -32,6 +33,8 @@
   readonly log: Logger;
   /** Aborts at the end of the graceful shutdown. */
   readonly signal: AbortSignal;
+  /** @internal */
+  readonly hooks: RoleHooks;
 }
 
 const STORE_TIMEOUT_MS = 2_000;
@@ -56,10 +59,11 @@
   constructor(options: EntryPartsOptions) {
     this.#options = options;
     const { settings, log, signal } = options;
-    this.#store = createHttpObjectStore({
+    const store = createHttpObjectStore({
       ...requireSetting(settings.objectStore, "objectStore"),
       timeoutMs: STORE_TIMEOUT_MS,
     });
+    this.#store = applyHook(options.hooks.wrapStore, store);
     this.metrics = createMetrics(settings.metrics, settings, signal);
     this.directory = this.#createDirectory();
     this.hosts = this.#createHosts();
@@ -98,13 +102,13 @@
   }
 
   #createHosts(): HostWatcher {
-    const { settings, log } = this.#options;
+    const { settings, log, hooks } = this.#options;
     const hostList = createHttpHostList({
       ...settings.hostList,
       timeoutMs: HOST_LIST_TIMEOUT_MS,
     });
     return new HostWatcher({
-      hostList,
+      hostList: applyHook(hooks.wrapHostList, hostList),
       log,
       onHosts: (hosts) => this.directory.updateHosts(listEndpoints(hosts)),
     });
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -1,28 +1,39 @@
 /** Carries out the planned faults; each one ends its own effect. */
 
-import type { Link } from "../standins/link.js";
 import { delay } from "../testbed/delay.js";
 import type { Fleet } from "../testbed/fleet.js";
+import {
+  type CompoundParts,
+  dispatchLate,
+  killBehindCut,
+  sealLiveOwner,
+} from "./compound_faults.js";
+import { Cuts } from "./cuts.js";
 import type { Journal } from "./journal.js";
+import type { Load } from "./load.js";
 import type { Members } from "./members.js";
+import type { Operators } from "./operators.js";
 import type { FaultAction, PlannedFault } from "./plan.js";
 
-interface FaultsOptions {
+export interface FaultsOptions {
   readonly fleet: Fleet;
   readonly journal: Journal;
   readonly members: Members;
+  readonly load: Load;
+  readonly operators: Operators;
 }
 
 type ActionOf<K extends FaultAction["kind"]> = FaultAction & { kind: K };
 
 export class Faults {
   readonly #options: FaultsOptions;
-  /** Faults that hold each link now; it heals with the last one. */
-  readonly #cuts = new Map<Link, number>();
+  readonly #cuts = new Cuts();
+  readonly #compound: CompoundParts;
   #tail: Promise<void> = Promise.resolve();
 
   constructor(options: FaultsOptions) {
     this.#options = options;
+    this.#compound = { ...options, cuts: this.#cuts };
   }
 
   /** Runs the whole plan; settles when the last effect is over. */
@@ -59,7 +70,7 @@
         return this.#slowLink(action, forMs);
       case "cut-data-centre": {
         const links = fleet.listLinksOf(action.dataCentre);
-        return this.#cut(links, { mode: action.mode }, forMs);
+        return this.#cuts.cut(links, { mode: action.mode }, forMs);
       }
       case "store-down":
         return this.#control("store", { outage: action.outage }, forMs, {
@@ -102,6 +113,14 @@
         return this.#control("ratings", { outage: true }, forMs, {
           outage: false,
         });
+      case "burst":
+        return this.#burst(action.factor, forMs);
+      case "late-dispatch":
+        return dispatchLate(action, this.#compound, forMs);
+      case "kill-behind-cut":
+        return killBehindCut(action, this.#compound, forMs);
+      case "seal-live-owner":
+        return sealLiveOwner(action, this.#compound, forMs);
     }
   }
 
@@ -160,27 +179,14 @@
   ): Promise<boolean> {
     const link = this.#options.fleet.getLink(action.viewer, action.target);
     const { mode, direction } = action;
-    return this.#cut([link], { mode, direction }, forMs);
+    return this.#cuts.cut([link], { mode, direction }, forMs);
   }
 
-  async #cut(
-    links: readonly Link[],
-    options: {
-      mode: "hold" | "reset";
-      direction?: "both" | "requests" | "replies";
-    },
-    forMs: number,
-  ): Promise<boolean> {
-    for (const link of links) {
-      this.#cuts.set(link, (this.#cuts.get(link) ?? 0) + 1);
-      link.cut(options);
-    }
+  async #burst(factor: number, forMs: number): Promise<boolean> {
+    const { load } = this.#options;
+    load.scale(factor);
     await delay(forMs);
-    for (const link of links) {
-      const left = (this.#cuts.get(link) ?? 1) - 1;
-      this.#cuts.set(link, left);
-      if (left === 0) link.heal();
-    }
+    load.scale(1 / factor);
     return true;
   }
 
--- a/src/soak/layout.ts
+++ b/src/soak/layout.ts
@@ -16,9 +16,10 @@
 }
 
 export const WORKLOADS: readonly Workload[] = [YUSHAN, IKENNA];
-/** Loaded by every engine from the start; `small-2` comes by roll-outs. */
+/** Loaded by every engine from the start. */
 export const FIRST_VERSIONS = ["small-1", "medium-1", "large-1"] as const;
-export const ROLLOUT_VERSION = "small-2";
+/** Come by roll-outs, each of which needs load orders. */
+export const ROLLOUT_VERSIONS = ["small-2", "medium-2", "large-2"] as const;
 /** Age of the engines' load reports. */
 export const LOAD_LAG_MS = 300;
 export const HOST_LIST_LAG_MS = 500;
@@ -62,7 +63,12 @@
     dataCentres,
     entries,
     endpoints: [
-      ...engines.map((engine) => ({ ...ENGINE, ...engine })),
+      ...engines.map((engine, index) => ({
+        ...ENGINE,
+        ...engine,
+        // Some engines take an order with an old fencing number.
+        options: { ...ENGINE.options, honoursFencing: index % 2 === 0 },
+      })),
       ...services.map((service) => ({ ...SERVICE, ...service })),
     ],
   };
--- a/src/soak/load.ts
+++ b/src/soak/load.ts
@@ -58,18 +58,24 @@
   readonly #sessions = new Map<string, CallerSession[]>();
   readonly #open = new Set<Promise<void>>();
   #orders = 0;
+  #factor = 1;
 
   constructor(options: LoadOptions) {
     this.#options = options;
     this.#random = new Random(options.seed + LOAD_STREAM);
   }
 
+  /** Multiplies the rate from now on. */
+  scale(factor: number): void {
+    this.#factor *= factor;
+  }
+
   /** Sends calls until the signal aborts; settles when all are answered. */
   async run(signal: AbortSignal): Promise<void> {
     const gapMs = 1_000 / this.#options.perSecond;
     let atMs = performance.now();
     while (!signal.aborted) {
-      atMs += -Math.log(1 - this.#random.next()) * gapMs;
+      atMs += (-Math.log(1 - this.#random.next()) * gapMs) / this.#factor;
       await delay(Math.max(0, atMs - performance.now()));
       const call = this.#sendNext();
       this.#open.add(call);
--- a/src/soak/operators.ts
+++ b/src/soak/operators.ts
@@ -60,6 +60,11 @@
     });
   }
 
+  /** Applies one change without a race. */
+  async apply(create: (number: number) => Ticket): Promise<void> {
+    await this.#submit(create(this.#takeNumber()));
+  }
+
   /** Sends tickets until the signal aborts; settles when all are answered. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -6,6 +6,9 @@
 
 type CutMode = "hold" | "reset";
 
+/** What operators forbid while dispatches are on their way. */
+export type LateChange = "drain" | "endpoint-out" | "withdrawal" | "permission";
+
 export type FaultAction =
   | { readonly kind: "kill" | "stop"; readonly member: string }
   | { readonly kind: "freeze"; readonly member: string }
@@ -35,7 +38,19 @@
   | { readonly kind: "service-loses-replies"; readonly endpoint: string }
   | { readonly kind: "version-bad"; readonly version: string }
   | { readonly kind: "ratings-down" }
-  | { readonly kind: "leaving"; readonly member: string };
+  | { readonly kind: "leaving"; readonly member: string }
+  | { readonly kind: "burst"; readonly factor: number }
+  | {
+      readonly kind: "late-dispatch";
+      readonly endpoint: string;
+      readonly change: LateChange;
+    }
+  | { readonly kind: "kill-behind-cut"; readonly member: string }
+  | {
+      readonly kind: "seal-live-owner";
+      readonly member: string;
+      readonly endpoint: string;
+    };
 
 export type FaultKind = FaultAction["kind"];
 
@@ -73,6 +88,10 @@
   { kind: "version-bad", weight: 2, minMs: 4_000, maxMs: 10_000 },
   { kind: "ratings-down", weight: 1, minMs: 2_000, maxMs: 8_000 },
   { kind: "leaving", weight: 2, minMs: 13_000, maxMs: 18_000 },
+  { kind: "burst", weight: 2, minMs: 1_000, maxMs: 4_000 },
+  { kind: "late-dispatch", weight: 2, minMs: 15_000, maxMs: 18_000 },
+  { kind: "kill-behind-cut", weight: 2, minMs: 500, maxMs: 4_000 },
+  { kind: "seal-live-owner", weight: 1, minMs: 38_000, maxMs: 44_000 },
 ];
 
 export interface PlanOptions {
@@ -82,6 +101,15 @@
   readonly meanGapMs: number;
 }
 
+const LATE_CHANGES = [
+  "drain",
+  "endpoint-out",
+  "withdrawal",
+  "permission",
+] as const;
+/** A kind this long fits only at the start of a run. */
+const LONG_MS = 30_000;
+
 /** A stream of its own, so that the layout's draws don't shift the plan. */
 const PLAN_STREAM = 1_000_003;
 
@@ -140,6 +168,19 @@
         return { kind, version: random.pick(FIRST_VERSIONS) };
       case "ratings-down":
         return { kind };
+      case "burst":
+        return { kind, factor: random.pickInteger(2, 5) };
+      case "late-dispatch": {
+        const engines = endpoints.filter((item) => item.kind === "engine");
+        const change = random.pick(LATE_CHANGES);
+        return { kind, endpoint: random.pick(engines).name, change };
+      }
+      case "kill-behind-cut":
+        return { kind, member: random.pick(this.#layout.entries).name };
+      case "seal-live-owner": {
+        const member = random.pick(this.#layout.entries).name;
+        return { kind, member, endpoint: random.pick(endpoints).name };
+      }
     }
   }
 
@@ -162,7 +203,8 @@
   const { seed, lengthMs, meanGapMs } = options;
   const random = new Random(seed + PLAN_STREAM);
   const planner = new Planner(layout, random);
-  const first = random.shuffle(KINDS);
+  const isLong = (spec: KindSpec) => Number(spec.minMs >= LONG_MS);
+  const first = random.shuffle(KINDS).sort((a, b) => isLong(b) - isLong(a));
   const faults: PlannedFault[] = [];
   let atMs = meanGapMs;
   while (atMs < lengthMs) {
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -118,7 +118,7 @@
     setTimeout(() => ending.abort(), lengthMs);
     const calls = load.run(healed.signal);
     await Promise.all([
-      new Faults(parts).run(plan),
+      new Faults({ ...parts, load, operators: this.#operators }).run(plan),
       this.#operators.run(ending.signal),
     ]);
     await this.#members.settle();
--- a/src/soak/ticket_changes.ts
+++ b/src/soak/ticket_changes.ts
@@ -5,11 +5,12 @@
   createAccount,
   createVersion,
   VERSIONS,
+  type Workload,
 } from "../testbed/workloads.js";
 import {
   FIRST_VERSIONS,
   type Layout,
-  ROLLOUT_VERSION,
+  ROLLOUT_VERSIONS,
   WORKLOADS,
 } from "./layout.js";
 import type { Random } from "./random.js";
@@ -20,8 +21,8 @@
   readonly undo: (number: number) => Ticket;
 }
 
-function createWithdrawal(random: Random): Change {
-  const version = createVersion(random.pick(VERSIONS));
+export function createWithdrawalOf(name: string): Change {
+  const version = createVersion(name);
   const create = (state: "active" | "withdrawn") => (number: number) => ({
     number,
     versions: [{ ...version, state }],
@@ -33,6 +34,21 @@
   };
 }
 
+/** Takes one version from all accounts. */
+export function createAllPermissions(
+  workloads: readonly Workload[],
+  version: string,
+): Change {
+  const left = VERSIONS.filter((name) => name !== version);
+  const create = (versions: readonly string[]) => (number: number) => ({
+    number,
+    accounts: workloads.flatMap((workload) =>
+      workload.accounts.map((name) => createAccount(workload, name, versions)),
+    ),
+  });
+  return { kind: "permission", make: create(left), undo: create(VERSIONS) };
+}
+
 function createPermission(random: Random): Change {
   const workload = random.pick(WORKLOADS);
   const account = createAccount(workload, random.pick(workload.accounts));
@@ -49,8 +65,7 @@
   };
 }
 
-function createDrain(layout: Layout, random: Random): Change {
-  const name = random.pick(layout.dataCentres);
+export function createDrainOf(name: string): Change {
   const create = (state: "in" | "out") => (number: number) => ({
     number,
     dataCentres: [{ name, state }],
@@ -58,9 +73,13 @@
   return { kind: "drain", make: create("out"), undo: create("in") };
 }
 
+function listEngines(layout: Layout) {
+  return layout.endpoints.filter((item) => item.kind === "engine");
+}
+
 /** Assigns the new version to some engines and stops half way. */
 function createRollout(layout: Layout, random: Random): Change {
-  const engines = layout.endpoints.filter((item) => item.kind === "engine");
+  const engines = listEngines(layout);
   const half = random.shuffle(engines).slice(0, Math.ceil(engines.length / 2));
   const assign = (versions: readonly string[]) =>
     half.map(({ name }) => ({
@@ -68,7 +87,7 @@
       state: "in" as const,
       versions: [...versions],
     }));
-  const version = ROLLOUT_VERSION;
+  const version = random.pick(ROLLOUT_VERSIONS);
   const share = random.pick([0.1, 0.5, 1]);
   return {
     kind: "rollout",
@@ -85,9 +104,7 @@
   };
 }
 
-function createEndpointOut(layout: Layout, random: Random): Change {
-  const engines = layout.endpoints.filter((item) => item.kind === "engine");
-  const { name } = random.pick(engines);
+export function createEndpointOutOf(name: string): Change {
   const create = (state: "in" | "out") => (number: number) => ({
     number,
     endpoints: [{ name, state, versions: [...FIRST_VERSIONS] }],
@@ -107,14 +124,14 @@
   const { kind } = random.pickWeighted(WEIGHTS);
   switch (kind) {
     case "withdrawal":
-      return createWithdrawal(random);
+      return createWithdrawalOf(random.pick(VERSIONS));
     case "permission":
       return createPermission(random);
     case "drain":
-      return createDrain(layout, random);
+      return createDrainOf(random.pick(layout.dataCentres));
     case "rollout":
       return createRollout(layout, random);
     case "endpoint-out":
-      return createEndpointOut(layout, random);
+      return createEndpointOutOf(random.pick(listEngines(layout)).name);
   }
 }
--- a/src/testbed/workloads.ts
+++ b/src/testbed/workloads.ts
@@ -28,13 +28,22 @@
   readonly accounts: readonly string[];
 }
 
-export const VERSIONS = ["small-1", "small-2", "medium-1", "large-1"] as const;
+export const VERSIONS = [
+  "small-1",
+  "small-2",
+  "medium-1",
+  "medium-2",
+  "large-1",
+  "large-2",
+] as const;
 
 const PRICES: Readonly<Record<string, number>> = {
   "small-1": 0.1,
   "small-2": 0.1,
   "medium-1": 0.4,
+  "medium-2": 0.4,
   "large-1": 1,
+  "large-2": 1,
 };
 
 /** Yushan's classes: reports, chat, part matches, orders and stock checks. */
