--- a/src/soak/check_tickets.ts
+++ b/src/soak/check_tickets.ts
@@ -1,5 +1,6 @@
 /** Judges change tickets: accepted ones stay, and are in force in time. */
 
+import { hashDocument } from "../core/index.js";
 import type { FleetState } from "../schema/index.js";
 import type { Findings } from "./findings.js";
 import type { Commit, History } from "./history.js";
@@ -33,7 +34,7 @@
       "ticketReverted",
       revision === (before?.revision ?? 0) + 1 && lowered === undefined,
       () =>
-        `revision ${revision} of ticket ${ticket} follows ${before?.revision}, lowers ${lowered}`,
+        `revision ${revision} of ticket ${ticket?.number} follows ${before?.revision}, lowers ${lowered}`,
     );
     before = commit;
   }
@@ -46,7 +47,7 @@
   findings: Findings,
 ): void {
   const { number } = record.ticket;
-  const commit = history.commits.find((item) => item.ticket === number);
+  const commit = history.commits.find((item) => item.ticket?.number === number);
   findings.check(
     "ticketReverted",
     commit !== undefined && commit.revision === record.revision,
@@ -62,15 +63,17 @@
   findings: Findings,
 ): void {
   const { number } = record.ticket;
-  const content = JSON.stringify(record.ticket);
+  const content = hashDocument(record.ticket);
   // Another call with this number and content may have committed it.
   const isAlone = records.every(
     (other) =>
       other === record ||
-      JSON.stringify(other.ticket) !== content ||
+      hashDocument(other.ticket) !== content ||
       (REFUSED.has(other.result) && other.doneMs <= record.doneMs),
   );
-  const commit = history.commits.find((item) => item.ticket === number);
+  const commit = history.commits.find(
+    ({ ticket }) => ticket !== undefined && hashDocument(ticket) === content,
+  );
   if (!isAlone || record.result === "number-taken") return;
   findings.check(
     "ticketReverted",
--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -1,6 +1,6 @@
 /** The committed fleet states, and which of them may be in force when. */
 
-import type { FleetState } from "../schema/index.js";
+import type { FleetState, Ticket } from "../schema/index.js";
 import type { TicketRecord } from "./journal.js";
 import type { StoreWrite } from "./records.js";
 
@@ -13,7 +13,7 @@
   readonly revision: number;
   readonly state: FleetState;
   /** Ticket that made the revision; absent for a hold of the guard. */
-  readonly ticket: number | undefined;
+  readonly ticket: Ticket | undefined;
   readonly committedMs: number;
   /** First answer that called it accepted. */
   readonly acceptedMs: number;
@@ -21,7 +21,7 @@
 
 interface RevisionValue {
   readonly state: FleetState;
-  readonly cause: { readonly ticket?: { readonly number: number } };
+  readonly cause: { readonly ticket?: Ticket };
 }
 
 export class History {
@@ -45,7 +45,7 @@
       commits.push({
         revision: state.revision,
         state,
-        ticket: cause.ticket?.number,
+        ticket: cause.ticket,
         committedMs: atMs,
         acceptedMs: accepted.get(state.revision) ?? Number.POSITIVE_INFINITY,
       });
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -1,7 +1,7 @@
 /** The soak test's command line; see docs/proof.md. */
 
 import { setMaxListeners } from "node:events";
-import { mkdtempSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import meow from "meow";
@@ -72,7 +72,11 @@
   printFindings(result.findings);
   const report = createReport({ seed, seconds, guard, ...result });
   if (!keep) rmSync(folder, { recursive: true });
-  else process.stdout.write(`logs are in ${folder}\n`);
+  else {
+    const text = JSON.stringify(result.journal, null, 1);
+    writeFileSync(join(folder, "journal.json"), text);
+    process.stdout.write(`logs and the journal are in ${folder}\n`);
+  }
   if (json) process.stdout.write(`${JSON.stringify(report)}\n`);
   return result.findings.total === 0 ? EXIT_GOOD : EXIT_VIOLATION;
 }
