Bound a caller's wait for a fetch that another caller began

Cause: a dispatch with a short deadline waited for up to two fetches of 1.5 s. Change: the wait ends with the caller's signal; a broken invariant in a shared fetch ends the process.

--- a/src/roles/revision_fetch.ts
+++ b/src/roles/revision_fetch.ts
@@ -15,6 +15,13 @@
   readonly signal: AbortSignal;
 }
 
+/** A broken invariant ends the process, also when no caller waits any more. */
+function throwOutside(error: unknown): void {
+  setImmediate(() => {
+    throw error;
+  });
+}
+
 export interface RevisionFetcherOptions {
   readonly holder: ConfigHolder;
   readonly exchange: ConfigExchange;
@@ -49,10 +56,16 @@
     for (let attempt = 0; attempt < MAX_FETCHES; attempt++) {
       if (hint.revision <= this.#options.holder.revision) return;
       if (hint.signal.aborted) return;
-      this.#fetching ??= this.#fetchNow(hint).finally(() => {
-        this.#fetching = undefined;
-      });
-      await this.#fetching;
+      this.#fetching ??= this.#fetchNow(hint)
+        .catch(throwOutside)
+        .finally(() => {
+          this.#fetching = undefined;
+        });
+      // Another caller's fetch must not hold this one up.
+      await Promise.race([
+        this.#fetching,
+        waitFor(FETCH_TIMEOUT_MS, hint.signal),
+      ]);
     }
   }
 
