--- a/src/core/gate.ts
+++ b/src/core/gate.ts
@@ -93,7 +93,10 @@
       })
       .with({ type: "tick" }, () => this.#tick(nowMs))
       .exhaustive();
-    for (const { attempt, refusal } of this.#waiting.findRefused(nowMs)) {
+    // The next tick refuses what a finished call has made too late.
+    const isSwept = event.type !== "finished";
+    const refused = isSwept ? this.#waiting.findRefused(nowMs) : [];
+    for (const { attempt, refusal } of refused) {
       this.#refuse(attempt, refusal, nowMs);
     }
     this.#startQueued(nowMs);
@@ -115,8 +118,7 @@
     const key = createAttemptKey(request.requestId, request.attempt);
     const attempt = this.#memory.find(key);
     if (attempt !== undefined && attempt.startedAtMs === undefined) {
-      const detail = `Attempt "${key}" was revoked before it started`;
-      this.#refuse(attempt, createRefusal("attempt-revoked", detail), nowMs);
+      this.#revoke(attempt, nowMs);
     }
     if (this.#memory.isSpentFull) this.#renewEpoch();
     const state = this.#memory.lookUp(key, request.epoch === this.#place.epoch);
@@ -192,11 +194,10 @@
   /** Every admitted attempt goes through the queue, which may be empty. */
   #admit(attempt: Attempt, nowMs: number): void {
     const refusal = this.#waiting.check(attempt, nowMs);
-    if (refusal !== undefined) {
-      this.#refuse(attempt, refusal, nowMs);
-      return;
-    }
-    const loser = this.#waiting.push(attempt, nowMs);
+    const loser =
+      refusal === undefined
+        ? this.#waiting.push(attempt, nowMs)
+        : { attempt, refusal };
     if (loser !== undefined) this.#refuse(loser.attempt, loser.refusal, nowMs);
   }
 
@@ -245,8 +246,7 @@
     const attempt = this.#memory.find(key);
     if (attempt === undefined) return;
     if (attempt.startedAtMs === undefined) {
-      const detail = `Attempt "${key}" was cancelled before it started`;
-      this.#refuse(attempt, createRefusal("attempt-revoked", detail), nowMs);
+      this.#revoke(attempt, nowMs);
       return;
     }
     // A non-idempotent call that has started goes on, so its outcome is known.
@@ -264,17 +264,18 @@
 
   #tick(nowMs: number): void {
     this.#memory.prune(nowMs);
-    for (const {
-      key,
-      idempotent,
-      deadlineAtMs,
-    } of this.#capacity.listRunning()) {
-      if (idempotent && nowMs > deadlineAtMs + OVERRUN_MS) {
-        this.#decisions.push({ type: "abort", key });
-      }
+    const oldestMs = nowMs - OVERRUN_MS;
+    for (const attempt of this.#capacity.listRunning()) {
+      if (!attempt.idempotent || attempt.deadlineAtMs >= oldestMs) continue;
+      this.#decisions.push({ type: "abort", key: attempt.key });
     }
   }
 
+  #revoke(attempt: Attempt, nowMs: number): void {
+    const detail = `Attempt "${attempt.key}" was revoked before it started`;
+    this.#refuse(attempt, createRefusal("attempt-revoked", detail), nowMs);
+  }
+
   /** Refuses an attempt that has not started; it never will. */
   #refuse(attempt: Attempt, refusal: Refusal, nowMs: number): void {
     if (attempt.state === "ended") return;
--- a/src/core/gate_queue.ts
+++ b/src/core/gate_queue.ts
@@ -18,24 +18,6 @@
   return Math.max(0.001, state.accounts[account]?.weight ?? 1);
 }
 
-/** Picks the account whose turn it is; the oldest attempt breaks a tie. */
-function pickNext(
-  waiting: readonly Attempt[],
-  getTag: (account: string) => number,
-): Attempt | undefined {
-  let best: Attempt | undefined;
-  for (const attempt of waiting) {
-    if (best === undefined) {
-      best = attempt;
-      continue;
-    }
-    const rank = getRank(attempt) - getRank(best);
-    const tag = getTag(attempt.request.account) - getTag(best.request.account);
-    if (rank < 0 || (rank === 0 && tag < 0)) best = attempt;
-  }
-  return best;
-}
-
 export class GateQueue {
   readonly #maxLength: number;
   readonly #finishTags = new Map<string, number>();
@@ -50,10 +32,6 @@
     return this.#waiting.length;
   }
 
-  has(attempt: Attempt): boolean {
-    return this.#waiting.includes(attempt);
-  }
-
   /** Adds an attempt; gives the one that has no place, if the queue is full. */
   push(attempt: Attempt, state: FleetState): Attempt | undefined {
     this.#waiting.push(attempt);
@@ -67,27 +45,23 @@
     this.#waiting = this.#waiting.filter((other) => other !== attempt);
   }
 
-  /** The attempt whose turn it is. */
-  peek(): Attempt | undefined {
-    return pickNext(this.#waiting, (account) => this.#getStartTag(account));
-  }
-
   /** All attempts in the order in which they would start. */
   listInOrder(state: FleetState): Attempt[] {
+    const places = this.#waiting.map((attempt) => ({
+      attempt,
+      rank: getRank(attempt),
+      tag: 0,
+    }));
+    // Sorting is stable, so equal places stay in the order of arrival.
+    places.sort((a, b) => a.rank - b.rank);
     const tags = new Map<string, number>();
-    const getTag = (account: string) =>
-      tags.get(account) ?? this.#getStartTag(account);
-    const left = [...this.#waiting];
-    const order: Attempt[] = [];
-    while (left.length > 0) {
-      const next = pickNext(left, getTag);
-      if (next === undefined) break;
-      left.splice(left.indexOf(next), 1);
-      order.push(next);
-      const { account } = next.request;
-      tags.set(account, getTag(account) + 1 / getWeight(state, account));
+    for (const place of places) {
+      const { account } = place.attempt.request;
+      place.tag = tags.get(account) ?? this.#getStartTag(account);
+      tags.set(account, place.tag + 1 / getWeight(state, account));
     }
-    return order;
+    places.sort((a, b) => a.rank - b.rank || a.tag - b.tag);
+    return places.map(({ attempt }) => attempt);
   }
 
   /** Charges a start, from the queue or past it, to the account. */
--- a/src/core/gate_waiting.ts
+++ b/src/core/gate_waiting.ts
@@ -75,7 +75,7 @@
 
   /** Takes the attempt whose turn it is. */
   takeNext(): Attempt | undefined {
-    const attempt = this.#queue.peek();
+    const [attempt] = this.#queue.listInOrder(this.#options.view.state);
     if (attempt !== undefined) this.#queue.remove(attempt);
     return attempt;
   }
