--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -64,7 +64,7 @@
   #previousSpent = new Map<string, SpentState>();
   #endedBytes = 0;
 
-  constructor(limits: MemoryLimits) {
+  constructor(limits: MemoryLimits = DEFAULT_MEMORY_LIMITS) {
     this.#limits = limits;
   }
 
--- a/src/core/gate.ts
+++ b/src/core/gate.ts
@@ -11,12 +11,7 @@
   LookUpAttemptReply,
   LookUpAttemptRequest,
 } from "../schema/index.js";
-import {
-  type Attempt,
-  AttemptMemory,
-  createAttemptKey,
-  DEFAULT_MEMORY_LIMITS,
-} from "./attempts.js";
+import { type Attempt, AttemptMemory, createAttemptKey } from "./attempts.js";
 import { assertInvariant, createRefusal, type Refusal } from "./errors.js";
 import { createRefusalBody, type FrameBody } from "./frames.js";
 import { GateCapacity } from "./gate_capacity.js";
@@ -49,9 +44,7 @@
 
   constructor(options: GateOptions) {
     this.#options = options;
-    this.#memory = new AttemptMemory(
-      options.memoryLimits ?? DEFAULT_MEMORY_LIMITS,
-    );
+    this.#memory = new AttemptMemory(options.memoryLimits);
     this.#capacity = new GateCapacity(options);
     this.#waiting = new WaitingRoom({
       slots: options.slots,
--- a/src/core/gate_fixtures_test.ts
+++ b/src/core/gate_fixtures_test.ts
@@ -23,7 +23,7 @@
     name,
     apiKeySha256: ["0".repeat(64)],
     versions,
-    services: ["orders"],
+    services: ["orders", "stock"],
     classes: [],
     weight,
   };
@@ -49,6 +49,12 @@
         priority: "urgent",
         deadlineMs: 5_000,
       },
+      stock: {
+        name: "stock",
+        idempotent: true,
+        priority: "urgent",
+        deadlineMs: 5_000,
+      },
     },
   };
 }
--- a/src/core/gate_test.ts
+++ b/src/core/gate_test.ts
@@ -18,7 +18,7 @@
       [{ account: "nobody" }, "not-allowed"],
       [{ account: "__proto__" }, "not-allowed"],
       [{ account: "constructor" }, "not-allowed"],
-      [{ ...ORDER, requestId: "r1", service: "stock" }, "not-allowed"],
+      [{ ...ORDER, requestId: "r1", service: "mail" }, "not-allowed"],
       [{ version: "small-2" }, "version-withdrawn"],
     ];
     view.state.versions["small-2"] = createVersion("small-2", "withdrawn");
--- a/src/roles/endpoint_fixtures_test.ts
+++ b/src/roles/endpoint_fixtures_test.ts
@@ -15,6 +15,8 @@
 import { type Endpoint, startEndpoint } from "./endpoint.js";
 import type { BackendAnswer, RunBackend } from "./endpoint_backend.js";
 
+export const STOP_MS = 2_000;
+
 const SILENT_LOG = { info() {}, warn() {}, error() {} };
 
 export const ANSWER: BackendAnswer = {
@@ -37,10 +39,10 @@
     dataCentre: "dc1",
     listen: { address: "127.0.0.1", controlPort: 0 },
     hostList: { address: "127.0.0.1", port: 1 },
-    limits: { stopMs: 2_000 },
+    limits: { stopMs: STOP_MS },
     ...(kind === "model"
       ? { engine: place }
-      : { service: { ...place, names: ["orders"] } }),
+      : { service: { ...place, names: ["orders", "stock"] } }),
   };
 }
 
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { performance } from "node:perf_hooks";
 import { describe, it } from "node:test";
-import { errAsync, okAsync } from "neverthrow";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { createDispatch, ORDER } from "../core/gate_fixtures_test.js";
 import type {
   EndpointStatus,
@@ -8,11 +10,13 @@
   LookUpAttemptReply,
   LookUpAttemptRequest,
 } from "../schema/index.js";
+import { delay } from "./delay.js";
 import {
   ANSWER,
   createSlowBackend,
   readEpoch,
   readFrames,
+  STOP_MS,
   startRig,
 } from "./endpoint_fixtures_test.js";
 
@@ -124,4 +128,58 @@
     assert.equal(frames.at(-1)?.end?.status, 200);
     await endpoint.stopped;
   });
+
+  it("ends within the stop time although a call never ends", async () => {
+    const { client, stop, endpoint } = await startRig(createSlowBackend().run);
+    const dispatch = (requestId: string) =>
+      readFrames(client.dispatch(createDispatch({ requestId })));
+    const running = [dispatch("r1"), dispatch("r2")].map((frames) =>
+      frames.catch(() => []),
+    );
+    const queued = dispatch("r3");
+    await delay(100);
+    const startedMs = performance.now();
+    stop.abort();
+    const [refused] = await queued;
+    assert.equal(refused?.refusal?.code, "stopping");
+    assert.equal(refused?.refusal?.ran, "no");
+    await endpoint.stopped;
+    assert.ok(performance.now() - startedMs < STOP_MS + 300);
+    // The cut calls may have run, so none is answered as "not run".
+    for (const frames of await Promise.all(running)) {
+      assert.notEqual(frames.at(-1)?.refusal?.ran, "no");
+    }
+  });
+
+  it("aborts cancelled idempotent work but lets an order go on", async () => {
+    let aborts = 0;
+    const { client } = await startRig(({ requestId }, _onChunk, signal) => {
+      const aborted = once(signal, "abort").then(() => {
+        aborts += 1;
+        return ANSWER;
+      });
+      const ended = delay(200).then(() => ANSWER);
+      const isOrder = requestId === "o1";
+      return ResultAsync.fromSafePromise(
+        isOrder ? Promise.race([ended, aborted]) : aborted,
+      );
+    }, "service");
+    const stock = { ...ORDER, service: "stock", idempotent: true };
+    const running = [
+      readFrames(
+        client.dispatch(createDispatch({ ...stock, requestId: "s1" })),
+      ),
+      readFrames(
+        client.dispatch(
+          createDispatch({ ...ORDER, epoch: await readEpoch(client) }),
+        ),
+      ),
+    ];
+    await delay(50);
+    for (const requestId of ["s1", "o1"]) {
+      client.cancel({ requestId, attempt: 1 }, () => undefined);
+    }
+    await Promise.all(running);
+    assert.equal(aborts, 1);
+  });
 });
