Say isolated, not unauthorized, while an entry has no confirmed state

Cause: the caller's key was looked up before the freshness check, so an entry that had just started without a state answered 401 to valid accounts, which tells a caller not to come back. The test fails before the change.

--- a/src/roles/caller_fixtures_test.ts
+++ b/src/roles/caller_fixtures_test.ts
@@ -50,18 +50,22 @@
 export interface TestServerOptions {
   readonly run?: Run;
   readonly refusal?: Refusal;
+  /** Refusal of a process whose configuration is not confirmed. */
+  readonly stale?: Refusal;
+  readonly state?: FleetState;
 }
 
 export async function startCallerServer(
   t: TestContext,
-  { run = answerAll, refusal }: TestServerOptions = {},
+  options: TestServerOptions = {},
 ) {
+  const { run = answerAll, refusal, stale } = options;
   const logged: string[] = [];
   const write = (event: string) => void logged.push(event);
   const server = createCallerServer({
     config: {
-      state: createTestState(),
-      checkFreshness: () => undefined,
+      state: options.state ?? createTestState(),
+      checkFreshness: () => stale,
       fetchRevision: async () => {},
       addListener: () => {},
     },
--- a/src/roles/caller_server.ts
+++ b/src/roles/caller_server.ts
@@ -94,7 +94,10 @@
     }
     const account = authenticate(request, this.#options.config.state);
     if (account.isErr()) {
-      this.#refuse(response, account.error);
+      // Without a state, as after a start, no account is known; an old state
+      // may lack one.
+      const stale = this.#options.config.checkFreshness();
+      this.#refuse(response, stale ?? account.error);
       return;
     }
     if (pathname === "/v1/models" && request.method === "GET") {
--- a/src/roles/caller_server_test.ts
+++ b/src/roles/caller_server_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { createRefusal, isRefusalCode } from "../core/index.js";
+import {
+  createEmptyState,
+  createRefusal,
+  isRefusalCode,
+} from "../core/index.js";
 import {
   BODY_BYTES,
   CHAT,
@@ -28,6 +32,14 @@
 }
 
 describe("callers' HTTP", { timeout: 60_000 }, () => {
+  // A 401 would tell the caller of a valid account not to come back.
+  it("says isolated, not unauthorized, while it has no state to know accounts by", async (t) => {
+    const stale = createRefusal("isolated", "No configuration yet");
+    const state = createEmptyState();
+    const { call } = await startCallerServer(t, { stale, state });
+    await expectRefusal(await call("/v1/models"), "isolated");
+  });
+
   // Each refusal must be typed, and true in saying that nothing ran.
   it("refuses what it can't accept with a code of its own", async (t) => {
     const run = () => Promise.reject(new Error("must not run"));
