Wait at an entry's stop until every answer has left

Cause, found by reading: a request whose session is being looked up is not yet open in the runner, and the last bytes of an answer may still be on their way when the runner has forgotten it; the process ended without waiting for either. The stop now closes the listeners and waits for their connections, within the same limit. Bills are written after that, so the answers of such requests are in them.

--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -15,6 +15,7 @@
 import { createOperatorServer } from "./operator_server.js";
 import type { RoleHooks } from "./role_hooks.js";
 import { waitFor } from "./scope.js";
+import { closeHttpServer } from "./server_close.js";
 
 export interface RoleOptions {
   readonly log: Logger;
@@ -94,15 +95,16 @@
     while (runner.openCount > 0 && !limit.aborted) {
       await waitFor(TICK_MS, limit);
     }
+    // A request whose session is looked up, or whose last bytes are on their
+    // way, is not open in the runner; its connection is.
+    await Promise.all(
+      this.#servers.map((server) => closeHttpServer(server, limit)),
+    );
     if (runner.openCount > 0) {
       this.#log.warn("stop-cuts-work", { open: runner.openCount });
     }
     await billing.close(limit);
     await reports.close(limit);
-    for (const server of this.#servers) {
-      server.close();
-      server.closeIdleConnections();
-    }
     this.#lifetime.abort();
     this.#grpc.forceShutdown();
   }
