Keep the demo's versions apart from the soak's, and wrap stores by method

The soak's extra roll-out versions showed in the model list of other tests. The store's adapter is a class, whose methods a spread does not copy.

--- a/src/soak/broken_store.ts
+++ b/src/soak/broken_store.ts
@@ -5,11 +5,21 @@
 import type { ObjectStore } from "../adapters/index.js";
 import type { LedgerPage } from "../schema/index.js";
 
+/** The store's methods as an object, of which some can be replaced. */
+function bindStore(store: ObjectStore): ObjectStore {
+  return {
+    read: (key, signal) => store.read(key, signal),
+    write: (request, signal) => store.write(request, signal),
+    list: (options, signal) => store.list(options, signal),
+    watch: (options, signal) => store.watch(options, signal),
+  };
+}
+
 /** Orders run without a claim: none is kept and none is found. */
 export function dropClaims(store: ObjectStore): ObjectStore {
   const isClaim = (key: string) => key.startsWith("claims/");
   return {
-    ...store,
+    ...bindStore(store),
     read: (key, signal) =>
       isClaim(key) ? okAsync(undefined) : store.read(key, signal),
     write: (request, signal) =>
@@ -20,7 +30,7 @@
 /** A survivor finds nothing in the pages of a lost owner. */
 export function hidePages(store: ObjectStore): ObjectStore {
   return {
-    ...store,
+    ...bindStore(store),
     list: (options, signal) =>
       store.list(options, signal).map((objects) =>
         objects.map((object) => {
@@ -35,7 +45,7 @@
 /** An owner goes on after a seal, on a key beside the sealed page. */
 export function passSeals(store: ObjectStore): ObjectStore {
   return {
-    ...store,
+    ...bindStore(store),
     write: (request, signal) => {
       const { kind } = (request.value ?? {}) as Partial<LedgerPage>;
       return store.write(request, signal).orElse((failure) => {
@@ -52,7 +62,7 @@
 /** The last of two racing updates of the head wins. */
 export function overwriteHead(store: ObjectStore): ObjectStore {
   return {
-    ...store,
+    ...bindStore(store),
     write: (request, signal) => {
       if (request.key !== "config/head") return store.write(request, signal);
       return store
--- a/src/soak/check_starts.ts
+++ b/src/soak/check_starts.ts
@@ -1,11 +1,10 @@
 /** Judges each call that reached a back end by the states in force then. */
 
 import type { FleetState } from "../schema/index.js";
-import { VERSIONS } from "../testbed/workloads.js";
 import type { Findings, Property } from "./findings.js";
 import { type History, IN_FORCE_MS } from "./history.js";
 import type { CallRecord, Period } from "./journal.js";
-import { HOST_LIST_LAG_MS } from "./layout.js";
+import { ALL_VERSIONS, HOST_LIST_LAG_MS } from "./layout.js";
 import type { Run } from "./records.js";
 
 interface StartsInput {
@@ -34,7 +33,7 @@
   const { versions = [], services = [] } = state.accounts[account] ?? {};
   const lists = Object.values(state.accounts).map((item) => item.services);
   const most = Math.max(...lists.map((list) => list.length));
-  return versions.length < VERSIONS.length || services.length < most;
+  return versions.length < ALL_VERSIONS.length || services.length < most;
 }
 
 function describeRun(run: Run, history: History): string {
--- a/src/soak/layout.ts
+++ b/src/soak/layout.ts
@@ -20,6 +20,7 @@
 export const FIRST_VERSIONS = ["small-1", "medium-1", "large-1"] as const;
 /** Come by roll-outs, each of which needs load orders. */
 export const ROLLOUT_VERSIONS = ["small-2", "medium-2", "large-2"] as const;
+export const ALL_VERSIONS = [...FIRST_VERSIONS, ...ROLLOUT_VERSIONS] as const;
 /** Age of the engines' load reports. */
 export const LOAD_LAG_MS = 300;
 export const HOST_LIST_LAG_MS = 500;
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -12,6 +12,8 @@
 const EXIT_GOOD = 0;
 const EXIT_VIOLATION = 1;
 const EXIT_USAGE = 2;
+/** The run itself failed, so nothing was judged. */
+const EXIT_FAILED = 3;
 
 const cli = meow(
   `
@@ -29,7 +31,7 @@
     --keep           keep the folder with settings and logs
 
   Exit codes
-    0 no violation, 1 a violation, 2 wrong usage
+    0 no violation, 1 a violation, 2 wrong usage, 3 the run itself failed
 `,
   {
     importMeta: import.meta,
@@ -81,4 +83,9 @@
   return result.findings.total === 0 ? EXIT_GOOD : EXIT_VIOLATION;
 }
 
-process.exit(await main());
+process.exit(
+  await main().catch((error: unknown) => {
+    process.stderr.write(`The soak run failed: ${error}\n`);
+    return EXIT_FAILED;
+  }),
+);
--- a/src/soak/operators.ts
+++ b/src/soak/operators.ts
@@ -6,7 +6,7 @@
 import { callHttp } from "../testbed/http_calls.js";
 import { createSetupTicket } from "../testbed/workloads.js";
 import type { Journal, TicketRecord } from "./journal.js";
-import { type Layout, WORKLOADS } from "./layout.js";
+import { ALL_VERSIONS, type Layout, WORKLOADS } from "./layout.js";
 import type { Members } from "./members.js";
 import { Random } from "./random.js";
 import { createChange } from "./ticket_changes.js";
@@ -48,6 +48,7 @@
       this.#takeNumber(),
       WORKLOADS,
       dataCentres,
+      ALL_VERSIONS,
     );
     const engines = endpoints.filter((item) => item.kind === "engine");
     return this.#submit({
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -144,8 +144,11 @@
     const count = this.#layout.endpoints.length;
     const limitMs = performance.now() + READY_TIMEOUT_MS;
     while (performance.now() < limitMs) {
-      const reports = await this.#readStatus();
-      if (reports.every((report) => report.endpoints.length === count)) return;
+      const reports = await this.#readStatus().catch(() => []);
+      const isReady = reports.every(
+        (report) => report.endpoints.length === count,
+      );
+      if (reports.length > 0 && isReady) return;
       await delay(POLL_MS);
     }
     throw new Error("Endpoints were not ready in time");
--- a/src/soak/ticket_changes.ts
+++ b/src/soak/ticket_changes.ts
@@ -4,10 +4,10 @@
 import {
   createAccount,
   createVersion,
-  VERSIONS,
   type Workload,
 } from "../testbed/workloads.js";
 import {
+  ALL_VERSIONS,
   FIRST_VERSIONS,
   type Layout,
   ROLLOUT_VERSIONS,
@@ -39,20 +39,24 @@
   workloads: readonly Workload[],
   version: string,
 ): Change {
-  const left = VERSIONS.filter((name) => name !== version);
+  const left = ALL_VERSIONS.filter((name) => name !== version);
   const create = (versions: readonly string[]) => (number: number) => ({
     number,
     accounts: workloads.flatMap((workload) =>
       workload.accounts.map((name) => createAccount(workload, name, versions)),
     ),
   });
-  return { kind: "permission", make: create(left), undo: create(VERSIONS) };
+  return { kind: "permission", make: create(left), undo: create(ALL_VERSIONS) };
 }
 
 function createPermission(random: Random): Change {
   const workload = random.pick(WORKLOADS);
-  const account = createAccount(workload, random.pick(workload.accounts));
-  const lost = random.pick([...VERSIONS, ...account.services]);
+  const account = createAccount(
+    workload,
+    random.pick(workload.accounts),
+    ALL_VERSIONS,
+  );
+  const lost = random.pick([...ALL_VERSIONS, ...account.services]);
   const reduced = {
     ...account,
     versions: account.versions.filter((name) => name !== lost),
@@ -124,7 +128,7 @@
   const { kind } = random.pickWeighted(WEIGHTS);
   switch (kind) {
     case "withdrawal":
-      return createWithdrawalOf(random.pick(VERSIONS));
+      return createWithdrawalOf(random.pick(ALL_VERSIONS));
     case "permission":
       return createPermission(random);
     case "drain":
--- a/src/testbed/workloads.ts
+++ b/src/testbed/workloads.ts
@@ -28,14 +28,7 @@
   readonly accounts: readonly string[];
 }
 
-export const VERSIONS = [
-  "small-1",
-  "small-2",
-  "medium-1",
-  "medium-2",
-  "large-1",
-  "large-2",
-] as const;
+export const VERSIONS = ["small-1", "small-2", "medium-1", "large-1"] as const;
 
 const PRICES: Readonly<Record<string, number>> = {
   "small-1": 0.1,
@@ -167,17 +160,18 @@
   number: number,
   workloads: readonly Workload[],
   dataCentres: readonly string[],
+  versions: readonly string[] = VERSIONS,
 ): Ticket {
   const kinds = workloads.flatMap((workload) => workload.kinds);
   return {
     number,
-    versions: VERSIONS.map(createVersion),
+    versions: versions.map(createVersion),
     classes: kinds.filter((kind) => kind.kind === "chat").map(createClass),
     services: kinds
       .filter((kind) => kind.kind === "service")
       .map(createPlainService),
     accounts: workloads.flatMap((workload) =>
-      workload.accounts.map((name) => createAccount(workload, name)),
+      workload.accounts.map((name) => createAccount(workload, name, versions)),
     ),
     dataCentres: dataCentres.map((name) => ({ name, state: "in" as const })),
   };
