Recover receipts at once when their owner's next start attaches

Cause: an entry that is killed leaves its receipts with one holder for 30 s; when the holder was killed in that time, both copies were gone. A start of the entry with another incarnation shows that the earlier one has ended, so its holders need not wait. Ruled out: pages and releases of the killed entry, which were in order.

--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -48,6 +48,8 @@
   setLeaving(leaving: boolean): void;
   /** True while the entry process `{entry}-{incarnation}` is attached. */
   isAttached(process: string): boolean;
+  /** True while another start of that entry is attached. */
+  hasSuccessor(process: string): boolean;
   /** Settles when the server has closed. */
   readonly stopped: Promise<void>;
 }
@@ -187,6 +189,7 @@
     port,
     stopped,
     isAttached: (process) => watchers.has(process),
+    hasSuccessor: (process) => watchers.hasSuccessor(process),
     epoch,
     describeStatus: () => gate.describeStatus(),
     listLoaded: () => lastReport?.versions,
--- a/src/roles/endpoint_receipts.ts
+++ b/src/roles/endpoint_receipts.ts
@@ -55,6 +55,8 @@
    * to this endpoint.
    */
   readonly isProcessLive: (process: string) => boolean;
+  /** True when a later start of that entry has a stream to this endpoint. */
+  readonly isProcessReplaced?: (process: string) => boolean;
   /** `HoldReceipt` at any other endpoint; false when none takes it. */
   readonly forwardReceipt: (
     request: HoldReceiptRequest,
@@ -126,17 +128,21 @@
 
   /** Recovers the copies of lost owners once; false when some are left. */
   async recoverLost(signal: AbortSignal): Promise<boolean> {
-    const { clock, isProcessLive } = this.#options;
+    const { clock, isProcessLive, isProcessReplaced } = this.#options;
     let isDone = true;
     for (const owner of [...this.#copies.keys()]) {
       if (signal.aborted) return false;
-      if (isProcessLive(getOwnerProcess(owner))) {
+      const process = getOwnerProcess(owner);
+      if (isProcessLive(process)) {
         this.#seenAtMs.set(owner, clock.now());
         await this.#dropWritten(owner, signal);
         continue;
       }
       const unseenMs = clock.now() - (this.#seenAtMs.get(owner) ?? 0);
-      if (unseenMs < OWNER_LOST_MS) continue;
+      // The copies are the only ones once the owner has ended, so they are
+      // not kept for longer than needed.
+      const isReplaced = isProcessReplaced?.(process) ?? false;
+      if (!isReplaced && unseenMs < OWNER_LOST_MS) continue;
       isDone = (await this.#recover(owner, { signal, seal: true })) && isDone;
     }
     return isDone;
--- a/src/roles/endpoint_receipts_test.ts
+++ b/src/roles/endpoint_receipts_test.ts
@@ -58,6 +58,20 @@
     assert.equal(held.count, 0);
   });
 
+  // A second process that ends meanwhile takes the only copies with it.
+  it("are recovered at once when the owner's next start attaches", async () => {
+    const { clock, store, held, network, add } = createCase();
+    await add("r1");
+    network.isLive = false;
+    await clock.run(1_000);
+    await clock.finish(held.recoverLost(NEVER));
+    assert.equal(countPlaces(store).get("r1"), undefined);
+    network.isReplaced = true;
+    assert.ok(await clock.finish(held.recoverLost(NEVER)));
+    assert.equal(countPlaces(store).get("r1"), 1);
+    assert.equal(held.count, 0);
+  });
+
   it("drop a live owner's copy whose release was lost", async () => {
     const { clock, store, held, ledger, add } = createCase();
     await add("r1");
--- a/src/roles/endpoint_role.ts
+++ b/src/roles/endpoint_role.ts
@@ -243,6 +243,7 @@
     createId: randomUUID,
     endpoint: settings.name,
     isProcessLive: (process) => endpoint?.isAttached(process) ?? false,
+    isProcessReplaced: (process) => endpoint?.hasSuccessor(process) ?? false,
     forwardReceipt: () => Promise.resolve(false),
   });
   const backend = createBackend(settings);
--- a/src/roles/endpoint_status.ts
+++ b/src/roles/endpoint_status.ts
@@ -48,6 +48,18 @@
     );
   }
 
+  /** True while a later start of the entry process is attached. */
+  hasSuccessor(process: string): boolean {
+    return [...this.#calls.keys()].some(({ request }) => {
+      const { entry, incarnation } = request;
+      const prefix = `${entry}-`;
+      if (!process.startsWith(prefix)) return false;
+      const other = process.slice(prefix.length);
+      // An incarnation has no dash, so "a-b-1" is no start of entry "a".
+      return !other.includes("-") && other !== incarnation;
+    });
+  }
+
   /** Sends the status on an urgent change and after each stream's period. */
   update(nowMs: number): void {
     const status = this.#describe();
--- a/src/roles/fake_ledger_test.ts
+++ b/src/roles/fake_ledger_test.ts
@@ -15,13 +15,20 @@
 export function createCase(faults: Fault[] = [], maxReceipts?: number) {
   const clock = new VirtualClock();
   const store = FakeStore.script(clock, faults);
-  const network = { isLive: true, canHold: true, gone: "", asked: [""] };
+  const network = {
+    isLive: true,
+    isReplaced: false,
+    canHold: true,
+    gone: "",
+    asked: [""],
+  };
   const held = new HeldReceipts({
     store,
     clock,
     createId: () => "id",
     endpoint: "gpu-1",
     isProcessLive: () => network.isLive,
+    isProcessReplaced: () => network.isReplaced,
     forwardReceipt: async () => false,
   });
   const holders = new ReceiptHolders({
