--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -15,6 +15,7 @@
 import { createOperatorServer } from "./operator_server.js";
 import type { RoleHooks } from "./role_hooks.js";
 import { waitFor } from "./scope.js";
+import { closeHttpServer } from "./server_close.js";
 
 export interface RoleOptions {
   readonly log: Logger;
@@ -64,8 +65,7 @@
 
   async start(): Promise<void> {
     const { signal } = this.#lifetime;
-    const { hosts, sync, runner, billing, reports, sessions, ratings } =
-      this.#parts;
+    const { hosts, sync, runner, billing, reports, ratings } = this.#parts;
     await this.#serveControl();
     await hosts.start(signal);
     sync.addListener((state) => {
@@ -80,7 +80,6 @@
     });
     billing.start(signal);
     void reports.start(signal);
-    void sessions.run(signal);
     void ratings?.start(signal);
     setInterval(() => runner.handle({ type: "tick" }), TICK_MS).unref();
     setInterval(() => this.#sendGauges(), GAUGE_INTERVAL_MS).unref();
@@ -96,15 +95,16 @@
     while (runner.openCount > 0 && !limit.aborted) {
       await waitFor(TICK_MS, limit);
     }
+    // A request whose session is looked up, or whose last bytes are on their
+    // way, is not open in the runner; its connection is.
+    await Promise.all(
+      this.#servers.map((server) => closeHttpServer(server, limit)),
+    );
     if (runner.openCount > 0) {
       this.#log.warn("stop-cuts-work", { open: runner.openCount });
     }
     await billing.close(limit);
     await reports.close(limit);
-    for (const server of this.#servers) {
-      server.close();
-      server.closeIdleConnections();
-    }
     this.#lifetime.abort();
     this.#grpc.forceShutdown();
   }
