--- a/src/adapters/documents.ts
+++ b/src/adapters/documents.ts
@@ -12,13 +12,15 @@
   printParseErrorCode,
 } from "jsonc-parser";
 import { err, ok, type Result } from "neverthrow";
+// The command-line tool loads this module, and should not load gRPC with it.
 import {
-  checkTicketDocument,
   createDocumentCheck,
   type DocumentCheck,
   type DocumentFault,
-} from "../core/index.js";
-import { type Settings, settingsSchema, type Ticket } from "../schema/index.js";
+} from "../core/document_check.js";
+import { checkTicketDocument } from "../core/ticket_check.js";
+import type { Settings, Ticket } from "../schema/documents.js";
+import { settingsSchema } from "../schema/schemas.js";
 
 export interface DocumentProblem {
   readonly line: number;
--- a/src/cli/report_commands.ts
+++ b/src/cli/report_commands.ts
@@ -1,7 +1,7 @@
 /** Commands that only read: status, reports and the check of settings. */
 
 import { readFileSync, writeFileSync } from "node:fs";
-import { formatDocumentFailure, parseSettings } from "../adapters/index.js";
+import { formatDocumentFailure, parseSettings } from "../adapters/documents.js";
 import {
   type CommandContext,
   print,
--- a/src/cli/ticket_commands.ts
+++ b/src/cli/ticket_commands.ts
@@ -1,7 +1,7 @@
 /** Commands that apply tickets or tell their status. */
 
 import { readFileSync } from "node:fs";
-import { formatDocumentFailure, parseTicket } from "../adapters/index.js";
+import { formatDocumentFailure, parseTicket } from "../adapters/documents.js";
 import type { DataCentre, FleetState, Ticket } from "../schema/index.js";
 import {
   type CommandContext,
--- a/src/core/document_check.ts
+++ b/src/core/document_check.ts
@@ -2,7 +2,7 @@
 
 import { Ajv, type ErrorObject } from "ajv";
 import { err, ok, type Result } from "neverthrow";
-import { fleetStateSchema } from "../schema/index.js";
+import { fleetStateSchema } from "../schema/schemas.js";
 
 /** One fault of a document: the key, its value and what was expected. */
 export interface DocumentFault {
--- a/src/core/ticket_check.ts
+++ b/src/core/ticket_check.ts
@@ -1,7 +1,8 @@
 /** Checks a ticket: its JSON Schema, and what a schema can't say. */
 
 import { err, ok, type Result } from "neverthrow";
-import { type Ticket, ticketSchema } from "../schema/index.js";
+import type { Ticket } from "../schema/documents.js";
+import { ticketSchema } from "../schema/schemas.js";
 import { createDocumentCheck, type DocumentFault } from "./document_check.js";
 import { listSubjects } from "./tickets.js";
 
