Test the daemon's start and callers' HTTP of a whole system

The test showed that an entry added one listener for each attempt to reach an endpoint that stays away; the listener goes with the stream now.

--- /dev/null
+++ b/src/roles/caller_api_test.ts
@@ -0,0 +1,129 @@
+import assert from "node:assert/strict";
+import { request as requestHttp } from "node:http";
+import { describe, it } from "node:test";
+import { waitUntil } from "../standins/testing.js";
+import {
+  type ChatCall,
+  sendChat,
+  sendServiceCall,
+} from "../testbed/callers.js";
+import { callHttp } from "../testbed/http_calls.js";
+import { startSmallSystem } from "../testbed/small_system_test.js";
+
+interface Runs {
+  runs: { requestId: string; idempotencyKey?: string }[];
+}
+
+describe("callers' HTTP of a whole system", { timeout: 60_000 }, () => {
+  it("answers, bills and logs as documented", async (t) => {
+    const system = await startSmallSystem(t);
+    const { callerPort: port, lines, service, engine } = system;
+    const apiKey = "key-of-installers";
+    const call: ChatCall = {
+      port,
+      apiKey,
+      requestClass: "part_match",
+      prompt: "which seal fits",
+      maxTokens: 6,
+      stream: false,
+    };
+
+    for (const stream of [false, true]) {
+      const answer = await sendChat({ ...call, stream });
+      assert.equal(answer.kind, "answered");
+      assert.ok(answer.kind === "answered" && answer.isWhole);
+      const line = lines.find(
+        (text) =>
+          text.startsWith("request ") && text.includes(answer.requestId),
+      );
+      const fields = JSON.parse(line?.replace(/^request /, "") ?? "{}");
+      const { attempts, endpoint, dataCentre, revision, code } = fields;
+      assert.deepEqual(
+        { attempts: attempts >= 1, endpoint, dataCentre, revision, code },
+        {
+          attempts: true,
+          endpoint: "engine-a",
+          dataCentre: "dc1",
+          revision: 1,
+          code: "ok",
+        },
+      );
+      assert.ok(
+        fields.firstByteMs <= fields.ms && fields.account === "installers",
+      );
+    }
+
+    // A session with the token alone, with the id alone, and a forged token.
+    const first = await sendChat({ ...call, session: "s1" });
+    assert.ok(first.kind === "answered" && first.sessionToken !== undefined);
+    const { version, sessionToken } = first;
+    const again = await sendChat({ ...call, sessionToken });
+    assert.ok(again.kind === "answered" && again.version === version);
+    const byId = await sendChat({ ...call, session: "s1" });
+    assert.ok(byId.kind === "answered" && byId.version === version);
+    const long = await sendChat({ ...call, session: "s".repeat(2_000) });
+    assert.ok(long.kind === "refused" && long.code === "bad-request");
+
+    // A withdrawal moves the session, and the answer says so.
+    const state = JSON.parse((await system.callOperator("/state")).text);
+    const versions = [{ ...state.versions[version], state: "withdrawn" }];
+    await system.callOperator("/tickets", { number: 2, versions });
+    const moved = await sendChat({ ...call, sessionToken });
+    assert.ok(moved.kind === "answered" && moved.sessionMoved === "withdrawn");
+    assert.notEqual(moved.version, version);
+
+    // An order with a key runs once; the key with another body is refused.
+    const order = {
+      port,
+      apiKey,
+      service: "order",
+      path: "calls",
+      body: { pumps: 1 },
+      idempotencyKey: "k1",
+    };
+    const placed = await sendServiceCall(order);
+    const repeated = await sendServiceCall(order);
+    assert.ok(placed.kind === "answered" && repeated.kind === "answered");
+    assert.equal(placed.text, repeated.text);
+    const reused = await sendServiceCall({ ...order, body: { pumps: 2 } });
+    assert.ok(reused.kind === "refused" && reused.code === "key-reused");
+    const { runs } = await service.readRecord<Runs>();
+    assert.equal(runs.filter((run) => run.idempotencyKey === "k1").length, 1);
+
+    // A caller that goes away ends its request at the engine too.
+    await engine.control({ speedFactor: 0.01 });
+    const body = JSON.stringify({
+      messages: [{ role: "user", content: "x" }],
+      stream: true,
+      max_tokens: 500,
+    });
+    const headers = { authorization: `Bearer ${apiKey}` };
+    const path = "/v1/chat/completions";
+    const gone = requestHttp({ port, path, method: "POST", headers });
+    gone.on("error", () => {
+      // The test destroys the call below.
+    });
+    gone.end(body);
+    const readOpen = async () =>
+      JSON.parse((await system.callOperator("/status")).text).openRequests;
+    await waitUntil(async () => (await readOpen()) === 1);
+    gone.destroy();
+    await waitUntil(async () => (await readOpen()) === 0);
+    assert.ok(lines.some((line) => /^request .*outcome-unknown/.test(line)));
+    await engine.control({ speedFactor: 1 });
+
+    // A refusal says when to come back.
+    const drained = { number: 3, dataCentres: [{ name: "dc1", state: "out" }] };
+    await system.callOperator("/tickets", drained);
+    const refused = await callHttp({
+      port,
+      method: "POST",
+      path,
+      headers,
+      body: { messages: [{ role: "user", content: "x" }] },
+    });
+    assert.equal(JSON.parse(refused.text).code, "no-endpoint", refused.text);
+    assert.ok(Number(refused.headers["retry-after"]) >= 1);
+    assert.equal(JSON.parse(refused.text).ran, "no");
+  });
+});
--- a/src/roles/endpoint_directory.ts
+++ b/src/roles/endpoint_directory.ts
@@ -126,11 +126,15 @@
       const current = this.#connections.get(name);
       if (current?.controller === controller) this.#report(current, status);
     });
+    const cancel = () => stream.cancel();
+    controller.signal.addEventListener("abort", cancel, { once: true });
     let ended = false;
     const reconnect = () => {
       if (ended) return;
       ended = true;
       clearTimeout(watchdog);
+      // An endpoint that stays away would leave one listener per attempt.
+      controller.signal.removeEventListener("abort", cancel);
       if (this.#connections.get(name)?.controller !== controller) return;
       this.#reportGone(name);
       setTimeout(
@@ -140,9 +144,6 @@
     };
     stream.on("error", reconnect);
     stream.on("end", reconnect);
-    controller.signal.addEventListener("abort", () => stream.cancel(), {
-      once: true,
-    });
   }
 
   #report(connection: Connection, status: EndpointStatus): void {
--- a/src/testbed/small_system_test.ts
+++ b/src/testbed/small_system_test.ts
@@ -17,6 +17,13 @@
 
 /** Starts the system with Yushan's configuration as ticket 1. */
 export async function startSmallSystem(t: TestContext) {
+  const stop = new AbortController();
+  const roles: Promise<{ stopped: Promise<void> }>[] = [];
+  // Before the stand-ins close: an entry writes its receipts at the end.
+  t.after(async () => {
+    stop.abort();
+    await Promise.all(roles.map(async (role) => (await role).stopped));
+  });
   const store = await startTestStandin(t, "object-store");
   const hosts = await startTestStandin(t, "host-list", { lagMs: 0 });
   const versions = "small-1,small-2,medium-1,large-1";
@@ -26,12 +33,6 @@
   const write = (event: string, fields: object = {}) =>
     void lines.push(`${event} ${JSON.stringify(fields)}`);
   const log = { debug: write, info: write, warn: write, error: write };
-  const stop = new AbortController();
-  const roles: Promise<{ stopped: Promise<void> }>[] = [];
-  t.after(async () => {
-    stop.abort();
-    await Promise.all(roles.map(async (role) => (await role).stopped));
-  });
   const createTarget = ({ target }: typeof store) => ({
     address: target.address,
     port: target.port,
