--- a/src/core/gate.ts
+++ b/src/core/gate.ts
@@ -201,7 +201,7 @@
   }
 
   #startQueued(nowMs: number): void {
-    while (this.#capacity.hasRoom) {
+    while (this.#capacity.hasRoom(nowMs)) {
       const attempt = this.#waiting.takeNext();
       if (attempt === undefined) return;
       this.#start(attempt, nowMs);
@@ -231,12 +231,12 @@
     const attempt = this.#memory.find(key);
     if (attempt?.state !== "running") return;
     if (outcome.kind === "failed") {
-      this.#capacity.fail(attempt, outcome.isEngineFault, nowMs);
+      this.#capacity.fail(attempt, outcome, nowMs);
       this.#end(attempt, this.#toBody(outcome.refusal), nowMs);
       return;
     }
-    this.#capacity.complete(attempt, outcome.outputTokens, nowMs);
-    const { kind: _kind, ...end } = outcome;
+    this.#capacity.complete(attempt, outcome, nowMs);
+    const { kind: _kind, startId: _startId, ...end } = outcome;
     const chunks = attempt.frames.nextSequence;
     this.#end(attempt, { end: { ...end, chunks } }, nowMs);
   }
--- a/src/roles/config_sync.ts
+++ b/src/roles/config_sync.ts
@@ -46,14 +46,18 @@
   readonly ask?: AskPeer;
   /** Monotonic clock. @internal */
   readonly getNowMs?: () => number;
+  /** Length of store watches and long polls. @internal */
+  readonly waitMs?: number;
   /** @internal */
   readonly getRandom?: () => number;
 }
 
-const LONG_POLL_MS = 2_000;
+/** Of a store watch and a long poll; the bound covers two of them and more. */
+const DEFAULT_WAIT_MS = 2_000;
 /** Covers a watcher's fetch of the new revision. */
 const SPREAD_TIMEOUT_MS = 2_000;
 const TICK_MS = 250;
+const PRUNING_PAUSE_MS = 5_000;
 /** Who of the watchers holds a revision. */
 export interface Spread {
   readonly watchers: readonly string[];
@@ -95,7 +99,9 @@
       getNowMs,
     });
     this.#order = new PeerOrder({ name, dataCentre }, getRandom);
-    const storeWatch = store && new StoreWatch({ store, holder, getNowMs });
+    const waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
+    const storeWatch =
+      store && new StoreWatch({ store, holder, getNowMs, waitMs });
     const parts = {
       holder,
       exchange: this.#exchange,
@@ -108,6 +114,7 @@
     this.#rounds = new ConfigRounds({
       ...parts,
       name,
+      waitMs,
       getNowMs,
       getRandom,
       log: options.log ?? (() => {}),
@@ -133,11 +140,6 @@
     return this.#holder.freshness.check(this.#getNowMs());
   }
 
-  /** Age of the last confirmation, for status and metrics. */
-  get confirmationAgeMs(): number {
-    return this.#holder.freshness.getAgeMs(this.#getNowMs());
-  }
-
   addListener(
     listener: (state: FleetState) => void,
     signal: AbortSignal,
@@ -156,6 +158,7 @@
         this.#rounds.run(signal),
         this.#rounds.runExchange(signal),
         this.#runTicks(signal),
+        this.#runPruning(signal),
       ]);
     } finally {
       this.#clients.close();
@@ -234,7 +237,8 @@
     const { revision } = request;
     await this.#fetcher.fetch({ revision, informant: asker, signal });
     if (!request.seeksEvidence && this.#holder.revision <= request.revision) {
-      await runWithTimeout({ signal, timeoutMs: LONG_POLL_MS }, (scope) =>
+      const timeoutMs = this.#options.waitMs ?? DEFAULT_WAIT_MS;
+      await runWithTimeout({ signal, timeoutMs }, (scope) =>
         this.#holder.waitForRenewal(scope),
       );
     }
@@ -267,11 +271,18 @@
       if (freshness.recordTick(this.#getNowMs())) {
         this.#options.log?.("process-stalled", {});
       }
+      await waitFor(TICK_MS, signal);
+    }
+  }
+
+  /** Forgets the processes that are gone. */
+  async #runPruning(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
       const peers = this.#options.listPeers();
       this.#clients.prune(peers);
       this.#exchange.prune(peers);
       this.#order.prune(peers);
-      await waitFor(TICK_MS, signal);
+      await waitFor(PRUNING_PAUSE_MS, signal);
     }
   }
 }
