--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -28,6 +28,8 @@
 const CUT_SUM = 5;
 /** Sum at which the version only runs one request at a time. */
 const SUSPECT_SUM = 1.5;
+/** Share of its exposure that a suspect version keeps until it is cleared. */
+const SUSPECT_EXPOSURE = 0.2;
 /** Share of good outcomes of a bad version, relative to before. */
 const BAD_FACTOR = 0.5;
 /** Weight of the expectation that a new version is like this. */
@@ -108,9 +110,10 @@
   getExposure(version: string): number {
     const share = this.#state?.rollouts[version]?.share;
     if (share === undefined) return 1;
-    const evidence = this.#find(version).evidence;
-    const rise = FIRST_EXPOSURE + evidence / FULL_EVIDENCE;
-    return share * Math.min(1, rise);
+    const watch = this.#find(version);
+    const rise = FIRST_EXPOSURE + watch.evidence / FULL_EVIDENCE;
+    const factor = isSuspect(watch) ? SUSPECT_EXPOSURE : 1;
+    return share * Math.min(1, rise) * factor;
   }
 
   /** Versions of the candidates that are open to the next request. */
@@ -229,9 +232,12 @@
   }
 }
 
+function isSuspect({ sums }: VersionWatch): boolean {
+  return Math.max(sums.quality, sums.health) >= SUSPECT_SUM;
+}
+
 function getLimit(watch: VersionWatch): number {
-  const { quality, health } = watch.sums;
-  if (Math.max(quality, health) >= SUSPECT_SUM) return 1;
+  if (isSuspect(watch)) return 1;
   const earned = Math.floor(watch.evidence / EVIDENCE_PER_OUTSTANDING);
   return MIN_OUTSTANDING + earned;
 }
