--- a/src/core/chooser.ts
+++ b/src/core/chooser.ts
@@ -79,7 +79,7 @@
       if (plan !== undefined) return plan;
     }
     if (short === undefined) return safe;
-    const shortfall = choice.raisedTarget - short.quality;
+    const shortfall = choice.raisedTarget - short.lowerBound;
     return credit >= shortfall ? short : safe;
   }
 
--- a/src/core/credit.ts
+++ b/src/core/credit.ts
@@ -9,7 +9,7 @@
  * Standard deviations by which the share over an hour may fall short by
  * chance; the target is raised by them so that each hour meets it.
  */
-const HOUR_DEVIATIONS = 2.8;
+const HOUR_DEVIATIONS = 2.2;
 const MIN_HOURLY_ANSWERS = 400;
 const HOUR_MS = 3_600_000;
 /** Quality above target saved up for cheaper plans, in answers. */
@@ -19,12 +19,12 @@
 const CREDIT_DECAY = 0.9999;
 
 interface PlanCount {
-  quality: number;
+  lowerBound: number;
   count: number;
 }
 
 interface ClassAccount {
-  /** Sum of expected quality over the target, in answers. */
+  /** Sum of bounded quality over the target, in answers. */
   credit: number;
   /** Part of the credit that rejected answers have used. */
   spent: number;
@@ -48,13 +48,13 @@
   recordPlan(requestClass: string, plan: Plan, target: number): void {
     const account = this.#accounts.get(requestClass);
     if (account === undefined) return;
-    const surplus = plan.quality - target;
+    const surplus = plan.lowerBound - target;
     account.credit = Math.min(MAX_CREDIT, account.credit + surplus);
     const counted = account.planCounts.get(plan.key);
     if (counted !== undefined) counted.count++;
     else {
-      const { quality } = plan;
-      account.planCounts.set(plan.key, { quality, count: 1 });
+      const { lowerBound } = plan;
+      account.planCounts.set(plan.key, { lowerBound, count: 1 });
     }
   }
 
@@ -78,10 +78,10 @@
     let credit = -account.spent;
     for (const plan of plans) {
       const counted = account.planCounts.get(plan.key);
-      if (counted !== undefined) counted.quality = plan.quality;
+      if (counted !== undefined) counted.lowerBound = plan.lowerBound;
     }
     for (const counted of account.planCounts.values()) {
-      credit += counted.count * (counted.quality - target);
+      credit += counted.count * (counted.lowerBound - target);
       counted.count *= CREDIT_DECAY;
     }
     account.spent *= CREDIT_DECAY;
--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -35,7 +35,7 @@
 /** Beta prior of a version that nothing is known of. */
 const PRIOR = { mean: 0.7, weight: 4 };
 /** Beta prior of the dearest version: operators pay for its quality. */
-const DEAREST_PRIOR = { mean: 0.96, weight: 10 };
+const DEAREST_PRIOR = { mean: 0.965, weight: 40 };
 /**
  * Standard deviation of the judge's estimated chances. Verdicts alone never
  * make a version's share more certain than the judge is.
--- a/src/core/plans.ts
+++ b/src/core/plans.ts
@@ -48,7 +48,7 @@
 }
 
 /** Standard deviations of the estimate below its mean. */
-const BOUND_DEVIATIONS = 0;
+const BOUND_DEVIATIONS = 0.5;
 /** Price of a late answer, in answers of the dearest version. */
 const LATE_PRICE = 1;
 const MIN_SHORTFALL = 0.001;
@@ -80,7 +80,7 @@
   let most = 0;
   for (const plan of plans) {
     if (plan.lowerBound >= raisedTarget || plan.score >= safe.score) continue;
-    const shortfall = Math.max(MIN_SHORTFALL, raisedTarget - plan.quality);
+    const shortfall = Math.max(MIN_SHORTFALL, raisedTarget - plan.lowerBound);
     const saved = (safe.score - plan.score) / shortfall;
     if (saved <= most) continue;
     most = saved;
