--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -35,7 +35,7 @@
 /** Beta prior of a version that nothing is known of. */
 const PRIOR = { mean: 0.7, weight: 4 };
 /** Beta prior of the dearest version: operators pay for its quality. */
-const DEAREST_PRIOR = { mean: 0.96, weight: 10 };
+const DEAREST_PRIOR = { mean: 0.965, weight: 40 };
 /**
  * Standard deviation of the judge's estimated chances. Verdicts alone never
  * make a version's share more certain than the judge is.
@@ -185,6 +185,12 @@
     return record.judged + record.accepted + record.rejected;
   }
 
+  /** Verdicts on the version as a first step. */
+  countVerdicts(requestClass: string, version: string) {
+    const record = this.#records.get(requestClass)?.get(version);
+    return { good: record?.passed ?? 0, total: record?.judged ?? 0 };
+  }
+
   estimate(requestClass: string, version: string): QualityEstimate {
     const isDearest = this.#dearest.get(requestClass) === version;
     const prior = isDearest ? DEAREST_PRIOR : PRIOR;
