--- a/src/adapters/logs.ts
+++ b/src/adapters/logs.ts
@@ -1,6 +1,7 @@
 /** Structured logs: one key=value line for each event. */
 
 import { Writable } from "node:stream";
+import { inspect } from "node:util";
 import bunyan from "bunyan";
 import type { Log } from "../schema/index.js";
 
@@ -27,8 +28,9 @@
   try {
     return JSON.stringify(value);
   } catch {
-    // Circular, or with a BigInt: a log line must never end a process.
-    return String(value);
+    // Circular, with a BigInt, or with a toString that fails: a log line must
+    // never end a process.
+    return inspect(value, { compact: true, breakLength: Infinity });
   }
 }
 
--- a/src/adapters/logs_test.ts
+++ b/src/adapters/logs_test.ts
@@ -46,6 +46,12 @@
     assert.match(read(), /level=info event=started .* pid=7 level=x time=y/);
   });
 
+  it("writes a value that neither JSON nor toString can give", () => {
+    const { log, read } = createCapture();
+    log.info("event", { value: { toString: 0, count: 0n } });
+    assert.match(read(), /value="\{ toString: 0, count: 0n \}"/);
+  });
+
   it("keeps to one line, and never throws, whatever the fields (fuzz)", () => {
     const value = fc.oneof(
       fc.anything({ withBigInt: true, withDate: true }),
