--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -130,7 +130,12 @@
   });
 
   it("ends within the stop time although a call never ends", async () => {
-    const { client, stop, endpoint } = await startRig(createSlowBackend().run);
+    const slow = createSlowBackend();
+    const signals: AbortSignal[] = [];
+    const { client, stop, endpoint } = await startRig((...call) => {
+      signals.push(call[2]);
+      return slow.run(...call);
+    });
     const dispatch = (requestId: string) =>
       readFrames(client.dispatch(createDispatch({ requestId })));
     const running = [dispatch("r1"), dispatch("r2")].map((frames) =>
@@ -145,6 +150,11 @@
     assert.equal(refused?.refusal?.ran, "no");
     await endpoint.stopped;
     assert.ok(performance.now() - startedMs < STOP_MS + 300);
+    // The back end must not go on with calls that no one waits for.
+    assert.deepEqual(
+      signals.map(({ aborted }) => aborted),
+      [true, true],
+    );
     // The cut calls may have run, so none is answered as "not run".
     for (const frames of await Promise.all(running)) {
       assert.notEqual(frames.at(-1)?.refusal?.ran, "no");
