Let endpoints of a large data centre ask its other entries

Cause: all processes asked the three watchers of their data centre; at 380 entries and 930 endpoints a watcher would answer about 73 of them. Change: with more than 20 processes for each watcher an endpoint asks the other entries first, a third hop that the bound of 8 s allows for. No entry has more than 40 askers then (peer_order_test); small fleets ask as before.

--- a/src/roles/peer_order.ts
+++ b/src/roles/peer_order.ts
@@ -6,6 +6,13 @@
 /** Under the freshness bound, so a lone watcher that returns is found. */
 const MAX_BACKOFF_MS = 3_000;
 
+/**
+ * Each asker costs a watcher a call in two seconds. At 380 entries and 930
+ * endpoints a watcher would have 73 askers; with the endpoints on the other
+ * entries it has 20.
+ */
+const MAX_ASKERS_PER_WATCHER = 20;
+
 interface Backoff {
   readonly failures: number;
   readonly untilMs: number;
@@ -32,7 +39,8 @@
 
   /**
    * Watchers of the own data centre, watchers of the others, other entries.
-   * The rank by own name spreads the processes over the watchers.
+   * The rank by own name spreads the processes over the watchers. In a large
+   * data centre endpoints ask its other entries first.
    */
   list(peers: readonly Peer[]): Peer[] {
     const watchers = new Set(chooseWatchers(peers).map((peer) => peer.name));
@@ -43,15 +51,31 @@
         .map((peer) => [peer.name, peer]),
     );
     const ranked = rankByRendezvous(this.#self.name, [...byName.keys()]);
+    const sparesWatchers = this.#sparesWatchers(peers, watchers);
     const getClass = (peer: Peer) => {
-      if (!watchers.has(peer.name)) return 2;
-      return peer.dataCentre === this.#self.dataCentre ? 0 : 1;
+      const isLocal = peer.dataCentre === this.#self.dataCentre;
+      if (watchers.has(peer.name)) return isLocal ? 1 : 2;
+      return isLocal && sparesWatchers ? 0 : 3;
     };
     return ranked
       .flatMap((name) => byName.get(name) ?? [])
       .sort((a, b) => getClass(a) - getClass(b));
   }
 
+  /** True for an endpoint whose watchers have too many processes to answer. */
+  #sparesWatchers(
+    peers: readonly Peer[],
+    watchers: ReadonlySet<string>,
+  ): boolean {
+    const { name, dataCentre } = this.#self;
+    const local = peers.filter((peer) => peer.dataCentre === dataCentre);
+    const isEntry = local.some((p) => p.role === "entry" && p.name === name);
+    const localWatchers = local.filter((peer) => watchers.has(peer.name));
+    return (
+      !isEntry && local.length > localWatchers.length * MAX_ASKERS_PER_WATCHER
+    );
+  }
+
   /** The first one that is not in backoff, else the one that leaves it first. */
   choose(peers: readonly Peer[], nowMs: number): PeerChoice | undefined {
     const choices = this.list(peers).map((peer) => {
