Let the soak keep an entry stale and take over an engine's lease

Dispatches held on the network never reach a gate late, because a connection without replies is given up after 10 s and the cancel arrives with the dispatch. An entry that is kept from tickets, but not from endpoints, is the case that the gate's check stands for.

--- a/src/soak/compound_faults.ts
+++ b/src/soak/compound_faults.ts
@@ -4,8 +4,8 @@
 import type { Cuts } from "./cuts.js";
 import type { FaultsOptions } from "./faults.js";
 import { IN_FORCE_MS } from "./history.js";
-import { FIRST_VERSIONS, WORKLOADS } from "./layout.js";
-import type { FaultAction, LateChange } from "./plan.js";
+import { FIRST_VERSIONS, ROLLOUT_VERSIONS, WORKLOADS } from "./layout.js";
+import type { FaultAction, StaleChange } from "./plan.js";
 import {
   type Change,
   createAllPermissions,
@@ -20,16 +20,17 @@
 
 type ActionOf<K extends FaultAction["kind"]> = FaultAction & { kind: K };
 
-/** Work that is sent and held in this time arrives after the change. */
-const COLLECT_MS = 1_200;
-/** The held work arrives this long after it had to be refused. */
-const LATE_MS = 400;
+/** The entry goes on for this long after the change had to be in force. */
+const STALE_MS = 3_000;
 /** Receipts get copies in this time that the cut keeps from their release. */
 const BEFORE_KILL_MS = 600;
+/** For a first order to be under way. */
+const ORDER_MS = 2_500;
+const RESTART_MS = 200;
 const STORE_DOWN_MS = 4_000;
 
-function createLateChange(
-  change: LateChange,
+function createStaleChange(
+  change: StaleChange,
   place: { endpoint: string; dataCentre: string },
 ): Change {
   const [version] = FIRST_VERSIONS;
@@ -45,27 +46,32 @@
   }
 }
 
-/** Holds dispatches on their way until a ticket has long forbidden them. */
-export async function dispatchLate(
-  action: ActionOf<"late-dispatch">,
+/**
+ * Keeps the entries of a data centre from the store and from other entries, so
+ * that they don't learn of a ticket, but leaves them their way to endpoints.
+ */
+export async function makeEntryStale(
+  action: ActionOf<"stale-entry">,
   parts: CompoundParts,
   forMs: number,
 ): Promise<boolean> {
   const { fleet, operators, cuts } = parts;
-  const { endpoint, change: kind } = action;
+  const { endpoint } = action;
+  const { dataCentre: viewer } = fleet.getMember(action.member);
   const { dataCentre } = fleet.getMember(endpoint);
-  const links = fleet.dataCentres.map((viewer) =>
-    fleet.getLink(viewer, endpoint),
+  const entries = fleet.members.filter(
+    (member) => member.role === "entry" && member.dataCentre !== viewer,
   );
-  const change = createLateChange(kind, { endpoint, dataCentre });
+  const targets = ["store", ...entries.map((entry) => entry.name)];
+  const change = createStaleChange(action.change, { endpoint, dataCentre });
   const forbid = async () => {
-    await delay(COLLECT_MS);
     await operators.apply(change.make);
-    await delay(IN_FORCE_MS + LATE_MS);
+    await delay(IN_FORCE_MS + STALE_MS);
   };
-  const options = { mode: "hold", direction: "requests" } as const;
-  await cuts.cutUntil(links, options, forbid());
-  await delay(Math.max(LATE_MS, forMs - IN_FORCE_MS - COLLECT_MS));
+  const links = targets.map((target) => fleet.getLink(viewer, target));
+  // Without a majority of the watchers the ticket is accepted only at the end.
+  const healing = Promise.race([forbid(), delay(forMs)]);
+  await cuts.cutUntil(links, { mode: "reset" }, healing);
   await operators.apply(change.undo);
   return true;
 }
@@ -88,6 +94,31 @@
   return hasKilled;
 }
 
+/**
+ * Ends an endpoint's process between two orders to its engine. The next one
+ * has to wait the lease out, as not every engine refuses old orders.
+ */
+export async function takeOver(
+  action: ActionOf<"take-over">,
+  parts: CompoundParts,
+  forMs: number,
+): Promise<boolean> {
+  const { fleet, members, operators } = parts;
+  const { member: name } = action;
+  const assign = (versions: readonly string[]) => (number: number) => ({
+    number,
+    endpoints: [{ name, state: "in" as const, versions: [...versions] }],
+  });
+  const [first, second] = ROLLOUT_VERSIONS;
+  await operators.apply(assign([...FIRST_VERSIONS, first]));
+  await delay(ORDER_MS);
+  const hasKilled = await members.kill(fleet.getMember(name), RESTART_MS);
+  await operators.apply(assign([...FIRST_VERSIONS, first, second]));
+  await delay(forMs - ORDER_MS);
+  await operators.apply(assign(FIRST_VERSIONS));
+  return hasKilled;
+}
+
 /**
  * Keeps an entry from an endpoint that holds its receipts until the endpoint
  * takes it for lost, while the entry itself goes on.
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -4,9 +4,10 @@
 import type { Fleet } from "../testbed/fleet.js";
 import {
   type CompoundParts,
-  dispatchLate,
   killBehindCut,
+  makeEntryStale,
   sealLiveOwner,
+  takeOver,
 } from "./compound_faults.js";
 import { Cuts } from "./cuts.js";
 import type { Journal } from "./journal.js";
@@ -115,10 +116,12 @@
         });
       case "burst":
         return this.#burst(action.factor, forMs);
-      case "late-dispatch":
-        return dispatchLate(action, this.#compound, forMs);
+      case "stale-entry":
+        return makeEntryStale(action, this.#compound, forMs);
       case "kill-behind-cut":
         return killBehindCut(action, this.#compound, forMs);
+      case "take-over":
+        return takeOver(action, this.#compound, forMs);
       case "seal-live-owner":
         return sealLiveOwner(action, this.#compound, forMs);
     }
--- a/src/soak/guards.ts
+++ b/src/soak/guards.ts
@@ -113,6 +113,14 @@
   };
 }
 
+/**
+ * The endpoint's check stands behind the entry's own: an entry that can't learn
+ * of a ticket refuses by itself, unless that bound is off too.
+ */
+function trustOldStateOnEntries(settings: Settings): Settings {
+  return settings.role === "entry" ? trustOldState(settings) : settings;
+}
+
 function trustOldState(settings: Settings): Settings {
   const limits = { ...settings.limits, freshnessMs: 3_600_000 };
   return { ...settings, limits };
@@ -150,9 +158,15 @@
       "leavingEndpointServed",
     ],
     hooks: { wrapGateView: ignoreTickets },
+    changeSettings: trustOldStateOnEntries,
   },
   freshness: {
-    properties: ["ticketLate", "withdrawnServed", "notAllowed"],
+    properties: [
+      "ticketLate",
+      "withdrawnServed",
+      "notAllowed",
+      "drainedDataCentreServed",
+    ],
     changeSettings: trustOldState,
   },
   leaving: {
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -6,8 +6,12 @@
 
 type CutMode = "hold" | "reset";
 
-/** What operators forbid while dispatches are on their way. */
-export type LateChange = "drain" | "endpoint-out" | "withdrawal" | "permission";
+/** What operators forbid while an entry can't learn of it. */
+export type StaleChange =
+  | "drain"
+  | "endpoint-out"
+  | "withdrawal"
+  | "permission";
 
 export type FaultAction =
   | { readonly kind: "kill" | "stop"; readonly member: string }
@@ -41,11 +45,13 @@
   | { readonly kind: "leaving"; readonly member: string }
   | { readonly kind: "burst"; readonly factor: number }
   | {
-      readonly kind: "late-dispatch";
+      readonly kind: "stale-entry";
+      readonly member: string;
       readonly endpoint: string;
-      readonly change: LateChange;
+      readonly change: StaleChange;
     }
   | { readonly kind: "kill-behind-cut"; readonly member: string }
+  | { readonly kind: "take-over"; readonly member: string }
   | {
       readonly kind: "seal-live-owner";
       readonly member: string;
@@ -89,8 +95,9 @@
   { kind: "ratings-down", weight: 1, minMs: 2_000, maxMs: 8_000 },
   { kind: "leaving", weight: 2, minMs: 13_000, maxMs: 18_000 },
   { kind: "burst", weight: 2, minMs: 1_000, maxMs: 4_000 },
-  { kind: "late-dispatch", weight: 2, minMs: 15_000, maxMs: 18_000 },
+  { kind: "stale-entry", weight: 2, minMs: 18_000, maxMs: 24_000 },
   { kind: "kill-behind-cut", weight: 2, minMs: 500, maxMs: 4_000 },
+  { kind: "take-over", weight: 1, minMs: 20_000, maxMs: 24_000 },
   { kind: "seal-live-owner", weight: 1, minMs: 38_000, maxMs: 44_000 },
 ];
 
@@ -101,7 +108,7 @@
   readonly meanGapMs: number;
 }
 
-const LATE_CHANGES = [
+const STALE_CHANGES = [
   "drain",
   "endpoint-out",
   "withdrawal",
@@ -170,10 +177,19 @@
         return { kind };
       case "burst":
         return { kind, factor: random.pickInteger(2, 5) };
-      case "late-dispatch": {
+      case "stale-entry": {
+        const entry = random.pick(this.#layout.entries);
+        const engines = endpoints.filter(
+          (item) =>
+            item.kind === "engine" && item.dataCentre !== entry.dataCentre,
+        );
+        const endpoint = random.pick(engines).name;
+        const change = random.pick(STALE_CHANGES);
+        return { kind, member: entry.name, endpoint, change };
+      }
+      case "take-over": {
         const engines = endpoints.filter((item) => item.kind === "engine");
-        const change = random.pick(LATE_CHANGES);
-        return { kind, endpoint: random.pick(engines).name, change };
+        return { kind, member: random.pick(engines).name };
       }
       case "kill-behind-cut":
         return { kind, member: random.pick(this.#layout.entries).name };
