--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -106,6 +106,8 @@
   readonly lengthMs: number;
   /** Mean time between two faults. */
   readonly meanGapMs: number;
+  /** All kinds when absent. */
+  readonly kinds?: readonly FaultKind[];
 }
 
 const STALE_CHANGES = [
@@ -136,8 +138,13 @@
       case "kill":
       case "stop":
       case "freeze":
-      case "leaving":
         return { kind, member: this.#pickMember() };
+      case "leaving": {
+        // An endpoint shows whether it gets new work; an entry leaves too.
+        const isEndpoint = random.chance(0.8);
+        const member = random.pick(endpoints).name;
+        return { kind, member: isEndpoint ? member : this.#pickMember() };
+      }
       case "cut-link":
         return {
           kind,
@@ -216,16 +223,17 @@
   layout: Layout,
   options: PlanOptions,
 ): PlannedFault[] {
-  const { seed, lengthMs, meanGapMs } = options;
+  const { seed, lengthMs, meanGapMs, kinds } = options;
+  const specs = KINDS.filter((spec) => kinds?.includes(spec.kind) ?? true);
   const random = new Random(seed + PLAN_STREAM);
   const planner = new Planner(layout, random);
   const isLong = (spec: KindSpec) => Number(spec.minMs >= LONG_MS);
-  const first = random.shuffle(KINDS).sort((a, b) => isLong(b) - isLong(a));
+  const first = random.shuffle(specs).sort((a, b) => isLong(b) - isLong(a));
   const faults: PlannedFault[] = [];
   let atMs = meanGapMs;
   while (atMs < lengthMs) {
     const leftMs = lengthMs - atMs;
-    const fitting = KINDS.filter((spec) => spec.minMs <= leftMs);
+    const fitting = specs.filter((spec) => spec.minMs <= leftMs);
     if (fitting.length === 0) break;
     const next = first.findIndex((spec) => spec.minMs <= leftMs);
     const [due] = next < 0 ? [] : first.splice(next, 1);
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -12,7 +12,7 @@
 import { Load } from "./load.js";
 import { Members } from "./members.js";
 import { Operators } from "./operators.js";
-import { createPlan } from "./plan.js";
+import { createPlan, type FaultKind } from "./plan.js";
 import { readStoreWrites } from "./records.js";
 
 export interface SoakOptions {
@@ -24,6 +24,8 @@
   readonly brokenGuard?: string;
   readonly requestsPerSecond: number;
   readonly meanFaultGapMs: number;
+  /** Kinds of faults; all when absent. */
+  readonly kinds?: readonly FaultKind[];
   readonly signal: AbortSignal;
 }
 
@@ -100,7 +102,8 @@
 
   /** Load, faults and tickets at once; all effects are over at its end. */
   async #runFaults(): Promise<void> {
-    const { seed, seconds, requestsPerSecond, meanFaultGapMs } = this.#options;
+    const { seed, seconds, requestsPerSecond, meanFaultGapMs, kinds } =
+      this.#options;
     const lengthMs = seconds * 1_000;
     const parts = {
       fleet: this.#fleet,
@@ -112,6 +115,7 @@
       seed,
       lengthMs,
       meanGapMs: meanFaultGapMs,
+      kinds,
     });
     const ending = new AbortController();
     const healed = new AbortController();
@@ -157,8 +161,10 @@
   /** Waits until receipts, claims and tickets have settled. */
   async #settle(): Promise<void> {
     const startMs = Date.now();
+    // Only an entry that ended without its own stop leaves receipts behind.
     const ends = this.#journal.lives
-      .filter((life) => life.endedMs !== undefined)
+      .filter((life) => life.endedMs !== undefined && life.status?.code !== 0)
+      .filter((life) => this.#fleet.getMember(life.member).role === "entry")
       .map((life) => (life.endedMs ?? 0) + SURVIVOR_MS);
     const leastMs = Math.max(startMs + LEAST_SETTLE_MS, ...ends);
     while (Date.now() < startMs + MOST_SETTLE_MS) {
