--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -6,8 +6,12 @@
 
 type CutMode = "hold" | "reset";
 
-/** What operators forbid while dispatches are on their way. */
-export type LateChange = "drain" | "endpoint-out" | "withdrawal" | "permission";
+/** What operators forbid while an entry can't learn of it. */
+export type StaleChange =
+  | "drain"
+  | "endpoint-out"
+  | "withdrawal"
+  | "permission";
 
 export type FaultAction =
   | { readonly kind: "kill" | "stop"; readonly member: string }
@@ -41,11 +45,13 @@
   | { readonly kind: "leaving"; readonly member: string }
   | { readonly kind: "burst"; readonly factor: number }
   | {
-      readonly kind: "late-dispatch";
+      readonly kind: "stale-entry";
+      readonly member: string;
       readonly endpoint: string;
-      readonly change: LateChange;
+      readonly change: StaleChange;
     }
   | { readonly kind: "kill-behind-cut"; readonly member: string }
+  | { readonly kind: "take-over"; readonly member: string }
   | {
       readonly kind: "seal-live-owner";
       readonly member: string;
@@ -89,8 +95,9 @@
   { kind: "ratings-down", weight: 1, minMs: 2_000, maxMs: 8_000 },
   { kind: "leaving", weight: 2, minMs: 13_000, maxMs: 18_000 },
   { kind: "burst", weight: 2, minMs: 1_000, maxMs: 4_000 },
-  { kind: "late-dispatch", weight: 2, minMs: 15_000, maxMs: 18_000 },
+  { kind: "stale-entry", weight: 2, minMs: 18_000, maxMs: 24_000 },
   { kind: "kill-behind-cut", weight: 2, minMs: 500, maxMs: 4_000 },
+  { kind: "take-over", weight: 1, minMs: 20_000, maxMs: 24_000 },
   { kind: "seal-live-owner", weight: 1, minMs: 38_000, maxMs: 44_000 },
 ];
 
@@ -99,9 +106,11 @@
   readonly lengthMs: number;
   /** Mean time between two faults. */
   readonly meanGapMs: number;
+  /** All kinds when absent. */
+  readonly kinds?: readonly FaultKind[];
 }
 
-const LATE_CHANGES = [
+const STALE_CHANGES = [
   "drain",
   "endpoint-out",
   "withdrawal",
@@ -129,8 +138,13 @@
       case "kill":
       case "stop":
       case "freeze":
-      case "leaving":
         return { kind, member: this.#pickMember() };
+      case "leaving": {
+        // An endpoint shows whether it gets new work; an entry leaves too.
+        const isEndpoint = random.chance(0.8);
+        const member = random.pick(endpoints).name;
+        return { kind, member: isEndpoint ? member : this.#pickMember() };
+      }
       case "cut-link":
         return {
           kind,
@@ -170,10 +184,19 @@
         return { kind };
       case "burst":
         return { kind, factor: random.pickInteger(2, 5) };
-      case "late-dispatch": {
+      case "stale-entry": {
+        const entry = random.pick(this.#layout.entries);
+        const engines = endpoints.filter(
+          (item) =>
+            item.kind === "engine" && item.dataCentre !== entry.dataCentre,
+        );
+        const endpoint = random.pick(engines).name;
+        const change = random.pick(STALE_CHANGES);
+        return { kind, member: entry.name, endpoint, change };
+      }
+      case "take-over": {
         const engines = endpoints.filter((item) => item.kind === "engine");
-        const change = random.pick(LATE_CHANGES);
-        return { kind, endpoint: random.pick(engines).name, change };
+        return { kind, member: random.pick(engines).name };
       }
       case "kill-behind-cut":
         return { kind, member: random.pick(this.#layout.entries).name };
@@ -200,16 +223,17 @@
   layout: Layout,
   options: PlanOptions,
 ): PlannedFault[] {
-  const { seed, lengthMs, meanGapMs } = options;
+  const { seed, lengthMs, meanGapMs, kinds } = options;
+  const specs = KINDS.filter((spec) => kinds?.includes(spec.kind) ?? true);
   const random = new Random(seed + PLAN_STREAM);
   const planner = new Planner(layout, random);
   const isLong = (spec: KindSpec) => Number(spec.minMs >= LONG_MS);
-  const first = random.shuffle(KINDS).sort((a, b) => isLong(b) - isLong(a));
+  const first = random.shuffle(specs).sort((a, b) => isLong(b) - isLong(a));
   const faults: PlannedFault[] = [];
   let atMs = meanGapMs;
   while (atMs < lengthMs) {
     const leftMs = lengthMs - atMs;
-    const fitting = KINDS.filter((spec) => spec.minMs <= leftMs);
+    const fitting = specs.filter((spec) => spec.minMs <= leftMs);
     if (fitting.length === 0) break;
     const next = first.findIndex((spec) => spec.minMs <= leftMs);
     const [due] = next < 0 ? [] : first.splice(next, 1);
