--- /dev/null
+++ b/scripts/mark_executable.mjs
@@ -0,0 +1,5 @@
+// Makes the programs of package.json executable, as npm does on installation.
+import { chmodSync, readFileSync } from "node:fs";
+
+const { bin } = JSON.parse(readFileSync("package.json", "utf8"));
+for (const file of Object.values(bin)) chmodSync(file, 0o755);
--- a/src/roles/caller_api_test.ts
+++ b/src/roles/caller_api_test.ts
@@ -37,13 +37,19 @@
           text.startsWith("request ") && text.includes(answer.requestId),
       );
       const fields = JSON.parse(line?.replace(/^request /, "") ?? "{}");
-      const { attempts, endpoint, dataCentre, revision, code } = fields;
+      const { attempts, endpoint, endpointDataCentre, revision, code } = fields;
       assert.deepEqual(
-        { attempts: attempts >= 1, endpoint, dataCentre, revision, code },
+        {
+          attempts: attempts >= 1,
+          endpoint,
+          endpointDataCentre,
+          revision,
+          code,
+        },
         {
           attempts: true,
           endpoint: "engine-a",
-          dataCentre: "dc1",
+          endpointDataCentre: "dc1",
           revision: 1,
           code: "ok",
         },
--- a/src/roles/entry_outcomes.ts
+++ b/src/roles/entry_outcomes.ts
@@ -56,7 +56,8 @@
       class: route.requestClass,
       version,
       endpoint,
-      dataCentre,
+      // The entry's own data centre is in each of its lines.
+      endpointDataCentre: dataCentre,
       revision: this.#options.getRevision(),
       attempts: outcome.attempts,
       ms: Math.round(outcome.durationMs),
--- a/src/soak/check_calls.ts
+++ b/src/soak/check_calls.ts
@@ -78,7 +78,7 @@
 }
 
 /** True when the entry served from the call to its end or the limit. */
-function livedThrough(life: Life | undefined, call: CallRecord): boolean {
+function hasLivedThrough(life: Life | undefined, call: CallRecord): boolean {
   if (life === undefined) return false;
   const endMs = Math.min(call.doneMs, call.sentMs + LOST_MS);
   return [life.killedMs, life.stopRequestedMs, life.endedMs].every(
@@ -102,7 +102,7 @@
     if (outcome.kind === "broken") {
       const life = findLife(journal, call);
       // The entry's end breaks its calls, unless the end was a planned stop.
-      if (!livedThrough(life, call)) continue;
+      if (!hasLivedThrough(life, call)) continue;
       findings.check("lostRequest", false, () => describeCall(call));
       continue;
     }
