Replace a second step that can't end in time

A rejected request whose planned version is too slow for the time left now goes to the best version that is not; the quality lost is taken from the credit.

--- a/src/core/credit.ts
+++ b/src/core/credit.ts
@@ -66,11 +66,18 @@
     const account = this.#accounts.get(requestClass);
     if (account === undefined) return false;
     if (account.credit < MAX_CREDIT * SPENDABLE_SHARE) return false;
-    account.credit -= shortfall;
-    account.spent += shortfall;
+    this.charge(requestClass, shortfall);
     return true;
   }
 
+  /** Takes quality that an answer lost against its plan from the credit. */
+  charge(requestClass: string, lost: number): void {
+    const account = this.#accounts.get(requestClass);
+    if (account === undefined) return;
+    account.credit -= lost;
+    account.spent += lost;
+  }
+
   /** Values past answers by the present estimates. */
   revalue(requestClass: string, plans: readonly Plan[], target: number): void {
     const account = this.#accounts.get(requestClass);
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -154,15 +154,32 @@
     pending.rejectedVersion = version;
     pending.tried.clear();
     pending.stepAttempts = 0;
-    if (
-      !this.#dispatcher.canEnd(pending, this.#nowMs) &&
-      this.#versions.acceptRejected(pending.request, version)
-    ) {
+    if (!this.#canEscalate(pending, version)) {
       // No better answer can be ready in time, and the target bears this one.
       this.#answer(pending);
     } else this.#dispatcher.submit(pending, this.#nowMs);
   }
 
+  /**
+   * False when the rejected output is the answer. When the planned version is
+   * too slow for what is left, the best one that is not takes its place.
+   */
+  #canEscalate(pending: PendingRequest, rejected: string): boolean {
+    const nowMs = this.#nowMs;
+    if (this.#dispatcher.canEnd(pending, nowMs)) return true;
+    const { steps, request } = pending;
+    const [planned = ""] = steps;
+    for (const other of this.#versions.listBetter(request, rejected)) {
+      if (other === planned) continue;
+      pending.steps = [other];
+      if (!this.#dispatcher.canEnd(pending, nowMs)) continue;
+      this.#versions.chargeReplacement(request, { rejected, planned, other });
+      return true;
+    }
+    pending.steps = steps;
+    return !this.#versions.acceptRejected(request, rejected);
+  }
+
   #retryRefused(event: EventOf<"refused">): void {
     const ended = this.#endAttempt(event, "refused");
     if (ended === undefined) return;
--- a/src/core/router_test.ts
+++ b/src/core/router_test.ts
@@ -201,6 +201,43 @@
     assert.fail("no cascade in 200 requests");
   });
 
+  // Guards against a rejected request that is lost though a version is free.
+  it("escalates to another version when the planned one can't end", () => {
+    const medium = { model: "m", state: "active", costPerKiloToken: 0.4 };
+    const versions = {
+      ...STATE.versions,
+      medium: { name: "medium", ...medium },
+    } as FleetState["versions"];
+    const router = createRouter([
+      createStatus("e1", { versions: ["small"], limit: 99 }),
+      createStatus("e2", { versions: ["medium"], limit: 99 }),
+      createStatus("e3", { versions: ["large"], limit: 99 }),
+    ]);
+    router.handle({ type: "state", state: { ...STATE, versions } }, 0);
+    const candidates = ["small", "medium", "large"];
+    const tokens = { promptTokens: 100, outputTokens: 100 };
+    for (let i = 0; i < 200; i++) {
+      const request = { ...REQUEST, id: `r${i}`, qualityTarget: 0.85 };
+      const submit = { ...request, candidates };
+      const sent = findDispatch(
+        router.handle({ type: "submit", request: submit }, i * 100),
+      );
+      assert.ok(sent);
+      const { requestId, attempt } = sent;
+      const ended = { requestId, attempt, ...tokens };
+      router.handle({ type: "completed", ...ended }, i * 100 + 10);
+      if (sent.version !== "small" || sent.final) continue;
+      router.handle({ type: "endpoint-gone", endpoint: "e3" }, i * 100 + 15);
+      const verdict = { requestId, attempt, passed: false };
+      const next = findDispatch(
+        router.handle({ type: "judged", ...verdict }, i * 100 + 20),
+      );
+      assert.equal(next?.version, "medium");
+      return;
+    }
+    assert.fail("no cascade in 200 requests");
+  });
+
   // Guards against a session that changes its version for a better plan.
   it("keeps the session's version", () => {
     const router = createRouter([createStatus("e1")]);
--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -133,6 +133,34 @@
     this.#holdFor(version, reason);
   }
 
+  /** Stable versions better than the rejected one, the best first. */
+  listBetter(request: RouteRequest, rejected: string): string[] {
+    const { requestClass, candidates } = request;
+    const getMean = (version: string) =>
+      this.#quality.estimate(requestClass, version).mean;
+    const least = getMean(rejected);
+    return candidates
+      .filter((version) => this.#state.holds[version] === undefined)
+      .filter((version) => !this.#guard.isGuarded(version))
+      .filter((version) => getMean(version) > least)
+      .toSorted((a, b) => getMean(b) - getMean(a));
+  }
+
+  /** Charges the quality that a faster version loses to the planned one. */
+  chargeReplacement(
+    { requestClass }: RouteRequest,
+    versions: { rejected: string; planned: string; other: string },
+  ): void {
+    const getMean = (version: string) =>
+      this.#quality.estimate(requestClass, version).mean;
+    const first = getMean(versions.rejected);
+    const { judge } = this.#quality;
+    const lost =
+      computeEscalatedQuality(first, getMean(versions.planned), judge) -
+      computeEscalatedQuality(first, getMean(versions.other), judge);
+    if (lost > 0) this.#chooser.credit.charge(requestClass, lost);
+  }
+
   /** True when the class's credit pays for answering with a rejected output. */
   acceptRejected(request: RouteRequest, version: string): boolean {
     const { requestClass, qualityTarget = 0 } = request;
