--- a/src/roles/revision_fetch.ts
+++ b/src/roles/revision_fetch.ts
@@ -16,7 +16,7 @@
 }
 
 /** A broken invariant ends the process, also when no caller waits any more. */
-function throwOutside(error: unknown): void {
+function failProcess(error: unknown): void {
   setImmediate(() => {
     throw error;
   });
@@ -57,7 +57,7 @@
       if (hint.revision <= this.#options.holder.revision) return;
       if (hint.signal.aborted) return;
       this.#fetching ??= this.#fetchNow(hint)
-        .catch(throwOutside)
+        .catch(failProcess)
         .finally(() => {
           this.#fetching = undefined;
         });
--- a/src/soak/compound_faults.ts
+++ b/src/soak/compound_faults.ts
@@ -50,7 +50,7 @@
  * Keeps the entries of a data centre from the store and from other entries, so
  * that they don't learn of a ticket, but leaves them their way to endpoints.
  */
-export async function makeEntryStale(
+export async function runStaleEntry(
   action: ActionOf<"stale-entry">,
   parts: CompoundParts,
   forMs: number,
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -5,7 +5,7 @@
 import {
   type CompoundParts,
   killBehindCut,
-  makeEntryStale,
+  runStaleEntry,
   sealLiveOwner,
   takeOver,
 } from "./compound_faults.js";
@@ -117,7 +117,7 @@
       case "burst":
         return this.#burst(action.factor, forMs);
       case "stale-entry":
-        return makeEntryStale(action, this.#compound, forMs);
+        return runStaleEntry(action, this.#compound, forMs);
       case "kill-behind-cut":
         return killBehindCut(action, this.#compound, forMs);
       case "take-over":
