--- a/src/core/dispatcher.ts
+++ b/src/core/dispatcher.ts
@@ -12,6 +12,7 @@
 import { createRefusal, type Refusal } from "./errors.js";
 import type { RouterAction } from "./events.js";
 import { createEmptyState } from "./fleet_state.js";
+import { PaceCache } from "./paces.js";
 import type { PendingRequest, RunningAttempt } from "./pending.js";
 import { Placement } from "./placement.js";
 import type { VersionPace } from "./plans.js";
@@ -32,7 +33,7 @@
 
 /** Weight of the newest observation of the time from dispatch to start. */
 const START_DELAY_WEIGHT = 0.1;
-/** Pause after a refusal, about the lag until the next status arrives. */
+/** Pause after a refusal. */
 const REFUSED_PAUSE_MS = 200;
 /** Pause after a failure, which can mean a cold engine. */
 const FAILED_PAUSE_MS = 1_000;
@@ -41,8 +42,6 @@
  * counts as feasible: about three in ten answers are shorter.
  */
 const FEASIBLE_DEVIATIONS = 0.52;
-/** Speeds of versions are kept this long; many plans use the same ones. */
-const PACE_MS = 1_000;
 /** Endpoint choices tried per freed slot before the rest must wait. */
 const MAX_DRAIN_MISSES = 3;
 
@@ -53,7 +52,7 @@
   readonly #queue: AdmissionQueue;
   readonly speeds = new SpeedEstimates();
   readonly lengths = new LengthEstimates();
-  readonly #paces = new Map<string, { pace: VersionPace; madeAtMs: number }>();
+  readonly #paces = new PaceCache((version) => this.#measurePace(version));
   #state: FleetState = createEmptyState();
 
   constructor(options: DispatcherOptions) {
@@ -162,14 +161,13 @@
 
   /** Speed of a version for the next request. */
   getPace(version: string, nowMs: number): VersionPace {
-    const kept = this.#paces.get(version);
-    if (kept !== undefined && nowMs - kept.madeAtMs < PACE_MS) return kept.pace;
+    return this.#paces.get(version, nowMs);
+  }
+
+  #measurePace(version: string): VersionPace {
     const target = createTarget("model", version);
     const unitMs = this.#placement.estimatePace(this.#state, target);
-    const waitMs = this.#queue.predictMeanWaitMs(target);
-    const pace = { unitMs, waitMs };
-    this.#paces.set(version, { pace, madeAtMs: nowMs });
-    return pace;
+    return { unitMs, waitMs: this.#queue.predictMeanWaitMs(target) };
   }
 
   /** False when the current step can't end in time on any endpoint. */
