--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -9,7 +9,6 @@
 export * from "./fleet_state.js";
 export * from "./guard.js";
 export * from "./judge.js";
-export * from "./paces.js";
 export * from "./pending.js";
 export * from "./placement.js";
 export * from "./plans.js";
