Keep the second copy of a receipt in another data centre

Cause: the endpoint of the last step held the copy, most often in the entry's own data centre, so the loss of that data centre took both. Change: a random endpoint of another data centre is asked first, then that of the last step, then the others.

--- a/src/roles/entry_parts.ts
+++ b/src/roles/entry_parts.ts
@@ -178,6 +178,7 @@
     return new RequestRunner(
       {
         entry: settings.name,
+        dataCentre: settings.dataCentre,
         router,
         directory: this.directory,
         config: sync,
--- a/src/roles/request_outcome.ts
+++ b/src/roles/request_outcome.ts
@@ -1,7 +1,13 @@
 /** How a request ended, and what its answer says of it. */
 
 import type { Refusal, RouteRequest } from "../core/index.js";
-import type { End, FleetState, Receipt, ReceiptStep } from "../schema/index.js";
+import type {
+  End,
+  EndpointStatus,
+  FleetState,
+  Receipt,
+  ReceiptStep,
+} from "../schema/index.js";
 import type { AnswerInfo } from "./answers.js";
 import type { EndpointDirectory } from "./endpoint_directory.js";
 import type { Attempt, PendingRequest } from "./pending_request.js";
@@ -91,14 +97,28 @@
   );
 }
 
-/** Endpoints that may keep a receipt's copy, that of the last step first. */
+/**
+ * Endpoints that may keep a receipt's copy, in the order in which to ask. One
+ * in another data centre goes first, since the loss of a data centre would
+ * take both an entry and the endpoints beside it.
+ */
 export function listReceiptHolders(
-  directory: EndpointDirectory,
-  endpoint: string,
+  statuses: readonly EndpointStatus[],
+  options: {
+    readonly dataCentre: string;
+    /** The endpoint of the last step. */
+    readonly endpoint: string;
+    readonly random: () => number;
+  },
 ): string[] {
-  const others = directory
-    .listStatus()
-    .filter((status) => status.endpoint !== endpoint && !status.leaving)
-    .map((status) => status.endpoint);
-  return [endpoint, ...others];
+  const { dataCentre, endpoint, random } = options;
+  const usable = statuses.filter((status) => !status.leaving);
+  const remote = usable.filter((status) => status.dataCentre !== dataCentre);
+  const chosen = remote[Math.floor(random() * remote.length)];
+  const names = [
+    ...(chosen === undefined ? [] : [chosen.endpoint]),
+    endpoint,
+    ...usable.map((status) => status.endpoint),
+  ];
+  return [...new Set(names)];
 }
--- a/src/roles/request_runner.ts
+++ b/src/roles/request_runner.ts
@@ -44,6 +44,8 @@
 import { createReceipt } from "./request_receipts.js";
 
 export interface RequestRunnerOptions extends AttemptRunnerOptions {
+  /** Data centre of this entry. */
+  readonly dataCentre: string;
   readonly router: Router;
   readonly ledger: EntryLedger;
   readonly ratings?: RatingService;
@@ -242,7 +244,11 @@
     if (pending.route.idempotent) {
       receipt = createReceipt(pending, Date.now());
       const { directory } = this.#options;
-      const holders = listReceiptHolders(directory, attempt.endpoint);
+      const holders = listReceiptHolders(directory.listStatus(), {
+        dataCentre: this.#options.dataCentre,
+        endpoint: attempt.endpoint,
+        random: Math.random,
+      });
       await this.#options.ledger.add(receipt, { holders }, this.#signal);
     }
     if (!this.#pending.delete(action.requestId)) return;
