Tell a holder's process from its next start

Cause: an entry took a copy for held while an endpoint of the holder's name was attached. A holder that was killed and started again during an outage passed for the one that had the copy, so the copy was not renewed, and the entry's own end left the request unbilled. Ruled out: the renewal itself, which works while the holder is away.

Change: the confirmed copy remembers the epoch of the holder's process. The test fails when the name alone is compared.

--- a/src/roles/entry_ledger_test.ts
+++ b/src/roles/entry_ledger_test.ts
@@ -135,6 +135,19 @@
     assert.deepEqual(network.asked.slice(1), ["gpu-1", "gpu-2"]);
   });
 
+  // By its name alone the new process would pass for the one with the copy.
+  it("finds a new holder when the first one's process was restarted in an outage", async () => {
+    const { clock, store, ledger, network, add } = createCase();
+    const stop = new AbortController();
+    store.isDown = true;
+    void ledger.start(stop.signal);
+    await add("r1");
+    network.epoch = 2;
+    await clock.run(10_000);
+    stop.abort();
+    assert.deepEqual(network.asked.slice(1), ["gpu-1", "gpu-2"]);
+  });
+
   it("reports a receipt that would be lost with a stopping entry", async () => {
     const { clock, store, ledger, network } = createCase();
     network.canHold = false;
--- a/src/roles/fake_ledger_test.ts
+++ b/src/roles/fake_ledger_test.ts
@@ -20,6 +20,7 @@
     isReplaced: false,
     canHold: true,
     gone: "",
+    epoch: 1,
     asked: [""],
   };
   const held = new HeldReceipts({
@@ -32,7 +33,8 @@
     forwardReceipt: async () => false,
   });
   const holders = new ReceiptHolders({
-    isHolderLive: (endpoint) => endpoint !== network.gone,
+    findProcess: (endpoint) =>
+      endpoint === network.gone ? undefined : `${endpoint} ${network.epoch}`,
     holdReceipt: async (endpoint, record) => {
       network.asked.push(endpoint);
       await clock.sleep(5);
--- a/src/roles/gate_calls.ts
+++ b/src/roles/gate_calls.ts
@@ -26,8 +26,10 @@
 
 export function createHolderCalls(directory: EndpointDirectory): HolderCalls {
   return {
-    isHolderLive: (endpoint) =>
-      directory.getStatus(endpoint)?.leaving === false,
+    findProcess: (endpoint) => {
+      const status = directory.getStatus(endpoint);
+      return status?.leaving === false ? status.epoch : undefined;
+    },
     holdReceipt: async (endpoint, record, signal) => {
       const client = directory.getClient(endpoint);
       if (client === undefined) return false;
--- a/src/roles/receipt_holders.ts
+++ b/src/roles/receipt_holders.ts
@@ -16,8 +16,11 @@
 const RELEASE_BATCH = 1_000;
 
 export interface HolderCalls {
-  /** False when the endpoint has left or can't be reached. */
-  readonly isHolderLive?: (endpoint: string) => boolean;
+  /**
+   * Names the process behind the endpoint, or nothing when it has left or
+   * can't be reached. Its next start has another name, and no copies.
+   */
+  readonly findProcess?: (endpoint: string) => string | undefined;
   /** `HoldReceipt`; false when the endpoint refuses or does not reply. */
   readonly holdReceipt: (
     endpoint: string,
@@ -36,8 +39,8 @@
   readonly owner: string;
   /** Endpoints that may have a copy, those without a reply included. */
   readonly asked: Set<string>;
-  /** The endpoint that confirmed its copy last. */
-  heldBy: string | undefined;
+  /** The endpoint that confirmed its copy last, and its process then. */
+  heldBy: { readonly endpoint: string; readonly process: string } | undefined;
   isAsking: boolean;
   isWritten: boolean;
 }
@@ -69,8 +72,13 @@
   }
 
   #isHeld({ heldBy }: Copy): boolean {
-    const { isHolderLive = () => true } = this.#calls;
-    return heldBy !== undefined && isHolderLive(heldBy);
+    if (heldBy === undefined) return false;
+    return this.#findProcess(heldBy.endpoint) === heldBy.process;
+  }
+
+  #findProcess(endpoint: string): string | undefined {
+    const { findProcess } = this.#calls;
+    return findProcess === undefined ? endpoint : findProcess(endpoint);
   }
 
   /** Asks the endpoints in turn until one holds the record. */
@@ -86,11 +94,13 @@
     for (const endpoint of endpoints.slice(0, MAX_HOLDERS_ASKED)) {
       if (signal.aborted || copy.isWritten || this.#isHeld(copy)) break;
       copy.asked.add(endpoint);
+      // As it is before the call: a restart during the call loses the copy.
+      const process = this.#findProcess(endpoint);
       const isHeld = await runWithTimeout(
         { signal, timeoutMs: HOLD_TIMEOUT_MS },
         (limited) => this.#calls.holdReceipt(endpoint, record, limited),
       ).catch(() => false);
-      if (isHeld) copy.heldBy = endpoint;
+      if (isHeld && process !== undefined) copy.heldBy = { endpoint, process };
     }
     copy.isAsking = false;
     if (copy.isWritten) this.#queueRelease(requestId, copy);
