Limit the old generation of a daemon's heap

Under 40 concurrent callers (about 250 requests/s on a busy machine) an entry rose to 150 MB resident and an endpoint to 168 MB. The trace of the collector shows 20 MB of live data after each full collection, and the next one only at 72 MB.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env -S node --max-semi-space-size=2
+#!/usr/bin/env -S node --max-semi-space-size=2 --max-old-space-size=96
 /** The daemon: starts one role from a settings file and stops on SIGTERM. */
 
 import { readFileSync } from "node:fs";
--- a/src/testbed/fleet.ts
+++ b/src/testbed/fleet.ts
@@ -64,7 +64,10 @@
 }
 
 /** As in the first line of the daemon's file; docs/operations.md says why. */
-export const DAEMON_NODE_FLAGS = ["--max-semi-space-size=2"] as const;
+export const DAEMON_NODE_FLAGS = [
+  "--max-semi-space-size=2",
+  "--max-old-space-size=96",
+] as const;
 
 export const OPERATOR_TOKEN = "operator-token";
 const SESSION_KEY = "session-key-of-the-test-bed";
