--- a/src/soak/findings.ts
+++ b/src/soak/findings.ts
@@ -61,7 +61,8 @@
   listNotExercised(): Property[] {
     return PROPERTIES.filter(
       (property) =>
-        !this.#cases.has(property) && !this.#violations.has(property),
+        (this.#cases.get(property) ?? 0) === 0 &&
+        !this.#violations.has(property),
     );
   }
 
