--- a/src/bench/control.ts
+++ b/src/bench/control.ts
@@ -5,7 +5,7 @@
  */
 
 import { setMaxListeners } from "node:events";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -23,6 +23,10 @@
 import { type Link, openLink } from "../standins/link.js";
 import { type ManagedProcess, startProcess } from "../standins/process.js";
 import { callJson } from "../testbed/http_calls.js";
+import {
+  readCpuSeconds,
+  readResidentMegabytes,
+} from "../testbed/process_usage.js";
 
 export interface ControlOptions {
   /** Endpoints in the host list. */
@@ -53,8 +57,6 @@
 const DATA_CENTRES = 6;
 const SETTLE_MS = 8_000;
 const LONG_POLL_MS = 2_700;
-const TICKS_PER_SECOND = 100;
-const KILOBYTES_PER_MEGABYTE = 1_024;
 
 interface Usage {
   readonly atMs: number;
@@ -66,18 +68,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-function readCpuSeconds(pid: number): number {
-  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
-  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
-}
-
-function readResidentMb(pid: number): number {
-  const status = readFileSync(`/proc/${pid}/status`, "utf8");
-  const kilobytes = Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0);
-  return Math.round(kilobytes / KILOBYTES_PER_MEGABYTE);
-}
-
 function createStatus(name: string, index: number): EndpointStatus {
   return {
     endpoint: name,
@@ -191,7 +181,7 @@
     const seconds = (after.atMs - before.atMs) / 1_000;
     const cpu = (after.cpuSeconds - before.cpuSeconds) / seconds;
     return {
-      residentMb: readResidentMb(process.pid ?? 0),
+      residentMb: readResidentMegabytes(process.pid ?? 0),
       cpuPercent: Math.round(cpu * 10_000) / 100,
       bytesPerSecond: Math.round((after.bytes - before.bytes) / seconds),
     };
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -4,7 +4,7 @@
  */
 
 import { setMaxListeners } from "node:events";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
@@ -18,6 +18,7 @@
 import { delay } from "../testbed/delay.js";
 import { type EndpointSpec, Fleet, OPERATOR_TOKEN } from "../testbed/fleet.js";
 import { callJson } from "../testbed/http_calls.js";
+import { readResidentMegabytes } from "../testbed/process_usage.js";
 import {
   createSetupTicket,
   getApiKey,
@@ -34,7 +35,6 @@
 const POLL_MS = 100;
 /** The users' bound for a data centre that operators take out. */
 const DRAIN_MS = 2_000;
-const KILOBYTE = 1_024;
 
 const WORKLOADS: readonly Workload[] = [YUSHAN, IKENNA];
 
@@ -343,12 +343,6 @@
   return { number, dataCentres: [{ name: "dc2", state }] };
 }
 
-function readResidentMegabytes(pid: number | undefined): number {
-  const status = readFileSync(`/proc/${pid}/status`, "utf8");
-  const kilobytes = Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0);
-  return Math.round(kilobytes / KILOBYTE);
-}
-
 const folder = mkdtempSync(join(tmpdir(), "hornbeamrill-demo-"));
 const lifetime = new AbortController();
 // Every process and link of the fleet listens to it.
