--- a/src/roles/session_records.ts
+++ b/src/roles/session_records.ts
@@ -10,7 +10,7 @@
 import { runWithTimeout, waitFor } from "./scope.js";
 
 /** A healthy store answers in milliseconds, and a caller waits. */
-const SETTLE_TIMEOUT_MS = 700;
+export const SETTLE_TIMEOUT_MS = 700;
 /** While the store is known to fail, one short call finds out if it is back. */
 const PROBE_TIMEOUT_MS = 150;
 /** Covers several lost replies, and entries that meet on one session. */
@@ -38,6 +38,7 @@
   readonly key: string;
   /** True while the store is known to fail. */
   readonly isProbe: boolean;
+  readonly settleMs: number;
   readonly decide: DecideRecord;
   readonly signal: AbortSignal;
 }
@@ -47,8 +48,8 @@
   store: ObjectStore,
   request: SettleRequest,
 ): Promise<Result<SettledRecord, Refusal | RecordsUnavailable>> {
-  const { signal, isProbe } = request;
-  const timeoutMs = isProbe ? PROBE_TIMEOUT_MS : SETTLE_TIMEOUT_MS;
+  const { signal, isProbe, settleMs } = request;
+  const timeoutMs = isProbe ? PROBE_TIMEOUT_MS : settleMs;
   return runWithTimeout({ signal, timeoutMs }, (scope) =>
     settleWithin(store, { ...request, signal: scope }),
   );
--- a/src/roles/session_store.ts
+++ b/src/roles/session_store.ts
@@ -17,7 +17,7 @@
   verifySessionToken,
 } from "../core/index.js";
 import type { FleetState } from "../schema/index.js";
-import { settleRecord } from "./session_records.js";
+import { SETTLE_TIMEOUT_MS, settleRecord } from "./session_records.js";
 
 export interface SessionRequest {
   readonly account: string;
@@ -42,6 +42,8 @@
   readonly store: ObjectStore;
   /** Secret of all entries; without it tokens are neither made nor read. */
   readonly sessionKey?: string;
+  /** Longest wait for the store before it counts as out. @internal */
+  readonly settleMs?: number;
 }
 
 /** About 10 MB. */
@@ -133,6 +135,7 @@
       key,
       decide: (current) => decideRecord(session, current),
       isProbe: this.#isStoreFailing,
+      settleMs: this.#options.settleMs ?? SETTLE_TIMEOUT_MS,
       signal,
     });
     this.#isStoreFailing =
