--- a/src/bench/run_test.ts
+++ b/src/bench/run_test.ts
@@ -20,6 +20,7 @@
     const best = runBench(SHORT, { policy: "best", seed: 3 });
     const router = runBench(SHORT, { policy: "hornbeamrill", seed: 3 });
     assert.equal(best.offered, router.offered);
+    assert.equal(best.dcLeaveOffered, router.dcLeaveOffered);
     for (const [name, { offered }] of Object.entries(best.classes)) {
       assert.equal(router.classes[name]?.offered, offered, name);
     }
