List the versions to which a new session may be assigned

A session goes straight to one version for its whole life, so it needs the cheapest single version whose lower bound meets the target, never one that is held or in roll-out while there is another.

--- a/src/core/plans.ts
+++ b/src/core/plans.ts
@@ -58,6 +58,11 @@
 /** Evidence below which a version is still tried now and then. */
 export const EXPLORED_EVIDENCE = 60;
 
+/** Lower bound of a quality, from its variance. */
+export function computeLowerBound(estimate: QualityEstimate): number {
+  return estimate.mean - BOUND_DEVIATIONS * Math.sqrt(estimate.variance);
+}
+
 function approximateNormal(x: number): number {
   // Logistic approximation; its error of 0.01 is below that of the speeds.
   return 1 / (1 + Math.exp(-1.702 * x));
@@ -141,12 +146,11 @@
     estimate: QualityEstimate,
     rest: { cost: number; inTime: number },
   ) => {
-    const deviation = Math.sqrt(estimate.variance);
     plans.push({
       steps,
       key: steps.join(" "),
       quality: estimate.mean,
-      lowerBound: estimate.mean - BOUND_DEVIATIONS * deviation,
+      lowerBound: computeLowerBound(estimate),
       ...rest,
       score: rest.cost + latePrice * (1 - rest.inTime),
     });
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -74,6 +74,16 @@
     return this.#actions;
   }
 
+  /** Versions to which a new session may be assigned. */
+  listSessionCandidates(
+    request: Pick<
+      RouteRequest,
+      "requestClass" | "qualityTarget" | "candidates"
+    >,
+  ): string[] {
+    return this.#versions.listSessionCandidates(request);
+  }
+
   #setState(state: FleetState): void {
     this.#dispatcher.setState(state);
     this.#versions.setState(state);
--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -8,7 +8,7 @@
 import { Guard, type Outcomes, SLOW_FACTOR } from "./guard.js";
 import { computeEscalatedQuality } from "./judge.js";
 import type { PendingRequest, RunningAttempt } from "./pending.js";
-import type { VersionPace } from "./plans.js";
+import { computeLowerBound, type VersionPace } from "./plans.js";
 import type { LengthEstimate } from "./speeds.js";
 
 export interface VersionsOptions {
@@ -74,6 +74,34 @@
     return [...(plan?.steps ?? [])];
   }
 
+  /**
+   * Versions for a new session, which has no cascade to make up for a weak
+   * one: the cheapest that meets the target, else the dearest. Versions that
+   * are held or in roll-out are left out, unless there is no other.
+   */
+  listSessionCandidates(
+    request: Pick<
+      RouteRequest,
+      "requestClass" | "qualityTarget" | "candidates"
+    >,
+  ): string[] {
+    const { requestClass, qualityTarget = 0, candidates } = request;
+    const open = candidates.filter(
+      (version) => this.#state.holds[version] === undefined,
+    );
+    const stable = open.filter((version) => !this.#guard.isGuarded(version));
+    const usable = [stable, open, candidates].find((list) => list.length > 0);
+    const getCost = (version: string) =>
+      this.#state.versions[version]?.costPerKiloToken ?? 0;
+    const priced = (usable ?? []).toSorted((a, b) => getCost(a) - getCost(b));
+    const meeting = priced.find((version) => {
+      const estimate = this.#quality.estimate(requestClass, version);
+      return computeLowerBound(estimate) >= qualityTarget;
+    });
+    const chosen = meeting ?? priced.at(-1);
+    return chosen === undefined ? [] : [chosen];
+  }
+
   /** Counts the request against its roll-out until its verdict is known. */
   watch(pending: PendingRequest): void {
     const guarded = pending.steps.find((name) => this.#guard.isGuarded(name));
