Give new sessions the cheapest version that meets the target

Cause: a new session got any of the account's versions by hash, the dearest as often as the cheapest, and one that may miss the quality target. Change: the candidates come from the router's estimates; the record in the store and the token still keep a session's version at every entry.

--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -192,7 +192,7 @@
         requestClass: route.requestClass,
         sessionId,
         token,
-        candidates: route.candidates,
+        candidates: this.#parts.runner.listSessionCandidates(route),
         state: this.#parts.sync.state,
       },
       signal,
--- a/src/roles/request_runner.ts
+++ b/src/roles/request_runner.ts
@@ -77,6 +77,11 @@
     return this.#pending.size;
   }
 
+  /** Versions to which a new session of the request may be assigned. */
+  listSessionCandidates(route: RouteRequest): string[] {
+    return this.#options.router.listSessionCandidates(route);
+  }
+
   /** Feeds an event to the router and carries out what it decides. */
   handle(event: RouterEvent): void {
     const { router, now } = this.#options;
