Spread equal work and prefer the own data centre at a fixed cost

Cause: another data centre cost nothing until its start delay had been measured, and of equal endpoints the first in the list always won, so the second of two service endpoints got no request in 15 s of the demo. Change: another data centre costs 2 ms; ties go to the endpoint with the smaller share of used slots, then to the one with fewer measurements. Endpoints with fewer than 10 measurements count as equal within 10%.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -37,6 +37,17 @@
 /** Largest share of the expected time that a cached prefix is worth. */
 const AFFINITY_SHARE = 0.15;
 const MAX_AFFINITY_MS = 500;
+/**
+ * Cost of another data centre. Without it, one is only avoided once its start
+ * delay has been measured.
+ */
+const OTHER_DATA_CENTRE_MS = 2;
+/**
+ * Few measurements count as equal within this factor, as an endpoint without
+ * any would get no work beside one that happens to have been a little faster.
+ */
+const UNSETTLED_FACTOR = 1.1;
+const SETTLED_SAMPLES = 10;
 const MAX_PREFIXES = 10_000;
 const NONE_TRIED: ReadonlySet<string> = new Set();
 
@@ -119,6 +130,7 @@
   ): EndpointView | undefined {
     const { speeds } = this.#options;
     const preferred = this.#prefixes.get(request.prefixHash ?? "");
+    const times = new Map<EndpointView, number>();
     let best: EndpointView | undefined;
     let bestMs = Number.POSITIVE_INFINITY;
     for (const view of views) {
@@ -130,14 +142,29 @@
         view.name === preferred
           ? Math.min(MAX_AFFINITY_MS, workMs * AFFINITY_SHARE)
           : 0;
-      const totalMs = workMs + view.startDelayMs - bonusMs;
+      const farMs = this.#isLocal(view) ? 0 : OTHER_DATA_CENTRE_MS;
+      const totalMs = workMs + view.startDelayMs + farMs - bonusMs;
+      times.set(view, totalMs);
       if (totalMs >= bestMs) continue;
       best = view;
       bestMs = totalMs;
     }
+    if (best === undefined || best.name === preferred) return best;
+    const nearest = this.#isLocal(best);
+    for (const [view, totalMs] of times) {
+      const isSettled = view.speedSamples >= SETTLED_SAMPLES;
+      const factor = isSettled ? 1 : UNSETTLED_FACTOR;
+      if (totalMs > bestMs * factor) continue;
+      if (this.#isLocal(view) !== nearest) continue;
+      if (isLessUsed(view, best)) best = view;
+    }
     return best;
   }
 
+  #isLocal(view: EndpointView): boolean {
+    return view.status.dataCentre === this.#options.dataCentre;
+  }
+
   #sample(groups: readonly EndpointGroup[], factor: number): EndpointView[] {
     const total = groups.reduce((sum, g) => sum + g.endpoints.length, 0);
     if (total <= MAX_COMPARED) return groups.flatMap((g) => g.endpoints);
@@ -178,6 +205,14 @@
   }
 }
 
+/** Among equals the one with less measured work comes first. */
+function isLessUsed(view: EndpointView, other: EndpointView): boolean {
+  const use = estimateLoad(view) / Math.max(1, view.status.limit);
+  const otherUse = estimateLoad(other) / Math.max(1, other.status.limit);
+  if (use !== otherUse) return use < otherUse;
+  return view.speedSamples < other.speedSamples;
+}
+
 function isPermitted(
   state: FleetState,
   view: EndpointView,
--- a/src/core/placement_test.ts
+++ b/src/core/placement_test.ts
@@ -15,7 +15,10 @@
   tried: new Set(),
 };
 
-function createPlacement(names: readonly string[]) {
+function createPlacement(
+  names: readonly string[],
+  dataCentres: readonly string[] = [],
+) {
   const endpoints = new EndpointIndex();
   const speeds = new SpeedEstimates();
   let draw = 0;
@@ -26,11 +29,11 @@
     endpoints,
     speeds,
   });
-  const views = names.map((endpoint) =>
+  const views = names.map((endpoint, i) =>
     endpoints.update(
       EndpointStatus.fromPartial({
         endpoint,
-        dataCentre: "dc1",
+        dataCentre: dataCentres[i] ?? "dc1",
         versions: ["m"],
         limit: 4,
         slots: 4,
@@ -87,6 +90,27 @@
     assert.notEqual(choose({ prefixHash: "p" }), first);
   });
 
+  // Guards against traffic between data centres that gains nothing.
+  it("prefers the own data centre when expected times are equal", () => {
+    const { choose, views } = createPlacement(["far", "near"], ["dc2", "dc1"]);
+    assert.equal(choose(), "near");
+    const [, near] = views;
+    if (near !== undefined) near.ownInFlight = 3;
+    assert.equal(choose(), "far");
+  });
+
+  // Guards against an endpoint that never gets work as it is second in a list.
+  it("breaks ties by used slots, then by measurements", () => {
+    const { observe, choose, views } = createPlacement(["a", "b"]);
+    for (const view of views) view.status = { ...view.status, slots: 1_000 };
+    const [first] = views;
+    if (first !== undefined) first.ownInFlight = 1;
+    assert.equal(choose(), "b");
+    if (first !== undefined) first.ownInFlight = 0;
+    observe(0, 1_000);
+    assert.equal(choose(), "b");
+  });
+
   // Guards against choice that slows down with the size of the fleet.
   it("compares few endpoints however many there are", () => {
     const names = Array.from({ length: 2_000 }, (_, i) => `e${i}`);
