--- a/src/core/plans.ts
+++ b/src/core/plans.ts
@@ -1,11 +1,7 @@
 /** Plans of one or two versions, with their quality, cost and time. */
 
 import type { QualityEstimate, QualityEstimates } from "./estimates.js";
-import {
-  computeEscalatedQuality,
-  computePassChance,
-  computePassedQuality,
-} from "./judge.js";
+import { computePassChance } from "./judge.js";
 import type { LengthEstimate } from "./speeds.js";
 
 /** One or two versions; the judge decides whether the second is needed. */
@@ -55,12 +51,6 @@
 const BOUND_DEVIATIONS = 0.5;
 /** Price of a late answer, in answers of the dearest version. */
 const LATE_PRICE = 1;
-/**
- * Weight of the quality among answers in time, where more first steps than
- * second ones end. The full weight left Yushan at 0.998 on one seed of 20.
- */
-const IN_TIME_WEIGHT = 0.5;
-const MIN_IN_TIME = 0.1;
 const MIN_SHORTFALL = 0.001;
 /** Slower by up to this factor, a cheaper version still matches another. */
 const MATCHED_PACE = 1.1;
@@ -184,19 +174,11 @@
       const escalatedInTime = computeFit(length, bothMs / bothUnitMs);
       const { mean: a, variance: varianceA } = first.estimate;
       const { mean: b, variance: varianceB } = second.estimate;
-      // The second version is assumed to solve all that the first does.
-      const overall = a + (b - a) * specificity;
-      const passedInTime = pass * inTime;
-      const secondInTime = (1 - pass) * escalatedInTime;
-      const answeredInTime =
-        (passedInTime * computePassedQuality(a, judge) +
-          secondInTime * computeEscalatedQuality(a, b, judge)) /
-        Math.max(MIN_IN_TIME, passedInTime + secondInTime);
       add(
         [first.version, second.version],
         {
-          mean:
-            overall + IN_TIME_WEIGHT * Math.max(0, answeredInTime - overall),
+          // The second version is assumed to solve all that the first does.
+          mean: a + (b - a) * specificity,
           variance: miss ** 2 * varianceA + specificity ** 2 * varianceB,
         },
         {
