Take an owner for lost for good once its next start was seen

A survivor that the store kept from recovering waited for 30 s again when the owner's next start had ended too.

--- a/src/roles/endpoint_receipts.ts
+++ b/src/roles/endpoint_receipts.ts
@@ -143,6 +143,8 @@
       // not kept for longer than needed.
       const isReplaced = isProcessReplaced?.(process) ?? false;
       if (!isReplaced && unseenMs < OWNER_LOST_MS) continue;
+      // The next start may end too before the store takes the receipts.
+      this.#seenAtMs.set(owner, Number.NEGATIVE_INFINITY);
       isDone = (await this.#recover(owner, { signal, seal: true })) && isDone;
     }
     return isDone;
--- a/src/roles/endpoint_receipts_test.ts
+++ b/src/roles/endpoint_receipts_test.ts
@@ -67,6 +67,11 @@
     await clock.finish(held.recoverLost(NEVER));
     assert.equal(countPlaces(store).get("r1"), undefined);
     network.isReplaced = true;
+    store.isDown = true;
+    assert.ok(!(await clock.finish(held.recoverLost(NEVER))));
+    // The next start has ended as well.
+    network.isReplaced = false;
+    store.isDown = false;
     assert.ok(await clock.finish(held.recoverLost(NEVER)));
     assert.equal(countPlaces(store).get("r1"), 1);
     assert.equal(held.count, 0);
