--- a/src/roles/server_close_test.ts
+++ b/src/roles/server_close_test.ts
@@ -38,6 +38,16 @@
     assert.equal(await answer, "whole");
   });
 
+  // The entry's stop reset 45 callers that had connected during a pause.
+  it("answers a caller whose connection was not yet accepted", async () => {
+    const { server, port } = await startServer(10);
+    const answer = call(port, new Agent()).catch((error) => String(error));
+    // The connection is made, but the loop has not turned to accept it.
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+    await closeHttpServer(server, AbortSignal.timeout(4_000));
+    assert.equal(await answer, "whole");
+  });
+
   it("gives up when the signal aborts", async (t) => {
     const agent = new Agent();
     const { server, port } = await startServer(60_000);
