Give each receipt a second holder while the store can't be written

Cause: during an outage an entry and one endpoint have the only copies of a receipt, for as long as the outage lasts. When both end in that time the request stays unbilled. Ruled out: lost releases, pages and recoveries, which were in order.

Change: after a failed flush the entry asks for a second endpoint's copy, once every receipt has a first one.

--- a/src/roles/entry_ledger.ts
+++ b/src/roles/entry_ledger.ts
@@ -28,6 +28,9 @@
 /** Between two tries to find a second holder for a receipt. */
 const HOLD_RETRY_MS = 250;
 
+/** Endpoints that keep a copy of each receipt while a flush fails. */
+const OUTAGE_HOLDERS = 2;
+
 /** Copies renewed after one failed flush. */
 const MAX_RENEWALS = 500;
 
@@ -236,14 +239,20 @@
     }
   }
 
-  /** Finds new holders during an outage, when endpoints come and go. */
+  /** An outage outlasts holders: first one for each receipt, then a second. */
   async #renewCopies(signal: AbortSignal): Promise<void> {
+    await this.#findHolders(1, signal);
+    await this.#findHolders(OUTAGE_HOLDERS, signal);
+  }
+
+  async #findHolders(wanted: number, signal: AbortSignal): Promise<void> {
     const { holders, listHolders = () => [] } = this.#options;
-    const isLost = (id: string) => holders.hasLostCopy(id);
+    const isLost = (id: string) => holders.hasLostCopy(id, wanted);
     const lost = this.#listRecords((id) => isLost(id)).slice(0, MAX_RENEWALS);
     for (const record of lost) {
       if (!isLost(record.receipt.requestId)) continue;
-      if (!(await holders.hold(record, listHolders(), signal))) return;
+      const isFound = await holders.hold(record, listHolders(), signal, wanted);
+      if (!isFound) return;
     }
   }
 
--- a/src/roles/receipt_holders.ts
+++ b/src/roles/receipt_holders.ts
@@ -39,8 +39,8 @@
   readonly owner: string;
   /** Endpoints that may have a copy, those without a reply included. */
   readonly asked: Set<string>;
-  /** The endpoint that confirmed its copy last, and its process then. */
-  heldBy: { readonly endpoint: string; readonly process: string } | undefined;
+  /** Endpoints that confirmed their copy, with their process then. */
+  readonly heldBy: Map<string, string>;
   isAsking: boolean;
   isWritten: boolean;
 }
@@ -65,15 +65,21 @@
     return copy !== undefined && this.#isHeld(copy);
   }
 
-  /** True when the endpoint that had the only other copy is gone. */
-  hasLostCopy(requestId: string): boolean {
+  /** True when fewer than `wanted` endpoints have a copy, as others are gone. */
+  hasLostCopy(requestId: string, wanted = 1): boolean {
     const copy = this.#copies.get(requestId);
-    return copy !== undefined && !copy.isAsking && !this.#isHeld(copy);
+    if (copy === undefined || copy.isAsking) return false;
+    return this.#countHolders(copy) < wanted;
   }
 
-  #isHeld({ heldBy }: Copy): boolean {
-    if (heldBy === undefined) return false;
-    return this.#findProcess(heldBy.endpoint) === heldBy.process;
+  #isHeld(copy: Copy): boolean {
+    return this.#countHolders(copy) > 0;
+  }
+
+  #countHolders({ heldBy }: Copy): number {
+    return [...heldBy].filter(
+      ([endpoint, process]) => this.#findProcess(endpoint) === process,
+    ).length;
   }
 
   #findProcess(endpoint: string): string | undefined {
@@ -81,18 +87,27 @@
     return findProcess === undefined ? endpoint : findProcess(endpoint);
   }
 
-  /** Asks the endpoints in turn until one holds the record. */
+  /**
+   * Asks the endpoints in turn until `wanted` of all hold the record; true
+   * when they do.
+   */
   async hold(
     record: HeldRecord,
     endpoints: readonly string[],
     signal: AbortSignal,
+    wanted = 1,
   ): Promise<boolean> {
     const { requestId } = record.receipt;
     const copy = this.#copies.get(requestId) ?? createCopy(record.owner);
     this.#copies.set(requestId, copy);
+    for (const [endpoint, process] of copy.heldBy) {
+      if (this.#findProcess(endpoint) !== process) copy.heldBy.delete(endpoint);
+    }
     copy.isAsking = true;
-    for (const endpoint of endpoints.slice(0, MAX_HOLDERS_ASKED)) {
-      if (signal.aborted || copy.isWritten || this.#isHeld(copy)) break;
+    const others = endpoints.filter((endpoint) => !copy.heldBy.has(endpoint));
+    for (const endpoint of others.slice(0, MAX_HOLDERS_ASKED)) {
+      if (signal.aborted || copy.isWritten) break;
+      if (this.#countHolders(copy) >= wanted) break;
       copy.asked.add(endpoint);
       // As it is before the call: a restart during the call loses the copy.
       const process = this.#findProcess(endpoint);
@@ -100,11 +115,11 @@
         { signal, timeoutMs: HOLD_TIMEOUT_MS },
         (limited) => this.#calls.holdReceipt(endpoint, record, limited),
       ).catch(() => false);
-      if (isHeld && process !== undefined) copy.heldBy = { endpoint, process };
+      if (isHeld && process !== undefined) copy.heldBy.set(endpoint, process);
     }
     copy.isAsking = false;
     if (copy.isWritten) this.#queueRelease(requestId, copy);
-    return this.#isHeld(copy);
+    return this.#countHolders(copy) >= wanted;
   }
 
   /** The store has the receipt, so its copies can go. */
@@ -169,7 +184,7 @@
   return {
     owner,
     asked: new Set(),
-    heldBy: undefined,
+    heldBy: new Map(),
     isAsking: false,
     isWritten: false,
   };
