--- a/src/roles/request_runner.ts
+++ b/src/roles/request_runner.ts
@@ -44,6 +44,8 @@
 import { createReceipt } from "./request_receipts.js";
 
 export interface RequestRunnerOptions extends AttemptRunnerOptions {
+  /** Data centre of this entry. */
+  readonly dataCentre: string;
   readonly router: Router;
   readonly ledger: EntryLedger;
   readonly ratings?: RatingService;
@@ -75,6 +77,11 @@
     return this.#pending.size;
   }
 
+  /** Versions to which a new session of the request may be assigned. */
+  listSessionCandidates(route: RouteRequest): string[] {
+    return this.#options.router.listSessionCandidates(route);
+  }
+
   /** Feeds an event to the router and carries out what it decides. */
   handle(event: RouterEvent): void {
     const { router, now } = this.#options;
@@ -242,7 +249,11 @@
     if (pending.route.idempotent) {
       receipt = createReceipt(pending, Date.now());
       const { directory } = this.#options;
-      const holders = listReceiptHolders(directory, attempt.endpoint);
+      const holders = listReceiptHolders(directory.listStatus(), {
+        dataCentre: this.#options.dataCentre,
+        endpoint: attempt.endpoint,
+        random: Math.random,
+      });
       await this.#options.ledger.add(receipt, { holders }, this.#signal);
     }
     if (!this.#pending.delete(action.requestId)) return;
