--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -44,7 +44,7 @@
 
 export const DEFAULT_MEMORY_LIMITS: MemoryLimits = {
   maxEnded: 5_000,
-  maxBytes: 24_000_000,
+  maxBytes: 12_000_000,
   keepEndedMs: 120_000,
   // About 100 bytes each, so at most 5 MB of the node's 128 MB.
   maxSpent: 50_000,
--- a/src/core/frames.ts
+++ b/src/core/frames.ts
@@ -17,6 +17,12 @@
 /** Kept bytes of one attempt; a request or answer body is at most 1 MB. */
 export const MAX_FRAME_BYTES = 2_000_000;
 
+/**
+ * A frame, its chunk and its buffer in V8's heap. Chunks are a few bytes long,
+ * so bodies alone would undercount the memory about fifty times.
+ */
+const FRAME_OVERHEAD_BYTES = 400;
+
 /** Frames are numbered from 0; exactly one last frame closes the log. */
 export class FrameLog {
   readonly #requestId: string;
@@ -39,7 +45,7 @@
     return this.#nextSequence;
   }
 
-  /** Bytes of the bodies that the log keeps. */
+  /** Estimated memory of the frames that the log keeps. */
   get bytes(): number {
     return this.#bytes;
   }
@@ -83,5 +89,7 @@
 }
 
 function measureFrame(frame: Frame): number {
-  return (frame.chunk?.data.length ?? 0) + (frame.end?.body.length ?? 0);
+  const { chunk, end } = frame;
+  const bodyBytes = (chunk?.data.length ?? 0) + (end?.body.length ?? 0);
+  return FRAME_OVERHEAD_BYTES + bodyBytes;
 }
