Shorten the list of verbs, and give the short soak ports of its own

The glossary had about 110 verbs, many for one function; 43 functions take one of the remaining verbs, and the guards of the soak begin with break. Behaviour is unchanged. The short soak failed once when two runs of the suite on one machine shared port 23,500 (EADDRINUSE); each process now takes another block.

--- a/src/adapters/channels.ts
+++ b/src/adapters/channels.ts
@@ -52,7 +52,7 @@
 }
 
 /** Says what a failed call means for the request it carried. */
-export function classifyCallError(error: ServiceError): PeerFailure {
+export function toPeerFailure(error: ServiceError): PeerFailure {
   const detail = error.details || error.message;
   if (error.code === status.UNAVAILABLE) return { kind: "unreachable", detail };
   if (error.code === status.DEADLINE_EXCEEDED) {
@@ -99,7 +99,7 @@
   return new ResultAsync(
     promise.then(
       (reply) => ok<R, PeerFailure>(reply),
-      (error: ServiceError) => err<R, PeerFailure>(classifyCallError(error)),
+      (error: ServiceError) => err<R, PeerFailure>(toPeerFailure(error)),
     ),
   );
 }
--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -87,7 +87,7 @@
 const DISCARD_MS = 1_000;
 
 /** Drops the rest of a body, and the connection when it does not end soon. */
-function discardBody(request: IncomingMessage): void {
+function ignoreBody(request: IncomingMessage): void {
   request.resume();
   const timer = setTimeout(() => request.destroy(), DISCARD_MS);
   request.once("close", () => clearTimeout(timer));
@@ -107,7 +107,7 @@
     `Body exceeds ${maxBytes} bytes`,
   );
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-    discardBody(request);
+    ignoreBody(request);
     return Promise.resolve(tooLarge);
   }
   return new Promise((resolve, reject) => {
@@ -120,7 +120,7 @@
         return;
       }
       request.off("data", takeChunk);
-      discardBody(request);
+      ignoreBody(request);
       resolve(tooLarge);
     };
     request.on("data", takeChunk);
--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -195,7 +195,7 @@
 const DRAIN_MS = 1_000;
 
 /** Keeps the connection for reuse when a reply's rest does not matter. */
-export function drainReply(message: IncomingMessage): void {
+export function ignoreReply(message: IncomingMessage): void {
   message.resume();
   const timer = setTimeout(() => {
     if (!message.complete) message.destroy();
--- a/src/adapters/http_engine.ts
+++ b/src/adapters/http_engine.ts
@@ -13,10 +13,10 @@
 } from "./engine.js";
 import { readCompletion } from "./engine_stream.js";
 import {
-  drainReply,
   HttpClient,
   type HttpReply,
   type HttpTarget,
+  ignoreReply,
   readReply,
   type TransportFailure,
 } from "./http_client.js";
@@ -146,7 +146,7 @@
     progress.chunks += 1;
     await onChunk(chunk);
   });
-  if (answer.isOk()) drainReply(message);
+  if (answer.isOk()) ignoreReply(message);
   const { chunks, engineStartId = "" } = progress;
   return answer
     .map((usage) => ({ ...usage, chunks, engineStartId }))
--- a/src/adapters/server_sent_events.ts
+++ b/src/adapters/server_sent_events.ts
@@ -34,7 +34,7 @@
       );
     }
     for (const line of lines) {
-      const [field, value] = splitField(line);
+      const [field, value] = parseField(line);
       if (line === "") {
         if (data.length > 0) yield { event, data: data.join("\n") };
         event = "message";
@@ -45,7 +45,7 @@
   }
 }
 
-function splitField(line: string): [string, string] {
+function parseField(line: string): [string, string] {
   const at = line.indexOf(":");
   if (at < 0) return [line, ""];
   const value = line.slice(at + 1);
--- a/src/bench/core.ts
+++ b/src/bench/core.ts
@@ -4,11 +4,7 @@
 import { Router, type RouterAction, type RouterEvent } from "../core/index.js";
 import { EndpointStatus } from "../schema/index.js";
 import { createFleetState } from "./fleet.js";
-import {
-  type Assumptions,
-  createRandom,
-  generateArrivals,
-} from "./workload.js";
+import { type Assumptions, createArrivals, createRandom } from "./workload.js";
 
 const REPLICA_COUNTS = [100, 300, 930, 3_000];
 const REQUESTS = 20_000;
@@ -71,7 +67,7 @@
   });
   for (const status of statuses) feed({ type: "endpoint-status", status });
   const requestsPerSecond = NODE_REQUESTS_PER_SECOND;
-  const arrivals = generateArrivals(
+  const arrivals = createArrivals(
     { ...peak, seconds: REQUESTS },
     { seed: 1, requestsPerSecond },
   );
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -3,7 +3,7 @@
 import meow from "meow";
 import { BASELINES, type BaselineName } from "./baselines.js";
 import { runCoreBench } from "./core.js";
-import { buildPeak } from "./peak.js";
+import { createPeak } from "./peak.js";
 import { runBench } from "./run.js";
 import { type Assumptions, loadAssumptions } from "./workload.js";
 
@@ -42,7 +42,7 @@
 }
 
 function loadPeak(): Assumptions {
-  return buildPeak(loadWorkload("yushan"), loadWorkload("ikenna"));
+  return createPeak(loadWorkload("yushan"), loadWorkload("ikenna"));
 }
 
 function loadWorkload(workload: string, file?: string): Assumptions {
--- a/src/bench/peak.ts
+++ b/src/bench/peak.ts
@@ -17,7 +17,7 @@
  * Builds the workload from the classes of the given ones. Each class is split
  * over the families, which stand for the models of different accounts.
  */
-export function buildPeak(yushan: Assumptions, ikenna: Assumptions) {
+export function createPeak(yushan: Assumptions, ikenna: Assumptions) {
   const dataCentres = REGIONS.flatMap((region) =>
     Array.from(
       { length: DATA_CENTRES_PER_REGION },
--- a/src/bench/run.ts
+++ b/src/bench/run.ts
@@ -6,7 +6,7 @@
   type Arrival,
   type Assumptions,
   computeCapacity,
-  generateArrivals,
+  createArrivals,
 } from "./workload.js";
 import { World } from "./world.js";
 
@@ -27,7 +27,7 @@
   const requestsPerSecond =
     (assumptions.requestsPerSecond ?? computeCapacity(assumptions)) * load;
   const world = new World(assumptions, { seed, requestsPerSecond, driver });
-  const arrivals = generateArrivals(assumptions, { seed, requestsPerSecond });
+  const arrivals = createArrivals(assumptions, { seed, requestsPerSecond });
   const acceptNext = () => {
     const next = arrivals.next();
     if (next.done === true) return;
--- a/src/bench/workload.ts
+++ b/src/bench/workload.ts
@@ -214,7 +214,7 @@
   return { load, chunks };
 }
 
-function pickWeighted(weights: readonly number[], random: number): number {
+function chooseWeighted(weights: readonly number[], random: number): number {
   const total = weights.reduce((sum, weight) => sum + weight, 0);
   let left = random * total;
   const index = weights.findIndex((weight) => {
@@ -225,7 +225,7 @@
 }
 
 /** Poisson arrivals with bursts, the same for each policy of a seed. */
-export function* generateArrivals(
+export function* createArrivals(
   a: Assumptions,
   options: { seed: number; requestsPerSecond: number },
 ): Generator<Arrival> {
@@ -262,13 +262,13 @@
       phaseEndMs += drawExponential(burst ? burstMeanMs : calmMeanMs);
     }
     if (atMs > a.seconds * 1000) return;
-    const className = names[pickWeighted(shares, random())] ?? "";
+    const className = names[chooseWeighted(shares, random())] ?? "";
     const spec = a.classes[className];
     if (spec === undefined) continue;
     yield {
       id: `r${number}`,
       atMs,
-      account: `account-${pickWeighted(accounts, random()) + 1}`,
+      account: `account-${chooseWeighted(accounts, random()) + 1}`,
       className,
       spec,
       promptTokens: Math.max(1, Math.round(drawLength(spec.promptTokens))),
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -16,8 +16,8 @@
   applyTicketFile,
   setDataCentre,
   setRollout,
+  setVersionWithdrawn,
   showTicket,
-  withdrawVersion,
 } from "./ticket_commands.js";
 
 const cli = meow(
@@ -103,7 +103,7 @@
     )
     .with(["rollout", P.string], ([, version]) => setRollout(version, context))
     .with(["withdraw", P.string], ([, version]) =>
-      withdrawVersion(version, context),
+      setVersionWithdrawn(version, context),
     )
     .with(["status"], () => showStatus(context))
     .with(["settings", "check", P.string], ([, , file]) =>
--- a/src/cli/ticket_commands.ts
+++ b/src/cli/ticket_commands.ts
@@ -132,7 +132,7 @@
   return await changeState(createChange, missing, context);
 }
 
-export async function withdrawVersion(
+export async function setVersionWithdrawn(
   name: string,
   context: CommandContext,
 ): Promise<ExitCode> {
--- a/src/core/burn_html.ts
+++ b/src/core/burn_html.ts
@@ -31,7 +31,7 @@
   "'": "&#39;",
 };
 
-function escapeHtml(text: string): string {
+function formatHtmlText(text: string): string {
   return text.replace(/[&<>"']/g, (character) => ENTITIES[character] ?? "");
 }
 
@@ -49,7 +49,7 @@
     (HEIGHT - MARGIN - (rate / top) * (HEIGHT - 2 * MARGIN)).toFixed(1);
   const points = hours.map(({ atMs, rate }) => `${toX(atMs)},${toY(rate)}`);
   const right = WIDTH - MARGIN;
-  const title = escapeHtml(`Hourly burn rate of ${account} ${kind}`);
+  const title = formatHtmlText(`Hourly burn rate of ${account} ${kind}`);
   const marks = [0, 1, top / 1.1].map(
     (rate) =>
       `<text x="${MARGIN - 6}" y="${toY(rate)}" text-anchor="end">${rate.toFixed(1)}</text>`,
@@ -90,7 +90,7 @@
   if (culprits.length === 0) return "";
   const rows = culprits.map(
     ({ name, bad, total, share }) =>
-      `<tr><td>${escapeHtml(name)}</td><td>${bad} of ${total}</td><td>${formatPercent(share)}</td></tr>`,
+      `<tr><td>${formatHtmlText(name)}</td><td>${bad} of ${total}</td><td>${formatPercent(share)}</td></tr>`,
   );
   return `<table><tr><th>${title}</th><th>bad</th><th>share</th></tr>${rows.join("")}</table>`;
 }
@@ -99,7 +99,7 @@
   const { account, kind, target, total, bad, budgetLeft } = objective;
   const marked = budgetLeft < 0 ? ' class="over"' : "";
   return [
-    `<h2>${escapeHtml(account)}: ${kind}</h2>`,
+    `<h2>${formatHtmlText(account)}: ${kind}</h2>`,
     `<p>Target ${formatPercent(target)}, ${bad} bad of ${total}, <span${marked}>budget left ${formatPercent(budgetLeft)}</span></p>`,
     renderChart(objective, report),
     renderWindows(objective),
--- a/src/core/canonical.ts
+++ b/src/core/canonical.ts
@@ -30,7 +30,7 @@
  * Ranks names by rendezvous hash for a key: a name that joins or leaves moves
  * no other two names relative to each other.
  */
-export function rankByRendezvous(
+export function sortByRendezvous(
   key: string,
   names: readonly string[],
 ): string[] {
--- a/src/core/chooser_test.ts
+++ b/src/core/chooser_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { Chooser } from "./chooser.js";
 import { QualityEstimates } from "./estimates.js";
-import { learnJudge } from "./judge.js";
+import { estimateJudge } from "./judge.js";
 
 const COSTS: Record<string, number> = { small: 0.1, medium: 0.4, large: 1 };
 const NONE: ReadonlySet<string> = new Set();
@@ -123,7 +123,7 @@
       const acceptedShare = (share * 0.95) / passShare;
       return { rated: 3_000, acceptedShare, passShare };
     };
-    const judge = learnJudge([0.5, 0.6, 0.8, 0.9].map(sample));
+    const judge = estimateJudge([0.5, 0.6, 0.8, 0.9].map(sample));
     assert.ok(Math.abs(judge.sensitivity - 0.95) < 0.03);
     assert.ok(Math.abs(judge.specificity - 0.7) < 0.04);
   });
--- a/src/core/claims.ts
+++ b/src/core/claims.ts
@@ -84,7 +84,7 @@
 }
 
 /** The attempt did not run, so the next order may take the claim. */
-export function releaseClaim(claim: Claim, nonce: string): Claim {
+export function createReleasedClaim(claim: Claim, nonce: string): Claim {
   assertInvariant(
     claim.state === "claimed",
     "falseNotRun",
@@ -94,7 +94,7 @@
 }
 
 /** Nobody can tell whether the attempt ran; the claim never runs again. */
-export function loseClaim(claim: Claim, nonce: string): Claim {
+export function createLostClaim(claim: Claim, nonce: string): Claim {
   assertInvariant(
     claim.state === "claimed",
     "falseNotRun",
--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -11,10 +11,10 @@
 import {
   computePassChance,
   computePassedQuality,
+  estimateJudge,
   JUDGE_PRIOR,
   type JudgeEstimate,
   type JudgeSample,
-  learnJudge,
 } from "./judge.js";
 
 /** How a version came to give the final answer. */
@@ -65,7 +65,7 @@
   };
 }
 
-function clampShare(share: number): number {
+function computeBoundedShare(share: number): number {
   return Math.min(MAX_SHARE, Math.max(MIN_SHARE, share));
 }
 
@@ -87,13 +87,13 @@
 }
 
 /** Estimate of x from an estimate of offset + slope * x. */
-function solveLinear(
+function computeLinearSolution(
   estimate: QualityEstimate,
   offset: number,
   slope: number,
 ): QualityEstimate {
   return {
-    mean: clampShare((estimate.mean - offset) / slope),
+    mean: computeBoundedShare((estimate.mean - offset) / slope),
     variance: estimate.variance / slope ** 2,
   };
 }
@@ -200,14 +200,14 @@
     if (record.judged > 0) estimate = combine(estimate, this.#invert(record));
     const rated = this.#correctRatings(requestClass, record, estimate.mean);
     if (rated !== undefined) estimate = combine(estimate, rated);
-    return { ...estimate, mean: clampShare(estimate.mean) };
+    return { ...estimate, mean: computeBoundedShare(estimate.mean) };
   }
 
   /** Share of acceptable answers that explains the share of passes. */
   #invert({ judged, passed }: VersionRecord): QualityEstimate {
     const { sensitivity, specificity } = this.#judge;
     const slope = Math.max(MIN_SLOPE, sensitivity + specificity - 1);
-    const { mean, variance } = solveLinear(
+    const { mean, variance } = computeLinearSolution(
       estimateShare(passed, judged),
       1 - specificity,
       slope,
@@ -247,7 +247,7 @@
       offset += (share * at0) / rejects;
     }
     if (slope < MIN_SLOPE) return undefined;
-    return solveLinear(estimateShare(accepted, rated), offset, slope);
+    return computeLinearSolution(estimateShare(accepted, rated), offset, slope);
   }
 
   /** Estimate of a first step, from its verdicts only. */
@@ -255,11 +255,11 @@
     const record = this.#records.get(requestClass)?.get(version);
     const prior = createBeta(PRIOR.mean, PRIOR.weight);
     if (record === undefined || record.judged === 0) return prior.mean;
-    return clampShare(combine(prior, this.#invert(record)).mean);
+    return computeBoundedShare(combine(prior, this.#invert(record)).mean);
   }
 
   /** Learns the judge from first steps with both verdicts and ratings. */
-  learnJudge(): void {
+  estimateJudge(): void {
     const samples: JudgeSample[] = [];
     for (const versions of this.#records.values()) {
       for (const record of versions.values()) {
@@ -273,6 +273,6 @@
         });
       }
     }
-    this.#judge = learnJudge(samples);
+    this.#judge = estimateJudge(samples);
   }
 }
--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -4,7 +4,7 @@
  * store outage. All times are on one process's monotonic clock.
  */
 
-import { rankByRendezvous } from "./canonical.js";
+import { sortByRendezvous } from "./canonical.js";
 import { createRefusal, type Refusal } from "./errors.js";
 
 /** Oldest confirmation with which new work starts. */
@@ -41,7 +41,7 @@
   }
   return [...groups].flatMap(([dataCentre, group]) => {
     const names = group.map((peer) => peer.name);
-    const chosen = rankByRendezvous(dataCentre, names).slice(
+    const chosen = sortByRendezvous(dataCentre, names).slice(
       0,
       WATCHERS_PER_DATA_CENTRE,
     );
--- a/src/core/gate_capacity.ts
+++ b/src/core/gate_capacity.ts
@@ -87,8 +87,8 @@
     const serviceMs = nowMs - startedAtMs;
     const isModel = this.#kind === "model";
     const units = isModel ? Math.max(1, outputTokens) / 1_000 : 1;
-    this.#meanMs = updateMean(this.#meanMs, serviceMs);
-    this.#meanUnitMs = updateMean(this.#meanUnitMs, serviceMs / units);
+    this.#meanMs = computeMean(this.#meanMs, serviceMs);
+    this.#meanUnitMs = computeMean(this.#meanUnitMs, serviceMs / units);
     const name = isModel ? request.version : request.service;
     const completion = { name, startedAtMs, serviceMs, units };
     return this.#ramp.applyCompletion(completion, nowMs);
@@ -136,7 +136,7 @@
   }
 }
 
-function updateMean(mean: number | undefined, value: number): number {
+function computeMean(mean: number | undefined, value: number): number {
   return mean === undefined ? value : mean + MEAN_WEIGHT * (value - mean);
 }
 
--- a/src/core/judge.ts
+++ b/src/core/judge.ts
@@ -59,7 +59,7 @@
  * version's share a. Least squares over all classes and versions gives both,
  * pulled towards the prior.
  */
-export function learnJudge(samples: readonly JudgeSample[]): JudgeEstimate {
+export function estimateJudge(samples: readonly JudgeSample[]): JudgeEstimate {
   const x0 = 1 / JUDGE_PRIOR.sensitivity;
   const y0 = 1 / (1 - JUDGE_PRIOR.specificity);
   // The prior enters as a ridge in units of each unknown's own size.
--- a/src/core/plans.ts
+++ b/src/core/plans.ts
@@ -63,7 +63,7 @@
   return estimate.mean - BOUND_DEVIATIONS * Math.sqrt(estimate.variance);
 }
 
-function approximateNormal(x: number): number {
+function computeNormal(x: number): number {
   // Logistic approximation; its error of 0.01 is below that of the speeds.
   return 1 / (1 + Math.exp(-1.702 * x));
 }
@@ -72,7 +72,7 @@
 function computeFit(length: LengthEstimate, units: number): number {
   if (units <= 0) return 0;
   const deviation = Math.sqrt(length.varianceLog) || 1;
-  return approximateNormal((Math.log(units) - length.meanLog) / deviation);
+  return computeNormal((Math.log(units) - length.meanLog) / deviation);
 }
 
 /** The plan below target that saves most for its shortfall. */
--- a/src/core/sessions.ts
+++ b/src/core/sessions.ts
@@ -6,7 +6,7 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
 import type { FleetState } from "../schema/index.js";
-import { hashText, rankByRendezvous } from "./canonical.js";
+import { hashText, sortByRendezvous } from "./canonical.js";
 import { createRefusal, type Refusal } from "./errors.js";
 
 export const MAX_SESSION_ID_CHARS = 128;
@@ -51,7 +51,7 @@
 }
 
 /** Gives the claims when the signature is the key's. */
-export function verifySessionToken(
+export function readSessionToken(
   token: string,
   key: string,
 ): SessionClaims | undefined {
@@ -145,7 +145,7 @@
     return computeFraction(JSON.stringify([session, version])) < share;
   });
   const pool = [eligible, unheld, active].find((names) => names.length > 0);
-  return rankByRendezvous(session, pool ?? [])[0];
+  return sortByRendezvous(session, pool ?? [])[0];
 }
 
 /** Reads a session's record as the store has it. */
--- a/src/core/subset.ts
+++ b/src/core/subset.ts
@@ -6,7 +6,7 @@
  */
 
 import type { FleetState } from "../schema/index.js";
-import { rankByRendezvous } from "./canonical.js";
+import { sortByRendezvous } from "./canonical.js";
 
 /** Up to this many endpoints an entry attaches to all of them. */
 export const MAX_ATTACHED_WHOLE = 64;
@@ -64,7 +64,7 @@
   count: number,
 ): string[] {
   const names = endpoints.map((endpoint) => endpoint.name);
-  return rankByRendezvous(entry, names).slice(0, count);
+  return sortByRendezvous(entry, names).slice(0, count);
 }
 
 /** Names of the endpoints to attach to; stable while hosts come and go. */
--- a/src/core/tickets.ts
+++ b/src/core/tickets.ts
@@ -132,7 +132,7 @@
  * Drops old tickets, but none that still decides on a subject: its number
  * would pass for a new one, and other content could take its place.
  */
-function trimTickets(
+function listKeptTickets(
   subjects: FleetState["subjects"],
   tickets: AcceptedTicket[],
 ): AcceptedTicket[] {
@@ -167,7 +167,7 @@
   if (dangling !== undefined) return err(dangling);
 
   next.revision = state.revision + 1;
-  next.tickets = trimTickets(next.subjects, [
+  next.tickets = listKeptTickets(next.subjects, [
     ...state.tickets,
     { number: ticket.number, sha256, revision: next.revision },
   ]);
--- a/src/core/versions.ts
+++ b/src/core/versions.ts
@@ -59,7 +59,7 @@
     if (request.kind === "service") return [""];
     if (request.sessionVersion !== undefined) return [request.sessionVersion];
     if (++this.#planned % JUDGE_UPDATE_REQUESTS === 0) {
-      this.#quality.learnJudge();
+      this.#quality.estimateJudge();
     }
     const candidates = this.#guard.filter(request.candidates);
     const guarded = new Set(
--- a/src/roles/caller_requests.ts
+++ b/src/roles/caller_requests.ts
@@ -117,7 +117,7 @@
   );
 }
 
-function selectByModel(
+function listByModel(
   state: FleetState,
   account: ClientAccount,
   selection: { model: string; allowed: string[] },
@@ -177,7 +177,7 @@
     most: 1,
   });
   if (target.isErr()) return err(target.error);
-  const candidates = selectByModel(state, account, {
+  const candidates = listByModel(state, account, {
     model: chat.value.model ?? "auto",
     allowed: listAllowedVersions(state, account, requestClass.value),
   });
--- a/src/roles/caller_server.ts
+++ b/src/roles/caller_server.ts
@@ -62,7 +62,7 @@
 }
 
 /** Aborts when the caller goes away before its answer is complete. */
-function watchCaller(response: ServerResponse): AbortSignal {
+function createCallerSignal(response: ServerResponse): AbortSignal {
   const controller = new AbortController();
   response.once("close", () => {
     if (!response.writableFinished) controller.abort();
@@ -168,7 +168,7 @@
       this.#refuse(response, parsed.error);
       return;
     }
-    const signal = watchCaller(response);
+    const signal = createCallerSignal(response);
     const session = await this.#options.resolveSession(parsed.value, signal);
     if (isRefusal(session)) {
       this.#refuse(response, session, parsed.value.route.id);
--- a/src/roles/claim_writes.ts
+++ b/src/roles/claim_writes.ts
@@ -73,7 +73,7 @@
 }
 
 /** Brings the result of an attempt that ran into its claim, once. */
-export async function storeResult(
+export async function writeResult(
   store: ObjectStore,
   result: OrderResult,
   options: StoreCallOptions & {
--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -13,7 +13,7 @@
 import type { ConfigView } from "./config_view.js";
 import { delay } from "./delay.js";
 import type { RunBackend } from "./endpoint_backend.js";
-import { pollReports, type ReadReport } from "./endpoint_reports.js";
+import { type ReadReport, readReports } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
 import {
   type AttachCall,
@@ -178,7 +178,7 @@
   const polling = new AbortController();
   if (readReport !== undefined) {
     const poll = { readReport, onReport: applyReport, log };
-    void pollReports(poll, polling.signal);
+    void readReports(poll, polling.signal);
   }
   const stopped = new Promise<void>((resolve, reject) => {
     const begin = () => stop().then(resolve, reject);
--- a/src/roles/endpoint_reports.ts
+++ b/src/roles/endpoint_reports.ts
@@ -20,7 +20,7 @@
 const TIMEOUT_MS = 2_000;
 
 /** Passes reports on until the signal aborts. */
-export async function pollReports(
+export async function readReports(
   options: PollOptions,
   signal: AbortSignal,
 ): Promise<void> {
--- a/src/roles/endpoint_runner.ts
+++ b/src/roles/endpoint_runner.ts
@@ -61,7 +61,7 @@
 const ORPHAN_MS = 10_000;
 
 /** Logs a fault; `property` names the promise when an invariant failed. */
-export function logFault(
+export function reportFault(
   log: EndpointLog,
   source: string,
   error: unknown,
@@ -87,7 +87,7 @@
     try {
       this.#apply(gate.handle(event, getNowMs()));
     } catch (error) {
-      logFault(log, event.type, error);
+      reportFault(log, event.type, error);
     }
   }
 
--- a/src/roles/endpoint_service.ts
+++ b/src/roles/endpoint_service.ts
@@ -18,7 +18,7 @@
   type EndpointLog,
   type EndpointRunner,
   type FrameReader,
-  logFault,
+  reportFault,
 } from "./endpoint_runner.js";
 
 /** Keeps the second copies of receipts. */
@@ -59,7 +59,7 @@
       try {
         reply(null, handle(call.request));
       } catch (error) {
-        logFault(log, name, error);
+        reportFault(log, name, error);
         reply(createServiceError(error));
       }
     };
@@ -75,7 +75,7 @@
         call.on("cancelled", detach);
         call.on("error", detach);
       } catch (error) {
-        logFault(log, name, error);
+        reportFault(log, name, error);
         call.emit("error", createServiceError(error));
       }
     };
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -11,7 +11,7 @@
 import type { CallerRequest } from "./caller_requests.js";
 import { createCallerServer, type SessionResult } from "./caller_server.js";
 import { createConfigSyncHandlers } from "./config_handlers.js";
-import { EntryParts, requireSetting } from "./entry_parts.js";
+import { EntryParts, getSetting } from "./entry_parts.js";
 import { createOperatorServer } from "./operator_server.js";
 import type { RoleHooks } from "./role_hooks.js";
 import { waitFor } from "./scope.js";
@@ -137,7 +137,7 @@
       resolveSession: (request, signal) =>
         this.#resolveSession(request, signal),
     });
-    await this.#listen(server, requireSetting(listen.callerPort, "callerPort"));
+    await this.#listen(server, getSetting(listen.callerPort, "callerPort"));
   }
 
   async #serveOperators(): Promise<void> {
@@ -152,10 +152,7 @@
         this.#parts.reports.createReport(kind, hours, signal),
       signal: this.#lifetime.signal,
     });
-    await this.#listen(
-      server,
-      requireSetting(listen.operatorPort, "operatorPort"),
-    );
+    await this.#listen(server, getSetting(listen.operatorPort, "operatorPort"));
   }
 
   async #listen(server: HttpServer, port: number): Promise<void> {
--- a/src/roles/entry_claims.ts
+++ b/src/roles/entry_claims.ts
@@ -8,11 +8,11 @@
   assertInvariant,
   createClaim,
   createKeptAnswer,
+  createLostClaim,
+  createReleasedClaim,
   decideClaimStep,
-  loseClaim,
   type Order,
   type OrderResult,
-  releaseClaim,
   takeOverClaim,
 } from "../core/index.js";
 import type { Receipt } from "../schema/index.js";
@@ -31,8 +31,8 @@
 import {
   readClaim,
   type StoredClaim,
-  storeResult,
   writeClaim,
+  writeResult,
 } from "./claim_writes.js";
 import type { Clock } from "./clock.js";
 import type { PendingResult, PendingResults } from "./pending_results.js";
@@ -217,7 +217,7 @@
 
   async #lose(stored: StoredClaim, signal: AbortSignal): Promise<Step> {
     const { store, createId } = this.#options;
-    const claim = loseClaim(stored.claim, createId());
+    const claim = createLostClaim(stored.claim, createId());
     const next = { claim, version: stored.version };
     const outcome = await writeClaim(store, next, {
       signal,
@@ -235,7 +235,7 @@
     signal: AbortSignal,
   ): Promise<ReleaseOutcome> {
     const { store, createId } = this.#options;
-    const claim = releaseClaim(stored.claim, createId());
+    const claim = createReleasedClaim(stored.claim, createId());
     const next = { claim, version: stored.version };
     const outcome = await writeClaim(store, next, {
       signal,
@@ -272,7 +272,7 @@
     };
     const timeoutMs = CLAIM_CALL_TIMEOUT_MS;
     const options = { signal, timeoutMs, createId, known: stored };
-    const outcome = await storeResult(store, result, options);
+    const outcome = await writeResult(store, result, options);
     if (outcome.kind === "stored") return "stored";
     const kept: PendingResult = { result, endpoint };
     await pending.add(kept, signal);
--- a/src/roles/entry_parts.ts
+++ b/src/roles/entry_parts.ts
@@ -60,7 +60,7 @@
     this.#options = options;
     const { settings, signal } = options;
     const store = createHttpObjectStore({
-      ...requireSetting(settings.objectStore, "objectStore"),
+      ...getSetting(settings.objectStore, "objectStore"),
       timeoutMs: STORE_TIMEOUT_MS,
     });
     this.#store = applyHook(options.hooks.wrapStore, store);
@@ -206,7 +206,7 @@
 }
 
 /** For settings that the check of the settings file guarantees. @internal */
-export function requireSetting<T>(value: T | undefined, key: string): T {
+export function getSetting<T>(value: T | undefined, key: string): T {
   if (value === undefined) throw new Error(`Setting "${key}" is missing`);
   return value;
 }
--- a/src/roles/peer_order.ts
+++ b/src/roles/peer_order.ts
@@ -1,6 +1,6 @@
 /** Whom a process asks next: near watchers first, failing ones later. */
 
-import { chooseWatchers, type Peer, rankByRendezvous } from "../core/index.js";
+import { chooseWatchers, type Peer, sortByRendezvous } from "../core/index.js";
 
 const FIRST_BACKOFF_MS = 250;
 /** Under the freshness bound, so a lone watcher that returns is found. */
@@ -50,7 +50,7 @@
         .filter((peer) => peer.name !== this.#self.name)
         .map((peer) => [peer.name, peer]),
     );
-    const ranked = rankByRendezvous(this.#self.name, [...byName.keys()]);
+    const ranked = sortByRendezvous(this.#self.name, [...byName.keys()]);
     const sparesWatchers = this.#sparesWatchers(peers, watchers);
     const getClass = (peer: Peer) => {
       const isLocal = peer.dataCentre === this.#self.dataCentre;
--- a/src/roles/pending_results.ts
+++ b/src/roles/pending_results.ts
@@ -11,7 +11,7 @@
   type Refusal,
 } from "../core/index.js";
 import type { HeldRecord } from "../schema/index.js";
-import { storeResult } from "./claim_writes.js";
+import { writeResult } from "./claim_writes.js";
 import type { Clock } from "./clock.js";
 import type { ReceiptHolders } from "./receipt_holders.js";
 
@@ -86,7 +86,7 @@
   async flush(signal: AbortSignal): Promise<boolean> {
     const { store, createId, holders } = this.#options;
     for (const [requestId, { result }] of [...this.#pending]) {
-      const outcome = await storeResult(store, result, { signal, createId });
+      const outcome = await writeResult(store, result, { signal, createId });
       if (outcome.kind === "unavailable") return false;
       this.#pending.delete(requestId);
       holders.noteWritten(requestId);
--- a/src/roles/receipt_recovery.ts
+++ b/src/roles/receipt_recovery.ts
@@ -12,7 +12,7 @@
   LedgerPage,
   RecoveredReceipt,
 } from "../schema/index.js";
-import { storeResult } from "./claim_writes.js";
+import { writeResult } from "./claim_writes.js";
 import { callStore, writeObject } from "./store_writes.js";
 
 /** Pages in one list call: 4 MB at most. */
@@ -71,7 +71,7 @@
   for (const { receipt: bill, completion } of records) {
     if (completion === undefined) continue;
     const result = { ...completion, account: bill.account, bill };
-    const outcome = await storeResult(store, result, options);
+    const outcome = await writeResult(store, result, options);
     if (outcome.kind === "unavailable") return { written, isComplete: false };
     written.push(bill.requestId);
   }
--- a/src/roles/request_judge.ts
+++ b/src/roles/request_judge.ts
@@ -18,7 +18,7 @@
 const JUDGE_TIMEOUT_MS = 2_000;
 
 /** Gives undefined when the judge does not answer in time. */
-export async function askJudge(
+export async function callJudge(
   pending: PendingRequest,
   attempt: Attempt,
   options: JudgeOptions,
--- a/src/roles/request_runner.ts
+++ b/src/roles/request_runner.ts
@@ -33,7 +33,7 @@
   createFailureEvent,
   type DispatchAction,
 } from "./request_attempt.js";
-import { askJudge } from "./request_judge.js";
+import { callJudge } from "./request_judge.js";
 import {
   createAnswerInfo,
   createAttemptStep,
@@ -230,7 +230,7 @@
     const pending = this.#pending.get(requestId);
     const attempt = pending?.attempts.get(number);
     if (pending === undefined || attempt === undefined) return;
-    const passed = await askJudge(pending, attempt, this.#options);
+    const passed = await callJudge(pending, attempt, this.#options);
     this.handle({ type: "judged", requestId, attempt: number, passed });
   }
 
--- a/src/roles/session_store.ts
+++ b/src/roles/session_store.ts
@@ -10,11 +10,11 @@
   findSessionMove,
   formatSessionKey,
   type Refusal,
+  readSessionToken,
   type SessionClaims,
   type SessionMove,
   type SessionRecord,
   signSessionToken,
-  verifySessionToken,
 } from "../core/index.js";
 import type { FleetState } from "../schema/index.js";
 import { SETTLE_TIMEOUT_MS, settleRecord } from "./session_records.js";
@@ -110,7 +110,7 @@
   #readToken(request: SessionRequest): SessionClaims | undefined {
     const { sessionKey } = this.#options;
     if (request.token === undefined || sessionKey === undefined) return;
-    const claims = verifySessionToken(request.token, sessionKey);
+    const claims = readSessionToken(request.token, sessionKey);
     return claims?.account === request.account ? claims : undefined;
   }
 
--- a/src/soak/broken_store.ts
+++ b/src/soak/broken_store.ts
@@ -16,7 +16,7 @@
 }
 
 /** Orders run without a claim: none is kept and none is found. */
-export function dropClaims(store: ObjectStore): ObjectStore {
+export function breakClaims(store: ObjectStore): ObjectStore {
   const isClaim = (key: string) => key.startsWith("claims/");
   return {
     ...bindStore(store),
@@ -28,7 +28,7 @@
 }
 
 /** A survivor finds nothing in the pages of a lost owner. */
-export function hidePages(store: ObjectStore): ObjectStore {
+export function breakPages(store: ObjectStore): ObjectStore {
   return {
     ...bindStore(store),
     list: (options, signal) =>
@@ -43,7 +43,7 @@
 }
 
 /** An owner goes on after a seal, on a key beside the sealed page. */
-export function passSeals(store: ObjectStore): ObjectStore {
+export function breakSeals(store: ObjectStore): ObjectStore {
   return {
     ...bindStore(store),
     write: (request, signal) => {
@@ -60,7 +60,7 @@
 }
 
 /** The last of two racing updates of the head wins. */
-export function overwriteHead(store: ObjectStore): ObjectStore {
+export function breakHead(store: ObjectStore): ObjectStore {
   return {
     ...bindStore(store),
     write: (request, signal) => {
--- a/src/soak/check_cold.ts
+++ b/src/soak/check_cold.ts
@@ -19,7 +19,7 @@
 }
 
 /** Joins periods of one back end that overlap. */
-function mergePeriods(periods: readonly Period[]): Period[] {
+function listMergedPeriods(periods: readonly Period[]): Period[] {
   const merged: Period[] = [];
   const sorted = [...periods].sort((a, b) => a.fromMs - b.fromMs);
   for (const period of sorted) {
@@ -67,7 +67,7 @@
 
 export function checkCold(input: ColdInput, findings: Findings): void {
   const { journal, runs, overloads } = input;
-  for (const period of mergePeriods(journal.colds)) {
+  for (const period of listMergedPeriods(journal.colds)) {
     const knownMs = findKnownMs(period, input);
     const isJudged = (item: { endpoint: string }, atMs: number) =>
       item.endpoint === period.subject && atMs > knownMs && atMs <= period.toMs;
--- a/src/soak/check_starts.ts
+++ b/src/soak/check_starts.ts
@@ -23,7 +23,7 @@
   return accounts;
 }
 
-function mayUse(state: FleetState, account: string, run: Run): boolean {
+function isAllowedUse(state: FleetState, account: string, run: Run): boolean {
   const { versions = [], services = [] } = state.accounts[account] ?? {};
   return (run.kind === "engine" ? versions : services).includes(run.name);
 }
@@ -77,7 +77,7 @@
     rules.push({
       property: "notAllowed",
       isExercised: (state) => hasLostPermission(state, account),
-      isAllowed: (state) => mayUse(state, account, run),
+      isAllowed: (state) => isAllowedUse(state, account, run),
     });
   }
   return rules;
--- a/src/soak/compound_faults.ts
+++ b/src/soak/compound_faults.ts
@@ -77,7 +77,7 @@
 }
 
 /** Kills an entry whose receipts are written but not released. */
-export async function killBehindCut(
+export async function runKillBehindCut(
   action: ActionOf<"kill-behind-cut">,
   parts: CompoundParts,
   forMs: number,
@@ -123,7 +123,7 @@
  * Keeps an entry from an endpoint that holds its receipts until the endpoint
  * takes it for lost, while the entry itself goes on.
  */
-export async function sealLiveOwner(
+export async function runSealOfLiveOwner(
   action: ActionOf<"seal-live-owner">,
   parts: CompoundParts,
   forMs: number,
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -4,9 +4,9 @@
 import type { Fleet } from "../testbed/fleet.js";
 import {
   type CompoundParts,
-  killBehindCut,
+  runKillBehindCut,
+  runSealOfLiveOwner,
   runStaleEntry,
-  sealLiveOwner,
   takeOver,
 } from "./compound_faults.js";
 import { Cuts } from "./cuts.js";
@@ -119,11 +119,11 @@
       case "stale-entry":
         return runStaleEntry(action, this.#compound, forMs);
       case "kill-behind-cut":
-        return killBehindCut(action, this.#compound, forMs);
+        return runKillBehindCut(action, this.#compound, forMs);
       case "take-over":
         return takeOver(action, this.#compound, forMs);
       case "seal-live-owner":
-        return sealLiveOwner(action, this.#compound, forMs);
+        return runSealOfLiveOwner(action, this.#compound, forMs);
     }
   }
 
--- a/src/soak/guards.ts
+++ b/src/soak/guards.ts
@@ -10,10 +10,10 @@
 } from "../roles/index.js";
 import type { FleetState, Settings } from "../schema/index.js";
 import {
-  dropClaims,
-  hidePages,
-  overwriteHead,
-  passSeals,
+  breakClaims,
+  breakHead,
+  breakPages,
+  breakSeals,
 } from "./broken_store.js";
 import type { Property } from "./findings.js";
 
@@ -27,7 +27,7 @@
 }
 
 /** The state as if no operator had taken anything away. */
-function permitAll(state: FleetState): FleetState {
+function breakPermissions(state: FleetState): FleetState {
   const versions = Object.keys(state.versions);
   const services = Object.keys(state.services);
   const mapAll = <T>(items: Record<string, T>, patch: Partial<T>) =>
@@ -46,10 +46,10 @@
   };
 }
 
-function ignoreTickets(config: ConfigView): ConfigView {
+function breakTickets(config: ConfigView): ConfigView {
   return {
     get state() {
-      return permitAll(config.state);
+      return breakPermissions(config.state);
     },
     checkFreshness: () => config.checkFreshness(),
     fetchRevision: (revision, signal) => config.fetchRevision(revision, signal),
@@ -57,7 +57,7 @@
   };
 }
 
-function ignoreLeaving(list: HostList): HostList {
+function breakLeaving(list: HostList): HostList {
   return {
     readHosts: (signal) =>
       list
@@ -67,14 +67,14 @@
 }
 
 /** A new holder of the engine's lease gets a lower number than the last. */
-function lowerFences(order: OrderEngine): OrderEngine {
+function breakFences(order: OrderEngine): OrderEngine {
   const highest = 1_000_000;
   return (request, signal) =>
     order({ ...request, fence: highest - request.fence }, signal);
 }
 
 /** A failure counts as "not run", whatever reached the back end. */
-function denyRuns(run: RunBackend): RunBackend {
+function breakRunReports(run: RunBackend): RunBackend {
   return (request, onChunk, signal) =>
     run(request, onChunk, signal).mapErr((failure) => ({
       ...failure,
@@ -83,7 +83,7 @@
 }
 
 /** What arrived of an answer passes for the whole one. */
-function endEarly(run: RunBackend): RunBackend {
+function breakAnswers(run: RunBackend): RunBackend {
   return (request, onChunk, signal) => {
     let chunks = 0;
     const count = (data: Uint8Array) => {
@@ -104,7 +104,7 @@
   };
 }
 
-function fillColdSlots(settings: Settings): Settings {
+function breakSlowStart(settings: Settings): Settings {
   const { engine, service } = settings;
   return {
     ...settings,
@@ -117,24 +117,24 @@
  * The endpoint's check stands behind the entry's own: an entry that can't learn
  * of a ticket refuses by itself, unless that bound is off too.
  */
-function trustOldStateOnEntries(settings: Settings): Settings {
-  return settings.role === "entry" ? trustOldState(settings) : settings;
+function breakFreshnessOnEntries(settings: Settings): Settings {
+  return settings.role === "entry" ? breakFreshness(settings) : settings;
 }
 
-function trustOldState(settings: Settings): Settings {
+function breakFreshness(settings: Settings): Settings {
   const limits = { ...settings.limits, freshnessMs: 3_600_000 };
   return { ...settings, limits };
 }
 
 export const GUARDS = {
-  claim: { properties: ["ranTwice"], hooks: { wrapStore: dropClaims } },
+  claim: { properties: ["ranTwice"], hooks: { wrapStore: breakClaims } },
   "receipt-dedupe": {
     properties: ["billedTwice"],
-    hooks: { wrapStore: hidePages },
+    hooks: { wrapStore: breakPages },
   },
   "sealed-page": {
     properties: ["billedTwice"],
-    hooks: { wrapStore: passSeals },
+    hooks: { wrapStore: breakSeals },
   },
   "receipt-copy": {
     properties: ["unbilled"],
@@ -144,11 +144,11 @@
   },
   "head-update": {
     properties: ["ticketReverted"],
-    hooks: { wrapStore: overwriteHead },
+    hooks: { wrapStore: breakHead },
   },
   fencing: {
     properties: ["ticketReverted"],
-    hooks: { wrapOrders: lowerFences },
+    hooks: { wrapOrders: breakFences },
   },
   "revision-check": {
     properties: [
@@ -157,8 +157,8 @@
       "notAllowed",
       "leavingEndpointServed",
     ],
-    hooks: { wrapGateView: ignoreTickets },
-    changeSettings: trustOldStateOnEntries,
+    hooks: { wrapGateView: breakTickets },
+    changeSettings: breakFreshnessOnEntries,
   },
   freshness: {
     properties: [
@@ -167,15 +167,15 @@
       "notAllowed",
       "drainedDataCentreServed",
     ],
-    changeSettings: trustOldState,
+    changeSettings: breakFreshness,
   },
   leaving: {
     properties: ["leavingEndpointServed"],
-    hooks: { wrapHostList: ignoreLeaving },
+    hooks: { wrapHostList: breakLeaving },
   },
   "slow-start": {
     properties: ["coldOverload"],
-    changeSettings: fillColdSlots,
+    changeSettings: breakSlowStart,
   },
   session: {
     properties: ["sessionMoved"],
@@ -183,11 +183,11 @@
   },
   "not-run": {
     properties: ["falseNotRun", "ranTwice"],
-    hooks: { wrapBackend: denyRuns },
+    hooks: { wrapBackend: breakRunReports },
   },
   "whole-answer": {
     properties: ["wrongOrPartialAnswer"],
-    hooks: { wrapBackend: endEarly },
+    hooks: { wrapBackend: breakAnswers },
   },
   "graceful-stop": { properties: ["cutByPlannedStop"], stopsAtOnce: true },
 } as const satisfies Record<string, Guard>;
--- a/src/soak/load.ts
+++ b/src/soak/load.ts
@@ -87,7 +87,7 @@
   async #sendNext(): Promise<void> {
     const random = this.#random;
     const workload = random.pick(WORKLOADS);
-    const kind = random.pickWeighted(workload.kinds);
+    const kind = random.chooseWeighted(workload.kinds);
     const account = random.pick(workload.accounts);
     const entry = this.#pickEntry();
     if (entry === undefined) return;
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -237,7 +237,7 @@
     if (fitting.length === 0) break;
     const next = first.findIndex((spec) => spec.minMs <= leftMs);
     const [due] = next < 0 ? [] : first.splice(next, 1);
-    const spec = due ?? random.pickWeighted(fitting);
+    const spec = due ?? random.chooseWeighted(fitting);
     faults.push({
       atMs,
       forMs: random.pickInteger(spec.minMs, Math.min(spec.maxMs, leftMs)),
--- a/src/soak/random.ts
+++ b/src/soak/random.ts
@@ -29,7 +29,9 @@
     return item;
   }
 
-  pickWeighted<T extends { readonly weight: number }>(items: readonly T[]): T {
+  chooseWeighted<T extends { readonly weight: number }>(
+    items: readonly T[],
+  ): T {
     const total = items.reduce((sum, item) => sum + item.weight, 0);
     let left = this.#next() * total;
     for (const item of items) {
--- a/src/soak/soak_test.ts
+++ b/src/soak/soak_test.ts
@@ -22,6 +22,12 @@
   "ratings-down",
 ];
 
+/**
+ * Below the ports that the kernel gives out (32,768 and up), and another block
+ * for each process, so that two runs on one machine do not meet.
+ */
+const BASE_PORT = 20_000 + (process.pid % 120) * 100;
+
 describe("a short soak", { timeout: 150_000 }, () => {
   // Guards against a change that breaks a promise of the system under faults
   // that are common in operation. The long runs have the rare ones.
@@ -32,7 +38,7 @@
     const soak = new Soak({
       seed: 7,
       seconds: 9,
-      basePort: 23_500,
+      basePort: BASE_PORT,
       folder,
       requestsPerSecond: 10,
       meanFaultGapMs: 900,
--- a/src/soak/ticket_changes.ts
+++ b/src/soak/ticket_changes.ts
@@ -125,7 +125,7 @@
 ] as const;
 
 export function createChange(layout: Layout, random: Random): Change {
-  const { kind } = random.pickWeighted(WEIGHTS);
+  const { kind } = random.chooseWeighted(WEIGHTS);
   switch (kind) {
     case "withdrawal":
       return createWithdrawalOf(random.pick(ALL_VERSIONS));
--- a/src/testbed/callers.ts
+++ b/src/testbed/callers.ts
@@ -130,7 +130,7 @@
   return createAnswered(answer, text, isDone && isWholeAnswer(text, requestId));
 }
 
-async function guardBroken(
+async function callGuarded(
   call: () => Promise<CallerOutcome>,
 ): Promise<CallerOutcome> {
   try {
@@ -144,7 +144,7 @@
 /** Sends a chat completion and checks the answer. */
 export function sendChat(call: ChatCall): Promise<CallerOutcome> {
   const { session, sessionToken, deadlineMs } = call;
-  return guardBroken(async () => {
+  return callGuarded(async () => {
     const answer = await callHttp({
       port: call.port,
       method: "POST",
@@ -172,7 +172,7 @@
 /** Calls a plain service through the entry. */
 export function sendServiceCall(call: ServiceCall): Promise<CallerOutcome> {
   const { idempotencyKey, deadlineMs } = call;
-  return guardBroken(async () => {
+  return callGuarded(async () => {
     const answer = await callHttp({
       port: call.port,
       method: "POST",
