Use one wait that ends with its signal

The endpoint had a copy of waitFor in delay.ts; waitFor now takes the signal as optional and serves both.

--- a/src/roles/endpoint.ts
+++ b/src/roles/endpoint.ts
@@ -11,7 +11,6 @@
   type Settings,
 } from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
-import { delay } from "./delay.js";
 import type { RunBackend } from "./endpoint_backend.js";
 import { type ReadReport, readReports } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
@@ -21,6 +20,7 @@
   type ReceiptHolder,
 } from "./endpoint_service.js";
 import { StatusWatchers } from "./endpoint_status.js";
+import { waitFor } from "./scope.js";
 
 export interface EndpointOptions {
   readonly settings: Settings;
@@ -91,7 +91,7 @@
 /** Waits until no work runs, at most until `limitAtMs`. */
 async function waitForWork(gate: Gate, limitAtMs: number): Promise<boolean> {
   while (gate.inFlight > 0 && performance.now() < limitAtMs) {
-    await delay(TICK_MS);
+    await waitFor(TICK_MS);
   }
   return gate.inFlight === 0;
 }
--- a/src/roles/endpoint_orders.ts
+++ b/src/roles/endpoint_orders.ts
@@ -7,10 +7,10 @@
 import type { ResultAsync } from "neverthrow";
 import type { ObjectStore } from "../adapters/index.js";
 import type { ConfigView } from "./config_view.js";
-import { delay } from "./delay.js";
 import type { BackendFailure } from "./endpoint_backend.js";
 import type { EndpointLog } from "./endpoint_runner.js";
 import { LeaseHolder } from "./lease_holder.js";
+import { waitFor } from "./scope.js";
 
 export interface LoadOrder {
   readonly kind: "load";
@@ -177,7 +177,7 @@
   ): Promise<void> {
     const { signal } = stop;
     while (!signal.aborted) {
-      await delay(this.#leaseMs / RENEWALS_PER_LEASE, signal);
+      await waitFor(this.#leaseMs / RENEWALS_PER_LEASE, signal);
       if (signal.aborted) return;
       await Promise.all([this.#engine.renew(signal), slot.renew(signal)]);
       if (!isHeld()) stop.abort();
@@ -197,7 +197,7 @@
     const version = orders.findMissing();
     if (version === undefined) {
       await orders.release(signal);
-      await delay(PERIOD_MS, signal);
+      await waitFor(PERIOD_MS, signal);
       continue;
     }
     const outcome = await orders.load(version, signal);
@@ -205,7 +205,7 @@
     const hasFailed = outcome === "failed" || outcome === "lost";
     backoffMs = hasFailed ? Math.min(MAX_BACKOFF_MS, backoffMs * 2) : PERIOD_MS;
     const slotWaitMs = SLOT_WAIT_MS * (0.5 + options.getRandom());
-    await delay(outcome === "no-slot" ? slotWaitMs : backoffMs, signal);
+    await waitFor(outcome === "no-slot" ? slotWaitMs : backoffMs, signal);
   }
   // The process stops: the next holder need not wait the lease out.
   await orders.release(AbortSignal.timeout(RELEASE_MS));
--- a/src/roles/endpoint_pause_test.ts
+++ b/src/roles/endpoint_pause_test.ts
@@ -10,13 +10,13 @@
 import { createRefusal } from "../core/index.js";
 import { GateClient } from "../schema/index.js";
 import type { ConfigView } from "./config_view.js";
-import { delay } from "./delay.js";
 import { startEndpoint } from "./endpoint.js";
 import {
   ANSWER,
   createSettings,
   readFrames,
 } from "./endpoint_fixtures_test.js";
+import { waitFor } from "./scope.js";
 
 const CHILD_FLAG = "HORNBEAMRILL_PAUSE_TEST_CHILD";
 const FRESHNESS_MS = 1_000;
@@ -51,7 +51,7 @@
     backend: () => {
       runs += 1;
       const answer = { ...ANSWER, outputTokens: runs };
-      return ResultAsync.fromSafePromise(delay(RUN_MS).then(() => answer));
+      return ResultAsync.fromSafePromise(waitFor(RUN_MS).then(() => answer));
     },
     receipts: { hold: () => false, release() {} },
     log: { info() {}, warn() {}, error() {} },
@@ -69,15 +69,15 @@
     readFrames(client.dispatch(createDispatch({ requestId, remainingMs })));
   const running = send("running");
   const queued = send("queued");
-  await delay(RUN_MS / 2);
+  await waitFor(RUN_MS / 2);
   child.kill("SIGSTOP");
   const sentInPause = send("sent-in-pause", PAUSE_MS / 2);
-  await delay(PAUSE_MS);
+  await waitFor(PAUSE_MS);
   child.kill("SIGCONT");
   assert.equal((await running).at(-1)?.end?.outputTokens, 1);
   assert.equal((await queued).at(-1)?.refusal?.code, "isolated");
   assert.equal((await sentInPause).at(-1)?.refusal?.ran, "no");
-  await delay(FRESHNESS_MS / 2);
+  await waitFor(FRESHNESS_MS / 2);
   // The second run of the back end: neither of the two refused ones ran.
   assert.equal((await send("later")).at(-1)?.end?.outputTokens, 2);
   client.close();
--- a/src/roles/endpoint_reports.ts
+++ b/src/roles/endpoint_reports.ts
@@ -2,9 +2,9 @@
 
 import type { ResultAsync } from "neverthrow";
 import type { EngineReport } from "../core/index.js";
-import { delay } from "./delay.js";
 import type { BackendFailure } from "./endpoint_backend.js";
 import type { EndpointLog } from "./endpoint_runner.js";
+import { waitFor } from "./scope.js";
 
 export type ReadReport = (
   signal: AbortSignal,
@@ -36,6 +36,6 @@
       options.log.warn({ kind, detail }, "load report failed");
     }
     hasFailed = result.isErr();
-    await delay(PERIOD_MS, signal);
+    await waitFor(PERIOD_MS, signal);
   }
 }
--- a/src/roles/endpoint_test.ts
+++ b/src/roles/endpoint_test.ts
@@ -10,7 +10,6 @@
   LookUpAttemptReply,
   LookUpAttemptRequest,
 } from "../schema/index.js";
-import { delay } from "./delay.js";
 import {
   ANSWER,
   createSlowBackend,
@@ -19,6 +18,7 @@
   STOP_MS,
   startRig,
 } from "./endpoint_fixtures_test.js";
+import { waitFor } from "./scope.js";
 
 function lookUp(
   client: GateClient,
@@ -142,7 +142,7 @@
       frames.catch(() => []),
     );
     const queued = dispatch("r3");
-    await delay(100);
+    await waitFor(100);
     const startedMs = performance.now();
     stop.abort();
     const [refused] = await queued;
@@ -168,7 +168,7 @@
         aborts += 1;
         return ANSWER;
       });
-      const ended = delay(200).then(() => ANSWER);
+      const ended = waitFor(200).then(() => ANSWER);
       const isOrder = requestId === "o1";
       return ResultAsync.fromSafePromise(
         isOrder ? Promise.race([ended, aborted]) : aborted,
@@ -185,7 +185,7 @@
         ),
       ),
     ];
-    await delay(50);
+    await waitFor(50);
     for (const requestId of ["s1", "o1"]) {
       client.cancel({ requestId, attempt: 1 }, () => undefined);
     }
--- a/src/roles/scope.ts
+++ b/src/roles/scope.ts
@@ -24,15 +24,15 @@
 }
 
 /** Waits for the time or the abort, whichever comes first. */
-export function waitFor(ms: number, signal: AbortSignal): Promise<void> {
+export function waitFor(ms: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
-    if (signal.aborted) return resolve();
+    if (signal?.aborted) return resolve();
     const end = () => {
       clearTimeout(timer);
-      signal.removeEventListener("abort", end);
+      signal?.removeEventListener("abort", end);
       resolve();
     };
     const timer = setTimeout(end, ms);
-    signal.addEventListener("abort", end, { once: true });
+    signal?.addEventListener("abort", end, { once: true });
   });
 }
