Use one piece of code for waits, faults and peer addresses

The read of the whole change found three things written more than once: delay in two bench files (testbed/delay has it), the throw that ends the process after a broken invariant in four places (failProcess, now in roles/scope), and formatAddress in the directory of endpoints, which lacked the brackets that config_peers gives an IPv6 number; both now use the one in adapters/channels.

--- a/src/adapters/channels.ts
+++ b/src/adapters/channels.ts
@@ -36,6 +36,17 @@
   options: ClientOptions,
 ) => C;
 
+/** Address of a process for gRPC; an IPv6 number goes into brackets. */
+export function formatAddress(process: {
+  readonly address: string;
+  readonly controlPort: number;
+}): string {
+  const { address, controlPort } = process;
+  return address.includes(":")
+    ? `[${address}]:${controlPort}`
+    : `${address}:${controlPort}`;
+}
+
 /** Opens a client that lives until the signal aborts. */
 export function openClient<C extends Client>(
   clientClass: ClientClass<C>,
--- a/src/bench/control.ts
+++ b/src/bench/control.ts
@@ -22,6 +22,7 @@
 } from "../schema/index.js";
 import { type Link, openLink } from "../standins/link.js";
 import { type ManagedProcess, startProcess } from "../standins/process.js";
+import { delay } from "../testbed/delay.js";
 import { callJson } from "../testbed/http_calls.js";
 import {
   readCpuSeconds,
@@ -64,10 +65,6 @@
   readonly bytes: number;
 }
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function createStatus(name: string, index: number): EndpointStatus {
   return {
     endpoint: name,
--- a/src/bench/path_main.ts
+++ b/src/bench/path_main.ts
@@ -10,6 +10,7 @@
 import { join } from "node:path";
 import meow from "meow";
 import { sendChat } from "../testbed/callers.js";
+import { delay } from "../testbed/delay.js";
 import { Fleet, OPERATOR_TOKEN } from "../testbed/fleet.js";
 import { callJson } from "../testbed/http_calls.js";
 import {
@@ -52,10 +53,6 @@
   readonly endpointMb: number;
 }
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function measureLength(
   fleet: Fleet,
   tokens: number,
--- a/src/roles/config_handlers.ts
+++ b/src/roles/config_handlers.ts
@@ -8,6 +8,7 @@
   ConfirmStateRequest,
 } from "../schema/index.js";
 import type { ConfigSync } from "./config_sync.js";
+import { failProcess } from "./scope.js";
 
 type Handler = handleUnaryCall<ConfirmStateRequest, ConfirmStateReply>;
 
@@ -22,9 +23,7 @@
         callback({ code: status.INTERNAL, details: error.message });
         // A broken invariant must end the process, not only this call.
         if (error instanceof InvariantError) {
-          setImmediate(() => {
-            throw error;
-          });
+          failProcess(error);
         }
       },
     );
--- a/src/roles/config_peers.ts
+++ b/src/roles/config_peers.ts
@@ -2,6 +2,7 @@
 
 import { type ChannelCredentials, credentials } from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
+import { formatAddress } from "../adapters/index.js";
 import type { Peer } from "../core/index.js";
 import {
   ConfigSyncClient,
@@ -92,9 +93,3 @@
     return client;
   }
 }
-
-function formatAddress(peer: Peer): string {
-  return peer.address.includes(":")
-    ? `[${peer.address}]:${peer.controlPort}`
-    : `${peer.address}:${peer.controlPort}`;
-}
--- a/src/roles/endpoint_directory.ts
+++ b/src/roles/endpoint_directory.ts
@@ -6,7 +6,7 @@
 import { performance } from "node:perf_hooks";
 import { type ClientReadableStream, Metadata } from "@grpc/grpc-js";
 import { LRUCache } from "lru-cache";
-import { type Logger, openClient } from "../adapters/index.js";
+import { formatAddress, type Logger, openClient } from "../adapters/index.js";
 import { chooseSubset, computeStatusPeriodMs } from "../core/index.js";
 import {
   type EndpointStatus,
@@ -232,10 +232,6 @@
   }
 }
 
-function formatAddress(host: EndpointHost): string {
-  return `${host.address}:${host.controlPort}`;
-}
-
 function isSameAddress(left: EndpointHost, right: EndpointHost): boolean {
   return (
     left.address === right.address && left.controlPort === right.controlPort
--- a/src/roles/endpoint_role.ts
+++ b/src/roles/endpoint_role.ts
@@ -30,7 +30,7 @@
 import type { RoleOptions, RunningRole } from "./entry.js";
 import { HostWatcher } from "./host_watcher.js";
 import { applyHook, type RoleHooks } from "./role_hooks.js";
-import { waitFor } from "./scope.js";
+import { failProcess, waitFor } from "./scope.js";
 
 const STORE_TIMEOUT_MS = 2_000;
 const HOST_LIST_TIMEOUT_MS = 2_000;
@@ -265,9 +265,7 @@
   });
   config.start(lifetime.signal).catch((error: unknown) => {
     // The configuration can't be trusted any more: end the process.
-    setImmediate(() => {
-      throw error;
-    });
+    failProcess(error);
   });
   void receipts.start(lifetime.signal);
   sendGauges(settings, { endpoint, config, signal: lifetime.signal });
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -14,7 +14,7 @@
 import { EntryParts, getSetting } from "./entry_parts.js";
 import { createOperatorServer } from "./operator_server.js";
 import type { RoleHooks } from "./role_hooks.js";
-import { waitFor } from "./scope.js";
+import { failProcess, waitFor } from "./scope.js";
 import { closeHttpServer } from "./server_close.js";
 
 export interface RoleOptions {
@@ -74,9 +74,7 @@
     }, signal);
     sync.start(signal).catch((error: unknown) => {
       // The configuration can't be trusted any more: end the process.
-      setImmediate(() => {
-        throw error;
-      });
+      failProcess(error);
     });
     billing.start(signal);
     void reports.start(signal);
--- a/src/roles/revision_fetch.ts
+++ b/src/roles/revision_fetch.ts
@@ -4,7 +4,7 @@
 import type { ConfigExchange } from "./config_exchange.js";
 import type { ConfigHolder } from "./config_holder.js";
 import type { PeerOrder } from "./peer_order.js";
-import { runWithTimeout, waitFor } from "./scope.js";
+import { failProcess, runWithTimeout, waitFor } from "./scope.js";
 import type { StoreWatch } from "./store_watch.js";
 
 /** A revision that another process knows. */
@@ -15,13 +15,6 @@
   readonly signal: AbortSignal;
 }
 
-/** A broken invariant ends the process, also when no caller waits any more. */
-function failProcess(error: unknown): void {
-  setImmediate(() => {
-    throw error;
-  });
-}
-
 export interface RevisionFetcherOptions {
   readonly holder: ConfigHolder;
   readonly exchange: ConfigExchange;
--- a/src/roles/scope.ts
+++ b/src/roles/scope.ts
@@ -36,3 +36,10 @@
     signal?.addEventListener("abort", end, { once: true });
   });
 }
+
+/** A broken invariant ends the process, also when no caller waits any more. */
+export function failProcess(error: unknown): void {
+  setImmediate(() => {
+    throw error;
+  });
+}
