--- /dev/null
+++ b/src/platform/decode_config.ts
@@ -0,0 +1,269 @@
+/** Decodes the operator's configuration, roll-outs and the replicas' records. */
+
+import { err, ok, type Result } from "neverthrow";
+import {
+  type ClientAccount,
+  type Configuration,
+  type EndpointRecord,
+  REPEAT,
+  type Repeat,
+  ROLLOUT_OUTCOME,
+  type RolloutOrder,
+  type RolloutOutcome,
+  type Route,
+  type Service,
+  type ServiceShare,
+} from "../proxy/index.js";
+import { createDecodeFailure, type DecodeFailure } from "./errors.js";
+import {
+  type Fields,
+  getFields,
+  getList,
+  getNumber,
+  getText,
+  getTexts,
+  isFields,
+} from "./fields.js";
+import type { StoredObject } from "./store_client.js";
+
+const MS_PER_SECOND = 1_000;
+/** Limits that apply where a configuration names none. */
+const DEFAULT_LIMITS = {
+  maxBodyBytes: 4_194_304,
+  idleTimeoutMs: 15_000,
+  headerTimeoutMs: 3_000,
+} as const;
+/** Rank of a route that names none: the last of the platform's classes. */
+const LAST_RANK = 9;
+/** Pause between events of a stream whose route names none, ms. */
+const DEFAULT_PAUSE_MS = 1_000;
+/** Answer time that a route without one is held to, ms. */
+const DEFAULT_TARGET_MS = 1_000;
+const DEFAULT_TIMEOUT_MS = 30_000;
+
+export interface DecodedConfiguration {
+  readonly configuration: Configuration;
+  /** Parts that were left out, one line each. */
+  readonly skipped: readonly string[];
+}
+
+function decodeShares(fields: Fields): ServiceShare[] {
+  const service = getText(fields, "service");
+  const split = getList(fields, "traffic_split")
+    .filter(isFields)
+    .map((item) => ({
+      service: getText(item, "service") ?? "",
+      weight: getNumber(item, "weight") ?? 0,
+    }))
+    .filter((item) => item.service !== "" && item.weight > 0);
+  if (split.length > 0) return split;
+  return service === undefined ? [] : [{ service, weight: 1 }];
+}
+
+/** `kind` says what may be repeated; `resumable` streams may go on elsewhere. */
+function decodeRepeat(fields: Fields): Repeat | undefined {
+  switch (getText(fields, "kind")) {
+    case "safe":
+      return REPEAT.freely;
+    case "unsafe":
+      return REPEAT.once;
+    case "streaming":
+      return fields.resumable === true ? REPEAT.resume : REPEAT.once;
+    default:
+      return undefined;
+  }
+}
+
+function decodeRoute(value: unknown): Result<Route, DecodeFailure> {
+  if (!isFields(value)) return err(createDecodeFailure("route is no object"));
+  const name = getText(value, "name") ?? "?";
+  const host = getText(value, "host");
+  const prefix = getText(value, "prefix");
+  const repeat = decodeRepeat(value);
+  const services = decodeShares(value);
+  if (host === undefined || prefix === undefined) {
+    return err(createDecodeFailure(`route ${name} has no host or prefix`));
+  }
+  if (repeat === undefined) {
+    return err(createDecodeFailure(`route ${name} has an unknown kind`));
+  }
+  if (services.length === 0) {
+    return err(createDecodeFailure(`route ${name} names no service`));
+  }
+  return ok({
+    name,
+    host,
+    prefix,
+    repeat,
+    services,
+    isStream: getText(value, "kind") === "streaming",
+    timeoutMs: getNumber(value, "timeout_ms") ?? DEFAULT_TIMEOUT_MS,
+    targetMs: getNumber(value, "target_latency_ms") ?? DEFAULT_TARGET_MS,
+    pauseMs: getNumber(value, "gap_aim_ms") ?? DEFAULT_PAUSE_MS,
+    rank: getNumber(value, "priority") ?? LAST_RANK,
+    attempts: Math.max(1, getNumber(value, "attempts") ?? 1),
+    needsKey: value.public !== true,
+    // `sticky` marks routes whose prompts share parts, not sticky sessions.
+    sharesPrompts: value.sticky === true,
+    models: getTexts(value, "sizes"),
+  });
+}
+
+function decodeService(value: unknown): Result<Service, DecodeFailure> {
+  if (!isFields(value)) return err(createDecodeFailure("service is no object"));
+  const name = getText(value, "name");
+  if (name === undefined) return err(createDecodeFailure("service has no name"));
+  const engine = getFields(value, "engine");
+  return ok({
+    name,
+    maxConnections: getNumber(value, "max_conns") ?? 1,
+    coldMs: (getNumber(value, "cold_start_s") ?? 0) * MS_PER_SECOND,
+    coldPerSecond: getNumber(value, "cold_per_s") ?? 0,
+    models: getList(engine, "models")
+      .filter(isFields)
+      .map((model) => ({
+        name: getText(model, "name") ?? "",
+        cost: getNumber(model, "cost") ?? 0,
+      })),
+  });
+}
+
+function decodeAccount(value: unknown): Result<ClientAccount, DecodeFailure> {
+  if (!isFields(value)) return err(createDecodeFailure("tenant is no object"));
+  const name = getText(value, "name");
+  if (name === undefined) return err(createDecodeFailure("tenant has no name"));
+  const rank = getNumber(value, "priority");
+  return ok({ name, rank, apiKeys: getTexts(value, "api_keys") });
+}
+
+export function decodeConfiguration(
+  spec: unknown,
+): Result<DecodedConfiguration, DecodeFailure> {
+  if (!isFields(spec)) return err(createDecodeFailure("configuration is no object"));
+  const version = getNumber(spec, "version");
+  if (version === undefined) {
+    return err(createDecodeFailure("configuration has no version"));
+  }
+  const skipped: string[] = [];
+  const decodeAll = <T>(
+    name: string,
+    decode: (value: unknown) => Result<T, DecodeFailure>,
+  ): T[] =>
+    getList(spec, name).flatMap((value) => {
+      const result = decode(value);
+      if (result.isOk()) return [result.value];
+      skipped.push(result.error.detail);
+      return [];
+    });
+  const limits = getFields(spec, "limits");
+  return ok({
+    configuration: {
+      version,
+      routes: decodeAll("routes", decodeRoute),
+      services: decodeAll("services", decodeService),
+      accounts: decodeAll("tenants", decodeAccount),
+      limits: {
+        maxBodyBytes:
+          getNumber(limits, "max_body_bytes") ?? DEFAULT_LIMITS.maxBodyBytes,
+        idleTimeoutMs:
+          getNumber(limits, "idle_timeout_ms") ?? DEFAULT_LIMITS.idleTimeoutMs,
+        headerTimeoutMs:
+          getNumber(limits, "header_timeout_ms") ??
+          DEFAULT_LIMITS.headerTimeoutMs,
+      },
+    },
+    skipped,
+  });
+}
+
+const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
+const MAX_PORT = 65_535;
+
+/** Splits IP:PORT; undefined when it is neither. */
+export function parseAddress(
+  text: string,
+): { address: string; port: number } | undefined {
+  const found = ADDRESS.exec(text);
+  const [, address, digits] = found ?? [];
+  const port = Number(digits);
+  if (address === undefined || port < 1 || port > MAX_PORT) return undefined;
+  return { address, port };
+}
+
+/** A record that can't be read names no endpoint to use. */
+export function decodeEndpoint(
+  object: StoredObject,
+): Result<EndpointRecord, DecodeFailure> {
+  const { name, spec } = object;
+  const fail = (detail: string) =>
+    err(createDecodeFailure(`server ${name}: ${detail}`));
+  if (!isFields(spec)) return fail("spec is no object");
+  const service = getText(spec, "service");
+  const place = parseAddress(getText(spec, "addr") ?? "");
+  const state = getText(spec, "state");
+  const dataCentre = getText(spec, "zone");
+  const version = getText(spec, "version");
+  const slots = getNumber(spec, "slots");
+  if (service === undefined || dataCentre === undefined) {
+    return fail("service or zone is missing");
+  }
+  if (place === undefined) return fail("addr is no address");
+  if (version === undefined) return fail("version is missing");
+  if (slots === undefined || slots < 1) return fail("slots is no number");
+  if (state !== "ready" && state !== "draining") {
+    return fail(`state "${state ?? ""}" is unknown`);
+  }
+  return ok({
+    id: name,
+    service,
+    ...place,
+    dataCentre,
+    version,
+    slots,
+    isLeaving: state === "draining",
+    coldLeftMs: Math.max(0, getNumber(spec, "cold_left_ms") ?? 0),
+    startedAtMs: getNumber(spec, "born"),
+  });
+}
+
+const OUTCOME_WORDS: Readonly<Record<string, RolloutOutcome>> = {
+  completed: ROLLOUT_OUTCOME.completed,
+  rolled_back: ROLLOUT_OUTCOME.rolledBack,
+};
+
+export function decodeRollout(
+  object: StoredObject,
+): Result<RolloutOrder, DecodeFailure> {
+  const { name, spec, status, revision, created } = object;
+  if (!isFields(spec)) {
+    return err(createDecodeFailure(`rollout ${name}: spec is no object`));
+  }
+  const service = getText(spec, "service");
+  const target = getText(spec, "target");
+  const seconds = getNumber(spec, "duration_s");
+  if (service === undefined || target === undefined || !seconds) {
+    return err(createDecodeFailure(`rollout ${name}: a field is missing`));
+  }
+  const held = isFields(status) ? status : {};
+  const isSameOrder = getText(held, "target") === target;
+  const word = getText(held, "state") ?? "";
+  return ok({
+    service,
+    target,
+    durationMs: seconds * MS_PER_SECOND,
+    outcome: isSameOrder ? OUTCOME_WORDS[word] : undefined,
+    createdRevision: created,
+    revision,
+  });
+}
+
+/** The status that tells the platform how far a rollout is. */
+export function createRolloutStatus(
+  order: RolloutOrder,
+  outcome: RolloutOutcome | undefined,
+): Fields {
+  const word = Object.entries(OUTCOME_WORDS).find(
+    ([, value]) => value === outcome,
+  )?.[0];
+  return { state: word ?? "running", target: order.target };
+}
--- /dev/null
+++ b/src/platform/entry.ts
@@ -0,0 +1,130 @@
+/** One entry on the platform: wires the request path to store and network. */
+
+import { setTimeout as delay } from "node:timers/promises";
+import type { Logger } from "../adapters/logs.js";
+import {
+  Connections,
+  createSuspendClock,
+  drainServer,
+  FleetView,
+  Freshness,
+  ProxyMetrics,
+  RepeatBudget,
+  RequestPath,
+  SessionVersions,
+  startCallerServer,
+  startMetricsServer,
+  startReadinessServer,
+} from "../proxy/index.js";
+import { FleetSync } from "./fleet_sync.js";
+import { platformWire } from "./headers.js";
+import type { EntrySettings } from "./settings.js";
+import { StoreClient } from "./store_client.js";
+
+const READY_PATH = "/hornbeamrill/readyz";
+/** How often due decisions and lapsed records are looked at, ms. */
+const TICK_MS = 100;
+/**
+ * Share of the time to withdraw a key within which a view counts as current:
+ * a watch may hear nothing for a second, and a check takes a moment.
+ */
+const FRESH_SHARE = 0.72;
+/** Part of the grace after which what still runs is broken off. */
+const DRAIN_SHARE = 0.94;
+
+export interface RunningEntry {
+  /** Stops gracefully; settles when no request is left. */
+  stop(): Promise<void>;
+}
+
+export async function startEntry(
+  settings: EntrySettings,
+  log: Logger,
+): Promise<RunningEntry> {
+  const { bounds } = settings;
+  const controller = new AbortController();
+  const { signal } = controller;
+  const metrics = new ProxyMetrics();
+  const view = new FleetView();
+  const clock = createSuspendClock();
+  const now = () => performance.now();
+  const { random } = Math;
+  const connections = new Connections(signal);
+  const freshness = new Freshness(clock, () => void sync.confirmNow());
+  const store = new StoreClient({
+    ...settings.store,
+    signal,
+    onCall: (kind, result) => metrics.storeCalls.inc({ kind, result }),
+  });
+  const sync = new FleetSync({
+    store,
+    view,
+    freshness,
+    clock,
+    now,
+    random,
+    log,
+    signal,
+    onEndpointRemoved: (id) => connections.remove(id),
+  });
+  const path = new RequestPath({
+    wire: platformWire,
+    log,
+    metrics,
+    view,
+    connections,
+    freshness,
+    now,
+    random,
+    budget: new RepeatBudget({
+      ratio: bounds.repeatRatio,
+      windowMs: bounds.repeatWindowMs,
+      allowance: bounds.repeatAllowance,
+    }),
+    sessions: new SessionVersions(bounds.sessionGapMs),
+    countEntries: () => 4,
+    maxConfigAgeMs: FRESH_SHARE * bounds.revokeMs,
+    maxDenyAgeMs: bounds.configMs,
+  });
+  let isStopping = false;
+  const isReady = () =>
+    !isStopping &&
+    sync.isLoaded &&
+    view.catalog !== undefined &&
+    freshness.ageMs <= FRESH_SHARE * bounds.revokeMs;
+  const callers = await startCallerServer(path, view, settings.callers);
+  await startReadinessServer(isReady, READY_PATH, settings.readiness);
+  await startMetricsServer(() => {
+    metrics.configVersion.set(view.catalog?.configuration.version ?? 0);
+    metrics.configAge.set(Math.min(freshness.ageMs, 1e9) / 1_000);
+    metrics.endpoints.set(view.endpoints.size);
+    return metrics.render();
+  }, { address: settings.address, port: settings.metricsPort });
+  void sync.run();
+  void runTicks(view, sync, now, signal);
+  return {
+    stop: async () => {
+      isStopping = true;
+      path.stop();
+      await delay(bounds.graceMs * 0.25);
+      await drainServer(callers, path, bounds.graceMs * (DRAIN_SHARE - 0.25));
+      controller.abort();
+    },
+  };
+}
+
+async function runTicks(
+  view: FleetView,
+  sync: FleetSync,
+  now: () => number,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!signal.aborted) {
+    await delay(TICK_MS, undefined, { signal }).catch(() => undefined);
+    if (signal.aborted) return;
+    view.endpoints.expire(now());
+    for (const decision of view.rollouts.decide(now())) {
+      await sync.writeOutcome(decision);
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/fields.ts
@@ -0,0 +1,35 @@
+/** Reads typed fields of documents that come from outside. */
+
+export type Fields = Readonly<Record<string, unknown>>;
+
+export function isFields(value: unknown): value is Fields {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+export function getText(fields: Fields, name: string): string | undefined {
+  const value = fields[name];
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
+
+export function getNumber(fields: Fields, name: string): number | undefined {
+  const value = fields[name];
+  return typeof value === "number" && Number.isFinite(value)
+    ? value
+    : undefined;
+}
+
+export function getList(fields: Fields, name: string): readonly unknown[] {
+  const value = fields[name];
+  return Array.isArray(value) ? value : [];
+}
+
+export function getTexts(fields: Fields, name: string): string[] {
+  return getList(fields, name).filter(
+    (item): item is string => typeof item === "string",
+  );
+}
+
+export function getFields(fields: Fields, name: string): Fields {
+  const value = fields[name];
+  return isFields(value) ? value : {};
+}
--- /dev/null
+++ b/src/platform/settings.ts
@@ -0,0 +1,127 @@
+/** Reads the platform's settings file. */
+
+import { readFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import { parse } from "smol-toml";
+import { parseAddress } from "./decode_config.js";
+import { createDecodeFailure, type DecodeFailure } from "./errors.js";
+import { type Fields, getFields, getNumber, getText } from "./fields.js";
+
+const MS_PER_SECOND = 1_000;
+
+export interface Place {
+  readonly address: string;
+  readonly port: number;
+}
+
+export interface EntrySettings {
+  readonly name: string;
+  readonly role: string;
+  readonly dataCentre: string;
+  /** Address of this host. */
+  readonly address: string;
+  readonly callers: Place;
+  readonly readiness: Place;
+  readonly store: Place;
+  /** First port for talk between processes of the system. */
+  readonly metricsPort: number;
+  readonly bounds: EntryBounds;
+}
+
+export interface EntryBounds {
+  /** A key that was withdrawn this long ago must not work. */
+  readonly revokeMs: number;
+  /** A configuration that was accepted this long ago must be in force. */
+  readonly configMs: number;
+  /** Time from the signal to stop until the process is killed. */
+  readonly graceMs: number;
+  readonly repeatRatio: number;
+  readonly repeatWindowMs: number;
+  readonly repeatAllowance: number;
+  /** Requests of a session follow each other within this time. */
+  readonly sessionGapMs: number;
+}
+
+/** Bounds that apply where the file names none. */
+const DEFAULTS = {
+  revokeMs: 5_000,
+  configMs: 2_000,
+  graceS: 8,
+  repeatRatio: 0.1,
+  repeatWindowS: 10,
+  repeatAllowance: 10,
+  sessionS: 5,
+} as const;
+
+function decodeBounds(bounds: Fields): EntryBounds {
+  const graceS = getNumber(bounds, "grace_s") ?? DEFAULTS.graceS;
+  const windowS = getNumber(bounds, "retry_window_s") ?? DEFAULTS.repeatWindowS;
+  const sessionS = getNumber(bounds, "session_s") ?? DEFAULTS.sessionS;
+  return {
+    revokeMs: getNumber(bounds, "revoke_ms") ?? DEFAULTS.revokeMs,
+    configMs: getNumber(bounds, "config_deadline_ms") ?? DEFAULTS.configMs,
+    graceMs: graceS * MS_PER_SECOND,
+    repeatRatio:
+      getNumber(bounds, "retry_budget_ratio") ?? DEFAULTS.repeatRatio,
+    repeatWindowMs: windowS * MS_PER_SECOND,
+    repeatAllowance:
+      getNumber(bounds, "retry_slack") ?? DEFAULTS.repeatAllowance,
+    sessionGapMs: sessionS * MS_PER_SECOND,
+  };
+}
+
+function parseToml(text: string): Result<Fields, DecodeFailure> {
+  try {
+    return ok(parse(text));
+  } catch (error) {
+    return err(createDecodeFailure(String(error)));
+  }
+}
+
+/** Port offset of the metrics listener in `port_range`. */
+const METRICS_PORT_INDEX = 0;
+
+export function decodeSettings(
+  text: string,
+): Result<EntrySettings, DecodeFailure> {
+  return parseToml(text).andThen((file) => {
+    const listen = getFields(file, "listen");
+    const platform = getFields(file, "platform");
+    const name = getText(file, "node_name");
+    const address = getText(file, "ip");
+    const callers = parseAddress(getText(listen, "front") ?? "");
+    const readiness = parseAddress(getText(listen, "ready") ?? "");
+    const store = parseAddress(getText(platform, "addr") ?? "");
+    const ports = Array.isArray(file.port_range) ? file.port_range : [];
+    const metricsPort = Number(ports[METRICS_PORT_INDEX]);
+    const fail = (key: string) =>
+      err(createDecodeFailure(`settings: ${key} is missing or invalid`));
+    if (name === undefined) return fail("node_name");
+    if (address === undefined) return fail("ip");
+    if (callers === undefined) return fail("listen.front");
+    if (readiness === undefined) return fail("listen.ready");
+    if (store === undefined) return fail("platform.addr");
+    if (!Number.isInteger(metricsPort)) return fail("port_range");
+    return ok({
+      name,
+      address,
+      callers,
+      readiness,
+      store,
+      metricsPort,
+      role: getText(file, "role") ?? "entry",
+      dataCentre: getText(file, "zone") ?? "",
+      bounds: decodeBounds(getFields(file, "bounds")),
+    });
+  });
+}
+
+export function readSettings(
+  path: string,
+): Result<EntrySettings, DecodeFailure> {
+  try {
+    return decodeSettings(readFileSync(path, "utf8"));
+  } catch (error) {
+    return err(createDecodeFailure(`Cannot read "${path}": ${String(error)}`));
+  }
+}
--- /dev/null
+++ b/src/proxy/answer.ts
@@ -0,0 +1,81 @@
+/** Passes an endpoint's answer on to the caller. */
+
+import type { IncomingMessage } from "node:http";
+import type { AttemptHead } from "./attempt.js";
+import { EventCutter } from "./event_stream.js";
+import type { AnswerSink } from "./request_run.js";
+import type { Wire } from "./types.js";
+
+/** Sends an answer that is whole at hand. */
+export function deliverAnswer(
+  sink: AnswerSink,
+  wire: Wire,
+  head: AttemptHead,
+  body: Buffer,
+): void {
+  const headers = wire.createAnswerHeaders(head.headers);
+  headers.push("Content-Length", String(body.length));
+  sink.writeHead(head.status, headers);
+  sink.end(body);
+}
+
+export interface StreamOptions {
+  readonly message: IncomingMessage;
+  /** Last event that the caller has. */
+  readonly lastEventId?: number;
+  /** Silence after which the stream counts as broken, ms. */
+  readonly stallMs: number;
+  /** Aborts when the caller leaves or the deadline passes. */
+  readonly signal: AbortSignal;
+}
+
+export interface StreamEnd {
+  readonly isComplete: boolean;
+  readonly lastEventId?: number;
+  readonly detail?: string;
+}
+
+/** Passes whole events on as they come; settles when the stream ends. */
+export function deliverStream(
+  sink: AnswerSink,
+  options: StreamOptions,
+): Promise<StreamEnd> {
+  const { message, stallMs, signal } = options;
+  const cutter = new EventCutter();
+  let { lastEventId } = options;
+  return new Promise((resolve) => {
+    let isSettled = false;
+    const settle = (isComplete: boolean, detail?: string) => {
+      if (isSettled) return;
+      isSettled = true;
+      clearTimeout(stall);
+      resolve({ isComplete, lastEventId, detail });
+    };
+    const stall = setTimeout(
+      () => settle(false, `No event for ${stallMs} ms`),
+      stallMs,
+    );
+    const pause = () => {
+      message.pause();
+      void sink.waitDrain(signal).then(() => {
+        stall.refresh();
+        message.resume();
+      });
+    };
+    message.on("data", (chunk: Buffer) => {
+      if (isSettled) return;
+      const cut = cutter.push(chunk);
+      if (cut.events.length === 0) return;
+      stall.refresh();
+      lastEventId = cut.lastId ?? lastEventId;
+      if (!sink.write(cut.events)) pause();
+    });
+    message.once("end", () => {
+      if (!message.complete) settle(false, "Stream ended early");
+      else if (cutter.rest.length > 0) settle(false, "Stream ended in an event");
+      else settle(true);
+    });
+    message.once("error", (error) => settle(false, error.message));
+    message.once("close", () => settle(false, "Connection closed"));
+  });
+}
--- /dev/null
+++ b/src/proxy/attempt.ts
@@ -0,0 +1,135 @@
+/**
+ * One attempt at an endpoint over HTTP. Its failure says whether the request
+ * was sent, and only an answer to this very request counts.
+ */
+
+import { type Agent, type IncomingMessage, request } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import type { AnswerFacts, RawHeaders, Wire } from "./types.js";
+
+export const ATTEMPT_FAILURE = {
+  /** Nothing left this host. */
+  notSent: "not-sent",
+  /** The endpoint says that it did not run the request. */
+  notRun: "not-run",
+  /** It may have run. */
+  unknown: "unknown",
+} as const;
+export type AttemptFailureKind =
+  (typeof ATTEMPT_FAILURE)[keyof typeof ATTEMPT_FAILURE];
+
+export interface AttemptFailure {
+  readonly kind: AttemptFailureKind;
+  readonly detail: string;
+  readonly facts?: AnswerFacts;
+}
+
+export interface AttemptHead {
+  readonly status: number;
+  readonly facts: AnswerFacts;
+  readonly headers: RawHeaders;
+  readonly message: IncomingMessage;
+  /** The connection was used before. */
+  readonly isReused: boolean;
+}
+
+export interface AttemptOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly requestId: string;
+  readonly agent: Agent;
+  readonly wire: Wire;
+  /** Ends the attempt and its connection, also after the head. */
+  readonly signal: AbortSignal;
+}
+
+/** Sends the request and waits for the head of its answer. */
+export function startAttempt(
+  options: AttemptOptions,
+): Promise<Result<AttemptHead, AttemptFailure>> {
+  const { wire, requestId, body, signal } = options;
+  return new Promise((resolve) => {
+    let isSent = false;
+    const fail = (kind: AttemptFailureKind, detail: string) =>
+      resolve(err({ kind, detail }));
+    if (signal.aborted) {
+      fail(ATTEMPT_FAILURE.notSent, "The attempt was cancelled");
+      return;
+    }
+    const outgoing = request({
+      host: options.address,
+      port: options.port,
+      method: options.method,
+      path: options.path,
+      headers: options.headers,
+      agent: options.agent,
+      signal,
+    });
+    outgoing.on("socket", (socket) => {
+      socket.setNoDelay(true);
+      if (!socket.connecting) isSent = true;
+      else socket.once("connect", () => (isSent = true));
+    });
+    outgoing.on("error", (error) => {
+      const { notSent, unknown } = ATTEMPT_FAILURE;
+      fail(isSent ? unknown : notSent, error.message);
+    });
+    outgoing.on("response", (message) => {
+      const headers = message.rawHeaders;
+      const facts = wire.parseAnswer(headers);
+      if (facts.isNotRun) {
+        message.resume();
+        const detail = `Status ${message.statusCode}, not run`;
+        resolve(err({ kind: ATTEMPT_FAILURE.notRun, detail, facts }));
+        return;
+      }
+      const detail = findMismatch(message, facts, requestId);
+      if (detail !== undefined) {
+        outgoing.destroy();
+        resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail, facts }));
+        return;
+      }
+      const status = message.statusCode ?? 0;
+      const isReused = outgoing.reusedSocket;
+      resolve(ok({ status, facts, headers, message, isReused }));
+    });
+    outgoing.end(body);
+  });
+}
+
+/** Why an answer can't be the one to this request. */
+function findMismatch(
+  message: IncomingMessage,
+  facts: AnswerFacts,
+  requestId: string,
+): string | undefined {
+  if (facts.requestId !== requestId) {
+    return `Answer is for request "${facts.requestId ?? ""}"`;
+  }
+  if (!facts.isSigned) return "Answer has no signature of the endpoint";
+  const encoding = message.headers["content-encoding"];
+  if (encoding !== undefined) return `Answer is encoded as "${encoding}"`;
+  return undefined;
+}
+
+/** Reads a whole body; a failure when the answer ends early. */
+export function readAnswerBody(
+  message: IncomingMessage,
+): Promise<Result<Buffer, AttemptFailure>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    const fail = (detail: string) =>
+      resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail }));
+    message.on("data", (chunk: Buffer) => chunks.push(chunk));
+    message.once("end", () => {
+      if (message.complete) resolve(ok(Buffer.concat(chunks)));
+      else fail("Answer ended early");
+    });
+    message.once("error", (error) => fail(error.message));
+    message.once("close", () => fail("Connection closed in the answer"));
+  });
+}
--- /dev/null
+++ b/src/proxy/endpoint_choice.ts
@@ -0,0 +1,117 @@
+/**
+ * Choice of the endpoint for one attempt: the least expected time to the
+ * answer. Answers the load in which long prompts hold up everything that runs
+ * beside them: prompts that wait count by their tokens, a prompt whose first
+ * parts an endpoint keeps costs less there, and endpoints differ in speed.
+ */
+
+import type { EndpointState } from "./endpoint_state.js";
+import type { PromptPart } from "./types.js";
+
+export interface Work {
+  readonly model: string;
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+  /** Time of one prompt token at this model against the smallest one. */
+  readonly weight: number;
+}
+
+export interface ChoiceOptions {
+  readonly work: Work;
+  readonly nowMs: number;
+  readonly random: () => number;
+  /** Endpoints that this request was sent to before. */
+  readonly tried: ReadonlySet<string>;
+  /** Ids of the endpoints that should keep the shared parts, best first. */
+  readonly homes: readonly string[];
+  /** Entries that send to the same endpoints. */
+  readonly entries: number;
+  /** Requests a second that a cold endpoint bears from this entry. */
+  readonly coldPerSecond: number;
+}
+
+/** Fixed time of an attempt before the first prompt token is read, ms. */
+const FIXED_MS = 6;
+/** Prompt tokens that a middling engine reads in 1 ms at the smallest model. */
+const TOKENS_PER_MS = 100;
+/** How much one running request slows the reading of a prompt, ms. */
+const RUNNING_MS = 0.6;
+/** Wait for a place where all are taken, for each request over them, ms. */
+const WAITING_MS = 60;
+/** Chance that a home of the shared parts keeps them though unseen from here. */
+const HOME_KEEPS = 0.5;
+/** Scores that differ by less are equal, so that entries don't herd. */
+const TIE = 0.15;
+
+/** Prompt tokens that the endpoint has to read. */
+export function estimateTokensToRead(
+  state: EndpointState,
+  work: Work,
+  homes: readonly string[],
+): number {
+  const kept = state.kept.countKept(work.model, work.parts);
+  const shared = work.parts
+    .slice(0, -1)
+    .reduce((sum, part) => sum + part.tokens, 0);
+  const guess = homes.includes(state.record.id) ? HOME_KEEPS * shared : 0;
+  return Math.max(1, work.promptTokens - Math.max(kept, guess));
+}
+
+/** Expected time to the answer's head on an endpoint of usual speed, ms. */
+export function estimateStartMs(
+  state: EndpointState,
+  options: ChoiceOptions,
+): number {
+  const { work, nowMs, homes, entries } = options;
+  const toRead = estimateTokensToRead(state, work, homes) * work.weight;
+  // Other entries send alike, and what they wait for can't be seen from here.
+  const pending = state.pendingWork * Math.max(1, Math.sqrt(entries));
+  const load = state.estimateLoad(nowMs);
+  const over = Math.max(0, load + 1 - state.record.slots);
+  return (
+    FIXED_MS +
+    (pending + toRead) / TOKENS_PER_MS +
+    load * RUNNING_MS +
+    over * WAITING_MS
+  );
+}
+
+export interface Choice {
+  readonly state: EndpointState;
+  /** Expected time to the answer's head, ms. */
+  readonly startMs: number;
+  /** How many endpoints were open to the choice. */
+  readonly candidates: number;
+}
+
+function isOpen(state: EndpointState, options: ChoiceOptions): boolean {
+  const { nowMs, coldPerSecond } = options;
+  if (!state.isCold(nowMs)) return true;
+  return coldPerSecond > 0 && state.hasColdCredit(coldPerSecond, nowMs);
+}
+
+/** Undefined when no endpoint may get the request now. */
+export function chooseEndpoint(
+  states: readonly EndpointState[],
+  options: ChoiceOptions,
+): Choice | undefined {
+  const { nowMs, tried, random } = options;
+  const open = states.filter((state) => isOpen(state, options));
+  const fresh = open.filter((state) => !tried.has(state.record.id));
+  const isSound = (state: EndpointState) =>
+    !state.isPaused(nowMs) && !(state.isOnProbation && state.inFlight > 0);
+  const sound = fresh.filter(isSound);
+  // A paused endpoint is better than none.
+  const list = sound.length > 0 ? sound : fresh;
+  let best: Choice | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  for (const state of list) {
+    const startMs = state.slowness * estimateStartMs(state, options);
+    const cold = state.isCold(nowMs) ? 2 : 1;
+    const score = startMs * cold * (1 + TIE * random());
+    if (score >= bestScore) continue;
+    bestScore = score;
+    best = { state, startMs, candidates: list.length };
+  }
+  return best;
+}
--- /dev/null
+++ b/src/proxy/endpoint_table.ts
@@ -0,0 +1,115 @@
+/** All endpoints that one entry may choose from, by id. */
+
+import { EndpointState } from "./endpoint_state.js";
+import type { EndpointRecord } from "./types.js";
+
+/**
+ * How long a record that vanished just after a store outage counts as there:
+ * records that lapsed in the outage are written again within this time.
+ */
+const LAPSE_GRACE_MS = 2_000;
+
+export interface TableChange {
+  readonly event: "endpoint-added" | "endpoint-leaving" | "endpoint-removed";
+  readonly record: EndpointRecord;
+}
+
+export class EndpointTable {
+  readonly #endpoints = new Map<string, EndpointState>();
+  readonly #lapsed = new Map<string, number>();
+  #graceUntilMs = Number.NEGATIVE_INFINITY;
+  #membership = 0;
+
+  /** Changes with each endpoint that comes or goes. */
+  get membership(): number {
+    return this.#membership;
+  }
+
+  /** Tells that the store answers again after it did not. */
+  startGrace(nowMs: number): void {
+    this.#graceUntilMs = nowMs + LAPSE_GRACE_MS;
+  }
+
+  /** Replaces all records by a whole list of the store. */
+  replaceAll(records: readonly EndpointRecord[], nowMs: number): TableChange[] {
+    const ids = new Set(records.map((record) => record.id));
+    const missing = [...this.#endpoints.keys()].filter((id) => !ids.has(id));
+    return [
+      ...missing.flatMap((id) => this.remove(id, nowMs)),
+      ...records.flatMap((record) => this.put(record, nowMs)),
+    ];
+  }
+
+  put(record: EndpointRecord, nowMs: number): TableChange[] {
+    this.#lapsed.delete(record.id);
+    const known = this.#endpoints.get(record.id);
+    const isSameLife =
+      known !== undefined &&
+      known.record.startedAtMs === record.startedAtMs &&
+      known.record.address === record.address &&
+      known.record.port === record.port;
+    if (!isSameLife) {
+      const state = new EndpointState(record);
+      state.setColdUntil(nowMs + record.coldLeftMs);
+      this.#endpoints.set(record.id, state);
+      this.#membership++;
+      return [{ event: "endpoint-added", record }];
+    }
+    const wasLeaving = known.record.isLeaving;
+    known.record = record;
+    known.setColdUntil(nowMs + record.coldLeftMs);
+    if (wasLeaving === record.isLeaving) return [];
+    this.#membership++;
+    return record.isLeaving ? [{ event: "endpoint-leaving", record }] : [];
+  }
+
+  remove(id: string, nowMs: number): TableChange[] {
+    const known = this.#endpoints.get(id);
+    if (known === undefined) return [];
+    if (nowMs < this.#graceUntilMs && !known.record.isLeaving) {
+      if (!this.#lapsed.has(id)) this.#lapsed.set(id, this.#graceUntilMs);
+      return [];
+    }
+    return this.#delete(id, known);
+  }
+
+  /** Removes records whose grace has ended. */
+  expire(nowMs: number): TableChange[] {
+    const changes: TableChange[] = [];
+    for (const [id, untilMs] of this.#lapsed) {
+      if (nowMs < untilMs) continue;
+      this.#lapsed.delete(id);
+      const known = this.#endpoints.get(id);
+      if (known !== undefined) changes.push(...this.#delete(id, known));
+    }
+    return changes;
+  }
+
+  #delete(id: string, known: EndpointState): TableChange[] {
+    this.#endpoints.delete(id);
+    this.#lapsed.delete(id);
+    this.#membership++;
+    return [{ event: "endpoint-removed", record: known.record }];
+  }
+
+  get(id: string): EndpointState | undefined {
+    return this.#endpoints.get(id);
+  }
+
+  /** Endpoints of a service that may get new work. */
+  list(service: string): EndpointState[] {
+    return [...this.#endpoints.values()].filter(
+      ({ record }) => record.service === service && !record.isLeaving,
+    );
+  }
+
+  listDataCentre(dataCentre: string): EndpointState[] {
+    return [...this.#endpoints.values()].filter(
+      ({ record }) => record.dataCentre === dataCentre,
+    );
+  }
+
+  get size(): number {
+    return this.#endpoints.size;
+  }
+}
--- /dev/null
+++ b/src/proxy/metrics.ts
@@ -0,0 +1,60 @@
+/** Counters and latency histograms of the request path, as text. */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const SECONDS_BUCKETS = [0.01, 0.03, 0.1, 0.3, 1, 3, 10];
+
+export class ProxyMetrics {
+  readonly #registry = new Registry();
+  readonly requests = new Counter({
+    name: "hornbeamrill_requests_total",
+    help: "Requests by route and outcome",
+    labelNames: ["route", "outcome"] as const,
+    registers: [this.#registry],
+  });
+  readonly attempts = new Counter({
+    name: "hornbeamrill_attempts_total",
+    help: "Attempts at endpoints by service and result",
+    labelNames: ["service", "result"] as const,
+    registers: [this.#registry],
+  });
+  readonly startSeconds = new Histogram({
+    name: "hornbeamrill_answer_start_seconds",
+    help: "Time until the caller gets the first byte of an answer",
+    labelNames: ["route"] as const,
+    buckets: SECONDS_BUCKETS,
+    registers: [this.#registry],
+  });
+  readonly totalSeconds = new Histogram({
+    name: "hornbeamrill_answer_seconds",
+    help: "Time until the caller has the whole answer",
+    labelNames: ["route"] as const,
+    buckets: SECONDS_BUCKETS,
+    registers: [this.#registry],
+  });
+  readonly storeCalls = new Counter({
+    name: "hornbeamrill_store_calls_total",
+    help: "Calls to the object store by kind of object and result",
+    labelNames: ["kind", "result"] as const,
+    registers: [this.#registry],
+  });
+  readonly configVersion = new Gauge({
+    name: "hornbeamrill_config_version",
+    help: "Version of the configuration in force",
+    registers: [this.#registry],
+  });
+  readonly configAge = new Gauge({
+    name: "hornbeamrill_config_age_seconds",
+    help: "Time since the store confirmed the configuration",
+    registers: [this.#registry],
+  });
+  readonly endpoints = new Gauge({
+    name: "hornbeamrill_endpoints",
+    help: "Endpoints that are registered",
+    registers: [this.#registry],
+  });
+
+  render(): Promise<string> {
+    return this.#registry.metrics();
+  }
+}
--- /dev/null
+++ b/src/proxy/version_choice.ts
@@ -0,0 +1,53 @@
+/** Which versions of a service one request may run on. */
+
+import { hashText } from "../core/canonical.js";
+import type { EndpointState } from "./endpoint_state.js";
+import type { Rollouts } from "./rollouts.js";
+import { ROLLOUT_OUTCOME } from "./types.js";
+
+const HASH_DIGITS = 8;
+const HASH_RANGE = 16 ** HASH_DIGITS;
+
+/** Place of a session in 0..1, the same at every entry. */
+export function hashSession(service: string, session: string): number {
+  const digits = hashText(`${service} ${session}`).slice(0, HASH_DIGITS);
+  return Number.parseInt(digits, 16) / HASH_RANGE;
+}
+
+export interface VersionOptions {
+  readonly service: string;
+  readonly rollouts: Rollouts;
+  /** Place of the request's session, or a random one without a session. */
+  readonly place: number;
+  /** Version that the session last ran on, a short time ago. */
+  readonly lastVersion?: string;
+  readonly nowMs: number;
+}
+
+/** Leaves the endpoints of the version that the request runs on. */
+export function listAllowedVersions(
+  states: readonly EndpointState[],
+  options: VersionOptions,
+): EndpointState[] {
+  const { service, rollouts, place, lastVersion, nowMs } = options;
+  const order = rollouts.getOrder(service);
+  if (order === undefined) return [...states];
+  const isTarget = (state: EndpointState) =>
+    state.record.version === order.target;
+  const target = states.filter(isTarget);
+  const others = states.filter((state) => !isTarget(state));
+  if (order.outcome === ROLLOUT_OUTCOME.rolledBack) return others;
+  if (order.outcome === ROLLOUT_OUTCOME.completed) {
+    return target.length > 0 ? target : others;
+  }
+  const share = rollouts.getShare(service, nowMs);
+  if (share === 0) return others;
+  if (target.length === 0) return others;
+  const isMoved = lastVersion === order.target;
+  const stays =
+    lastVersion !== undefined &&
+    !isMoved &&
+    rollouts.isFirstHalf(service, nowMs);
+  const usesTarget = isMoved || (!stays && place < share);
+  return usesTarget || others.length === 0 ? target : others;
+}
