--- a/src/platform/decode_config.ts
+++ b/src/platform/decode_config.ts
@@ -112,7 +112,8 @@
 function decodeService(value: unknown): Result<Service, DecodeFailure> {
   if (!isFields(value)) return err(createDecodeFailure("service is no object"));
   const name = getText(value, "name");
-  if (name === undefined) return err(createDecodeFailure("service has no name"));
+  if (name === undefined)
+    return err(createDecodeFailure("service has no name"));
   const engine = getFields(value, "engine");
   return ok({
     name,
@@ -139,7 +140,8 @@
 export function decodeConfiguration(
   spec: unknown,
 ): Result<DecodedConfiguration, DecodeFailure> {
-  if (!isFields(spec)) return err(createDecodeFailure("configuration is no object"));
+  if (!isFields(spec))
+    return err(createDecodeFailure("configuration is no object"));
   const version = getNumber(spec, "version");
   if (version === undefined) {
     return err(createDecodeFailure("configuration has no version"));
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -29,8 +29,13 @@
  * a watch may hear nothing for a second, and a check takes a moment.
  */
 const FRESH_SHARE = 0.72;
+/**
+ * Part of the grace in which requests are still taken. The balancer asks once
+ * a second and takes a host out at the second miss.
+ */
+const TAKE_SHARE = 0.3;
 /** Part of the grace after which what still runs is broken off. */
-const DRAIN_SHARE = 0.94;
+const BREAK_SHARE = 0.94;
 
 export interface RunningEntry {
   /** Stops gracefully; settles when no request is left. */
@@ -94,20 +99,24 @@
     freshness.ageMs <= FRESH_SHARE * bounds.revokeMs;
   const callers = await startCallerServer(path, view, settings.callers);
   await startReadinessServer(isReady, READY_PATH, settings.readiness);
-  await startMetricsServer(() => {
-    metrics.configVersion.set(view.catalog?.configuration.version ?? 0);
-    metrics.configAge.set(Math.min(freshness.ageMs, 1e9) / 1_000);
-    metrics.endpoints.set(view.endpoints.size);
-    return metrics.render();
-  }, { address: settings.address, port: settings.metricsPort });
+  await startMetricsServer(
+    () => {
+      metrics.configVersion.set(view.catalog?.configuration.version ?? 0);
+      metrics.configAge.set(Math.min(freshness.ageMs, 1e9) / 1_000);
+      metrics.endpoints.set(view.endpoints.size);
+      return metrics.render();
+    },
+    { address: settings.address, port: settings.metricsPort },
+  );
   void sync.run();
   void runTicks(view, sync, now, signal);
   return {
     stop: async () => {
       isStopping = true;
-      path.stop();
-      await delay(bounds.graceMs * 0.25);
-      await drainServer(callers, path, bounds.graceMs * (DRAIN_SHARE - 0.25));
+      await drainServer(callers, path, {
+        takeMs: TAKE_SHARE * bounds.graceMs,
+        breakMs: BREAK_SHARE * bounds.graceMs,
+      });
       controller.abort();
     },
   };
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -157,7 +157,8 @@
     }
     const { configuration, skipped } = decoded.value;
     if (!view.setConfiguration(configuration)) return;
-    for (const reason of skipped) log.warn("configuration-part-skipped", { reason });
+    for (const reason of skipped)
+      log.warn("configuration-part-skipped", { reason });
     log.info("configuration-in-force", {
       version: configuration.version,
       revision: object.revision,
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -153,7 +153,8 @@
     copy.push("Last-Event-Id", String(facts.lastEventId));
   }
   const values = groupHeaders(headers);
-  const hasBody = values.has("content-length") || values.has("transfer-encoding");
+  const hasBody =
+    values.has("content-length") || values.has("transfer-encoding");
   if (hasBody) copy.push("Content-Length", String(facts.bodyBytes));
   return copy;
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -27,7 +27,10 @@
   process.on("SIGHUP", () => log.info("reload-requested", {}));
   try {
     const entry = await startEntry(settings.value, log);
-    log.info("started", { ms: Math.round(performance.now()), initMs: Math.round(startedAtMs) });
+    log.info("started", {
+      ms: Math.round(performance.now()),
+      initMs: Math.round(startedAtMs),
+    });
     log.info("stop-requested", { signal: await stopRequested });
     await entry.stop();
     log.info("stopped");
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -3,7 +3,13 @@
 import { Agent, request } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { STORE_FAILURE, type StoreFailure } from "./errors.js";
-import { type Fields, getFields, getNumber, getText, isFields } from "./fields.js";
+import {
+  type Fields,
+  getFields,
+  getNumber,
+  getText,
+  isFields,
+} from "./fields.js";
 
 /** Objects of kinds named on the platform's pages. */
 export const KIND = {
@@ -86,7 +92,8 @@
     kind: Kind,
     after: string | undefined,
   ): Promise<Result<ObjectPage, StoreFailure>> {
-    const query = after === undefined ? "" : `?after=${encodeURIComponent(after)}`;
+    const query =
+      after === undefined ? "" : `?after=${encodeURIComponent(after)}`;
     const answer = await this.#call(kind, "GET", `${kind}${query}`);
     return answer.andThen(decodePage);
   }
@@ -237,7 +244,13 @@
   const lastName = isFields(last)
     ? getText(getFields(last, "metadata"), "name")
     : undefined;
-  return ok({ objects, skipped, hasMore: body.has_more === true, at, lastName });
+  return ok({
+    objects,
+    skipped,
+    hasMore: body.has_more === true,
+    at,
+    lastName,
+  });
 }
 
 export function decodeEvents(
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -94,9 +94,7 @@
     this.#at = Math.max(this.#at ?? 0, at);
     const isQuiet = changed.length + deleted.length + skipped.length === 0;
     // A quiet watch ended at the store no sooner than its wait.
-    const waitedMs = isQuiet
-      ? Math.min(waitMs, clock.now() - startedAtMs)
-      : 0;
+    const waitedMs = isQuiet ? Math.min(waitMs, clock.now() - startedAtMs) : 0;
     handlers.onConfirm?.(startedAtMs + waitedMs);
     return undefined;
   }
--- a/src/proxy/answer.ts
+++ b/src/proxy/answer.ts
@@ -1,7 +1,7 @@
 /** Passes an endpoint's answer on to the caller. */
 
 import type { IncomingMessage } from "node:http";
-import type { AttemptHead } from "./attempt.js";
+import { type AttemptHead, isWholeAnswer } from "./attempt.js";
 import { EventCutter } from "./event_stream.js";
 import type { AnswerSink } from "./request_run.js";
 import type { Wire } from "./types.js";
@@ -71,8 +71,9 @@
       if (!sink.write(cut.events)) pause();
     });
     message.once("end", () => {
-      if (!message.complete) settle(false, "Stream ended early");
-      else if (cutter.rest.length > 0) settle(false, "Stream ended in an event");
+      if (!isWholeAnswer(message)) settle(false, "Stream ended early");
+      else if (cutter.rest.length > 0)
+        settle(false, "Stream ended in an event");
       else settle(true);
     });
     message.once("error", (error) => settle(false, error.message));
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -116,6 +116,14 @@
   return undefined;
 }
 
+/**
+ * True when an answer that ended is whole. An answer without a length ends
+ * with its connection, and a reset counts as such an end to the parser.
+ */
+export function isWholeAnswer(message: IncomingMessage): boolean {
+  return message.complete && !message.socket?.errored;
+}
+
 /** Reads a whole body; a failure when the answer ends early. */
 export function readAnswerBody(
   message: IncomingMessage,
@@ -126,7 +134,7 @@
       resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail }));
     message.on("data", (chunk: Buffer) => chunks.push(chunk));
     message.once("end", () => {
-      if (message.complete) resolve(ok(Buffer.concat(chunks)));
+      if (isWholeAnswer(message)) resolve(ok(Buffer.concat(chunks)));
       else fail("Answer ended early");
     });
     message.once("error", (error) => fail(error.message));
--- /dev/null
+++ b/src/proxy/attempt_test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { createServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { platformWire } from "../platform/headers.js";
+import { readAnswerBody, startAttempt } from "./attempt.js";
+
+const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n";
+
+describe("attempt", () => {
+  const closers: (() => void)[] = [];
+  afterEach(() => {
+    for (const close of closers.splice(0)) close();
+  });
+
+  async function startEndpoint(
+    answer: (socket: Socket) => void,
+  ): Promise<number> {
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.once("data", () => answer(socket));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve),
+    );
+    closers.push(() => server.close());
+    const address = server.address();
+    assert.ok(address !== null && typeof address === "object");
+    return address.port;
+  }
+
+  async function run(answer: (socket: Socket) => void) {
+    const agent = new Agent({ keepAlive: true });
+    closers.push(() => agent.destroy());
+    const head = await startAttempt({
+      address: "127.0.0.1",
+      port: await startEndpoint(answer),
+      method: "GET",
+      path: "/a/",
+      headers: ["Host", "h", "Attempt-Id", "r1"],
+      body: Buffer.alloc(0),
+      requestId: "r1",
+      agent,
+      wire: platformWire,
+      signal: AbortSignal.timeout(5_000),
+    });
+    if (head.isErr()) return head.error;
+    const body = await readAnswerBody(head.value.message);
+    return body.isErr() ? body.error : body.value.toString();
+  }
+
+  // A reset in an answer without a length must not pass as its end.
+  it("takes a reset answer without a length as incomplete", async () => {
+    const result = await run((socket) => {
+      socket.write(`${HEAD}\r\npart`, () =>
+        setTimeout(() => socket.resetAndDestroy(), 20),
+      );
+    });
+    assert.ok(typeof result !== "string");
+    assert.equal(result.kind, "unknown");
+  });
+
+  it("takes an answer without a length as whole when it is closed", async () => {
+    assert.equal(
+      await run((socket) => socket.end(`${HEAD}\r\nwhole`)),
+      "whole",
+    );
+  });
+
+  // A truncated answer must not reach the caller as a success.
+  it("takes an answer that is shorter than its length as incomplete", async () => {
+    const result = await run((socket) =>
+      socket.end(`${HEAD}Content-Length: 10\r\n\r\npart`),
+    );
+    assert.ok(typeof result !== "string");
+    assert.equal(result.kind, "unknown");
+  });
+
+  // A late answer to an earlier request on the connection is someone else's.
+  it("refuses an answer to another request", async () => {
+    const result = await run((socket) =>
+      socket.end(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
+      ),
+    );
+    assert.ok(typeof result !== "string");
+    assert.match(result.detail, /request "r0"/);
+  });
+
+  it("refuses an answer without a signature", async () => {
+    const result = await run((socket) =>
+      socket.end(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 2\r\n\r\nok",
+      ),
+    );
+    assert.ok(typeof result !== "string");
+    assert.match(result.detail, /no signature/);
+  });
+
+  // "Not run" may only be said when the endpoint itself said so.
+  it("tells a refusal of the endpoint from a failure", async () => {
+    const refused = await run((socket) =>
+      socket.end(
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+      ),
+    );
+    assert.ok(typeof refused !== "string");
+    assert.equal(refused.kind, "not-run");
+    const closed = await run((socket) => socket.destroy());
+    assert.ok(typeof closed !== "string");
+    assert.equal(closed.kind, "unknown");
+  });
+
+  it("knows that nothing was sent where no connection opens", async () => {
+    const port = await startEndpoint(() => undefined);
+    for (const close of closers.splice(0)) close();
+    const agent = new Agent();
+    const head = await startAttempt({
+      address: "127.0.0.1",
+      port,
+      method: "GET",
+      path: "/a/",
+      headers: ["Host", "h"],
+      body: Buffer.alloc(0),
+      requestId: "r1",
+      agent,
+      wire: platformWire,
+      signal: AbortSignal.timeout(5_000),
+    });
+    assert.ok(head.isErr());
+    assert.equal(head.error.kind, "not-sent");
+  });
+});
--- a/src/proxy/proxy_server.ts
+++ b/src/proxy/proxy_server.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "./fleet_view.js";
 import type { RequestPath } from "./request_path.js";
 
@@ -17,11 +18,6 @@
 /** How often idle connections are closed while the server stops, ms. */
 const CLOSE_IDLE_EVERY_MS = 100;
 
-export interface Listener {
-  readonly server: Server;
-  close(): void;
-}
-
 function listen(
   server: Server,
   place: { address: string; port: number },
@@ -90,16 +86,32 @@
   return listen(server, place);
 }
 
-/** Closes idle connections until no request is open; settles then. */
+export interface DrainTimes {
+  /** How long requests on open connections are still taken, ms. */
+  readonly takeMs: number;
+  /** When what still runs is broken off, ms after the start. */
+  readonly breakMs: number;
+}
+
+/**
+ * Lets callers leave for other entries: first each answer closes its
+ * connection, then idle connections are closed and new requests are refused.
+ * Settles when no request is open, or at the time to break off.
+ */
 export async function drainServer(
   server: Server,
   path: RequestPath,
-  timeoutMs: number,
+  times: DrainTimes,
 ): Promise<void> {
-  const untilMs = performance.now() + timeoutMs;
-  while (path.openCount > 0 && performance.now() < untilMs) {
-    await new Promise((resolve) => setTimeout(resolve, CLOSE_IDLE_EVERY_MS));
-  }
+  const startedAtMs = performance.now();
+  const getAgeMs = () => performance.now() - startedAtMs;
+  path.stop();
+  await delay(times.takeMs);
+  path.close();
+  do {
+    server.closeIdleConnections();
+    await delay(CLOSE_IDLE_EVERY_MS);
+  } while (getAgeMs() < times.breakMs && path.openCount > 0);
   server.close();
-  server.closeIdleConnections();
+  server.closeAllConnections();
 }
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -22,6 +22,8 @@
 const ANSWER_MARGIN_MS = 20;
 /** Wait that a refusal for lack of a configuration names, ms. */
 const UNREADY_RETRY_MS = 500;
+/** Another entry takes the request at once, ms. */
+const STOPPING_RETRY_MS = 20;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
 export interface PathOptions extends RunServices {
@@ -43,6 +45,7 @@
   readonly #options: PathOptions;
   #open = 0;
   #isStopping = false;
+  #isClosed = false;
 
   constructor(options: PathOptions) {
     this.#options = options;
@@ -57,6 +60,11 @@
     this.#isStopping = true;
   }
 
+  /** From now on each new request is refused. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
   async handle(request: IncomingMessage, response: ServerResponse) {
     this.#open++;
     try {
@@ -84,7 +92,10 @@
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const body = await readBody(incoming, limit).catch((error: Error) => {
-      log.info("request-aborted", { request: facts?.id, reason: error.message });
+      log.info("request-aborted", {
+        request: facts?.id,
+        reason: error.message,
+      });
     });
     if (body === undefined) return;
     if (facts === undefined) {
@@ -124,6 +135,10 @@
   /** Route and account of the request, or why it isn't served. */
   async #admit(facts: RequestFacts): Promise<Admitted | Refusal> {
     const { view, freshness, maxConfigAgeMs, maxDenyAgeMs } = this.#options;
+    if (this.#isClosed) {
+      const retryAfterMs = STOPPING_RETRY_MS;
+      return createRefusal("stopping", "The entry stops", { retryAfterMs });
+    }
     if (view.catalog === undefined) {
       return createUnready("No configuration has been read yet");
     }
@@ -177,7 +192,10 @@
     const { route } = rest;
     const service = catalog.findService(chooseService(route, random));
     if (service === undefined) {
-      const refusal = createRefusal("unknown-service", "The service is unknown");
+      const refusal = createRefusal(
+        "unknown-service",
+        "The service is unknown",
+      );
       this.#refuse(sink, facts, refusal);
       return;
     }
@@ -256,7 +274,8 @@
       if (!response.destroyed) response.end(data);
     },
     destroy: () => response.destroy(),
-    refuse: (refusal: Refusal) => sendRefusal(response, wire, requestId, refusal),
+    refuse: (refusal: Refusal) =>
+      sendRefusal(response, wire, requestId, refusal),
   };
 }
 
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -34,8 +34,8 @@
 import type { RepeatBudget } from "./repeat_budget.js";
 import type { SessionVersions } from "./session_versions.js";
 import {
-  REPEAT,
   type RawHeaders,
+  REPEAT,
   type RequestFacts,
   type Route,
   type Service,
