Let entries find each other and share counts and rollout evidence

Cause: the repeat allowance, the credit of cold endpoints and rollout evidence are bounds over all entries; each entry assumed four. Change: an exchange between entries over their control addresses, from seeds on, in protobuf; grow-only counts per entry.

--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -58,6 +58,9 @@
 
 execFileSync("node_modules/.bin/buf", ["generate"], { stdio: "inherit" });
 renameSync("src/schema/proto/hornbeamrill.ts", "src/schema/messages.ts");
+// Has a folder of its own, since who needs it does without the gRPC library.
+mkdirSync("src/schema/exchange", { recursive: true });
+renameSync("src/schema/proto/exchange.ts", "src/schema/exchange/index.ts");
 rmSync("src/schema/proto", { recursive: true });
 writeFileSync(
   "src/schema/index.ts",
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -1,5 +1,6 @@
 /** One entry on the platform: wires the request path to store and network. */
 
+import { randomUUID } from "node:crypto";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../adapters/logs.js";
 import {
@@ -8,6 +9,7 @@
   drainServer,
   FleetView,
   Freshness,
+  Peers,
   ProxyMetrics,
   RepeatBudget,
   RequestPath,
@@ -24,6 +26,8 @@
 const READY_PATH = "/hornbeamrill/readyz";
 /** How often due decisions and lapsed records are looked at, ms. */
 const TICK_MS = 100;
+/** Wait of each further entry before it writes an outcome itself, ms. */
+const TURN_MS = 300;
 /**
  * Share of the time to withdraw a key within which a view counts as current:
  * a watch may hear nothing for a second, and a check takes a moment.
@@ -50,7 +54,8 @@
   const controller = new AbortController();
   const { signal } = controller;
   const metrics = new ProxyMetrics();
-  const view = new FleetView();
+  const incarnation = randomUUID();
+  const view = new FleetView(incarnation);
   const clock = createSuspendClock();
   const now = () => performance.now();
   const { random } = Math;
@@ -72,6 +77,15 @@
     signal,
     onEndpointRemoved: (id) => connections.remove(id),
   });
+  const peers = new Peers({
+    self: { ...settings.exchange, name: settings.name, incarnation },
+    seeds: settings.seeds,
+    rollouts: view.rollouts,
+    now,
+    random,
+    log,
+    signal,
+  });
   const path = new RequestPath({
     wire: platformWire,
     log,
@@ -87,7 +101,7 @@
       allowance: bounds.repeatAllowance,
     }),
     sessions: new SessionVersions(bounds.sessionGapMs),
-    countEntries: () => 4,
+    countEntries: () => peers.countEntries(),
     maxConfigAgeMs: FRESH_SHARE * bounds.revokeMs,
     maxDenyAgeMs: bounds.configMs,
   });
@@ -108,11 +122,14 @@
     },
     { address: settings.address, port: settings.metricsPort },
   );
+  await peers.serve(settings.exchange);
+  void peers.run();
   void sync.run();
-  void runTicks(view, sync, now, signal);
+  void runTicks({ view, sync, peers, now, signal });
   return {
     stop: async () => {
       isStopping = true;
+      peers.leave();
       await drainServer(callers, path, {
         takeMs: TAKE_SHARE * bounds.graceMs,
         breakMs: BREAK_SHARE * bounds.graceMs,
@@ -122,18 +139,30 @@
   };
 }
 
-async function runTicks(
-  view: FleetView,
-  sync: FleetSync,
-  now: () => number,
-  signal: AbortSignal,
-): Promise<void> {
+interface TickOptions {
+  readonly view: FleetView;
+  readonly sync: FleetSync;
+  readonly peers: Peers;
+  readonly now: () => number;
+  readonly signal: AbortSignal;
+}
+
+/** Ends lapsed records and writes rollout outcomes, the first entry first. */
+async function runTicks(options: TickOptions): Promise<void> {
+  const { view, sync, peers, now, signal } = options;
+  const dueSinceMs = new Map<string, number>();
   while (!signal.aborted) {
     await delay(TICK_MS, undefined, { signal }).catch(() => undefined);
     if (signal.aborted) return;
     view.endpoints.expire(now());
-    for (const decision of view.rollouts.decide(now())) {
+    const decisions = view.rollouts.decide(now());
+    for (const decision of decisions) {
+      const { service } = decision.order;
+      const since = dueSinceMs.get(service) ?? now();
+      dueSinceMs.set(service, since);
+      if (now() - since < peers.getRank() * TURN_MS) continue;
       await sync.writeOutcome(decision);
     }
+    if (decisions.length === 0) dueSinceMs.clear();
   }
 }
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -23,8 +23,11 @@
   readonly callers: Place;
   readonly readiness: Place;
   readonly store: Place;
-  /** First port for talk between processes of the system. */
   readonly metricsPort: number;
+  /** Where other entries reach this one. */
+  readonly exchange: Place;
+  /** Exchange addresses of a few entries; they may be out of date. */
+  readonly seeds: readonly Place[];
   readonly bounds: EntryBounds;
 }
 
@@ -93,6 +96,7 @@
     const readiness = parseAddress(getText(listen, "ready") ?? "");
     const store = parseAddress(getText(platform, "addr") ?? "");
     const ports = Array.isArray(file.port_range) ? file.port_range : [];
+    const control = parseAddress(getText(listen, "control") ?? "");
     const metricsPort = Number(ports[METRICS_PORT_INDEX]);
     const fail = (key: string) =>
       err(createDecodeFailure(`settings: ${key} is missing or invalid`));
@@ -102,6 +106,7 @@
     if (readiness === undefined) return fail("listen.ready");
     if (store === undefined) return fail("platform.addr");
     if (!Number.isInteger(metricsPort)) return fail("port_range");
+    if (control === undefined) return fail("listen.control");
     return ok({
       name,
       address,
@@ -109,6 +114,10 @@
       readiness,
       store,
       metricsPort,
+      exchange: control,
+      seeds: getTexts(file, "seeds").flatMap(
+        (text) => parseAddress(text) ?? [],
+      ),
       role: getText(file, "role") ?? "entry",
       dataCentre: getText(file, "zone") ?? "",
       bounds: decodeBounds(getFields(file, "bounds")),
--- a/src/proxy/fleet_view.ts
+++ b/src/proxy/fleet_view.ts
@@ -8,10 +8,15 @@
 
 export class FleetView {
   readonly endpoints = new EndpointTable();
-  readonly rollouts = new Rollouts();
+  readonly rollouts: Rollouts;
   readonly #evacuated = new Set<string>();
   #catalog: Catalog | undefined;
 
+  /** `origin` names one start of this entry. */
+  constructor(origin: string) {
+    this.rollouts = new Rollouts(origin);
+  }
+
   get catalog(): Catalog | undefined {
     return this.#catalog;
   }
--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -8,6 +8,7 @@
 export * from "./fleet_view.js";
 export * from "./freshness.js";
 export * from "./metrics.js";
+export * from "./peers.js";
 export * from "./proxy_server.js";
 export * from "./repeat_budget.js";
 export * from "./request_path.js";
--- /dev/null
+++ b/src/proxy/peers.ts
@@ -0,0 +1,228 @@
+/**
+ * The other entries: who they are, and what they know of rollouts. Entries
+ * find each other through seed addresses and through those they meet.
+ */
+
+import { Agent, createServer, request, type Server } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import type { Logger } from "../adapters/logs.js";
+import { Exchange, type Place } from "../schema/exchange/index.js";
+import { listen } from "./proxy_server.js";
+import type { Rollouts } from "./rollouts.js";
+
+/** Time between two rounds, ms. */
+const ROUND_MS = 400;
+/** Peers asked in one round; more entries than these hear of news in turn. */
+const PEERS_PER_ROUND = 4;
+/** Time for one exchange, ms. */
+const EXCHANGE_TIMEOUT_MS = 500;
+/** Silence after which a peer counts as gone, ms. */
+const GONE_AFTER_MS = 5_000;
+/** Silence after which a peer no longer shares the endpoints, ms. */
+const FORGET_AFTER_MS = 30_000;
+/** Seeds are asked at least this often while no peer answers, in rounds. */
+const SEED_EVERY_ROUNDS = 5;
+/** Entries that are assumed until the first rounds have found them. */
+const ASSUMED_ENTRIES = 8;
+const SETTLED_AFTER_MS = 2_500;
+/** Largest message of another entry, bytes. */
+const MAX_MESSAGE_BYTES = 1_048_576;
+/** Peers that one message names. */
+const MAX_NAMED = 64;
+
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+export interface PeersOptions {
+  readonly self: Omit<Place, "ageMs">;
+  readonly seeds: readonly PeerAddress[];
+  readonly rollouts: Rollouts;
+  readonly now: () => number;
+  readonly random: () => number;
+  readonly log: Logger;
+  readonly signal: AbortSignal;
+}
+
+interface Peer {
+  place: Place;
+  heardAtMs: number;
+}
+
+export class Peers {
+  readonly #options: PeersOptions;
+  readonly #peers = new Map<string, Peer>();
+  readonly #agent = new Agent({ keepAlive: true });
+  readonly #startedAtMs: number;
+  #isLeaving = false;
+
+  constructor(options: PeersOptions) {
+    this.#options = options;
+    this.#startedAtMs = options.now();
+    const { signal } = options;
+    signal.addEventListener("abort", () => this.#agent.destroy(), {
+      once: true,
+    });
+  }
+
+  /** Entries that share the endpoints, this one included. */
+  countEntries(): number {
+    const nowMs = this.#options.now();
+    const found = this.#listHeard(FORGET_AFTER_MS).length + 1;
+    const isSettled = nowMs - this.#startedAtMs > SETTLED_AFTER_MS;
+    return isSettled ? found : Math.max(found, ASSUMED_ENTRIES);
+  }
+
+  /** Place of this entry among the present ones by name, from 0. */
+  getRank(): number {
+    const { name } = this.#options.self;
+    return this.#listHeard(GONE_AFTER_MS).filter(
+      (peer) => peer.place.name < name,
+    ).length;
+  }
+
+  /** Tells the others that this entry takes no more requests. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  #listHeard(withinMs: number): Peer[] {
+    const since = this.#options.now() - withinMs;
+    return [...this.#peers.values()].filter((peer) => peer.heardAtMs >= since);
+  }
+
+  async run(): Promise<void> {
+    const { signal, random } = this.#options;
+    for (let round = 0; !signal.aborted; round++) {
+      await Promise.all(
+        this.#chooseTargets(round).map((target) => this.#exchange(target)),
+      );
+      const pauseMs = ROUND_MS * (0.8 + 0.4 * random());
+      await delay(pauseMs, undefined, { signal }).catch(() => undefined);
+    }
+  }
+
+  #chooseTargets(round: number): PeerAddress[] {
+    const { seeds, self, random } = this.#options;
+    const heard = this.#listHeard(GONE_AFTER_MS).map(({ place }) => place);
+    const chosen: PeerAddress[] = [];
+    while (heard.length > 0 && chosen.length < PEERS_PER_ROUND) {
+      const index = Math.floor(random() * heard.length);
+      chosen.push(...heard.splice(index, 1));
+    }
+    if (chosen.length > 0 && round % SEED_EVERY_ROUNDS !== 0) return chosen;
+    const isKnown = (seed: PeerAddress) =>
+      (seed.address === self.address && seed.port === self.port) ||
+      chosen.some(
+        (item) => item.address === seed.address && item.port === seed.port,
+      );
+    return [...chosen, ...seeds.filter((seed) => !isKnown(seed))];
+  }
+
+  #createMessage(): Uint8Array {
+    const { self, rollouts, now } = this.#options;
+    const nowMs = now();
+    const peers = this.#listHeard(GONE_AFTER_MS)
+      .slice(0, MAX_NAMED)
+      .map(({ place, heardAtMs }) => ({
+        ...place,
+        ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
+      }));
+    return Exchange.encode({
+      sender: { ...self, ageMs: 0 },
+      leaving: this.#isLeaving,
+      peers,
+      rollouts: rollouts.listReports(nowMs),
+    }).finish();
+  }
+
+  #exchange(target: PeerAddress): Promise<void> {
+    const data = this.#createMessage();
+    const { signal, log } = this.#options;
+    return new Promise((resolve) => {
+      const outgoing = request({
+        host: target.address,
+        port: target.port,
+        method: "POST",
+        path: "/exchange",
+        agent: this.#agent,
+        headers: { "content-length": data.length },
+        signal,
+      });
+      const timer = setTimeout(
+        () => outgoing.destroy(new Error("No answer")),
+        EXCHANGE_TIMEOUT_MS,
+      );
+      const settle = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      outgoing.once("error", (error) => {
+        const { address } = target;
+        log.debug("peer-unreachable", { address, reason: error.message });
+        settle();
+      });
+      outgoing.once("response", (response) => {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.once("error", settle);
+        response.once("end", () => {
+          this.#take(Buffer.concat(chunks));
+          settle();
+        });
+      });
+      outgoing.end(data);
+    });
+  }
+
+  #take(data: Uint8Array): void {
+    const { log, now, rollouts } = this.#options;
+    let message: Exchange;
+    try {
+      message = Exchange.decode(data);
+    } catch (error) {
+      log.warn("peer-message-skipped", { reason: String(error) });
+      return;
+    }
+    const nowMs = now();
+    const { sender, leaving, peers } = message;
+    if (sender !== undefined) {
+      if (leaving) this.#peers.delete(sender.name);
+      else this.#meet(sender, nowMs);
+    }
+    for (const place of peers) this.#meet(place, nowMs - place.ageMs);
+    for (const report of message.rollouts) rollouts.mergeReport(report, nowMs);
+  }
+
+  #meet(place: Place, heardAtMs: number): void {
+    const { self, log } = this.#options;
+    if (place.name === "" || place.name === self.name) return;
+    const known = this.#peers.get(place.name);
+    if (known !== undefined && known.heardAtMs >= heardAtMs) return;
+    if (known === undefined) {
+      log.info("peer-found", { peer: place.name, address: place.address });
+    }
+    this.#peers.set(place.name, { place, heardAtMs });
+  }
+
+  /** Answers the exchanges of other entries. */
+  async serve(place: PeerAddress): Promise<Server> {
+    const server = createServer((incoming, response) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      incoming.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > MAX_MESSAGE_BYTES) incoming.destroy();
+        else chunks.push(chunk);
+      });
+      incoming.once("end", () => {
+        this.#take(Buffer.concat(chunks));
+        const data = this.#createMessage();
+        response.writeHead(200, { "Content-Length": data.length });
+        response.end(data);
+      });
+    });
+    return await listen(server, place);
+  }
+}
--- a/src/proxy/proxy_server.ts
+++ b/src/proxy/proxy_server.ts
@@ -18,7 +18,8 @@
 /** How often idle connections are closed while the server stops, ms. */
 const CLOSE_IDLE_EVERY_MS = 100;
 
-function listen(
+/** Settles once the server listens. */
+export function listen(
   server: Server,
   place: { address: string; port: number },
 ): Promise<Server> {
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -5,6 +5,12 @@
  * version that fails at once, late, under load, on one route, or by slowness.
  */
 
+import type { RolloutReport } from "../schema/exchange/index.js";
+import {
+  getFailureShare,
+  getMeanSlowness,
+  RolloutEvidence,
+} from "./rollout_evidence.js";
 import {
   ROLLOUT_OUTCOME,
   type RolloutOrder,
@@ -44,52 +50,11 @@
   readonly slowness?: number;
 }
 
-class Tally {
-  answers = 0;
-  failures = 0;
-
-  add(isGood: boolean): void {
-    this.answers++;
-    if (!isGood) this.failures++;
-  }
-
-  get share(): number {
-    return this.answers === 0 ? 0 : this.failures / this.answers;
-  }
-}
-
-class Evidence {
-  readonly total = new Tally();
-  readonly routes = new Map<string, Tally>();
-  readonly times: number[] = [];
-
-  add(answer: VersionAnswer): void {
-    this.total.add(answer.isGood);
-    const route = this.getRoute(answer.route);
-    route.add(answer.isGood);
-    if (answer.slowness !== undefined) this.times.push(answer.slowness);
-  }
-
-  getRoute(name: string): Tally {
-    let tally = this.routes.get(name);
-    if (tally === undefined) {
-      tally = new Tally();
-      this.routes.set(name, tally);
-    }
-    return tally;
-  }
-
-  get median(): number {
-    const sorted = [...this.times].sort((a, b) => a - b);
-    return sorted[sorted.length >> 1] ?? 1;
-  }
-}
-
 interface Running {
   order: RolloutOrder;
-  readonly startedAtMs: number;
-  readonly target: Evidence;
-  readonly others: Evidence;
+  startedAtMs: number;
+  readonly evidence: RolloutEvidence;
+  /** Why the version is bad. */
   verdict?: string;
 }
 
@@ -108,6 +73,12 @@
 
 export class Rollouts {
   readonly #running = new Map<string, Running>();
+  readonly #origin: string;
+
+  /** `origin` names one start of this entry. */
+  constructor(origin: string) {
+    this.#origin = origin;
+  }
 
   put(order: RolloutOrder, nowMs: number): void {
     const known = this.#running.get(order.service);
@@ -122,8 +93,7 @@
     this.#running.set(order.service, {
       order,
       startedAtMs: nowMs,
-      target: new Evidence(),
-      others: new Evidence(),
+      evidence: new RolloutEvidence(this.#origin),
     });
   }
 
@@ -167,15 +137,41 @@
     const running = this.#running.get(answer.service);
     if (running === undefined || running.order.outcome !== undefined) return;
     const isTarget = answer.version === running.order.target;
-    (isTarget ? running.target : running.others).add(answer);
-    if (isTarget) running.verdict ??= findFault(running);
+    running.evidence.add({ ...answer, isTarget });
+    if (isTarget) running.verdict ??= findFault(running.evidence);
+  }
+
+  /** What this entry knows of the rollouts that are under way. */
+  listReports(nowMs: number): RolloutReport[] {
+    return [...this.#running.values()]
+      .filter(({ order }) => order.outcome === undefined)
+      .map(({ order, startedAtMs, evidence }) => ({
+        service: order.service,
+        target: order.target,
+        createdRevision: order.createdRevision,
+        elapsedMs: Math.round(nowMs - startedAtMs),
+        tallies: evidence.list(),
+      }));
+  }
+
+  /** Takes what another entry knows of a rollout that is under way here. */
+  mergeReport(report: RolloutReport, nowMs: number): void {
+    const running = this.#running.get(report.service);
+    if (running === undefined) return;
+    const { order } = running;
+    if (order.target !== report.target) return;
+    if (order.createdRevision !== report.createdRevision) return;
+    const startedAtMs = nowMs - report.elapsedMs;
+    running.startedAtMs = Math.min(running.startedAtMs, startedAtMs);
+    running.evidence.merge(report.tallies);
+    running.verdict ??= findFault(running.evidence);
   }
 
   /** Outcomes that are due; each is to be written to the store. */
   decide(nowMs: number): RolloutDecision[] {
     const decisions: RolloutDecision[] = [];
     for (const running of this.#running.values()) {
-      const { order, verdict, target } = running;
+      const { order, verdict, evidence } = running;
       if (order.outcome !== undefined) continue;
       if (verdict !== undefined) {
         const outcome = ROLLOUT_OUTCOME.rolledBack;
@@ -183,8 +179,9 @@
         continue;
       }
       if (this.#getPart(running, nowMs) < COMPLETE_FROM) continue;
-      if (target.total.answers < MIN_ANSWERS) continue;
-      const reason = `${target.total.failures} of ${target.total.answers} failed`;
+      const { answers, failures } = evidence.sum(true);
+      if (answers < MIN_ANSWERS) continue;
+      const reason = `${failures} of ${answers} answers failed`;
       decisions.push({ order, outcome: ROLLOUT_OUTCOME.completed, reason });
     }
     return decisions;
@@ -192,22 +189,25 @@
 }
 
 /** Why the new version is bad; undefined while nothing speaks against it. */
-function findFault({ target, others }: Running): string | undefined {
-  const { failures, answers, share } = target.total;
-  const bound = Math.max(BAD_SHARE, BAD_RATIO * others.total.share);
-  if (failures >= MIN_FAILURES && share >= bound) {
+function findFault(evidence: RolloutEvidence): string | undefined {
+  const target = evidence.sum(true);
+  const others = evidence.sum(false);
+  const { failures, answers } = target;
+  const bound = Math.max(BAD_SHARE, BAD_RATIO * getFailureShare(others));
+  if (failures >= MIN_FAILURES && getFailureShare(target) >= bound) {
     return `${failures} of ${answers} answers failed`;
   }
-  for (const [name, tally] of target.routes) {
-    const usual = others.getRoute(name).share;
-    const most = Math.max(BAD_ROUTE_SHARE, BAD_RATIO * usual);
-    if (tally.failures < MIN_ROUTE_FAILURES || tally.share < most) continue;
-    return `${tally.failures} of ${tally.answers} answers on route ${name} failed`;
-  }
-  const isTimed =
-    target.times.length >= MIN_TIMES && others.times.length >= MIN_TIMES;
-  if (isTimed && target.median > SLOW_RATIO * others.median) {
-    return `Answers take ${(target.median / others.median).toFixed(1)} times as long`;
-  }
-  return undefined;
+  const usual = evidence.sumRoutes(false);
+  for (const [route, totals] of evidence.sumRoutes(true)) {
+    const held = usual.get(route);
+    const share = held === undefined ? 0 : getFailureShare(held);
+    const most = Math.max(BAD_ROUTE_SHARE, BAD_RATIO * share);
+    if (totals.failures < MIN_ROUTE_FAILURES) continue;
+    if (getFailureShare(totals) < most) continue;
+    return `${totals.failures} of ${totals.answers} answers on ${route} failed`;
+  }
+  if (target.timed < MIN_TIMES || others.timed < MIN_TIMES) return undefined;
+  const ratio = getMeanSlowness(target) / getMeanSlowness(others);
+  if (ratio <= SLOW_RATIO) return undefined;
+  return `Answers take ${ratio.toFixed(1)} times as long`;
 }
