--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -5,7 +5,13 @@
 import { parse } from "smol-toml";
 import { parseAddress } from "./decode_config.js";
 import { createDecodeFailure, type DecodeFailure } from "./errors.js";
-import { type Fields, getFields, getNumber, getText } from "./fields.js";
+import {
+  type Fields,
+  getFields,
+  getNumber,
+  getText,
+  getTexts,
+} from "./fields.js";
 
 const MS_PER_SECOND = 1_000;
 
