Find the reset of an answer without a length also when it comes with the data

Ruled out: a replica that closes in the ordinary way in the middle of its body (the error is there, only not read); an error after the message's end (none is emitted). Change: a write of an empty line at the end of such an answer; it fails after a reset and only then. Before: test "whose reset comes with its data" fails; after: 8 of 8 pass.

--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -4,6 +4,7 @@
  */
 
 import { type Agent, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import type { AnswerFacts, RawHeaders, Wire } from "./types.js";
 
@@ -93,6 +94,7 @@
         resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail, facts }));
         return;
       }
+      if (!hasLength(message)) probeAtEnd(message.socket);
       const status = message.statusCode ?? 0;
       const isReused = outgoing.reusedSocket;
       resolve(ok({ status, facts, headers, message, isReused }));
@@ -116,6 +118,26 @@
   return undefined;
 }
 
+function hasLength({ headers }: IncomingMessage): boolean {
+  return (
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined
+  );
+}
+
+/** Ignored by HTTP ahead of a request. */
+const EMPTY_LINE = "\r\n";
+
+/**
+ * Makes a reset show at the end of an answer that ends with its connection.
+ * Where data and a reset arrive together, libuv reports the end of the stream
+ * and never reads the error; a write fails then, and only then.
+ */
+function probeAtEnd(socket: Socket): void {
+  socket.allowHalfOpen = true;
+  socket.prependOnceListener("end", () => socket.write(EMPTY_LINE));
+}
+
 /**
  * True when an answer that ended is whole. An answer without a length ends
  * with its connection, and a reset counts as such an end to the parser.
--- a/src/proxy/attempt_test.ts
+++ b/src/proxy/attempt_test.ts
@@ -60,6 +60,16 @@
     assert.equal(result.kind, "unknown");
   });
 
+  // Data and reset that arrive together look like an end to libuv.
+  it("takes an answer as incomplete whose reset comes with its data", async () => {
+    const result = await run((socket) => {
+      socket.write(`${HEAD}\r\npart`);
+      socket.resetAndDestroy();
+    });
+    assert.ok(typeof result !== "string");
+    assert.equal(result.kind, "unknown");
+  });
+
   it("takes an answer without a length as whole when it is closed", async () => {
     assert.equal(
       await run((socket) => socket.end(`${HEAD}\r\nwhole`)),
