--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -1,6 +1,7 @@
 /** One entry on the platform: wires the request path to store and network. */
 
 import { randomUUID } from "node:crypto";
+import type { AddressInfo } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../adapters/logs.js";
 import {
@@ -42,8 +43,12 @@
 const BREAK_SHARE = 0.94;
 
 export interface RunningEntry {
+  readonly callerPort: number;
+  isReady(): boolean;
   /** Stops gracefully; settles when no request is left. */
   stop(): Promise<void>;
+  /** Ends everything at once. */
+  abort(): void;
 }
 
 export async function startEntry(
@@ -112,8 +117,12 @@
     view.catalog !== undefined &&
     freshness.ageMs <= FRESH_SHARE * bounds.revokeMs;
   const callers = await startCallerServer(path, view, settings.callers);
-  await startReadinessServer(isReady, READY_PATH, settings.readiness);
-  await startMetricsServer(
+  const readiness = await startReadinessServer(
+    isReady,
+    READY_PATH,
+    settings.readiness,
+  );
+  const metricsServer = await startMetricsServer(
     () => {
       metrics.configVersion.set(view.catalog?.configuration.version ?? 0);
       metrics.configAge.set(Math.min(freshness.ageMs, 1e9) / 1_000);
@@ -122,11 +131,21 @@
     },
     { address: settings.address, port: settings.metricsPort },
   );
-  await peers.serve(settings.exchange);
+  const exchange = await peers.serve(settings.exchange);
+  const abort = () => {
+    controller.abort();
+    for (const server of [callers, readiness, metricsServer, exchange]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  };
   void peers.run();
   void sync.run();
   void runTicks({ view, sync, peers, now, signal });
   return {
+    callerPort: (callers.address() as AddressInfo).port,
+    isReady,
+    abort,
     stop: async () => {
       isStopping = true;
       peers.leave();
@@ -134,7 +153,7 @@
         takeMs: TAKE_SHARE * bounds.graceMs,
         breakMs: BREAK_SHARE * bounds.graceMs,
       });
-      controller.abort();
+      abort();
     },
   };
 }
--- /dev/null
+++ b/src/platform/entry_fixtures_test.ts
@@ -0,0 +1,254 @@
+/** An entry with a store and replicas of its own, all in this process. */
+
+import { request as send } from "node:http";
+import type { LogFields, Logger } from "../adapters/logs.js";
+import { startServer } from "../standins/server.js";
+import { type RunningEntry, startEntry } from "./entry.js";
+import type { EntryBounds } from "./settings.js";
+import { type ReplicaOptions, ReplicaStandin } from "./standins/replica.js";
+import { PlatformStoreStandin } from "./standins/store.js";
+
+export const HOST = "shop.example";
+export const API_KEY = "key-1";
+
+const BOUNDS: EntryBounds = {
+  revokeMs: 5_000,
+  configMs: 2_000,
+  graceMs: 2_000,
+  repeatRatio: 0.9,
+  repeatWindowMs: 10_000,
+  repeatAllowance: 50,
+  sessionGapMs: 5_000,
+};
+
+export interface Answer {
+  readonly status: number;
+  readonly headers: NodeJS.Dict<string | string[]>;
+  readonly body: string;
+  /** The answer ended as its framing says. */
+  readonly isComplete: boolean;
+}
+
+export interface LogRecord extends LogFields {
+  readonly event: string;
+}
+
+export function createConfiguration(version = 1) {
+  const route = {
+    host: HOST,
+    timeout_ms: 4_000,
+    target_latency_ms: 400,
+    priority: 1,
+    attempts: 3,
+    public: false,
+    service: "svc",
+  };
+  return {
+    version,
+    routes: [
+      { ...route, name: "safe", prefix: "/safe/", kind: "safe" },
+      { ...route, name: "once", prefix: "/once/", kind: "unsafe", attempts: 2 },
+      { ...route, name: "open", prefix: "/open/", kind: "safe", public: true },
+      {
+        ...route,
+        name: "stream",
+        prefix: "/stream/",
+        kind: "streaming",
+        resumable: true,
+        gap_aim_ms: 300,
+      },
+      {
+        ...route,
+        name: "sized",
+        prefix: "/stream/sized/",
+        kind: "streaming",
+        resumable: true,
+        sizes: ["small", "middle", "large"],
+        gap_aim_ms: 300,
+      },
+    ],
+    services: [
+      {
+        name: "svc",
+        max_conns: 100,
+        cold_start_s: 1,
+        cold_per_s: 16,
+        engine: {
+          models: [
+            { name: "small", cost: 0.1 },
+            { name: "middle", cost: 0.5 },
+            { name: "large", cost: 1 },
+          ],
+        },
+      },
+    ],
+    limits: { max_body_bytes: 100_000, idle_timeout_ms: 5_000 },
+    tenants: [{ name: "farm", api_keys: [API_KEY] }],
+  };
+}
+
+export class TestSystem {
+  readonly store = new PlatformStoreStandin();
+  readonly logs: LogRecord[] = [];
+  readonly replicas = new Map<string, ReplicaStandin>();
+  readonly #closers: (() => unknown)[] = [];
+  #storePort = 0;
+  #entry: RunningEntry | undefined;
+  #callerPort = 0;
+
+  async startStore(): Promise<void> {
+    const server = await startServer(this.store.handle, 0);
+    this.#closers.push(() => server.close());
+    this.#storePort = server.port;
+  }
+
+  /** Starts a replica and registers it. */
+  async startReplica(
+    options: ReplicaOptions,
+    record: object = {},
+  ): Promise<ReplicaStandin> {
+    const replica = new ReplicaStandin(options);
+    const port = await replica.start();
+    this.#closers.push(() => replica.close());
+    this.replicas.set(options.id, replica);
+    this.store.put("servers", options.id, {
+      service: "svc",
+      addr: `127.0.0.1:${port}`,
+      zone: "dc1",
+      version: "v1",
+      slots: 8,
+      state: "ready",
+      cold_left_ms: 0,
+      seq: 1,
+      ...record,
+    });
+    return replica;
+  }
+
+  async startEntry(bounds: Partial<EntryBounds> = {}): Promise<void> {
+    const log = this.#createLog();
+    const place = { address: "127.0.0.1", port: 0 };
+    this.#entry = await startEntry(
+      {
+        name: "entry-1",
+        role: "entry",
+        dataCentre: "dc1",
+        address: "127.0.0.1",
+        callers: place,
+        readiness: place,
+        exchange: place,
+        metricsPort: 0,
+        store: { address: "127.0.0.1", port: this.#storePort },
+        seeds: [],
+        bounds: { ...BOUNDS, ...bounds },
+      },
+      log,
+    );
+    this.#callerPort = this.#entry.callerPort;
+  }
+
+  /** Starts store, the configuration and the entry, and waits for its view. */
+  async start(
+    replicas: readonly ReplicaOptions[],
+    bounds: Partial<EntryBounds> = {},
+  ): Promise<void> {
+    await this.startStore();
+    this.store.put("config", "main", createConfiguration());
+    for (const options of replicas) await this.startReplica(options);
+    await this.startEntry(bounds);
+    await this.waitFor(() => this.#entry?.isReady() ?? false);
+  }
+
+  get isReady(): boolean {
+    return this.#entry?.isReady() ?? false;
+  }
+
+  #createLog(): Logger {
+    const record = (event: string, fields: LogFields = {}) => {
+      this.logs.push({ event, ...fields });
+    };
+    return { debug: record, info: record, warn: record, error: record };
+  }
+
+  async waitFor(isDone: () => boolean, timeoutMs = 5_000): Promise<void> {
+    const untilMs = performance.now() + timeoutMs;
+    while (!isDone()) {
+      if (performance.now() > untilMs) throw new Error("Waited in vain");
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+  }
+
+  /** All runs of a request over all replicas. */
+  listRuns(requestId: string) {
+    return [...this.replicas.values()].flatMap((replica) =>
+      replica.runs.filter((run) => run.requestId === requestId),
+    );
+  }
+
+  call(
+    path: string,
+    options: {
+      id?: string;
+      method?: string;
+      key?: string;
+      body?: string;
+      headers?: Record<string, string>;
+      deadlineMs?: number;
+      signal?: AbortSignal;
+      onData?: (text: string) => void;
+    } = {},
+  ): Promise<Answer> {
+    const {
+      id = "r1",
+      method = "POST",
+      key = API_KEY,
+      body = "order",
+    } = options;
+    return new Promise((resolve, reject) => {
+      const outgoing = send(
+        {
+          host: "127.0.0.1",
+          port: this.#callerPort,
+          method,
+          path,
+          signal: options.signal,
+          headers: {
+            host: HOST,
+            "attempt-id": id,
+            authorization: `Bearer ${key}`,
+            "deadline-ms": String(options.deadlineMs ?? 3_000),
+            "content-length": String(Buffer.byteLength(body)),
+            ...options.headers,
+          },
+        },
+        (response) => {
+          let text = "";
+          response.on("data", (chunk: Buffer) => {
+            text += chunk.toString();
+            options.onData?.(text);
+          });
+          const settle = () =>
+            resolve({
+              status: response.statusCode ?? 0,
+              headers: response.headers,
+              body: text,
+              isComplete: response.complete,
+            });
+          response.once("error", settle);
+          response.once("end", settle);
+        },
+      );
+      outgoing.once("error", reject);
+      outgoing.end(body);
+    });
+  }
+
+  async stop(): Promise<void> {
+    await this.#entry?.stop();
+  }
+
+  async close(): Promise<void> {
+    this.#entry?.abort();
+    for (const close of this.#closers) await close();
+  }
+}
--- /dev/null
+++ b/src/platform/standins/replica.ts
@@ -0,0 +1,179 @@
+/**
+ * Stand-in for a replica: plain answers and streams of events, with the
+ * faults that the router has to bear. It records each request that it runs.
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+export interface ReplicaRun {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+  /** Events that it had sent when the run ended. */
+  events: number;
+  end: "running" | "complete" | "cut" | "left";
+}
+
+export interface ReplicaOptions {
+  readonly id: string;
+  /** Events of a stream. */
+  events?: number;
+  /** Time before the answer and between events, ms. */
+  delayMs?: number;
+  /** Confidence by model. */
+  confidence?: Readonly<Record<string, number>>;
+  /** Refuses as full; the request does not run. */
+  isFull?: boolean;
+  /** Answers with a failure after the run. */
+  isFailing?: boolean;
+  /** Runs the request and never answers. */
+  isMute?: boolean;
+  /** Breaks a stream after this many events, or an answer within its body. */
+  cutAfter?: number;
+  /** Puts the answer to another request before its own. */
+  answersCrossed?: boolean;
+}
+
+const PLAIN_BODY = "0123456789".repeat(20);
+
+export class ReplicaStandin {
+  readonly options: ReplicaOptions;
+  readonly runs: ReplicaRun[] = [];
+  readonly #server: Server;
+
+  constructor(options: ReplicaOptions) {
+    this.options = options;
+    this.#server = createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+  }
+
+  async start(port = 0): Promise<number> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(port, "127.0.0.1", resolve),
+    );
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { options } = this;
+    const chunks: Buffer[] = [];
+    request.on("error", () => undefined);
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const expected = request.headers["expect-instance"];
+    if (expected !== undefined && expected !== options.id) {
+      response.writeHead(421, {
+        "Replica-Id": options.id,
+        "Not-Executed": "1",
+      });
+      response.end();
+      return;
+    }
+    if (options.isFull) {
+      response.writeHead(503, { "Not-Executed": "1" });
+      response.end();
+      return;
+    }
+    const run = this.#record(request, Buffer.concat(chunks).toString());
+    response.once("close", () => {
+      if (run.end === "running") run.end = "left";
+    });
+    if (options.isMute) return;
+    await this.#delay();
+    if (options.isFailing) {
+      response.writeHead(500, this.#head(run));
+      response.end("failed");
+      run.end = "complete";
+      return;
+    }
+    const isStream = run.path.includes("/stream");
+    if (isStream) await this.#stream(run, response);
+    else this.#sendPlain(run, response);
+  }
+
+  #record(request: IncomingMessage, body: string): ReplicaRun {
+    const headers = Object.fromEntries(
+      Object.entries(request.headers).map(([name, value]) => [
+        name,
+        String(value),
+      ]),
+    );
+    const run: ReplicaRun = {
+      requestId: headers["attempt-id"] ?? "",
+      method: request.method ?? "",
+      path: request.url ?? "",
+      headers,
+      body,
+      events: 0,
+      end: "running",
+    };
+    this.runs.push(run);
+    return run;
+  }
+
+  #head(run: ReplicaRun): Record<string, string> {
+    const confidence = this.options.confidence?.[run.headers.model ?? ""];
+    return {
+      "Attempt-Id": this.options.answersCrossed ? "another" : run.requestId,
+      "Server-Stamp": `stamp-${this.options.id}`,
+      "Replica-Load": "1,0,8",
+      ...(confidence === undefined ? {} : { Confidence: String(confidence) }),
+    };
+  }
+
+  #sendPlain(run: ReplicaRun, response: ServerResponse): void {
+    const length = PLAIN_BODY.length;
+    response.writeHead(200, { ...this.#head(run), "Content-Length": length });
+    if (this.options.cutAfter !== undefined) {
+      response.write(PLAIN_BODY.slice(0, length / 2), () => response.destroy());
+      run.end = "cut";
+      return;
+    }
+    response.end(PLAIN_BODY);
+    run.end = "complete";
+  }
+
+  async #stream(run: ReplicaRun, response: ServerResponse): Promise<void> {
+    const { events = 5, cutAfter } = this.options;
+    const first = Number(run.headers["last-event-id"] ?? -1) + 1;
+    response.writeHead(200, {
+      ...this.#head(run),
+      "Content-Type": "text/event-stream",
+    });
+    for (let id = first; id < events; id++) {
+      if (run.events === cutAfter) {
+        // Breaks off in the middle of an event.
+        response.write(`id: ${id}\nda`, () => response.destroy());
+        run.end = "cut";
+        return;
+      }
+      response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+      run.events++;
+      await this.#delay();
+      if (run.end !== "running") return;
+    }
+    response.end();
+    run.end = "complete";
+  }
+
+  #delay(): Promise<void> {
+    const { delayMs = 0 } = this.options;
+    return new Promise((resolve) => setTimeout(resolve, delayMs));
+  }
+}
