Move the files of src/roles into rooms

Moves and import paths only: request, session, configuration, billing, endpoint, entry, runtime. src/roles keeps the index that starts the roles.

--- a/src/roles/claim_outcomes.ts
+++ b/src/billing/claim_outcomes.ts
@@ -1,9 +1,9 @@
 /** What comes out of the calls on an order's claim and of its gate. */
 
 import { createRefusal, type Refusal } from "../core/index.js";
+import type { Unavailable } from "../runtime/store_writes.js";
 import type { Claim, KeptAnswer, LookUpAttemptReply } from "../schema/index.js";
 import type { StoredClaim } from "./claim_writes.js";
-import type { Unavailable } from "./store_writes.js";
 
 /** Time to come back when the store does not say one. */
 const STORE_RETRY_AFTER_MS = 2_000;
--- a/src/roles/claim_writes.ts
+++ b/src/billing/claim_writes.ts
@@ -7,13 +7,13 @@
   type OrderResult,
   settleClaim,
 } from "../core/index.js";
-import type { Claim } from "../schema/index.js";
 import {
   readObject,
   type StoreCallOptions,
   type Unavailable,
   writeObject,
-} from "./store_writes.js";
+} from "../runtime/store_writes.js";
+import type { Claim } from "../schema/index.js";
 
 /** Other writers of a claim are few; more conflicts mean a fault. */
 const MAX_SETTLE_TRIES = 8;
--- a/src/roles/claims_model_test.ts
+++ b/src/billing/claims_model_test.ts
@@ -2,6 +2,14 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { createRefusal } from "../core/index.js";
+import { type DispatchOutcome, runOrder } from "../request/order_runner.js";
+import {
+  createRandom,
+  FakeStore,
+  type Fault,
+  type Random,
+  VirtualClock,
+} from "../runtime/fake_store_test.js";
 import type { Claim } from "../schema/index.js";
 import type { AttemptReport, LookUpAttempt } from "./claim_outcomes.js";
 import type { ClaimKeeper } from "./entry_claims.js";
@@ -13,14 +21,6 @@
   readClaims,
   TEXT,
 } from "./fake_orders_test.js";
-import {
-  createRandom,
-  FakeStore,
-  type Fault,
-  type Random,
-  VirtualClock,
-} from "./fake_store_test.js";
-import { type DispatchOutcome, runOrder } from "./order_runner.js";
 
 /** A gate with its memory of attempts; a restart forgets them. */
 class FakeGate {
--- a/src/roles/endpoint_receipts.ts
+++ b/src/billing/endpoint_receipts.ts
@@ -11,12 +11,12 @@
   MAX_RECEIPT_BYTES,
   MAX_RECEIPTS,
 } from "../core/index.js";
+import type { Clock } from "../runtime/clock.js";
 import type {
   HeldRecord,
   HoldReceiptRequest,
   ReleaseReceiptsRequest,
 } from "../schema/index.js";
-import type { Clock } from "./clock.js";
 import { recoverRecords } from "./receipt_recovery.js";
 
 /** Longer than any pause that an entry survives, so seals are rare. */
--- a/src/roles/entry_billing.ts
+++ b/src/billing/entry_billing.ts
@@ -2,9 +2,9 @@
 
 import { randomUUID } from "node:crypto";
 import type { ObjectStore } from "../adapters/index.js";
+import type { EndpointDirectory } from "../entry/endpoint_directory.js";
+import type { Clock } from "../runtime/clock.js";
 import type { Settings } from "../schema/index.js";
-import type { Clock } from "./clock.js";
-import type { EndpointDirectory } from "./endpoint_directory.js";
 import { ClaimKeeper } from "./entry_claims.js";
 import { EntryLedger } from "./entry_ledger.js";
 import {
--- a/src/roles/entry_claims.ts
+++ b/src/billing/entry_claims.ts
@@ -15,6 +15,7 @@
   type OrderResult,
   takeOverClaim,
 } from "../core/index.js";
+import type { Clock } from "../runtime/clock.js";
 import type { Receipt } from "../schema/index.js";
 import {
   type AcquireOutcome,
@@ -34,7 +35,6 @@
   writeClaim,
   writeResult,
 } from "./claim_writes.js";
-import type { Clock } from "./clock.js";
 import type { PendingResult, PendingResults } from "./pending_results.js";
 
 /**
--- a/src/roles/entry_claims_test.ts
+++ b/src/billing/entry_claims_test.ts
@@ -1,5 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import {
+  FakeStore,
+  type Fault,
+  VirtualClock,
+} from "../runtime/fake_store_test.js";
 import { type AttemptReport, createAttemptReport } from "./claim_outcomes.js";
 import { HeldReceipts } from "./endpoint_receipts.js";
 import {
@@ -9,7 +14,6 @@
   NEVER,
   readClaims,
 } from "./fake_orders_test.js";
-import { FakeStore, type Fault, VirtualClock } from "./fake_store_test.js";
 
 function createCase(faults: Fault[], report: AttemptReport) {
   const clock = new VirtualClock();
--- a/src/roles/entry_ledger.ts
+++ b/src/billing/entry_ledger.ts
@@ -16,11 +16,11 @@
   ReceiptBuffer,
   type Refusal,
 } from "../core/index.js";
+import type { Clock } from "../runtime/clock.js";
+import { writeObject } from "../runtime/store_writes.js";
 import type { HeldRecord, LedgerPage, Receipt } from "../schema/index.js";
-import type { Clock } from "./clock.js";
 import type { ReceiptHolders } from "./receipt_holders.js";
 import { SealedBuffers } from "./sealed_buffers.js";
-import { writeObject } from "./store_writes.js";
 
 /** Bounds the calls that all entries together make during an outage. */
 const MAX_RETRY_INTERVAL_MS = 4_000;
--- a/src/roles/entry_ledger_test.ts
+++ b/src/billing/entry_ledger_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { countPlaces, createReceipt } from "../runtime/fake_store_test.js";
 import { createCase, NEVER } from "./fake_ledger_test.js";
-import { countPlaces, createReceipt } from "./fake_store_test.js";
 
 async function passOutage(outageMs: number) {
   const { clock, store, held, ledger, add } = createCase();
--- a/src/roles/fake_ledger_test.ts
+++ b/src/billing/fake_ledger_test.ts
@@ -1,13 +1,13 @@
 /** An entry's ledger and one endpoint that holds its copies, on a fake store. */
 
-import { HeldReceipts } from "./endpoint_receipts.js";
-import { EntryLedger } from "./entry_ledger.js";
 import {
   createReceipt,
   FakeStore,
   type Fault,
   VirtualClock,
-} from "./fake_store_test.js";
+} from "../runtime/fake_store_test.js";
+import { HeldReceipts } from "./endpoint_receipts.js";
+import { EntryLedger } from "./entry_ledger.js";
 import { ReceiptHolders } from "./receipt_holders.js";
 
 export const NEVER = new AbortController().signal;
--- a/src/roles/fake_orders_test.ts
+++ b/src/billing/fake_orders_test.ts
@@ -1,9 +1,9 @@
 /** Orders and an entry's claim keeper on a fake store. */
 
+import type { FakeStore, VirtualClock } from "../runtime/fake_store_test.js";
 import type { Claim } from "../schema/index.js";
 import type { LookUpAttempt } from "./claim_outcomes.js";
 import { type AcquireRequest, ClaimKeeper } from "./entry_claims.js";
-import type { FakeStore, VirtualClock } from "./fake_store_test.js";
 import { PendingResults } from "./pending_results.js";
 import { type HolderCalls, ReceiptHolders } from "./receipt_holders.js";
 
--- a/src/roles/gate_calls.ts
+++ b/src/billing/gate_calls.ts
@@ -1,9 +1,9 @@
 /** Calls of an entry to endpoints' gates, apart from dispatches. */
 
 import { callUnary } from "../adapters/index.js";
+import type { EndpointDirectory } from "../entry/endpoint_directory.js";
 import type { GateClient, LookUpAttemptReply } from "../schema/index.js";
 import type { AttemptReport, LookUpAttempt } from "./claim_outcomes.js";
-import type { EndpointDirectory } from "./endpoint_directory.js";
 import type { HolderCalls } from "./receipt_holders.js";
 
 const RELEASE_TIMEOUT_MS = 1_000;
--- a/src/roles/ledger_model_test.ts
+++ b/src/billing/ledger_model_test.ts
@@ -3,8 +3,6 @@
 import fc from "fast-check";
 import { type Result, ResultAsync } from "neverthrow";
 import type { ObjectStore, StoreFailure } from "../adapters/index.js";
-import { HeldReceipts } from "./endpoint_receipts.js";
-import { EntryLedger } from "./entry_ledger.js";
 import {
   countPlaces,
   createRandom,
@@ -13,7 +11,9 @@
   type Fault,
   type Random,
   VirtualClock,
-} from "./fake_store_test.js";
+} from "../runtime/fake_store_test.js";
+import { HeldReceipts } from "./endpoint_receipts.js";
+import { EntryLedger } from "./entry_ledger.js";
 import { ReceiptHolders } from "./receipt_holders.js";
 
 const FAULTS: Fault[] = ["unavailable", "lost-reply", "lost", "late"];
--- a/src/roles/pending_results.ts
+++ b/src/billing/pending_results.ts
@@ -10,9 +10,9 @@
   type OrderResult,
   type Refusal,
 } from "../core/index.js";
+import type { Clock } from "../runtime/clock.js";
 import type { HeldRecord } from "../schema/index.js";
 import { writeResult } from "./claim_writes.js";
-import type { Clock } from "./clock.js";
 import type { ReceiptHolders } from "./receipt_holders.js";
 
 /** With answers of up to 64 KB each, the memory stays under 64 MB. */
--- a/src/roles/receipt_holders.ts
+++ b/src/billing/receipt_holders.ts
@@ -1,7 +1,7 @@
 /** Calls to the endpoints that keep second copies of an entry's receipts. */
 
+import { runWithTimeout } from "../runtime/scope.js";
 import type { HeldRecord } from "../schema/index.js";
-import { runWithTimeout } from "./scope.js";
 
 /** Longest wait for one endpoint, so that the next can still be asked. */
 const HOLD_TIMEOUT_MS = 500;
--- a/src/roles/receipt_recovery.ts
+++ b/src/billing/receipt_recovery.ts
@@ -7,13 +7,13 @@
   getRecoveredKey,
   listMissing,
 } from "../core/index.js";
+import { callStore, writeObject } from "../runtime/store_writes.js";
 import type {
   HeldRecord,
   LedgerPage,
   RecoveredReceipt,
 } from "../schema/index.js";
 import { writeResult } from "./claim_writes.js";
-import { callStore, writeObject } from "./store_writes.js";
 
 /** Pages in one list call: 4 MB at most. */
 const LIST_LIMIT = 8;
--- a/src/roles/reports.ts
+++ b/src/billing/reports.ts
@@ -13,6 +13,7 @@
   HOUR_MS,
   RECOVERED_PREFIX,
 } from "../core/index.js";
+import { StoreScan } from "../runtime/store_scan.js";
 import type {
   Claim,
   LedgerPage,
@@ -21,7 +22,6 @@
   SloDocument,
 } from "../schema/index.js";
 import { getFirstHour } from "./slo_counts.js";
-import { StoreScan } from "./store_scan.js";
 
 /** Longest period of a report: 30 days, the usual budget period. */
 export const MAX_REPORT_HOURS = 720;
--- a/src/roles/reports_test.ts
+++ b/src/billing/reports_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { formatCostReport } from "../core/index.js";
-import { createReceipt, FakeStore, VirtualClock } from "./fake_store_test.js";
+import {
+  createReceipt,
+  FakeStore,
+  VirtualClock,
+} from "../runtime/fake_store_test.js";
 import { readBurnReport, readCostReport } from "./reports.js";
 import { SloCounter } from "./slo_counts.js";
 
--- a/src/roles/slo_counts.ts
+++ b/src/billing/slo_counts.ts
@@ -11,9 +11,9 @@
   type SloEvent,
   SloHour,
 } from "../core/index.js";
+import type { Clock } from "../runtime/clock.js";
+import { writeObject } from "../runtime/store_writes.js";
 import type { SloDocument } from "../schema/index.js";
-import type { Clock } from "./clock.js";
-import { writeObject } from "./store_writes.js";
 
 const WRITE_INTERVAL_MS = 60_000;
 
--- a/src/roles/config_handlers.ts
+++ b/src/configuration/config_handlers.ts
@@ -2,13 +2,13 @@
 
 import { type handleUnaryCall, status } from "@grpc/grpc-js";
 import { InvariantError } from "../core/index.js";
+import { failProcess } from "../runtime/scope.js";
 import type {
   ConfigSyncServer,
   ConfirmStateReply,
   ConfirmStateRequest,
 } from "../schema/index.js";
 import type { ConfigSync } from "./config_sync.js";
-import { failProcess } from "./scope.js";
 
 type Handler = handleUnaryCall<ConfirmStateRequest, ConfirmStateReply>;
 
--- a/src/roles/config_peers.ts
+++ b/src/configuration/config_peers.ts
@@ -4,12 +4,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { formatAddress } from "../adapters/index.js";
 import type { Peer } from "../core/index.js";
+import { runWithTimeout } from "../runtime/scope.js";
 import {
   ConfigSyncClient,
   type ConfirmStateReply,
   type ConfirmStateRequest,
 } from "../schema/index.js";
-import { runWithTimeout } from "./scope.js";
 
 export interface PeerFailure {
   readonly kind: "peer-unreachable";
--- a/src/roles/config_rounds.ts
+++ b/src/configuration/config_rounds.ts
@@ -8,10 +8,10 @@
   type Peer,
   type WatcherAnswer,
 } from "../core/index.js";
+import { waitFor } from "../runtime/scope.js";
 import type { ConfigExchange, PeerAnswer } from "./config_exchange.js";
 import type { ConfigHolder } from "./config_holder.js";
 import type { PeerOrder } from "./peer_order.js";
-import { waitFor } from "./scope.js";
 import type { StoreWatch } from "./store_watch.js";
 
 export interface RoundOptions {
--- a/src/roles/config_sync.ts
+++ b/src/configuration/config_sync.ts
@@ -16,6 +16,7 @@
   RatingTotals,
   type Refusal,
 } from "../core/index.js";
+import { runWithTimeout, waitFor } from "../runtime/scope.js";
 import type {
   ConfirmStateReply,
   ConfirmStateRequest,
@@ -28,7 +29,6 @@
 import type { ConfigView } from "./config_view.js";
 import { PeerOrder } from "./peer_order.js";
 import { RevisionFetcher } from "./revision_fetch.js";
-import { runWithTimeout, waitFor } from "./scope.js";
 import { StoreWatch } from "./store_watch.js";
 
 export interface ConfigSyncOptions {
--- a/src/roles/revision_fetch.ts
+++ b/src/configuration/revision_fetch.ts
@@ -1,10 +1,10 @@
 /** Fetches a revision at once when another process knows a higher one. */
 
 import type { Peer } from "../core/index.js";
+import { failProcess, runWithTimeout, waitFor } from "../runtime/scope.js";
 import type { ConfigExchange } from "./config_exchange.js";
 import type { ConfigHolder } from "./config_holder.js";
 import type { PeerOrder } from "./peer_order.js";
-import { failProcess, runWithTimeout, waitFor } from "./scope.js";
 import type { StoreWatch } from "./store_watch.js";
 
 /** A revision that another process knows. */
--- a/src/roles/store_watch.ts
+++ b/src/configuration/store_watch.ts
@@ -1,6 +1,7 @@
 /** Takes the fleet state over from the object store. */
 
 import type { ObjectStore } from "../adapters/index.js";
+import { runWithTimeout } from "../runtime/scope.js";
 import type { ConfigHolder } from "./config_holder.js";
 import {
   HEAD_KEY,
@@ -9,7 +10,6 @@
   type RevisionFailure,
   readRevision,
 } from "./revision_store.js";
-import { runWithTimeout } from "./scope.js";
 
 /** A watch that is this late counts as failed. */
 const LATE_MS = 700;
--- a/src/roles/ticket_commit.ts
+++ b/src/configuration/ticket_commit.ts
@@ -13,6 +13,7 @@
   type InvalidTicket,
   type TicketFailure,
 } from "../core/index.js";
+import { runWithTimeout, waitFor } from "../runtime/scope.js";
 import type { FleetState } from "../schema/index.js";
 import {
   type CurrentRevision,
@@ -23,7 +24,6 @@
   readCurrent,
   readRevision,
 } from "./revision_store.js";
-import { runWithTimeout, waitFor } from "./scope.js";
 
 export interface Committed {
   readonly kind: "committed";
--- a/src/roles/ticket_service.ts
+++ b/src/configuration/ticket_service.ts
@@ -2,8 +2,8 @@
 
 import { err, ok, type Result } from "neverthrow";
 import type { ObjectStore } from "../adapters/index.js";
+import { waitFor } from "../runtime/scope.js";
 import type { ConfigSync, Spread } from "./config_sync.js";
-import { waitFor } from "./scope.js";
 import {
   type CommitFailure,
   type Committed,
--- a/src/docs_test.ts
+++ b/src/docs_test.ts
@@ -91,13 +91,13 @@
 
   it("sends every metric that it lists", () => {
     const text = [
-      "entry.ts",
-      "entry_outcomes.ts",
-      "request_runner.ts",
-      "request_judge.ts",
-      "endpoint_role.ts",
+      "entry/entry.ts",
+      "entry/entry_outcomes.ts",
+      "request/request_runner.ts",
+      "request/request_judge.ts",
+      "endpoint/endpoint_role.ts",
     ]
-      .map((file) => readFileSync(`${ROOT}src/roles/${file}`, "utf8"))
+      .map((file) => readFileSync(`${ROOT}src/${file}`, "utf8"))
       .join("\n");
     const unsent = Object.keys(METRICS).filter(
       (key) => !text.includes(`METRICS.${key}`),
--- a/src/roles/endpoint.ts
+++ b/src/endpoint/endpoint.ts
@@ -4,13 +4,14 @@
 import { isIPv6 } from "node:net";
 import { performance } from "node:perf_hooks";
 import { Server, ServerCredentials } from "@grpc/grpc-js";
+import type { ConfigView } from "../configuration/config_view.js";
 import { type EngineReport, Gate, TICK_MS } from "../core/index.js";
+import { waitFor } from "../runtime/scope.js";
 import {
   type EndpointStatus,
   GateService,
   type Settings,
 } from "../schema/index.js";
-import type { ConfigView } from "./config_view.js";
 import type { RunBackend } from "./endpoint_backend.js";
 import { type ReadReport, readReports } from "./endpoint_reports.js";
 import { type EndpointLog, EndpointRunner } from "./endpoint_runner.js";
@@ -20,7 +21,6 @@
   type ReceiptHolder,
 } from "./endpoint_service.js";
 import { StatusWatchers } from "./endpoint_status.js";
-import { waitFor } from "./scope.js";
 
 export interface EndpointOptions {
   readonly settings: Settings;
--- a/src/roles/endpoint_orders.ts
+++ b/src/endpoint/endpoint_orders.ts
@@ -6,11 +6,11 @@
 
 import type { ResultAsync } from "neverthrow";
 import type { ObjectStore } from "../adapters/index.js";
-import type { ConfigView } from "./config_view.js";
+import type { ConfigView } from "../configuration/config_view.js";
+import { waitFor } from "../runtime/scope.js";
 import type { BackendFailure } from "./endpoint_backend.js";
 import type { EndpointLog } from "./endpoint_runner.js";
 import { LeaseHolder } from "./lease_holder.js";
-import { waitFor } from "./scope.js";
 
 export interface LoadOrder {
   readonly kind: "load";
--- a/src/roles/endpoint_pause_test.ts
+++ b/src/endpoint/endpoint_pause_test.ts
@@ -6,17 +6,17 @@
 import { fileURLToPath } from "node:url";
 import { credentials } from "@grpc/grpc-js";
 import { ResultAsync } from "neverthrow";
+import type { ConfigView } from "../configuration/config_view.js";
 import { createDispatch, createTestState } from "../core/gate_fixtures_test.js";
 import { createRefusal } from "../core/index.js";
+import { waitFor } from "../runtime/scope.js";
 import { GateClient } from "../schema/index.js";
-import type { ConfigView } from "./config_view.js";
 import { startEndpoint } from "./endpoint.js";
 import {
   ANSWER,
   createSettings,
   readFrames,
 } from "./endpoint_fixtures_test.js";
-import { waitFor } from "./scope.js";
 
 const CHILD_FLAG = "HORNBEAMRILL_PAUSE_TEST_CHILD";
 const FRESHNESS_MS = 1_000;
--- a/src/roles/endpoint_reports.ts
+++ b/src/endpoint/endpoint_reports.ts
@@ -2,9 +2,9 @@
 
 import type { ResultAsync } from "neverthrow";
 import type { EngineReport } from "../core/index.js";
+import { waitFor } from "../runtime/scope.js";
 import type { BackendFailure } from "./endpoint_backend.js";
 import type { EndpointLog } from "./endpoint_runner.js";
-import { waitFor } from "./scope.js";
 
 export type ReadReport = (
   signal: AbortSignal,
--- a/src/roles/endpoint_role.ts
+++ b/src/endpoint/endpoint_role.ts
@@ -17,20 +17,20 @@
   type Service,
   type ServiceFailure,
 } from "../adapters/index.js";
+import { HeldReceipts } from "../billing/endpoint_receipts.js";
+import { ConfigSync } from "../configuration/config_sync.js";
+import type { ConfigView } from "../configuration/config_view.js";
+import type { RoleOptions, RunningRole } from "../entry/entry.js";
+import { applyHook, type RoleHooks } from "../entry/role_hooks.js";
+import { createSystemClock } from "../runtime/clock.js";
+import { HostWatcher } from "../runtime/host_watcher.js";
+import { failProcess, waitFor } from "../runtime/scope.js";
 import type { Settings } from "../schema/index.js";
-import { createSystemClock } from "./clock.js";
-import { ConfigSync } from "./config_sync.js";
-import type { ConfigView } from "./config_view.js";
 import { type Endpoint, startEndpoint } from "./endpoint.js";
 import type { BackendFailure, RunBackend } from "./endpoint_backend.js";
 import { type LoadOrder, runEngineOrders } from "./endpoint_orders.js";
-import { HeldReceipts } from "./endpoint_receipts.js";
 import type { EndpointLog } from "./endpoint_runner.js";
 import type { ReceiptHolder } from "./endpoint_service.js";
-import type { RoleOptions, RunningRole } from "./entry.js";
-import { HostWatcher } from "./host_watcher.js";
-import { applyHook, type RoleHooks } from "./role_hooks.js";
-import { failProcess, waitFor } from "./scope.js";
 
 const STORE_TIMEOUT_MS = 2_000;
 const HOST_LIST_TIMEOUT_MS = 2_000;
--- a/src/roles/endpoint_runner.ts
+++ b/src/endpoint/endpoint_runner.ts
@@ -1,6 +1,7 @@
 /** Carries out the gate's decisions and passes frames to their readers. */
 
 import { match } from "ts-pattern";
+import type { ConfigView } from "../configuration/config_view.js";
 import {
   createAttemptKey,
   createRefusal,
@@ -19,7 +20,6 @@
   LookUpAttemptRequest,
   ResumeRequest,
 } from "../schema/index.js";
-import type { ConfigView } from "./config_view.js";
 import {
   createBackendRequest,
   type RunBackend,
--- a/src/roles/endpoint_test.ts
+++ b/src/endpoint/endpoint_test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { createDispatch, ORDER } from "../core/gate_fixtures_test.js";
+import { waitFor } from "../runtime/scope.js";
 import type {
   EndpointStatus,
   GateClient,
@@ -18,7 +19,6 @@
   STOP_MS,
   startRig,
 } from "./endpoint_fixtures_test.js";
-import { waitFor } from "./scope.js";
 
 function lookUp(
   client: GateClient,
--- a/src/roles/entry.ts
+++ b/src/entry/entry.ts
@@ -6,16 +6,19 @@
 import { performance } from "node:perf_hooks";
 import { Server as GrpcServer, ServerCredentials } from "@grpc/grpc-js";
 import { type Logger, METRICS } from "../adapters/index.js";
+import { createConfigSyncHandlers } from "../configuration/config_handlers.js";
 import { createRefusal, type Refusal } from "../core/index.js";
+import type { CallerRequest } from "../request/caller_requests.js";
+import {
+  createCallerServer,
+  type SessionResult,
+} from "../request/caller_server.js";
+import { failProcess, waitFor } from "../runtime/scope.js";
+import { closeHttpServer } from "../runtime/server_close.js";
 import { ConfigSyncService, type Settings } from "../schema/index.js";
-import type { CallerRequest } from "./caller_requests.js";
-import { createCallerServer, type SessionResult } from "./caller_server.js";
-import { createConfigSyncHandlers } from "./config_handlers.js";
 import { EntryParts, getSetting } from "./entry_parts.js";
 import { createOperatorServer } from "./operator_server.js";
 import type { RoleHooks } from "./role_hooks.js";
-import { failProcess, waitFor } from "./scope.js";
-import { closeHttpServer } from "./server_close.js";
 
 export interface RoleOptions {
   readonly log: Logger;
--- a/src/roles/entry_outcomes.ts
+++ b/src/entry/entry_outcomes.ts
@@ -1,9 +1,9 @@
 /** Records how requests ended: log, metrics, service-level counts, ratings. */
 
 import { type Logger, METRICS, type Metrics } from "../adapters/index.js";
+import type { RequestOutcome } from "../request/request_outcome.js";
 import type { EntryReports } from "./entry_reports.js";
 import type { RatingCollector } from "./rating_collector.js";
-import type { RequestOutcome } from "./request_outcome.js";
 
 export interface OutcomeRecorderOptions {
   readonly log: Logger;
--- a/src/roles/entry_parts.ts
+++ b/src/entry/entry_parts.ts
@@ -13,20 +13,20 @@
   type ObjectStore,
   type RatingService,
 } from "../adapters/index.js";
+import { EntryBilling } from "../billing/entry_billing.js";
+import { ConfigSync } from "../configuration/config_sync.js";
+import { TicketService } from "../configuration/ticket_service.js";
 import { Router } from "../core/index.js";
+import { RequestRunner } from "../request/request_runner.js";
+import { createSystemClock } from "../runtime/clock.js";
+import { HostWatcher } from "../runtime/host_watcher.js";
 import type { Settings } from "../schema/index.js";
-import { createSystemClock } from "./clock.js";
-import { ConfigSync } from "./config_sync.js";
+import { SessionResolver } from "../session/session_store.js";
 import { EndpointDirectory } from "./endpoint_directory.js";
-import { EntryBilling } from "./entry_billing.js";
 import { OutcomeRecorder } from "./entry_outcomes.js";
 import { EntryReports } from "./entry_reports.js";
-import { HostWatcher } from "./host_watcher.js";
 import { RatingCollector } from "./rating_collector.js";
-import { RequestRunner } from "./request_runner.js";
 import { applyHook, type RoleHooks } from "./role_hooks.js";
-import { SessionResolver } from "./session_store.js";
-import { TicketService } from "./ticket_service.js";
 
 export interface EntryPartsOptions {
   readonly settings: Settings;
--- a/src/roles/entry_reports.ts
+++ b/src/entry/entry_reports.ts
@@ -2,6 +2,8 @@
 
 import { match } from "ts-pattern";
 import type { ObjectStore } from "../adapters/index.js";
+import { readBurnReport, readCostReport } from "../billing/reports.js";
+import { SloCounter } from "../billing/slo_counts.js";
 import {
   createRefusal,
   formatBurnReport,
@@ -11,12 +13,10 @@
   renderBurnHtml,
   type SloEvent,
 } from "../core/index.js";
+import type { RequestOutcome } from "../request/request_outcome.js";
+import type { Clock } from "../runtime/clock.js";
 import type { Objective } from "../schema/index.js";
-import type { Clock } from "./clock.js";
 import type { Report } from "./operator_server.js";
-import { readBurnReport, readCostReport } from "./reports.js";
-import type { RequestOutcome } from "./request_outcome.js";
-import { SloCounter } from "./slo_counts.js";
 
 export interface EntryReportsOptions {
   readonly store: ObjectStore;
--- a/src/roles/operator_server.ts
+++ b/src/entry/operator_server.ts
@@ -19,12 +19,12 @@
   sendProblem,
   sendRefusal,
 } from "../adapters/index.js";
+import type { ConfigSync } from "../configuration/config_sync.js";
+import type { CommitFailure } from "../configuration/ticket_commit.js";
+import type { TicketService } from "../configuration/ticket_service.js";
 import { createRefusal, type Refusal } from "../core/index.js";
+import { hashSha256 } from "../request/caller_requests.js";
 import type { Ticket } from "../schema/index.js";
-import { hashSha256 } from "./caller_requests.js";
-import type { ConfigSync } from "./config_sync.js";
-import type { CommitFailure } from "./ticket_commit.js";
-import type { TicketService } from "./ticket_service.js";
 
 export interface Report {
   readonly text: string;
--- a/src/roles/operator_server_test.ts
+++ b/src/entry/operator_server_test.ts
@@ -3,14 +3,14 @@
 import type { AddressInfo } from "node:net";
 import { describe, it, type TestContext } from "node:test";
 import { err, ok } from "neverthrow";
+import type { CommitFailure } from "../configuration/ticket_commit.js";
+import type { TicketAnswer } from "../configuration/ticket_service.js";
 import { createEmptyState, createRefusal } from "../core/index.js";
-import { hashSha256 } from "./caller_requests.js";
+import { hashSha256 } from "../request/caller_requests.js";
 import {
   createOperatorServer,
   type OperatorServerOptions,
 } from "./operator_server.js";
-import type { CommitFailure } from "./ticket_commit.js";
-import type { TicketAnswer } from "./ticket_service.js";
 
 const TICKET = { number: 4, rollouts: [{ version: "a", share: 0.5 }] };
 const HEADERS = { authorization: "Bearer secret" };
--- a/src/roles/rating_collector.ts
+++ b/src/entry/rating_collector.ts
@@ -3,7 +3,7 @@
 import { LRUCache } from "lru-cache";
 import type { Logger, RatedAnswer, RatingService } from "../adapters/index.js";
 import type { SloEvent } from "../core/index.js";
-import { waitFor } from "./scope.js";
+import { waitFor } from "../runtime/scope.js";
 
 export interface RatingIncrease {
   readonly requestClass: string;
--- a/src/roles/role_hooks.ts
+++ b/src/entry/role_hooks.ts
@@ -4,11 +4,11 @@
  */
 
 import type { HostList, ObjectStore } from "../adapters/index.js";
-import type { SessionResult } from "./caller_server.js";
-import type { ConfigView } from "./config_view.js";
-import type { RunBackend } from "./endpoint_backend.js";
-import type { OrderEngine } from "./endpoint_orders.js";
-import type { ReceiptHolder } from "./endpoint_service.js";
+import type { ConfigView } from "../configuration/config_view.js";
+import type { RunBackend } from "../endpoint/endpoint_backend.js";
+import type { OrderEngine } from "../endpoint/endpoint_orders.js";
+import type { ReceiptHolder } from "../endpoint/endpoint_service.js";
+import type { SessionResult } from "../request/caller_server.js";
 
 /** @internal */
 export interface RoleHooks {
--- a/src/roles/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -1,11 +1,11 @@
 /** Dispatches the attempts of requests, orders under their claims. */
 
+import type { ClaimKeeper } from "../billing/entry_claims.js";
+import type { ConfigView } from "../configuration/config_view.js";
 import { createRefusal } from "../core/index.js";
+import type { EndpointDirectory } from "../entry/endpoint_directory.js";
 import type { DispatchRequest } from "../schema/index.js";
-import type { ConfigView } from "./config_view.js";
 import { AttemptCall } from "./dispatch.js";
-import type { EndpointDirectory } from "./endpoint_directory.js";
-import type { ClaimKeeper } from "./entry_claims.js";
 import {
   type DispatchOutcome,
   type OrderOutcome,
--- a/src/roles/caller_server.ts
+++ b/src/request/caller_server.ts
@@ -18,6 +18,7 @@
   sendJson,
   sendRefusal,
 } from "../adapters/index.js";
+import type { ConfigView } from "../configuration/config_view.js";
 import { createRefusal, type Refusal } from "../core/index.js";
 import type { ClientAccount } from "../schema/index.js";
 import {
@@ -31,7 +32,6 @@
   parseChatRequest,
   parseServiceRequest,
 } from "./caller_requests.js";
-import type { ConfigView } from "./config_view.js";
 import type { RequestSession } from "./pending_request.js";
 import type { RequestRunner } from "./request_runner.js";
 
--- a/src/roles/order_runner.ts
+++ b/src/request/order_runner.ts
@@ -1,10 +1,10 @@
 /** Runs a non-idempotent call under its claim, so that it runs at most once. */
 
+import type { AcquireOutcome } from "../billing/claim_outcomes.js";
+import type { StoredClaim } from "../billing/claim_writes.js";
+import type { AcquireRequest, ClaimKeeper } from "../billing/entry_claims.js";
 import { createRefusal, type Refusal } from "../core/index.js";
 import type { End, KeptAnswer } from "../schema/index.js";
-import type { AcquireOutcome } from "./claim_outcomes.js";
-import type { StoredClaim } from "./claim_writes.js";
-import type { AcquireRequest, ClaimKeeper } from "./entry_claims.js";
 
 export type DispatchOutcome =
   | { readonly kind: "ended"; readonly end: End }
--- a/src/roles/order_runner_test.ts
+++ b/src/request/order_runner_test.ts
@@ -1,11 +1,14 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type {
+  AcquireOutcome,
+  ReleaseOutcome,
+} from "../billing/claim_outcomes.js";
+import type { StoredClaim } from "../billing/claim_writes.js";
+import { createOrder, NEVER } from "../billing/fake_orders_test.js";
 import { createRefusal } from "../core/index.js";
+import { VirtualClock } from "../runtime/fake_store_test.js";
 import type { End } from "../schema/index.js";
-import type { AcquireOutcome, ReleaseOutcome } from "./claim_outcomes.js";
-import type { StoredClaim } from "./claim_writes.js";
-import { createOrder, NEVER } from "./fake_orders_test.js";
-import { VirtualClock } from "./fake_store_test.js";
 import { type DispatchOutcome, runOrder } from "./order_runner.js";
 
 const STORED = { claim: { attempt: 1, epoch: "e1" } } as StoredClaim;
--- a/src/roles/request_outcome.ts
+++ b/src/request/request_outcome.ts
@@ -1,6 +1,7 @@
 /** How a request ended, and what its answer says of it. */
 
 import type { Refusal, RouteRequest } from "../core/index.js";
+import type { EndpointDirectory } from "../entry/endpoint_directory.js";
 import type {
   End,
   EndpointStatus,
@@ -9,7 +10,6 @@
   ReceiptStep,
 } from "../schema/index.js";
 import type { AnswerInfo } from "./answers.js";
-import type { EndpointDirectory } from "./endpoint_directory.js";
 import type { Attempt, PendingRequest } from "./pending_request.js";
 import { createReceiptStep } from "./request_receipts.js";
 
--- a/src/roles/request_runner.ts
+++ b/src/request/request_runner.ts
@@ -10,6 +10,7 @@
   type Metrics,
   type RatingService,
 } from "../adapters/index.js";
+import type { EntryLedger } from "../billing/entry_ledger.js";
 import {
   assertInvariant,
   createRefusal,
@@ -21,7 +22,6 @@
 } from "../core/index.js";
 import type { End, Receipt } from "../schema/index.js";
 import { AttemptRunner, type AttemptRunnerOptions } from "./attempt_runner.js";
-import type { EntryLedger } from "./entry_ledger.js";
 import {
   type Attempt,
   createPendingRequest,
--- a/src/roles/session_store_test.ts
+++ b/src/session/session_store_test.ts
@@ -1,9 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import {
+  FakeStore,
+  type Fault,
+} from "../configuration/fake_config_store_test.js";
 import { createEmptyState, formatSessionKey } from "../core/index.js";
 import type { FleetState, ModelVersion } from "../schema/index.js";
-import { FakeStore, type Fault } from "./fake_config_store_test.js";
 import { SessionResolver } from "./session_store.js";
 
 const SIGNAL = new AbortController().signal;
