Undo the import circles and test that there are none

adapters/engine, adapters/object_store and soak/faults each needed a file that needed them; so did the new proxy/answer. Exports come from the index now, types lie with what uses them first. A test lists every circle of imports, and every name of the platform's wire outside its folder (both empty).

--- a/src/adapters/engine.ts
+++ b/src/adapters/engine.ts
@@ -4,8 +4,6 @@
 import type { Ran } from "../core/index.js";
 import type { Priority } from "../schema/index.js";
 
-export { createHttpEngine } from "./http_engine.js";
-
 export interface CompletionRequest {
   readonly requestId: string;
   readonly version: string;
--- a/src/adapters/index.ts
+++ b/src/adapters/index.ts
@@ -4,6 +4,8 @@
 export * from "./engine.js";
 export * from "./host_list.js";
 export * from "./http.js";
+export { createHttpEngine } from "./http_engine.js";
+export { createHttpObjectStore } from "./http_object_store.js";
 export * from "./logs.js";
 export * from "./metrics.js";
 export * from "./object_store.js";
--- a/src/adapters/object_store.ts
+++ b/src/adapters/object_store.ts
@@ -2,8 +2,6 @@
 
 import type { ResultAsync } from "neverthrow";
 
-export { createHttpObjectStore } from "./http_object_store.js";
-
 /** A value with the store's version of its key; versions rise by key. */
 export interface StoredObject {
   readonly key: string;
--- /dev/null
+++ b/src/imports_test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join, normalize } from "node:path";
+import { describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+
+const SOURCES = fileURLToPath(new URL("../src/", import.meta.url));
+const IMPORT = /^(?:import|export)\s[^;]*?from\s+"(\.[^"]+)\.js"/gm;
+/** Names that only the platform's wire has. */
+const WIRE_NAMES =
+  /attempt-id|server-stamp|expect-instance|not-executed|hornbeamrill\/objects|HORNBEAMRILL_NODE_FILE|traffic_split|api_keys|cold_left_ms/i;
+
+const files = readdirSync(SOURCES, { recursive: true })
+  .map(String)
+  .filter((file) => file.endsWith(".ts"));
+const texts = new Map(
+  files.map((file) => [file, readFileSync(join(SOURCES, file), "utf8")]),
+);
+
+function listImports(file: string): string[] {
+  return [...(texts.get(file) ?? "").matchAll(IMPORT)].map((found) =>
+    normalize(join(dirname(file), `${found[1]}.ts`)),
+  );
+}
+
+/** A path of imports from a file back to itself. */
+function findCircle(start: string): string[] | undefined {
+  const seen = new Set<string>();
+  const paths = listImports(start).map((file) => [start, file]);
+  for (let path = paths.pop(); path !== undefined; path = paths.pop()) {
+    const last = path.at(-1) ?? "";
+    if (last === start) return path;
+    if (seen.has(last)) continue;
+    seen.add(last);
+    paths.push(...listImports(last).map((file) => [...(path ?? []), file]));
+  }
+  return undefined;
+}
+
+describe("the sources", () => {
+  // Files that need each other can't be read or moved one by one.
+  it("have no circle of imports", () => {
+    const circles = files.flatMap(
+      (file) => findCircle(file)?.join(" > ") ?? [],
+    );
+    assert.deepEqual(circles, []);
+  });
+
+  // A name of the wire outside its folder ties the product to one platform.
+  it("name the platform's wire only in its folder", () => {
+    const strangers = files.filter(
+      (file) =>
+        !file.startsWith("platform/") &&
+        file !== "imports_test.ts" &&
+        WIRE_NAMES.test(texts.get(file) ?? ""),
+    );
+    assert.deepEqual(strangers, []);
+  });
+});
--- a/src/proxy/answer.ts
+++ b/src/proxy/answer.ts
@@ -1,10 +1,22 @@
 /** Passes an endpoint's answer on to the caller. */
 
 import type { IncomingMessage } from "node:http";
+import type { Refusal } from "../core/errors.js";
 import { type AttemptHead, isWholeAnswer } from "./attempt.js";
 import { EventCutter } from "./event_stream.js";
-import type { AnswerSink } from "./request_run.js";
-import type { Wire } from "./types.js";
+import type { RawHeaders, Wire } from "./types.js";
+
+/** Where the answer goes. */
+export interface AnswerSink {
+  writeHead(status: number, headers: RawHeaders): void;
+  /** False when the caller reads too slowly; `waitDrain` tells when to go on. */
+  write(data: Buffer): boolean;
+  waitDrain(signal: AbortSignal): Promise<void>;
+  end(data?: Buffer): void;
+  /** Breaks off an answer that can't be completed. */
+  destroy(): void;
+  refuse(refusal: Refusal): void;
+}
 
 /** Sends an answer that is whole at hand. */
 export function sendAnswer(
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -6,10 +6,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readBody } from "../adapters/http.js";
 import { createRefusal, type Refusal } from "../core/errors.js";
+import type { AnswerSink } from "./answer.js";
 import { type Catalog, chooseService } from "./catalog.js";
 import type { Freshness } from "./freshness.js";
 import {
-  type AnswerSink,
   RequestRun,
   type RunRequest,
   type RunServices,
--- a/src/soak/compound_faults.ts
+++ b/src/soak/compound_faults.ts
@@ -2,7 +2,7 @@
 
 import { delay } from "../testbed/delay.js";
 import type { Cuts } from "./cuts.js";
-import type { FaultsOptions } from "./faults.js";
+import type { FaultsOptions } from "./faults_options.js";
 import { IN_FORCE_MS } from "./history.js";
 import { FIRST_VERSIONS, ROLLOUT_VERSIONS, WORKLOADS } from "./layout.js";
 import type { FaultAction, StaleChange } from "./plan.js";
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -1,7 +1,6 @@
 /** Carries out the planned faults; each one ends its own effect. */
 
 import { delay } from "../testbed/delay.js";
-import type { Fleet } from "../testbed/fleet.js";
 import {
   type CompoundParts,
   runKillBehindCut,
@@ -10,20 +9,9 @@
   takeOver,
 } from "./compound_faults.js";
 import { Cuts } from "./cuts.js";
-import type { Journal } from "./journal.js";
-import type { Load } from "./load.js";
-import type { Members } from "./members.js";
-import type { Operators } from "./operators.js";
+import type { FaultsOptions } from "./faults_options.js";
 import type { FaultAction, PlannedFault } from "./plan.js";
 
-export interface FaultsOptions {
-  readonly fleet: Fleet;
-  readonly journal: Journal;
-  readonly members: Members;
-  readonly load: Load;
-  readonly operators: Operators;
-}
-
 type ActionOf<K extends FaultAction["kind"]> = FaultAction & { kind: K };
 
 export class Faults {
