Let entries tell each other which sessions must keep their version

Cause: callers of one session come to several entries. Ruled out: retries at another entry (first attempts, seconds apart); sessions that had ended. Change: the exchange carries recent sessions whose place lies under the first share of a rollout, about a tenth of them. Tests: a session told of keeps its version at every entry (before: it moved).

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -7,6 +7,7 @@
 import {
   Connections,
   createSuspendClock,
+  FIRST_SHARE,
   FleetView,
   Freshness,
   Peers,
@@ -27,6 +28,8 @@
 const READY_PATH = "/hornbeamrill/readyz";
 /** How often due decisions and lapsed records are looked at, ms. */
 const TICK_MS = 100;
+/** A session's gap begins at its answer's end, which callers see later. */
+const SESSION_MARGIN = 2;
 /** Wait of each further entry before it writes an outcome itself, ms. */
 const TURN_MS = 300;
 /**
@@ -84,10 +87,15 @@
     maxConfigAgeMs,
     onEndpointRemoved: (id) => connections.remove(id),
   });
+  const sessions = new SessionVersions({
+    gapMs: SESSION_MARGIN * bounds.sessionGapMs,
+    toldBelow: FIRST_SHARE,
+  });
   const peers = new Peers({
     self: { ...settings.exchange, name: settings.name, incarnation },
     seeds: settings.seeds,
     rollouts: view.rollouts,
+    sessions,
     now,
     random,
     log,
@@ -107,7 +115,7 @@
       windowMs: bounds.repeatWindowMs,
       allowance: bounds.repeatAllowance,
     }),
-    sessions: new SessionVersions(bounds.sessionGapMs),
+    sessions,
     countEntries: () => peers.countEntries(),
     maxConfigAgeMs,
     maxDenyAgeMs: bounds.configMs,
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -9,6 +9,7 @@
 import { Exchange, type Place } from "../schema/exchange/index.js";
 import { startListening } from "./proxy_server.js";
 import type { Rollouts } from "./rollouts.js";
+import type { SessionVersions } from "./session_versions.js";
 
 /** Time between two rounds, ms. */
 const ROUND_MS = 400;
@@ -39,6 +40,7 @@
   readonly self: Omit<Place, "ageMs">;
   readonly seeds: readonly PeerAddress[];
   readonly rollouts: Rollouts;
+  readonly sessions: SessionVersions;
   readonly now: () => number;
   readonly random: () => number;
   readonly log: Logger;
@@ -121,7 +123,7 @@
   }
 
   #createMessage(): Uint8Array {
-    const { self, rollouts, now } = this.#options;
+    const { self, rollouts, sessions, now } = this.#options;
     const nowMs = now();
     const peers = this.#listHeard(GONE_AFTER_MS)
       .slice(0, MAX_NAMED)
@@ -134,6 +136,7 @@
       leaving: this.#isLeaving,
       peers,
       rollouts: rollouts.listReports(nowMs),
+      sessions: sessions.listReports(nowMs),
     }).finish();
   }
 
@@ -177,7 +180,7 @@
   }
 
   #take(data: Uint8Array): void {
-    const { log, now, rollouts } = this.#options;
+    const { log, now, rollouts, sessions } = this.#options;
     let message: Exchange;
     try {
       message = Exchange.decode(data);
@@ -193,6 +196,7 @@
     }
     for (const place of peers) this.#meet(place, nowMs - place.ageMs);
     for (const report of message.rollouts) rollouts.mergeReport(report, nowMs);
+    sessions.merge(message.sessions, nowMs);
   }
 
   #meet(place: Place, heardAtMs: number): void {
--- /dev/null
+++ b/src/proxy/peers_test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { Peers } from "./peers.js";
+import { Rollouts } from "./rollouts.js";
+import { SessionVersions } from "./session_versions.js";
+
+const LOG = { debug() {}, info() {}, warn() {}, error() {} };
+
+interface Entry {
+  readonly peers: Peers;
+  readonly rollouts: Rollouts;
+  readonly sessions: SessionVersions;
+  readonly port: number;
+  readonly controller: AbortController;
+}
+
+describe("entries that find each other", () => {
+  const closers: (() => void)[] = [];
+  afterEach(() => {
+    for (const close of closers.splice(0)) close();
+  });
+
+  async function startEntry(name: string, seedPorts: number[]): Promise<Entry> {
+    const controller = new AbortController();
+    const rollouts = new Rollouts(name);
+    const sessions = new SessionVersions({ gapMs: 5_000, toldBelow: 1 });
+    const address = "127.0.0.1";
+    const self = { name, incarnation: "1", address, port: 0 };
+    const peers = new Peers({
+      self,
+      seeds: seedPorts.map((port) => ({ address, port })),
+      rollouts,
+      sessions,
+      now: () => performance.now(),
+      random: Math.random,
+      log: LOG,
+      signal: controller.signal,
+    });
+    const server = await peers.serve({ address, port: 0 });
+    const { port } = server.address() as AddressInfo;
+    self.port = port;
+    void peers.run();
+    closers.push(() => {
+      controller.abort();
+      server.close();
+      server.closeAllConnections();
+    });
+    return { peers, rollouts, sessions, port, controller };
+  }
+
+  async function waitFor(isDone: () => boolean): Promise<void> {
+    const untilMs = performance.now() + 8_000;
+    while (!isDone()) {
+      assert.ok(performance.now() < untilMs, "waited in vain");
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
+  // Bounds over all entries are divided by their number.
+  it("count all entries from one seed, dead seeds besides", async () => {
+    const first = await startEntry("a", [1]);
+    const others = [];
+    for (const name of ["b", "c", "d", "e", "f"]) {
+      others.push(await startEntry(name, [1, first.port]));
+    }
+    const all = [first, ...others];
+    assert.ok(first.peers.countEntries() >= 6, "too few are assumed at first");
+    await new Promise((resolve) => setTimeout(resolve, 2_600));
+    await waitFor(() => all.every(({ peers }) => peers.countEntries() === 6));
+    assert.deepEqual(
+      all.map(({ peers }) => peers.getRank()),
+      [0, 1, 2, 3, 4, 5],
+    );
+  });
+
+  it("pass evidence and sessions on", async () => {
+    const first = await startEntry("a", []);
+    const second = await startEntry("b", [first.port]);
+    const order = { service: "svc", target: "v2", durationMs: 20_000 };
+    for (const { rollouts } of [first, second]) {
+      rollouts.put({ ...order, createdRevision: 1, revision: 1 }, 0);
+    }
+    for (let i = 0; i < 8; i++) {
+      first.rollouts.record({
+        service: "svc",
+        version: "v2",
+        route: "r",
+        isGood: false,
+      });
+    }
+    first.sessions.record("svc", "s1", {
+      version: "v2",
+      atMs: performance.now(),
+    });
+    await waitFor(() => second.rollouts.decide(performance.now()).length === 1);
+    assert.equal(second.sessions.get("svc", "s1", performance.now()), "v2");
+  });
+
+  it("skip a message that can't be read", async () => {
+    const { port, peers } = await startEntry("a", []);
+    for (const body of ["", "no message", "\xff\xff\xff\xff\xff"]) {
+      const answer = await fetch(`http://127.0.0.1:${port}/exchange`, {
+        method: "POST",
+        body,
+      });
+      assert.equal(answer.status, 200);
+      await answer.arrayBuffer();
+    }
+    assert.ok(peers.countEntries() >= 1);
+  });
+});
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -6,8 +6,13 @@
 import type { Agent } from "node:http";
 import type { Logger } from "../adapters/logs.js";
 import { sortByRendezvous } from "../core/canonical.js";
-import { createRefusal, type Refusal } from "../core/errors.js";
-import { type StreamEnd, sendAnswer, sendStream } from "./answer.js";
+import { createRefusal } from "../core/errors.js";
+import {
+  type AnswerSink,
+  type StreamEnd,
+  sendAnswer,
+  sendStream,
+} from "./answer.js";
 import {
   ATTEMPT_FAILURE,
   type AttemptFailure,
@@ -32,7 +37,7 @@
 import type { FleetView } from "./fleet_view.js";
 import type { ProxyMetrics } from "./metrics.js";
 import type { RepeatBudget } from "./repeat_budget.js";
-import type { SessionVersions } from "./session_versions.js";
+import { hashSession, type SessionVersions } from "./session_versions.js";
 import {
   type RawHeaders,
   REPEAT,
@@ -41,7 +46,7 @@
   type Service,
   type Wire,
 } from "./types.js";
-import { hashSession, listAllowedVersions } from "./version_choice.js";
+import { listAllowedVersions } from "./version_choice.js";
 
 /** Endpoints that should keep the same shared prompt parts. */
 const HOMES = 2;
@@ -93,18 +98,6 @@
   readonly signal: AbortSignal;
 }
 
-/** Where the answer goes. */
-export interface AnswerSink {
-  writeHead(status: number, headers: RawHeaders): void;
-  /** False when the caller reads too slowly; `waitDrain` tells when to go on. */
-  write(data: Buffer): boolean;
-  waitDrain(signal: AbortSignal): Promise<void>;
-  end(data?: Buffer): void;
-  /** Breaks off an answer that can't be completed. */
-  destroy(): void;
-  refuse(refusal: Refusal): void;
-}
-
 type RunOutcome = "answered" | "broken" | "refused";
 
 interface Attempt {
@@ -231,7 +224,9 @@
       rollouts: view.rollouts,
       place: this.#place,
       lastVersion:
-        session === undefined ? undefined : sessions.get(service.name, session),
+        session === undefined
+          ? undefined
+          : sessions.get(service.name, session, nowMs),
       nowMs,
     });
   }
@@ -461,7 +456,10 @@
     const { session } = facts;
     const { version } = attempt.state.record;
     if (session !== undefined) {
-      this.#services.sessions.record(service.name, session, version);
+      this.#services.sessions.record(service.name, session, {
+        version,
+        atMs: this.#services.now(),
+      });
     }
     return route.isStream && attempt.head.status < 300
       ? await this.#deliverStream(attempt)
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -17,9 +17,11 @@
   type RolloutOutcome,
 } from "./types.js";
 
+/** Share of the sessions that the new version gets first. */
+export const FIRST_SHARE = 0.1;
 /** Share of the sessions on the new version from a part of the time on. */
 const STEPS: readonly { from: number; share: number }[] = [
-  { from: 0, share: 0.1 },
+  { from: 0, share: FIRST_SHARE },
   { from: 0.5, share: 0.2 },
   { from: 0.58, share: 0.4 },
   { from: 0.66, share: 0.7 },
--- /dev/null
+++ b/src/proxy/session_versions_test.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { EndpointState } from "./endpoint_state.js";
+import { Rollouts } from "./rollouts.js";
+import { hashSession, SessionVersions } from "./session_versions.js";
+import { listAllowedVersions } from "./version_choice.js";
+
+const OPTIONS = { gapMs: 10_000, toldBelow: 0.1 };
+
+function createEndpoint(version: string): EndpointState {
+  return new EndpointState({
+    id: `i-${version}`,
+    service: "svc",
+    address: "10.0.0.1",
+    port: 80,
+    dataCentre: "dc1",
+    version,
+    slots: 8,
+    isLeaving: false,
+    coldLeftMs: 0,
+  });
+}
+
+const ENDPOINTS = [createEndpoint("v1"), createEndpoint("v2")];
+
+/** The version on which an entry with these sessions runs a request. */
+function findVersion(
+  sessions: SessionVersions,
+  session: string,
+  nowMs: number,
+): string | undefined {
+  const rollouts = new Rollouts("self");
+  const order = { service: "svc", target: "v2", durationMs: 24_000 };
+  rollouts.put({ ...order, createdRevision: 1, revision: 1 }, 1_000);
+  const [first] = listAllowedVersions(ENDPOINTS, {
+    service: "svc",
+    rollouts,
+    place: hashSession("svc", session),
+    lastVersion: sessions.get("svc", session, nowMs),
+    nowMs,
+  });
+  return first?.record.version;
+}
+
+const sessions = Array.from({ length: 400 }, (_, i) => `s${i}`);
+const early = sessions.filter((name) => hashSession("svc", name) < 0.1);
+
+describe("versions of sessions", () => {
+  // A session that another entry served before the rollout must not move.
+  it("keeps a session's version at every entry that was told of it", () => {
+    const [first, second] = [
+      new SessionVersions(OPTIONS),
+      new SessionVersions(OPTIONS),
+    ];
+    assert.ok(early.length > 10);
+    for (const name of early) {
+      first.record("svc", name, { version: "v1", atMs: 900 });
+      assert.equal(findVersion(second, name, 1_500), "v2");
+    }
+    second.merge(first.listReports(1_400), 1_400);
+    for (const name of early) {
+      assert.equal(findVersion(first, name, 1_500), "v1");
+      assert.equal(findVersion(second, name, 1_500), "v1");
+    }
+  });
+
+  it("lets a session go that has ended", () => {
+    const first = new SessionVersions(OPTIONS);
+    const [name = ""] = early;
+    first.record("svc", name, { version: "v1", atMs: 900 });
+    assert.equal(findVersion(first, name, 10_901), "v2");
+    assert.deepEqual(first.listReports(10_901), []);
+  });
+
+  it("tells only of sessions that a rollout would move first", () => {
+    const first = new SessionVersions(OPTIONS);
+    for (const name of sessions) {
+      first.record("svc", name, { version: "v1", atMs: 0 });
+    }
+    const told = first.listReports(10).map((report) => report.session);
+    assert.deepEqual(told.sort(), [...early].sort());
+  });
+
+  it("keeps the later of two reports", () => {
+    const first = new SessionVersions(OPTIONS);
+    const report = { service: "svc", session: "s1" };
+    first.merge([{ ...report, version: "v2", ageMs: 10 }], 1_000);
+    first.merge([{ ...report, version: "v1", ageMs: 500 }], 1_000);
+    assert.equal(first.get("svc", "s1", 1_000), "v2");
+  });
+});
--- a/src/proxy/version_choice.ts
+++ b/src/proxy/version_choice.ts
@@ -1,19 +1,9 @@
 /** Which versions of a service one request may run on. */
 
-import { hashText } from "../core/canonical.js";
 import type { EndpointState } from "./endpoint_state.js";
 import type { Rollouts } from "./rollouts.js";
 import { ROLLOUT_OUTCOME } from "./types.js";
 
-const HASH_DIGITS = 8;
-const HASH_RANGE = 16 ** HASH_DIGITS;
-
-/** Place of a session in 0..1, the same at every entry. */
-export function hashSession(service: string, session: string): number {
-  const digits = hashText(`${service} ${session}`).slice(0, HASH_DIGITS);
-  return Number.parseInt(digits, 16) / HASH_RANGE;
-}
-
 export interface VersionOptions {
   readonly service: string;
   readonly rollouts: Rollouts;
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -22,6 +22,17 @@
   /** Other entries that the sender has heard of. */
   peers: Place[];
   rollouts: RolloutReport[];
+  /** Sessions that a rollout would move first. */
+  sessions: SessionReport[];
+}
+
+/** The version that a session last ran on. */
+export interface SessionReport {
+  service: string;
+  session: string;
+  version: string;
+  /** Milliseconds since then. */
+  ageMs: number;
 }
 
 export interface Place {
@@ -62,7 +73,7 @@
 }
 
 function createBaseExchange(): Exchange {
-  return { sender: undefined, leaving: false, peers: [], rollouts: [] };
+  return { sender: undefined, leaving: false, peers: [], rollouts: [], sessions: [] };
 }
 
 export const Exchange: MessageFns<Exchange> = {
@@ -79,6 +90,9 @@
     for (const v of message.rollouts) {
       RolloutReport.encode(v!, writer.uint32(34).fork()).join();
     }
+    for (const v of message.sessions) {
+      SessionReport.encode(v!, writer.uint32(42).fork()).join();
+    }
     return writer;
   },
 
@@ -127,6 +141,14 @@
             message.rollouts.push(RolloutReport.decode(reader, reader.uint32()));
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.sessions.push(SessionReport.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -150,6 +172,98 @@
     message.leaving = object.leaving ?? false;
     message.peers = object.peers?.map((e) => Place.fromPartial(e)) || [];
     message.rollouts = object.rollouts?.map((e) => RolloutReport.fromPartial(e)) || [];
+    message.sessions = object.sessions?.map((e) => SessionReport.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseSessionReport(): SessionReport {
+  return { service: "", session: "", version: "", ageMs: 0 };
+}
+
+export const SessionReport: MessageFns<SessionReport> = {
+  encode(message: SessionReport, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.service !== "") {
+      writer.uint32(10).string(message.service);
+    }
+    if (message.session !== "") {
+      writer.uint32(18).string(message.session);
+    }
+    if (message.version !== "") {
+      writer.uint32(26).string(message.version);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(32).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): SessionReport {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseSessionReport();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.service = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.session = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.version = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<SessionReport>): SessionReport {
+    return SessionReport.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<SessionReport>): SessionReport {
+    const message = createBaseSessionReport();
+    message.service = object.service ?? "";
+    message.session = object.session ?? "";
+    message.version = object.version ?? "";
+    message.ageMs = object.ageMs ?? 0;
     return message;
   },
 };
