Judge a new version's speed by warm endpoints only; find the store's return sooner

Cause: while the store was silent each call waited for its whole watch, so its return was seen up to 2.5 s late. Change: times count from five seconds after an endpoint was registered; watches wait for nothing while the store is lost.

--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -83,7 +83,9 @@
   }
 
   async #watch(): Promise<StoreFailure | undefined> {
-    const { store, kind, waitMs, clock, handlers } = this.#options;
+    const { store, kind, clock, handlers } = this.#options;
+    // While the store is lost, short calls find out soon that it is back.
+    const waitMs = this.#lostAtMs === undefined ? this.#options.waitMs : 0;
     const startedAtMs = clock.now();
     const result = await store.watch(kind, this.#at ?? 0, waitMs);
     if (result.isErr()) return result.error;
--- a/src/proxy/endpoint_state.ts
+++ b/src/proxy/endpoint_state.ts
@@ -17,6 +17,9 @@
 /** Answers before the share of failures means anything. */
 const MIN_ANSWERS = 6;
 
+/** Time for which an endpoint that has just started is slow, ms. */
+const WARM_UP_MS = 5_000;
+
 /** How an attempt ended, as far as the endpoint's health goes. */
 export const ATTEMPT_RESULT = {
   answered: "answered",
@@ -51,8 +54,16 @@
   #pauses = 0;
   #pausedUntilMs = 0;
 
-  constructor(record: EndpointRecord) {
+  readonly #addedAtMs: number;
+
+  constructor(record: EndpointRecord, addedAtMs: number) {
     this.record = record;
+    this.#addedAtMs = addedAtMs;
+  }
+
+  /** False in the first seconds, in which every endpoint is slow. */
+  isWarm(nowMs: number): boolean {
+    return !this.isCold(nowMs) && nowMs - this.#addedAtMs >= WARM_UP_MS;
   }
 
   /** Requests of other entries, as far as the last answer told. */
--- a/src/proxy/endpoint_table.ts
+++ b/src/proxy/endpoint_table.ts
@@ -49,7 +49,7 @@
       known.record.address === record.address &&
       known.record.port === record.port;
     if (!isSameLife) {
-      const state = new EndpointState(record);
+      const state = new EndpointState(record, nowMs);
       state.setColdUntil(nowMs + record.coldLeftMs);
       this.#endpoints.set(record.id, state);
       this.#membership++;
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -421,7 +421,7 @@
       version: state.record.version,
       route: route.name,
       isGood: result === ATTEMPT_RESULT.answered,
-      slowness: pace,
+      slowness: state.isWarm(now()) ? pace : undefined,
     });
   }
 
