Escalate less the later the larger answer would begin

Change: the confidence bound falls with the expected start of the larger answer against the route's target. Read speed and weights of the models nearer to what engines do, so that the expectation is not five times too long.

--- a/src/proxy/cascade.ts
+++ b/src/proxy/cascade.ts
@@ -3,12 +3,21 @@
  * doubts itself is dropped before the caller gets any of it, and the largest
  * model is asked. The model in between costs half of the largest and is hardly
  * better than the smallest, so it is passed over.
+ *
+ * Answers the load in which the largest model's long prompts fill the
+ * endpoints: the later its answer would begin, the surer a doubt has to be.
  */
 
 /** Confidence at which an answer of a smaller model is good enough. */
 const CONFIDENCE_BOUND = 55;
 /** Share of the repeat budget in use above which doubts are tolerated. */
 const BUDGET_BOUND = 0.95;
+/** Begin of the larger answer, as a share of the target, that is no matter. */
+const EASY_SHARE = 0.5;
+/** Confidence bound where the larger answer would begin just at the target. */
+const BOUND_AT_TARGET = 38;
+/** Share of the target from which on nothing is escalated. */
+const HOPELESS_SHARE = 3;
 
 export interface CascadeState {
   readonly models: readonly string[];
@@ -17,23 +26,38 @@
   /** Attempts that the route still allows. */
   readonly attemptsLeft: number;
   readonly budgetUse: number;
+  /** Time since the request came, ms. */
+  readonly spentMs: number;
   /** Expected time to the head of the larger model's answer, ms. */
   readonly largerStartMs: number;
-  /** Time that is left until the answer would be late, ms. */
-  readonly leftMs: number;
+  /** Time to the first event that the route aims at, ms. */
+  readonly targetMs: number;
 }
 
 export function chooseFirstModel(models: readonly string[]): string {
   return models[0] ?? "";
 }
 
+/** Confidence under which the larger model is asked; falls with its wait. */
+export function computeConfidenceBound(startShare: number): number {
+  if (startShare <= EASY_SHARE) return CONFIDENCE_BOUND;
+  if (startShare >= HOPELESS_SHARE) return 0;
+  if (startShare <= 1) {
+    const part = (startShare - EASY_SHARE) / (1 - EASY_SHARE);
+    return CONFIDENCE_BOUND - part * (CONFIDENCE_BOUND - BOUND_AT_TARGET);
+  }
+  const part = (startShare - 1) / (HOPELESS_SHARE - 1);
+  return BOUND_AT_TARGET * (1 - part);
+}
+
 /** The model to ask next; undefined when the answer is good enough. */
 export function chooseNextModel(state: CascadeState): string | undefined {
   const largest = state.models.at(-1);
   if (largest === undefined || state.model === largest) return undefined;
-  if (state.confidence >= CONFIDENCE_BOUND) return undefined;
   if (state.attemptsLeft <= 0 || state.budgetUse >= BUDGET_BOUND) {
     return undefined;
   }
-  return largest;
+  const startMs = state.spentMs + state.largerStartMs;
+  const bound = computeConfidenceBound(startMs / state.targetMs);
+  return state.confidence < bound ? largest : undefined;
 }
--- a/src/proxy/cascade_test.ts
+++ b/src/proxy/cascade_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { chooseFirstModel, chooseNextModel } from "./cascade.js";
+import {
+  chooseFirstModel,
+  chooseNextModel,
+  computeConfidenceBound,
+} from "./cascade.js";
 
 const STATE = {
   models: ["small", "middle", "large"],
@@ -8,8 +12,9 @@
   confidence: 20,
   attemptsLeft: 2,
   budgetUse: 0,
+  spentMs: 40,
   largerStartMs: 50,
-  leftMs: 5_000,
+  targetMs: 1_000,
 };
 
 describe("cascade", () => {
@@ -32,4 +37,18 @@
     assert.equal(chooseNextModel({ ...STATE, budgetUse: 1 }), undefined);
     assert.equal(chooseNextModel({ ...STATE, model: "large" }), undefined);
   });
+
+  // More escalations than the endpoints bear make every answer late.
+  it("asks less often the later the larger answer would begin", () => {
+    const bounds = [0, 0.4, 0.7, 1, 1.5, 2, 3, 9].map(computeConfidenceBound);
+    assert.deepEqual(
+      bounds,
+      [...bounds].sort((a, b) => b - a),
+    );
+    assert.equal(bounds.at(-1), 0);
+    assert.equal(
+      chooseNextModel({ ...STATE, largerStartMs: 2_500 }),
+      undefined,
+    );
+  });
 });
--- a/src/proxy/endpoint_choice.ts
+++ b/src/proxy/endpoint_choice.ts
@@ -32,8 +32,11 @@
 
 /** Fixed time of an attempt before the first prompt token is read, ms. */
 const FIXED_MS = 6;
-/** Prompt tokens that a middling engine reads in 1 ms at the smallest model. */
-const TOKENS_PER_MS = 100;
+/**
+ * Prompt tokens that an engine of usual speed reads in 1 ms at the smallest
+ * model; the pace that is learned of each endpoint corrects it.
+ */
+const TOKENS_PER_MS = 300;
 /** How much one running request slows the reading of a prompt, ms. */
 const RUNNING_MS = 0.6;
 /** Wait for a place where all are taken, for each request over them, ms. */
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -64,6 +64,8 @@
 const RETRY_AFTER_MS = { least: 150, most: 600 } as const;
 /** Weight of a prompt token where the models have no prices. */
 const PLAIN_WEIGHT = 1;
+/** Prices of larger models rise a little faster than the time they take. */
+const PRICE_EXPONENT = 0.85;
 /** Connections of one entry to an endpoint, as a share of an equal split. */
 const CONNECTION_SHARE = 0.8;
 
@@ -178,8 +180,8 @@
   }
 
   #choose(model: string): Choice | undefined {
-    const { route, service, facts, signal, deadlineAtMs } = this.#request;
-    const { now, random, countEntries, budget } = this.#services;
+    const { service, signal, deadlineAtMs } = this.#request;
+    const { now, countEntries, budget } = this.#services;
     const nowMs = now();
     if (signal.aborted || deadlineAtMs - nowMs < MIN_ATTEMPT_MS) {
       return this.#fail("no time is left");
@@ -187,15 +189,7 @@
     if (this.#attemptsLeft <= 0) return this.#fail("no attempts are left");
     const states = this.#listStates(nowMs);
     const entries = countEntries();
-    const options: ChoiceOptions = {
-      work: this.#createWork(model),
-      nowMs,
-      random,
-      tried: this.#tried,
-      homes: route.sharesPrompts ? listHomes(states, facts, model) : [],
-      entries,
-      coldPerSecond: service.coldPerSecond / entries,
-    };
+    const options = this.#createOptions(states, model, nowMs);
     const choice = chooseEndpoint(states, options);
     if (choice === undefined) return this.#fail("no endpoint is open");
     if (this.#attempts > 0 && !budget.spend(service.name, entries, nowMs)) {
@@ -207,6 +201,33 @@
     return choice;
   }
 
+  #createOptions(
+    states: readonly EndpointState[],
+    model: string,
+    nowMs: number,
+  ): ChoiceOptions {
+    const { route, service, facts } = this.#request;
+    const { random, countEntries } = this.#services;
+    const entries = countEntries();
+    return {
+      work: this.#createWork(model),
+      nowMs,
+      random,
+      tried: this.#tried,
+      homes: route.sharesPrompts ? listHomes(states, facts, model) : [],
+      entries,
+      coldPerSecond: service.coldPerSecond / entries,
+    };
+  }
+
+  /** Expected time to the head of an answer of the model, ms. */
+  #estimateStartMs(model: string, nowMs: number): number {
+    const states = this.#listStates(nowMs);
+    const options = this.#createOptions(states, model, nowMs);
+    const choice = chooseEndpoint(states, { ...options, tried: new Set() });
+    return choice?.startMs ?? Number.POSITIVE_INFINITY;
+  }
+
   #fail(reason: string): undefined {
     this.#lastFailure = this.#lastFailure
       ? `${reason}; ${this.#lastFailure}`
@@ -426,26 +447,31 @@
   }
 
   #chooseNextModel(attempt: AnsweredAttempt): string | undefined {
-    const { route, service, deadlineAtMs } = this.#request;
+    const { route, service, startedAtMs } = this.#request;
     const { confidence } = attempt.head.facts;
     if (confidence === undefined || attempt.head.status >= 300) {
       return undefined;
     }
     const { budget, countEntries, now } = this.#services;
     const nowMs = now();
+    const largest = route.models.at(-1) ?? "";
+    const largerStartMs =
+      attempt.model === largest ? 0 : this.#estimateStartMs(largest, nowMs);
     const next = chooseNextModel({
       models: route.models,
       model: attempt.model,
       confidence,
       attemptsLeft: this.#attemptsLeft,
       budgetUse: budget.getUse(service.name, countEntries(), nowMs),
-      largerStartMs: 0,
-      leftMs: deadlineAtMs - nowMs,
+      spentMs: nowMs - startedAtMs,
+      largerStartMs,
+      targetMs: route.targetMs,
     });
     this.#services.log.info("answer-judged", {
       request: this.#request.facts.id,
       model: attempt.model,
       confidence,
+      largerStartMs: Math.round(largerStartMs),
       next: next ?? "deliver",
     });
     return next;
@@ -573,7 +599,7 @@
   const price = service.models.find((item) => item.name === model);
   const least = Math.min(...service.models.map((item) => item.cost));
   if (price === undefined || !(least > 0)) return PLAIN_WEIGHT;
-  return price.cost / least;
+  return (price.cost / least) ** PRICE_EXPONENT;
 }
 
 /** Endpoints that should keep the last part that other requests share. */
