--- a/src/proxy/peers_test.ts
+++ b/src/proxy/peers_test.ts
@@ -86,6 +86,8 @@
         service: "svc",
         version: "v2",
         route: "r",
+        endpoint: "e",
+        endpoints: 1,
         isGood: false,
       });
     }
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -248,6 +248,7 @@
         session === undefined
           ? undefined
           : sessions.get(service.name, session, nowMs),
+      tried: this.#tried,
       nowMs,
     });
   }
@@ -441,6 +442,10 @@
       service: service.name,
       version: state.record.version,
       route: route.name,
+      endpoint: state.record.id,
+      endpoints: view.endpoints
+        .list(service.name)
+        .filter(({ record }) => record.version === state.record.version).length,
       isGood: result === ATTEMPT_RESULT.answered,
       slowness: state.isWarm(now()) ? pace : undefined,
     });
--- a/src/proxy/rollout_evidence.ts
+++ b/src/proxy/rollout_evidence.ts
@@ -4,7 +4,11 @@
  * is the newer one and reports may come in any order.
  */
 
-import type { RolloutTally } from "../schema/exchange/index.js";
+import type {
+  EndpointFailures,
+  RolloutReport,
+  RolloutTally,
+} from "../schema/exchange/index.js";
 
 export interface Totals {
   answers: number;
@@ -30,6 +34,7 @@
 export class RolloutEvidence {
   readonly #origin: string;
   readonly #tallies = new Map<string, RolloutTally>();
+  readonly #failing = new Map<string, EndpointFailures>();
 
   /** `origin` names one start of this entry. */
   constructor(origin: string) {
@@ -39,11 +44,12 @@
   /** Counts an answer that this entry got. */
   add(answer: {
     route: string;
+    endpoint: string;
     isTarget: boolean;
     isGood: boolean;
     slowness?: number;
   }): void {
-    const { route, isTarget, isGood, slowness } = answer;
+    const { route, endpoint, isTarget, isGood, slowness } = answer;
     const key = createKey(this.#origin, route, isTarget);
     const tally = this.#tallies.get(key) ?? {
       origin: this.#origin,
@@ -54,23 +60,53 @@
     this.#tallies.set(key, tally);
     tally.answers++;
     if (!isGood) tally.failures++;
+    if (!isGood && isTarget) this.#addFailure(endpoint);
     if (slowness === undefined || slowness <= 0) return;
     tally.timed++;
     tally.logSlowness += Math.log(slowness);
   }
 
-  merge(tallies: readonly RolloutTally[]): void {
-    for (const tally of tallies) {
+  #addFailure(endpoint: string): void {
+    const key = `${this.#origin} ${endpoint}`;
+    const held = this.#failing.get(key);
+    if (held !== undefined) held.failures++;
+    else {
+      const origin = this.#origin;
+      this.#failing.set(key, { origin, endpoint, failures: 1 });
+    }
+  }
+
+  merge(report: Pick<RolloutReport, "tallies" | "failing">): void {
+    for (const tally of report.tallies) {
       if (tally.origin === this.#origin) continue;
       const key = createKey(tally.origin, tally.route, tally.isTarget);
       const known = this.#tallies.get(key);
       if (known !== undefined && known.answers >= tally.answers) continue;
       this.#tallies.set(key, { ...tally });
     }
+    for (const counted of report.failing) {
+      if (counted.origin === this.#origin) continue;
+      const key = `${counted.origin} ${counted.endpoint}`;
+      const known = this.#failing.get(key);
+      if (known !== undefined && known.failures >= counted.failures) continue;
+      this.#failing.set(key, { ...counted });
+    }
   }
 
-  list(): RolloutTally[] {
-    return [...this.#tallies.values()];
+  list(): Pick<RolloutReport, "tallies" | "failing"> {
+    return {
+      tallies: [...this.#tallies.values()],
+      failing: [...this.#failing.values()],
+    };
+  }
+
+  /** Failures of the new version by endpoint, most first. */
+  listFailures(): number[] {
+    const sums = new Map<string, number>();
+    for (const { endpoint, failures } of this.#failing.values()) {
+      sums.set(endpoint, (sums.get(endpoint) ?? 0) + failures);
+    }
+    return [...sums.values()].sort((a, b) => b - a);
   }
 
   /** Sums over all entries by route. */
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -39,6 +39,12 @@
 const BAD_ROUTE_SHARE = 0.3;
 /** Times the share of failures of the old version that condemns the new. */
 const BAD_RATIO = 2;
+/** Part of a version's endpoints that may be faulty by themselves. */
+const FAULTY_ENDPOINTS = 0.2;
+/** Share of failures beyond the old version's that is no fault. */
+const TOLERATED_SHARE = 0.02;
+/** Standard deviations between what is counted and what is believed. */
+const CERTAINTY = 2.6;
 /** Times the old version's time to the answer that condemns the new. */
 const SLOW_RATIO = 3;
 const MIN_TIMES = 12;
@@ -47,6 +53,9 @@
   readonly service: string;
   readonly version: string;
   readonly route: string;
+  readonly endpoint: string;
+  /** Endpoints of the version that are registered. */
+  readonly endpoints: number;
   readonly isGood: boolean;
   /** Time to the answer against the expected one. */
   readonly slowness?: number;
@@ -56,6 +65,8 @@
   order: RolloutOrder;
   startedAtMs: number;
   readonly evidence: RolloutEvidence;
+  /** Most endpoints of the new version that were seen. */
+  targetEndpoints: number;
   /** Why the version is bad. */
   verdict?: string;
 }
@@ -96,6 +107,7 @@
       order,
       startedAtMs: nowMs,
       evidence: new RolloutEvidence(this.#origin),
+      targetEndpoints: 0,
     });
   }
 
@@ -131,6 +143,12 @@
     return running !== undefined && this.#getPart(running, nowMs) < 0.5;
   }
 
+  /** Time since the order was first known to an entry, ms. */
+  getElapsedMs(service: string, nowMs: number): number {
+    const running = this.#running.get(service);
+    return running === undefined ? 0 : nowMs - running.startedAtMs;
+  }
+
   #getPart(running: Running, nowMs: number): number {
     return (nowMs - running.startedAtMs) / running.order.durationMs;
   }
@@ -140,7 +158,10 @@
     if (running === undefined || running.order.outcome !== undefined) return;
     const isTarget = answer.version === running.order.target;
     running.evidence.add({ ...answer, isTarget });
-    if (isTarget) running.verdict ??= findFault(running.evidence);
+    if (!isTarget) return;
+    const { endpoints } = answer;
+    running.targetEndpoints = Math.max(running.targetEndpoints, endpoints);
+    running.verdict ??= findFault(running);
   }
 
   /** What this entry knows of the rollouts that are under way. */
@@ -152,7 +173,7 @@
         target: order.target,
         createdRevision: order.createdRevision,
         elapsedMs: Math.round(nowMs - startedAtMs),
-        tallies: evidence.list(),
+        ...evidence.list(),
       }));
   }
 
@@ -165,8 +186,8 @@
     if (order.createdRevision !== report.createdRevision) return;
     const startedAtMs = nowMs - report.elapsedMs;
     running.startedAtMs = Math.min(running.startedAtMs, startedAtMs);
-    running.evidence.merge(report.tallies);
-    running.verdict ??= findFault(running.evidence);
+    running.evidence.merge(report);
+    running.verdict ??= findFault(running);
   }
 
   /** Outcomes that are due; each is to be written to the store. */
@@ -191,7 +212,8 @@
 }
 
 /** Why the new version is bad; undefined while nothing speaks against it. */
-function findFault(evidence: RolloutEvidence): string | undefined {
+function findFault(running: Running): string | undefined {
+  const { evidence } = running;
   const target = evidence.sum(true);
   const others = evidence.sum(false);
   const { failures, answers } = target;
@@ -199,6 +221,8 @@
   if (failures >= MIN_FAILURES && getFailureShare(target) >= bound) {
     return `${failures} of ${answers} answers failed`;
   }
+  const spread = findSpreadFault(running, getFailureShare(others));
+  if (spread !== undefined) return spread;
   const usual = evidence.sumRoutes(false);
   for (const [route, totals] of evidence.sumRoutes(true)) {
     const held = usual.get(route);
@@ -213,3 +237,34 @@
   if (ratio <= SLOW_RATIO) return undefined;
   return `Answers take ${ratio.toFixed(1)} times as long`;
 }
+
+/**
+ * A small share of failures condemns a version where it is spread over its
+ * endpoints: a few faulty endpoints are no fault of the version.
+ */
+function findSpreadFault(
+  { evidence, targetEndpoints }: Running,
+  usualShare: number,
+): string | undefined {
+  const ignored = Math.floor(FAULTY_ENDPOINTS * targetEndpoints);
+  const failures = evidence
+    .listFailures()
+    .slice(ignored)
+    .reduce((sum, count) => sum + count, 0);
+  if (failures < MIN_FAILURES) return undefined;
+  const part = 1 - ignored / Math.max(1, targetEndpoints);
+  const answers = Math.max(failures, evidence.sum(true).answers * part);
+  const least = computeLeastShare(failures, answers);
+  if (least <= BAD_RATIO * usualShare + TOLERATED_SHARE) return undefined;
+  return `${failures} of ${Math.round(answers)} answers failed on many endpoints`;
+}
+
+/** Lower end of Wilson's interval for a share that was counted. */
+function computeLeastShare(count: number, total: number): number {
+  const share = count / total;
+  const z2 = CERTAINTY ** 2;
+  const centre = share + z2 / (2 * total);
+  const variance = (share * (1 - share)) / total + z2 / (4 * total ** 2);
+  const least = centre - CERTAINTY * Math.sqrt(variance);
+  return Math.max(0, least / (1 + z2 / total));
+}
--- a/src/proxy/rollouts_test.ts
+++ b/src/proxy/rollouts_test.ts
@@ -13,6 +13,7 @@
 };
 const ROUTES = ["report", "chat", "lookup"];
 const REQUESTS_PER_SECOND = 50;
+const ENDPOINTS = 8;
 
 interface Fault {
   /** Share of the new version's answers that fail. */
@@ -20,6 +21,8 @@
   readonly fromMs?: number;
   readonly route?: string;
   readonly slowness?: number;
+  /** Fails on this endpoint only. */
+  readonly endpoint?: number;
   /** Fails only while the version has at least this share of the traffic. */
   readonly aboveShare?: number;
 }
@@ -55,6 +58,7 @@
       isTarget &&
       nowMs >= (fault.fromMs ?? 0) &&
       (fault.route ?? route) === route &&
+      (fault.endpoint ?? turn % ENDPOINTS) === turn % ENDPOINTS &&
       share >= (fault.aboveShare ?? 0);
     const isGood = !isFaulty || (turn * 0.754_877) % 1 >= fault.share;
     all++;
@@ -64,6 +68,8 @@
       service: "svc",
       version: isTarget ? "v2" : "v1",
       route,
+      endpoint: `e${turn % ENDPOINTS}`,
+      endpoints: ENDPOINTS,
       isGood,
       slowness: isFaulty ? (fault.slowness ?? 1) : 1,
     });
@@ -96,6 +102,7 @@
     "fails later than half of its time": { share: 0.5, fromMs: 13_000 },
     "fails on one route": { share: 0.5, route: "chat" },
     "fails under load": { share: 0.5, aboveShare: 0.4 },
+    "fails a tenth of its answers": { share: 0.1 },
     "is slow": { share: 0, slowness: 8 },
   };
   for (const [name, fault] of Object.entries(faults)) {
@@ -109,6 +116,14 @@
     });
   }
 
+  // One faulty host says nothing about the version that it runs.
+  it("completes a version of which one endpoint fails", () => {
+    for (const entries of [1, 4, 30]) {
+      const played = playRollout(entries, { share: 0.5, endpoint: 3 });
+      assert.equal(played.outcome, "completed", `${entries} entries`);
+    }
+  });
+
   it("moves nobody over in the first half beyond the first share", () => {
     const rollouts = new Rollouts("self");
     rollouts.put(ORDER, 0);
@@ -131,9 +146,9 @@
     const a = new RolloutEvidence("a");
     const b = new RolloutEvidence("b");
     const add = (evidence: RolloutEvidence, isGood: boolean) =>
-      evidence.add({ route: "r", isTarget: true, isGood });
+      evidence.add({ route: "r", endpoint: "e", isTarget: true, isGood });
     add(a, false);
-    const early = a.list().map((tally) => ({ ...tally }));
+    const early = structuredClone(a.list());
     add(a, true);
     add(b, false);
     b.merge(a.list());
@@ -143,6 +158,7 @@
     for (const evidence of [a, b]) {
       const { answers, failures } = evidence.sum(true);
       assert.deepEqual([answers, failures], [3, 2]);
+      assert.deepEqual(evidence.listFailures(), [2]);
     }
   });
 });
--- a/src/proxy/session_versions_test.ts
+++ b/src/proxy/session_versions_test.ts
@@ -40,6 +40,7 @@
     rollouts,
     place: hashSession("svc", session),
     lastVersion: sessions.get("svc", session, nowMs),
+    tried: new Set(),
     nowMs,
   });
   return first?.record.version;
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -54,6 +54,14 @@
   /** Milliseconds since the sender learned of the order. */
   elapsedMs: number;
   tallies: RolloutTally[];
+  failing: EndpointFailures[];
+}
+
+/** Failures that one entry got of one endpoint of the new version. */
+export interface EndpointFailures {
+  origin: string;
+  endpoint: string;
+  failures: number;
 }
 
 /** Counts of one entry in one start; they only grow. */
@@ -372,7 +380,7 @@
 };
 
 function createBaseRolloutReport(): RolloutReport {
-  return { service: "", target: "", createdRevision: 0, elapsedMs: 0, tallies: [] };
+  return { service: "", target: "", createdRevision: 0, elapsedMs: 0, tallies: [], failing: [] };
 }
 
 export const RolloutReport: MessageFns<RolloutReport> = {
@@ -392,6 +400,9 @@
     for (const v of message.tallies) {
       RolloutTally.encode(v!, writer.uint32(42).fork()).join();
     }
+    for (const v of message.failing) {
+      EndpointFailures.encode(v!, writer.uint32(50).fork()).join();
+    }
     return writer;
   },
 
@@ -448,6 +459,14 @@
             message.tallies.push(RolloutTally.decode(reader, reader.uint32()));
             continue;
           }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.failing.push(EndpointFailures.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -470,6 +489,86 @@
     message.createdRevision = object.createdRevision ?? 0;
     message.elapsedMs = object.elapsedMs ?? 0;
     message.tallies = object.tallies?.map((e) => RolloutTally.fromPartial(e)) || [];
+    message.failing = object.failing?.map((e) => EndpointFailures.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseEndpointFailures(): EndpointFailures {
+  return { origin: "", endpoint: "", failures: 0 };
+}
+
+export const EndpointFailures: MessageFns<EndpointFailures> = {
+  encode(message: EndpointFailures, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.origin !== "") {
+      writer.uint32(10).string(message.origin);
+    }
+    if (message.endpoint !== "") {
+      writer.uint32(18).string(message.endpoint);
+    }
+    if (message.failures !== 0) {
+      writer.uint32(24).uint32(message.failures);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): EndpointFailures {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEndpointFailures();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.origin = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.failures = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<EndpointFailures>): EndpointFailures {
+    return EndpointFailures.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<EndpointFailures>): EndpointFailures {
+    const message = createBaseEndpointFailures();
+    message.origin = object.origin ?? "";
+    message.endpoint = object.endpoint ?? "";
+    message.failures = object.failures ?? 0;
     return message;
   },
 };
