--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -7,13 +7,14 @@
 import {
   Connections,
   createSuspendClock,
-  FIRST_SHARE,
   FleetView,
   Freshness,
+  getFirstShare,
   Peers,
   ProxyMetrics,
   RepeatBudget,
   RequestPath,
+  Rollouts,
   SessionVersions,
   startCallerServer,
   startMetricsServer,
@@ -64,7 +65,7 @@
   const metrics = new ProxyMetrics();
   const maxConfigAgeMs = FRESH_SHARE * bounds.revokeMs;
   const incarnation = randomUUID();
-  const view = new FleetView(incarnation);
+  const view = new FleetView(new Rollouts(incarnation, bounds.exposure));
   const clock = createSuspendClock();
   const now = () => performance.now();
   const { random } = Math;
@@ -89,7 +90,7 @@
   });
   const sessions = new SessionVersions({
     gapMs: SESSION_MARGIN * bounds.sessionGapMs,
-    toldBelow: FIRST_SHARE,
+    toldBelow: getFirstShare(bounds.exposure),
   });
   const peers = new Peers({
     self: { ...settings.exchange, name: settings.name, incarnation },
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -19,6 +19,7 @@
   repeatWindowMs: 10_000,
   repeatAllowance: 50,
   sessionGapMs: 5_000,
+  exposure: 0.15,
 };
 
 export interface Answer {
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -49,6 +49,8 @@
   readonly repeatAllowance: number;
   /** Requests of a session follow each other within this time. */
   readonly sessionGapMs: number;
+  /** Share of a service's requests that may reach a bad version. */
+  readonly exposure: number;
 }
 
 /** Bounds that apply where the file names none. */
@@ -60,6 +62,7 @@
   repeatWindowS: 10,
   repeatAllowance: 10,
   sessionS: 5,
+  exposure: 0.1,
 } as const;
 
 function decodeBounds(bounds: Fields): EntryBounds {
@@ -76,6 +79,7 @@
     repeatAllowance:
       getNumber(bounds, "retry_slack") ?? DEFAULTS.repeatAllowance,
     sessionGapMs: sessionS * MS_PER_SECOND,
+    exposure: getNumber(bounds, "expose_share") ?? DEFAULTS.exposure,
   };
 }
 
--- a/src/proxy/fleet_view.ts
+++ b/src/proxy/fleet_view.ts
@@ -3,18 +3,38 @@
 import { Catalog } from "./catalog.js";
 import type { EndpointState } from "./endpoint_state.js";
 import { EndpointTable } from "./endpoint_table.js";
-import { Rollouts } from "./rollouts.js";
+import type { Rollouts } from "./rollouts.js";
 import type { Configuration } from "./types.js";
 
+/** Weight of the newest time in the mean. */
+const SMOOTHING = 0.1;
+
+/** Running means of the times to the heads of answers. */
+export class RecentStarts {
+  readonly #means = new Map<string, number>();
+
+  record(service: string, model: string, ms: number): void {
+    const key = `${service} ${model}`;
+    const mean = this.#means.get(key) ?? ms;
+    this.#means.set(key, mean + SMOOTHING * (ms - mean));
+  }
+
+  /** 0 before the first answer. */
+  getMs(service: string, model: string): number {
+    return this.#means.get(`${service} ${model}`) ?? 0;
+  }
+}
+
 export class FleetView {
   readonly endpoints = new EndpointTable();
   readonly rollouts: Rollouts;
+  /** Usual time to an answer's head by service and model. */
+  readonly starts = new RecentStarts();
   readonly #evacuated = new Set<string>();
   #catalog: Catalog | undefined;
 
-  /** `origin` names one start of this entry. */
-  constructor(origin: string) {
-    this.rollouts = new Rollouts(origin);
+  constructor(rollouts: Rollouts) {
+    this.rollouts = rollouts;
   }
 
   get catalog(): Catalog | undefined {
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -54,6 +54,11 @@
 const PATIENCE_SHARE = 0.6;
 /** Times the expected time to the answer that an endpoint is given. */
 const PATIENCE_RATIO = 6;
+/**
+ * Times the usual time to an answer that an endpoint is given: giving up on
+ * endpoints that are only busy would have them read the same prompts again.
+ */
+const USUAL_RATIO = 3;
 /** Shortest time that an endpoint is given, ms. */
 const MIN_PATIENCE_MS = 150;
 /** Times the allowed pause after which a silent stream is continued elsewhere. */
@@ -248,7 +253,6 @@
         session === undefined
           ? undefined
           : sessions.get(service.name, session, nowMs),
-      tried: this.#tried,
       nowMs,
     });
   }
@@ -289,6 +293,11 @@
       await this.#endErred(attempt, head);
       return undefined;
     }
+    this.#services.view.starts.record(
+      this.#request.service.name,
+      model,
+      tookMs,
+    );
     const pace = tookMs / Math.max(1, attempt.expectedMs);
     state.recordPace(pace * state.slowness);
     this.#recordResult(attempt, ATTEMPT_RESULT.answered, pace);
@@ -344,13 +353,18 @@
 
   /** Gives up on a silent endpoint while another one can still be in time. */
   #startPatience(attempt: Attempt, choice: Choice): NodeJS.Timeout | undefined {
-    const { route } = this.#request;
+    const { route, service } = this.#request;
+    const usualMs = this.#services.view.starts.getMs(
+      service.name,
+      attempt.model,
+    );
     const isLast = this.#attemptsLeft <= 0 || choice.candidates <= 1;
     if (route.repeat === REPEAT.once || isLast) return undefined;
     const patienceMs = Math.max(
       MIN_PATIENCE_MS,
       PATIENCE_SHARE * route.targetMs,
       PATIENCE_RATIO * choice.startMs,
+      USUAL_RATIO * usualMs,
     );
     return setTimeout(() => attempt.controller.abort(), patienceMs);
   }
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -17,18 +17,21 @@
   type RolloutOutcome,
 } from "./types.js";
 
-/** Share of the sessions that the new version gets first. */
-export const FIRST_SHARE = 0.1;
-/** Share of the sessions on the new version from a part of the time on. */
-const STEPS: readonly { from: number; share: number }[] = [
-  { from: 0, share: FIRST_SHARE },
-  { from: 0.5, share: 0.2 },
-  { from: 0.58, share: 0.4 },
-  { from: 0.66, share: 0.7 },
-  { from: 0.72, share: 1 },
+/**
+ * Steps of the share, in parts of the exposure that operators allow a bad
+ * version. Some versions fail only when all traffic has moved, so the requests
+ * that reach the new one by the deadline stay under that exposure whatever the
+ * evidence says: 0.35 / 2 + 0.6 * 0.35 + 1.2 * 0.09 + 0.4 of it.
+ */
+const STEPS: readonly { from: number; exposure: number }[] = [
+  { from: 0, exposure: 0.35 },
+  { from: 0.5, exposure: 0.6 },
+  { from: 0.85, exposure: 1.2 },
 ];
-/** Part of the time after which a sound version is completed. */
-const COMPLETE_FROM = 0.86;
+/** Last part of the time with all traffic, in parts of the exposure. */
+const FULL_EXPOSURE = 0.4;
+/** Last part of the time in which a sound version is completed, likewise. */
+const COMPLETE_EXPOSURE = 0.15;
 /** Answers of the new version without which nothing is completed. */
 const MIN_ANSWERS = 10;
 /** Failures of the new version that may be chance. */
@@ -49,6 +52,11 @@
 const SLOW_RATIO = 3;
 const MIN_TIMES = 12;
 
+/** Share of the sessions that the new version gets first. */
+export function getFirstShare(exposure: number): number {
+  return (STEPS[0]?.exposure ?? 0) * exposure;
+}
+
 export interface VersionAnswer {
   readonly service: string;
   readonly version: string;
@@ -87,10 +95,15 @@
 export class Rollouts {
   readonly #running = new Map<string, Running>();
   readonly #origin: string;
+  readonly #exposure: number;
 
-  /** `origin` names one start of this entry. */
-  constructor(origin: string) {
+  /**
+   * `origin` names one start of this entry; `exposure` is the share of a
+   * service's requests that may reach a bad version.
+   */
+  constructor(origin: string, exposure: number) {
     this.#origin = origin;
+    this.#exposure = exposure;
   }
 
   put(order: RolloutOrder, nowMs: number): void {
@@ -132,9 +145,9 @@
     if (order.outcome === ROLLOUT_OUTCOME.completed) return 1;
     if (order.outcome !== undefined || verdict !== undefined) return 0;
     const part = this.#getPart(running, nowMs);
-    let share = 0;
-    for (const step of STEPS) if (part >= step.from) share = step.share;
-    return share;
+    if (part >= 1 - FULL_EXPOSURE * this.#exposure) return 1;
+    const step = STEPS.findLast(({ from }) => part >= from);
+    return (step?.exposure ?? 0) * this.#exposure;
   }
 
   /** True in the part of a rollout in which no session may change over. */
@@ -143,12 +156,6 @@
     return running !== undefined && this.#getPart(running, nowMs) < 0.5;
   }
 
-  /** Time since the order was first known to an entry, ms. */
-  getElapsedMs(service: string, nowMs: number): number {
-    const running = this.#running.get(service);
-    return running === undefined ? 0 : nowMs - running.startedAtMs;
-  }
-
   #getPart(running: Running, nowMs: number): number {
     return (nowMs - running.startedAtMs) / running.order.durationMs;
   }
@@ -201,7 +208,8 @@
         decisions.push({ order, outcome, reason: verdict });
         continue;
       }
-      if (this.#getPart(running, nowMs) < COMPLETE_FROM) continue;
+      const completeFrom = 1 - COMPLETE_EXPOSURE * this.#exposure;
+      if (this.#getPart(running, nowMs) < completeFrom) continue;
       const { answers, failures } = evidence.sum(true);
       if (answers < MIN_ANSWERS) continue;
       const reason = `${failures} of ${answers} answers failed`;
