Write the entry's log through a bounded buffer and limit its lines

Cause: standard output is a pipe, to which Node writes in the foreground, so a stalled reader would stall requests. Change: lines go through a buffer of 1 MB that drops what is over it; 1,000 lines a second, then a count of those left out. SIGHUP tells whether the settings file would start another entry.

--- /dev/null
+++ b/src/adapters/log_limit_test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createLimitedLogger } from "./log_limit.js";
+
+describe("limit on log lines", () => {
+  // A storm of requests must not spend the process on its own log.
+  it("drops lines over the limit, tells how many, and keeps warnings", () => {
+    const lines: string[] = [];
+    const record = (event: string, fields: object = {}) => {
+      lines.push([event, ...Object.values(fields)].join(" "));
+    };
+    let nowMs = 0;
+    const log = createLimitedLogger(
+      { debug: record, info: record, warn: record, error: record },
+      { linesPerSecond: 3, now: () => nowMs },
+    );
+    for (let i = 0; i < 10; i++) log.info("request-ended");
+    log.warn("store-lost");
+    nowMs = 1_000;
+    log.info("request-ended");
+    assert.deepEqual(lines, [
+      "request-ended",
+      "request-ended",
+      "request-ended",
+      "store-lost",
+      "log-lines-dropped 7 1000",
+      "request-ended",
+    ]);
+  });
+});
--- a/src/adapters/logs.ts
+++ b/src/adapters/logs.ts
@@ -71,10 +71,15 @@
   ].join(" ");
 }
 
+/** Takes whole lines; a write never blocks where it may not. */
+export interface LogOutput {
+  write(text: string): unknown;
+}
+
 class KeyValueStream extends Writable {
-  readonly #output: NodeJS.WritableStream;
+  readonly #output: LogOutput;
 
-  constructor(output: NodeJS.WritableStream) {
+  constructor(output: LogOutput) {
     super({ objectMode: true });
     this.#output = output;
   }
@@ -91,7 +96,7 @@
 
 export interface LoggerOptions {
   fields?: LogFields;
-  output?: NodeJS.WritableStream;
+  output?: LogOutput;
 }
 
 /** Creates a logger that writes key=value lines to standard output. */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,8 +1,10 @@
 /** The program that the platform starts on an entry host. */
 
-import { createLogger } from "../adapters/logs.js";
+import { SonicBoom } from "sonic-boom";
+import { createLimitedLogger } from "../adapters/log_limit.js";
+import { createLogger, type Logger } from "../adapters/logs.js";
 import { startEntry } from "./entry.js";
-import { readSettings } from "./settings.js";
+import { type EntrySettings, readSettings } from "./settings.js";
 
 const SETTINGS_VARIABLE = "HORNBEAMRILL_NODE_FILE";
 /** Exit codes, the same as the daemon's. */
@@ -10,6 +12,44 @@
 const EXIT_FAILED = 1;
 const EXIT_SETTINGS = 2;
 
+const STDOUT = 1;
+/** Bytes of log that wait for a reader; later lines are dropped. */
+const MAX_LOG_BYTES = 1_048_576;
+/** Four lines a request at 250 requests a second. */
+const LOG_LINES_PER_SECOND = 1_000;
+
+/** Writes without waiting: a reader that stalls costs lines, not requests. */
+function createOutput(): SonicBoom {
+  return new SonicBoom({
+    fd: STDOUT,
+    sync: false,
+    maxLength: MAX_LOG_BYTES,
+  });
+}
+
+function createEntryLogger(settings: EntrySettings, output: SonicBoom): Logger {
+  const { name, dataCentre, role } = settings;
+  const fields = { role, process: name, dataCentre };
+  const logger = createLogger({}, { fields, output });
+  const now = () => performance.now();
+  const linesPerSecond = LOG_LINES_PER_SECOND;
+  return createLimitedLogger(logger, { linesPerSecond, now });
+}
+
+/**
+ * Addresses and bounds are read once: a listener can't move under callers.
+ * The reload tells whether the file would start another entry.
+ */
+function reload(held: EntrySettings, log: Logger): void {
+  const next = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
+  if (next.isErr()) {
+    log.error("reload-failed", { reason: next.error.detail });
+    return;
+  }
+  const changed = JSON.stringify(next.value) !== JSON.stringify(held);
+  log.info("reloaded", { needsRestart: changed });
+}
+
 async function main(): Promise<number> {
   const startedAtMs = performance.now();
   const settings = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
@@ -17,14 +57,14 @@
     process.stderr.write(`${settings.error.detail}\n`);
     return EXIT_SETTINGS;
   }
-  const { name, dataCentre, role } = settings.value;
-  const log = createLogger({}, { fields: { role, process: name, dataCentre } });
+  const output = createOutput();
+  const log = createEntryLogger(settings.value, output);
   const stopRequested = new Promise<string>((resolve) => {
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
       process.once(signal, () => resolve(signal));
     }
   });
-  process.on("SIGHUP", () => log.info("reload-requested", {}));
+  process.on("SIGHUP", () => reload(settings.value, log));
   try {
     const entry = await startEntry(settings.value, log);
     log.info("started", {
@@ -34,9 +74,11 @@
     log.info("stop-requested", { signal: await stopRequested });
     await entry.stop();
     log.info("stopped");
+    output.flushSync();
     return EXIT_STOPPED;
   } catch (error) {
     log.error("failed", { error: String(error) });
+    output.flushSync();
     return EXIT_FAILED;
   }
 }
