--- a/src/proxy/endpoint_choice.ts
+++ b/src/proxy/endpoint_choice.ts
@@ -46,6 +46,11 @@
  * best home first. Unequal, so that all entries use one home unless it is busy.
  */
 const HOME_KEEPS = [0.9, 0.4];
+/**
+ * Weight of a prompt token that is read again against its time alone: it is
+ * also paid for, and delays what runs beside it.
+ */
+const READ_AGAIN_WEIGHT = 3;
 /** Scores that differ by less are equal, so that entries don't herd. */
 const TIE = 0.15;
 
@@ -63,6 +68,18 @@
   return Math.max(1, work.promptTokens - Math.max(kept, guess));
 }
 
+/** Time that is spent on prompt tokens which another endpoint keeps, ms. */
+function computeReadAgainMs(
+  state: EndpointState,
+  options: ChoiceOptions,
+  fewest: number,
+): number {
+  const { work, homes } = options;
+  const more = estimateTokensToRead(state, work, homes) - fewest;
+  const ms = (more * work.weight) / TOKENS_PER_MS;
+  return (READ_AGAIN_WEIGHT - 1) * ms;
+}
+
 /** Expected time to the answer's head on an endpoint of usual speed, ms. */
 export function estimateStartMs(
   state: EndpointState,
@@ -109,12 +126,18 @@
   const sound = fresh.filter(isSound);
   // A paused endpoint is better than none.
   const list = sound.length > 0 ? sound : fresh;
+  const fewest = Math.min(
+    ...list.map((state) =>
+      estimateTokensToRead(state, options.work, options.homes),
+    ),
+  );
   let best: Choice | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const state of list) {
     const startMs = state.slowness * estimateStartMs(state, options);
     const cold = state.isCold(nowMs) ? 2 : 1;
-    const score = startMs * cold * (1 + TIE * random());
+    const againMs = computeReadAgainMs(state, options, fewest);
+    const score = (startMs * cold + againMs) * (1 + TIE * random());
     if (score >= bestScore) continue;
     bestScore = score;
     best = { state, startMs, candidates: list.length };
