Give up on a connection that does not open within 300 ms

Ruled out: a slow answer (nothing was sent). Change: a connect timeout; the attempt counts as not sent, so also what may run once goes elsewhere. The log numbers attempts that were not sent too, and the end of a request names why it failed and the time that it had. Test: a connection that never opens (before: waits for the caller's deadline).

--- a/src/platform/attempt_test.ts
+++ b/src/platform/attempt_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
-import { createServer, type Socket } from "node:net";
+import { createServer, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { readAnswerBody, startAttempt } from "../proxy/attempt.js";
 import { platformWire } from "./headers.js";
@@ -121,6 +121,33 @@
     assert.equal(closed.kind, "unknown");
   });
 
+  // A host that is gone would otherwise hold a caller for its whole patience.
+  it("gives up soon on a connection that never opens, as not sent", async () => {
+    const agent = new Agent();
+    closers.push(() => agent.destroy());
+    const createConnection = () => {
+      const socket = new Socket();
+      Object.defineProperty(socket, "connecting", { value: true });
+      return socket;
+    };
+    const startedAtMs = performance.now();
+    const head = await startAttempt({
+      address: "127.0.0.1",
+      port: 1,
+      method: "POST",
+      path: "/a/",
+      headers: ["Host", "h", "Content-Length", "0"],
+      body: Buffer.alloc(0),
+      requestId: "r1",
+      agent: Object.assign(agent, { createConnection }),
+      wire: platformWire,
+      signal: AbortSignal.timeout(3_000),
+    });
+    assert.ok(head.isErr());
+    assert.equal(head.error.kind, "not-sent");
+    assert.ok(performance.now() - startedAtMs < 1_000);
+  });
+
   it("knows that nothing was sent where no connection opens", async () => {
     const port = await startEndpoint(() => undefined);
     for (const close of closers.splice(0)) close();
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -19,6 +19,12 @@
 export type AttemptFailureKind =
   (typeof ATTEMPT_FAILURE)[keyof typeof ATTEMPT_FAILURE];
 
+/**
+ * Time for a new connection, ms: a round trip takes a few, and a host that is
+ * gone or cut off never answers.
+ */
+const CONNECT_TIMEOUT_MS = 300;
+
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind;
   readonly detail: string;
@@ -72,8 +78,19 @@
     });
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
-      if (!socket.connecting) isSent = true;
-      else socket.once("connect", () => (isSent = true));
+      if (!socket.connecting) {
+        isSent = true;
+        return;
+      }
+      const timer = setTimeout(() => {
+        const ms = CONNECT_TIMEOUT_MS;
+        outgoing.destroy(new Error(`No connection within ${ms} ms`));
+      }, CONNECT_TIMEOUT_MS);
+      socket.once("connect", () => {
+        clearTimeout(timer);
+        isSent = true;
+      });
+      socket.once("close", () => clearTimeout(timer));
     });
     outgoing.on("error", (error) => {
       const { notSent, unknown } = ATTEMPT_FAILURE;
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -237,6 +237,8 @@
       outcome: result,
       status: response.headersSent ? response.statusCode : undefined,
       ms: Math.round(totalMs),
+      allowedMs,
+      detail: outcome === "answered" ? undefined : run.lastFailure,
       config: catalog.configuration.version,
     });
   }
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -108,6 +108,8 @@
 type RunOutcome = "answered" | "broken" | "refused";
 
 interface Attempt {
+  /** Counts from 1, attempts that were not sent included. */
+  readonly number: number;
   readonly state: EndpointState;
   readonly model: string;
   readonly startedAtMs: number;
@@ -127,7 +129,9 @@
   readonly #sink: AnswerSink;
   readonly #tried = new Set<string>();
   readonly #place: number;
+  /** Attempts that count towards what the route allows. */
   #attempts = 0;
+  #started = 0;
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
   #lastFailure = "";
@@ -144,6 +148,11 @@
         : hashSession(request.service.name, session);
   }
 
+  /** Why the last attempt failed or none was made; empty when all went well. */
+  get lastFailure(): string {
+    return this.#lastFailure;
+  }
+
   async run(): Promise<RunOutcome> {
     const { route, service } = this.#request;
     this.#services.budget.recordRequest(service.name, this.#services.now());
@@ -312,6 +321,7 @@
     const { now, log, view } = this.#services;
     const { state } = choice;
     this.#attempts++;
+    this.#started++;
     this.#tried.add(state.record.id);
     const work = this.#createWork(model);
     const toRead = estimateTokensToRead(state, work, []) * work.weight;
@@ -330,7 +340,7 @@
     };
     log.info("endpoint-chosen", {
       request: this.#request.facts.id,
-      attempt: this.#attempts,
+      attempt: this.#started,
       route: route.name,
       service: service.name,
       endpoint: state.record.id,
@@ -342,6 +352,7 @@
       config: view.catalog?.configuration.version,
     });
     return {
+      number: this.#started,
       state,
       model,
       startedAtMs: now(),
@@ -432,7 +443,7 @@
   #logEnd(attempt: Attempt, result: string, detail?: string): void {
     this.#services.log.info("attempt-ended", {
       request: this.#request.facts.id,
-      attempt: this.#attempts,
+      attempt: attempt.number,
       endpoint: attempt.state.record.id,
       result,
       ms: Math.round(this.#services.now() - attempt.startedAtMs),
@@ -552,6 +563,7 @@
       if (!signal.aborted) {
         this.#recordResult(attempt, ATTEMPT_RESULT.broken);
       }
+      this.#lastFailure = end.detail ?? "";
       this.#logEnd(attempt, "broken", end.detail);
       const mayResume = route.repeat === REPEAT.resume && !signal.aborted;
       attempt = mayResume
