Never say 'not run' after an answer was dropped or an attempt may have run; count read prompts as read

Cause: a request that may run again was refused 503 after attempts whose outcome was unknown, and after the small model's answer was dropped: a promise that was not true. It gets 502 now. Test: fails before. Cause: a prompt counted as waiting until its answer had ended, not until it was read. Removed: a histogram that nothing filled.

--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the command-line tool; docs/operations.md lists them. */
+/** Exit codes of the command-line tool; docs/OPERATIONS.md lists them. */
 export const EXIT_CODES = {
   done: 0,
   refused: 1,
--- a/src/docs_test.ts
+++ b/src/docs_test.ts
@@ -105,8 +105,8 @@
     assert.deepEqual(unsent, []);
   });
 
-  it("operations.md lists every refusal code with status and ran, and every exit code", () => {
-    const rows = listRows(readPage("operations.md"));
+  it("OPERATIONS.md lists every refusal code with status and ran, and every exit code", () => {
+    const rows = listRows(readPage("OPERATIONS.md"));
     const codes = rows.filter(([, status]) => /^[45]\d\d$/.test(status ?? ""));
     const expected = Object.entries(REFUSAL_CODES).map(
       ([code, { status, ran }]) => `\`${code}\` ${status} ${ran}`,
--- a/src/platform/entry_test.ts
+++ b/src/platform/entry_test.ts
@@ -73,6 +73,20 @@
       }
     });
 
+    // "Not run" would be false: the small model's answer was made and dropped.
+    it("doesn't say not run after an answer was dropped", async () => {
+      await system.start([
+        { id: "i-1", confidence: { small: 0 }, delayMs: 80 },
+      ]);
+      const full = system.replicas.get("i-1");
+      const call = system.call("/stream/sized/a");
+      await system.waitFor(() => system.listRuns("r1").length === 1);
+      if (full) full.options.isFull = true;
+      const answer = await call;
+      assert.equal(answer.status, 502);
+      assert.equal(answer.headers["retry-after"], undefined);
+    });
+
     it("says when to return where nothing has run", async () => {
       await system.start([{ id: "i-1", isFull: true }]);
       const answer = await system.call("/once/a");
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -18,13 +18,6 @@
     labelNames: ["service", "result"] as const,
     registers: [this.#registry],
   });
-  readonly startSeconds = new Histogram({
-    name: "hornbeamrill_answer_start_seconds",
-    help: "Time until the caller gets the first byte of an answer",
-    labelNames: ["route"] as const,
-    buckets: SECONDS_BUCKETS,
-    registers: [this.#registry],
-  });
   readonly totalSeconds = new Histogram({
     name: "hornbeamrill_answer_seconds",
     help: "Time until the caller has the whole answer",
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -115,6 +115,8 @@
   readonly startedAtMs: number;
   readonly expectedMs: number;
   readonly controller: AbortController;
+  /** The endpoint has read the prompt. */
+  readonly endReading: () => void;
   /** Ends the attempt's share of the endpoint's load. */
   readonly release: () => void;
 }
@@ -162,6 +164,8 @@
       if (attempt === undefined) return this.#giveUp();
       const next = this.#chooseNextModel(attempt);
       if (next === undefined) return await this.#deliver(attempt);
+      // The dropped answer did run.
+      this.#mayHaveRun = true;
       attempt.controller.abort();
       attempt.release();
       this.#tried.clear();
@@ -289,6 +293,7 @@
       signal: attempt.controller.signal,
     });
     clearTimeout(patience);
+    attempt.endReading();
     if (result.isErr()) {
       this.#endFailed(attempt, result.error);
       return undefined;
@@ -330,13 +335,19 @@
     const controller = new AbortController();
     const abort = () => controller.abort();
     signal.addEventListener("abort", abort, { once: true });
+    let isReading = true;
+    const endReading = () => {
+      if (!isReading) return;
+      isReading = false;
+      state.pendingWork = Math.max(0, state.pendingWork - toRead);
+    };
     let isHeld = true;
     const release = () => {
       if (!isHeld) return;
       isHeld = false;
       signal.removeEventListener("abort", abort);
       state.inFlight--;
-      state.pendingWork = Math.max(0, state.pendingWork - toRead);
+      endReading();
     };
     log.info("endpoint-chosen", {
       request: this.#request.facts.id,
@@ -358,6 +369,7 @@
       startedAtMs: now(),
       expectedMs: choice.startMs,
       controller,
+      endReading,
       release,
     };
   }
@@ -563,8 +575,10 @@
       if (!signal.aborted) {
         this.#recordResult(attempt, ATTEMPT_RESULT.broken);
       }
-      this.#lastFailure = end.detail ?? "";
-      this.#logEnd(attempt, "broken", end.detail);
+      this.#lastFailure = signal.aborted
+        ? "the caller left or its time was up"
+        : (end.detail ?? "");
+      this.#logEnd(attempt, "broken", this.#lastFailure);
       const mayResume = route.repeat === REPEAT.resume && !signal.aborted;
       attempt = mayResume
         ? await this.#resume(attempt.model, lastEventId, now())
@@ -594,7 +608,7 @@
 
   /** Answers with what is true of the request: failed, or not run. */
   #giveUp(): RunOutcome {
-    const { signal, route, deadlineAtMs } = this.#request;
+    const { signal, deadlineAtMs } = this.#request;
     const { now, random, wire } = this.#services;
     if (this.#sentFailure !== undefined) {
       const { head, body } = this.#sentFailure;
@@ -603,13 +617,12 @@
     }
     const detail = this.#lastFailure;
     const isOutOfTime = signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS;
-    const isUnknown = this.#mayHaveRun && route.repeat === REPEAT.once;
     const { least, most } = RETRY_AFTER_MS;
     const retryAfterMs = least + random() * (most - least);
     if (isOutOfTime) {
       const ran = this.#mayHaveRun ? "unknown" : "no";
       this.#sink.refuse(createRefusal("deadline-exceeded", detail, { ran }));
-    } else if (isUnknown) {
+    } else if (this.#mayHaveRun) {
       this.#sink.refuse(createRefusal("outcome-unknown", detail));
     } else {
       this.#sink.refuse(createRefusal("capacity", detail, { retryAfterMs }));
--- a/src/testbed/fleet.ts
+++ b/src/testbed/fleet.ts
@@ -63,7 +63,7 @@
   leaving: boolean;
 }
 
-/** As in the first line of the daemon's file; docs/operations.md says why. */
+/** As in the first line of the daemon's file; docs/OPERATIONS.md says why. */
 export const DAEMON_NODE_FLAGS = [
   "--max-semi-space-size=2",
   "--max-old-space-size=96",
