--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -40,7 +40,7 @@
  * Addresses and bounds are read once: a listener can't move under callers.
  * The reload tells whether the file would start another entry.
  */
-function reload(held: EntrySettings, log: Logger): void {
+function reportReload(held: EntrySettings, log: Logger): void {
   const next = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
   if (next.isErr()) {
     log.error("reload-failed", { reason: next.error.detail });
@@ -64,7 +64,7 @@
       process.once(signal, () => resolve(signal));
     }
   });
-  process.on("SIGHUP", () => reload(settings.value, log));
+  process.on("SIGHUP", () => reportReload(settings.value, log));
   try {
     const entry = await startEntry(settings.value, log);
     log.info("started", {
