Split the placement of a request from its run; one look-up of route and account

Cause: runs were listed by replica, not by time, and an endpoint slower than expected is not chosen for the second attempt.

--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -17,6 +17,8 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string;
+  /** Steady clock, ms. */
+  readonly startedAtMs: number;
   /** Events that it had sent when the run ended. */
   events: number;
   end: "running" | "complete" | "cut" | "left";
@@ -120,6 +122,7 @@
       path: request.url ?? "",
       headers,
       body,
+      startedAtMs: performance.now(),
       events: 0,
       end: "running",
     };
--- a/src/proxy/endpoint_state.ts
+++ b/src/proxy/endpoint_state.ts
@@ -3,6 +3,7 @@
 import { PromptCache } from "./prompt_cache.js";
 import type { EndpointLoad, EndpointRecord } from "./types.js";
 
+const MS_PER_SECOND = 1_000;
 /** Weight of the newest answer in the running means. */
 const SMOOTHING = 0.15;
 /** Age at which a load report says nothing of the present any more. */
@@ -97,18 +98,22 @@
     return nowMs < this.#coldUntilMs;
   }
 
+  /** `perSecond` is this entry's part of what a cold endpoint bears. */
   hasColdCredit(perSecond: number, nowMs: number): boolean {
-    const earned = ((nowMs - this.#coldCreditAtMs) / 1_000) * perSecond;
-    return Math.min(1, this.#coldCredit + earned) >= 1;
+    return this.#computeColdCredit(perSecond, nowMs) >= 1;
   }
 
   /** Takes one request from what a cold endpoint bears from this entry. */
   spendColdCredit(perSecond: number, nowMs: number): void {
-    const earned = ((nowMs - this.#coldCreditAtMs) / 1_000) * perSecond;
-    this.#coldCredit = Math.min(1, this.#coldCredit + earned) - 1;
+    this.#coldCredit = this.#computeColdCredit(perSecond, nowMs) - 1;
     this.#coldCreditAtMs = nowMs;
   }
 
+  #computeColdCredit(perSecond: number, nowMs: number): number {
+    const seconds = (nowMs - this.#coldCreditAtMs) / MS_PER_SECOND;
+    return Math.min(1, this.#coldCredit + seconds * perSecond);
+  }
+
   isPaused(nowMs: number): boolean {
     return nowMs < this.#pausedUntilMs;
   }
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -143,42 +143,20 @@
       return createUnready("No configuration has been read yet");
     }
     const isFresh = await freshness.isFresh(maxConfigAgeMs, CONFIRM_WAIT_MS);
-    const { catalog } = view;
-    const route = catalog.findRoute(facts.host, facts.path);
-    if (route === undefined) {
-      return (await freshness.isFresh(maxDenyAgeMs, CONFIRM_WAIT_MS))
-        ? (this.#retryAdmit(facts) ??
-            createRefusal("not-found", `No route for "${facts.path}"`))
-        : createUnready("The configuration may lack new routes");
+    const found = findAdmitted(view.catalog, facts);
+    if (typeof found === "object") {
+      if (found.account === undefined || isFresh) return found;
+      return createUnready("The configuration may be outdated");
     }
-    const needsKey = route.needsKey && catalog.hasAccounts;
-    if (!needsKey) {
-      return { route, catalog, rank: route.rank };
+    // A new route or key may be known to the store already.
+    if (!(await freshness.isFresh(maxDenyAgeMs, CONFIRM_WAIT_MS))) {
+      return createUnready("The configuration may lack new routes and keys");
     }
-    if (!isFresh) return createUnready("The configuration may be outdated");
-    const account = catalog.findAccount(facts.apiKey ?? "");
-    if (account === undefined) {
-      return (await freshness.isFresh(maxDenyAgeMs, CONFIRM_WAIT_MS))
-        ? (this.#retryAdmit(facts) ??
-            createRefusal("unauthorized", "The API key is unknown"))
-        : createUnready("The configuration may lack new keys");
-    }
-    const rank = account.rank ?? route.rank;
-    return { route, catalog, account: account.name, rank };
-  }
-
-  /** Looks once more in a configuration that came while waiting. */
-  #retryAdmit(facts: RequestFacts): Admitted | undefined {
-    const { catalog } = this.#options.view;
-    const route = catalog?.findRoute(facts.host, facts.path);
-    if (catalog === undefined || route === undefined) return undefined;
-    if (!route.needsKey || !catalog.hasAccounts) {
-      return { route, catalog, rank: route.rank };
-    }
-    const account = catalog.findAccount(facts.apiKey ?? "");
-    if (account === undefined) return undefined;
-    const rank = account.rank ?? route.rank;
-    return { route, catalog, account: account.name, rank };
+    const again = findAdmitted(view.catalog, facts);
+    if (typeof again === "object") return again;
+    return again === "no-route"
+      ? createRefusal("not-found", `No route for "${facts.path}"`)
+      : createRefusal("unauthorized", "The API key is unknown");
   }
 
   async #run(
@@ -244,6 +222,22 @@
   }
 }
 
+/** Looks route and account up in one configuration. */
+function findAdmitted(
+  catalog: Catalog,
+  facts: RequestFacts,
+): Admitted | "no-route" | "no-account" {
+  const route = catalog.findRoute(facts.host, facts.path);
+  if (route === undefined) return "no-route";
+  if (!route.needsKey || !catalog.hasAccounts) {
+    return { route, catalog, rank: route.rank };
+  }
+  const account = catalog.findAccount(facts.apiKey ?? "");
+  if (account === undefined) return "no-account";
+  const rank = account.rank ?? route.rank;
+  return { route, catalog, account: account.name, rank };
+}
+
 function createUnready(detail: string): Refusal {
   const retryAfterMs = UNREADY_RETRY_MS;
   return createRefusal("stale-revision", detail, { retryAfterMs });
--- /dev/null
+++ b/src/proxy/request_placement.ts
@@ -0,0 +1,139 @@
+/** Where one request may run: its version's endpoints, and the best of them. */
+
+import { sortByRendezvous } from "../core/canonical.js";
+import {
+  type Choice,
+  type ChoiceOptions,
+  chooseEndpoint,
+  type Work,
+} from "./endpoint_choice.js";
+import type { EndpointState } from "./endpoint_state.js";
+import type { FleetView } from "./fleet_view.js";
+import { hashSession, type SessionVersions } from "./session_versions.js";
+import type { RequestFacts, Route, Service } from "./types.js";
+import { listAllowedVersions } from "./version_choice.js";
+
+/** Endpoints that should keep the same shared prompt parts. */
+const HOMES = 2;
+/** Weight of a prompt token where the models have no prices. */
+const PLAIN_WEIGHT = 1;
+/** Prices of larger models rise a little faster than the time they take. */
+const PRICE_EXPONENT = 0.85;
+
+export interface PlacementOptions {
+  readonly view: FleetView;
+  readonly sessions: SessionVersions;
+  readonly random: () => number;
+  /** Entries that share the endpoints. */
+  readonly countEntries: () => number;
+}
+
+export interface PlacedRequest {
+  readonly facts: RequestFacts;
+  readonly route: Route;
+  readonly service: Service;
+}
+
+export class RequestPlacement {
+  readonly #options: PlacementOptions;
+  readonly #request: PlacedRequest;
+  /** Place of the request's session among all, for rollouts. */
+  readonly #place: number;
+
+  constructor(options: PlacementOptions, request: PlacedRequest) {
+    this.#options = options;
+    this.#request = request;
+    const { session } = request.facts;
+    this.#place =
+      session === undefined
+        ? options.random()
+        : hashSession(request.service.name, session);
+  }
+
+  /** Undefined when no endpoint may get the request now. */
+  choose(
+    model: string,
+    tried: ReadonlySet<string>,
+    nowMs: number,
+  ): Choice | undefined {
+    const states = this.#listStates(nowMs);
+    const options = this.#createOptions(states, model, nowMs);
+    return chooseEndpoint(states, { ...options, tried });
+  }
+
+  /** Expected time to the head of an answer of the model, ms. */
+  estimateStartMs(model: string, nowMs: number): number {
+    const choice = this.choose(model, new Set(), nowMs);
+    return choice?.startMs ?? Number.POSITIVE_INFINITY;
+  }
+
+  /** Requests a second that a cold endpoint bears from this entry. */
+  get coldPerSecond(): number {
+    const { countEntries } = this.#options;
+    return this.#request.service.coldPerSecond / countEntries();
+  }
+
+  createWork(model: string): Work {
+    const { facts, service } = this.#request;
+    return {
+      model,
+      parts: facts.parts,
+      promptTokens: facts.promptTokens,
+      weight: computeWeight(service, model),
+    };
+  }
+
+  /** Endpoints of the version that the request may run on. */
+  #listStates(nowMs: number): EndpointState[] {
+    const { service, facts } = this.#request;
+    const { view, sessions } = this.#options;
+    const { session } = facts;
+    return listAllowedVersions(view.listOpen(service.name), {
+      service: service.name,
+      rollouts: view.rollouts,
+      place: this.#place,
+      lastVersion:
+        session === undefined
+          ? undefined
+          : sessions.get(service.name, session, nowMs),
+      nowMs,
+    });
+  }
+
+  #createOptions(
+    states: readonly EndpointState[],
+    model: string,
+    nowMs: number,
+  ): Omit<ChoiceOptions, "tried"> {
+    const { route, facts } = this.#request;
+    const { random, countEntries } = this.#options;
+    return {
+      work: this.createWork(model),
+      nowMs,
+      random,
+      homes: route.sharesPrompts ? listHomes(states, facts, model) : [],
+      entries: countEntries(),
+      coldPerSecond: this.coldPerSecond,
+    };
+  }
+}
+
+/** Time of a prompt token at a model against the cheapest one. */
+export function computeWeight(service: Service, model: string): number {
+  const price = service.models.find((item) => item.name === model);
+  const least = Math.min(...service.models.map((item) => item.cost));
+  if (price === undefined || !(least > 0)) return PLAIN_WEIGHT;
+  return (price.cost / least) ** PRICE_EXPONENT;
+}
+
+/** Endpoints that should keep the last part that other requests share. */
+function listHomes(
+  states: readonly EndpointState[],
+  facts: RequestFacts,
+  model: string,
+): string[] {
+  const shared = facts.parts.at(-2);
+  if (shared === undefined) return [];
+  const ids = states.map((state) => state.record.id);
+  return sortByRendezvous(`${model} ${shared.id}`, ids).slice(0, HOMES);
+}
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -5,7 +5,6 @@
 
 import type { Agent } from "node:http";
 import type { Logger } from "../adapters/logs.js";
-import { sortByRendezvous } from "../core/canonical.js";
 import { createRefusal } from "../core/errors.js";
 import {
   type AnswerSink,
@@ -22,13 +21,7 @@
 } from "./attempt.js";
 import { chooseFirstModel, chooseNextModel } from "./cascade.js";
 import type { Connections } from "./connections.js";
-import {
-  type Choice,
-  type ChoiceOptions,
-  chooseEndpoint,
-  estimateTokensToRead,
-  type Work,
-} from "./endpoint_choice.js";
+import { type Choice, estimateTokensToRead } from "./endpoint_choice.js";
 import {
   ATTEMPT_RESULT,
   type AttemptResult,
@@ -37,7 +30,8 @@
 import type { FleetView } from "./fleet_view.js";
 import type { ProxyMetrics } from "./metrics.js";
 import type { RepeatBudget } from "./repeat_budget.js";
-import { hashSession, type SessionVersions } from "./session_versions.js";
+import { RequestPlacement } from "./request_placement.js";
+import type { SessionVersions } from "./session_versions.js";
 import {
   type RawHeaders,
   REPEAT,
@@ -46,10 +40,7 @@
   type Service,
   type Wire,
 } from "./types.js";
-import { listAllowedVersions } from "./version_choice.js";
 
-/** Endpoints that should keep the same shared prompt parts. */
-const HOMES = 2;
 /** Part of the target after which a silent endpoint is given up on. */
 const PATIENCE_SHARE = 0.6;
 /** Times the expected time to the answer that an endpoint is given. */
@@ -67,10 +58,6 @@
 const MIN_ATTEMPT_MS = 10;
 /** Wait that a refusal for lack of capacity names, ms; callers spread over it. */
 const RETRY_AFTER_MS = { least: 150, most: 600 } as const;
-/** Weight of a prompt token where the models have no prices. */
-const PLAIN_WEIGHT = 1;
-/** Prices of larger models rise a little faster than the time they take. */
-const PRICE_EXPONENT = 0.85;
 /** Connections of one entry to an endpoint, as a share of an equal split. */
 const CONNECTION_SHARE = 0.8;
 
@@ -130,7 +117,7 @@
   readonly #request: RunRequest;
   readonly #sink: AnswerSink;
   readonly #tried = new Set<string>();
-  readonly #place: number;
+  readonly #placement: RequestPlacement;
   /** Attempts that count towards what the route allows. */
   #attempts = 0;
   #started = 0;
@@ -143,11 +130,7 @@
     this.#services = services;
     this.#request = request;
     this.#sink = sink;
-    const { session } = request.facts;
-    this.#place =
-      session === undefined
-        ? services.random()
-        : hashSession(request.service.name, session);
+    this.#placement = new RequestPlacement(services, request);
   }
 
   /** Why the last attempt failed or none was made; empty when all went well. */
@@ -205,47 +188,18 @@
       return this.#fail("no time is left");
     }
     if (this.#attemptsLeft <= 0) return this.#fail("no attempts are left");
-    const states = this.#listStates(nowMs);
     const entries = countEntries();
-    const options = this.#createOptions(states, model, nowMs);
-    const choice = chooseEndpoint(states, options);
+    const choice = this.#placement.choose(model, this.#tried, nowMs);
     if (choice === undefined) return this.#fail("no endpoint is open");
     if (this.#attempts > 0 && !budget.spend(service.name, entries, nowMs)) {
       return this.#fail("the repeat budget is spent");
     }
     if (choice.state.isCold(nowMs)) {
-      choice.state.spendColdCredit(options.coldPerSecond, nowMs);
+      choice.state.spendColdCredit(this.#placement.coldPerSecond, nowMs);
     }
     return choice;
   }
 
-  #createOptions(
-    states: readonly EndpointState[],
-    model: string,
-    nowMs: number,
-  ): ChoiceOptions {
-    const { route, service, facts } = this.#request;
-    const { random, countEntries } = this.#services;
-    const entries = countEntries();
-    return {
-      work: this.#createWork(model),
-      nowMs,
-      random,
-      tried: this.#tried,
-      homes: route.sharesPrompts ? listHomes(states, facts, model) : [],
-      entries,
-      coldPerSecond: service.coldPerSecond / entries,
-    };
-  }
-
-  /** Expected time to the head of an answer of the model, ms. */
-  #estimateStartMs(model: string, nowMs: number): number {
-    const states = this.#listStates(nowMs);
-    const options = this.#createOptions(states, model, nowMs);
-    const choice = chooseEndpoint(states, { ...options, tried: new Set() });
-    return choice?.startMs ?? Number.POSITIVE_INFINITY;
-  }
-
   #fail(reason: string): undefined {
     this.#lastFailure = this.#lastFailure
       ? `${reason}; ${this.#lastFailure}`
@@ -253,33 +207,6 @@
     return undefined;
   }
 
-  /** Endpoints of the version that this request may run on. */
-  #listStates(nowMs: number): EndpointState[] {
-    const { service, facts } = this.#request;
-    const { view, sessions } = this.#services;
-    const { session } = facts;
-    return listAllowedVersions(view.listOpen(service.name), {
-      service: service.name,
-      rollouts: view.rollouts,
-      place: this.#place,
-      lastVersion:
-        session === undefined
-          ? undefined
-          : sessions.get(service.name, session, nowMs),
-      nowMs,
-    });
-  }
-
-  #createWork(model: string): Work {
-    const { facts, service } = this.#request;
-    return {
-      model,
-      parts: facts.parts,
-      promptTokens: facts.promptTokens,
-      weight: computeWeight(service, model),
-    };
-  }
-
   async #runAttempt(
     choice: Choice,
     model: string,
@@ -328,7 +255,7 @@
     this.#attempts++;
     this.#started++;
     this.#tried.add(state.record.id);
-    const work = this.#createWork(model);
+    const work = this.#placement.createWork(model);
     const toRead = estimateTokensToRead(state, work, []) * work.weight;
     state.inFlight++;
     state.pendingWork += toRead;
@@ -498,7 +425,9 @@
     const nowMs = now();
     const largest = route.models.at(-1) ?? "";
     const largerStartMs =
-      attempt.model === largest ? 0 : this.#estimateStartMs(largest, nowMs);
+      attempt.model === largest
+        ? 0
+        : this.#placement.estimateStartMs(largest, nowMs);
     const next = chooseNextModel({
       models: route.models,
       model: attempt.model,
@@ -637,23 +566,3 @@
   if (failure.kind === notSent) return ATTEMPT_RESULT.unreachable;
   return ATTEMPT_RESULT.broken;
 }
-
-/** Time of a prompt token at a model against the cheapest one. */
-export function computeWeight(service: Service, model: string): number {
-  const price = service.models.find((item) => item.name === model);
-  const least = Math.min(...service.models.map((item) => item.cost));
-  if (price === undefined || !(least > 0)) return PLAIN_WEIGHT;
-  return (price.cost / least) ** PRICE_EXPONENT;
-}
-
-/** Endpoints that should keep the last part that other requests share. */
-function listHomes(
-  states: readonly EndpointState[],
-  facts: RequestFacts,
-  model: string,
-): string[] {
-  const shared = facts.parts.at(-2);
-  if (shared === undefined) return [];
-  const ids = states.map((state) => state.record.id);
-  return sortByRendezvous(`${model} ${shared.id}`, ids).slice(0, HOMES);
-}
