Count a prompt's tokens to read once an endpoint; remove what nothing uses

The choice counted the tokens to read three times for each endpoint; it counts them once now, with the same result.

--- a/src/proxy/clock.ts
+++ b/src/proxy/clock.ts
@@ -16,7 +16,6 @@
   readonly #sources: ClockSources;
   #offset: number;
   #suspendedMs = 0;
-  #jumps = 0;
 
   constructor(sources: ClockSources) {
     this.#sources = sources;
@@ -28,18 +27,10 @@
     const steady = this.#sources.steady();
     const offset = this.#sources.timeOfDay() - steady;
     const jump = offset - this.#offset;
-    if (jump > MIN_JUMP_MS) {
-      this.#suspendedMs += jump;
-      this.#jumps++;
-    }
+    if (jump > MIN_JUMP_MS) this.#suspendedMs += jump;
     this.#offset = offset;
     return steady + this.#suspendedMs;
   }
-
-  /** Suspected suspensions so far. */
-  get jumps(): number {
-    return this.#jumps;
-  }
 }
 
 export function createSuspendClock(): SuspendClock {
--- a/src/proxy/endpoint_choice.ts
+++ b/src/proxy/endpoint_choice.ts
@@ -68,25 +68,14 @@
   return Math.max(1, work.promptTokens - Math.max(kept, guess));
 }
 
-/** Time that is spent on prompt tokens which another endpoint keeps, ms. */
-function computeReadAgainMs(
-  state: EndpointState,
-  options: ChoiceOptions,
-  fewest: number,
-): number {
-  const { work, homes } = options;
-  const more = estimateTokensToRead(state, work, homes) - fewest;
-  const ms = (more * work.weight) / TOKENS_PER_MS;
-  return (READ_AGAIN_WEIGHT - 1) * ms;
-}
-
 /** Expected time to the answer's head on an endpoint of usual speed, ms. */
-export function estimateStartMs(
+function estimateStartMs(
   state: EndpointState,
+  tokensToRead: number,
   options: ChoiceOptions,
 ): number {
-  const { work, nowMs, homes, entries } = options;
-  const toRead = estimateTokensToRead(state, work, homes) * work.weight;
+  const { work, nowMs, entries } = options;
+  const toRead = tokensToRead * work.weight;
   // Other entries send alike, and what they wait for can't be seen from here.
   const pending = state.pendingWork * Math.max(1, Math.sqrt(entries));
   const load = state.estimateLoad(nowMs);
@@ -118,7 +107,7 @@
   states: readonly EndpointState[],
   options: ChoiceOptions,
 ): Choice | undefined {
-  const { nowMs, tried, random } = options;
+  const { nowMs, tried, random, work, homes } = options;
   const open = states.filter((state) => isOpen(state, options));
   const fresh = open.filter((state) => !tried.has(state.record.id));
   const isSound = (state: EndpointState) =>
@@ -126,17 +115,18 @@
   const sound = fresh.filter(isSound);
   // A paused endpoint is better than none.
   const list = sound.length > 0 ? sound : fresh;
-  const fewest = Math.min(
-    ...list.map((state) =>
-      estimateTokensToRead(state, options.work, options.homes),
-    ),
-  );
+  const tokens = list.map((state) => estimateTokensToRead(state, work, homes));
+  const fewest = Math.min(...tokens);
   let best: Choice | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  for (const state of list) {
-    const startMs = state.slowness * estimateStartMs(state, options);
+  for (const [index, state] of list.entries()) {
+    const toRead = tokens[index] ?? 0;
+    const startMs = state.slowness * estimateStartMs(state, toRead, options);
     const cold = state.isCold(nowMs) ? 2 : 1;
-    const againMs = computeReadAgainMs(state, options, fewest);
+    // Time that goes to tokens which another endpoint keeps.
+    const againMs =
+      ((READ_AGAIN_WEIGHT - 1) * ((toRead - fewest) * work.weight)) /
+      TOKENS_PER_MS;
     const score = (startMs * cold + againMs) * (1 + TIE * random());
     if (score >= bestScore) continue;
     bestScore = score;
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -80,13 +80,6 @@
   verdict?: string;
 }
 
-/** What a request may run on while its service moves. */
-export interface VersionRule {
-  readonly target: string;
-  /** True: the new version; false: any other one. */
-  readonly usesTarget: boolean;
-}
-
 export interface RolloutDecision {
   readonly order: RolloutOrder;
   readonly outcome: RolloutOutcome;
