Let one entry of a data centre read the store for the others

Cause: every entry watched the store for itself, and every change ended each of these watches, so calls grew with entries times changes.

Ruled out: longer waits alone (a change ends all watches anyway, and keys need a young proof); pushing changes with the gossip (0.4 s rounds to four peers: too slow for 31 entries, and every message would carry them).

Change: in data centres of four entries or more the first by name watches, and the others hold one question for news open there (ViewRelay, ChangeLog). An answer carries the age of the reader's view; each view that is older than 0.6 of its bound is read from the store by the follower itself, so a reader that is cut off, stopped or slow costs calls, not correctness. An entry that the store does not answer asks any neighbour.

The four tests fail without it: 8 to 13 calls of a follower, old news from a reader that is cut off, keys refused.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -7,9 +7,12 @@
 import {
   Connections,
   createSuspendClock,
+  EXCHANGE_PATH,
   FleetView,
   Freshness,
   getFirstShare,
+  type MessageHandler,
+  NEWS_PATH,
   Peers,
   ProxyMetrics,
   RepeatBudget,
@@ -18,6 +21,7 @@
   SessionVersions,
   startCallerServer,
   startMetricsServer,
+  startPeerServer,
   startReadinessServer,
   stopServer,
 } from "../proxy/index.js";
@@ -86,6 +90,10 @@
     log,
     signal,
     maxConfigAgeMs,
+    bounds,
+    selfName: settings.name,
+    listNeighbours: () => peers.listNeighbours(),
+    onNewsAnswer: (result) => metrics.newsAnswers.inc({ result }),
     onEndpointRemoved: (id) => connections.remove(id),
   });
   const sessions = new SessionVersions({
@@ -93,7 +101,12 @@
     toldBelow: getFirstShare(bounds.exposure),
   });
   const peers = new Peers({
-    self: { ...settings.exchange, name: settings.name, incarnation },
+    self: {
+      ...settings.exchange,
+      name: settings.name,
+      incarnation,
+      dataCentre: settings.dataCentre,
+    },
     seeds: settings.seeds,
     rollouts: view.rollouts,
     sessions,
@@ -142,7 +155,13 @@
     },
     { address: settings.address, port: settings.metricsPort },
   );
-  const exchange = await peers.serve(settings.exchange);
+  const exchange = await startPeerServer(
+    new Map<string, MessageHandler>([
+      [EXCHANGE_PATH, (data) => peers.answer(data)],
+      [NEWS_PATH, (data) => sync.relay.answer(data)],
+    ]),
+    settings.exchange,
+  );
   const abort = () => {
     controller.abort();
     for (const server of [callers, readiness, metricsServer, exchange]) {
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -14,6 +14,8 @@
 const BOUNDS: EntryBounds = {
   revokeMs: 5_000,
   configMs: 2_000,
+  drainMs: 2_000,
+  evacuationMs: 5_000,
   graceMs: 2_000,
   repeatRatio: 0.9,
   repeatWindowMs: 10_000,
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -1,11 +1,13 @@
 /** Brings what the store holds into the entry's view of the fleet. */
 
 import type { Logger } from "../adapters/logs.js";
-import type {
-  FleetView,
-  Freshness,
-  RolloutDecision,
-  SuspendClock,
+import {
+  type FleetView,
+  type Freshness,
+  type RolloutDecision,
+  type SuspendClock,
+  ViewRelay,
+  type ViewRelayOptions,
 } from "../proxy/index.js";
 import {
   createRolloutStatus,
@@ -42,6 +44,29 @@
  */
 const CONFIRM_SHARE = 0.7;
 
+/** What has to be known of a change in time; shorter bounds need more calls. */
+export interface ViewBounds {
+  /** Time until a change of the configuration is in force, ms. */
+  readonly configMs: number;
+  /** Time until an endpoint that leaves gets nothing new, ms. */
+  readonly drainMs: number;
+  /** Time until an evacuated data centre gets nothing, ms. */
+  readonly evacuationMs: number;
+}
+
+/** Time until an order for a rollout must be known, ms: most last a minute. */
+const ROLLOUT_MS = 5_000;
+/**
+ * Parts of a bound for the steps by which a follower hears of a change: the
+ * reader's watch, its age at which the follower reads itself, the question.
+ */
+const READER_SHARE = 0.4;
+const MAX_AGE_SHARE = 0.6;
+const QUESTION_SHARE = 0.2;
+
+/** Shortest wait of a reader's watch, ms; bounds its calls in a rush. */
+const MIN_WAIT_MS = 100;
+
 export interface FleetSyncOptions {
   readonly store: StoreClient;
   readonly view: FleetView;
@@ -52,6 +77,12 @@
   readonly log: Logger;
   /** Oldest confirmation of the configuration that still serves, ms. */
   readonly maxConfigAgeMs: number;
+  readonly bounds: ViewBounds;
+  /** This entry among the others. */
+  readonly selfName: string;
+  readonly listNeighbours: ViewRelayOptions["listNeighbours"];
+  /** Another entry answered a question for news, or failed to. */
+  readonly onNewsAnswer: ViewRelayOptions["onAnswer"];
   /** An endpoint is gone; its connections may be closed. */
   readonly onEndpointRemoved: (id: string) => void;
   readonly signal: AbortSignal;
@@ -60,35 +91,55 @@
 export class FleetSync {
   readonly #options: FleetSyncOptions;
   readonly #watches: readonly StoreWatch[];
+  /** Passes on what one entry reads. */
+  readonly relay: ViewRelay;
   #isConfirming = false;
 
   constructor(options: FleetSyncOptions) {
     this.#options = options;
+    const { configMs, drainMs, evacuationMs } = options.bounds;
+    const boundMs = {
+      [KIND.configuration]: Math.min(configMs, options.maxConfigAgeMs),
+      [KIND.endpoints]: drainMs,
+      [KIND.rollouts]: ROLLOUT_MS,
+      [KIND.evacuations]: evacuationMs,
+    };
+    const confirmMs = Math.round(CONFIRM_SHARE * options.maxConfigAgeMs);
+    const createWatch = (kind: Kind, waitMs: number, handlers: WatchHandlers) =>
+      this.#createWatch(kind, handlers, (ageMs) => {
+        if (!this.relay.isFollowed) return waitMs;
+        // A watch that brought changes confirms no more than its start.
+        const leftMs = READER_SHARE * boundMs[kind] - ageMs;
+        return Math.round(Math.min(waitMs, Math.max(MIN_WAIT_MS, leftMs)));
+      });
     this.#watches = [
-      this.#createWatch(
+      createWatch(
         KIND.configuration,
-        Math.min(
-          WAIT_MS.configuration,
-          Math.round(CONFIRM_SHARE * options.maxConfigAgeMs),
-        ),
+        Math.min(WAIT_MS.configuration, confirmMs),
         this.#configurationHandlers(),
       ),
-      this.#createWatch(
-        KIND.endpoints,
-        WAIT_MS.endpoints,
-        this.#endpointHandlers(),
-      ),
-      this.#createWatch(
-        KIND.rollouts,
-        WAIT_MS.rollouts,
-        this.#rolloutHandlers(),
-      ),
-      this.#createWatch(
+      createWatch(KIND.endpoints, WAIT_MS.endpoints, this.#endpointHandlers()),
+      createWatch(KIND.rollouts, WAIT_MS.rollouts, this.#rolloutHandlers()),
+      createWatch(
         KIND.evacuations,
         WAIT_MS.evacuations,
         this.#evacuationHandlers(),
       ),
     ];
+    const { clock, log, signal, selfName, listNeighbours } = options;
+    this.relay = new ViewRelay({
+      views: this.#watches,
+      maxAgeMs: Object.fromEntries(
+        Object.entries(boundMs).map(([kind, ms]) => [kind, MAX_AGE_SHARE * ms]),
+      ),
+      waitMs: Math.round(QUESTION_SHARE * Math.min(...Object.values(boundMs))),
+      onAnswer: options.onNewsAnswer,
+      clock,
+      log,
+      signal,
+      selfName,
+      listNeighbours,
+    });
   }
 
   /** True once every kind was read whole. */
@@ -97,7 +148,10 @@
   }
 
   async run(): Promise<void> {
-    await Promise.all(this.#watches.map((watch) => watch.run()));
+    await Promise.all([
+      ...this.#watches.map((watch) => watch.run()),
+      this.relay.run(),
+    ]);
   }
 
   /** Reads the configuration at once, for a decision that can't wait. */
@@ -140,12 +194,13 @@
 
   #createWatch(
     kind: Kind,
-    waitMs: number,
     handlers: WatchHandlers,
+    getWaitMs: (ageMs: number) => number,
   ): StoreWatch {
     const { store, clock, log, random, signal } = this.#options;
-    const options = { kind, waitMs, handlers, store, clock, log, random };
-    return new StoreWatch({ ...options, signal });
+    const onNews = () => this.relay.notify();
+    const options = { kind, getWaitMs, handlers, store, clock, log, random };
+    return new StoreWatch({ ...options, onNews, signal });
   }
 
   #configurationHandlers(): WatchHandlers {
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -42,6 +42,10 @@
   readonly revokeMs: number;
   /** A configuration that was accepted this long ago must be in force. */
   readonly configMs: number;
+  /** An endpoint that leaves gets nothing new after this time. */
+  readonly drainMs: number;
+  /** An evacuated data centre gets nothing after this time. */
+  readonly evacuationMs: number;
   /** Time from the signal to stop until the process is killed. */
   readonly graceMs: number;
   readonly repeatRatio: number;
@@ -57,6 +61,8 @@
 const DEFAULTS = {
   revokeMs: 5_000,
   configMs: 2_000,
+  drainMs: 2_000,
+  evacuationMs: 5_000,
   graceS: 8,
   repeatRatio: 0.1,
   repeatWindowS: 10,
@@ -72,6 +78,8 @@
   return {
     revokeMs: getNumber(bounds, "revoke_ms") ?? DEFAULTS.revokeMs,
     configMs: getNumber(bounds, "config_deadline_ms") ?? DEFAULTS.configMs,
+    drainMs: getNumber(bounds, "drain_ms") ?? DEFAULTS.drainMs,
+    evacuationMs: getNumber(bounds, "evac_ms") ?? DEFAULTS.evacuationMs,
     graceMs: graceS * MS_PER_SECOND,
     repeatRatio:
       getNumber(bounds, "retry_budget_ratio") ?? DEFAULTS.repeatRatio,
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -43,9 +43,8 @@
 }
 
 export interface ObjectEvents {
-  readonly changed: readonly StoredObject[];
-  /** Names of deleted objects. */
-  readonly deleted: readonly string[];
+  readonly events: readonly ObjectEvent[];
+  /** Events that can't be read, one line each. */
   readonly skipped: readonly string[];
   readonly at: number;
 }
@@ -253,6 +252,34 @@
   });
 }
 
+/** One change of an object, as the store tells it. */
+export interface ObjectEvent {
+  readonly object: StoredObject;
+  readonly isDeleted: boolean;
+}
+
+function decodeEvent(event: unknown): Result<ObjectEvent, StoreFailure> {
+  const fields = isFields(event) ? event : {};
+  return decodeObject(fields.object).map((object) => ({
+    object,
+    isDeleted: fields.deleted === true,
+  }));
+}
+
+/** The form in which entries pass changes on: the store's own. */
+export function serializeEvent({ object, isDeleted }: ObjectEvent): Uint8Array {
+  const { name, revision, created, isDeleting, spec, status } = object;
+  const metadata = { name, revision, created, deleting: isDeleting };
+  const event = { deleted: isDeleted, object: { metadata, spec, status } };
+  return Buffer.from(JSON.stringify(event));
+}
+
+export function parseEvent(
+  data: Uint8Array,
+): Result<ObjectEvent, StoreFailure> {
+  return parseJson(Buffer.from(data)).andThen(decodeEvent);
+}
+
 export function decodeEvents(
   body: unknown,
 ): Result<ObjectEvents, StoreFailure> {
@@ -261,15 +288,12 @@
   if (at === undefined || !Array.isArray(body.events)) {
     return err(createMalformed("Events have no list or revision"));
   }
-  const changed: StoredObject[] = [];
-  const deleted: string[] = [];
-  const skipped: string[] = [];
-  for (const event of body.events) {
-    const object = decodeObject(isFields(event) ? event.object : undefined);
-    if (object.isErr()) skipped.push(object.error.detail);
-    else if (isFields(event) && event.deleted === true) {
-      deleted.push(object.value.name);
-    } else changed.push(object.value);
-  }
-  return ok({ changed, deleted, skipped, at });
+  const results = body.events.map(decodeEvent);
+  return ok({
+    events: results.flatMap((result) => (result.isOk() ? [result.value] : [])),
+    skipped: results.flatMap((result) =>
+      result.isErr() ? [result.error.detail] : [],
+    ),
+    at,
+  });
 }
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -1,10 +1,25 @@
-/** Keeps up with all objects of one kind: a whole list, then its changes. */
+/**
+ * Keeps up with all objects of one kind: a whole list, then its changes, from
+ * the store or from another entry that reads it.
+ */
 
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../adapters/logs.js";
-import type { SuspendClock } from "../proxy/index.js";
+import {
+  ChangeLog,
+  type RelayedView,
+  type SuspendClock,
+  type TakenNews,
+} from "../proxy/index.js";
 import { STORE_FAILURE, type StoreFailure } from "./errors.js";
-import type { Kind, StoreClient, StoredObject } from "./store_client.js";
+import {
+  type Kind,
+  type ObjectEvent,
+  parseEvent,
+  type StoreClient,
+  type StoredObject,
+  serializeEvent,
+} from "./store_client.js";
 
 /** First pause after a failed call, ms; doubles up to the longest. */
 const FIRST_PAUSE_MS = 50;
@@ -23,20 +38,29 @@
 export interface WatchOptions {
   readonly kind: Kind;
   readonly store: StoreClient;
-  /** Longest wait of one watch call, ms; bounds how old the view may be. */
-  readonly waitMs: number;
+  /**
+   * Longest wait of the next watch call, ms, by the age of the view; bounds
+   * how old it may become.
+   */
+  readonly getWaitMs: (ageMs: number) => number;
   readonly clock: SuspendClock;
   readonly log: Logger;
   readonly random: () => number;
   readonly handlers: WatchHandlers;
+  /** The view has changed or was lost. */
+  readonly onNews: () => void;
   readonly signal: AbortSignal;
 }
 
-export class StoreWatch {
+export class StoreWatch implements RelayedView {
   readonly #options: WatchOptions;
   #at: number | undefined;
   #lostAtMs: number | undefined;
   #pauseMs = FIRST_PAUSE_MS;
+  #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #changes = new ChangeLog<ObjectEvent>();
+  #isFollowing = false;
+  #wake: () => void = () => {};
 
   constructor(options: WatchOptions) {
     this.#options = options;
@@ -47,9 +71,86 @@
     return this.#at !== undefined;
   }
 
+  get kind(): string {
+    return this.#options.kind;
+  }
+
+  get revision(): number | undefined {
+    return this.#at;
+  }
+
+  get ageMs(): number {
+    return this.#options.clock.now() - this.#confirmedAtMs;
+  }
+
+  get isLost(): boolean {
+    return this.#lostAtMs !== undefined;
+  }
+
+  hasNewsSince(revision: number): boolean {
+    return this.#changes.hasNewsSince(revision);
+  }
+
+  listSince(revision: number): readonly Uint8Array[] | undefined {
+    return this.#changes.listSince(revision)?.map(serializeEvent);
+  }
+
+  take(news: TakenNews): void {
+    // The store told more in the meantime.
+    if (this.#at !== news.since) return;
+    const results = news.changes.map(parseEvent);
+    this.#logSkipped(
+      results.flatMap((result) =>
+        result.isErr() ? [result.error.detail] : [],
+      ),
+    );
+    this.#apply(
+      results.flatMap((result) => (result.isOk() ? [result.value] : [])),
+      news.revision,
+    );
+    this.#confirm(news.confirmedAtMs);
+    this.#regain();
+  }
+
+  follow(isFollowing: boolean): void {
+    this.#isFollowing = isFollowing;
+    if (!isFollowing) this.#wake();
+  }
+
+  /** Waits while another entry reads for this one. */
+  async #waitForTurn(): Promise<void> {
+    const { signal } = this.#options;
+    if (!this.#isFollowing || signal.aborted) return;
+    await new Promise<void>((resolve) => {
+      this.#wake = resolve;
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+  }
+
+  #apply(events: readonly ObjectEvent[], revision: number): void {
+    const { handlers, onNews } = this.#options;
+    for (const event of events) {
+      const { object, isDeleted } = event;
+      if (isDeleted) handlers.onDelete(object.name);
+      else handlers.onChange(object);
+      // A deleted object may still bear the revision of its last change.
+      const changedAt = isDeleted ? revision : object.revision;
+      this.#changes.put(object.name, changedAt, event);
+    }
+    this.#at = Math.max(this.#at ?? 0, revision);
+    if (events.length > 0) onNews();
+  }
+
+  #confirm(atMs: number): void {
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+    this.#options.handlers.onConfirm?.(atMs);
+  }
+
   async run(): Promise<void> {
     const { signal } = this.#options;
     while (!signal.aborted) {
+      await this.#waitForTurn();
+      if (signal.aborted) return;
       const failure =
         this.#at === undefined ? await this.#list() : await this.#watch();
       if (signal.aborted) return;
@@ -76,28 +177,30 @@
       after = page.lastName;
     }
     this.#at = firstAt;
+    this.#changes.reset(firstAt);
     log.info("store-listed", { kind, count: objects.length, at: firstAt });
     handlers.onList(objects);
-    handlers.onConfirm?.(startedAtMs);
+    this.#confirm(startedAtMs);
     return undefined;
   }
 
   async #watch(): Promise<StoreFailure | undefined> {
-    const { store, kind, clock, handlers } = this.#options;
+    const { store, kind, clock, getWaitMs } = this.#options;
     // While the store is lost, short calls find out soon that it is back.
-    const waitMs = this.#lostAtMs === undefined ? this.#options.waitMs : 0;
+    const waitMs = this.#lostAtMs === undefined ? getWaitMs(this.ageMs) : 0;
     const startedAtMs = clock.now();
-    const result = await store.watch(kind, this.#at ?? 0, waitMs);
+    const since = this.#at ?? 0;
+    const result = await store.watch(kind, since, waitMs);
     if (result.isErr()) return result.error;
-    const { changed, deleted, skipped, at } = result.value;
+    // Another entry told more in the meantime.
+    if (this.#at !== since) return undefined;
+    const { events, skipped, at } = result.value;
     this.#logSkipped(skipped);
-    for (const object of changed) handlers.onChange(object);
-    for (const name of deleted) handlers.onDelete(name);
-    this.#at = Math.max(this.#at ?? 0, at);
-    const isQuiet = changed.length + deleted.length + skipped.length === 0;
+    this.#apply(events, at);
+    const isQuiet = events.length + skipped.length === 0;
     // A quiet watch ended at the store no sooner than its wait.
     const waitedMs = isQuiet ? Math.min(waitMs, clock.now() - startedAtMs) : 0;
-    handlers.onConfirm?.(startedAtMs + waitedMs);
+    this.#confirm(startedAtMs + waitedMs);
     return undefined;
   }
 
@@ -117,7 +220,7 @@
   }
 
   async #recover(failure: StoreFailure): Promise<void> {
-    const { clock, log, kind, random, signal } = this.#options;
+    const { clock, log, kind, random, signal, onNews } = this.#options;
     if (failure.kind === STORE_FAILURE.historyGone) {
       log.info("store-history-gone", { kind, at: this.#at });
       this.#at = undefined;
@@ -127,6 +230,7 @@
       this.#lostAtMs = clock.now();
       const { detail } = failure;
       log.warn("store-lost", { kind, reason: failure.kind, detail });
+      onNews();
     }
     const pauseMs = this.#pauseMs * (0.5 + random());
     this.#pauseMs = Math.min(LONGEST_PAUSE_MS, this.#pauseMs * 2);
--- /dev/null
+++ b/src/platform/view_relay_test.ts
@@ -0,0 +1,243 @@
+import assert from "node:assert/strict";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import {
+  createSuspendClock,
+  FleetView,
+  Freshness,
+  NEWS_PATH,
+  Rollouts,
+  startPeerServer,
+} from "../proxy/index.js";
+import type { Place } from "../schema/exchange/index.js";
+import { startServer } from "../standins/server.js";
+import { createConfiguration } from "./entry_fixtures_test.js";
+import { FleetSync } from "./fleet_sync.js";
+import { PlatformStoreStandin } from "./standins/store.js";
+import { StoreClient } from "./store_client.js";
+
+const LOG = { debug() {}, info() {}, warn() {}, error() {} };
+/** Largest age with which a request with a key is served, ms. */
+const MAX_CONFIG_AGE_MS = 3_600;
+const BOUNDS = { configMs: 2_000, drainMs: 2_000, evacuationMs: 5_000 };
+
+interface Entry {
+  readonly name: string;
+  readonly view: FleetView;
+  readonly freshness: Freshness;
+  readonly sync: FleetSync;
+  /** The store hears this entry and does not answer it. */
+  isCutOff: boolean;
+  /** Other entries get no answers from this one. */
+  isSilent: boolean;
+  calls: number;
+}
+
+describe("entries of which one reads the store", () => {
+  const closers: (() => unknown)[] = [];
+  afterEach(async () => {
+    for (const close of closers.splice(0).reverse()) await close();
+  });
+
+  async function startEntry(
+    name: string,
+    store: PlatformStoreStandin,
+    places: Place[],
+  ): Promise<Entry> {
+    const controller = new AbortController();
+    const { signal } = controller;
+    const clock = createSuspendClock();
+    const view = new FleetView(new Rollouts(name, 0.15));
+    const freshness = new Freshness(clock, () => void sync.confirmNow());
+    const state = { isCutOff: false, isSilent: false, calls: 0 };
+    const server = await startServer(async (call) => {
+      state.calls++;
+      return state.isCutOff ? undefined : await store.handle(call);
+    }, 0);
+    const sync = new FleetSync({
+      store: new StoreClient({
+        address: "127.0.0.1",
+        port: server.port,
+        onCall: () => {},
+        signal,
+      }),
+      view,
+      freshness,
+      clock,
+      now: () => performance.now(),
+      random: Math.random,
+      log: LOG,
+      maxConfigAgeMs: MAX_CONFIG_AGE_MS,
+      bounds: BOUNDS,
+      selfName: name,
+      listNeighbours: () => places.filter((place) => place.name !== name),
+      onNewsAnswer: () => {},
+      onEndpointRemoved: () => {},
+      signal,
+    });
+    const peerServer = await startPeerServer(
+      new Map([
+        [
+          NEWS_PATH,
+          (data: Uint8Array) =>
+            state.isSilent
+              ? new Promise<Uint8Array>(() => {})
+              : sync.relay.answer(data),
+        ],
+      ]),
+      { address: "127.0.0.1", port: 0 },
+    );
+    const { port } = peerServer.address() as AddressInfo;
+    places.push({
+      name,
+      incarnation: "1",
+      address: "127.0.0.1",
+      port,
+      ageMs: 0,
+      dataCentre: "dc1",
+    });
+    closers.push(async () => {
+      controller.abort();
+      peerServer.close();
+      peerServer.closeAllConnections();
+      await server.close();
+    });
+    void sync.run();
+    return Object.assign(state, { name, view, freshness, sync });
+  }
+
+  async function startFleet(count: number) {
+    const store = new PlatformStoreStandin();
+    store.put("config", "main", createConfiguration(1));
+    store.put("servers", "i-1", createRecord("ready"));
+    const places: Place[] = [];
+    const entries: Entry[] = [];
+    for (let index = 0; index < count; index++) {
+      entries.push(await startEntry(`e${index}`, store, places));
+    }
+    await waitFor(() => entries.every(({ sync }) => sync.isLoaded));
+    return { store, entries };
+  }
+
+  function createRecord(state: string) {
+    return {
+      service: "svc",
+      addr: "127.0.0.1:1",
+      zone: "dc1",
+      version: "v1",
+      slots: 8,
+      state,
+      cold_left_ms: 0,
+      seq: 1,
+    };
+  }
+
+  function sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+
+  async function waitFor(isDone: () => boolean, ms = 8_000): Promise<number> {
+    const startedAtMs = performance.now();
+    while (!isDone()) {
+      const tookMs = performance.now() - startedAtMs;
+      assert.ok(tookMs < ms, `waited ${Math.round(tookMs)} ms in vain`);
+      await sleep(10);
+    }
+    return performance.now() - startedAtMs;
+  }
+
+  const getVersion = ({ view }: Entry) => view.catalog?.configuration.version;
+  const countOpen = ({ view }: Entry) => view.listOpen("svc").length;
+
+  /** Waits until every entry but the first makes no calls of its own. */
+  async function waitForFollowers(entries: readonly Entry[]): Promise<void> {
+    const followers = entries.slice(1);
+    const countCalls = () =>
+      followers.reduce((total, { calls }) => total + calls, 0);
+    let quietSeconds = 0;
+    for (let second = 0; second < 20 && quietSeconds < 3; second++) {
+      const before = countCalls();
+      await sleep(1_000);
+      quietSeconds = countCalls() === before ? quietSeconds + 1 : 0;
+    }
+    assert.equal(quietSeconds, 3, "followers go on reading the store");
+  }
+
+  // The price of calls grows with data centres instead of entries.
+  it("follow the first and make no calls of their own", async () => {
+    const { store, entries } = await startFleet(5);
+    await waitForFollowers(entries);
+    const before = entries.map(({ calls }) => calls);
+    store.put("config", "main", createConfiguration(2));
+    store.put("servers", "i-1", createRecord("draining"));
+    await waitFor(
+      () => entries.every((entry) => getVersion(entry) === 2),
+      BOUNDS.configMs / 4,
+    );
+    await waitFor(
+      () => entries.every((entry) => countOpen(entry) === 0),
+      BOUNDS.drainMs / 4,
+    );
+    store.delete("servers", "i-1");
+    await waitFor(() => entries.every(({ view }) => view.endpoints.size === 0));
+    await sleep(2_000);
+    for (const [index, entry] of entries.entries()) {
+      assert.ok(entry.freshness.ageMs < MAX_CONFIG_AGE_MS, entry.name);
+      if (index > 0) assert.equal(entry.calls, before[index], entry.name);
+    }
+  });
+
+  // A stopped process still holds the questions that it was asked.
+  it("read the store themselves when the reader falls silent", async () => {
+    const { store, entries } = await startFleet(5);
+    await waitForFollowers(entries);
+    const [reader, ...followers] = entries;
+    if (reader === undefined) return;
+    reader.isSilent = true;
+    reader.isCutOff = true;
+    store.put("config", "main", createConfiguration(2));
+    store.put("servers", "i-1", createRecord("draining"));
+    await waitFor(
+      () =>
+        followers.every(
+          (entry) => getVersion(entry) === 2 && countOpen(entry) === 0,
+        ),
+      BOUNDS.configMs,
+    );
+  });
+
+  // A reader that the store does not answer any more has old news only.
+  it("read the store themselves when the reader is cut off from it", async () => {
+    const { store, entries } = await startFleet(5);
+    await waitForFollowers(entries);
+    const [reader, ...followers] = entries;
+    if (reader === undefined) return;
+    reader.isCutOff = true;
+    await sleep(20);
+    store.put("config", "main", createConfiguration(2));
+    store.put("servers", "i-1", createRecord("draining"));
+    await waitFor(
+      () =>
+        followers.every(
+          (entry) => getVersion(entry) === 2 && countOpen(entry) === 0,
+        ),
+      BOUNDS.configMs,
+    );
+  });
+
+  // Requests with a key would be refused while only this entry is cut off.
+  it("hear from a neighbour while they are cut off themselves", async () => {
+    const { store, entries } = await startFleet(2);
+    const lone = entries[0];
+    if (lone === undefined) return;
+    lone.isCutOff = true;
+    // The last watch may wait for its whole time before the loss is noticed.
+    await sleep(10_000);
+    store.put("config", "main", createConfiguration(2));
+    await waitFor(() => getVersion(lone) === 2, BOUNDS.configMs);
+    for (let index = 0; index < 40; index++) {
+      assert.ok(lone.freshness.ageMs < MAX_CONFIG_AGE_MS);
+      await sleep(50);
+    }
+  });
+});
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -31,6 +31,12 @@
     labelNames: ["kind", "result"] as const,
     registers: [this.#registry],
   });
+  readonly newsAnswers = new Counter({
+    name: "hornbeamrill_news_answers_total",
+    help: "Questions to another entry that reads the store, by result",
+    labelNames: ["result"] as const,
+    registers: [this.#registry],
+  });
   readonly configVersion = new Gauge({
     name: "hornbeamrill_config_version",
     help: "Version of the configuration in force",
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -3,12 +3,12 @@
  * find each other through seed addresses and through those they meet.
  */
 
-import { Agent, createServer, request, type Server } from "node:http";
+import { Agent } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { LRUCache } from "lru-cache";
 import type { Logger } from "../adapters/logs.js";
 import { Exchange, type Place } from "../schema/exchange/index.js";
-import { startListening } from "./proxy_server.js";
+import { type PeerAddress, sendMessage } from "./peer_messages.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
 
@@ -27,17 +27,13 @@
 /** Entries that are assumed until the first rounds have found them. */
 const ASSUMED_ENTRIES = 8;
 const SETTLED_AFTER_MS = 2_500;
-/** Largest message of another entry, bytes. */
-const MAX_MESSAGE_BYTES = 1_048_576;
 /** Starts of left peers that are remembered. */
 const MAX_LEFT = 1_000;
 /** Peers that one message names. */
 const MAX_NAMED = 64;
 
-export interface PeerAddress {
-  readonly address: string;
-  readonly port: number;
-}
+/** Path on which entries tell each other what they know. */
+export const EXCHANGE_PATH = "/exchange";
 
 export interface PeersOptions {
   readonly self: Omit<Place, "ageMs">;
@@ -89,6 +85,15 @@
     ).length;
   }
 
+  /** Present entries of this one's data centre by name, itself left out. */
+  listNeighbours(): Place[] {
+    const { dataCentre } = this.#options.self;
+    return this.#listHeard(GONE_AFTER_MS)
+      .map(({ place }) => place)
+      .filter((place) => place.dataCentre === dataCentre)
+      .sort((one, other) => (one.name < other.name ? -1 : 1));
+  }
+
   /** Tells the others that this entry takes no more requests. */
   leave(): void {
     this.#isLeaving = true;
@@ -145,43 +150,22 @@
     }).finish();
   }
 
-  #exchange(target: PeerAddress): Promise<void> {
-    const data = this.#createMessage();
+  async #exchange(target: PeerAddress): Promise<void> {
     const { signal, log } = this.#options;
-    return new Promise((resolve) => {
-      const outgoing = request({
-        host: target.address,
-        port: target.port,
-        method: "POST",
-        path: "/exchange",
-        agent: this.#agent,
-        headers: { "content-length": data.length },
-        signal,
-      });
-      const timer = setTimeout(
-        () => outgoing.destroy(new Error("No answer")),
-        EXCHANGE_TIMEOUT_MS,
-      );
-      const settle = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-      outgoing.once("error", (error) => {
-        const { address } = target;
-        log.debug("peer-unreachable", { address, reason: error.message });
-        settle();
-      });
-      outgoing.once("response", (response) => {
-        const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
-        response.once("error", settle);
-        response.once("end", () => {
-          this.#take(Buffer.concat(chunks));
-          settle();
-        });
-      });
-      outgoing.end(data);
+    const answer = await sendMessage({
+      agent: this.#agent,
+      target,
+      path: EXCHANGE_PATH,
+      data: this.#createMessage(),
+      timeoutMs: EXCHANGE_TIMEOUT_MS,
+      signal,
     });
+    if (answer.isOk()) {
+      this.#take(answer.value);
+      return;
+    }
+    const { address } = target;
+    log.debug("peer-unreachable", { address, reason: answer.error });
   }
 
   #take(data: Uint8Array): void {
@@ -218,23 +202,9 @@
     this.#peers.set(place.name, { place, heardAtMs });
   }
 
-  /** Answers the exchanges of other entries. */
-  async serve(place: PeerAddress): Promise<Server> {
-    const server = createServer((incoming, response) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      incoming.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (size > MAX_MESSAGE_BYTES) incoming.destroy();
-        else chunks.push(chunk);
-      });
-      incoming.once("end", () => {
-        this.#take(Buffer.concat(chunks));
-        const data = this.#createMessage();
-        response.writeHead(200, { "Content-Length": data.length });
-        response.end(data);
-      });
-    });
-    return await startListening(server, place);
+  /** Answers the exchange of another entry. */
+  answer(data: Uint8Array): Uint8Array {
+    this.#take(data);
+    return this.#createMessage();
   }
 }
--- a/src/proxy/peers_test.ts
+++ b/src/proxy/peers_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { Peers } from "./peers.js";
+import { startPeerServer } from "./peer_messages.js";
+import { EXCHANGE_PATH, Peers } from "./peers.js";
 import { Rollouts } from "./rollouts.js";
 import { SessionVersions } from "./session_versions.js";
 
@@ -26,7 +27,7 @@
     const rollouts = new Rollouts(name, 0.15);
     const sessions = new SessionVersions({ gapMs: 5_000, toldBelow: 1 });
     const address = "127.0.0.1";
-    const self = { name, incarnation: "1", address, port: 0 };
+    const self = { name, incarnation: "1", address, port: 0, dataCentre: "" };
     const peers = new Peers({
       self,
       seeds: seedPorts.map((port) => ({ address, port })),
@@ -37,7 +38,10 @@
       log: LOG,
       signal: controller.signal,
     });
-    const server = await peers.serve({ address, port: 0 });
+    const server = await startPeerServer(
+      new Map([[EXCHANGE_PATH, (data: Uint8Array) => peers.answer(data)]]),
+      { address, port: 0 },
+    );
     const { port } = server.address() as AddressInfo;
     self.port = port;
     void peers.run();
--- /dev/null
+++ b/src/proxy/view_relay.ts
@@ -0,0 +1,271 @@
+/**
+ * Lets one entry of a data centre read the store for the others. A reader
+ * answers questions for news at once when there are some; a follower reads
+ * the store itself for each view that the answers don't keep young enough.
+ */
+
+import { Agent } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import type { Logger } from "../adapters/logs.js";
+import {
+  News,
+  NewsQuestion,
+  type Place,
+  type ViewNews,
+} from "../schema/exchange/index.js";
+import type { SuspendClock } from "./clock.js";
+import { sendMessage } from "./peer_messages.js";
+
+/** Path on which entries ask for news. */
+export const NEWS_PATH = "/news";
+/**
+ * Entries of a data centre from which on one of them reads for all: a reader
+ * confirms its views more often than an entry that reads for itself only.
+ */
+const MIN_GROUP = 4;
+/** Time for an answer beyond the wait that the question names, ms. */
+const ANSWER_SLACK_MS = 300;
+/** How long an entry that did not answer is not asked again, ms. */
+const AVOID_MS = 5_000;
+/** How long any other entry is asked after the store was lost, ms. */
+const STORE_LOST_MS = 5_000;
+/** Pause while there is no entry to ask, ms. */
+const IDLE_MS = 500;
+/** Time since the last question after which nobody follows any more, ms. */
+const FOLLOWED_MS = 3_000;
+
+/** The view of one kind of record that the store holds. */
+export interface RelayedView {
+  readonly kind: string;
+  /** The view holds all changes up to here; undefined until it is loaded. */
+  readonly revision: number | undefined;
+  /** Time since the store confirmed the view, ms. */
+  readonly ageMs: number;
+  /** The store does not answer. */
+  readonly isLost: boolean;
+  hasNewsSince(revision: number): boolean;
+  /** Undefined when some changes since the revision are no longer known. */
+  listSince(revision: number): readonly Uint8Array[] | undefined;
+  /** Takes the changes that another entry has read. */
+  take(news: TakenNews): void;
+  /** A view that follows makes no calls to the store. */
+  follow(isFollowing: boolean): void;
+}
+
+export interface TakenNews {
+  /** Revision of the view for which the changes were asked. */
+  readonly since: number;
+  readonly revision: number;
+  readonly changes: readonly Uint8Array[];
+  /** When the store confirmed the news, on the suspend clock. */
+  readonly confirmedAtMs: number;
+}
+
+export interface ViewRelayOptions {
+  readonly selfName: string;
+  readonly views: readonly RelayedView[];
+  /** Oldest age at which a view may still be followed, ms, by kind. */
+  readonly maxAgeMs: Readonly<Record<string, number>>;
+  /** Longest wait of one question, ms. */
+  readonly waitMs: number;
+  /** Present entries of the same data centre by name. */
+  readonly listNeighbours: () => readonly Place[];
+  readonly onAnswer: (result: "ok" | "failed") => void;
+  readonly clock: SuspendClock;
+  readonly log: Logger;
+  readonly signal: AbortSignal;
+}
+
+export class ViewRelay {
+  readonly #options: ViewRelayOptions;
+  readonly #agent = new Agent({ keepAlive: true });
+  readonly #avoidUntilMs = new Map<string, number>();
+  readonly #waiting = new Set<() => void>();
+  #storeLostUntilMs = Number.NEGATIVE_INFINITY;
+  #askedAtMs = Number.NEGATIVE_INFINITY;
+  #source = "";
+
+  constructor(options: ViewRelayOptions) {
+    this.#options = options;
+    options.signal.addEventListener("abort", () => this.#agent.destroy(), {
+      once: true,
+    });
+  }
+
+  /** True while other entries follow this one. */
+  get isFollowed(): boolean {
+    return this.#options.clock.now() - this.#askedAtMs < FOLLOWED_MS;
+  }
+
+  /** Tells that a view has changed. */
+  notify(): void {
+    for (const wake of [...this.#waiting]) wake();
+  }
+
+  /** Follows another entry while there is one that reads for this one. */
+  async run(): Promise<void> {
+    const { signal } = this.#options;
+    while (!signal.aborted) {
+      const source = this.#chooseSource();
+      this.#logSource(source?.name ?? "store");
+      if (source !== undefined) await this.#ask(source);
+      else {
+        this.#followNobody();
+        await delay(IDLE_MS, undefined, { signal }).catch(() => undefined);
+      }
+    }
+  }
+
+  #chooseSource(): Place | undefined {
+    const { views, listNeighbours, selfName, clock } = this.#options;
+    if (views.some((view) => view.revision === undefined)) return undefined;
+    const nowMs = clock.now();
+    if (views.some((view) => view.isLost)) {
+      this.#storeLostUntilMs = nowMs + STORE_LOST_MS;
+    }
+    const neighbours = listNeighbours();
+    const isStoreLost = nowMs < this.#storeLostUntilMs;
+    if (!isStoreLost && neighbours.length + 1 < MIN_GROUP) return undefined;
+    // The first by name reads for all the others.
+    return neighbours.find(
+      ({ name }) =>
+        (isStoreLost || name < selfName) &&
+        nowMs >= (this.#avoidUntilMs.get(name) ?? 0),
+    );
+  }
+
+  #logSource(source: string): void {
+    if (source === this.#source) return;
+    this.#source = source;
+    this.#options.log.info("view-source", { source });
+  }
+
+  #followNobody(): void {
+    for (const view of this.#options.views) view.follow(false);
+  }
+
+  async #ask(source: Place): Promise<void> {
+    const { views, waitMs, clock, log, signal, onAnswer } = this.#options;
+    const positions = views.map(({ kind, revision = 0 }) => ({
+      kind,
+      revision,
+    }));
+    const startedAtMs = clock.now();
+    const answer = await sendMessage({
+      agent: this.#agent,
+      target: source,
+      path: NEWS_PATH,
+      data: NewsQuestion.encode({ positions, waitMs }).finish(),
+      timeoutMs: waitMs + ANSWER_SLACK_MS,
+      signal,
+    });
+    const news = answer.andThen(decodeNews);
+    onAnswer(news.isOk() ? "ok" : "failed");
+    if (news.isErr()) {
+      const reason = news.error;
+      log.info("view-source-failed", { source: source.name, reason });
+      this.#avoidUntilMs.set(source.name, clock.now() + AVOID_MS);
+      this.#followNobody();
+      return;
+    }
+    const message = news.value;
+    let isWhole = true;
+    // The answer left the source no sooner than it had waited.
+    const waitedMs = Math.min(message.waitedMs, clock.now() - startedAtMs);
+    for (const { kind, revision } of positions) {
+      const view = views.find((one) => one.kind === kind);
+      const part = message.views.find((one) => one.kind === kind);
+      if (view === undefined) continue;
+      const isTaken = part !== undefined && isUsable(part, revision);
+      if (isTaken) {
+        view.take({
+          since: revision,
+          revision: part.revision,
+          changes: part.changes,
+          confirmedAtMs: startedAtMs + waitedMs - part.ageMs,
+        });
+      }
+      const maxAgeMs = this.#options.maxAgeMs[kind] ?? 0;
+      view.follow(isTaken && view.ageMs <= maxAgeMs);
+      isWhole &&= isTaken;
+    }
+    // An answer that can't be used may come at once each time.
+    if (!isWhole) await delay(IDLE_MS, undefined, { signal }).catch(() => {});
+  }
+
+  /** Answers a question for news, at once or when there are some. */
+  async answer(data: Uint8Array): Promise<Uint8Array> {
+    const { views, clock } = this.#options;
+    const { positions, waitMs } = this.#decodeQuestion(data);
+    const startedAtMs = clock.now();
+    this.#askedAtMs = startedAtMs;
+    const asked = new Map(
+      positions.map(({ kind, revision }) => [kind, revision]),
+    );
+    const known = views.filter(({ kind }) => asked.has(kind));
+    await this.#waitUntil(
+      () =>
+        known.some(
+          (view) => view.isLost || view.hasNewsSince(asked.get(view.kind) ?? 0),
+        ),
+      Math.min(waitMs, this.#options.waitMs),
+    );
+    return News.encode({
+      views: known.map((view) => {
+        const changes = view.listSince(asked.get(view.kind) ?? 0);
+        return {
+          kind: view.kind,
+          revision: view.revision ?? 0,
+          ageMs: Math.ceil(Math.min(view.ageMs, MAX_AGE_MS)),
+          isComplete: changes !== undefined && view.revision !== undefined,
+          isLost: view.isLost,
+          changes: [...(changes ?? [])],
+        };
+      }),
+      waitedMs: Math.floor(clock.now() - startedAtMs),
+    }).finish();
+  }
+
+  /** A malformed question asks for nothing. */
+  #decodeQuestion(data: Uint8Array): NewsQuestion {
+    try {
+      return NewsQuestion.decode(data);
+    } catch (error) {
+      const reason = String(error);
+      this.#options.log.warn("peer-message-skipped", { reason });
+      return { positions: [], waitMs: 0 };
+    }
+  }
+
+  async #waitUntil(isDone: () => boolean, waitMs: number): Promise<void> {
+    if (isDone() || waitMs <= 0) return;
+    await new Promise<void>((resolve) => {
+      const settle = () => {
+        clearTimeout(timer);
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const wake = () => {
+        if (isDone()) settle();
+      };
+      const timer = setTimeout(settle, waitMs);
+      this.#waiting.add(wake);
+    });
+  }
+}
+
+/** Ages of views that were never confirmed are told as this, ms. */
+const MAX_AGE_MS = 1_000_000_000;
+
+function isUsable(news: ViewNews, since: number): boolean {
+  return news.isComplete && !news.isLost && news.revision >= since;
+}
+
+function decodeNews(data: Uint8Array): Result<News, string> {
+  try {
+    return ok(News.decode(data));
+  } catch (error) {
+    return err(String(error));
+  }
+}
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -43,6 +43,41 @@
   port: number;
   /** Milliseconds since it was last heard from. */
   ageMs: number;
+  dataCentre: string;
+}
+
+/** Asks an entry for the changes that it has read from the store. */
+export interface NewsQuestion {
+  positions: ViewPosition[];
+  /** Longest time until the answer while there is nothing new. */
+  waitMs: number;
+}
+
+/** How far the view of one kind of record goes. */
+export interface ViewPosition {
+  kind: string;
+  revision: number;
+}
+
+export interface News {
+  views: ViewNews[];
+  /** How long the answer was held back. */
+  waitedMs: number;
+}
+
+/** Changes of one kind of record since the revision of the question. */
+export interface ViewNews {
+  kind: string;
+  /** The view of the answering entry holds all changes up to this one. */
+  revision: number;
+  /** Milliseconds since the store confirmed that view. */
+  ageMs: number;
+  /** Unset when the changes since the question's revision are no longer known. */
+  isComplete: boolean;
+  /** Records in the form of the edge that read them. */
+  changes: Uint8Array[];
+  /** The store does not answer the sender. */
+  isLost: boolean;
 }
 
 /** What entries have seen of one rollout. */
@@ -277,7 +312,7 @@
 };
 
 function createBasePlace(): Place {
-  return { name: "", incarnation: "", address: "", port: 0, ageMs: 0 };
+  return { name: "", incarnation: "", address: "", port: 0, ageMs: 0, dataCentre: "" };
 }
 
 export const Place: MessageFns<Place> = {
@@ -297,6 +332,9 @@
     if (message.ageMs !== 0) {
       writer.uint32(40).uint32(message.ageMs);
     }
+    if (message.dataCentre !== "") {
+      writer.uint32(50).string(message.dataCentre);
+    }
     return writer;
   },
 
@@ -353,6 +391,14 @@
             message.ageMs = reader.uint32();
             continue;
           }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.dataCentre = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -375,6 +421,323 @@
     message.address = object.address ?? "";
     message.port = object.port ?? 0;
     message.ageMs = object.ageMs ?? 0;
+    message.dataCentre = object.dataCentre ?? "";
+    return message;
+  },
+};
+
+function createBaseNewsQuestion(): NewsQuestion {
+  return { positions: [], waitMs: 0 };
+}
+
+export const NewsQuestion: MessageFns<NewsQuestion> = {
+  encode(message: NewsQuestion, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.positions) {
+      ViewPosition.encode(v!, writer.uint32(10).fork()).join();
+    }
+    if (message.waitMs !== 0) {
+      writer.uint32(16).uint32(message.waitMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): NewsQuestion {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseNewsQuestion();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.positions.push(ViewPosition.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.waitMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<NewsQuestion>): NewsQuestion {
+    return NewsQuestion.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<NewsQuestion>): NewsQuestion {
+    const message = createBaseNewsQuestion();
+    message.positions = object.positions?.map((e) => ViewPosition.fromPartial(e)) || [];
+    message.waitMs = object.waitMs ?? 0;
+    return message;
+  },
+};
+
+function createBaseViewPosition(): ViewPosition {
+  return { kind: "", revision: 0 };
+}
+
+export const ViewPosition: MessageFns<ViewPosition> = {
+  encode(message: ViewPosition, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.kind !== "") {
+      writer.uint32(10).string(message.kind);
+    }
+    if (message.revision !== 0) {
+      writer.uint32(17).double(message.revision);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ViewPosition {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseViewPosition();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.kind = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.revision = reader.double();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<ViewPosition>): ViewPosition {
+    return ViewPosition.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<ViewPosition>): ViewPosition {
+    const message = createBaseViewPosition();
+    message.kind = object.kind ?? "";
+    message.revision = object.revision ?? 0;
+    return message;
+  },
+};
+
+function createBaseNews(): News {
+  return { views: [], waitedMs: 0 };
+}
+
+export const News: MessageFns<News> = {
+  encode(message: News, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.views) {
+      ViewNews.encode(v!, writer.uint32(10).fork()).join();
+    }
+    if (message.waitedMs !== 0) {
+      writer.uint32(16).uint32(message.waitedMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): News {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseNews();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.views.push(ViewNews.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.waitedMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<News>): News {
+    return News.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<News>): News {
+    const message = createBaseNews();
+    message.views = object.views?.map((e) => ViewNews.fromPartial(e)) || [];
+    message.waitedMs = object.waitedMs ?? 0;
+    return message;
+  },
+};
+
+function createBaseViewNews(): ViewNews {
+  return { kind: "", revision: 0, ageMs: 0, isComplete: false, changes: [], isLost: false };
+}
+
+export const ViewNews: MessageFns<ViewNews> = {
+  encode(message: ViewNews, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.kind !== "") {
+      writer.uint32(10).string(message.kind);
+    }
+    if (message.revision !== 0) {
+      writer.uint32(17).double(message.revision);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(24).uint32(message.ageMs);
+    }
+    if (message.isComplete !== false) {
+      writer.uint32(32).bool(message.isComplete);
+    }
+    for (const v of message.changes) {
+      writer.uint32(42).bytes(v!);
+    }
+    if (message.isLost !== false) {
+      writer.uint32(48).bool(message.isLost);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ViewNews {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseViewNews();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.kind = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.revision = reader.double();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.isComplete = reader.bool();
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.changes.push(reader.bytes());
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.isLost = reader.bool();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<ViewNews>): ViewNews {
+    return ViewNews.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<ViewNews>): ViewNews {
+    const message = createBaseViewNews();
+    message.kind = object.kind ?? "";
+    message.revision = object.revision ?? 0;
+    message.ageMs = object.ageMs ?? 0;
+    message.isComplete = object.isComplete ?? false;
+    message.changes = object.changes?.map((e) => e) || [];
+    message.isLost = object.isLost ?? false;
     return message;
   },
 };
