Gossip less between data centres

Ruled out: longer rounds (evidence on a new version would come later).

Change: three peers a round, one of them of another data centre, and at most six names, or a tenth of the entries where that is more.

The test counts messages between two data centres: at most half are far; all eight entries still count eight.

--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -15,7 +15,9 @@
 /** Time between two rounds, ms. */
 const ROUND_MS = 400;
 /** Peers asked in one round; more entries than these hear of news in turn. */
-const PEERS_PER_ROUND = 4;
+const PEERS_PER_ROUND = 3;
+/** Of them, peers of other data centres: bytes between those are paid for. */
+const FAR_PEERS_PER_ROUND = 1;
 /** Time for one exchange, ms. */
 const EXCHANGE_TIMEOUT_MS = 500;
 /** Silence after which a peer counts as gone, ms. */
@@ -29,8 +31,9 @@
 const SETTLED_AFTER_MS = 2_500;
 /** Starts of left peers that are remembered. */
 const MAX_LEFT = 1_000;
-/** Peers that one message names. */
-const MAX_NAMED = 64;
+/** Peers that one message names at least, and its share of more of them. */
+const MIN_NAMED = 6;
+const NAMED_SHARE = 0.1;
 
 /** Path on which entries tell each other what they know. */
 export const EXCHANGE_PATH = "/exchange";
@@ -118,11 +121,17 @@
   #chooseTargets(round: number): PeerAddress[] {
     const { seeds, self, random } = this.#options;
     const heard = this.#listHeard(GONE_AFTER_MS).map(({ place }) => place);
-    const chosen: PeerAddress[] = [];
-    while (heard.length > 0 && chosen.length < PEERS_PER_ROUND) {
-      const index = Math.floor(random() * heard.length);
-      chosen.push(...heard.splice(index, 1));
-    }
+    const isNear = (place: Place) => place.dataCentre === self.dataCentre;
+    const near = heard.filter(isNear);
+    const far = heard.filter((place) => !isNear(place));
+    const nearWanted = Math.min(
+      near.length,
+      PEERS_PER_ROUND - FAR_PEERS_PER_ROUND,
+    );
+    const chosen: PeerAddress[] = [
+      ...chooseSome(near, nearWanted, random),
+      ...chooseSome(far, PEERS_PER_ROUND - nearWanted, random),
+    ];
     if (chosen.length > 0 && round % SEED_EVERY_ROUNDS !== 0) return chosen;
     const isKnown = (seed: PeerAddress) =>
       (seed.address === self.address && seed.port === self.port) ||
@@ -133,14 +142,16 @@
   }
 
   #createMessage(): Uint8Array {
-    const { self, rollouts, sessions, now } = this.#options;
+    const { self, rollouts, sessions, now, random } = this.#options;
     const nowMs = now();
-    const peers = this.#listHeard(GONE_AFTER_MS)
-      .slice(0, MAX_NAMED)
-      .map(({ place, heardAtMs }) => ({
+    const heard = this.#listHeard(GONE_AFTER_MS);
+    const named = Math.max(MIN_NAMED, Math.ceil(NAMED_SHARE * heard.length));
+    const peers = chooseSome(heard, named, random).map(
+      ({ place, heardAtMs }) => ({
         ...place,
         ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
-      }));
+      }),
+    );
     return Exchange.encode({
       sender: { ...self, ageMs: 0 },
       leaving: this.#isLeaving,
@@ -208,3 +219,18 @@
     return this.#createMessage();
   }
 }
+
+/** A few of the items, each as likely as any other. */
+function chooseSome<Item>(
+  items: readonly Item[],
+  count: number,
+  random: () => number,
+): Item[] {
+  const left = [...items];
+  const chosen: Item[] = [];
+  while (left.length > 0 && chosen.length < count) {
+    const index = Math.floor(random() * left.length);
+    chosen.push(...left.splice(index, 1));
+  }
+  return chosen;
+}
--- a/src/proxy/peers_test.ts
+++ b/src/proxy/peers_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { Exchange } from "../schema/exchange/index.js";
 import { startPeerServer } from "./peer_messages.js";
 import { EXCHANGE_PATH, Peers } from "./peers.js";
 import { Rollouts } from "./rollouts.js";
@@ -22,12 +23,18 @@
     for (const close of closers.splice(0)) close();
   });
 
-  async function startEntry(name: string, seedPorts: number[]): Promise<Entry> {
+  /** `onMessage` hears of each message that the entry gets. */
+  async function startEntry(
+    name: string,
+    seedPorts: number[],
+    dataCentre = "",
+    onMessage: (data: Uint8Array) => void = () => {},
+  ): Promise<Entry> {
     const controller = new AbortController();
     const rollouts = new Rollouts(name, 0.15);
     const sessions = new SessionVersions({ gapMs: 5_000, toldBelow: 1 });
     const address = "127.0.0.1";
-    const self = { name, incarnation: "1", address, port: 0, dataCentre: "" };
+    const self = { name, incarnation: "1", address, port: 0, dataCentre };
     const peers = new Peers({
       self,
       seeds: seedPorts.map((port) => ({ address, port })),
@@ -39,7 +46,15 @@
       signal: controller.signal,
     });
     const server = await startPeerServer(
-      new Map([[EXCHANGE_PATH, (data: Uint8Array) => peers.answer(data)]]),
+      new Map([
+        [
+          EXCHANGE_PATH,
+          (data: Uint8Array) => {
+            onMessage(data);
+            return peers.answer(data);
+          },
+        ],
+      ]),
       { address, port: 0 },
     );
     const { port } = server.address() as AddressInfo;
@@ -78,6 +93,30 @@
     );
   });
 
+  // Bytes between data centres are paid for; most news is near anyway.
+  it("talk mostly to peers of their own data centre", async () => {
+    const counts = { near: 0, far: 0 };
+    const ports: number[] = [];
+    const all: Entry[] = [];
+    for (let index = 0; index < 8; index++) {
+      const own = index % 2 === 0 ? "dc1" : "dc2";
+      const entry = await startEntry(`e${index}`, ports, own, (data) => {
+        const sender = Exchange.decode(data).sender?.dataCentre;
+        counts[sender === own ? "near" : "far"]++;
+      });
+      all.push(entry);
+      if (ports.length === 0) ports.push(entry.port);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 2_600));
+    await waitFor(() => all.every(({ peers }) => peers.countEntries() === 8));
+    Object.assign(counts, { near: 0, far: 0 });
+    await new Promise((resolve) => setTimeout(resolve, 2_500));
+    assert.ok(counts.far > 0, "nothing passes between data centres");
+    const share = counts.far / (counts.near + counts.far);
+    assert.ok(share < 0.5, `share of far messages ${share}`);
+    assert.ok(all.every(({ peers }) => peers.countEntries() === 8));
+  });
+
   it("pass evidence and sessions on", async () => {
     const first = await startEntry("a", []);
     const second = await startEntry("b", [first.port]);
