Notice callers that left before their request was read; shed connections

Ruled out: a check of the time left (a request's deadline is counted from the read); an answer of 503 while late (it would cost the caller its retry where the request can still be served).

Change: a request waits two turns of the event loop before it is placed, and nothing is placed once its connection is closed.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -11,6 +11,7 @@
   FleetView,
   Freshness,
   getFirstShare,
+  LoopDelay,
   type MessageHandler,
   NEWS_PATH,
   Peers,
@@ -74,6 +75,7 @@
   const now = () => performance.now();
   const { random } = Math;
   const connections = new Connections(signal);
+  const loopDelay = new LoopDelay();
   const freshness = new Freshness(clock, () => void sync.confirmNow());
   const store = new StoreClient({
     ...settings.store,
@@ -122,6 +124,7 @@
     view,
     connections,
     freshness,
+    loopDelay,
     now,
     random,
     budget: new RepeatBudget({
@@ -150,6 +153,7 @@
     () => {
       metrics.configVersion.set(view.catalog?.configuration.version ?? 0);
       metrics.configAge.set(Math.min(freshness.ageMs, 1e9) / 1_000);
+      metrics.loopDelay.set(loopDelay.meanMs / 1_000);
       metrics.endpoints.set(view.endpoints.size);
       return metrics.render();
     },
@@ -171,7 +175,7 @@
   };
   void peers.run();
   void sync.run();
-  void runTicks({ view, sync, peers, now, signal });
+  void runTicks({ view, sync, peers, loopDelay, now, signal });
   return {
     callerPort: (callers.address() as AddressInfo).port,
     isReady,
@@ -192,17 +196,20 @@
   readonly view: FleetView;
   readonly sync: FleetSync;
   readonly peers: Peers;
+  readonly loopDelay: LoopDelay;
   readonly now: () => number;
   readonly signal: AbortSignal;
 }
 
 /** Ends lapsed records and writes rollout outcomes, the first entry first. */
 async function runTicks(options: TickOptions): Promise<void> {
-  const { view, sync, peers, now, signal } = options;
+  const { view, sync, peers, loopDelay, now, signal } = options;
   const dueSinceMs = new Map<string, number>();
   while (!signal.aborted) {
+    const startedAtMs = now();
     await delay(TICK_MS, undefined, { signal }).catch(() => undefined);
     if (signal.aborted) return;
+    loopDelay.record(now() - startedAtMs - TICK_MS);
     view.endpoints.expire(now());
     const decisions = view.rollouts.decide(now());
     for (const decision of decisions) {
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -162,6 +162,10 @@
     await this.waitFor(() => this.#entry?.isReady() ?? false);
   }
 
+  get callerPort(): number {
+    return this.#callerPort;
+  }
+
   get isReady(): boolean {
     return this.#entry?.isReady() ?? false;
   }
--- a/src/platform/entry_test.ts
+++ b/src/platform/entry_test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
+  API_KEY,
   createConfiguration,
   HOST,
   TestSystem,
@@ -189,6 +192,36 @@
     });
   });
 
+  describe("callers that have left", () => {
+    // A busy host reads a request after its caller gave up on it.
+    it("sends nothing on when the close was there before the read", async () => {
+      await system.start([{ id: "i-1" }]);
+      const head = [
+        "POST /safe/a HTTP/1.1",
+        `Host: ${HOST}`,
+        "Attempt-Id: left",
+        `Authorization: Bearer ${API_KEY}`,
+        "Deadline-Ms: 3000",
+        "Content-Length: 0",
+      ];
+      const script = `
+        const socket = require("node:net").connect(${system.callerPort}, "127.0.0.1");
+        const text = ${JSON.stringify(`${head.join("\r\n")}\r\n\r\n`)};
+        socket.once("connect", () => {
+          process.stdout.write("connected");
+          setTimeout(() => socket.write(text), 100);
+          setTimeout(() => socket.destroy(), 200);
+        });`;
+      const caller = spawn(process.execPath, ["-e", script]);
+      await once(caller.stdout, "data");
+      // Nothing is read until the caller has left.
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+      await once(caller, "close");
+      await delay(200);
+      assert.equal(system.listRuns("left").length, 0);
+    });
+  });
+
   describe("deadlines", () => {
     it("answers by the caller's deadline", async () => {
       await system.start([{ id: "i-1", isMute: true }]);
--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -8,6 +8,7 @@
 export * from "./endpoint_table.js";
 export * from "./fleet_view.js";
 export * from "./freshness.js";
+export * from "./loop_delay.js";
 export * from "./metrics.js";
 export * from "./peer_messages.js";
 export * from "./peers.js";
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -47,6 +47,11 @@
     help: "Time since the store confirmed the configuration",
     registers: [this.#registry],
   });
+  readonly loopDelay = new Gauge({
+    name: "hornbeamrill_loop_delay_seconds",
+    help: "How late timers fire, as a running mean",
+    registers: [this.#registry],
+  });
   readonly endpoints = new Gauge({
     name: "hornbeamrill_endpoints",
     help: "Endpoints that are registered",
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -4,11 +4,13 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setImmediate } from "node:timers/promises";
 import { readBody } from "../adapters/http.js";
 import { createRefusal, type Refusal } from "../core/errors.js";
 import type { AnswerSink } from "./answer.js";
 import { type Catalog, chooseService } from "./catalog.js";
 import type { Freshness } from "./freshness.js";
+import type { LoopDelay } from "./loop_delay.js";
 import {
   RequestRun,
   type RunRequest,
@@ -28,6 +30,7 @@
 
 export interface PathOptions extends RunServices {
   readonly freshness: Freshness;
+  readonly loopDelay: LoopDelay;
   /** Oldest confirmation with which a request with a key may run, ms. */
   readonly maxConfigAgeMs: number;
   /** Oldest confirmation with which a key or route counts as unknown, ms. */
@@ -82,8 +85,10 @@
     response: ServerResponse,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
-    if (this.#isStopping) response.shouldKeepAlive = false;
-    const { wire, view, log } = this.#options;
+    const { wire, view, log, loopDelay, random } = this.#options;
+    if (this.#isStopping || random() < loopDelay.closeShare) {
+      response.shouldKeepAlive = false;
+    }
     const method = incoming.method ?? "GET";
     const target = incoming.url ?? "/";
     const headers = incoming.rawHeaders;
@@ -98,6 +103,8 @@
       });
     });
     if (body === undefined) return;
+    await waitForClose();
+    if (response.destroyed) return this.#logLeft(facts);
     if (facts === undefined) {
       const detail = "The request has no id or no host";
       sink.refuse(createRefusal("bad-request", detail));
@@ -119,6 +126,13 @@
     );
   }
 
+  #logLeft(facts: RequestFacts | undefined): void {
+    this.#options.log.info("request-aborted", {
+      request: facts?.id,
+      reason: "the caller had left before the request was read",
+    });
+  }
+
   #refuse(sink: AnswerSink, facts: RequestFacts, refusal: Refusal): void {
     this.#options.metrics.requests.inc({ route: "-", outcome: refusal.code });
     this.#options.log.info("request-refused", {
@@ -222,6 +236,15 @@
   }
 }
 
+/**
+ * Waits until the connection was read once more: where the caller has left
+ * already, its close comes in the turn of the event loop after its request.
+ */
+async function waitForClose(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
+
 /** Looks route and account up in one configuration. */
 function findAdmitted(
   catalog: Catalog,
