See that a caller left by the end of its connection; log a late event loop

Change: the end of the connection counts as leaving, before a request is placed and while it runs. A host that is late with its timers logs one line when that begins and one when it ends. Readers of the store wait half a bound instead of 0.4, followers act on an age of 0.65 instead of 0.6.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -175,7 +175,7 @@
   };
   void peers.run();
   void sync.run();
-  void runTicks({ view, sync, peers, loopDelay, now, signal });
+  void runTicks({ view, sync, peers, loopDelay, now, log, signal });
   return {
     callerPort: (callers.address() as AddressInfo).port,
     isReady,
@@ -197,19 +197,23 @@
   readonly sync: FleetSync;
   readonly peers: Peers;
   readonly loopDelay: LoopDelay;
+  readonly log: Logger;
   readonly now: () => number;
   readonly signal: AbortSignal;
 }
 
 /** Ends lapsed records and writes rollout outcomes, the first entry first. */
 async function runTicks(options: TickOptions): Promise<void> {
-  const { view, sync, peers, loopDelay, now, signal } = options;
+  const { view, sync, peers, loopDelay, now, log, signal } = options;
   const dueSinceMs = new Map<string, number>();
   while (!signal.aborted) {
     const startedAtMs = now();
     await delay(TICK_MS, undefined, { signal }).catch(() => undefined);
     if (signal.aborted) return;
-    loopDelay.record(now() - startedAtMs - TICK_MS);
+    if (loopDelay.record(now() - startedAtMs - TICK_MS)) {
+      const meanMs = Math.round(loopDelay.meanMs);
+      log.warn(loopDelay.isLate ? "loop-late" : "loop-in-time", { meanMs });
+    }
     view.endpoints.expire(now());
     const decisions = view.rollouts.decide(now());
     for (const decision of decisions) {
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -60,8 +60,8 @@
  * Parts of a bound for the steps by which a follower hears of a change: the
  * reader's watch, its age at which the follower reads itself, the question.
  */
-const READER_SHARE = 0.4;
-const MAX_AGE_SHARE = 0.6;
+const READER_SHARE = 0.5;
+const MAX_AGE_SHARE = 0.65;
 const QUESTION_SHARE = 0.2;
 
 /** Shortest wait of a reader's watch, ms; bounds its calls in a rush. */
--- a/src/proxy/loop_delay_test.ts
+++ b/src/proxy/loop_delay_test.ts
@@ -16,6 +16,16 @@
     assert.equal(delay.closeShare, 0);
   });
 
+  // One line in the log for each change, however the delay wavers.
+  it("tells once that the process is late, and once that it is not", () => {
+    const delay = new LoopDelay();
+    const changes = [60, 60, 60, 60, 30, 50, 30, 60, 0, 0, 0, 0].filter(
+      (lateMs) => delay.record(lateMs),
+    );
+    assert.equal(changes.length, 2);
+    assert.equal(delay.isLate, false);
+  });
+
   // One collection of garbage is no overload.
   it("does not mind a single delay", () => {
     const delay = new LoopDelay();
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -104,7 +104,7 @@
     });
     if (body === undefined) return;
     await waitForClose();
-    if (response.destroyed) return this.#logLeft(facts);
+    if (hasLeft(incoming, response)) return this.#logLeft(facts);
     if (facts === undefined) {
       const detail = "The request has no id or no host";
       sink.refuse(createRefusal("bad-request", detail));
@@ -200,6 +200,9 @@
     const abort = () => controller.abort();
     const timer = setTimeout(abort, Math.max(0, deadlineAtMs - now()));
     response.once("close", abort);
+    // The end is read some turns of the event loop before the close.
+    const { socket } = response;
+    socket?.once("end", abort);
     const run = new RequestRun(
       this.#options,
       {
@@ -215,6 +218,7 @@
     const outcome = await run.run();
     clearTimeout(timer);
     response.off("close", abort);
+    socket?.off("end", abort);
     // Attempts whose answers were dropped end with the request.
     abort();
     const totalMs = now() - startedAtMs;
@@ -236,6 +240,11 @@
   }
 }
 
+/** Callers close only whole connections: the end of one says that it left. */
+function hasLeft(incoming: IncomingMessage, response: ServerResponse): boolean {
+  return response.destroyed || incoming.socket.readableEnded;
+}
+
 /**
  * Waits until the connection was read once more: where the caller has left
  * already, its close comes in the turn of the event loop after its request.
