--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -112,6 +112,7 @@
     seeds: settings.seeds,
     rollouts: view.rollouts,
     sessions,
+    endpoints: view.endpoints,
     now,
     random,
     log,
