--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -112,7 +112,6 @@
     seeds: settings.seeds,
     rollouts: view.rollouts,
     sessions,
-    endpoints: view.endpoints,
     now,
     random,
     log,
--- a/src/proxy/endpoint_choice.ts
+++ b/src/proxy/endpoint_choice.ts
@@ -39,11 +39,6 @@
 const TOKENS_PER_MS = 300;
 /** How much one running request slows the reading of a prompt, ms. */
 const RUNNING_MS = 0.6;
-/**
- * Time for each request that an endpoint holds back, ms: what it takes to read
- * a prompt of usual length.
- */
-const HELD_MS = 40;
 /** Wait for a place where all are taken, for each request over them, ms. */
 const WAITING_MS = 60;
 /**
@@ -89,7 +84,6 @@
     FIXED_MS +
     (pending + toRead) / TOKENS_PER_MS +
     load * RUNNING_MS +
-    state.estimateWaiting(nowMs) * HELD_MS +
     over * WAITING_MS
   );
 }
--- a/src/proxy/endpoint_state.ts
+++ b/src/proxy/endpoint_state.ts
@@ -8,10 +8,6 @@
 const SMOOTHING = 0.15;
 /** Age at which a load report says nothing of the present any more. */
 const LOAD_FADES_MS = 2_000;
-/** The same of its waiting requests; a prompt is read in less than this. */
-const WAITING_FADES_MS = 1_000;
-/** Reports younger than this are told to other entries, ms. */
-const LOAD_TOLD_MS = 800;
 /** First pause of an endpoint that fails; doubles with each further one. */
 const FIRST_PAUSE_MS = 500;
 const MAX_PAUSE_MS = 8_000;
@@ -54,7 +50,6 @@
   #coldCredit = 1;
   #coldCreditAtMs = 0;
   #othersInFlight = 0;
-  #load: EndpointLoad = { running: 0, waiting: 0, slots: 0 };
   #loadAtMs = Number.NEGATIVE_INFINITY;
   #failuresInARow = 0;
   #pauses = 0;
@@ -83,27 +78,10 @@
     return this.inFlight + this.estimateOthers(nowMs);
   }
 
-  /** Requests that the endpoint holds back while it reads prompts. */
-  estimateWaiting(nowMs: number): number {
-    const age = nowMs - this.#loadAtMs;
-    return this.#load.waiting * Math.max(0, 1 - age / WAITING_FADES_MS);
-  }
-
-  /** Takes a report of this or another entry unless a newer one is held. */
-  recordLoad(load: EndpointLoad, atMs: number): void {
-    if (atMs <= this.#loadAtMs) return;
+  recordLoad(load: EndpointLoad, nowMs: number): void {
     const total = load.running + load.waiting;
     this.#othersInFlight = Math.max(0, total - this.inFlight);
-    this.#load = load;
-    this.#loadAtMs = atMs;
-  }
-
-  /** The last report and its age; undefined once it is too old to tell. */
-  getRecentLoad(
-    nowMs: number,
-  ): (EndpointLoad & { readonly ageMs: number }) | undefined {
-    const ageMs = nowMs - this.#loadAtMs;
-    return ageMs < LOAD_TOLD_MS ? { ...this.#load, ageMs } : undefined;
+    this.#loadAtMs = nowMs;
   }
 
   /** `ratio` is the time to the answer against the expected one. */
--- a/src/proxy/endpoint_table.ts
+++ b/src/proxy/endpoint_table.ts
@@ -1,6 +1,5 @@
 /** All endpoints that one entry may choose from, by id. */
 
-import type { LoadReport } from "../schema/exchange/index.js";
 import { EndpointState } from "./endpoint_state.js";
 import type { EndpointRecord } from "./types.js";
 
@@ -110,25 +109,6 @@
     );
   }
 
-  /** Loads that endpoints reported a moment ago, to tell other entries. */
-  listLoads(nowMs: number): LoadReport[] {
-    const reports: LoadReport[] = [];
-    for (const [endpoint, state] of this.#endpoints) {
-      const load = state.getRecentLoad(nowMs);
-      if (load === undefined) continue;
-      const ageMs = Math.max(0, Math.round(load.ageMs));
-      reports.push({ ...load, endpoint, ageMs });
-    }
-    return reports;
-  }
-
-  /** Takes what another entry tells of loads. */
-  mergeLoads(reports: readonly LoadReport[], nowMs: number): void {
-    for (const { endpoint, ageMs, ...load } of reports) {
-      this.#endpoints.get(endpoint)?.recordLoad(load, nowMs - ageMs);
-    }
-  }
-
   get size(): number {
     return this.#endpoints.size;
   }
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -8,7 +8,6 @@
 import { LRUCache } from "lru-cache";
 import type { Logger } from "../adapters/logs.js";
 import { Exchange, type Place } from "../schema/exchange/index.js";
-import type { EndpointTable } from "./endpoint_table.js";
 import { type PeerAddress, sendMessage } from "./peer_messages.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
@@ -35,8 +34,6 @@
 /** Peers that one message names at least, and its share of more of them. */
 const MIN_NAMED = 6;
 const NAMED_SHARE = 0.1;
-/** Loads that one message tells; bounds its length. */
-const MAX_LOADS = 40;
 
 /** Path on which entries tell each other what they know. */
 export const EXCHANGE_PATH = "/exchange";
@@ -46,7 +43,6 @@
   readonly seeds: readonly PeerAddress[];
   readonly rollouts: Rollouts;
   readonly sessions: SessionVersions;
-  readonly endpoints: EndpointTable;
   readonly now: () => number;
   readonly random: () => number;
   readonly log: Logger;
@@ -146,7 +142,7 @@
   }
 
   #createMessage(): Uint8Array {
-    const { self, rollouts, sessions, endpoints, now, random } = this.#options;
+    const { self, rollouts, sessions, now, random } = this.#options;
     const nowMs = now();
     const heard = this.#listHeard(GONE_AFTER_MS);
     const named = Math.max(MIN_NAMED, Math.ceil(NAMED_SHARE * heard.length));
@@ -162,7 +158,6 @@
       peers,
       rollouts: rollouts.listReports(nowMs),
       sessions: sessions.listReports(nowMs),
-      loads: chooseSome(endpoints.listLoads(nowMs), MAX_LOADS, random),
     }).finish();
   }
 
@@ -185,7 +180,7 @@
   }
 
   #take(data: Uint8Array): void {
-    const { log, now, rollouts, sessions, endpoints } = this.#options;
+    const { log, now, rollouts, sessions } = this.#options;
     let message: Exchange;
     try {
       message = Exchange.decode(data);
@@ -204,7 +199,6 @@
     for (const place of peers) this.#meet(place, nowMs - place.ageMs);
     for (const report of message.rollouts) rollouts.mergeReport(report, nowMs);
     sessions.merge(message.sessions, nowMs);
-    endpoints.mergeLoads(message.loads, nowMs);
   }
 
   #meet(place: Place, heardAtMs: number): void {
--- a/src/proxy/peers_test.ts
+++ b/src/proxy/peers_test.ts
@@ -2,7 +2,6 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { Exchange } from "../schema/exchange/index.js";
-import { EndpointTable } from "./endpoint_table.js";
 import { startPeerServer } from "./peer_messages.js";
 import { EXCHANGE_PATH, Peers } from "./peers.js";
 import { Rollouts } from "./rollouts.js";
@@ -34,7 +33,6 @@
     const controller = new AbortController();
     const rollouts = new Rollouts(name, 0.15);
     const sessions = new SessionVersions({ gapMs: 5_000, toldBelow: 1 });
-    const endpoints = new EndpointTable();
     const address = "127.0.0.1";
     const self = { name, incarnation: "1", address, port: 0, dataCentre };
     const peers = new Peers({
@@ -42,7 +40,6 @@
       seeds: seedPorts.map((port) => ({ address, port })),
       rollouts,
       sessions,
-      endpoints,
       now: () => performance.now(),
       random: Math.random,
       log: LOG,
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -24,17 +24,6 @@
   rollouts: RolloutReport[];
   /** Sessions that a rollout would move first. */
   sessions: SessionReport[];
-  /** What endpoints said of their load a moment ago. */
-  loads: LoadReport[];
-}
-
-export interface LoadReport {
-  endpoint: string;
-  running: number;
-  waiting: number;
-  slots: number;
-  /** Milliseconds since the endpoint said so. */
-  ageMs: number;
 }
 
 /** The version that a session last ran on. */
@@ -127,7 +116,7 @@
 }
 
 function createBaseExchange(): Exchange {
-  return { sender: undefined, leaving: false, peers: [], rollouts: [], sessions: [], loads: [] };
+  return { sender: undefined, leaving: false, peers: [], rollouts: [], sessions: [] };
 }
 
 export const Exchange: MessageFns<Exchange> = {
@@ -147,9 +136,6 @@
     for (const v of message.sessions) {
       SessionReport.encode(v!, writer.uint32(42).fork()).join();
     }
-    for (const v of message.loads) {
-      LoadReport.encode(v!, writer.uint32(50).fork()).join();
-    }
     return writer;
   },
 
@@ -206,14 +192,6 @@
             message.sessions.push(SessionReport.decode(reader, reader.uint32()));
             continue;
           }
-          case 6: {
-            if (tag !== 50) {
-              break;
-            }
-
-            message.loads.push(LoadReport.decode(reader, reader.uint32()));
-            continue;
-          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -238,110 +216,6 @@
     message.peers = object.peers?.map((e) => Place.fromPartial(e)) || [];
     message.rollouts = object.rollouts?.map((e) => RolloutReport.fromPartial(e)) || [];
     message.sessions = object.sessions?.map((e) => SessionReport.fromPartial(e)) || [];
-    message.loads = object.loads?.map((e) => LoadReport.fromPartial(e)) || [];
-    return message;
-  },
-};
-
-function createBaseLoadReport(): LoadReport {
-  return { endpoint: "", running: 0, waiting: 0, slots: 0, ageMs: 0 };
-}
-
-export const LoadReport: MessageFns<LoadReport> = {
-  encode(message: LoadReport, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.endpoint !== "") {
-      writer.uint32(10).string(message.endpoint);
-    }
-    if (message.running !== 0) {
-      writer.uint32(16).uint32(message.running);
-    }
-    if (message.waiting !== 0) {
-      writer.uint32(24).uint32(message.waiting);
-    }
-    if (message.slots !== 0) {
-      writer.uint32(32).uint32(message.slots);
-    }
-    if (message.ageMs !== 0) {
-      writer.uint32(40).uint32(message.ageMs);
-    }
-    return writer;
-  },
-
-  decode(input: BinaryReader | Uint8Array, length?: number): LoadReport {
-    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
-    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
-    if (previousRecursionDepth >= 100) {
-      throw new globalThis.Error("protobuf decode recursion limit exceeded");
-    }
-    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
-    try {
-      const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseLoadReport();
-      while (reader.pos < end) {
-        const tag = reader.uint32();
-        switch (tag >>> 3) {
-          case 1: {
-            if (tag !== 10) {
-              break;
-            }
-
-            message.endpoint = reader.string();
-            continue;
-          }
-          case 2: {
-            if (tag !== 16) {
-              break;
-            }
-
-            message.running = reader.uint32();
-            continue;
-          }
-          case 3: {
-            if (tag !== 24) {
-              break;
-            }
-
-            message.waiting = reader.uint32();
-            continue;
-          }
-          case 4: {
-            if (tag !== 32) {
-              break;
-            }
-
-            message.slots = reader.uint32();
-            continue;
-          }
-          case 5: {
-            if (tag !== 40) {
-              break;
-            }
-
-            message.ageMs = reader.uint32();
-            continue;
-          }
-        }
-        if ((tag & 7) === 4 || tag === 0) {
-          break;
-        }
-        reader.skip(tag & 7);
-      }
-      return message;
-    } finally {
-      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
-    }
-  },
-
-  create(base?: DeepPartial<LoadReport>): LoadReport {
-    return LoadReport.fromPartial(base ?? {});
-  },
-  fromPartial(object: DeepPartial<LoadReport>): LoadReport {
-    const message = createBaseLoadReport();
-    message.endpoint = object.endpoint ?? "";
-    message.running = object.running ?? 0;
-    message.waiting = object.waiting ?? 0;
-    message.slots = object.slots ?? 0;
-    message.ageMs = object.ageMs ?? 0;
     return message;
   },
 };
