Split one attempt from the run of a request

AttemptRunner now sends one attempt and records its end; it returns what is known of it, and RequestRun decides what comes next.

--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -1,4 +1,5 @@
 export * from "./attempt.js";
+export * from "./attempt_runner.js";
 export * from "./catalog.js";
 export * from "./change_log.js";
 export * from "./clock.js";
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -8,14 +8,11 @@
 import { readBody } from "../adapters/http.js";
 import { createRefusal, type Refusal } from "../core/errors.js";
 import type { AnswerSink } from "./answer.js";
+import type { RunRequest, RunServices } from "./attempt_runner.js";
 import { type Catalog, chooseService } from "./catalog.js";
 import type { Freshness } from "./freshness.js";
 import type { LoopDelay } from "./loop_delay.js";
-import {
-  RequestRun,
-  type RunRequest,
-  type RunServices,
-} from "./request_run.js";
+import { RequestRun } from "./request_run.js";
 import type { RawHeaders, RequestFacts, Route, Wire } from "./types.js";
 
 /** Waits this long for the store's word when the view is old, ms. */
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -3,8 +3,6 @@
  * that is allowed, and delivers the answer or a refusal that is true.
  */
 
-import type { Agent } from "node:http";
-import type { Logger } from "../adapters/logs.js";
 import { createRefusal } from "../core/errors.js";
 import {
   type AnswerSink,
@@ -12,125 +10,51 @@
   sendAnswer,
   sendStream,
 } from "./answer.js";
+import { readAnswerBody } from "./attempt.js";
 import {
-  ATTEMPT_FAILURE,
-  type AttemptFailure,
-  type AttemptHead,
-  readAnswerBody,
-  startAttempt,
-} from "./attempt.js";
+  type AnsweredAttempt,
+  ATTEMPT_END,
+  type AttemptOutcome,
+  AttemptRunner,
+  type FailureAnswer,
+  type RunRequest,
+  type RunServices,
+} from "./attempt_runner.js";
 import { chooseFirstModel, chooseNextModel } from "./cascade.js";
-import type { Connections } from "./connections.js";
-import { type Choice, estimateTokensToRead } from "./endpoint_choice.js";
-import {
-  ATTEMPT_RESULT,
-  type AttemptResult,
-  type EndpointState,
-} from "./endpoint_state.js";
-import type { FleetView } from "./fleet_view.js";
-import type { ProxyMetrics } from "./metrics.js";
-import type { RepeatBudget } from "./repeat_budget.js";
+import type { Choice } from "./endpoint_choice.js";
 import { RequestPlacement } from "./request_placement.js";
-import type { SessionVersions } from "./session_versions.js";
-import {
-  type RawHeaders,
-  REPEAT,
-  type RequestFacts,
-  type Route,
-  type Service,
-  type Wire,
-} from "./types.js";
+import { REPEAT } from "./types.js";
 
-/** Part of the target after which a silent endpoint is given up on. */
-const PATIENCE_SHARE = 0.6;
-/** Times the expected time to the answer that an endpoint is given. */
-const PATIENCE_RATIO = 6;
-/**
- * Times the usual time to an answer that an endpoint is given: giving up on
- * endpoints that are only busy would have them read the same prompts again.
- */
-const USUAL_RATIO = 3;
-/** Shortest time that an endpoint is given, ms. */
-const MIN_PATIENCE_MS = 150;
 /** Times the allowed pause after which a silent stream is continued elsewhere. */
 const STALL_RATIO = 1.25;
 /** An attempt with less time than this can't end, ms. */
 const MIN_ATTEMPT_MS = 10;
 /** Wait that a refusal for lack of capacity names, ms; callers spread over it. */
 const RETRY_AFTER_MS = { least: 150, most: 600 } as const;
-/** Connections of one entry to an endpoint, as a share of an equal split. */
-const CONNECTION_SHARE = 0.8;
-
-export interface RunServices {
-  readonly wire: Wire;
-  readonly log: Logger;
-  readonly metrics: ProxyMetrics;
-  readonly view: FleetView;
-  readonly connections: Connections;
-  readonly budget: RepeatBudget;
-  readonly sessions: SessionVersions;
-  /** Steady clock, ms. */
-  readonly now: () => number;
-  readonly random: () => number;
-  /** Entries that share the endpoints. */
-  readonly countEntries: () => number;
-}
-
-export interface RunRequest {
-  readonly facts: RequestFacts;
-  readonly method: string;
-  readonly headers: RawHeaders;
-  readonly body: Buffer;
-  readonly route: Route;
-  readonly service: Service;
-  readonly account?: string;
-  readonly rank: number;
-  readonly startedAtMs: number;
-  /** When the caller stops waiting or the route's timeout ends. */
-  readonly deadlineAtMs: number;
-  /** Aborts when the caller leaves or the deadline passes. */
-  readonly signal: AbortSignal;
-}
 
 type RunOutcome = "answered" | "broken" | "refused";
 
-interface Attempt {
-  /** Counts from 1, attempts that were not sent included. */
-  readonly number: number;
-  readonly state: EndpointState;
-  readonly model: string;
-  readonly startedAtMs: number;
-  readonly expectedMs: number;
-  readonly controller: AbortController;
-  /** The endpoint has read the prompt. */
-  readonly endReading: () => void;
-  /** Ends the attempt's share of the endpoint's load. */
-  readonly release: () => void;
-}
-
-interface AnsweredAttempt extends Attempt {
-  readonly head: AttemptHead;
-}
-
 export class RequestRun {
   readonly #services: RunServices;
   readonly #request: RunRequest;
   readonly #sink: AnswerSink;
   readonly #tried = new Set<string>();
   readonly #placement: RequestPlacement;
+  readonly #attemptRunner: AttemptRunner;
   /** Attempts that count towards what the route allows. */
   #attempts = 0;
   #started = 0;
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
   #lastFailure = "";
-  #sentFailure: { head: AttemptHead; body: Buffer } | undefined;
+  #sentFailure: FailureAnswer | undefined;
 
   constructor(services: RunServices, request: RunRequest, sink: AnswerSink) {
     this.#services = services;
     this.#request = request;
     this.#sink = sink;
     this.#placement = new RequestPlacement(services, request);
+    this.#attemptRunner = new AttemptRunner(services, request, this.#placement);
   }
 
   /** Why the last attempt failed or none was made; empty when all went well. */
@@ -164,12 +88,33 @@
     for (;;) {
       const choice = this.#choose(model);
       if (choice === undefined) return undefined;
-      const answered = await this.#runAttempt(choice, model, lastEventId);
-      if (answered !== undefined) return answered;
+      this.#attempts++;
+      this.#started++;
+      this.#tried.add(choice.state.record.id);
+      const outcome = await this.#attemptRunner.run({
+        choice,
+        model,
+        number: this.#started,
+        isLast: this.#attemptsLeft <= 0,
+        lastEventId,
+      });
+      if (outcome.kind === ATTEMPT_END.answered) return outcome.attempt;
+      this.#recordFailure(outcome);
       if (!this.#mayRepeat()) return undefined;
     }
   }
 
+  #recordFailure(outcome: AttemptOutcome): void {
+    if (outcome.kind === ATTEMPT_END.answered) return;
+    const { kind, detail, answer } = outcome;
+    if (kind === ATTEMPT_END.notSent) this.#attempts--;
+    if (kind === ATTEMPT_END.unknown || kind === ATTEMPT_END.erred) {
+      this.#mayHaveRun = true;
+    }
+    this.#lastFailure = detail;
+    if (answer !== undefined) this.#sentFailure = answer;
+  }
+
   #mayRepeat(): boolean {
     const { route, signal } = this.#request;
     if (signal.aborted) return false;
@@ -207,214 +152,6 @@
     return undefined;
   }
 
-  async #runAttempt(
-    choice: Choice,
-    model: string,
-    lastEventId?: number,
-  ): Promise<AnsweredAttempt | undefined> {
-    const attempt = this.#startAttempt(choice, model);
-    const { state } = attempt;
-    const patience = this.#startPatience(attempt, choice);
-    const result = await startAttempt({
-      ...this.#createCall(attempt, lastEventId),
-      signal: attempt.controller.signal,
-    });
-    clearTimeout(patience);
-    attempt.endReading();
-    if (result.isErr()) {
-      this.#endFailed(attempt, result.error);
-      return undefined;
-    }
-    const head = result.value;
-    const tookMs = this.#services.now() - attempt.startedAtMs;
-    if (head.facts.load !== undefined) {
-      state.recordLoad(head.facts.load, this.#services.now());
-    }
-    if (head.status >= 500) {
-      await this.#endErred(attempt, head);
-      return undefined;
-    }
-    this.#services.view.starts.record(
-      this.#request.service.name,
-      model,
-      tookMs,
-    );
-    const pace = tookMs / Math.max(1, attempt.expectedMs);
-    state.recordPace(pace * state.slowness);
-    this.#recordResult(attempt, ATTEMPT_RESULT.answered, pace);
-    if (this.#request.route.sharesPrompts) {
-      state.kept.record(model, this.#request.facts.parts);
-    }
-    return { ...attempt, head };
-  }
-
-  #startAttempt(choice: Choice, model: string): Attempt {
-    const { service, route, signal } = this.#request;
-    const { now, log, view } = this.#services;
-    const { state } = choice;
-    this.#attempts++;
-    this.#started++;
-    this.#tried.add(state.record.id);
-    const work = this.#placement.createWork(model);
-    const toRead = estimateTokensToRead(state, work, []) * work.weight;
-    state.inFlight++;
-    state.pendingWork += toRead;
-    const controller = new AbortController();
-    const abort = () => controller.abort();
-    signal.addEventListener("abort", abort, { once: true });
-    let isReading = true;
-    const endReading = () => {
-      if (!isReading) return;
-      isReading = false;
-      state.pendingWork = Math.max(0, state.pendingWork - toRead);
-    };
-    let isHeld = true;
-    const release = () => {
-      if (!isHeld) return;
-      isHeld = false;
-      signal.removeEventListener("abort", abort);
-      state.inFlight--;
-      endReading();
-    };
-    log.info("endpoint-chosen", {
-      request: this.#request.facts.id,
-      attempt: this.#started,
-      route: route.name,
-      service: service.name,
-      endpoint: state.record.id,
-      version: state.record.version,
-      model: model || undefined,
-      candidates: choice.candidates,
-      expectedMs: Math.round(choice.startMs),
-      load: Math.round(state.estimateLoad(now())),
-      config: view.catalog?.configuration.version,
-    });
-    return {
-      number: this.#started,
-      state,
-      model,
-      startedAtMs: now(),
-      expectedMs: choice.startMs,
-      controller,
-      endReading,
-      release,
-    };
-  }
-
-  /** Gives up on a silent endpoint while another one can still be in time. */
-  #startPatience(attempt: Attempt, choice: Choice): NodeJS.Timeout | undefined {
-    const { route, service } = this.#request;
-    const usualMs = this.#services.view.starts.getMs(
-      service.name,
-      attempt.model,
-    );
-    const isLast = this.#attemptsLeft <= 0 || choice.candidates <= 1;
-    if (route.repeat === REPEAT.once || isLast) return undefined;
-    const patienceMs = Math.max(
-      MIN_PATIENCE_MS,
-      PATIENCE_SHARE * route.targetMs,
-      PATIENCE_RATIO * choice.startMs,
-      USUAL_RATIO * usualMs,
-    );
-    return setTimeout(() => attempt.controller.abort(), patienceMs);
-  }
-
-  #createCall(attempt: Attempt, lastEventId?: number) {
-    const { facts, method, headers, body, account, rank, deadlineAtMs } =
-      this.#request;
-    const { wire, connections, now } = this.#services;
-    const { record } = attempt.state;
-    const leftMs = Math.max(1, Math.floor(deadlineAtMs - now()));
-    return {
-      address: record.address,
-      port: record.port,
-      method,
-      path: facts.path,
-      headers: wire.createAttemptHeaders(headers, {
-        endpoint: record,
-        deadlineMs: leftMs,
-        account,
-        model: attempt.model || undefined,
-        rank,
-        lastEventId: lastEventId ?? facts.lastEventId,
-        bodyBytes: body.length,
-      }),
-      body,
-      requestId: facts.id,
-      agent: this.#getAgent(connections, record.id),
-      wire,
-    };
-  }
-
-  #getAgent(connections: Connections, id: string): Agent {
-    const { service } = this.#request;
-    const entries = this.#services.countEntries();
-    const most = (service.maxConnections * CONNECTION_SHARE) / entries;
-    return connections.getAgent(id, Math.floor(most));
-  }
-
-  #endFailed(attempt: Attempt, failure: AttemptFailure): void {
-    attempt.release();
-    const { state } = attempt;
-    const { kind, detail, facts } = failure;
-    const nowMs = this.#services.now();
-    if (facts?.load !== undefined) state.recordLoad(facts.load, nowMs);
-    if (kind === ATTEMPT_FAILURE.notSent) this.#attempts--;
-    if (kind === ATTEMPT_FAILURE.unknown) this.#mayHaveRun = true;
-    this.#lastFailure = detail;
-    // The caller left or the deadline passed: no fault of the endpoint.
-    const isOwnEnd = this.#request.signal.aborted;
-    if (!isOwnEnd) this.#recordResult(attempt, toAttemptResult(failure));
-    this.#logEnd(attempt, kind, detail);
-  }
-
-  /** The endpoint answered with a failure of its own. */
-  async #endErred(attempt: Attempt, head: AttemptHead): Promise<void> {
-    const body = await readAnswerBody(head.message);
-    attempt.release();
-    this.#mayHaveRun = true;
-    this.#lastFailure = `Status ${head.status} of the endpoint`;
-    this.#recordResult(attempt, ATTEMPT_RESULT.erred);
-    this.#logEnd(attempt, "erred", this.#lastFailure);
-    if (body.isOk()) this.#sentFailure = { head, body: body.value };
-  }
-
-  #logEnd(attempt: Attempt, result: string, detail?: string): void {
-    this.#services.log.info("attempt-ended", {
-      request: this.#request.facts.id,
-      attempt: attempt.number,
-      endpoint: attempt.state.record.id,
-      result,
-      ms: Math.round(this.#services.now() - attempt.startedAtMs),
-      detail,
-    });
-  }
-
-  #recordResult(attempt: Attempt, result: AttemptResult, pace?: number): void {
-    const { view, metrics, now } = this.#services;
-    const { service, route } = this.#request;
-    const { state } = attempt;
-    metrics.attempts.inc({ service: service.name, result });
-    const peers = view.endpoints
-      .list(service.name)
-      .filter((peer) => peer !== state && peer.answers > 0);
-    const sum = peers.reduce((total, peer) => total + peer.failureShare, 0);
-    const peerFailureShare = peers.length === 0 ? 0 : sum / peers.length;
-    state.recordResult(result, { peerFailureShare, nowMs: now() });
-    if (result === ATTEMPT_RESULT.refused) return;
-    view.rollouts.record({
-      service: service.name,
-      version: state.record.version,
-      route: route.name,
-      endpoint: state.record.id,
-      endpoints: view.endpoints
-        .list(service.name)
-        .filter(({ record }) => record.version === state.record.version).length,
-      isGood: result === ATTEMPT_RESULT.answered,
-      slowness: state.isWarm(now()) ? pace : undefined,
-    });
-  }
-
   #chooseNextModel(attempt: AnsweredAttempt): string | undefined {
     const { route, service, startedAtMs } = this.#request;
     const { confidence } = attempt.head.facts;
@@ -470,7 +207,7 @@
       sendAnswer(this.#sink, this.#services.wire, attempt.head, body.value);
       return "answered";
     }
-    this.#endFailed(attempt, body.error);
+    this.#recordFailure(this.#attemptRunner.endFailed(attempt, body.error));
     if (!this.#mayRepeat()) return this.#giveUp();
     const again = await this.#tryNext(attempt.model);
     return again === undefined
@@ -500,14 +237,10 @@
         this.#sink.end();
         return "answered";
       }
-      attempt.controller.abort();
-      if (!signal.aborted) {
-        this.#recordResult(attempt, ATTEMPT_RESULT.broken);
-      }
       this.#lastFailure = signal.aborted
         ? "the caller left or its time was up"
         : (end.detail ?? "");
-      this.#logEnd(attempt, "broken", this.#lastFailure);
+      this.#attemptRunner.endBroken(attempt, this.#lastFailure);
       const mayResume = route.repeat === REPEAT.resume && !signal.aborted;
       attempt = mayResume
         ? await this.#resume(attempt.model, lastEventId, now())
@@ -559,10 +292,3 @@
     return "refused";
   }
 }
-
-function toAttemptResult(failure: AttemptFailure): AttemptResult {
-  const { notRun, notSent } = ATTEMPT_FAILURE;
-  if (failure.kind === notRun) return ATTEMPT_RESULT.refused;
-  if (failure.kind === notSent) return ATTEMPT_RESULT.unreachable;
-  return ATTEMPT_RESULT.broken;
-}
