Apply the limit on heads of requests; parse Bearer in one place

Cause: `headerTimeoutMs` was decoded and not applied, and Node looks for overdue heads each 30 s only, so a head that never ends held its connection. `Authorization: Bearer` was parsed twice, once with one space only.

Change: the listener takes the limit of the configuration in force and looks each second. The test fails without it (run) and passes with it.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -148,8 +148,11 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
-/** The token of `Authorization: Bearer TOKEN`. */
+/** The token of `Bearer TOKEN`; one space or more may stand before it. */
+export function parseBearer(authorization: string): string | undefined {
+  return /^Bearer +(\S+)$/i.exec(authorization)?.[1];
+}
+
 export function getBearerToken(request: IncomingMessage): string | undefined {
-  const match = /^Bearer (\S+)$/i.exec(request.headers.authorization ?? "");
-  return match?.[1];
+  return parseBearer(request.headers.authorization ?? "");
 }
--- a/src/platform/entry_test.ts
+++ b/src/platform/entry_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
+import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
   API_KEY,
@@ -192,6 +193,31 @@
     });
   });
 
+  describe("limits", () => {
+    // A head that never ends would hold its connection for ever.
+    it("ends a connection whose head is overdue", async () => {
+      await system.start([{ id: "i-1" }]);
+      system.store.put("config", "main", {
+        ...createConfiguration(2),
+        limits: { header_timeout_ms: 400 },
+      });
+      await system.waitFor(() =>
+        system.logs.some(
+          ({ event, version }) =>
+            event === "configuration-in-force" && version === 2,
+        ),
+      );
+      await system.call("/safe/a");
+      const socket = connect(system.callerPort, "127.0.0.1");
+      socket.resume();
+      await once(socket, "connect");
+      const startedAtMs = performance.now();
+      socket.write("POST /safe/a HTTP/1.1\r\nHost: ");
+      await once(socket, "close");
+      assert.ok(performance.now() - startedAtMs < 2_500);
+    });
+  });
+
   describe("callers that have left", () => {
     // A busy host reads a request after its caller gave up on it.
     it("sends nothing on when the close was there before the read", async () => {
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -1,5 +1,6 @@
 /** Translates the heads of requests and answers; all header names are here. */
 
+import { parseBearer } from "../adapters/http.js";
 import type {
   AnswerFacts,
   AttemptFacts,
@@ -47,8 +48,6 @@
 const REQUEST_DROPPED = new Set([...CONNECTION_HEADERS, ...SYSTEM_HEADERS]);
 const ANSWER_DROPPED = new Set(CONNECTION_HEADERS);
 
-const BEARER = /^Bearer +(\S+)$/i;
-
 /** Values by lower-case name; the first one counts where a name repeats. */
 function groupHeaders(headers: RawHeaders): Map<string, string> {
   const values = new Map<string, string>();
@@ -104,7 +103,7 @@
     id,
     host,
     path: target,
-    apiKey: BEARER.exec(values.get("authorization") ?? "")?.[1],
+    apiKey: parseBearer(values.get("authorization") ?? ""),
     deadlineMs,
     session: values.get("session"),
     promptTokens,
--- a/src/proxy/proxy_server.ts
+++ b/src/proxy/proxy_server.ts
@@ -15,6 +15,8 @@
 /** Time for a request's head that applies until a configuration is read, ms. */
 const DEFAULT_HEAD_TIMEOUT_MS = 3_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** How often connections whose head is overdue are looked for, ms. */
+const CHECK_HEADS_EVERY_MS = 1_000;
 /** How often idle connections are closed while the server stops, ms. */
 const CLOSE_IDLE_EVERY_MS = 100;
 
@@ -40,13 +42,17 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       headersTimeout: DEFAULT_HEAD_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_HEADS_EVERY_MS,
       requestTimeout: 0,
       noDelay: true,
     },
     (request: IncomingMessage, response: ServerResponse) => {
       const limits = view.catalog?.configuration.limits;
-      // Applies to the wait after this answer.
-      if (limits) server.keepAliveTimeout = limits.idleTimeoutMs;
+      if (limits) {
+        // Applies to the wait after this answer.
+        server.keepAliveTimeout = limits.idleTimeoutMs;
+        server.headersTimeout = limits.headerTimeoutMs;
+      }
       void path.handle(request, response);
     },
   );
