Check the platform's settings file with the command-line tool

Cause: an entry that can't read its settings ends at each start, and only the own settings could be checked beforehand. `settings check FILE.toml` reads a file as the platform's entry does; exit code 2 and the key on failure.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -33,7 +33,8 @@
     rollout VERSION --share X let at most the share X of requests use a version
     withdraw VERSION          give a version no new work
     status                    endpoints, versions and revisions as an entry sees them
-    settings check FILE       check a settings file; nothing is started
+    settings check FILE       check a settings file, own or of the platform
+                              (.toml); nothing is started
     report cost               cost by account and version
     report burn               burn of the service-level objectives
 
--- a/src/cli/main_test.ts
+++ b/src/cli/main_test.ts
@@ -173,6 +173,27 @@
     assert.equal(JSON.parse(out).failure.kind, "invalid-document");
   });
 
+  // An entry that can't read them would end at each start.
+  it("checks settings that the platform writes", async () => {
+    const file = join(folder, "boot.toml");
+    const lines = [
+      'node_name = "front-1"',
+      'ip = "10.1.0.40"',
+      "port_range = [7340, 7355]",
+      "[listen]",
+      'front = "10.1.0.40:8227"',
+      'ready = "10.1.0.40:8220"',
+      'control = "10.1.0.40:8229"',
+    ];
+    const store = ["[platform]", 'addr = "10.200.1.7:8223"'];
+    await writeFile(file, [...lines, ...store].join("\n"));
+    assert.equal((await runTool(1, "settings", "check", file)).code, 0);
+    await writeFile(file, lines.join("\n"));
+    const { code, error } = await runTool(1, "settings", "check", file);
+    assert.equal(code, 2);
+    assert.ok(error.includes("platform.addr is missing or invalid"), error);
+  });
+
   it("exits 3 when no entry can be reached, so nothing was changed", async (t) => {
     const unused = await findClosedPort();
     assert.equal((await runTool(unused, "drain", "dc1")).code, 3);
--- a/src/cli/report_commands.ts
+++ b/src/cli/report_commands.ts
@@ -1,7 +1,9 @@
 /** Commands that only read: status, reports and the check of settings. */
 
 import { readFileSync, writeFileSync } from "node:fs";
+import { extname } from "node:path";
 import { formatDocumentFailure, parseSettings } from "../adapters/documents.js";
+import { decodeSettings } from "../platform/settings.js";
 import {
   type CommandContext,
   print,
@@ -36,6 +38,9 @@
   } catch (error) {
     return reportUsage(`Cannot read settings file "${file}": ${String(error)}`);
   }
+  if (extname(file) === PLATFORM_EXTENSION) {
+    return checkPlatformSettings(file, text, flags.json);
+  }
   const settings = parseSettings(text, file);
   if (settings.isOk()) {
     print(flags.json ? JSON.stringify({ ok: true }) : `${file}: ok`);
@@ -46,6 +51,24 @@
   return EXIT_CODES.usage;
 }
 
+/** Settings that the platform writes are TOML, the own ones JSON. */
+const PLATFORM_EXTENSION = ".toml";
+
+function checkPlatformSettings(
+  file: string,
+  text: string,
+  isJson: boolean,
+): ExitCode {
+  const settings = decodeSettings(text);
+  if (settings.isErr()) {
+    if (isJson) print(JSON.stringify({ failure: settings.error }));
+    printError(`${file}: ${settings.error.detail}`);
+    return EXIT_CODES.usage;
+  }
+  print(isJson ? JSON.stringify({ ok: true }) : `${file}: ok`);
+  return EXIT_CODES.done;
+}
+
 export async function showCostReport(
   context: CommandContext,
 ): Promise<ExitCode> {
