Soak on the platform's edge: entries as processes, faults from outside

Change: src/platform/soak starts five entries from the shipped bundle and stand-ins of store and replicas, with loopback links before callers, store and replicas. Faults come from one seed, in series and side by side: kills, SIGTERM, freezes, cuts (reset, silent, one way), slow links, store outages and compaction, faulty replicas, replicas that leave, withdrawn keys, all entries killed. Callers keep their connections. Eleven promises are judged from what callers and replicas saw; a test shows that each check can fail. It uses the links, processes, seeded choices and findings of the soak on the own edge.

--- /dev/null
+++ b/src/platform/soak/callers.ts
@@ -0,0 +1,142 @@
+/** Callers that keep connections open, each to one entry at a time. */
+
+import { Agent, request } from "node:http";
+import type { Random } from "../../soak/random.js";
+import { delay } from "../../testbed/delay.js";
+import { HOST } from "./fleet.js";
+import { type CallRecord, ROUTE, type RouteName } from "./records.js";
+
+/** Longest pause of a caller between two requests, ms. */
+const PAUSE_MS = 120;
+/** Share of requests with a key that was withdrawn. */
+const OLD_KEY_SHARE = 0.1;
+const DEADLINE_MS = 1_500;
+/** A caller waits this much longer than its deadline for an answer, ms. */
+const PATIENCE_MS = 1_500;
+/** A caller changes its entry now and then. */
+const MOVE_SHARE = 0.03;
+
+export interface CallersOptions {
+  readonly count: number;
+  /** Ports of the entries' links, by name. */
+  readonly ports: ReadonlyMap<string, number>;
+  readonly random: Random;
+  readonly listKeys: () => {
+    readonly valid: readonly string[];
+    readonly withdrawn: readonly string[];
+  };
+  readonly signal: AbortSignal;
+}
+
+export class Callers {
+  readonly calls: CallRecord[] = [];
+  readonly #options: CallersOptions;
+  #count = 0;
+
+  constructor(options: CallersOptions) {
+    this.#options = options;
+  }
+
+  async run(): Promise<void> {
+    const { count } = this.#options;
+    await Promise.all(Array.from({ length: count }, () => this.#runCaller()));
+  }
+
+  async #runCaller(): Promise<void> {
+    const { ports, random, signal } = this.#options;
+    const names = [...ports.keys()];
+    let entry = random.pick(names);
+    let agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    while (!signal.aborted) {
+      const call = await this.callOnce(entry, agent);
+      const isFailed = call.status === undefined || call.status >= 500;
+      // The connection is kept while it works, whatever happens to the entry.
+      if (isFailed || random.chance(MOVE_SHARE)) {
+        agent.destroy();
+        agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        entry = random.pick(names);
+      }
+      await delay(random.pickInteger(0, PAUSE_MS));
+    }
+    agent.destroy();
+  }
+
+  /** Makes one call and keeps its record. */
+  async callOnce(
+    entry: string,
+    agent: Agent,
+    chosen?: RouteName,
+  ): Promise<CallRecord> {
+    const { ports, random, listKeys } = this.#options;
+    const route = chosen ?? random.pick(Object.values(ROUTE));
+    const { valid, withdrawn } = listKeys();
+    const isOld =
+      chosen === undefined &&
+      withdrawn.length > 0 &&
+      random.chance(OLD_KEY_SHARE);
+    const record: CallRecord = {
+      id: `c${this.#count++}`,
+      route,
+      entry,
+      key: random.pick(isOld ? withdrawn.slice(-2) : valid),
+      deadlineMs: DEADLINE_MS,
+      sentAtMs: performance.now(),
+      endedAtMs: 0,
+      body: "",
+      isComplete: false,
+    };
+    this.calls.push(record);
+    await sendCall(record, agent, ports.get(entry) ?? 0);
+    record.endedAtMs = performance.now();
+    return record;
+  }
+}
+
+function sendCall(
+  record: CallRecord,
+  agent: Agent,
+  port: number,
+): Promise<void> {
+  return new Promise((resolve) => {
+    const outgoing = request(
+      {
+        host: "127.0.0.1",
+        port,
+        agent,
+        method: "POST",
+        path: `/${record.route}/a`,
+        headers: {
+          host: HOST,
+          "attempt-id": record.id,
+          authorization: `Bearer ${record.key}`,
+          "deadline-ms": String(record.deadlineMs),
+          "content-length": "5",
+        },
+      },
+      (response) => {
+        record.status = response.statusCode;
+        record.stamp = response.headers["server-stamp"]?.toString();
+        response.on("data", (chunk: Buffer) => {
+          record.body += chunk.toString();
+        });
+        const settle = () => {
+          clearTimeout(timer);
+          record.isComplete = response.complete;
+          resolve();
+        };
+        response.once("error", settle);
+        response.once("end", settle);
+        response.once("close", settle);
+      },
+    );
+    const timer = setTimeout(
+      () => outgoing.destroy(new Error("No answer")),
+      record.deadlineMs + PATIENCE_MS,
+    );
+    outgoing.once("error", () => {
+      clearTimeout(timer);
+      resolve();
+    });
+    outgoing.end("order");
+  });
+}
--- /dev/null
+++ b/src/platform/soak/checks_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { PLAIN_BODY } from "../standins/replica.js";
+import { judgeSoak, PROMISES, type Promised } from "./checks.js";
+import { STREAM_EVENTS } from "./fleet.js";
+import type { CallRecord, RunRecord, SoakRecords } from "./records.js";
+
+const CALL: CallRecord = {
+  id: "c1",
+  route: "once",
+  entry: "entry-0",
+  key: "key-a",
+  deadlineMs: 1_500,
+  sentAtMs: 20_000,
+  endedAtMs: 20_100,
+  status: 200,
+  body: PLAIN_BODY,
+  stamp: "stamp-i-0",
+  isComplete: true,
+};
+const RUN: RunRecord = {
+  requestId: "c1",
+  replica: "i-0",
+  startedAtMs: 20_050,
+};
+const STREAM = Array.from(
+  { length: STREAM_EVENTS },
+  (_, id) => `id: ${id}\ndata: piece ${id}\n\n`,
+);
+
+function judge(records: Partial<SoakRecords>) {
+  return judgeSoak({
+    calls: [CALL],
+    runs: [RUN],
+    disturbances: [],
+    withdrawals: new Map(),
+    leavings: new Map(),
+    unexpectedExits: [],
+    unserved: [],
+    ...records,
+  });
+}
+
+function listBroken(records: Partial<SoakRecords>): Promised[] {
+  const counts = judge(records).countViolations();
+  return PROMISES.filter((promise) => counts[promise] > 0);
+}
+
+describe("checks of the soak on the platform's edge", () => {
+  it("find nothing wrong in a call that was served", () => {
+    assert.deepEqual(listBroken({}), []);
+    const stream = { ...CALL, route: "stream", body: STREAM.join("") } as const;
+    assert.deepEqual(listBroken({ calls: [stream] }), []);
+  });
+
+  // A check that can't fail proves nothing.
+  const cases: [Promised, Partial<SoakRecords>][] = [
+    ["ranTwice", { runs: [RUN, { ...RUN, replica: "i-1" }] }],
+    ["falseNotRun", { calls: [{ ...CALL, status: 503 }] }],
+    ["wrongAnswer", { calls: [{ ...CALL, body: PLAIN_BODY.slice(1) }] }],
+    ["wrongAnswer", { calls: [{ ...CALL, stamp: "stamp-i-1" }] }],
+    [
+      "wrongStream",
+      {
+        calls: [
+          { ...CALL, route: "stream", body: STREAM.slice(0, -1).join("") },
+        ],
+      },
+    ],
+    [
+      "wrongStream",
+      {
+        calls: [{ ...CALL, route: "stream", body: STREAM.slice(1).join("") }],
+      },
+    ],
+    ["withdrawnKeyServed", { withdrawals: new Map([["key-a", 14_000]]) }],
+    ["leavingReplicaServed", { leavings: new Map([["i-0", 17_000]]) }],
+    ["lostRequest", { calls: [{ ...CALL, status: undefined }] }],
+    [
+      "cutByPlannedStop",
+      {
+        calls: [{ ...CALL, isComplete: false }],
+        disturbances: [
+          {
+            kind: "stop",
+            member: "entry-0",
+            fromMs: 19_000,
+            toMs: 22_000,
+            isPlanned: true,
+          },
+        ],
+      },
+    ],
+    ["answeredLate", { calls: [{ ...CALL, endedAtMs: 22_100 }] }],
+    ["unexpectedExit", { unexpectedExits: ["entry-0"] }],
+    ["notRecovered", { unserved: ["c9"] }],
+  ];
+  for (const [promise, records] of cases) {
+    it(`find ${promise}`, () => {
+      assert.deepEqual(listBroken(records), [promise]);
+    });
+  }
+
+  it("excuse what a fault at the entry or the replica broke off", () => {
+    const calls = [{ ...CALL, status: undefined }];
+    for (const member of ["entry-0", "i-0", undefined]) {
+      const fault = { kind: "cut", member, fromMs: 19_900, toMs: 20_050 };
+      assert.deepEqual(listBroken({ calls, disturbances: [fault] }), []);
+    }
+    const other = { kind: "cut", member: "i-9", fromMs: 19_900, toMs: 20_050 };
+    const broken = listBroken({ calls, disturbances: [other] });
+    assert.deepEqual(broken, ["lostRequest"]);
+  });
+});
--- /dev/null
+++ b/src/platform/soak/fleet.ts
@@ -0,0 +1,223 @@
+/** The system under test: entries as processes, the rest in this process. */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { type Link, openLink } from "../../standins/link.js";
+import { type ManagedProcess, startProcess } from "../../standins/process.js";
+import { startServer } from "../../standins/server.js";
+import { ReplicaStandin } from "../standins/replica.js";
+import { PlatformStoreStandin } from "../standins/store.js";
+
+export const HOST = "soak.example";
+export const SERVICE = "svc";
+/** Bounds that the entries are started with. */
+export const BOUNDS = {
+  revokeMs: 5_000,
+  configMs: 2_000,
+  drainMs: 2_000,
+  graceS: 4,
+} as const;
+export const STREAM_EVENTS = 6;
+
+/** The bundle that a platform starts; scripts/bundle.mjs writes it. */
+const MAIN_FILE = fileURLToPath(
+  new URL("../../../target/entry.mjs", import.meta.url),
+);
+const ENTRIES = 5;
+const REPLICAS = 4;
+/** Ports of one entry; see `createSettings`. */
+const PORTS_PER_ENTRY = 5;
+const READY_PATH = "/hornbeamrill/readyz";
+
+export interface EntryMember {
+  readonly name: string;
+  readonly index: number;
+  /** Between callers and the entry, and between the entry and the store. */
+  readonly callerLink: Link;
+  readonly storeLink: Link;
+  process?: ManagedProcess;
+}
+
+export interface ReplicaMember {
+  readonly id: string;
+  readonly replica: ReplicaStandin;
+  readonly link: Link;
+}
+
+export interface FleetOptions {
+  readonly basePort: number;
+  readonly folder: string;
+  readonly signal: AbortSignal;
+}
+
+export class Fleet {
+  readonly store = new PlatformStoreStandin();
+  readonly entries: EntryMember[] = [];
+  /** All that ever ran; those that left are not `current`. */
+  readonly replicas: ReplicaMember[] = [];
+  readonly current = new Set<string>();
+  readonly keys: string[] = ["key-a", "key-b", "key-c"];
+  readonly #options: FleetOptions;
+  #configVersion = 0;
+  #replicaCount = 0;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    mkdirSync(options.folder, { recursive: true });
+  }
+
+  async start(): Promise<void> {
+    const { signal, basePort } = this.#options;
+    const storeServer = await startServer(this.store.handle, 0);
+    signal.addEventListener("abort", () => void storeServer.close(), {
+      once: true,
+    });
+    this.writeConfiguration();
+    for (let index = 0; index < REPLICAS; index++) await this.addReplica();
+    for (let index = 0; index < ENTRIES; index++) {
+      const callerPort = basePort + index * PORTS_PER_ENTRY;
+      this.entries.push({
+        name: `entry-${index}`,
+        index,
+        callerLink: await openLink({ targetPort: callerPort, signal }),
+        storeLink: await openLink({ targetPort: storeServer.port, signal }),
+      });
+    }
+    await Promise.all(this.entries.map((entry) => this.startEntry(entry)));
+  }
+
+  async startEntry(entry: EntryMember): Promise<void> {
+    const { folder, signal } = this.#options;
+    const file = join(folder, `${entry.name}.toml`);
+    writeFileSync(file, this.#createSettings(entry));
+    const started = await startProcess({
+      file: MAIN_FILE,
+      args: [],
+      env: { HORNBEAMRILL_NODE_FILE: file },
+      readyLine: /event=started/,
+      logFile: join(folder, `${entry.name}.log`),
+      signal,
+    });
+    if (started.isErr()) throw new Error(started.error.detail);
+    entry.process = started.value;
+  }
+
+  /** True when the entry answers the balancer's question with 200. */
+  async isReady(entry: EntryMember): Promise<boolean> {
+    const port = this.#getPorts(entry.index).readiness;
+    try {
+      const answer = await fetch(`http://127.0.0.1:${port}${READY_PATH}`, {
+        signal: AbortSignal.timeout(500),
+      });
+      return answer.status === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  #getPorts(index: number) {
+    const base = this.#options.basePort + index * PORTS_PER_ENTRY;
+    return {
+      callers: base,
+      readiness: base + 1,
+      control: base + 2,
+      metrics: base + 3,
+    };
+  }
+
+  #createSettings(entry: EntryMember): string {
+    const ports = this.#getPorts(entry.index);
+    const seeds = this.entries
+      .slice(0, 2)
+      .map(({ index }) => `"127.0.0.1:${this.#getPorts(index).control}"`);
+    return `node_name = "${entry.name}"
+role = "entry"
+ip = "127.0.0.1"
+zone = "${entry.index === ENTRIES - 1 ? "dc2" : "dc1"}"
+port_range = [${ports.metrics}, ${ports.metrics + 1}]
+seeds = [${seeds.join(", ")}]
+[listen]
+front = "127.0.0.1:${ports.callers}"
+ready = "127.0.0.1:${ports.readiness}"
+control = "127.0.0.1:${ports.control}"
+[bounds]
+revoke_ms = ${BOUNDS.revokeMs}
+config_deadline_ms = ${BOUNDS.configMs}
+drain_ms = ${BOUNDS.drainMs}
+grace_s = ${BOUNDS.graceS}
+retry_budget_ratio = 0.9
+retry_window_s = 10
+retry_slack = 50
+session_s = 5
+expose_share = 0.15
+[platform]
+addr = "127.0.0.1:${entry.storeLink.port}"
+`;
+  }
+
+  /** Writes the next version with the keys that are valid now. */
+  writeConfiguration(): void {
+    this.#configVersion++;
+    const route = {
+      host: HOST,
+      timeout_ms: 2_000,
+      target_latency_ms: 300,
+      priority: 1,
+      public: false,
+      service: SERVICE,
+    };
+    this.store.put("config", "main", {
+      version: this.#configVersion,
+      routes: [
+        { ...route, name: "s", prefix: "/safe/", kind: "safe", attempts: 3 },
+        { ...route, name: "o", prefix: "/once/", kind: "unsafe", attempts: 2 },
+        {
+          ...route,
+          name: "t",
+          prefix: "/stream/",
+          kind: "streaming",
+          resumable: true,
+          attempts: 3,
+          gap_aim_ms: 300,
+        },
+      ],
+      services: [
+        { name: SERVICE, max_conns: 100, cold_start_s: 0, cold_per_s: 50 },
+      ],
+      limits: { max_body_bytes: 100_000, idle_timeout_ms: 5_000 },
+      tenants: [{ name: "farm", api_keys: [...this.keys] }],
+    });
+  }
+
+  async addReplica(): Promise<ReplicaMember> {
+    const id = `i-${this.#replicaCount++}`;
+    const { signal } = this.#options;
+    const replica = new ReplicaStandin({
+      id,
+      delayMs: 10,
+      events: STREAM_EVENTS,
+    });
+    const port = await replica.start();
+    signal.addEventListener("abort", () => replica.close(), { once: true });
+    const link = await openLink({ targetPort: port, signal });
+    const member = { id, replica, link };
+    this.replicas.push(member);
+    this.current.add(id);
+    this.writeReplica(member, "ready");
+    return member;
+  }
+
+  writeReplica(member: ReplicaMember, state: "ready" | "draining"): void {
+    this.store.put("servers", member.id, {
+      service: SERVICE,
+      addr: `127.0.0.1:${member.link.port}`,
+      zone: "dc1",
+      version: "v1",
+      slots: 8,
+      state,
+      cold_left_ms: 0,
+      seq: 1,
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/soak/index.ts
@@ -0,0 +1,3 @@
+export * from "./checks.js";
+export * from "./records.js";
+export * from "./soak.js";
--- /dev/null
+++ b/src/platform/soak/main.ts
@@ -0,0 +1,74 @@
+/** Command line of the soak test on the platform's edge; see docs/proof.md. */
+
+import { setMaxListeners } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import meow from "meow";
+import { PROMISES, runSoak } from "./index.js";
+
+const EXIT_GOOD = 0;
+const EXIT_VIOLATION = 1;
+
+const cli = meow(
+  `
+  Usage
+    $ npm run soak:platform -- --seed N --seconds T --json
+
+  Options
+    --seed N         seed of the faults and the load (1)
+    --seconds T      length of the faults (60)
+    --json           the last line is one JSON object
+    --base-port N    first port of the entries (25000)
+    --keep           keep the folder with settings and logs
+
+  Exit codes
+    0 no violation, 1 a violation, 3 the run itself failed
+`,
+  {
+    importMeta: import.meta,
+    allowUnknownFlags: false,
+    flags: {
+      seed: { type: "number", default: 1 },
+      seconds: { type: "number", default: 60 },
+      json: { type: "boolean", default: false },
+      basePort: { type: "number", default: 25_000 },
+      keep: { type: "boolean", default: false },
+    },
+  },
+);
+
+async function main(): Promise<number> {
+  const { seed, seconds, json, basePort, keep } = cli.flags;
+  const folder = mkdtempSync(join(tmpdir(), `hornbeamrill-platform-${seed}-`));
+  const lifetime = new AbortController();
+  const { signal } = lifetime;
+  // Every process and link of the fleet listens to it.
+  setMaxListeners(0, signal);
+  const options = { seed, seconds, basePort, folder, signal };
+  const result = await runSoak(options).finally(() => lifetime.abort());
+  const { findings, calls, served, faults } = result;
+  for (const promise of PROMISES) {
+    for (const detail of findings.listViolations(promise)) {
+      process.stdout.write(`${promise}: ${detail}\n`);
+    }
+  }
+  if (findings.total > 0 || keep) process.stdout.write(`logs: ${folder}\n`);
+  else rmSync(folder, { recursive: true });
+  if (json) {
+    const report = {
+      seed,
+      seconds,
+      calls,
+      served,
+      faults,
+      cases: findings.countCases(),
+      violations: findings.countViolations(),
+      notExercised: findings.listNotExercised(),
+    };
+    process.stdout.write(`${JSON.stringify(report)}\n`);
+  }
+  return findings.total > 0 ? EXIT_VIOLATION : EXIT_GOOD;
+}
+
+process.exit(await main());
--- /dev/null
+++ b/src/platform/soak/records.ts
@@ -0,0 +1,51 @@
+/** What callers and replicas saw, for the checks. */
+
+export const ROUTE = { safe: "safe", once: "once", stream: "stream" } as const;
+export type RouteName = (typeof ROUTE)[keyof typeof ROUTE];
+
+export interface CallRecord {
+  readonly id: string;
+  readonly route: RouteName;
+  readonly entry: string;
+  readonly key: string;
+  readonly deadlineMs: number;
+  /** Steady clock of the soak's process, ms; the same for all records. */
+  readonly sentAtMs: number;
+  endedAtMs: number;
+  /** Undefined when the connection ended without an answer. */
+  status?: number;
+  body: string;
+  stamp?: string;
+  /** The answer ended as its framing says. */
+  isComplete: boolean;
+}
+
+export interface RunRecord {
+  readonly requestId: string;
+  readonly replica: string;
+  readonly startedAtMs: number;
+}
+
+/** A fault, from its begin to its end. */
+export interface Disturbance {
+  readonly kind: string;
+  /** Entry or replica; undefined for the store, which all entries share. */
+  readonly member?: string;
+  readonly fromMs: number;
+  toMs: number;
+  /** The stop of a process that was asked to stop. */
+  readonly isPlanned?: boolean;
+}
+
+export interface SoakRecords {
+  readonly calls: readonly CallRecord[];
+  readonly runs: readonly RunRecord[];
+  readonly disturbances: readonly Disturbance[];
+  /** When keys were withdrawn and replicas began to leave. */
+  readonly withdrawals: ReadonlyMap<string, number>;
+  readonly leavings: ReadonlyMap<string, number>;
+  /** Exits of entries that nobody had asked for or caused. */
+  readonly unexpectedExits: readonly string[];
+  /** Calls after all faults had ended that were not served. */
+  readonly unserved: readonly string[];
+}
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -44,7 +44,8 @@
   answersCrossed?: boolean;
 }
 
-const PLAIN_BODY = "0123456789".repeat(20);
+/** Body of every whole plain answer. */
+export const PLAIN_BODY = "0123456789".repeat(20);
 
 export class ReplicaStandin {
   readonly options: ReplicaOptions;
--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -14,7 +14,7 @@
 import { checkSessions } from "./check_sessions.js";
 import { checkStarts } from "./check_starts.js";
 import { checkEngineOrders, checkLate, checkTickets } from "./check_tickets.js";
-import { Findings } from "./findings.js";
+import { Findings, PROPERTIES } from "./findings.js";
 import { History } from "./history.js";
 import type { Journal } from "./journal.js";
 import { readRecords } from "./records.js";
@@ -31,7 +31,7 @@
   const { fleet, journal, folder, stop } = input;
   const { calls, tickets, leavings } = journal;
   await stop();
-  const findings = new Findings();
+  const findings = new Findings(PROPERTIES);
   const records = await readRecords(fleet);
   const { runs, orders, coldOverloads } = records;
   const history = new History(records.writes, tickets);
--- a/src/soak/checks_test.ts
+++ b/src/soak/checks_test.ts
@@ -16,7 +16,7 @@
 import { checkSessions } from "./check_sessions.js";
 import { checkStarts } from "./check_starts.js";
 import { checkEngineOrders, checkLate, checkTickets } from "./check_tickets.js";
-import { Findings, type Property } from "./findings.js";
+import { Findings, PROPERTIES, type Property } from "./findings.js";
 import { History } from "./history.js";
 import { type CallRecord, Journal, type TicketRecord } from "./journal.js";
 import { ALL_VERSIONS, WORKLOADS } from "./layout.js";
@@ -95,7 +95,7 @@
 }
 
 function judge(check: (findings: Findings) => void) {
-  const findings = new Findings();
+  const findings = new Findings(PROPERTIES);
   check(findings);
   const counts = Object.entries(findings.countViolations());
   return Object.fromEntries(counts.filter(([, count]) => count > 0)) as Partial<
--- a/src/soak/findings.ts
+++ b/src/soak/findings.ts
@@ -24,42 +24,47 @@
   return (PROPERTIES as readonly string[]).includes(name);
 }
 
-export class Findings {
-  readonly #cases = new Map<Property, number>();
-  readonly #violations = new Map<Property, string[]>();
+export class Findings<Name extends string = Property> {
+  readonly #names: readonly Name[];
+  readonly #cases = new Map<Name, number>();
+  readonly #violations = new Map<Name, string[]>();
+
+  constructor(names: readonly Name[]) {
+    this.#names = names;
+  }
 
   /** Counts a case in which a fault of the product would have shown. */
-  addCase(property: Property, count = 1): void {
+  addCase(property: Name, count = 1): void {
     this.#cases.set(property, (this.#cases.get(property) ?? 0) + count);
   }
 
-  addViolation(property: Property, detail: string): void {
+  addViolation(property: Name, detail: string): void {
     const list = this.#violations.get(property) ?? [];
     list.push(detail);
     this.#violations.set(property, list);
   }
 
   /** Judges one case. */
-  check(property: Property, isGood: boolean, describe: () => string): void {
+  check(property: Name, isGood: boolean, describe: () => string): void {
     this.addCase(property);
     if (!isGood) this.addViolation(property, describe());
   }
 
-  countCases(): Record<Property, number> {
+  countCases(): Record<Name, number> {
     return this.#count((property) => this.#cases.get(property) ?? 0);
   }
 
-  countViolations(): Record<Property, number> {
+  countViolations(): Record<Name, number> {
     return this.#count((property) => this.listViolations(property).length);
   }
 
-  listViolations(property: Property): readonly string[] {
+  listViolations(property: Name): readonly string[] {
     return this.#violations.get(property) ?? [];
   }
 
   /** Properties that had no case; a violation is a case by itself. */
-  listNotExercised(): Property[] {
-    return PROPERTIES.filter(
+  listNotExercised(): Name[] {
+    return this.#names.filter(
       (property) =>
         (this.#cases.get(property) ?? 0) === 0 &&
         !this.#violations.has(property),
@@ -70,9 +75,9 @@
     return [...this.#violations.values()].flat().length;
   }
 
-  #count(get: (property: Property) => number): Record<Property, number> {
+  #count(get: (property: Name) => number): Record<Name, number> {
     return Object.fromEntries(
-      PROPERTIES.map((property) => [property, get(property)]),
-    ) as Record<Property, number>;
+      this.#names.map((property) => [property, get(property)]),
+    ) as Record<Name, number>;
   }
 }
--- a/src/soak/findings_test.ts
+++ b/src/soak/findings_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Findings } from "./findings.js";
+import { Findings, PROPERTIES } from "./findings.js";
 
 describe("the findings of a soak", () => {
   it("lists a property whose checks judged no case as not exercised", () => {
-    const findings = new Findings();
+    const findings = new Findings(PROPERTIES);
     // A check that looks and finds nothing to judge adds no case.
     findings.addCase("coldOverload", 0);
     findings.addCase("ranTwice", 1);
--- a/src/standins/process.ts
+++ b/src/standins/process.ts
@@ -23,6 +23,10 @@
   readonly logFile?: string;
   /** Longest wait for the ready line. */
   readonly readyMs?: number;
+  /** Variables beside those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
+  /** Matches the line by which the process says that it serves. */
+  readonly readyLine?: RegExp;
 }
 
 export interface StartFailure {
@@ -59,9 +63,10 @@
   }
   const child = spawn(process.execPath, [...nodeFlags, file, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
+    env: { ...process.env, ...spec.env },
   });
   const managed = new ManagedProcess(child, signal);
-  const ready = readLines(child, spec.logFile);
+  const ready = readLines(child, spec);
   const timer = new AbortController();
   const outcome = await Promise.race([
     ready.then((line) => ({ line })),
@@ -94,7 +99,8 @@
 }
 
 /** Copies the output to the log; resolves with the ready line. */
-function readLines(child: ChildProcess, logFile?: string): Promise<string> {
+function readLines(child: ChildProcess, spec: ProcessSpec): Promise<string> {
+  const { logFile, readyLine = READY_LINE } = spec;
   if (logFile === undefined) child.stderr?.resume();
   else {
     const log = createWriteStream(logFile, { flags: "a" });
@@ -105,7 +111,7 @@
   return new Promise((resolve) => {
     if (child.stdout === null) return;
     createInterface({ input: child.stdout }).on("line", (line) => {
-      if (READY_LINE.test(line)) resolve(line);
+      if (readyLine.test(line)) resolve(line);
     });
   });
 }
