Pass over an endpoint that refuses, for a moment

Each request spent an attempt and a repeat there, until the repeat budget was spent and requests were refused 503 with three sound replicas idle ("the repeat budget is spent; Status 503, not run").

Ruled out: counting refusals as failures (an endpoint that is full is sound).

Change: each refusal in a row pauses the endpoint, 50 ms at first, 1.6 s at most; any other result ends that. Where all are paused they are asked as before. The replica stayed full because two faults of the soak overlapped and restored each other's state; replicas have one fault at a time now.

The new test fails without the pause.

--- a/src/platform/soak/faults.ts
+++ b/src/platform/soak/faults.ts
@@ -48,6 +48,8 @@
   readonly #cuts = new Cuts();
   /** Entries whose process a fault has ended, or is about to. */
   readonly #ending = new Set<EntryMember>();
+  /** Replicas with a fault of their own; two at once would hide each other's end. */
+  readonly #faulty = new Set<string>();
   #storeFaults = 0;
   #keyCount = 0;
 
@@ -223,6 +225,8 @@
   }
 
   async #failReplica({ id, replica }: ReplicaMember, forMs: number) {
+    if (this.#faulty.has(id)) return;
+    this.#faulty.add(id);
     const disturbance = this.#begin("replica", id);
     const before = { ...replica.options };
     const fault = this.#options.random.pick(REPLICA_FAULTS);
@@ -232,6 +236,7 @@
     for (const name of names) {
       Object.assign(replica.options, { [name]: before[name] });
     }
+    this.#faulty.delete(id);
     this.#end(disturbance);
   }
 
--- a/src/proxy/endpoint_choice_test.ts
+++ b/src/proxy/endpoint_choice_test.ts
@@ -102,6 +102,24 @@
     assert.equal(choose([a], { nowMs: 100 }), "a");
   });
 
+  // It looks idle, so each request would spend an attempt there first.
+  it("passes over an endpoint that refuses, for a moment", () => {
+    const [a, b] = [createEndpoint("a"), createEndpoint("b")];
+    b.inFlight = 8;
+    const refuse = (nowMs: number) =>
+      a.recordResult(ATTEMPT_RESULT.refused, { peerFailureShare: 0, nowMs });
+    refuse(0);
+    assert.equal(choose([a, b], { nowMs: 20 }), "b");
+    assert.equal(choose([a], { nowMs: 20 }), "a");
+    assert.equal(choose([a, b], { nowMs: 60 }), "a");
+    for (let count = 0; count < 8; count++) refuse(60);
+    assert.equal(choose([a, b], { nowMs: 1_500 }), "b");
+    assert.equal(choose([a, b], { nowMs: 1_700 }), "a");
+    a.recordResult("answered", { peerFailureShare: 0, nowMs: 1_700 });
+    refuse(1_700);
+    assert.equal(choose([a, b], { nowMs: 1_760 }), "a");
+  });
+
   // Requests that fail anywhere must not take the whole service out.
   it("pauses nobody for failures that its peers have too", () => {
     const a = createEndpoint("a");
--- a/src/proxy/endpoint_state.ts
+++ b/src/proxy/endpoint_state.ts
@@ -11,6 +11,9 @@
 /** First pause of an endpoint that fails; doubles with each further one. */
 const FIRST_PAUSE_MS = 500;
 const MAX_PAUSE_MS = 8_000;
+/** First pause of an endpoint that refuses as full; doubles with each further one. */
+const FIRST_FULL_MS = 50;
+const MAX_FULL_MS = 1_600;
 /** Failures in a row after which an endpoint gets a pause. */
 const FAILURES_IN_A_ROW = 3;
 /** Share of failures above that of its peers that earns a pause. */
@@ -54,6 +57,8 @@
   #failuresInARow = 0;
   #pauses = 0;
   #pausedUntilMs = 0;
+  #refusalsInARow = 0;
+  #fullUntilMs = 0;
 
   readonly #addedAtMs: number;
 
@@ -115,7 +120,7 @@
   }
 
   isPaused(nowMs: number): boolean {
-    return nowMs < this.#pausedUntilMs;
+    return nowMs < this.#pausedUntilMs || nowMs < this.#fullUntilMs;
   }
 
   /** After a pause one attempt at a time shows whether it is sound again. */
@@ -128,7 +133,11 @@
     result: AttemptResult,
     options: { peerFailureShare: number; nowMs: number },
   ): void {
-    if (result === ATTEMPT_RESULT.refused) return;
+    if (result === ATTEMPT_RESULT.refused) {
+      this.#recordRefusal(options.nowMs);
+      return;
+    }
+    this.#refusalsInARow = 0;
     const isFailure = result !== ATTEMPT_RESULT.answered;
     this.answers++;
     const weight = Math.max(SMOOTHING, 1 / this.answers);
@@ -149,4 +158,11 @@
     this.#pausedUntilMs = options.nowMs + pauseMs;
     this.#pauses++;
   }
+
+  /** An endpoint that refuses looks idle, and would be asked first each time. */
+  #recordRefusal(nowMs: number): void {
+    const pauseMs = FIRST_FULL_MS * 2 ** this.#refusalsInARow;
+    this.#fullUntilMs = nowMs + Math.min(MAX_FULL_MS, pauseMs);
+    this.#refusalsInARow++;
+  }
 }
