--- a/src/core/canonical.ts
+++ b/src/core/canonical.ts
@@ -21,6 +21,11 @@
   return createHash("sha256").update(text).digest("hex");
 }
 
+/** Uniform in 0..1 and the same for equal texts. */
+export function hashToShare(text: string): number {
+  return createHash("sha256").update(text).digest().readUInt32BE() / 2 ** 32;
+}
+
 /** Hash of a document, independent of the order of its keys. */
 export function hashDocument(value: unknown): string {
   return hashText(serializeCanonical(value));
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -15,6 +15,7 @@
   type MessageHandler,
   NEWS_PATH,
   Peers,
+  PromptHomes,
   ProxyMetrics,
   RepeatBudget,
   RequestPath,
@@ -118,6 +119,7 @@
     signal,
   });
   const path = new RequestPath({
+    homes: new PromptHomes(),
     wire: platformWire,
     log,
     metrics,
--- a/src/proxy/attempt_runner.ts
+++ b/src/proxy/attempt_runner.ts
@@ -21,6 +21,7 @@
 } from "./endpoint_state.js";
 import type { FleetView } from "./fleet_view.js";
 import type { ProxyMetrics } from "./metrics.js";
+import type { PromptHomes } from "./prompt_homes.js";
 import type { RepeatBudget } from "./repeat_budget.js";
 import type { RequestPlacement } from "./request_placement.js";
 import type { SessionVersions } from "./session_versions.js";
@@ -48,6 +49,7 @@
 const CONNECTION_SHARE = 0.8;
 
 export interface RunServices {
+  readonly homes: PromptHomes;
   readonly wire: Wire;
   readonly log: Logger;
   readonly metrics: ProxyMetrics;
--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -13,6 +13,7 @@
 export * from "./metrics.js";
 export * from "./peer_messages.js";
 export * from "./peers.js";
+export * from "./prompt_homes.js";
 export * from "./proxy_server.js";
 export * from "./repeat_budget.js";
 export * from "./request_path.js";
--- a/src/proxy/request_placement.ts
+++ b/src/proxy/request_placement.ts
@@ -1,6 +1,5 @@
 /** Where one request may run: its version's endpoints, and the best of them. */
 
-import { sortByRendezvous } from "../core/canonical.js";
 import {
   type Choice,
   type ChoiceOptions,
@@ -9,18 +8,18 @@
 } from "./endpoint_choice.js";
 import type { EndpointState } from "./endpoint_state.js";
 import type { FleetView } from "./fleet_view.js";
+import type { PromptHomes } from "./prompt_homes.js";
 import { hashSession, type SessionVersions } from "./session_versions.js";
 import type { RequestFacts, Route, Service } from "./types.js";
 import { listAllowedVersions } from "./version_choice.js";
 
-/** Endpoints that should keep the same shared prompt parts. */
-const HOMES = 2;
 /** Weight of a prompt token where the models have no prices. */
 const PLAIN_WEIGHT = 1;
 /** Prices of larger models rise a little faster than the time they take. */
 const PRICE_EXPONENT = 0.85;
 
 export interface PlacementOptions {
+  readonly homes: PromptHomes;
   readonly view: FleetView;
   readonly sessions: SessionVersions;
   readonly random: () => number;
@@ -106,12 +105,18 @@
     nowMs: number,
   ): Omit<ChoiceOptions, "tried"> {
     const { route, facts } = this.#request;
-    const { random, countEntries } = this.#options;
+    const { homes, random, countEntries } = this.#options;
+    const shared = route.sharesPrompts ? facts.parts.at(-2) : undefined;
     return {
       work: this.createWork(model),
       nowMs,
       random,
-      homes: route.sharesPrompts ? listHomes(states, facts, model) : [],
+      homes: shared
+        ? homes.list(
+            `${model} ${shared.id}`,
+            states.map((state) => state.record.id),
+          )
+        : [],
       entries: countEntries(),
       coldPerSecond: this.coldPerSecond,
     };
@@ -125,15 +130,3 @@
   if (price === undefined || !(least > 0)) return PLAIN_WEIGHT;
   return (price.cost / least) ** PRICE_EXPONENT;
 }
-
-/** Endpoints that should keep the last part that other requests share. */
-function listHomes(
-  states: readonly EndpointState[],
-  facts: RequestFacts,
-  model: string,
-): string[] {
-  const shared = facts.parts.at(-2);
-  if (shared === undefined) return [];
-  const ids = states.map((state) => state.record.id);
-  return sortByRendezvous(`${model} ${shared.id}`, ids).slice(0, HOMES);
-}
--- a/src/proxy/session_versions.ts
+++ b/src/proxy/session_versions.ts
@@ -5,20 +5,17 @@
  */
 
 import { LRUCache } from "lru-cache";
-import { hashText } from "../core/canonical.js";
+import { hashToShare } from "../core/canonical.js";
 import type { SessionReport } from "../schema/exchange/index.js";
 
 /** Sessions remembered by one entry. */
 const MAX_SESSIONS = 50_000;
 /** Sessions that are told to other entries at a time. */
 const MAX_TOLD = 1_000;
-const HASH_DIGITS = 8;
-const HASH_RANGE = 16 ** HASH_DIGITS;
 
 /** Place of a session in 0..1, the same at every entry. */
 export function hashSession(service: string, session: string): number {
-  const digits = hashText(`${service} ${session}`).slice(0, HASH_DIGITS);
-  return Number.parseInt(digits, 16) / HASH_RANGE;
+  return hashToShare(`${service} ${session}`);
 }
 
 interface Seen {
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -4,13 +4,13 @@
  */
 
 import { randomUUID } from "node:crypto";
+import { hashToShare } from "../core/canonical.js";
 import { createAnswer } from "./answers.js";
 import { Batch, type BatchOptions } from "./engine_batch.js";
 import { EngineRun, type RunRecord } from "./engine_run.js";
 import { EngineVersions } from "./engine_versions.js";
 import { applyOptions, type Options } from "./options.js";
 import { countTokens, PrefixCache } from "./prefix_cache.js";
-import { hashToShare } from "./random.js";
 import {
   type Call,
   type Handler,
