--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -122,8 +122,11 @@
     const { signal } = this.#options;
     if (!this.#isFollowing || signal.aborted) return;
     await new Promise<void>((resolve) => {
-      this.#wake = resolve;
-      signal.addEventListener("abort", () => resolve(), { once: true });
+      this.#wake = () => {
+        signal.removeEventListener("abort", this.#wake);
+        resolve();
+      };
+      signal.addEventListener("abort", this.#wake, { once: true });
     });
   }
 
