--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -1,6 +1,7 @@
 /** The system under test: entries as processes, the rest in this process. */
 
 import { mkdirSync, writeFileSync } from "node:fs";
+import { get } from "node:http";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { type Link, openLink } from "../../standins/link.js";
@@ -29,6 +30,8 @@
 /** Ports of one entry; see `createSettings`. */
 const PORTS_PER_ENTRY = 5;
 const READY_PATH = "/hornbeamrill/readyz";
+/** Time for the answer to a readiness question, ms. */
+const READY_TIMEOUT_MS = 500;
 
 export interface EntryMember {
   readonly name: string;
@@ -104,16 +107,24 @@
   }
 
   /** True when the entry answers the balancer's question with 200. */
-  async isReady(entry: EntryMember): Promise<boolean> {
-    const port = this.#getPorts(entry.index).readiness;
-    try {
-      const answer = await fetch(`http://127.0.0.1:${port}${READY_PATH}`, {
-        signal: AbortSignal.timeout(500),
+  isReady(entry: EntryMember): Promise<boolean> {
+    const { readiness } = this.#getPorts(entry.index);
+    return new Promise((resolve) => {
+      const question = get({
+        host: "127.0.0.1",
+        port: readiness,
+        path: READY_PATH,
+        agent: false,
+        timeout: READY_TIMEOUT_MS,
       });
-      return answer.status === 200;
-    } catch {
-      return false;
-    }
+      question.once("response", (answer) => {
+        answer.resume();
+        resolve(answer.statusCode === 200);
+      });
+      question.once("timeout", () => question.destroy());
+      question.once("close", () => resolve(false));
+      question.once("error", () => resolve(false));
+    });
   }
 
   #getPorts(index: number) {
