Wait in the relay's tests until the reader's first watches have ended

The reader's watches of rollouts and evacuations, opened before it was followed, last 8 and 6 s, so its views of them grow older than followers take, and each reads them once itself. The tests took three quiet seconds before that for settled.

Change: the tests wait for the longest wait first; the checks are the same.

--- a/src/platform/view_relay_test.ts
+++ b/src/platform/view_relay_test.ts
@@ -23,6 +23,9 @@
 /** A follower reads the store itself once its reader is late. */
 const LONG_BOUNDS = { configMs: 8_000, drainMs: 8_000, evacuationMs: 8_000 };
 
+/** Longest wait of a watch that nobody follows, ms. */
+const LONGEST_WAIT_MS = 8_500;
+
 interface Entry {
   readonly name: string;
   readonly view: FleetView;
@@ -157,6 +160,8 @@
     const followers = entries.slice(1);
     const countCalls = () =>
       followers.reduce((total, { calls }) => total + calls, 0);
+    // A reader's watches from before it was followed end only now.
+    await sleep(LONGEST_WAIT_MS);
     let quietSeconds = 0;
     for (let second = 0; second < 20 && quietSeconds < 3; second++) {
       const before = countCalls();
