Remove what the platform's edge wrote twice or never used

Read in the whole change once more; behaviour is meant to stay.

- The wait that ends with its owner stood five times and in the roles' clock: pauseFor.
- The server of entries' messages collected bodies by itself: readBody.
- Three types for an address and a port: NetworkAddress.
- A result listed the endpoints of its service twice.
- The relay looked its own views up again by kind.
- `settings check` printed its outcome in two copies, one for each format.
- The record of a replica stood three times in tests and soak, and two tests of the relay shared their end.
- `membership` and `isReused` had no reader.

Left as they are: the shapes of options that repeat between classes, and the two command lines of the soak tests, which differ in their options.

--- a/src/cli/report_commands.ts
+++ b/src/cli/report_commands.ts
@@ -2,6 +2,7 @@
 
 import { readFileSync, writeFileSync } from "node:fs";
 import { extname } from "node:path";
+import type { Result } from "neverthrow";
 import { formatDocumentFailure, parseSettings } from "../adapters/documents.js";
 import { decodeSettings } from "../platform/settings.js";
 import {
@@ -38,35 +39,34 @@
   } catch (error) {
     return reportUsage(`Cannot read settings file "${file}": ${String(error)}`);
   }
-  if (extname(file) === PLATFORM_EXTENSION) {
-    return checkPlatformSettings(file, text, flags.json);
-  }
-  const settings = parseSettings(text, file);
-  if (settings.isOk()) {
+  const checked = checkSettingsText(file, text);
+  if (checked.isOk()) {
     print(flags.json ? JSON.stringify({ ok: true }) : `${file}: ok`);
     return EXIT_CODES.done;
   }
-  if (flags.json) print(JSON.stringify({ failure: settings.error }));
-  printError(formatDocumentFailure(settings.error));
+  const { failure, message } = checked.error;
+  if (flags.json) print(JSON.stringify({ failure }));
+  printError(message);
   return EXIT_CODES.usage;
 }
 
 /** Settings that the platform writes are TOML, the own ones JSON. */
 const PLATFORM_EXTENSION = ".toml";
 
-function checkPlatformSettings(
+function checkSettingsText(
   file: string,
   text: string,
-  isJson: boolean,
-): ExitCode {
-  const settings = decodeSettings(text);
-  if (settings.isErr()) {
-    if (isJson) print(JSON.stringify({ failure: settings.error }));
-    printError(`${file}: ${settings.error.detail}`);
-    return EXIT_CODES.usage;
+): Result<unknown, { readonly failure: unknown; readonly message: string }> {
+  if (extname(file) === PLATFORM_EXTENSION) {
+    return decodeSettings(text).mapErr((failure) => ({
+      failure,
+      message: `${file}: ${failure.detail}`,
+    }));
   }
-  print(isJson ? JSON.stringify({ ok: true }) : `${file}: ok`);
-  return EXIT_CODES.done;
+  return parseSettings(text, file).mapErr((failure) => ({
+    failure,
+    message: formatDocumentFailure(failure),
+  }));
 }
 
 export async function showCostReport(
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -2,8 +2,8 @@
 
 import { randomUUID } from "node:crypto";
 import type { AddressInfo } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../adapters/logs.js";
+import { pauseFor } from "../adapters/pause.js";
 import {
   Connections,
   createSuspendClock,
@@ -210,7 +210,7 @@
   const dueSinceMs = new Map<string, number>();
   while (!signal.aborted) {
     const startedAtMs = now();
-    await delay(TICK_MS, undefined, { signal }).catch(() => undefined);
+    await pauseFor(TICK_MS, signal);
     if (signal.aborted) return;
     if (loopDelay.record(now() - startedAtMs - TICK_MS)) {
       const meanMs = Math.round(loopDelay.meanMs);
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -5,7 +5,11 @@
 import { startServer } from "../standins/server.js";
 import { type RunningEntry, startEntry } from "./entry.js";
 import type { EntryBounds } from "./settings.js";
-import { type ReplicaOptions, ReplicaStandin } from "./standins/replica.js";
+import {
+  createReplicaSpec,
+  type ReplicaOptions,
+  ReplicaStandin,
+} from "./standins/replica.js";
 import { PlatformStoreStandin } from "./standins/store.js";
 
 export const HOST = "shop.example";
@@ -114,17 +118,8 @@
     const port = await replica.start();
     this.#closers.push(() => replica.close());
     this.replicas.set(options.id, replica);
-    this.store.put("servers", options.id, {
-      service: "svc",
-      addr: `127.0.0.1:${port}`,
-      zone: "dc1",
-      version: "v1",
-      slots: 8,
-      state: "ready",
-      cold_left_ms: 0,
-      seq: 1,
-      ...record,
-    });
+    const spec = createReplicaSpec(port, record);
+    this.store.put("servers", options.id, spec);
     return replica;
   }
 
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
 import { parse } from "smol-toml";
+import type { NetworkAddress } from "../proxy/index.js";
 import { parseAddress } from "./decode_config.js";
 import { createDecodeFailure, type DecodeFailure } from "./errors.js";
 import {
@@ -15,25 +16,20 @@
 
 const MS_PER_SECOND = 1_000;
 
-export interface Place {
-  readonly address: string;
-  readonly port: number;
-}
-
 export interface EntrySettings {
   readonly name: string;
   readonly role: string;
   readonly dataCentre: string;
   /** Address of this host. */
   readonly address: string;
-  readonly callers: Place;
-  readonly readiness: Place;
-  readonly store: Place;
+  readonly callers: NetworkAddress;
+  readonly readiness: NetworkAddress;
+  readonly store: NetworkAddress;
   readonly metricsPort: number;
   /** Where other entries reach this one. */
-  readonly exchange: Place;
+  readonly exchange: NetworkAddress;
   /** Exchange addresses of a few entries; they may be out of date. */
-  readonly seeds: readonly Place[];
+  readonly seeds: readonly NetworkAddress[];
   readonly bounds: EntryBounds;
 }
 
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -7,11 +7,14 @@
 import { type Link, openLink } from "../../standins/link.js";
 import { type ManagedProcess, startProcess } from "../../standins/process.js";
 import { startServer } from "../../standins/server.js";
-import { ReplicaStandin } from "../standins/replica.js";
+import {
+  createReplicaSpec,
+  ReplicaStandin,
+  SERVICE,
+} from "../standins/replica.js";
 import { PlatformStoreStandin } from "../standins/store.js";
 
 export const HOST = "soak.example";
-export const SERVICE = "svc";
 /** Bounds that the entries are started with. */
 export const BOUNDS = {
   revokeMs: 5_000,
@@ -220,15 +223,7 @@
   }
 
   writeReplica(member: ReplicaMember, state: "ready" | "draining"): void {
-    this.store.put("servers", member.id, {
-      service: SERVICE,
-      addr: `127.0.0.1:${member.link.port}`,
-      zone: "dc1",
-      version: "v1",
-      slots: 8,
-      state,
-      cold_left_ms: 0,
-      seq: 1,
-    });
+    const spec = createReplicaSpec(member.link.port, { state });
+    this.store.put("servers", member.id, spec);
   }
 }
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -44,6 +44,24 @@
   answersCrossed?: boolean;
 }
 
+/** Service of the replicas. */
+export const SERVICE = "svc";
+
+/** The record by which a replica is registered in the store. */
+export function createReplicaSpec(port: number, fields: object = {}) {
+  return {
+    service: SERVICE,
+    addr: `127.0.0.1:${port}`,
+    zone: "dc1",
+    version: "v1",
+    slots: 8,
+    state: "ready",
+    cold_left_ms: 0,
+    seq: 1,
+    ...fields,
+  };
+}
+
 /** Body of every whole plain answer. */
 export const PLAIN_BODY = "0123456789".repeat(20);
 
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -3,8 +3,8 @@
  * the store or from another entry that reads it.
  */
 
-import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../adapters/logs.js";
+import { pauseFor } from "../adapters/pause.js";
 import {
   ChangeLog,
   type RelayedView,
@@ -237,6 +237,6 @@
     }
     const pauseMs = this.#pauseMs * (0.5 + random());
     this.#pauseMs = Math.min(LONGEST_PAUSE_MS, this.#pauseMs * 2);
-    await delay(pauseMs, undefined, { signal }).catch(() => undefined);
+    await pauseFor(pauseMs, signal);
   }
 }
--- a/src/platform/view_relay_test.ts
+++ b/src/platform/view_relay_test.ts
@@ -13,6 +13,7 @@
 import { startServer } from "../standins/server.js";
 import { createConfiguration } from "./entry_fixtures_test.js";
 import { FleetSync, type ViewBounds } from "./fleet_sync.js";
+import { createReplicaSpec } from "./standins/replica.js";
 import { PlatformStoreStandin } from "./standins/store.js";
 import { StoreClient } from "./store_client.js";
 
@@ -115,7 +116,7 @@
   async function startFleet(count: number, bounds: ViewBounds = BOUNDS) {
     const store = new PlatformStoreStandin();
     store.put("config", "main", createConfiguration(1));
-    store.put("servers", "i-1", createRecord("ready"));
+    store.put("servers", "i-1", createReplicaSpec(1));
     const places: Place[] = [];
     const entries: Entry[] = [];
     for (let index = 0; index < count; index++) {
@@ -125,19 +126,6 @@
     return { store, entries };
   }
 
-  function createRecord(state: string) {
-    return {
-      service: "svc",
-      addr: "127.0.0.1:1",
-      zone: "dc1",
-      version: "v1",
-      slots: 8,
-      state,
-      cold_left_ms: 0,
-      seq: 1,
-    };
-  }
-
   function sleep(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
@@ -171,13 +159,29 @@
     assert.equal(quietSeconds, 3, "followers go on reading the store");
   }
 
+  /** Changes the store; all of the entries know in time. */
+  async function expectChanges(
+    store: PlatformStoreStandin,
+    entries: readonly Entry[],
+  ): Promise<void> {
+    store.put("config", "main", createConfiguration(2));
+    store.put("servers", "i-1", createReplicaSpec(1, { state: "draining" }));
+    await waitFor(
+      () =>
+        entries.every(
+          (entry) => getVersion(entry) === 2 && countOpen(entry) === 0,
+        ),
+      LONG_BOUNDS.configMs,
+    );
+  }
+
   // The price of calls grows with data centres instead of entries.
   it("follow the first and make no calls of their own", async () => {
     const { store, entries } = await startFleet(5, LONG_BOUNDS);
     await waitForFollowers(entries);
     const before = entries.map(({ calls }) => calls);
     store.put("config", "main", createConfiguration(2));
-    store.put("servers", "i-1", createRecord("draining"));
+    store.put("servers", "i-1", createReplicaSpec(1, { state: "draining" }));
     await waitFor(
       () => entries.every((entry) => getVersion(entry) === 2),
       BOUNDS.configMs / 4,
@@ -203,15 +207,7 @@
     if (reader === undefined) return;
     reader.isSilent = true;
     reader.isCutOff = true;
-    store.put("config", "main", createConfiguration(2));
-    store.put("servers", "i-1", createRecord("draining"));
-    await waitFor(
-      () =>
-        followers.every(
-          (entry) => getVersion(entry) === 2 && countOpen(entry) === 0,
-        ),
-      LONG_BOUNDS.configMs,
-    );
+    await expectChanges(store, followers);
   });
 
   // A reader that the store does not answer any more has old news only.
@@ -222,15 +218,7 @@
     if (reader === undefined) return;
     reader.isCutOff = true;
     await sleep(20);
-    store.put("config", "main", createConfiguration(2));
-    store.put("servers", "i-1", createRecord("draining"));
-    await waitFor(
-      () =>
-        followers.every(
-          (entry) => getVersion(entry) === 2 && countOpen(entry) === 0,
-        ),
-      LONG_BOUNDS.configMs,
-    );
+    await expectChanges(store, followers);
   });
 
   // Requests with a key would be refused while only this entry is cut off.
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -36,8 +36,6 @@
   readonly facts: AnswerFacts;
   readonly headers: RawHeaders;
   readonly message: IncomingMessage;
-  /** The connection was used before. */
-  readonly isReused: boolean;
 }
 
 export interface AttemptOptions {
@@ -113,8 +111,7 @@
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
       const status = message.statusCode ?? 0;
-      const isReused = outgoing.reusedSocket;
-      resolve(ok({ status, facts, headers, message, isReused }));
+      resolve(ok({ status, facts, headers, message }));
     });
     outgoing.end(body);
   });
--- a/src/proxy/attempt_runner.ts
+++ b/src/proxy/attempt_runner.ts
@@ -341,9 +341,8 @@
     const { service, route } = this.#request;
     const { state } = attempt;
     metrics.attempts.inc({ service: service.name, result });
-    const peers = view.endpoints
-      .list(service.name)
-      .filter((peer) => peer !== state && peer.answers > 0);
+    const all = view.endpoints.list(service.name);
+    const peers = all.filter((peer) => peer !== state && peer.answers > 0);
     const sum = peers.reduce((total, peer) => total + peer.failureShare, 0);
     const peerFailureShare = peers.length === 0 ? 0 : sum / peers.length;
     state.recordResult(result, { peerFailureShare, nowMs: now() });
@@ -353,9 +352,9 @@
       version: state.record.version,
       route: route.name,
       endpoint: state.record.id,
-      endpoints: view.endpoints
-        .list(service.name)
-        .filter(({ record }) => record.version === state.record.version).length,
+      endpoints: all.filter(
+        ({ record }) => record.version === state.record.version,
+      ).length,
       isGood: result === ATTEMPT_RESULT.answered,
       slowness: state.isWarm(now()) ? pace : undefined,
     });
--- a/src/proxy/endpoint_table.ts
+++ b/src/proxy/endpoint_table.ts
@@ -18,12 +18,6 @@
   readonly #endpoints = new Map<string, EndpointState>();
   readonly #lapsed = new Map<string, number>();
   #graceUntilMs = Number.NEGATIVE_INFINITY;
-  #membership = 0;
-
-  /** Changes with each endpoint that comes or goes. */
-  get membership(): number {
-    return this.#membership;
-  }
 
   /** Tells that the store answers again after it did not. */
   startGrace(nowMs: number): void {
@@ -52,14 +46,12 @@
       const state = new EndpointState(record, nowMs);
       state.setColdUntil(nowMs + record.coldLeftMs);
       this.#endpoints.set(record.id, state);
-      this.#membership++;
       return [{ event: "endpoint-added", record }];
     }
     const wasLeaving = known.record.isLeaving;
     known.record = record;
     known.setColdUntil(nowMs + record.coldLeftMs);
     if (wasLeaving === record.isLeaving) return [];
-    this.#membership++;
     return record.isLeaving ? [{ event: "endpoint-leaving", record }] : [];
   }
 
@@ -88,7 +80,6 @@
   #delete(id: string, known: EndpointState): TableChange[] {
     this.#endpoints.delete(id);
     this.#lapsed.delete(id);
-    this.#membership++;
     return [{ event: "endpoint-removed", record: known.record }];
   }
 
--- a/src/proxy/peer_messages.ts
+++ b/src/proxy/peer_messages.ts
@@ -1,20 +1,24 @@
 /** Messages between entries: one question, one answer, over HTTP. */
 
-import { type Agent, createServer, request, type Server } from "node:http";
+import {
+  type Agent,
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import { readBody } from "../adapters/http.js";
 import { startListening } from "./proxy_server.js";
+import type { NetworkAddress } from "./types.js";
 
 /** Largest message of another entry, bytes. */
 const MAX_MESSAGE_BYTES = 8_388_608;
 
-export interface PeerAddress {
-  readonly address: string;
-  readonly port: number;
-}
-
 export interface OutgoingMessage {
   readonly agent: Agent;
-  readonly target: PeerAddress;
+  readonly target: NetworkAddress;
   readonly path: string;
   readonly data: Uint8Array;
   /** Time for the whole answer, ms. */
@@ -76,27 +80,31 @@
 /** Answers the messages of other entries by their path. */
 export function startPeerServer(
   handlers: ReadonlyMap<string, MessageHandler>,
-  place: PeerAddress,
+  place: NetworkAddress,
 ): Promise<Server> {
   const server = createServer((incoming, response) => {
-    const handler = handlers.get(incoming.url ?? "");
-    const chunks: Buffer[] = [];
-    let size = 0;
-    incoming.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAX_MESSAGE_BYTES) incoming.destroy();
-      else chunks.push(chunk);
-    });
-    incoming.once("end", () => {
-      if (handler === undefined) {
-        response.writeHead(404, { "Content-Length": 0 }).end();
-        return;
-      }
-      void Promise.resolve(handler(Buffer.concat(chunks))).then((data) => {
-        response.writeHead(200, { "Content-Length": data.length });
-        response.end(data);
-      });
-    });
+    void answerMessage(handlers, incoming, response);
   });
   return startListening(server, place);
 }
+
+async function answerMessage(
+  handlers: ReadonlyMap<string, MessageHandler>,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const handler = handlers.get(incoming.url ?? "");
+  // Nobody is left to answer when the sender goes away.
+  const body = await readBody(incoming, MAX_MESSAGE_BYTES).catch(() => {});
+  if (!Buffer.isBuffer(body)) {
+    incoming.destroy();
+    return;
+  }
+  if (handler === undefined) {
+    response.writeHead(404, { "Content-Length": 0 }).end();
+    return;
+  }
+  const data = await handler(body);
+  response.writeHead(200, { "Content-Length": data.length });
+  response.end(data);
+}
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -4,13 +4,14 @@
  */
 
 import { Agent } from "node:http";
-import { setTimeout as delay } from "node:timers/promises";
 import { LRUCache } from "lru-cache";
 import type { Logger } from "../adapters/logs.js";
+import { pauseFor } from "../adapters/pause.js";
 import { Exchange, type Place } from "../schema/exchange/index.js";
-import { type PeerAddress, sendMessage } from "./peer_messages.js";
+import { sendMessage } from "./peer_messages.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
+import type { NetworkAddress } from "./types.js";
 
 /** Time between two rounds, ms. */
 const ROUND_MS = 400;
@@ -40,7 +41,7 @@
 
 export interface PeersOptions {
   readonly self: Omit<Place, "ageMs">;
-  readonly seeds: readonly PeerAddress[];
+  readonly seeds: readonly NetworkAddress[];
   readonly rollouts: Rollouts;
   readonly sessions: SessionVersions;
   readonly now: () => number;
@@ -114,11 +115,11 @@
         this.#chooseTargets(round).map((target) => this.#exchange(target)),
       );
       const pauseMs = ROUND_MS * (0.8 + 0.4 * random());
-      await delay(pauseMs, undefined, { signal }).catch(() => undefined);
+      await pauseFor(pauseMs, signal);
     }
   }
 
-  #chooseTargets(round: number): PeerAddress[] {
+  #chooseTargets(round: number): NetworkAddress[] {
     const { seeds, self, random } = this.#options;
     const heard = this.#listHeard(GONE_AFTER_MS).map(({ place }) => place);
     const isNear = (place: Place) => place.dataCentre === self.dataCentre;
@@ -128,12 +129,12 @@
       near.length,
       PEERS_PER_ROUND - FAR_PEERS_PER_ROUND,
     );
-    const chosen: PeerAddress[] = [
+    const chosen: NetworkAddress[] = [
       ...chooseSome(near, nearWanted, random),
       ...chooseSome(far, PEERS_PER_ROUND - nearWanted, random),
     ];
     if (chosen.length > 0 && round % SEED_EVERY_ROUNDS !== 0) return chosen;
-    const isKnown = (seed: PeerAddress) =>
+    const isKnown = (seed: NetworkAddress) =>
       (seed.address === self.address && seed.port === self.port) ||
       chosen.some(
         (item) => item.address === seed.address && item.port === seed.port,
@@ -161,7 +162,7 @@
     }).finish();
   }
 
-  async #exchange(target: PeerAddress): Promise<void> {
+  async #exchange(target: NetworkAddress): Promise<void> {
     const { signal, log } = this.#options;
     const answer = await sendMessage({
       agent: this.#agent,
--- a/src/proxy/proxy_server.ts
+++ b/src/proxy/proxy_server.ts
@@ -9,6 +9,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "./fleet_view.js";
 import type { RequestPath } from "./request_path.js";
+import type { NetworkAddress } from "./types.js";
 
 /** Bytes of a request's head; above what any configuration allows. */
 const MAX_HEAD_BYTES = 65_536;
@@ -23,7 +24,7 @@
 /** Settles once the server listens. */
 export function startListening(
   server: Server,
-  place: { address: string; port: number },
+  place: NetworkAddress,
 ): Promise<Server> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
@@ -35,7 +36,7 @@
 export function startCallerServer(
   path: RequestPath,
   view: FleetView,
-  place: { address: string; port: number },
+  place: NetworkAddress,
 ): Promise<Server> {
   const server = createServer(
     {
@@ -63,7 +64,7 @@
 export function startReadinessServer(
   isReady: () => boolean,
   readyPath: string,
-  place: { address: string; port: number },
+  place: NetworkAddress,
 ): Promise<Server> {
   const server = createServer((request, response) => {
     const isAsked = request.url === readyPath;
@@ -76,7 +77,7 @@
 
 export function startMetricsServer(
   render: () => Promise<string>,
-  place: { address: string; port: number },
+  place: NetworkAddress,
 ): Promise<Server> {
   const server = createServer((_request, response) => {
     void render().then(
--- a/src/proxy/types.ts
+++ b/src/proxy/types.ts
@@ -151,6 +151,12 @@
   readonly bodyBytes: number;
 }
 
+/** Where a program listens. */
+export interface NetworkAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
 /** What an endpoint says of its load. */
 export interface EndpointLoad {
   readonly running: number;
--- a/src/proxy/view_relay.ts
+++ b/src/proxy/view_relay.ts
@@ -5,9 +5,9 @@
  */
 
 import { Agent } from "node:http";
-import { setTimeout as delay } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
 import type { Logger } from "../adapters/logs.js";
+import { pauseFor } from "../adapters/pause.js";
 import {
   News,
   NewsQuestion,
@@ -112,7 +112,7 @@
       if (source !== undefined) await this.#ask(source);
       else {
         this.#followNobody();
-        await delay(IDLE_MS, undefined, { signal }).catch(() => undefined);
+        await pauseFor(IDLE_MS, signal);
       }
     }
   }
@@ -147,9 +147,10 @@
 
   async #ask(source: Place): Promise<void> {
     const { views, waitMs, clock, log, signal, onAnswer } = this.#options;
-    const positions = views.map(({ kind, revision = 0 }) => ({
+    const asked = views.map((view) => ({ view, since: view.revision ?? 0 }));
+    const positions = asked.map(({ view: { kind }, since }) => ({
       kind,
-      revision,
+      revision: since,
     }));
     const startedAtMs = clock.now();
     const answer = await sendMessage({
@@ -173,25 +174,23 @@
     let isWhole = true;
     // The answer left the source no sooner than it had waited.
     const waitedMs = Math.min(message.waitedMs, clock.now() - startedAtMs);
-    for (const { kind, revision } of positions) {
-      const view = views.find((one) => one.kind === kind);
-      const part = message.views.find((one) => one.kind === kind);
-      if (view === undefined) continue;
-      const isTaken = part !== undefined && isUsable(part, revision);
+    for (const { view, since } of asked) {
+      const part = message.views.find(({ kind }) => kind === view.kind);
+      const isTaken = part !== undefined && isUsable(part, since);
       if (isTaken) {
         view.take({
-          since: revision,
+          since,
           revision: part.revision,
           changes: part.changes,
           confirmedAtMs: startedAtMs + waitedMs - part.ageMs,
         });
       }
-      const maxAgeMs = this.#options.maxAgeMs[kind] ?? 0;
+      const maxAgeMs = this.#options.maxAgeMs[view.kind] ?? 0;
       view.follow(isTaken && view.ageMs <= maxAgeMs);
       isWhole &&= isTaken;
     }
     // An answer that can't be used may come at once each time.
-    if (!isWhole) await delay(IDLE_MS, undefined, { signal }).catch(() => {});
+    if (!isWhole) await pauseFor(IDLE_MS, signal);
   }
 
   /** Answers a question for news, at once or when there are some. */
--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -1,6 +1,6 @@
 /** Time as the roles see it, so that tests run in virtual time. */
 
-import { setTimeout as delay } from "node:timers/promises";
+import { pauseFor } from "../adapters/pause.js";
 
 export interface Clock {
   /** Milliseconds since 1970. */
@@ -12,8 +12,6 @@
 export function createSystemClock(): Clock {
   return {
     now: () => Date.now(),
-    sleep: async (ms, signal) => {
-      await delay(ms, undefined, { signal, ref: false }).catch(() => undefined);
-    },
+    sleep: (ms, signal) => pauseFor(ms, signal, { ref: false }),
   };
 }
