Go on following a reader that is behind for a moment

A follower's own watch that ends after a change can bring it ahead of its reader; the reader's answer then counted as unusable, and the follower read the store for that view although its view was young.

Change: an answer that is complete and not lost keeps a view following while the view's own age allows it; older news is not taken, as before. The bound on the age is the same.

The new test fails before and passes after.

--- a/src/proxy/view_relay.ts
+++ b/src/proxy/view_relay.ts
@@ -8,12 +8,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Logger } from "../adapters/logs.js";
 import { pauseFor } from "../adapters/pause.js";
-import {
-  News,
-  NewsQuestion,
-  type Place,
-  type ViewNews,
-} from "../schema/exchange/index.js";
+import { News, NewsQuestion, type Place } from "../schema/exchange/index.js";
 import type { SuspendClock } from "./clock.js";
 import { sendMessage } from "./peer_messages.js";
 
@@ -176,8 +171,9 @@
     const waitedMs = Math.min(message.waitedMs, clock.now() - startedAtMs);
     for (const { view, since } of asked) {
       const part = message.views.find(({ kind }) => kind === view.kind);
-      const isTaken = part !== undefined && isUsable(part, since);
-      if (isTaken) {
+      const isKnown = part?.isComplete === true && !part.isLost;
+      // Where the reader is behind, the view goes on with what it has.
+      if (isKnown && part.revision >= since) {
         view.take({
           since,
           revision: part.revision,
@@ -186,8 +182,8 @@
         });
       }
       const maxAgeMs = this.#options.maxAgeMs[view.kind] ?? 0;
-      view.follow(isTaken && view.ageMs <= maxAgeMs);
-      isWhole &&= isTaken;
+      view.follow(isKnown && view.ageMs <= maxAgeMs);
+      isWhole &&= isKnown;
     }
     // An answer that can't be used may come at once each time.
     if (!isWhole) await pauseFor(IDLE_MS, signal);
@@ -257,10 +253,6 @@
 /** Ages of views that were never confirmed are told as this, ms. */
 const MAX_AGE_MS = 1_000_000_000;
 
-function isUsable(news: ViewNews, since: number): boolean {
-  return news.isComplete && !news.isLost && news.revision >= since;
-}
-
 function decodeNews(data: Uint8Array): Result<News, string> {
   try {
     return ok(News.decode(data));
--- /dev/null
+++ b/src/proxy/view_relay_test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import type { AddressInfo } from "node:net";
+import { describe, it } from "node:test";
+import { News } from "../schema/exchange/index.js";
+import { createSuspendClock } from "./clock.js";
+import { startPeerServer } from "./peer_messages.js";
+import { NEWS_PATH, ViewRelay } from "./view_relay.js";
+
+const LOG = { debug() {}, info() {}, warn() {}, error() {} };
+
+describe("relay of views", () => {
+  // A watch of its own may have brought the follower ahead for a moment; to
+  // read the store for that costs a call after each change.
+  it("goes on following a reader that is behind, while the view is young", async () => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    let answers = 0;
+    const answer = () => {
+      answers++;
+      const view = { kind: "k", revision: 3, ageMs: 10, isComplete: true };
+      return News.encode({
+        views: [{ ...view, isLost: false, changes: [] }],
+        waitedMs: 0,
+      }).finish();
+    };
+    const server = await startPeerServer(new Map([[NEWS_PATH, answer]]), {
+      address: "127.0.0.1",
+      port: 0,
+    });
+    const { port } = server.address() as AddressInfo;
+    const follows: boolean[] = [];
+    let taken = 0;
+    const relay = new ViewRelay({
+      selfName: "e9",
+      views: [
+        {
+          kind: "k",
+          revision: 5,
+          ageMs: 100,
+          isLost: false,
+          hasNewsSince: () => false,
+          listSince: () => [],
+          take: () => {
+            taken++;
+          },
+          follow: (isFollowing) => follows.push(isFollowing),
+        },
+      ],
+      maxAgeMs: { k: 1_000 },
+      waitMs: 50,
+      listNeighbours: () =>
+        ["e0", "e1", "e2"].map((name) => ({
+          name,
+          incarnation: "1",
+          address: "127.0.0.1",
+          port,
+          ageMs: 0,
+          dataCentre: "dc1",
+        })),
+      onAnswer: () => {},
+      clock: createSuspendClock(),
+      log: LOG,
+      signal,
+    });
+    const running = relay.run();
+    while (answers < 2) await new Promise((resolve) => setTimeout(resolve, 10));
+    controller.abort();
+    await running;
+    server.close();
+    server.closeAllConnections();
+    assert.equal(taken, 0);
+    assert.equal(follows[0], true);
+  });
+});
