Judge a stream's silence by its events and the caller's reading

Cause, three faults of one place: the stall timer ran on while the caller did not read, so that a sound stream of a slow reader was cut (and perhaps run once more elsewhere); any block refreshed it, so that comments kept a stalled stream open until the deadline; bytes of an event without an end were kept without a limit.

Ruled out: a timer for the caller instead. Its deadline and the route's timeout end the request already, and nothing is kept while it does not read.

Change: the timer stands while the caller is waited for and starts anew after; only blocks with data or an id count as events; an event of more than 64 KiB ends the attempt as broken, and the stream goes on elsewhere where it may.

--- a/src/proxy/answer.ts
+++ b/src/proxy/answer.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Refusal } from "../core/errors.js";
 import { type AttemptHead, isWholeAnswer } from "./attempt.js";
-import { EventCutter } from "./event_stream.js";
+import { EventCutter, MAX_EVENT_BYTES } from "./event_stream.js";
 import type { RawHeaders, Wire } from "./types.js";
 
 /** Where the answer goes. */
@@ -63,22 +63,28 @@
       clearTimeout(stall);
       resolve({ isComplete, lastEventId, detail });
     };
-    const stall = setTimeout(
-      () => settle(false, `No event for ${stallMs} ms`),
-      stallMs,
-    );
+    const startStall = () =>
+      setTimeout(() => settle(false, `No event for ${stallMs} ms`), stallMs);
+    let stall = startStall();
+    // While the caller does not read, the endpoint's silence can't be seen.
     const pause = () => {
+      clearTimeout(stall);
       message.pause();
       void sink.waitDrain(signal).then(() => {
-        stall.refresh();
+        if (isSettled) return;
+        stall = startStall();
         message.resume();
       });
     };
     message.on("data", (chunk: Buffer) => {
       if (isSettled) return;
       const cut = cutter.push(chunk);
+      if (cutter.isOversized) {
+        settle(false, `An event exceeds ${MAX_EVENT_BYTES} bytes`);
+        return;
+      }
       if (cut.events.length === 0) return;
-      stall.refresh();
+      if (cut.hasEvent) stall.refresh();
       lastEventId = cut.lastId ?? lastEventId;
       if (!sink.write(cut.events)) pause();
     });
--- a/src/proxy/event_stream.ts
+++ b/src/proxy/event_stream.ts
@@ -5,16 +5,24 @@
 
 const BOUNDARY = Buffer.from("\n\n");
 const ID_LINE = /^id: ?(\d+)\r?$/gm;
+/** Only data and ids make a block an event; comments are signs of life. */
+const EVENT_LINE = /^(?:data|id)(?::|\r?$)/m;
+/**
+ * Largest part of an event that is kept until its end, bytes. Events hold a
+ * few tokens, some hundred bytes.
+ */
+export const MAX_EVENT_BYTES = 65_536;
 
 export interface EventCut {
   /** Whole events that may be passed on. */
   readonly events: Buffer;
   /** Id of the last of them. */
   readonly lastId?: number;
-  readonly count: number;
+  /** False where only comments and blank lines came. */
+  readonly hasEvent: boolean;
 }
 
-const NOTHING: EventCut = { events: Buffer.alloc(0), count: 0 };
+const NOTHING: EventCut = { events: Buffer.alloc(0), hasEvent: false };
 
 export class EventCutter {
   #rest: Buffer = Buffer.alloc(0);
@@ -30,15 +38,20 @@
     const cut = end + BOUNDARY.length;
     this.#rest = data.subarray(cut);
     const events = data.subarray(0, cut);
-    const ids = [...events.toString("latin1").matchAll(ID_LINE)];
-    const last = ids.at(-1)?.[1];
+    const text = events.toString("latin1");
+    const last = [...text.matchAll(ID_LINE)].at(-1)?.[1];
     return {
       events,
-      count: ids.length,
+      hasEvent: EVENT_LINE.test(text),
       lastId: last === undefined ? undefined : Number(last),
     };
   }
 
+  /** The event that has not ended is larger than any may be. */
+  get isOversized(): boolean {
+    return this.#rest.length > MAX_EVENT_BYTES;
+  }
+
   /** Bytes of an event that has not ended. */
   get rest(): Buffer {
     return this.#rest;
