Bound the answers of endpoints that send without end

Cause: a whole answer was read without a limit, the body of a refused attempt was read to an end that may never come, and informational heads were taken until the deadline.

Ruled out by tests that pass before too: endless heads, trailers, chunk extensions and bytes that are no answer; Node's parser bounds these.

Change: an answer over 1 MiB is broken off and counts as possibly run; the body of a refused attempt gets 64 KiB and 500 ms, and the refusal stays one; eight informational heads at most.

--- a/src/platform/attempt_test.ts
+++ b/src/platform/attempt_test.ts
@@ -121,6 +121,85 @@
     assert.equal(closed.kind, "unknown");
   });
 
+  // Bytes without end would fill the memory of a small host.
+  describe("gives up on an endpoint that sends without end", () => {
+    const CHUNK = "x".repeat(65_536);
+    const LARGEST_SENT = 16_777_216;
+    const SIGNED = HEAD;
+    const REFUSED = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n";
+    const cases = [
+      ["in a body without a length", `${SIGNED}\r\n`, CHUNK, "unknown"],
+      [
+        "in chunks",
+        `${SIGNED}Transfer-Encoding: chunked\r\n\r\n`,
+        `10000\r\n${CHUNK}\r\n`,
+        "unknown",
+      ],
+      [
+        "in the extension of a chunk",
+        `${SIGNED}Transfer-Encoding: chunked\r\n\r\n1;`,
+        CHUNK,
+        "unknown",
+      ],
+      [
+        "in a trailer",
+        `${SIGNED}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+        `A: ${CHUNK}\r\n`,
+        "unknown",
+      ],
+      ["in a head", "HTTP/1.1 200 OK\r\n", `A: ${CHUNK}\r\n`, "unknown"],
+      [
+        "in informational heads",
+        "",
+        "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n".repeat(100),
+        "unknown",
+      ],
+      ["in place of an answer", "", CHUNK, "unknown"],
+      ["in a refusal", `${REFUSED}\r\n`, CHUNK, "not-run"],
+    ] as const;
+    for (const [name, head, data, kind] of cases) {
+      it(name, { timeout: 10_000 }, async () => {
+        let sent = 0;
+        const startedAtMs = performance.now();
+        const closed = new Promise<void>((resolve) => {
+          void run((socket) => {
+            const writeMore = () => {
+              while (!socket.destroyed && socket.write(data))
+                sent += data.length;
+              sent += data.length;
+            };
+            socket.on("drain", writeMore);
+            socket.once("close", () => resolve());
+            socket.write(head);
+            writeMore();
+          }).then((result) => {
+            assert.ok(typeof result !== "string");
+            assert.equal(result.kind, kind);
+          });
+        });
+        await closed;
+        assert.ok(sent < LARGEST_SENT, `${sent} bytes were sent`);
+        assert.ok(performance.now() - startedAtMs < 2_000);
+      });
+    }
+
+    // A body of a refusal that trickles would hold its connection for ever.
+    it("slowly in a refusal", { timeout: 10_000 }, async () => {
+      const startedAtMs = performance.now();
+      await new Promise<void>((resolve) => {
+        void run((socket) => {
+          socket.write(`${REFUSED}Transfer-Encoding: chunked\r\n\r\n`);
+          const timer = setInterval(() => socket.write("1\r\nx\r\n"), 50);
+          socket.once("close", () => {
+            clearInterval(timer);
+            resolve();
+          });
+        });
+      });
+      assert.ok(performance.now() - startedAtMs < 2_000);
+    });
+  });
+
   // A host that is gone would otherwise hold a caller for its whole patience.
   it("gives up soon on a connection that never opens, as not sent", async () => {
     const agent = new Agent();
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -24,6 +24,17 @@
  * gone or cut off never answers.
  */
 const CONNECT_TIMEOUT_MS = 300;
+/**
+ * Largest answer that is read whole, bytes; plain services send some
+ * kilobytes, and a small host may hold dozens of answers at once.
+ */
+const MAX_ANSWER_BYTES = 1_048_576;
+/** Bytes of a refused attempt's body that are read to keep its connection. */
+const MAX_DISCARDED_BYTES = 65_536;
+/** Time for the end of a refused attempt's body, ms. */
+const DISCARD_TIMEOUT_MS = 500;
+/** Informational heads before an answer; endpoints send one at most. */
+const MAX_INFORMATIONAL = 8;
 
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind;
@@ -94,11 +105,17 @@
       const { notSent, unknown } = ATTEMPT_FAILURE;
       fail(isSent ? unknown : notSent, error.message);
     });
+    let informational = 0;
+    outgoing.on("information", () => {
+      informational++;
+      if (informational <= MAX_INFORMATIONAL) return;
+      outgoing.destroy(new Error("Informational heads without an answer"));
+    });
     outgoing.on("response", (message) => {
       const headers = message.rawHeaders;
       const facts = wire.parseAnswer(headers);
       if (facts.isNotRun) {
-        message.resume();
+        ignoreAnswerBody(message);
         const detail = `Status ${message.statusCode}, not run`;
         resolve(err({ kind: ATTEMPT_FAILURE.notRun, detail, facts }));
         return;
@@ -160,7 +177,20 @@
   return message.complete && !message.socket?.errored;
 }
 
-/** Reads a whole body; a failure when the answer ends early. */
+/** Reads past a body that nobody needs, or closes its connection. */
+function ignoreAnswerBody(message: IncomingMessage): void {
+  let size = 0;
+  const timer = setTimeout(() => message.destroy(), DISCARD_TIMEOUT_MS);
+  message.on("data", (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_DISCARDED_BYTES) message.destroy();
+  });
+  // The attempt is over; how its connection ends is of no interest.
+  message.on("error", () => undefined);
+  message.once("close", () => clearTimeout(timer));
+}
+
+/** Reads a whole body; a failure when it ends early or exceeds its limit. */
 export function readAnswerBody(
   message: IncomingMessage,
 ): Promise<Result<Buffer, AttemptFailure>> {
@@ -168,7 +198,13 @@
     const chunks: Buffer[] = [];
     const fail = (detail: string) =>
       resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail }));
-    message.on("data", (chunk: Buffer) => chunks.push(chunk));
+    let size = 0;
+    message.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= MAX_ANSWER_BYTES) chunks.push(chunk);
+      else
+        message.destroy(new Error(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`));
+    });
     message.once("end", () => {
       if (isWholeAnswer(message)) resolve(ok(Buffer.concat(chunks)));
       else fail("Answer ended early");
