Keep the reports between entries small in a large fleet

Change: a report holds the 48 counts that changed last and 16 others by chance; a session is told for 3 s after its request, some seven rounds. Counts only grow, so what is left out now comes later.

Ruled out: slower rounds. A bad version must be known everywhere within seconds.

--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../adapters/logs.js";
 import { pauseFor } from "../adapters/pause.js";
 import { Exchange, type Place } from "../schema/exchange/index.js";
+import { chooseSome } from "./choose_some.js";
 import { sendMessage } from "./peer_messages.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
@@ -220,18 +221,3 @@
     return this.#createMessage();
   }
 }
-
-/** A few of the items, each as likely as any other. */
-function chooseSome<Item>(
-  items: readonly Item[],
-  count: number,
-  random: () => number,
-): Item[] {
-  const left = [...items];
-  const chosen: Item[] = [];
-  while (left.length > 0 && chosen.length < count) {
-    const index = Math.floor(random() * left.length);
-    chosen.push(...left.splice(index, 1));
-  }
-  return chosen;
-}
--- a/src/proxy/rollout_evidence.ts
+++ b/src/proxy/rollout_evidence.ts
@@ -9,6 +9,14 @@
   RolloutReport,
   RolloutTally,
 } from "../schema/exchange/index.js";
+import { chooseSome } from "./choose_some.js";
+
+/**
+ * Counts of one kind in a report: the latest changes, which other entries lack
+ * most, and some of the rest for those that missed them. A fleet of 68 entries
+ * holds some 500 counts in a rollout, and each entry sends 15 reports a second.
+ */
+const MAX_TOLD = { latest: 48, others: 16 } as const;
 
 export interface Totals {
   answers: number;
@@ -33,12 +41,15 @@
 
 export class RolloutEvidence {
   readonly #origin: string;
+  readonly #random: () => number;
+  /** Counts that changed last stand last. */
   readonly #tallies = new Map<string, RolloutTally>();
   readonly #failing = new Map<string, EndpointFailures>();
 
   /** `origin` names one start of this entry. */
-  constructor(origin: string) {
+  constructor(origin: string, random: () => number) {
     this.#origin = origin;
+    this.#random = random;
   }
 
   /** Counts an answer that this entry got. */
@@ -57,7 +68,7 @@
       isTarget,
       ...createTotals(),
     };
-    this.#tallies.set(key, tally);
+    putLast(this.#tallies, key, tally);
     tally.answers++;
     if (!isGood) tally.failures++;
     if (!isGood && isTarget) this.#addFailure(endpoint);
@@ -68,12 +79,8 @@
 
   #addFailure(endpoint: string): void {
     const key = `${this.#origin} ${endpoint}`;
-    const held = this.#failing.get(key);
-    if (held !== undefined) held.failures++;
-    else {
-      const origin = this.#origin;
-      this.#failing.set(key, { origin, endpoint, failures: 1 });
-    }
+    const failures = (this.#failing.get(key)?.failures ?? 0) + 1;
+    putLast(this.#failing, key, { origin: this.#origin, endpoint, failures });
   }
 
   merge(report: Pick<RolloutReport, "tallies" | "failing">): void {
@@ -82,24 +89,32 @@
       const key = createKey(tally.origin, tally.route, tally.isTarget);
       const known = this.#tallies.get(key);
       if (known !== undefined && known.answers >= tally.answers) continue;
-      this.#tallies.set(key, { ...tally });
+      putLast(this.#tallies, key, { ...tally });
     }
     for (const counted of report.failing) {
       if (counted.origin === this.#origin) continue;
       const key = `${counted.origin} ${counted.endpoint}`;
       const known = this.#failing.get(key);
       if (known !== undefined && known.failures >= counted.failures) continue;
-      this.#failing.set(key, { ...counted });
+      putLast(this.#failing, key, { ...counted });
     }
   }
 
+  /** What another entry is told this time. */
   list(): Pick<RolloutReport, "tallies" | "failing"> {
     return {
-      tallies: [...this.#tallies.values()],
-      failing: [...this.#failing.values()],
+      tallies: this.#chooseTold([...this.#tallies.values()]),
+      failing: this.#chooseTold([...this.#failing.values()]),
     };
   }
 
+  #chooseTold<Count>(counts: Count[]): Count[] {
+    const { latest, others } = MAX_TOLD;
+    if (counts.length <= latest + others) return counts;
+    const rest = counts.splice(0, counts.length - latest);
+    return [...counts, ...chooseSome(rest, others, this.#random)];
+  }
+
   /** Failures of the new version by endpoint, most first. */
   listFailures(): number[] {
     const sums = new Map<string, number>();
@@ -130,6 +145,15 @@
   }
 }
 
+function putLast<Count>(
+  counts: Map<string, Count>,
+  key: string,
+  count: Count,
+): void {
+  counts.delete(key);
+  counts.set(key, count);
+}
+
 function addTotals(totals: Totals, more: Totals): void {
   totals.answers += more.answers;
   totals.failures += more.failures;
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -90,14 +90,20 @@
   readonly #running = new Map<string, Running>();
   readonly #origin: string;
   readonly #exposure: number;
+  readonly #random: () => number;
 
   /**
    * `origin` names one start of this entry; `exposure` is the share of a
    * service's requests that may reach a bad version.
    */
-  constructor(origin: string, exposure: number) {
+  constructor(
+    origin: string,
+    exposure: number,
+    random: () => number = Math.random,
+  ) {
     this.#origin = origin;
     this.#exposure = exposure;
+    this.#random = random;
   }
 
   put(order: RolloutOrder, nowMs: number): void {
@@ -113,7 +119,7 @@
     this.#running.set(order.service, {
       order,
       startedAtMs: nowMs,
-      evidence: new RolloutEvidence(this.#origin),
+      evidence: new RolloutEvidence(this.#origin, this.#random),
       targetEndpoints: 0,
     });
   }
--- a/src/proxy/rollouts_test.ts
+++ b/src/proxy/rollouts_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRandom } from "../standins/random.js";
 import { RolloutEvidence } from "./rollout_evidence.js";
 import { Rollouts } from "./rollouts.js";
 import type { RolloutOrder } from "./types.js";
@@ -168,10 +169,50 @@
 });
 
 describe("rollout evidence", () => {
+  // With all counts in each report, exchanges of a large fleet outweigh all
+  // other traffic between data centres.
+  it("spreads in reports that stay small in a large fleet", () => {
+    const random = createRandom(7);
+    const entries = Array.from(
+      { length: 68 },
+      (_, index) => new RolloutEvidence(`e${index}`, random),
+    );
+    const rounds = 20;
+    let largest = 0;
+    for (let round = 0; round < rounds; round++) {
+      for (const [index, entry] of entries.entries()) {
+        for (const route of ["r1", "r2", "r3", "r4"]) {
+          const isGood = index % 2 === 0;
+          for (const isTarget of [true, false]) {
+            entry.add({ route, endpoint: `i-${index}`, isTarget, isGood });
+          }
+        }
+      }
+      for (let exchange = 0; exchange < 3; exchange++) {
+        for (const entry of entries) {
+          const other = entries[Math.floor(random() * entries.length)];
+          if (other === undefined) continue;
+          const [told, heard] = [entry.list(), other.list()];
+          largest = Math.max(largest, told.tallies.length, told.failing.length);
+          other.merge(structuredClone(told));
+          entry.merge(structuredClone(heard));
+        }
+      }
+    }
+    assert.ok(largest <= 64, `${largest} counts in a report`);
+    const all = entries.length * 4 * rounds;
+    for (const entry of entries) {
+      const { answers, failures } = entry.sum(true);
+      assert.ok(answers >= 0.6 * all, `${answers} of ${all} answers are known`);
+      const share = failures / answers;
+      assert.ok(share > 0.45 && share < 0.55, `share ${share.toFixed(2)}`);
+    }
+  });
+
   // Reports pass through several entries and come in any order.
   it("counts each answer once however reports travel", () => {
-    const a = new RolloutEvidence("a");
-    const b = new RolloutEvidence("b");
+    const a = new RolloutEvidence("a", Math.random);
+    const b = new RolloutEvidence("b", Math.random);
     const add = (evidence: RolloutEvidence, isGood: boolean) =>
       evidence.add({ route: "r", endpoint: "e", isTarget: true, isGood });
     add(a, false);
--- a/src/proxy/session_versions.ts
+++ b/src/proxy/session_versions.ts
@@ -12,6 +12,11 @@
 const MAX_SESSIONS = 50_000;
 /** Sessions that are told to other entries at a time. */
 const MAX_TOLD = 1_000;
+/**
+ * Time after its request in which a session is told to others, ms: some seven
+ * rounds of exchanges, each of which triples the entries that know.
+ */
+const TOLD_FOR_MS = 3_000;
 
 /** Place of a session in 0..1, the same at every entry. */
 export function hashSession(service: string, session: string): number {
@@ -65,8 +70,9 @@
 
   /** The latest sessions that other entries should know. */
   listReports(nowMs: number): SessionReport[] {
+    const toldForMs = Math.min(TOLD_FOR_MS, this.#options.gapMs);
     return [...this.#told.values()]
-      .filter((seen) => nowMs - seen.atMs <= this.#options.gapMs)
+      .filter((seen) => nowMs - seen.atMs <= toldForMs)
       .map(({ service, session, version, atMs }) => {
         const ageMs = Math.max(0, Math.round(nowMs - atMs));
         return { service, session, version, ageMs };
--- a/src/proxy/session_versions_test.ts
+++ b/src/proxy/session_versions_test.ts
@@ -68,6 +68,16 @@
     }
   });
 
+  // Told for as long as it lasts, each session would travel dozens of times.
+  it("tells a session only while it spreads, and still keeps it", () => {
+    const first = new SessionVersions(OPTIONS);
+    const [name = ""] = early;
+    first.record("svc", name, { version: "v1", atMs: 900 });
+    assert.equal(first.listReports(3_900).length, 1);
+    assert.equal(first.listReports(3_901).length, 0);
+    assert.equal(findVersion(first, name, 10_900), "v1");
+  });
+
   it("lets a session go that has ended", () => {
     const first = new SessionVersions(OPTIONS);
     const [name = ""] = early;
