Let slow callers read their answers at a stop; ask elsewhere within an answer

A planned stop cut answers. Cause: Node counts a connection as idle whose response was ended but has not left, and closes it with what it still holds; a request counted as done as soon as its answer was handed over. An endpoint that stopped within a plain answer held its caller until the deadline, also where the request may run again. Change: the patience for the head holds for each pause within the body. Requests that may run once, and those with no other endpoint left, wait as before.

A request whose body is still coming at a stop was answered before, too; that has a test now.

--- a/src/platform/entry_test.ts
+++ b/src/platform/entry_test.ts
@@ -126,6 +126,23 @@
         }
       });
     }
+
+    // The head alone is no answer; the caller would wait for its deadline.
+    it("asks another endpoint when one stops within its answer", async () => {
+      // The slower one of two sound endpoints is chosen now and then only.
+      await system.start([
+        { id: "i-1", stallsInBody: true },
+        { id: "i-2", delayMs: 40 },
+      ]);
+      const hasStalled = () =>
+        system.replicas.get("i-1")?.runs.some(({ path }) => path === "/safe/a");
+      for (let i = 0; i < 20 && !hasStalled(); i++) {
+        const answer = await system.call("/safe/a", { id: `s${i}` });
+        assert.equal(answer.status, 200);
+        assert.equal(answer.headers["server-stamp"], "stamp-i-2");
+      }
+      assert.ok(hasStalled());
+    });
   });
 
   describe("streams", () => {
@@ -483,6 +500,54 @@
       assert.ok(answer.isComplete);
       await stopped;
     });
+
+    // The entry is done with the requests, but their caller is not.
+    it("lets a slow caller read the rest of its answers", async () => {
+      const plainBytes = 1_000_000;
+      const ids = Array.from({ length: 12 }, (_, index) => `r${index}`);
+      await system.start([{ id: "i-1", plainBytes }]);
+      const socket = connect(system.callerPort, "127.0.0.1");
+      for (const id of ids) {
+        socket.write(
+          `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\n` +
+            `Authorization: Bearer ${API_KEY}\r\n\r\n`,
+        );
+      }
+      const countEnded = () =>
+        system.logs.filter(({ event }) => event === "request-ended").length;
+      await system.waitFor(() => countEnded() === ids.length);
+      const stopped = system.stop();
+      await delay(1_000);
+      let size = 0;
+      socket.on("data", (chunk) => {
+        size += chunk.length;
+      });
+      await new Promise((resolve) => socket.once("close", resolve));
+      assert.ok(size > ids.length * plainBytes, `${size} bytes came`);
+      await stopped;
+    });
+
+    // Its body is read after the signal, so no promise was given before.
+    it("answers a request whose body is still coming", async () => {
+      await system.start([{ id: "i-1" }]);
+      const socket = connect(system.callerPort, "127.0.0.1");
+      socket.write(
+        `POST /once/a HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: r1\r\n` +
+          `Authorization: Bearer ${API_KEY}\r\nContent-Length: 2\r\n\r\na`,
+      );
+      await delay(100);
+      const stopped = system.stop();
+      await delay(1_000);
+      socket.write("b");
+      let answer = "";
+      socket.on("data", (chunk) => {
+        answer += chunk.toString();
+      });
+      await new Promise((resolve) => socket.once("close", resolve));
+      assert.match(answer, /^HTTP\/1\.1 503 /);
+      assert.equal(system.listRuns("r1").length, 0);
+      await stopped;
+    });
   });
 
   // Warnings of the runtime are no structured lines and hide real leaks.
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -40,6 +40,10 @@
   isMute?: boolean;
   /** Breaks a stream after this many events, or an answer within its body. */
   cutAfter?: number;
+  /** Sends the first half of a plain answer, and the rest never. */
+  stallsInBody?: boolean;
+  /** Bytes of a plain answer. */
+  plainBytes?: number;
   /** Puts the answer to another request before its own. */
   answersCrossed?: boolean;
 }
@@ -160,14 +164,20 @@
   }
 
   #sendPlain(run: ReplicaRun, response: ServerResponse): void {
-    const length = PLAIN_BODY.length;
+    const { plainBytes, stallsInBody } = this.options;
+    const body = plainBytes === undefined ? PLAIN_BODY : "x".repeat(plainBytes);
+    const { length } = body;
     response.writeHead(200, { ...this.#head(run), "Content-Length": length });
+    if (stallsInBody) {
+      response.write(body.slice(0, length / 2));
+      return;
+    }
     if (this.options.cutAfter !== undefined) {
-      response.write(PLAIN_BODY.slice(0, length / 2), () => response.destroy());
+      response.write(body.slice(0, length / 2), () => response.destroy());
       run.end = "cut";
       return;
     }
-    response.end(PLAIN_BODY);
+    response.end(body);
     run.end = "complete";
   }
 
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -190,16 +190,26 @@
   message.once("close", () => clearTimeout(timer));
 }
 
-/** Reads a whole body; a failure when it ends early or exceeds its limit. */
+/**
+ * Reads a whole body; a failure when it ends early, exceeds its limit, or
+ * pauses for `stallMs` where that is given.
+ */
 export function readAnswerBody(
   message: IncomingMessage,
+  stallMs?: number,
 ): Promise<Result<Buffer, AttemptFailure>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     const fail = (detail: string) =>
       resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail }));
+    const breakOff = () =>
+      message.destroy(new Error(`Nothing of the answer for ${stallMs} ms`));
+    const stall =
+      stallMs === undefined ? undefined : setTimeout(breakOff, stallMs);
+    message.once("close", () => clearTimeout(stall));
     let size = 0;
     message.on("data", (chunk: Buffer) => {
+      stall?.refresh();
       size += chunk.length;
       if (size <= MAX_ANSWER_BYTES) chunks.push(chunk);
       else
--- a/src/proxy/attempt_runner.ts
+++ b/src/proxy/attempt_runner.ts
@@ -96,6 +96,8 @@
 
 export interface AnsweredAttempt extends Attempt {
   readonly head: AttemptHead;
+  /** Pause in a whole answer after which another endpoint is asked, ms. */
+  readonly stallMs?: number;
 }
 
 /** A failure of its own that an endpoint answered. */
@@ -154,7 +156,11 @@
     const { model } = order;
     const attempt = this.#startAttempt(order);
     const { state } = attempt;
-    const patience = this.#startPatience(attempt, order);
+    const patienceMs = this.#computePatienceMs(attempt, order);
+    const patience =
+      patienceMs === undefined
+        ? undefined
+        : setTimeout(() => attempt.controller.abort(), patienceMs);
     const result = await startAttempt({
       ...this.#createCall(attempt, order.lastEventId),
       signal: attempt.controller.signal,
@@ -167,7 +173,8 @@
     if (head.facts.load !== undefined) {
       state.recordLoad(head.facts.load, this.#services.now());
     }
-    if (head.status >= 500) return await this.#endErred(attempt, head);
+    const answered = { ...attempt, head, stallMs: patienceMs };
+    if (head.status >= 500) return await this.#endErred(answered);
     this.#services.view.starts.record(
       this.#request.service.name,
       model,
@@ -179,7 +186,7 @@
     if (this.#request.route.sharesPrompts) {
       state.kept.record(model, this.#request.facts.parts);
     }
-    return { kind: ATTEMPT_END.answered, attempt: { ...attempt, head } };
+    return { kind: ATTEMPT_END.answered, attempt: answered };
   }
 
   #startAttempt({ choice, model, number }: AttemptOrder): Attempt {
@@ -232,11 +239,14 @@
     };
   }
 
-  /** Gives up on a silent endpoint while another one can still be in time. */
-  #startPatience(
+  /**
+   * Silence after which an endpoint is given up on, ms, while another one can
+   * still be in time; undefined where there is none or it must not be asked.
+   */
+  #computePatienceMs(
     attempt: Attempt,
     order: AttemptOrder,
-  ): NodeJS.Timeout | undefined {
+  ): number | undefined {
     const { route, service } = this.#request;
     const usualMs = this.#services.view.starts.getMs(
       service.name,
@@ -245,13 +255,12 @@
     const { choice } = order;
     const isLast = order.isLast || choice.candidates <= 1;
     if (route.repeat === REPEAT.once || isLast) return undefined;
-    const patienceMs = Math.max(
+    return Math.max(
       MIN_PATIENCE_MS,
       PATIENCE_SHARE * route.targetMs,
       PATIENCE_RATIO * choice.startMs,
       USUAL_RATIO * usualMs,
     );
-    return setTimeout(() => attempt.controller.abort(), patienceMs);
   }
 
   #createCall(attempt: Attempt, lastEventId?: number) {
@@ -312,11 +321,9 @@
   }
 
   /** The endpoint answered with a failure of its own. */
-  async #endErred(
-    attempt: Attempt,
-    head: AttemptHead,
-  ): Promise<AttemptOutcome> {
-    const body = await readAnswerBody(head.message);
+  async #endErred(attempt: AnsweredAttempt): Promise<AttemptOutcome> {
+    const { head, stallMs } = attempt;
+    const body = await readAnswerBody(head.message, stallMs);
     attempt.release();
     const detail = `Status ${head.status} of the endpoint`;
     this.#recordResult(attempt, ATTEMPT_RESULT.erred);
--- a/src/proxy/proxy_server.ts
+++ b/src/proxy/proxy_server.ts
@@ -117,7 +117,8 @@
   await delay(times.takeMs);
   path.close();
   do {
-    server.closeIdleConnections();
+    // Node counts a connection as idle whose answer has not left yet.
+    if (!path.hasUnsent) server.closeIdleConnections();
     await delay(CLOSE_IDLE_EVERY_MS);
   } while (getAgeMs() < times.breakMs && path.openCount > 0);
   server.close();
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request_path.ts
@@ -44,6 +44,7 @@
 export class RequestPath {
   readonly #options: PathOptions;
   #open = 0;
+  #unsent = 0;
   #isStopping = false;
   #isClosed = false;
 
@@ -55,6 +56,11 @@
     return this.#open;
   }
 
+  /** True while answers that are complete here wait for their callers. */
+  get hasUnsent(): boolean {
+    return this.#unsent > 0;
+  }
+
   /** From now on each answer closes its connection. */
   stop(): void {
     this.#isStopping = true;
@@ -72,9 +78,11 @@
     } catch (error) {
       this.#options.log.error("request-failed", { error: String(error) });
       response.destroy();
-    } finally {
-      this.#open--;
     }
+    this.#unsent++;
+    await waitUntilSent(request, response);
+    this.#unsent--;
+    this.#open--;
   }
 
   async #handle(
@@ -237,6 +245,27 @@
   }
 }
 
+/**
+ * Waits until the last byte of an answer has left: a caller that reads slowly
+ * must get the rest also when the entry stops meanwhile.
+ */
+async function waitUntilSent(
+  { socket }: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const isSent = response.closed || !response.writableEnded;
+  if (isSent || socket.destroyed) return;
+  await new Promise<void>((resolve) => {
+    const settle = () => {
+      response.off("close", settle);
+      socket.off("close", settle);
+      resolve();
+    };
+    response.once("close", settle);
+    socket.once("close", settle);
+  });
+}
+
 /** Callers close only whole connections: the end of one says that it left. */
 function hasLeft(incoming: IncomingMessage, response: ServerResponse): boolean {
   return response.destroyed || incoming.socket.readableEnded;
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -201,10 +201,11 @@
   }
 
   async #deliverWhole(attempt: AnsweredAttempt): Promise<RunOutcome> {
-    const body = await readAnswerBody(attempt.head.message);
+    const { head, stallMs } = attempt;
+    const body = await readAnswerBody(head.message, stallMs);
     attempt.release();
     if (body.isOk()) {
-      sendAnswer(this.#sink, this.#services.wire, attempt.head, body.value);
+      sendAnswer(this.#sink, this.#services.wire, head, body.value);
       return "answered";
     }
     this.#recordFailure(this.#attemptRunner.endFailed(attempt, body.error));
