Send nothing to a version that was rolled back when the next order comes

Cause: a version that was rolled back keeps its endpoints for some seconds. When an order for a further version came meanwhile, all versions but its target served the rest, so that sessions changed to and fro between the sound version and the bad one.

Change: an entry remembers for each service the version that was completed last and those that were rolled back or given up. What a rollout does not move stays on the completed one, or else off the dropped ones, or else where it can.

An entry that starts after the next order does not know of the version before; a test of that is missing, as is the repair.

--- a/src/proxy/rollouts.ts
+++ b/src/proxy/rollouts.ts
@@ -80,6 +80,14 @@
   verdict?: string;
 }
 
+/** What earlier orders for a service leave behind. */
+interface Settled {
+  /** Target of the last order that was completed. */
+  stable?: string;
+  /** Targets that were rolled back or given up for another one. */
+  readonly dropped: Set<string>;
+}
+
 export interface RolloutDecision {
   readonly order: RolloutOrder;
   readonly outcome: RolloutOutcome;
@@ -88,6 +96,7 @@
 
 export class Rollouts {
   readonly #running = new Map<string, Running>();
+  readonly #settled = new Map<string, Settled>();
   readonly #origin: string;
   readonly #exposure: number;
   readonly #random: () => number;
@@ -108,6 +117,7 @@
 
   put(order: RolloutOrder, nowMs: number): void {
     const known = this.#running.get(order.service);
+    this.#settle(order, known?.order);
     if (
       known !== undefined &&
       known.order.createdRevision === order.createdRevision &&
@@ -124,6 +134,34 @@
     });
   }
 
+  #settle(order: RolloutOrder, before: RolloutOrder | undefined): void {
+    const { service, target, outcome } = order;
+    const settled = this.#settled.get(service) ?? { dropped: new Set() };
+    this.#settled.set(service, settled);
+    const isGivenUp =
+      before !== undefined &&
+      before.target !== target &&
+      before.outcome !== ROLLOUT_OUTCOME.completed;
+    if (isGivenUp) settled.dropped.add(before.target);
+    if (outcome === ROLLOUT_OUTCOME.rolledBack) settled.dropped.add(target);
+    else settled.dropped.delete(target);
+    if (outcome === ROLLOUT_OUTCOME.completed) settled.stable = target;
+  }
+
+  /**
+   * The versions, among those that have endpoints, that serve all requests
+   * which a rollout does not move. Endpoints of a version that was rolled back
+   * stay for some seconds, in which the next order may come.
+   */
+  listHeld(service: string, versions: ReadonlySet<string>): Set<string> {
+    const target = this.#running.get(service)?.order.target;
+    const others = new Set([...versions].filter((name) => name !== target));
+    const { stable, dropped } = this.#settled.get(service) ?? {};
+    if (stable !== undefined && others.has(stable)) return new Set([stable]);
+    const held = new Set([...others].filter((name) => !dropped?.has(name)));
+    return held.size > 0 ? held : others;
+  }
+
   remove(service: string): void {
     this.#running.delete(service);
   }
--- a/src/proxy/session_versions_test.ts
+++ b/src/proxy/session_versions_test.ts
@@ -3,6 +3,7 @@
 import { EndpointState } from "./endpoint_state.js";
 import { getFirstShare, Rollouts } from "./rollouts.js";
 import { hashSession, SessionVersions } from "./session_versions.js";
+import { ROLLOUT_OUTCOME } from "./types.js";
 import { listAllowedVersions } from "./version_choice.js";
 
 const FIRST = getFirstShare(0.15);
@@ -103,3 +104,69 @@
     assert.equal(first.get("svc", "s1", 1_000), "v2");
   });
 });
+
+describe("versions beside the one that a rollout brings", () => {
+  const order = { service: "svc", durationMs: 24_000, createdRevision: 1 };
+  const endpoints = ["v1", "v2", "v3", "v4"].map(createEndpoint);
+
+  function listVersions(rollouts: Rollouts, among = endpoints): string[] {
+    const states = listAllowedVersions(among, {
+      service: "svc",
+      rollouts,
+      place: 0.9,
+      nowMs: 1_500,
+    });
+    return states.map(({ record }) => record.version);
+  }
+
+  // Endpoints of the version that was rolled back are there for some seconds;
+  // sessions changed to and fro between it and the old one.
+  it("leave out one that was rolled back when the next order comes", () => {
+    const rollouts = new Rollouts("self", 0.15);
+    rollouts.put({ ...order, target: "v3", revision: 1 }, 0);
+    const outcome = ROLLOUT_OUTCOME.rolledBack;
+    rollouts.put({ ...order, target: "v3", revision: 2, outcome }, 500);
+    const left = endpoints.filter(({ record }) => record.version !== "v2");
+    assert.deepEqual(listVersions(rollouts, left), ["v1", "v4"]);
+    rollouts.put({ ...order, target: "v4", revision: 3 }, 1_000);
+    assert.deepEqual(listVersions(rollouts, left), ["v1"]);
+  });
+
+  it("leave out one whose order was replaced", () => {
+    const rollouts = new Rollouts("self", 0.15);
+    rollouts.put({ ...order, target: "v3", revision: 1 }, 0);
+    rollouts.put({ ...order, target: "v4", revision: 2 }, 1_000);
+    assert.deepEqual(listVersions(rollouts), ["v1", "v2"]);
+  });
+
+  it("are the completed one alone, while it has endpoints", () => {
+    const rollouts = new Rollouts("self", 0.15);
+    const outcome = ROLLOUT_OUTCOME.completed;
+    rollouts.put({ ...order, target: "v2", revision: 1, outcome }, 0);
+    rollouts.put({ ...order, target: "v3", revision: 2 }, 1_000);
+    assert.deepEqual(listVersions(rollouts), ["v2"]);
+    const left = endpoints.filter(({ record }) => record.version !== "v2");
+    assert.deepEqual(listVersions(rollouts, left), ["v1", "v4"]);
+  });
+
+  it("are any, rather than none", () => {
+    const rollouts = new Rollouts("self", 0.15);
+    rollouts.put({ ...order, target: "v3", revision: 1 }, 0);
+    rollouts.put({ ...order, target: "v4", revision: 2 }, 1_000);
+    const left = endpoints.filter(({ record }) => record.version === "v3");
+    assert.deepEqual(listVersions(rollouts, left), ["v3"]);
+  });
+
+  // An operator may order a version again.
+  it("leave out one that is ordered again, until it is completed", () => {
+    const rollouts = new Rollouts("self", 0.15);
+    const outcome = ROLLOUT_OUTCOME.rolledBack;
+    rollouts.put({ ...order, target: "v3", revision: 1, outcome }, 0);
+    const again = { ...order, target: "v3", createdRevision: 2 };
+    rollouts.put({ ...again, revision: 2 }, 500);
+    assert.deepEqual(listVersions(rollouts), ["v1", "v2", "v4"]);
+    const completed = ROLLOUT_OUTCOME.completed;
+    rollouts.put({ ...again, revision: 3, outcome: completed }, 1_000);
+    assert.deepEqual(listVersions(rollouts), ["v3"]);
+  });
+});
--- a/src/proxy/version_choice.ts
+++ b/src/proxy/version_choice.ts
@@ -25,7 +25,9 @@
   const isTarget = (state: EndpointState) =>
     state.record.version === order.target;
   const target = states.filter(isTarget);
-  const others = states.filter((state) => !isTarget(state));
+  const versions = new Set(states.map((state) => state.record.version));
+  const held = rollouts.listHeld(service, versions);
+  const others = states.filter((state) => held.has(state.record.version));
   if (order.outcome === ROLLOUT_OUTCOME.rolledBack) return others;
   if (order.outcome === ROLLOUT_OUTCOME.completed) {
     return target.length > 0 ? target : others;
