--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -69,7 +69,10 @@
 const MAX_AGE_SHARE = 0.65;
 const QUESTION_SHARE = 0.2;
 
-/** Part of a bound for which a reader collects changes after the first. */
+/**
+ * Part of a bound for which a reader collects changes after the first. Orders
+ * for rollouts and evacuations are rare, and the next may follow at once.
+ */
 const COLLECT_SHARE = 0.25;
 
 /** Shortest wait of a reader's watch, ms; bounds its calls in a rush. */
@@ -149,7 +152,10 @@
       this.#createWatch(kind, {
         handlers,
         isStrict: false,
-        getPauseMs: () => COLLECT_SHARE * boundMs[kind],
+        getPauseMs: (_ageMs, isListed) =>
+          isListed || kind === KIND.endpoints
+            ? COLLECT_SHARE * boundMs[kind]
+            : 0,
         // A short watch after changes proves that there are no more by now.
         getWaitMs: ({ hasChanged }) =>
           hasChanged && this.relay.isFollowed ? MIN_WAIT_MS : waitMs,
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -46,8 +46,8 @@
   readonly store: StoreClient;
   /** Longest wait of the next watch call, ms; bounds how old it may become. */
   readonly getWaitMs: (state: WatchState) => number;
-  /** Pause after changes, ms, in which further ones are collected. */
-  readonly getPauseMs: (ageMs: number) => number;
+  /** Pause after a list or changes, ms, in which further ones are collected. */
+  readonly getPauseMs: (ageMs: number, isListed: boolean) => number;
   /**
    * Changes that come late, after a cut of the network, must not make the view
    * count as young: its age is that of the call that brought them.
@@ -198,8 +198,10 @@
     };
     while (!signal.aborted) {
       await this.#waitForTurn();
+      const isListed = this.#at === undefined;
       await outage.run(call, () => !this.#isFollowing);
-      if (this.#hasChanged) await pauseFor(getPauseMs(this.ageMs), signal);
+      if (!this.#hasChanged) continue;
+      await pauseFor(getPauseMs(this.ageMs, isListed), signal);
     }
   }
 
