Keep a silent stream where no other endpoint could go on

Cause: a stream without an event for 1.25 of the allowed pause was broken off also when no attempt or no repeat budget was left, so its caller lost an answer that its endpoint was still making.

Change: on silence the request is asked whether another endpoint may go on; where not, the stream is kept until its deadline.

Ruled out: a longer pause for all. Where another endpoint can go on, the caller is served sooner.

--- a/src/proxy/answer.ts
+++ b/src/proxy/answer.ts
@@ -37,6 +37,8 @@
   readonly lastEventId?: number;
   /** Silence after which the stream counts as broken, ms. */
   readonly stallMs: number;
+  /** False where nobody could go on: a silent stream may still come to life. */
+  readonly mayGiveUp: () => boolean;
   /** Aborts when the caller leaves or the deadline passes. */
   readonly signal: AbortSignal;
 }
@@ -52,7 +54,7 @@
   sink: AnswerSink,
   options: StreamOptions,
 ): Promise<StreamEnd> {
-  const { message, stallMs, signal } = options;
+  const { message, stallMs, mayGiveUp, signal } = options;
   const cutter = new EventCutter();
   let { lastEventId } = options;
   return new Promise((resolve) => {
@@ -63,8 +65,11 @@
       clearTimeout(stall);
       resolve({ isComplete, lastEventId, detail });
     };
-    const startStall = () =>
-      setTimeout(() => settle(false, `No event for ${stallMs} ms`), stallMs);
+    const startStall = () => setTimeout(endStalled, stallMs);
+    const endStalled = () => {
+      if (mayGiveUp()) settle(false, `No event for ${stallMs} ms`);
+      else stall = startStall();
+    };
     let stall = startStall();
     // While the caller does not read, the endpoint's silence can't be seen.
     const pause = () => {
--- a/src/proxy/answer_test.ts
+++ b/src/proxy/answer_test.ts
@@ -64,11 +64,16 @@
     closers.push(() => clearInterval(timer));
   }
 
-  const run = (message: IncomingMessage, sink: AnswerSink, ms = 2_000) =>
+  const run = (
+    message: IncomingMessage,
+    sink: AnswerSink,
+    mayGiveUp = () => true,
+  ) =>
     sendStream(sink, {
       message,
       stallMs: STALL_MS,
-      signal: AbortSignal.timeout(ms),
+      mayGiveUp,
+      signal: AbortSignal.timeout(2_000),
     });
 
   // The endpoint is sound; a cut would have the rest run once more elsewhere.
@@ -97,6 +102,27 @@
     assert.match(end.detail ?? "", /No event/);
   });
 
+  // Cut, the answer would be lost, while the endpoint is still at work.
+  it("waits for a silent endpoint where nobody else can go on", async () => {
+    const message = await openAnswer((socket) => {
+      socket.write("id: 0\ndata: a\n\n");
+      setTimeout(() => socket.end("id: 1\ndata: b\n\n"), 3 * STALL_MS);
+    });
+    const end = await run(message, createFakeSink(), () => false);
+    assert.equal(end.isComplete, true);
+    assert.equal(end.lastEventId, 1);
+  });
+
+  it("gives a silent endpoint up once somebody else can go on", async () => {
+    const message = await openAnswer((socket) => {
+      socket.write("id: 0\ndata: a\n\n");
+    });
+    let asked = 0;
+    const end = await run(message, createFakeSink(), () => ++asked > 2);
+    assert.equal(end.isComplete, false);
+    assert.equal(asked, 3);
+  });
+
   // A stream that only shows signs of life keeps its caller waiting.
   for (const [name, data] of [
     ["comments", ": still here\n\n"],
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request_run.ts
@@ -230,6 +230,7 @@
         message: attempt.head.message,
         lastEventId,
         stallMs: route.pauseMs * STALL_RATIO,
+        mayGiveUp: () => this.#mayContinueElsewhere(),
         signal,
       });
       attempt.release();
@@ -251,6 +252,17 @@
     return "broken";
   }
 
+  /** True where another endpoint may go on with a stream. */
+  #mayContinueElsewhere(): boolean {
+    const { route, service } = this.#request;
+    const { budget, countEntries, now } = this.#services;
+    return (
+      route.repeat === REPEAT.resume &&
+      this.#attemptsLeft > 0 &&
+      budget.getUse(service.name, countEntries(), now()) < 1
+    );
+  }
+
   async #resume(
     model: string,
     lastEventId: number | undefined,
