Part the request path into rooms: placing, fleet and request

Cause: 46 files lay flat in src/proxy/, so the room of a decision could not be found and nothing kept a pure decision pure. Moves alone, beside startListening, which both the callers' server and the messages between entries use and which has a file of its own now. A test keeps imports running one way and placing free of network, timers and clocks.

--- a/src/imports_test.ts
+++ b/src/imports_test.ts
@@ -33,6 +33,11 @@
   return undefined;
 }
 
+/** The room of the request path that a file lies in. */
+function findRoom(file: string): string | undefined {
+  return /^proxy\/(placing|fleet|request)\//.exec(file)?.[1];
+}
+
 describe("the sources", () => {
   // Files that need each other can't be read or moved one by one.
   it("have no circle of imports", () => {
@@ -41,4 +46,32 @@
     );
     assert.deepEqual(circles, []);
   });
+
+  // A decision that needs the network can't be played without it.
+  it("keep the rooms of the request path in order", () => {
+    const order = ["placing", "fleet", "request"];
+    const wrong = files.flatMap((file) => {
+      const room = findRoom(file);
+      if (room === undefined) return [];
+      return listImports(file).filter((target) => {
+        const other = findRoom(target);
+        return (
+          other !== undefined && order.indexOf(other) > order.indexOf(room)
+        );
+      });
+    });
+    assert.deepEqual(wrong, []);
+  });
+
+  it("keep placing free of network, timers and files", () => {
+    const wrong = files.filter(
+      (file) =>
+        findRoom(file) === "placing" &&
+        !file.endsWith("_test.ts") &&
+        /from "node:|setTimeout|Date\.now|performance\.now|Math\.random/.test(
+          texts.get(file) ?? "",
+        ),
+    );
+    assert.deepEqual(wrong, []);
+  });
 });
--- a/src/platform/attempt_test.ts
+++ b/src/platform/attempt_test.ts
@@ -2,7 +2,7 @@
 import { Agent } from "node:http";
 import { createServer, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { readAnswerBody, startAttempt } from "../proxy/attempt.js";
+import { readAnswerBody, startAttempt } from "../proxy/request/attempt.js";
 import { platformWire } from "./headers.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Stamp: s\r\n";
--- a/src/platform/connections_test.ts
+++ b/src/platform/connections_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { readAnswerBody, startAttempt } from "../proxy/attempt.js";
-import { Connections } from "../proxy/connections.js";
+import { readAnswerBody, startAttempt } from "../proxy/request/attempt.js";
+import { Connections } from "../proxy/request/connections.js";
 import { platformWire } from "./headers.js";
 
 const formatAnswer = (id: string, body: string) =>
--- a/src/proxy/clock_test.ts
+++ b/src/proxy/clock_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { SuspendClock } from "./clock.js";
-import { Freshness } from "./freshness.js";
+import { Freshness } from "./fleet/index.js";
 
 function createClock() {
   const times = { steady: 0, day: 1_000_000 };
--- a/src/proxy/catalog.ts
+++ b/src/proxy/fleet/catalog.ts
@@ -1,6 +1,6 @@
 /** Look-up of routes, services and client accounts in one configuration. */
 
-import type { ClientAccount, Configuration, Route, Service } from "./types.js";
+import type { ClientAccount, Configuration, Route, Service } from "../types.js";
 
 export class Catalog {
   readonly configuration: Configuration;
--- a/src/proxy/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -1,7 +1,7 @@
 /** All endpoints that one entry may choose from, by id. */
 
-import { EndpointState } from "./endpoint_state.js";
-import type { EndpointRecord } from "./types.js";
+import { EndpointState } from "../placing/index.js";
+import type { EndpointRecord } from "../types.js";
 
 /**
  * How long a record that vanished just after a store outage counts as there:
--- a/src/proxy/endpoint_table_test.ts
+++ b/src/proxy/fleet/endpoint_table_test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { EndpointRecord } from "../types.js";
 import { EndpointTable } from "./endpoint_table.js";
 import { FleetView } from "./fleet_view.js";
 import { Rollouts } from "./rollouts.js";
-import type { EndpointRecord } from "./types.js";
 
 function createRecord(
   id: string,
--- a/src/proxy/fleet_view.ts
+++ b/src/proxy/fleet/fleet_view.ts
@@ -1,10 +1,10 @@
 /** What one entry believes of the fleet: the state that decisions read. */
 
+import type { EndpointState } from "../placing/index.js";
+import type { Configuration } from "../types.js";
 import { Catalog } from "./catalog.js";
-import type { EndpointState } from "./endpoint_state.js";
 import { EndpointTable } from "./endpoint_table.js";
 import type { Rollouts } from "./rollouts.js";
-import type { Configuration } from "./types.js";
 
 /** Weight of the newest time in the mean. */
 const SMOOTHING = 0.1;
--- a/src/proxy/freshness.ts
+++ b/src/proxy/fleet/freshness.ts
@@ -3,7 +3,7 @@
  * key may be withdrawn at any moment, so nothing runs under an old view.
  */
 
-import type { SuspendClock } from "./clock.js";
+import type { SuspendClock } from "../clock.js";
 
 export class Freshness {
   readonly #clock: SuspendClock;
--- a/src/proxy/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -9,9 +9,9 @@
   type ServerResponse,
 } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import { readBody } from "../adapters/http.js";
-import { startListening } from "./proxy_server.js";
-import type { NetworkAddress } from "./types.js";
+import { readBody } from "../../adapters/http.js";
+import { startListening } from "../listening.js";
+import type { NetworkAddress } from "../types.js";
 
 /** Largest message of another entry, bytes. */
 const MAX_MESSAGE_BYTES = 8_388_608;
--- a/src/proxy/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -5,14 +5,14 @@
 
 import { Agent } from "node:http";
 import { LRUCache } from "lru-cache";
-import type { Logger } from "../adapters/logs.js";
-import { pauseFor } from "../adapters/pause.js";
-import { Exchange, type Place } from "../schema/exchange/index.js";
-import { chooseSome } from "./choose_some.js";
+import type { Logger } from "../../adapters/logs.js";
+import { pauseFor } from "../../adapters/pause.js";
+import { Exchange, type Place } from "../../schema/exchange/index.js";
+import { chooseSome } from "../choose_some.js";
+import type { NetworkAddress } from "../types.js";
 import { sendMessage } from "./peer_messages.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
-import type { NetworkAddress } from "./types.js";
 
 /** Time between two rounds, ms. */
 const ROUND_MS = 400;
--- a/src/proxy/peers_test.ts
+++ b/src/proxy/fleet/peers_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { Exchange } from "../schema/exchange/index.js";
+import { Exchange } from "../../schema/exchange/index.js";
 import { startPeerServer } from "./peer_messages.js";
 import { EXCHANGE_PATH, Peers } from "./peers.js";
 import { Rollouts } from "./rollouts.js";
--- a/src/proxy/rollout_evidence.ts
+++ b/src/proxy/fleet/rollout_evidence.ts
@@ -8,8 +8,8 @@
   EndpointFailures,
   RolloutReport,
   RolloutTally,
-} from "../schema/exchange/index.js";
-import { chooseSome } from "./choose_some.js";
+} from "../../schema/exchange/index.js";
+import { chooseSome } from "../choose_some.js";
 
 /**
  * Counts of one kind in a report: the latest changes, which other entries lack
--- a/src/proxy/rollouts.ts
+++ b/src/proxy/fleet/rollouts.ts
@@ -5,18 +5,18 @@
  * version that fails at once, late, under load, on one route, or by slowness.
  */
 
-import type { RolloutReport } from "../schema/exchange/index.js";
+import type { RolloutReport } from "../../schema/exchange/index.js";
+import {
+  ROLLOUT_OUTCOME,
+  type RolloutOrder,
+  type RolloutOutcome,
+} from "../types.js";
 import {
   getFailureShare,
   getMeanSlowness,
   RolloutEvidence,
   type Totals,
 } from "./rollout_evidence.js";
-import {
-  ROLLOUT_OUTCOME,
-  type RolloutOrder,
-  type RolloutOutcome,
-} from "./types.js";
 
 /**
  * Steps of the share, in parts of the exposure that operators allow a bad
--- a/src/proxy/rollouts_test.ts
+++ b/src/proxy/fleet/rollouts_test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createRandom } from "../standins/random.js";
+import { createRandom } from "../../standins/random.js";
+import type { RolloutOrder } from "../types.js";
 import { RolloutEvidence } from "./rollout_evidence.js";
 import { Rollouts } from "./rollouts.js";
-import type { RolloutOrder } from "./types.js";
 
 const ORDER: RolloutOrder = {
   service: "svc",
--- a/src/proxy/session_versions.ts
+++ b/src/proxy/fleet/session_versions.ts
@@ -5,8 +5,8 @@
  */
 
 import { LRUCache } from "lru-cache";
-import { hashToShare } from "../core/canonical.js";
-import type { SessionReport } from "../schema/exchange/index.js";
+import { hashToShare } from "../../core/canonical.js";
+import type { SessionReport } from "../../schema/exchange/index.js";
 
 /** Sessions remembered by one entry. */
 const MAX_SESSIONS = 50_000;
--- a/src/proxy/session_versions_test.ts
+++ b/src/proxy/fleet/session_versions_test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EndpointState } from "./endpoint_state.js";
+import { EndpointState } from "../placing/index.js";
+import { ROLLOUT_OUTCOME } from "../types.js";
 import { getFirstShare, Rollouts } from "./rollouts.js";
 import { hashSession, SessionVersions } from "./session_versions.js";
-import { ROLLOUT_OUTCOME } from "./types.js";
 import { listAllowedVersions } from "./version_choice.js";
 
 const FIRST = getFirstShare(0.15);
--- a/src/proxy/version_choice.ts
+++ b/src/proxy/fleet/version_choice.ts
@@ -1,8 +1,8 @@
 /** Which versions of a service one request may run on. */
 
-import type { EndpointState } from "./endpoint_state.js";
+import type { EndpointState } from "../placing/index.js";
+import { ROLLOUT_OUTCOME } from "../types.js";
 import type { Rollouts } from "./rollouts.js";
-import { ROLLOUT_OUTCOME } from "./types.js";
 
 export interface VersionOptions {
   readonly service: string;
--- a/src/proxy/view_relay.ts
+++ b/src/proxy/fleet/view_relay.ts
@@ -6,10 +6,10 @@
 
 import { Agent } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import type { Logger } from "../adapters/logs.js";
-import { pauseFor } from "../adapters/pause.js";
-import { News, NewsQuestion, type Place } from "../schema/exchange/index.js";
-import type { SuspendClock } from "./clock.js";
+import type { Logger } from "../../adapters/logs.js";
+import { pauseFor } from "../../adapters/pause.js";
+import { News, NewsQuestion, type Place } from "../../schema/exchange/index.js";
+import type { SuspendClock } from "../clock.js";
 import { sendMessage } from "./peer_messages.js";
 
 /** Path on which entries ask for news. */
--- a/src/proxy/endpoint_choice.ts
+++ b/src/proxy/placing/endpoint_choice.ts
@@ -5,8 +5,8 @@
  * parts an endpoint keeps costs less there, and endpoints differ in speed.
  */
 
+import type { PromptPart } from "../types.js";
 import type { EndpointState } from "./endpoint_state.js";
-import type { PromptPart } from "./types.js";
 
 export interface Work {
   readonly model: string;
--- a/src/proxy/endpoint_choice_test.ts
+++ b/src/proxy/placing/endpoint_choice_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { sortByRendezvous } from "../core/canonical.js";
-import { createRandom } from "../standins/random.js";
+import { sortByRendezvous } from "../../core/canonical.js";
+import { createRandom } from "../../standins/random.js";
 import {
   type ChoiceOptions,
   chooseEndpoint,
--- a/src/proxy/endpoint_state.ts
+++ b/src/proxy/placing/endpoint_state.ts
@@ -1,7 +1,7 @@
 /** What one entry knows of one endpoint. */
 
+import type { EndpointLoad, EndpointRecord } from "../types.js";
 import { PromptCache } from "./prompt_cache.js";
-import type { EndpointLoad, EndpointRecord } from "./types.js";
 
 const MS_PER_SECOND = 1_000;
 /** Weight of the newest answer in the running means. */
--- a/src/proxy/prompt_cache.ts
+++ b/src/proxy/placing/prompt_cache.ts
@@ -5,7 +5,7 @@
  */
 
 import { LRUCache } from "lru-cache";
-import type { PromptPart } from "./types.js";
+import type { PromptPart } from "../types.js";
 
 /** Parts remembered for one endpoint; an engine keeps a few hundred. */
 const MAX_PARTS = 2_000;
--- a/src/proxy/prompt_homes.ts
+++ b/src/proxy/placing/prompt_homes.ts
@@ -1,7 +1,7 @@
 /** Which endpoints should keep a shared part of prompts. */
 
 import { LRUCache } from "lru-cache";
-import { sortByRendezvous } from "../core/canonical.js";
+import { sortByRendezvous } from "../../core/canonical.js";
 
 /** Homes of a part; more of them read it more often than they save. */
 const HOMES = 2;
--- a/src/proxy/answer.ts
+++ b/src/proxy/request/answer.ts
@@ -1,10 +1,10 @@
 /** Passes an endpoint's answer on to the caller. */
 
 import type { IncomingMessage } from "node:http";
-import type { Refusal } from "../core/errors.js";
+import type { Refusal } from "../../core/errors.js";
+import type { RawHeaders, Wire } from "../types.js";
 import { type AttemptHead, isWholeAnswer } from "./attempt.js";
 import { EventCutter, MAX_EVENT_BYTES } from "./event_stream.js";
-import type { RawHeaders, Wire } from "./types.js";
 
 /** Where the answer goes. */
 export interface AnswerSink {
--- a/src/proxy/attempt.ts
+++ b/src/proxy/request/attempt.ts
@@ -6,7 +6,7 @@
 import { type Agent, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
-import type { AnswerFacts, RawHeaders, Wire } from "./types.js";
+import type { AnswerFacts, RawHeaders, Wire } from "../types.js";
 
 export const ATTEMPT_FAILURE = {
   /** Nothing left this host. */
--- a/src/proxy/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -4,27 +4,18 @@
  */
 
 import type { Agent } from "node:http";
-import type { Logger } from "../adapters/logs.js";
-import {
-  ATTEMPT_FAILURE,
-  type AttemptFailure,
-  type AttemptHead,
-  readAnswerBody,
-  startAttempt,
-} from "./attempt.js";
-import type { Connections } from "./connections.js";
-import { type Choice, estimateTokensToRead } from "./endpoint_choice.js";
+import type { Logger } from "../../adapters/logs.js";
+import type { FleetView, SessionVersions } from "../fleet/index.js";
+import type { ProxyMetrics } from "../metrics.js";
 import {
   ATTEMPT_RESULT,
   type AttemptResult,
+  type Choice,
   type EndpointState,
-} from "./endpoint_state.js";
-import type { FleetView } from "./fleet_view.js";
-import type { ProxyMetrics } from "./metrics.js";
-import type { PromptHomes } from "./prompt_homes.js";
-import type { RepeatBudget } from "./repeat_budget.js";
-import type { RequestPlacement } from "./request_placement.js";
-import type { SessionVersions } from "./session_versions.js";
+  estimateTokensToRead,
+  type PromptHomes,
+  type RepeatBudget,
+} from "../placing/index.js";
 import {
   type RawHeaders,
   REPEAT,
@@ -32,7 +23,16 @@
   type Route,
   type Service,
   type Wire,
-} from "./types.js";
+} from "../types.js";
+import {
+  ATTEMPT_FAILURE,
+  type AttemptFailure,
+  type AttemptHead,
+  readAnswerBody,
+  startAttempt,
+} from "./attempt.js";
+import type { Connections } from "./connections.js";
+import type { RequestPlacement } from "./request_placement.js";
 
 /** Part of the target after which a silent endpoint is given up on. */
 const PATIENCE_SHARE = 0.6;
--- a/src/proxy/proxy_server.ts
+++ b/src/proxy/request/proxy_server.ts
@@ -7,9 +7,10 @@
   type ServerResponse,
 } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
-import type { FleetView } from "./fleet_view.js";
+import type { FleetView } from "../fleet/index.js";
+import { startListening } from "../listening.js";
+import type { NetworkAddress } from "../types.js";
 import type { RequestPath } from "./request_path.js";
-import type { NetworkAddress } from "./types.js";
 
 /** Bytes of a request's head; above what any configuration allows. */
 const MAX_HEAD_BYTES = 65_536;
@@ -21,17 +22,6 @@
 /** How often idle connections are closed while the server stops, ms. */
 const CLOSE_IDLE_EVERY_MS = 100;
 
-/** Settles once the server listens. */
-export function startListening(
-  server: Server,
-  place: NetworkAddress,
-): Promise<Server> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(place.port, place.address, () => resolve(server));
-  });
-}
-
 /** Serves callers; settles once it listens. */
 export function startCallerServer(
   path: RequestPath,
--- a/src/proxy/request_path.ts
+++ b/src/proxy/request/request_path.ts
@@ -5,15 +5,14 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setImmediate } from "node:timers/promises";
-import { readBody } from "../adapters/http.js";
-import { createRefusal, type Refusal } from "../core/errors.js";
+import { readBody } from "../../adapters/http.js";
+import { createRefusal, type Refusal } from "../../core/errors.js";
+import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
+import type { LoopDelay } from "../loop_delay.js";
+import type { RawHeaders, RequestFacts, Route, Wire } from "../types.js";
 import type { AnswerSink } from "./answer.js";
 import type { RunRequest, RunServices } from "./attempt_runner.js";
-import { type Catalog, chooseService } from "./catalog.js";
-import type { Freshness } from "./freshness.js";
-import type { LoopDelay } from "./loop_delay.js";
 import { RequestRun } from "./request_run.js";
-import type { RawHeaders, RequestFacts, Route, Wire } from "./types.js";
 
 /** Waits this long for the store's word when the view is old, ms. */
 const CONFIRM_WAIT_MS = 300;
--- a/src/proxy/request_placement.ts
+++ b/src/proxy/request/request_placement.ts
@@ -1,17 +1,20 @@
 /** Where one request may run: its version's endpoints, and the best of them. */
 
+import {
+  type FleetView,
+  hashSession,
+  listAllowedVersions,
+  type SessionVersions,
+} from "../fleet/index.js";
 import {
   type Choice,
   type ChoiceOptions,
   chooseEndpoint,
+  type EndpointState,
+  type PromptHomes,
   type Work,
-} from "./endpoint_choice.js";
-import type { EndpointState } from "./endpoint_state.js";
-import type { FleetView } from "./fleet_view.js";
-import type { PromptHomes } from "./prompt_homes.js";
-import { hashSession, type SessionVersions } from "./session_versions.js";
-import type { RequestFacts, Route, Service } from "./types.js";
-import { listAllowedVersions } from "./version_choice.js";
+} from "../placing/index.js";
+import type { RequestFacts, Route, Service } from "../types.js";
 
 /** Weight of a prompt token where the models have no prices. */
 const PLAIN_WEIGHT = 1;
--- a/src/proxy/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -3,7 +3,13 @@
  * that is allowed, and delivers the answer or a refusal that is true.
  */
 
-import { createRefusal } from "../core/errors.js";
+import { createRefusal } from "../../core/errors.js";
+import {
+  type Choice,
+  chooseFirstModel,
+  chooseNextModel,
+} from "../placing/index.js";
+import { REPEAT } from "../types.js";
 import {
   type AnswerSink,
   type StreamEnd,
@@ -20,10 +26,7 @@
   type RunRequest,
   type RunServices,
 } from "./attempt_runner.js";
-import { chooseFirstModel, chooseNextModel } from "./cascade.js";
-import type { Choice } from "./endpoint_choice.js";
 import { RequestPlacement } from "./request_placement.js";
-import { REPEAT } from "./types.js";
 
 /** Times the allowed pause after which a silent stream is continued elsewhere. */
 const STALL_RATIO = 1.25;
