Heed what endpoints ask: leaving, and a time to return

Cause: no answer's Server-Leaving or Retry-After was read.

Change: from the first such word on, the endpoint gets nothing of this entry until its life ends, or for the time it named. This holds without the store, for the last endpoint, for repeats, canaries and cold starts, and for requests that wait for a connection, which look again once they have one. A life whose record lapsed and came back keeps what it said. Where all have closed, callers are refused at once with the earliest time that has a chance. Times that can't be read are skipped with a line; dates count from the answer's own date; ten minutes are the most.

Ruled out: telling other entries. Each is bound by its own answers alone, the store tells of most leavings, and bytes between data centres are paid.

--- a/src/platform/attempt_test.ts
+++ b/src/platform/attempt_test.ts
@@ -33,6 +33,8 @@
     const agent = new Agent({ keepAlive: true });
     closers.push(() => agent.destroy());
     const head = await startAttempt({
+      isOpen: () => true,
+      onHead: () => undefined,
       address: "127.0.0.1",
       port: await startEndpoint(answer),
       method: "GET",
@@ -211,6 +213,8 @@
     };
     const startedAtMs = performance.now();
     const head = await startAttempt({
+      isOpen: () => true,
+      onHead: () => undefined,
       address: "127.0.0.1",
       port: 1,
       method: "POST",
@@ -232,6 +236,8 @@
     for (const close of closers.splice(0)) close();
     const agent = new Agent();
     const head = await startAttempt({
+      isOpen: () => true,
+      onHead: () => undefined,
       address: "127.0.0.1",
       port,
       method: "GET",
--- a/src/platform/connections_test.ts
+++ b/src/platform/connections_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { readAnswerBody, startAttempt } from "../proxy/request/attempt.js";
+import {
+  ATTEMPT_FAILURE,
+  readAnswerBody,
+  startAttempt,
+} from "../proxy/request/attempt.js";
 import { Connections } from "../proxy/request/connections.js";
 import { platformWire } from "./headers.js";
 
@@ -39,8 +43,15 @@
     return { port: address.port, sockets };
   }
 
-  async function call(connections: Connections, port: number, id: string) {
-    const head = await startAttempt({
+  function send(
+    connections: Connections,
+    port: number,
+    id: string,
+    options: { most?: number; isOpen?: () => boolean } = {},
+  ) {
+    return startAttempt({
+      isOpen: options.isOpen ?? (() => true),
+      onHead: () => undefined,
       address: "127.0.0.1",
       port,
       method: "GET",
@@ -48,10 +59,14 @@
       headers: ["Host", "h", "Attempt-Id", id],
       body: Buffer.alloc(0),
       requestId: id,
-      agent: connections.getAgent("i-1", 8),
+      agent: connections.getAgent("i-1", options.most ?? 8),
       wire: platformWire,
       signal: AbortSignal.timeout(3_000),
     });
+  }
+
+  async function call(connections: Connections, port: number, id: string) {
+    const head = await send(connections, port, id);
     assert.ok(head.isOk());
     const body = await readAnswerBody(head.value.message);
     assert.ok(body.isOk());
@@ -87,6 +102,32 @@
     assert.equal(sockets.length, 3);
   });
 
+  // The wait for a connection may outlast what the endpoint still takes.
+  it("carry nothing to an endpoint that closed while they were awaited", async () => {
+    for (const isNew of [true, false]) {
+      const bytes: string[] = [];
+      const { port } = await startEndpoint((socket) => {
+        socket.on("data", (data) => bytes.push(data.toString()));
+      });
+      const connections = createConnections();
+      if (!isNew) {
+        await call(connections, port, "a");
+        await new Promise((resolve) => setTimeout(resolve, 20));
+      }
+      let isOpen = true;
+      const sent = send(connections, port, "b", {
+        most: 1,
+        isOpen: () => isOpen,
+      });
+      isOpen = false;
+      const result = await sent;
+      assert.ok(result.isErr());
+      assert.equal(result.error.kind, ATTEMPT_FAILURE.withheld);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      assert.ok(!bytes.join("").includes("Attempt-Id: b"));
+    }
+  });
+
   it("of an endpoint that is gone are closed", async () => {
     const { port, sockets } = await startEndpoint(() => undefined);
     const connections = createConnections();
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -172,9 +172,12 @@
     return { debug: record, info: record, warn: record, error: record };
   }
 
-  async waitFor(isDone: () => boolean, timeoutMs = 5_000): Promise<void> {
+  async waitFor(
+    isDone: () => boolean | Promise<boolean>,
+    timeoutMs = 5_000,
+  ): Promise<void> {
     const untilMs = performance.now() + timeoutMs;
-    while (!isDone()) {
+    while (!(await isDone())) {
       if (performance.now() > untilMs) throw new Error("Waited in vain");
       await new Promise((resolve) => setTimeout(resolve, 10));
     }
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -12,6 +12,8 @@
 } from "../proxy/index.js";
 
 const MS_PER_SECOND = 1_000;
+/** Seconds, with a fraction at times. */
+const SECONDS = /^\d{1,9}(?:\.\d{1,9})?$/;
 
 /** Headers that concern one connection only. */
 const CONNECTION_HEADERS = [
@@ -158,19 +160,36 @@
   return copy;
 }
 
+/**
+ * Time until callers may return, ms. A date counts from the answer's own
+ * date, since this host's time of day may be off by seconds.
+ */
+function parseRetryAfter(text: string, date = ""): number | undefined {
+  if (SECONDS.test(text)) return Number(text) * MS_PER_SECOND;
+  const waitMs = Date.parse(text) - Date.parse(date);
+  // Without a comma it is a damaged number rather than a date.
+  if (!text.includes(",") || Number.isNaN(waitMs)) return undefined;
+  return Math.max(0, waitMs);
+}
+
 export function parseAnswer(headers: RawHeaders): AnswerFacts {
   const values = groupHeaders(headers);
-  const seconds = Number(values.get("retry-after") ?? Number.NaN);
+  const retryAfter = values.get("retry-after")?.trim();
+  const retryAfterMs =
+    retryAfter === undefined
+      ? undefined
+      : parseRetryAfter(retryAfter, values.get("date"));
   return {
     requestId: values.get("attempt-id"),
     isSigned: (values.get("server-stamp") ?? "") !== "",
     // Only this header is a replica's promise; its status alone is not.
     isNotRun: values.has("not-executed"),
+    isLeaving: values.get("server-leaving")?.trim() === "1",
+    endpointId: values.get("replica-id"),
     load: parseLoad(values.get("replica-load")),
     confidence: parseWhole(values.get("confidence")),
-    retryAfterMs: Number.isFinite(seconds)
-      ? seconds * MS_PER_SECOND
-      : undefined,
+    retryAfterMs,
+    unreadRetryAfter: retryAfterMs === undefined ? retryAfter : undefined,
   };
 }
 
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -34,6 +34,10 @@
   confidence?: Readonly<Record<string, number>>;
   /** Refuses as full; the request does not run. */
   isFull?: boolean;
+  /** Text of the time to return that a refusal as full names. */
+  retryAfter?: string;
+  /** Says in each answer that it leaves. */
+  isLeaving?: boolean;
   /** Answers with a failure after the run. */
   isFailing?: boolean;
   /** Runs the request and never answers. */
@@ -72,6 +76,8 @@
 export class ReplicaStandin {
   readonly options: ReplicaOptions;
   readonly runs: ReplicaRun[] = [];
+  /** When each request came, refused ones included; steady clock, ms. */
+  readonly arrivalsMs: number[] = [];
   readonly #server: Server;
 
   constructor(options: ReplicaOptions) {
@@ -101,17 +107,24 @@
     const chunks: Buffer[] = [];
     request.on("error", () => undefined);
     for await (const chunk of request) chunks.push(chunk as Buffer);
+    this.arrivalsMs.push(performance.now());
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== options.id) {
       response.writeHead(421, {
         "Replica-Id": options.id,
         "Not-Executed": "1",
+        ...this.#leavingHead(),
       });
       response.end();
       return;
     }
     if (options.isFull) {
-      response.writeHead(503, { "Not-Executed": "1" });
+      const { retryAfter } = options;
+      response.writeHead(503, {
+        "Not-Executed": "1",
+        ...(retryAfter === undefined ? {} : { "Retry-After": retryAfter }),
+        ...this.#leavingHead(),
+      });
       response.end();
       return;
     }
@@ -160,9 +173,14 @@
       "Server-Stamp": `stamp-${this.options.id}`,
       "Replica-Load": "1,0,8",
       ...(confidence === undefined ? {} : { Confidence: String(confidence) }),
+      ...this.#leavingHead(),
     };
   }
 
+  #leavingHead(): Record<string, string> {
+    return this.options.isLeaving ? { "Server-Leaving": "1" } : {};
+  }
+
   #sendPlain(run: ReplicaRun, response: ServerResponse): void {
     const { plainBytes, stallsInBody } = this.options;
     const body = plainBytes === undefined ? PLAIN_BODY : "x".repeat(plainBytes);
--- a/src/platform/standins/store.ts
+++ b/src/platform/standins/store.ts
@@ -114,6 +114,10 @@
     this.#record(kind, stored, true);
   }
 
+  getSpec(kind: string, name: string): unknown {
+    return this.#objects.get(kind)?.get(name)?.spec;
+  }
+
   getStatus(kind: string, name: string): unknown {
     return this.#objects.get(kind)?.get(name)?.status;
   }
--- a/src/proxy/fleet/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -1,5 +1,6 @@
 /** All endpoints that one entry may choose from, by id. */
 
+import { LRUCache } from "lru-cache";
 import { EndpointState } from "../placing/index.js";
 import type { EndpointRecord } from "../types.js";
 
@@ -9,6 +10,9 @@
  */
 const LAPSE_GRACE_MS = 2_000;
 
+/** Endpoints that are remembered after their records vanished. */
+const MAX_REMEMBERED = 1_000;
+
 export interface TableChange {
   readonly event: "endpoint-added" | "endpoint-leaving" | "endpoint-removed";
   readonly record: EndpointRecord;
@@ -17,6 +21,13 @@
 export class EndpointTable {
   readonly #endpoints = new Map<string, EndpointState>();
   readonly #lapsed = new Map<string, number>();
+  /**
+   * Endpoints whose records vanished, as at a loss of the store. Where the
+   * same life comes back, what it said of itself still holds.
+   */
+  readonly #vanished = new LRUCache<string, EndpointState>({
+    max: MAX_REMEMBERED,
+  });
   #graceUntilMs = Number.NEGATIVE_INFINITY;
 
   /** Tells that the store answers again after it did not. */
@@ -37,13 +48,8 @@
   put(record: EndpointRecord, nowMs: number): TableChange[] {
     this.#lapsed.delete(record.id);
     const known = this.#endpoints.get(record.id);
-    const isSameLife =
-      known !== undefined &&
-      known.record.startedAtMs === record.startedAtMs &&
-      known.record.address === record.address &&
-      known.record.port === record.port;
-    if (!isSameLife) {
-      const state = new EndpointState(record, nowMs);
+    if (known === undefined || !isSameLife(known.record, record)) {
+      const state = this.#revive(record) ?? new EndpointState(record, nowMs);
       state.setColdUntil(nowMs + record.coldLeftMs);
       this.#endpoints.set(record.id, state);
       return [{ event: "endpoint-added", record }];
@@ -58,7 +64,7 @@
   remove(id: string, nowMs: number): TableChange[] {
     const known = this.#endpoints.get(id);
     if (known === undefined) return [];
-    if (nowMs < this.#graceUntilMs && !known.record.isLeaving) {
+    if (nowMs < this.#graceUntilMs && !known.isLeaving) {
       if (!this.#lapsed.has(id)) this.#lapsed.set(id, this.#graceUntilMs);
       return [];
     }
@@ -77,8 +83,20 @@
     return changes;
   }
 
+  /** The state of the same life from before its record vanished. */
+  #revive(record: EndpointRecord): EndpointState | undefined {
+    const known = this.#vanished.get(record.id);
+    this.#vanished.delete(record.id);
+    // Without the time of its start a new life can't be told from the old.
+    if (known === undefined || record.startedAtMs === undefined) return;
+    if (!isSameLife(known.record, record)) return;
+    known.record = record;
+    return known;
+  }
+
   #delete(id: string, known: EndpointState): TableChange[] {
     this.#endpoints.delete(id);
+    this.#vanished.set(id, known);
     this.#lapsed.delete(id);
     return [{ event: "endpoint-removed", record: known.record }];
   }
@@ -90,7 +108,7 @@
   /** Endpoints of a service that may get new work. */
   list(service: string): EndpointState[] {
     return [...this.#endpoints.values()].filter(
-      ({ record }) => record.service === service && !record.isLeaving,
+      (state) => state.record.service === service && !state.isLeaving,
     );
   }
 
@@ -104,3 +122,11 @@
     return this.#endpoints.size;
   }
 }
+
+function isSameLife(one: EndpointRecord, other: EndpointRecord): boolean {
+  return (
+    one.startedAtMs === other.startedAtMs &&
+    one.address === other.address &&
+    one.port === other.port
+  );
+}
--- a/src/proxy/fleet/fleet_view.ts
+++ b/src/proxy/fleet/fleet_view.ts
@@ -72,4 +72,15 @@
       .list(service)
       .filter(({ record }) => !this.#evacuated.has(record.dataCentre));
   }
+
+  /** False once operators or the endpoint want nothing more sent to it. */
+  isOpen(state: EndpointState, nowMs: number): boolean {
+    const { record } = state;
+    return (
+      this.endpoints.get(record.id) === state &&
+      !state.isLeaving &&
+      !state.isClosed(nowMs) &&
+      !this.#evacuated.has(record.dataCentre)
+    );
+  }
 }
--- a/src/proxy/placing/endpoint_choice.ts
+++ b/src/proxy/placing/endpoint_choice.ts
@@ -98,6 +98,7 @@
 
 function isOpen(state: EndpointState, options: ChoiceOptions): boolean {
   const { nowMs, coldPerSecond } = options;
+  if (state.isClosed(nowMs)) return false;
   if (!state.isCold(nowMs)) return true;
   return coldPerSecond > 0 && state.hasColdCredit(coldPerSecond, nowMs);
 }
--- a/src/proxy/placing/endpoint_state.ts
+++ b/src/proxy/placing/endpoint_state.ts
@@ -21,6 +21,12 @@
 /** Answers before the share of failures means anything. */
 const MIN_ANSWERS = 6;
 
+/**
+ * Longest time for which an endpoint is taken at its word that it wants
+ * nothing, ms; a longer one is a mistake more likely than a wish.
+ */
+const MAX_CLOSED_MS = 600_000;
+
 /** Time for which an endpoint that has just started is slow, ms. */
 const WARM_UP_MS = 5_000;
 
@@ -59,6 +65,8 @@
   #pausedUntilMs = 0;
   #refusalsInARow = 0;
   #fullUntilMs = 0;
+  #closedUntilMs = Number.NEGATIVE_INFINITY;
+  #isLeaving = false;
 
   readonly #addedAtMs: number;
 
@@ -119,6 +127,34 @@
     return Math.min(1, this.#coldCredit + seconds * perSecond);
   }
 
+  /**
+   * The endpoint asked for nothing more for a time. Unlike a pause, which is
+   * this entry's guess, that binds also where no other endpoint is open.
+   */
+  closeFor(ms: number, nowMs: number): void {
+    const untilMs = nowMs + Math.min(MAX_CLOSED_MS, ms);
+    this.#closedUntilMs = Math.max(this.#closedUntilMs, untilMs);
+  }
+
+  isClosed(nowMs: number): boolean {
+    return nowMs < this.#closedUntilMs;
+  }
+
+  /** When the endpoint takes requests again; in the past while it is open. */
+  get closedUntilMs(): number {
+    return this.#closedUntilMs;
+  }
+
+  /** The endpoint said that it leaves, until its life ends. */
+  markLeaving(): void {
+    this.#isLeaving = true;
+  }
+
+  /** The endpoint itself or its record says that it leaves. */
+  get isLeaving(): boolean {
+    return this.#isLeaving || this.record.isLeaving;
+  }
+
   isPaused(nowMs: number): boolean {
     return nowMs < this.#pausedUntilMs || nowMs < this.#fullUntilMs;
   }
--- a/src/proxy/request/attempt.ts
+++ b/src/proxy/request/attempt.ts
@@ -11,6 +11,8 @@
 export const ATTEMPT_FAILURE = {
   /** Nothing left this host. */
   notSent: "not-sent",
+  /** Nothing left this host, since the endpoint had closed meanwhile. */
+  withheld: "withheld",
   /** The endpoint says that it did not run the request. */
   notRun: "not-run",
   /** It may have run. */
@@ -59,6 +61,10 @@
   readonly requestId: string;
   readonly agent: Agent;
   readonly wire: Wire;
+  /** Asked once a connection is at hand: the wait for one may be long. */
+  readonly isOpen: () => boolean;
+  /** Told of each head that comes from the endpoint. */
+  readonly onHead: (status: number, facts: AnswerFacts) => void;
   /** Ends the attempt and its connection, also after the head. */
   readonly signal: AbortSignal;
 }
@@ -67,9 +73,17 @@
 export function startAttempt(
   options: AttemptOptions,
 ): Promise<Result<AttemptHead, AttemptFailure>> {
-  const { wire, requestId, body, signal } = options;
+  const { wire, requestId, body, signal, isOpen, onHead } = options;
   return new Promise((resolve) => {
     let isSent = false;
+    const startSending = () => {
+      if (isOpen()) isSent = true;
+      else withhold();
+    };
+    const withhold = () => {
+      fail(ATTEMPT_FAILURE.withheld, "The endpoint closed before the request");
+      outgoing.destroy();
+    };
     const fail = (kind: AttemptFailureKind, detail: string) =>
       resolve(err({ kind, detail }));
     if (signal.aborted) {
@@ -88,7 +102,7 @@
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
       if (!socket.connecting) {
-        isSent = true;
+        startSending();
         return;
       }
       const timer = setTimeout(() => {
@@ -97,7 +111,7 @@
       }, CONNECT_TIMEOUT_MS);
       socket.once("connect", () => {
         clearTimeout(timer);
-        isSent = true;
+        startSending();
       });
       socket.once("close", () => clearTimeout(timer));
     });
@@ -114,6 +128,7 @@
     outgoing.on("response", (message) => {
       const headers = message.rawHeaders;
       const facts = wire.parseAnswer(headers);
+      onHead(message.statusCode ?? 0, facts);
       if (facts.isNotRun) {
         ignoreAnswerBody(message);
         const detail = `Status ${message.statusCode}, not run`;
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -17,6 +17,7 @@
   type RepeatBudget,
 } from "../placing/index.js";
 import {
+  type AnswerFacts,
   type RawHeaders,
   REPEAT,
   type RequestFacts,
@@ -45,6 +46,9 @@
 const USUAL_RATIO = 3;
 /** Shortest time that an endpoint is given, ms. */
 const MIN_PATIENCE_MS = 150;
+/** The endpoint is not the one that the request names. */
+const STATUS_MISDIRECTED = 421;
+const STATUS_UNAVAILABLE = 503;
 /** Connections of one entry to an endpoint, as a share of an equal split. */
 const CONNECTION_SHARE = 0.8;
 
@@ -287,9 +291,50 @@
       requestId: facts.id,
       agent: this.#getAgent(connections, record.id),
       wire,
+      isOpen: () => this.#services.view.isOpen(attempt.state, now()),
+      onHead: (status: number, said: AnswerFacts) =>
+        this.#recordWishes(attempt.state, status, said),
     };
   }
 
+  /** The endpoint that speaks; another one may have the address by now. */
+  #findSpeaker(
+    asked: EndpointState,
+    status: number,
+    { endpointId }: AnswerFacts,
+  ): EndpointState | undefined {
+    if (endpointId === asked.record.id) return asked;
+    if (endpointId !== undefined) {
+      return this.#services.view.endpoints.get(endpointId);
+    }
+    return status === STATUS_MISDIRECTED ? undefined : asked;
+  }
+
+  /** What an endpoint asks of its senders beside its answer. */
+  #recordWishes(state: EndpointState, status: number, said: AnswerFacts): void {
+    // Bytes that nobody signed may be damaged.
+    if (!said.isSigned && !said.isNotRun) return;
+    const { log, now } = this.#services;
+    const speaker = this.#findSpeaker(state, status, said);
+    if (speaker === undefined) return;
+    const endpoint = speaker.record.id;
+    if (said.isLeaving && !speaker.isLeaving) {
+      speaker.markLeaving();
+      log.info("endpoint-leaving", { endpoint, source: "answer" });
+    }
+    if (status !== STATUS_UNAVAILABLE) return;
+    const { retryAfterMs, unreadRetryAfter } = said;
+    if (unreadRetryAfter !== undefined) {
+      log.warn("retry-after-skipped", { endpoint, text: unreadRetryAfter });
+    }
+    if (retryAfterMs === undefined) return;
+    speaker.closeFor(retryAfterMs, now());
+    log.info("endpoint-closed", {
+      endpoint,
+      askedMs: Math.round(retryAfterMs),
+    });
+  }
+
   #getAgent(connections: Connections, id: string): Agent {
     const { service } = this.#request;
     const entries = this.#services.countEntries();
@@ -306,7 +351,8 @@
     if (facts?.load !== undefined) state.recordLoad(facts.load, nowMs);
     // The caller left or the deadline passed: no fault of the endpoint.
     const isOwnEnd = this.#request.signal.aborted;
-    if (!isOwnEnd) this.#recordResult(attempt, toAttemptResult(failure));
+    const isFault = !isOwnEnd && kind !== ATTEMPT_FAILURE.withheld;
+    if (isFault) this.#recordResult(attempt, toAttemptResult(failure));
     this.#logEnd(attempt, kind, detail);
     return { kind, detail };
   }
--- a/src/proxy/request/request_placement.ts
+++ b/src/proxy/request/request_placement.ts
@@ -69,6 +69,15 @@
     return choice?.startMs ?? Number.POSITIVE_INFINITY;
   }
 
+  /** Time until the first of the endpoints that asked for a pause, ms. */
+  findReopeningMs(nowMs: number): number | undefined {
+    const closed = this.#listStates(nowMs).filter((state) =>
+      state.isClosed(nowMs),
+    );
+    if (closed.length === 0) return undefined;
+    return Math.min(...closed.map((state) => state.closedUntilMs)) - nowMs;
+  }
+
   /** Requests a second that a cold endpoint bears from this entry. */
   get coldPerSecond(): number {
     const { countEntries } = this.#options;
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -110,7 +110,9 @@
   #recordFailure(outcome: AttemptOutcome): void {
     if (outcome.kind === ATTEMPT_END.answered) return;
     const { kind, detail, answer } = outcome;
-    if (kind === ATTEMPT_END.notSent) this.#attempts--;
+    const isUnsent =
+      kind === ATTEMPT_END.notSent || kind === ATTEMPT_END.withheld;
+    if (isUnsent) this.#attempts--;
     if (kind === ATTEMPT_END.unknown || kind === ATTEMPT_END.erred) {
       this.#mayHaveRun = true;
     }
@@ -296,7 +298,9 @@
     const detail = this.#lastFailure;
     const isOutOfTime = signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS;
     const { least, most } = RETRY_AFTER_MS;
-    const retryAfterMs = least + random() * (most - least);
+    const spreadMs = least + random() * (most - least);
+    const reopensMs = this.#placement.findReopeningMs(now()) ?? 0;
+    const retryAfterMs = reopensMs + spreadMs;
     if (isOutOfTime) {
       const ran = this.#mayHaveRun ? "unknown" : "no";
       this.#sink.refuse(createRefusal("deadline-exceeded", detail, { ran }));
--- a/src/proxy/types.ts
+++ b/src/proxy/types.ts
@@ -172,10 +172,17 @@
   readonly isSigned: boolean;
   /** The endpoint says that it did not run the request. */
   readonly isNotRun: boolean;
+  /** The endpoint that answers leaves: it wants nothing new. */
+  readonly isLeaving: boolean;
+  /** Id of the endpoint that answers, where it names itself. */
+  readonly endpointId?: string;
   readonly load?: EndpointLoad;
   /** The model's opinion of its answer, 0 to 100. */
   readonly confidence?: number;
+  /** Time for which a refusal asks for nothing more, where it can be read. */
   readonly retryAfterMs?: number;
+  /** The text of a time to return that can't be read. */
+  readonly unreadRetryAfter?: string;
 }
 
 /** Flat list of names and values, as Node gives and takes it. */
