Judge in the soak whether entries heed what replicas ask

Replicas of the soak say in their answers that they leave, half of them without telling the store, and refuse with a time to return. Two new checks read the arrivals at replicas: a request sent after the entry had passed on such an answer, and more than two from one entry to a replica it was told to leave alone.

--- a/src/platform/endpoint_wishes_test.ts
+++ b/src/platform/endpoint_wishes_test.ts
@@ -30,7 +30,7 @@
   async function callUntilAsked(path: string, id: string): Promise<void> {
     for (let i = 0; i < 40; i++) {
       await system.call(path, { id: `first${i}` });
-      if (getReplica(id).arrivalsMs.length > 0) return;
+      if (getReplica(id).arrivals.length > 0) return;
     }
     assert.fail(`${id} was never asked`);
   }
@@ -51,11 +51,11 @@
           { id: "i-2", delayMs: 30 },
         ]);
         await callUntilAsked(path, "i-1");
-        const before = getReplica("i-1").arrivalsMs.length;
+        const before = getReplica("i-1").arrivals.length;
         for (const { status } of await callMany("/safe/a", 20, "s")) {
           assert.equal(status, 200);
         }
-        assert.equal(getReplica("i-1").arrivalsMs.length, before);
+        assert.equal(getReplica("i-1").arrivals.length, before);
       });
     }
 
@@ -68,7 +68,7 @@
       const answer = await system.call("/open/a", { id: "late" });
       assert.equal(answer.status, 503);
       assert.ok(performance.now() - startedAtMs < 1_000);
-      assert.equal(getReplica("i-1").arrivalsMs.length, 1);
+      assert.equal(getReplica("i-1").arrivals.length, 1);
     });
 
     // A record that lapsed and came back is no new start of the endpoint.
@@ -87,15 +87,15 @@
       await system.waitFor(() => countEvents("endpoint-removed") === 1);
       system.store.put("servers", "i-1", spec);
       await system.waitFor(() => countEvents("endpoint-added") === 2);
-      const before = getReplica("i-1").arrivalsMs.length;
+      const before = getReplica("i-1").arrivals.length;
       await callMany("/safe/a", 10, "s");
-      assert.equal(getReplica("i-1").arrivalsMs.length, before);
+      assert.equal(getReplica("i-1").arrivals.length, before);
       getReplica("i-1").options.isLeaving = false;
       system.store.put("servers", "i-1", { ...(spec as object), born: 2 });
       await system.waitFor(() => countEvents("endpoint-added") === 3);
       await system.waitFor(async () => {
         await system.call("/safe/a", { id: "new" });
-        return getReplica("i-1").arrivalsMs.length > before;
+        return getReplica("i-1").arrivals.length > before;
       });
     });
   });
@@ -104,7 +104,7 @@
     it("gets nothing for so long, also as the last one", async () => {
       await system.start([{ id: "i-1", isFull: true, retryAfter: "0.9" }]);
       await callUntilAsked("/safe/a", "i-1");
-      const [closedAtMs = 0] = getReplica("i-1").arrivalsMs;
+      const closedAtMs = getReplica("i-1").arrivals[0]?.atMs ?? 0;
       getReplica("i-1").options.isFull = false;
       while (performance.now() < closedAtMs + 700) {
         const startedAtMs = performance.now();
@@ -116,7 +116,7 @@
         assert.ok(startedAtMs + waitMs >= closedAtMs + 890, `${waitMs} ms`);
         await delay(30);
       }
-      assert.equal(getReplica("i-1").arrivalsMs.length, 1);
+      assert.equal(getReplica("i-1").arrivals.length, 1);
       await delay(300);
       assert.equal((await system.call("/safe/a", { id: "late" })).status, 200);
     });
@@ -128,11 +128,11 @@
         { id: "i-2", delayMs: 30 },
       ]);
       await callUntilAsked("/once/a", "i-1");
-      const before = getReplica("i-1").arrivalsMs.length;
+      const before = getReplica("i-1").arrivals.length;
       for (const { status } of await callMany("/once/a", 30, "o")) {
         assert.equal(status, 200);
       }
-      assert.equal(getReplica("i-1").arrivalsMs.length, before);
+      assert.equal(getReplica("i-1").arrivals.length, before);
     });
 
     it("is not taken at a word that can't be read", async () => {
--- a/src/platform/soak/checks.ts
+++ b/src/platform/soak/checks.ts
@@ -4,6 +4,7 @@
 import { PLAIN_BODY } from "../standins/replica.js";
 import { BOUNDS, STREAM_EVENTS } from "./fleet.js";
 import {
+  type ArrivalRecord,
   type CallRecord,
   ROUTE,
   type RunRecord,
@@ -17,6 +18,8 @@
   "wrongStream",
   "withdrawnKeyServed",
   "leavingReplicaServed",
+  "leavingWordIgnored",
+  "pauseIgnored",
   "cutByPlannedStop",
   "lostRequest",
   "answeredLate",
@@ -31,6 +34,10 @@
 const CROSSING_MS = 200;
 /** How much later than its deadline an answer may come, ms. */
 const LATE_MS = 500;
+/** Time in which requests may be on their way to a replica that closes, ms. */
+const ON_THE_WAY_MS = 500;
+/** Requests that may reach a closed replica after that from one entry. */
+const MOST_WHILE_CLOSED = 2;
 /** Answers that promise that the request has not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -45,6 +52,7 @@
     checkEnd(call, own, records, findings);
   }
   checkLeaving(records, findings);
+  checkWishes(records, findings);
   for (const exit of records.unexpectedExits) {
     findings.addViolation("unexpectedExit", exit);
   }
@@ -140,10 +148,11 @@
   { disturbances }: SoakRecords,
   members: ReadonlySet<string>,
   span: { fromMs: number; toMs: number },
-  options: { ignorePlanned?: boolean } = {},
+  options: { ignorePlanned?: boolean; ignored?: string } = {},
 ): boolean {
   return !disturbances.some(
-    ({ member, fromMs, toMs, isPlanned }) =>
+    ({ kind, member, fromMs, toMs, isPlanned }) =>
+      kind !== options.ignored &&
       fromMs < span.toMs &&
       toMs > span.fromMs &&
       (member === undefined || members.has(member)) &&
@@ -196,3 +205,80 @@
     );
   }
 }
+
+/** What replicas asked of single entries in their answers. */
+function checkWishes(records: SoakRecords, findings: Findings<Promised>): void {
+  const calls = new Map(records.calls.map((call) => [call.id, call]));
+  const groups = new Map<
+    string,
+    { call: CallRecord; arrival: ArrivalRecord }[]
+  >();
+  for (const arrival of records.arrivals) {
+    const call = calls.get(arrival.requestId);
+    if (call === undefined) continue;
+    const key = `${call.entry} ${arrival.replica}`;
+    const group = groups.get(key) ?? [];
+    group.push({ call, arrival });
+    groups.set(key, group);
+  }
+  for (const group of groups.values()) {
+    checkLeavingWord(group, records, findings);
+    checkPauses(group, records, findings);
+  }
+}
+
+/** Arrivals at one replica from one entry, with their calls. */
+type Exchanged = readonly {
+  readonly call: CallRecord;
+  readonly arrival: ArrivalRecord;
+}[];
+
+function checkLeavingWord(
+  group: Exchanged,
+  records: SoakRecords,
+  findings: Findings<Promised>,
+): void {
+  const told = group.find(
+    ({ call, arrival }) =>
+      arrival.isLeaving &&
+      call.isComplete &&
+      call.stamp === `stamp-${arrival.replica}`,
+  );
+  if (told === undefined) return;
+  const { replica } = told.arrival;
+  const toldAtMs = told.call.endedAtMs;
+  const late = group.filter(
+    ({ call, arrival }) =>
+      call.sentAtMs > toldAtMs &&
+      isCalm(records, new Set([call.entry]), {
+        fromMs: toldAtMs,
+        toMs: arrival.atMs,
+      }),
+  );
+  findings.check("leavingWordIgnored", late.length === 0, () =>
+    describeCall(told.call, `${late.length} requests to ${replica} after it`),
+  );
+}
+
+function checkPauses(
+  group: Exchanged,
+  records: SoakRecords,
+  findings: Findings<Promised>,
+): void {
+  for (const { call, arrival } of group) {
+    const { replica, atMs, retryAfterMs } = arrival;
+    if (retryAfterMs === undefined) continue;
+    const untilMs = atMs + retryAfterMs;
+    const members = new Set([call.entry, replica]);
+    const span = { fromMs: atMs - ON_THE_WAY_MS, toMs: untilMs };
+    if (!isCalm(records, members, span, { ignored: "replica" })) continue;
+    const late = group.filter(
+      (other) =>
+        other.arrival.atMs > atMs + ON_THE_WAY_MS &&
+        other.arrival.atMs < untilMs,
+    );
+    findings.check("pauseIgnored", late.length <= MOST_WHILE_CLOSED, () =>
+      describeCall(call, `${late.length} requests to ${replica}, closed`),
+    );
+  }
+}
--- a/src/platform/soak/checks_test.ts
+++ b/src/platform/soak/checks_test.ts
@@ -3,7 +3,12 @@
 import { PLAIN_BODY } from "../standins/replica.js";
 import { judgeSoak, PROMISES, type Promised } from "./checks.js";
 import { STREAM_EVENTS } from "./fleet.js";
-import type { CallRecord, RunRecord, SoakRecords } from "./records.js";
+import type {
+  ArrivalRecord,
+  CallRecord,
+  RunRecord,
+  SoakRecords,
+} from "./records.js";
 
 const CALL: CallRecord = {
   id: "c1",
@@ -23,6 +28,15 @@
   replica: "i-0",
   startedAtMs: 20_050,
 };
+const ARRIVAL: ArrivalRecord = {
+  requestId: "c1",
+  replica: "i-0",
+  atMs: 20_050,
+  isLeaving: true,
+  retryAfterMs: 2_000,
+};
+const LATER = { ...CALL, id: "c2", sentAtMs: 20_800, endedAtMs: 20_900 };
+const LATER_ARRIVAL = { ...ARRIVAL, requestId: "c2", atMs: 20_850 };
 const STREAM = Array.from(
   { length: STREAM_EVENTS },
   (_, id) => `id: ${id}\ndata: piece ${id}\n\n`,
@@ -32,6 +46,7 @@
   return judgeSoak({
     calls: [CALL],
     runs: [RUN],
+    arrivals: [],
     disturbances: [],
     withdrawals: new Map(),
     leavings: new Map(),
@@ -75,6 +90,32 @@
     ],
     ["withdrawnKeyServed", { withdrawals: new Map([["key-a", 14_000]]) }],
     ["leavingReplicaServed", { leavings: new Map([["i-0", 17_000]]) }],
+    [
+      "leavingWordIgnored",
+      {
+        calls: [CALL, LATER],
+        runs: [RUN, { ...RUN, requestId: "c2" }],
+        arrivals: [ARRIVAL, LATER_ARRIVAL].map((arrival) => ({
+          ...arrival,
+          retryAfterMs: undefined,
+        })),
+      },
+    ],
+    [
+      "pauseIgnored",
+      {
+        calls: [CALL, LATER],
+        runs: [RUN, { ...RUN, requestId: "c2" }],
+        arrivals: [
+          { ...ARRIVAL, isLeaving: false },
+          ...Array.from({ length: 3 }, () => ({
+            ...LATER_ARRIVAL,
+            isLeaving: false,
+            retryAfterMs: undefined,
+          })),
+        ],
+      },
+    ],
     ["lostRequest", { calls: [{ ...CALL, status: undefined }] }],
     [
       "cutByPlannedStop",
--- a/src/platform/soak/faults.ts
+++ b/src/platform/soak/faults.ts
@@ -20,6 +20,7 @@
 
 const REPLICA_FAULTS: readonly Partial<ReplicaOptions>[] = [
   { isFull: true },
+  { isFull: true, retryAfter: "2.5" },
   { isFailing: true },
   { isMute: true },
   { cutAfter: 2 },
@@ -242,11 +243,15 @@
 
   /** A replica leaves, and another one takes its place. */
   async #replace(member: ReplicaMember): Promise<void> {
-    const { fleet } = this.#options;
+    const { fleet, random } = this.#options;
     if (!fleet.current.delete(member.id)) return;
     await fleet.addReplica();
-    this.leavings.set(member.id, performance.now());
-    fleet.writeReplica(member, "draining");
+    member.replica.options.isLeaving = true;
+    // Some tell their callers only.
+    if (random.chance(0.5)) {
+      this.leavings.set(member.id, performance.now());
+      fleet.writeReplica(member, "draining");
+    }
     await delay(LEAVING_MS);
     fleet.store.delete("servers", member.id);
     const disturbance = this.#begin("gone", member.id);
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -1,5 +1,7 @@
 /** What callers and replicas saw, for the checks. */
 
+import type { ReplicaArrival } from "../standins/replica.js";
+
 export const ROUTE = { safe: "safe", once: "once", stream: "stream" } as const;
 export type RouteName = (typeof ROUTE)[keyof typeof ROUTE];
 
@@ -26,6 +28,11 @@
   readonly startedAtMs: number;
 }
 
+/** A request that reached a replica, refused ones too. */
+export interface ArrivalRecord extends ReplicaArrival {
+  readonly replica: string;
+}
+
 /** A fault, from its begin to its end. */
 export interface Disturbance {
   readonly kind: string;
@@ -40,6 +47,7 @@
 export interface SoakRecords {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
+  readonly arrivals: readonly ArrivalRecord[];
   readonly disturbances: readonly Disturbance[];
   /** When keys were withdrawn and replicas began to leave. */
   readonly withdrawals: ReadonlyMap<string, number>;
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -68,6 +68,9 @@
   const findings = judgeSoak({
     calls,
     runs: listRuns(fleet),
+    arrivals: fleet.replicas.flatMap(({ id, replica }) =>
+      replica.arrivals.map((arrival) => ({ ...arrival, replica: id })),
+    ),
     disturbances,
     withdrawals,
     leavings,
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -24,6 +24,17 @@
   end: "running" | "complete" | "cut" | "left";
 }
 
+/** A request that came, also one that is refused. */
+export interface ReplicaArrival {
+  readonly requestId: string;
+  /** Steady clock, ms. */
+  readonly atMs: number;
+  /** The answer says that the replica leaves. */
+  readonly isLeaving: boolean;
+  /** Time to return that its refusal names, ms. */
+  readonly retryAfterMs?: number;
+}
+
 export interface ReplicaOptions {
   readonly id: string;
   /** Events of a stream. */
@@ -76,8 +87,7 @@
 export class ReplicaStandin {
   readonly options: ReplicaOptions;
   readonly runs: ReplicaRun[] = [];
-  /** When each request came, refused ones included; steady clock, ms. */
-  readonly arrivalsMs: number[] = [];
+  readonly arrivals: ReplicaArrival[] = [];
   readonly #server: Server;
 
   constructor(options: ReplicaOptions) {
@@ -107,7 +117,7 @@
     const chunks: Buffer[] = [];
     request.on("error", () => undefined);
     for await (const chunk of request) chunks.push(chunk as Buffer);
-    this.arrivalsMs.push(performance.now());
+    this.#recordArrival(String(request.headers["attempt-id"]));
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== options.id) {
       response.writeHead(421, {
@@ -145,6 +155,19 @@
     else this.#sendPlain(run, response);
   }
 
+  #recordArrival(requestId: string): void {
+    const { isFull, isLeaving = false, retryAfter } = this.options;
+    this.arrivals.push({
+      requestId,
+      atMs: performance.now(),
+      isLeaving,
+      retryAfterMs:
+        isFull && retryAfter !== undefined
+          ? 1_000 * Number(retryAfter)
+          : undefined,
+    });
+  }
+
   #record(request: IncomingMessage, body: string): ReplicaRun {
     const headers = Object.fromEntries(
       Object.entries(request.headers).map(([name, value]) => [
