Keep a doubted answer for a moment while the larger model is asked

Hypothesis: a request fails where its small model's answer was dropped and the larger attempt then is the last one and breaks.

Ruled out: keeping it longer, since two endpoints may work on one request for 400 ms at most; asking for no larger model with the last attempt, which gives up the better answer where nothing fails.

--- a/src/proxy/request/index.ts
+++ b/src/proxy/request/index.ts
@@ -2,6 +2,7 @@
 export * from "./attempt.js";
 export * from "./attempt_runner.js";
 export * from "./connections.js";
+export * from "./doubted_answer.js";
 export * from "./event_stream.js";
 export * from "./proxy_server.js";
 export * from "./request_path.js";
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -26,6 +26,7 @@
   type RunRequest,
   type RunServices,
 } from "./attempt_runner.js";
+import { DoubtedAnswer } from "./doubted_answer.js";
 import { RequestPlacement } from "./request_placement.js";
 
 /** Times the allowed pause after which a silent stream is continued elsewhere. */
@@ -69,15 +70,19 @@
     const { route, service } = this.#request;
     this.#services.budget.recordRequest(service.name, this.#services.now());
     let model = chooseFirstModel(route.models);
+    let doubted: DoubtedAnswer | undefined;
     for (;;) {
       const attempt = await this.#tryNext(model);
-      if (attempt === undefined) return this.#giveUp();
+      if (attempt === undefined) {
+        const kept = doubted?.take();
+        return kept ? await this.#deliver(kept) : this.#giveUp();
+      }
+      doubted?.drop();
       const next = this.#chooseNextModel(attempt);
       if (next === undefined) return await this.#deliver(attempt);
-      // The dropped answer did run.
+      // The doubted answer did run, whether it is delivered or not.
       this.#mayHaveRun = true;
-      attempt.controller.abort();
-      attempt.release();
+      doubted = new DoubtedAnswer(attempt);
       this.#tried.clear();
       model = next;
     }
