Run on the old version where the new one can't take the request

Change: a request whose session has not moved yet goes to the old version's endpoints once the new one has none left for it. A session that has moved stays (it must not change to and fro), and what the new version did still counts as evidence against it.

Test: version lists with and without a target that is out, and a session that has moved.

--- a/src/proxy/fleet/session_versions_test.ts
+++ b/src/proxy/fleet/session_versions_test.ts
@@ -157,6 +157,25 @@
     assert.deepEqual(listVersions(rollouts, left), ["v3"]);
   });
 
+  // A caller who is among the first to try a bad version must not suffer by it.
+  it("are the old ones where the new one can't take the request", () => {
+    const rollouts = new Rollouts("self", 0.15);
+    rollouts.put({ ...order, target: "v4", revision: 1 }, 0);
+    const listAt = (options: { isTargetOut: boolean; lastVersion?: string }) =>
+      listAllowedVersions(endpoints, {
+        service: "svc",
+        rollouts,
+        place: 0,
+        nowMs: 3_000,
+        ...options,
+      }).map(({ record }) => record.version);
+    assert.deepEqual(listAt({ isTargetOut: false }), ["v4"]);
+    assert.deepEqual(listAt({ isTargetOut: true }), ["v1", "v2", "v3"]);
+    // A session that has moved may not change its version again.
+    const moved = { isTargetOut: true, lastVersion: "v4" };
+    assert.deepEqual(listAt(moved), ["v4"]);
+  });
+
   // An operator may order a version again.
   it("leave out one that is ordered again, until it is completed", () => {
     const rollouts = new Rollouts("self", 0.15);
--- a/src/proxy/fleet/version_choice.ts
+++ b/src/proxy/fleet/version_choice.ts
@@ -11,6 +11,11 @@
   readonly place: number;
   /** Version that the session last ran on, a short time ago. */
   readonly lastVersion?: string;
+  /**
+   * The new version can't take the request now: all its endpoints failed it or
+   * are closed. A session that has moved to the version stays there.
+   */
+  readonly isTargetOut?: boolean;
   readonly nowMs: number;
 }
 
@@ -19,7 +24,7 @@
   states: readonly EndpointState[],
   options: VersionOptions,
 ): EndpointState[] {
-  const { service, rollouts, place, lastVersion, nowMs } = options;
+  const { service, rollouts, place, lastVersion, isTargetOut, nowMs } = options;
   const order = rollouts.getOrder(service);
   if (order === undefined) return [...states];
   const isTarget = (state: EndpointState) =>
@@ -40,6 +45,7 @@
     lastVersion !== undefined &&
     !isMoved &&
     rollouts.isFirstHalf(service, nowMs);
-  const usesTarget = isMoved || (!stays && place < share);
+  const isDrawn = !stays && place < share && isTargetOut !== true;
+  const usesTarget = isMoved || isDrawn;
   return usesTarget || others.length === 0 ? target : others;
 }
--- a/src/proxy/request/request_placement.ts
+++ b/src/proxy/request/request_placement.ts
@@ -58,9 +58,14 @@
     tried: ReadonlySet<string>,
     nowMs: number,
   ): Choice | undefined {
-    const states = this.#listStates(nowMs);
-    const options = this.#createOptions(states, model, nowMs);
-    return chooseEndpoint(states, { ...options, tried });
+    const chooseAmong = (states: readonly EndpointState[]) => {
+      const options = this.#createOptions(states, model, nowMs);
+      return chooseEndpoint(states, { ...options, tried });
+    };
+    return (
+      chooseAmong(this.#listStates(nowMs)) ??
+      chooseAmong(this.#listStates(nowMs, true))
+    );
   }
 
   /** Expected time to the head of an answer of the model, ms. */
@@ -95,7 +100,7 @@
   }
 
   /** Endpoints of the version that the request may run on. */
-  #listStates(nowMs: number): EndpointState[] {
+  #listStates(nowMs: number, isTargetOut = false): EndpointState[] {
     const { service, facts } = this.#request;
     const { view, sessions } = this.#options;
     const { session } = facts;
@@ -107,6 +112,7 @@
         session === undefined
           ? undefined
           : sessions.get(service.name, session, nowMs),
+      isTargetOut,
       nowMs,
     });
   }
