Don't crowd the last endpoints once others have closed

Where some endpoints of a service have asked for a pause, the load they turn away would all go to the rest. An endpoint at which as many wait as run gets no more then; callers are told at once when the first of the closed ones opens. The new test fails without the change; nothing changes while no endpoint has closed.

--- a/src/proxy/placing/endpoint_choice.ts
+++ b/src/proxy/placing/endpoint_choice.ts
@@ -51,6 +51,8 @@
  * also paid for, and delays what runs beside it.
  */
 const READ_AGAIN_WEIGHT = 3;
+/** Requests for each place from which on an endpoint is crowded. */
+const CROWDED_RATIO = 2;
 /** Scores that differ by less are equal, so that entries don't herd. */
 const TIE = 0.15;
 
@@ -103,13 +105,22 @@
   return coldPerSecond > 0 && state.hasColdCredit(coldPerSecond, nowMs);
 }
 
+/** True where as many wait as run; more would wait longer than they run. */
+function isCrowded(state: EndpointState, nowMs: number): boolean {
+  return state.estimateLoad(nowMs) >= CROWDED_RATIO * state.record.slots;
+}
+
 /** Undefined when no endpoint may get the request now. */
 export function chooseEndpoint(
   states: readonly EndpointState[],
   options: ChoiceOptions,
 ): Choice | undefined {
   const { nowMs, tried, random, work, homes } = options;
-  const open = states.filter((state) => isOpen(state, options));
+  // Others have said that they are full: their load must not crowd the rest.
+  const isShort = states.some((state) => state.isClosed(nowMs));
+  const open = states.filter(
+    (state) => isOpen(state, options) && !(isShort && isCrowded(state, nowMs)),
+  );
   const fresh = open.filter((state) => !tried.has(state.record.id));
   const isSound = (state: EndpointState) =>
     !state.isPaused(nowMs) && !(state.isOnProbation && state.inFlight > 0);
--- a/src/proxy/placing/endpoint_choice_test.ts
+++ b/src/proxy/placing/endpoint_choice_test.ts
@@ -51,6 +51,28 @@
     assert.equal(choose([a, b]), "b");
   });
 
+  // Callers are better served by an early word than by a place at its end.
+  it("doesn't crowd the last endpoint once the others have closed", () => {
+    const [a, b] = [createEndpoint("a", 4), createEndpoint("b", 4)];
+    b.inFlight = 8;
+    a.inFlight = 8;
+    assert.equal(choose([a, b], { random: () => 0 }), "a");
+    a.closeFor(1_000, 0);
+    assert.equal(choose([a, b]), undefined);
+    b.inFlight = 7;
+    assert.equal(choose([a, b]), "b");
+    b.inFlight = 8;
+    assert.equal(choose([a, b], { nowMs: 1_001 }), "a");
+  });
+
+  it("gives nothing to an endpoint that has closed, also as the last", () => {
+    const a = createEndpoint("a");
+    a.closeFor(1_000, 0);
+    assert.equal(choose([a]), undefined);
+    assert.equal(choose([a], { nowMs: 999 }), undefined);
+    assert.equal(choose([a], { nowMs: 1_000 }), "a");
+  });
+
   it("prefers the faster endpoint", () => {
     const [a, b] = [createEndpoint("a"), createEndpoint("b")];
     a.slowness = 2.4;
