Read what has come before a stop closes idle connections

Cause: after the process was held up, the timers of a planned stop ran before its connections were read, so a request that lay there unread was cut off with a reset (a connection with unread bytes is reset when it is closed).

Change: the stop reads all connections once more before it closes idle ones. The new test got ECONNRESET without the change, and 503 with it.

--- a/src/platform/entry_test.ts
+++ b/src/platform/entry_test.ts
@@ -543,6 +543,33 @@
       await stopped;
     });
 
+    // After a stall the timers of the stop run before the connections are read.
+    it("answers a request that came while the process was held up", async () => {
+      await system.start([{ id: "i-1" }], { graceMs: 4_000 });
+      const socket = connect(system.callerPort, "127.0.0.1");
+      let text = "";
+      socket.on("data", (chunk) => {
+        text += chunk.toString();
+      });
+      const send = (id: string) =>
+        socket.write(
+          `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\n` +
+            `Authorization: Bearer ${API_KEY}\r\n\r\n`,
+        );
+      const closed = new Promise((resolve) => socket.once("close", resolve));
+      send("r1");
+      await system.waitFor(() => text.includes("HTTP/1.1 200"));
+      const startedAtMs = performance.now();
+      const stopped = system.stop();
+      // The stop begins to close idle connections after 1.2 s.
+      await delay(700);
+      send("r2");
+      while (performance.now() < startedAtMs + 1_500);
+      await closed;
+      assert.match(text, /HTTP\/1\.1 503 /);
+      await stopped;
+    });
+
     // Its body is read after the signal, so no promise was given before.
     it("answers a request whose body is still coming", async () => {
       await system.start([{ id: "i-1" }]);
--- a/src/proxy/request/proxy_server.ts
+++ b/src/proxy/request/proxy_server.ts
@@ -10,6 +10,7 @@
 import type { FleetView } from "../fleet/index.js";
 import { startListening } from "../listening.js";
 import type { NetworkAddress } from "../types.js";
+import { waitForReads } from "./pending_reads.js";
 import type { RequestPath } from "./request_path.js";
 
 /** Bytes of a request's head; above what any configuration allows. */
@@ -103,9 +104,12 @@
   await delay(times.takeMs);
   path.close();
   do {
+    // A busy process closes no connection on which a request waits unread.
+    await waitForReads();
     // Node counts a connection as idle whose answer has not left yet.
     if (!path.hasUnsent) server.closeIdleConnections();
     await delay(CLOSE_IDLE_EVERY_MS);
+    await waitForReads();
   } while (getAgeMs() < times.breakMs && path.openCount > 0);
   server.close();
   server.closeAllConnections();
--- a/src/proxy/request/request_path.ts
+++ b/src/proxy/request/request_path.ts
@@ -4,7 +4,6 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setImmediate } from "node:timers/promises";
 import { readBody } from "../../adapters/http.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
@@ -12,6 +11,7 @@
 import type { RawHeaders, RequestFacts, Route, Wire } from "../types.js";
 import type { AnswerSink } from "./answer.js";
 import type { RunRequest, RunServices } from "./attempt_runner.js";
+import { waitForReads } from "./pending_reads.js";
 import { RequestRun } from "./request_run.js";
 
 /** Waits this long for the store's word when the view is old or missing, ms. */
@@ -109,7 +109,8 @@
       });
     });
     if (body === undefined) return;
-    await waitForClose();
+    // Where the caller has left already, its close comes just after.
+    await waitForReads();
     if (hasLeft(incoming, response)) return this.#logLeft(facts);
     if (facts === undefined) {
       const detail = "The request has no id or no host";
@@ -274,15 +275,6 @@
   return response.destroyed || incoming.socket.readableEnded;
 }
 
-/**
- * Waits until the connection was read once more: where the caller has left
- * already, its close comes in the turn of the event loop after its request.
- */
-async function waitForClose(): Promise<void> {
-  await setImmediate();
-  await setImmediate();
-}
-
 /** Looks route and account up in one configuration. */
 function findAdmitted(
   catalog: Catalog,
