--- a/src/platform/entry_test.ts
+++ b/src/platform/entry_test.ts
@@ -563,6 +563,8 @@
       const stopped = system.stop();
       // The stop begins to close idle connections after 1.2 s.
       await delay(700);
+      // Timers come next from here, and the connections after them.
+      await new Promise((resolve) => setImmediate(resolve));
       send("r2");
       while (performance.now() < startedAtMs + 1_500);
       await closed;
