Read what has come before a silence counts

Cause: patience, the stall of a stream or of a whole answer, and the deadline are timers, and a process that was held up runs its timers before it reads. A sound stream was cut, or a ready answer dropped, although its bytes lay there.

Change: at the end of such a wait the connections are read once more; a sign of life begins the wait anew.

--- a/src/proxy/request/answer.ts
+++ b/src/proxy/request/answer.ts
@@ -5,6 +5,7 @@
 import type { RawHeaders, Wire } from "../types.js";
 import { type AttemptHead, isWholeAnswer } from "./attempt.js";
 import { EventCutter, MAX_EVENT_BYTES } from "./event_stream.js";
+import { SilenceTimer } from "./silence_timer.js";
 
 /** Where the answer goes. */
 export interface AnswerSink {
@@ -62,10 +63,10 @@
     const settle = (isComplete: boolean, detail?: string) => {
       if (isSettled) return;
       isSettled = true;
-      clearTimeout(stall);
+      stall.cancel();
       resolve({ isComplete, lastEventId, detail });
     };
-    const startStall = () => setTimeout(endStalled, stallMs);
+    const startStall = () => new SilenceTimer(endStalled, stallMs);
     const endStalled = () => {
       if (mayGiveUp()) settle(false, `No event for ${stallMs} ms`);
       else stall = startStall();
@@ -73,7 +74,7 @@
     let stall = startStall();
     // While the caller does not read, the endpoint's silence can't be seen.
     const pause = () => {
-      clearTimeout(stall);
+      stall.cancel();
       message.pause();
       void sink.waitDrain(signal).then(() => {
         if (isSettled) return;
--- a/src/proxy/request/answer_test.ts
+++ b/src/proxy/request/answer_test.ts
@@ -76,6 +76,31 @@
       signal: AbortSignal.timeout(2_000),
     });
 
+  // Timers run before reads once a process that was held up goes on.
+  it("goes on when its events came while the process was held up", async () => {
+    const message = await openAnswer((socket) => {
+      socket.write("id: 0\ndata: a\n\n");
+      setTimeout(() => {
+        setImmediate(() => {
+          socket.end("id: 1\ndata: b\n\n");
+          const untilMs = performance.now() + 2 * STALL_MS;
+          while (performance.now() < untilMs);
+        });
+      }, STALL_MS / 2);
+    });
+    const end = await sendStream(createFakeSink(), {
+      message,
+      stallMs: STALL_MS,
+      mayGiveUp: () => true,
+      signal: AbortSignal.timeout(5_000),
+    });
+    assert.deepEqual(end, {
+      isComplete: true,
+      lastEventId: 1,
+      detail: undefined,
+    });
+  });
+
   // The endpoint is sound; a cut would have the rest run once more elsewhere.
   it("goes on while the caller reads slowly", async () => {
     const message = await openAnswer((socket) => {
--- a/src/proxy/request/attempt.ts
+++ b/src/proxy/request/attempt.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import type { AnswerFacts, RawHeaders, Wire } from "../types.js";
+import { SilenceTimer } from "./silence_timer.js";
 
 export const ATTEMPT_FAILURE = {
   /** Nothing left this host. */
@@ -220,8 +221,8 @@
     const breakOff = () =>
       message.destroy(new Error(`Nothing of the answer for ${stallMs} ms`));
     const stall =
-      stallMs === undefined ? undefined : setTimeout(breakOff, stallMs);
-    message.once("close", () => clearTimeout(stall));
+      stallMs === undefined ? undefined : new SilenceTimer(breakOff, stallMs);
+    message.once("close", () => stall?.cancel());
     let size = 0;
     message.on("data", (chunk: Buffer) => {
       stall?.refresh();
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -34,6 +34,7 @@
 } from "./attempt.js";
 import type { Connections } from "./connections.js";
 import type { RequestPlacement } from "./request_placement.js";
+import { SilenceTimer } from "./silence_timer.js";
 
 /** Part of the target after which a silent endpoint is given up on. */
 const PATIENCE_SHARE = 0.6;
@@ -164,12 +165,12 @@
     const patience =
       patienceMs === undefined
         ? undefined
-        : setTimeout(() => attempt.controller.abort(), patienceMs);
+        : new SilenceTimer(() => attempt.controller.abort(), patienceMs);
     const result = await startAttempt({
       ...this.#createCall(attempt, order.lastEventId),
       signal: attempt.controller.signal,
     });
-    clearTimeout(patience);
+    patience?.cancel();
     attempt.endReading();
     if (result.isErr()) return this.endFailed(attempt, result.error);
     const head = result.value;
--- a/src/proxy/request/request_path.ts
+++ b/src/proxy/request/request_path.ts
@@ -13,6 +13,7 @@
 import type { RunRequest, RunServices } from "./attempt_runner.js";
 import { waitForReads } from "./pending_reads.js";
 import { RequestRun } from "./request_run.js";
+import { SilenceTimer } from "./silence_timer.js";
 
 /** Waits this long for the store's word when the view is old or missing, ms. */
 const CONFIRM_WAIT_MS = 300;
@@ -207,7 +208,7 @@
     const deadlineAtMs = startedAtMs + allowedMs - ANSWER_MARGIN_MS;
     const controller = new AbortController();
     const abort = () => controller.abort();
-    const timer = setTimeout(abort, Math.max(0, deadlineAtMs - now()));
+    const timer = new SilenceTimer(abort, Math.max(0, deadlineAtMs - now()));
     response.once("close", abort);
     // The end is read some turns of the event loop before the close.
     const { socket } = response;
@@ -225,7 +226,7 @@
       sink,
     );
     const outcome = await run.run();
-    clearTimeout(timer);
+    timer.cancel();
     response.off("close", abort);
     socket?.off("end", abort);
     // Attempts whose answers were dropped end with the request.
