Remember an endpoint's wishes, not its whole state, after its record vanished

A state holds a cache of prompt parts; a thousand of them would not fit a small host. No behaviour changes but that load and pace are learned anew, as before the wishes were heeded.

--- a/src/platform/early_listener.ts
+++ b/src/platform/early_listener.ts
@@ -26,7 +26,7 @@
   }
 
   /** True where it holds the port that a server wants. */
-  holds(place: NetworkAddress): boolean {
+  isHolding(place: NetworkAddress): boolean {
     const { address, port } = this.place;
     const isSame = address === place.address && port === place.port;
     return isSame && !this.#hasFailed && this.#server.listening;
@@ -39,7 +39,7 @@
   }
 
   /** Gives the port and the connections that wait to another server. */
-  async handOver<S extends Server>(server: S): Promise<S> {
+  async bindTo<S extends Server>(server: S): Promise<S> {
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(this.#server, resolve);
--- a/src/platform/early_listener_test.ts
+++ b/src/platform/early_listener_test.ts
@@ -48,8 +48,8 @@
     await delay(20);
     const before = [callRaw(place.port), callRaw(place.port)];
     await delay(50);
-    assert.ok(early.holds(place));
-    await early.handOver(createAnswering());
+    assert.ok(early.isHolding(place));
+    await early.bindTo(createAnswering());
     for (const answer of [...before, callRaw(place.port)]) {
       assert.match(await answer, /served$/);
     }
@@ -61,8 +61,8 @@
     const second = new EarlyListener(place);
     servers.push(first, second);
     await delay(20);
-    assert.ok(!first.holds({ ...place, port: place.port + 1 }));
-    assert.ok(!second.holds(place));
+    assert.ok(!first.isHolding({ ...place, port: place.port + 1 }));
+    assert.ok(!second.isHolding(place));
   });
 
   // Idle connections must still be found at a planned stop.
@@ -74,7 +74,7 @@
     socket.on("error", () => undefined);
     await delay(20);
     const server = createAnswering();
-    await early.handOver(server);
+    await early.bindTo(server);
     await delay(20);
     const closed = new Promise((resolve) => socket.once("close", resolve));
     server.closeAllConnections();
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -220,7 +220,7 @@
   place: NetworkAddress,
   early: EarlyListener | undefined,
 ): Promise<S> {
-  if (early?.holds(place)) return await early.handOver(server);
+  if (early?.isHolding(place)) return await early.bindTo(server);
   early?.close();
   return await startListening(server, place);
 }
--- a/src/proxy/fleet/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -1,7 +1,7 @@
 /** All endpoints that one entry may choose from, by id. */
 
 import { LRUCache } from "lru-cache";
-import { EndpointState } from "../placing/index.js";
+import { EndpointState, type EndpointWishes } from "../placing/index.js";
 import type { EndpointRecord } from "../types.js";
 
 /**
@@ -22,12 +22,13 @@
   readonly #endpoints = new Map<string, EndpointState>();
   readonly #lapsed = new Map<string, number>();
   /**
-   * Endpoints whose records vanished, as at a loss of the store. Where the
-   * same life comes back, what it said of itself still holds.
+   * Wishes of endpoints whose records vanished, as at a loss of the store.
+   * Where the same life comes back, they still hold.
    */
-  readonly #vanished = new LRUCache<string, EndpointState>({
-    max: MAX_REMEMBERED,
-  });
+  readonly #vanished = new LRUCache<
+    string,
+    Pick<EndpointState, "record" | "wishes">
+  >({ max: MAX_REMEMBERED });
   #graceUntilMs = Number.NEGATIVE_INFINITY;
 
   /** Tells that the store answers again after it did not. */
@@ -49,7 +50,8 @@
     this.#lapsed.delete(record.id);
     const known = this.#endpoints.get(record.id);
     if (known === undefined || !isSameLife(known.record, record)) {
-      const state = this.#revive(record) ?? new EndpointState(record, nowMs);
+      const wishes = this.#recall(record);
+      const state = new EndpointState(record, nowMs, wishes);
       state.setColdUntil(nowMs + record.coldLeftMs);
       this.#endpoints.set(record.id, state);
       return [{ event: "endpoint-added", record }];
@@ -83,20 +85,22 @@
     return changes;
   }
 
-  /** The state of the same life from before its record vanished. */
-  #revive(record: EndpointRecord): EndpointState | undefined {
+  /** What the same life asked for before its record vanished. */
+  #recall(record: EndpointRecord): EndpointWishes | undefined {
     const known = this.#vanished.get(record.id);
     this.#vanished.delete(record.id);
     // Without the time of its start a new life can't be told from the old.
-    if (known === undefined || record.startedAtMs === undefined) return;
-    if (!isSameLife(known.record, record)) return;
-    known.record = record;
-    return known;
+    const isKnown =
+      known !== undefined &&
+      record.startedAtMs !== undefined &&
+      isSameLife(known.record, record);
+    return isKnown ? known.wishes : undefined;
   }
 
   #delete(id: string, known: EndpointState): TableChange[] {
     this.#endpoints.delete(id);
-    this.#vanished.set(id, known);
+    const { record, wishes } = known;
+    this.#vanished.set(id, { record, wishes });
     this.#lapsed.delete(id);
     return [{ event: "endpoint-removed", record: known.record }];
   }
--- a/src/proxy/fleet/endpoint_table_test.ts
+++ b/src/proxy/fleet/endpoint_table_test.ts
@@ -51,6 +51,19 @@
     assert.deepEqual(listIds(table), ["b"]);
   });
 
+  // The word of the old life would keep the new one out for ever.
+  it("keeps the wishes of a life whose record vanished, not of the next", () => {
+    const table = new EndpointTable();
+    table.put(createRecord("a"), 0);
+    table.get("a")?.wishes.setLeaving();
+    table.remove("a", 10);
+    table.put(createRecord("a"), 20);
+    assert.deepEqual(listIds(table), []);
+    table.remove("a", 30);
+    table.put(createRecord("a", { startedAtMs: 2 }), 40);
+    assert.deepEqual(listIds(table), ["a"]);
+  });
+
   it("gives no grace to an endpoint that had said it leaves", () => {
     const table = new EndpointTable();
     table.put(createRecord("a", { isLeaving: true }), 0);
--- a/src/proxy/placing/endpoint_choice_test.ts
+++ b/src/proxy/placing/endpoint_choice_test.ts
@@ -57,7 +57,7 @@
     b.inFlight = 8;
     a.inFlight = 8;
     assert.equal(choose([a, b], { random: () => 0 }), "a");
-    a.closeFor(1_000, 0);
+    a.wishes.closeFor(1_000, 0);
     assert.equal(choose([a, b]), undefined);
     b.inFlight = 7;
     assert.equal(choose([a, b]), "b");
@@ -67,7 +67,7 @@
 
   it("gives nothing to an endpoint that has closed, also as the last", () => {
     const a = createEndpoint("a");
-    a.closeFor(1_000, 0);
+    a.wishes.closeFor(1_000, 0);
     assert.equal(choose([a]), undefined);
     assert.equal(choose([a], { nowMs: 999 }), undefined);
     assert.equal(choose([a], { nowMs: 1_000 }), "a");
--- a/src/proxy/placing/endpoint_state.ts
+++ b/src/proxy/placing/endpoint_state.ts
@@ -1,6 +1,7 @@
 /** What one entry knows of one endpoint. */
 
 import type { EndpointLoad, EndpointRecord } from "../types.js";
+import { EndpointWishes } from "./endpoint_wishes.js";
 import { PromptCache } from "./prompt_cache.js";
 
 const MS_PER_SECOND = 1_000;
@@ -21,12 +22,6 @@
 /** Answers before the share of failures means anything. */
 const MIN_ANSWERS = 6;
 
-/**
- * Longest time for which an endpoint is taken at its word that it wants
- * nothing, ms; a longer one is a mistake more likely than a wish.
- */
-const MAX_CLOSED_MS = 600_000;
-
 /** Time for which an endpoint that has just started is slow, ms. */
 const WARM_UP_MS = 5_000;
 
@@ -55,6 +50,7 @@
   failureShare = 0;
   answers = 0;
   readonly kept = new PromptCache();
+  readonly wishes: EndpointWishes;
   #coldUntilMs = 0;
   #coldCredit = 1;
   #coldCreditAtMs = 0;
@@ -65,13 +61,17 @@
   #pausedUntilMs = 0;
   #refusalsInARow = 0;
   #fullUntilMs = 0;
-  #closedUntilMs = Number.NEGATIVE_INFINITY;
-  #isLeaving = false;
 
   readonly #addedAtMs: number;
 
-  constructor(record: EndpointRecord, addedAtMs: number) {
+  /** `wishes` are those of the same life, where it was known before. */
+  constructor(
+    record: EndpointRecord,
+    addedAtMs: number,
+    wishes = new EndpointWishes(),
+  ) {
     this.record = record;
+    this.wishes = wishes;
     this.#addedAtMs = addedAtMs;
   }
 
@@ -127,32 +127,14 @@
     return Math.min(1, this.#coldCredit + seconds * perSecond);
   }
 
-  /**
-   * The endpoint asked for nothing more for a time. Unlike a pause, which is
-   * this entry's guess, that binds also where no other endpoint is open.
-   */
-  closeFor(ms: number, nowMs: number): void {
-    const untilMs = nowMs + Math.min(MAX_CLOSED_MS, ms);
-    this.#closedUntilMs = Math.max(this.#closedUntilMs, untilMs);
-  }
-
+  /** The endpoint asked for nothing more for a time. */
   isClosed(nowMs: number): boolean {
-    return nowMs < this.#closedUntilMs;
-  }
-
-  /** When the endpoint takes requests again; in the past while it is open. */
-  get closedUntilMs(): number {
-    return this.#closedUntilMs;
-  }
-
-  /** The endpoint said that it leaves, until its life ends. */
-  markLeaving(): void {
-    this.#isLeaving = true;
+    return nowMs < this.wishes.closedUntilMs;
   }
 
   /** The endpoint itself or its record says that it leaves. */
   get isLeaving(): boolean {
-    return this.#isLeaving || this.record.isLeaving;
+    return this.wishes.isLeaving || this.record.isLeaving;
   }
 
   isPaused(nowMs: number): boolean {
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -320,7 +320,7 @@
     if (speaker === undefined) return;
     const endpoint = speaker.record.id;
     if (said.isLeaving && !speaker.isLeaving) {
-      speaker.markLeaving();
+      speaker.wishes.setLeaving();
       log.info("endpoint-leaving", { endpoint, source: "answer" });
     }
     if (status !== STATUS_UNAVAILABLE) return;
@@ -329,7 +329,7 @@
       log.warn("retry-after-skipped", { endpoint, text: unreadRetryAfter });
     }
     if (retryAfterMs === undefined) return;
-    speaker.closeFor(retryAfterMs, now());
+    speaker.wishes.closeFor(retryAfterMs, now());
     log.info("endpoint-closed", {
       endpoint,
       askedMs: Math.round(retryAfterMs),
--- a/src/proxy/request/request_placement.ts
+++ b/src/proxy/request/request_placement.ts
@@ -80,7 +80,9 @@
       state.isClosed(nowMs),
     );
     if (closed.length === 0) return undefined;
-    return Math.min(...closed.map((state) => state.closedUntilMs)) - nowMs;
+    return (
+      Math.min(...closed.map(({ wishes }) => wishes.closedUntilMs)) - nowMs
+    );
   }
 
   /** Requests a second that a cold endpoint bears from this entry. */
