--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -13,6 +13,7 @@
   FleetView,
   Freshness,
   getFirstShare,
+  Lanes,
   LoopDelay,
   type MessageHandler,
   NEWS_PATH,
@@ -135,6 +136,7 @@
   });
   const path = new RequestPath({
     homes: new PromptHomes(),
+    lanes: new Lanes(),
     wire: platformWire,
     log,
     metrics,
--- a/src/proxy/placing/endpoint_choice.ts
+++ b/src/proxy/placing/endpoint_choice.ts
@@ -7,6 +7,7 @@
 
 import type { PromptPart } from "../types.js";
 import type { EndpointState } from "./endpoint_state.js";
+import type { Lane } from "./lanes.js";
 
 export interface Work {
   readonly model: string;
@@ -24,6 +25,8 @@
   readonly tried: ReadonlySet<string>;
   /** Ids of the endpoints that should keep the shared parts, best first. */
   readonly homes: readonly string[];
+  /** Endpoints that work of this size should keep to. */
+  readonly lane: Lane;
   /** Entries that send to the same endpoints. */
   readonly entries: number;
   /** Requests a second that a cold endpoint bears from this entry. */
@@ -51,6 +54,8 @@
  * also paid for, and delays what runs beside it.
  */
 const READ_AGAIN_WEIGHT = 3;
+/** Time for which a request outside its lane may be in the way, ms. */
+const OUT_OF_LANE_MS = 300;
 /** Scores that differ by less are equal, so that entries don't herd. */
 const TIE = 0.15;
 
@@ -108,7 +113,7 @@
   states: readonly EndpointState[],
   options: ChoiceOptions,
 ): Choice | undefined {
-  const { nowMs, tried, random, work, homes } = options;
+  const { nowMs, tried, random, work, homes, lane } = options;
   const open = states.filter((state) => isOpen(state, options));
   const fresh = open.filter((state) => !tried.has(state.record.id));
   const isSound = (state: EndpointState) =>
@@ -128,7 +133,9 @@
     const againMs =
       ((READ_AGAIN_WEIGHT - 1) * ((toRead - fewest) * work.weight)) /
       TOKENS_PER_MS;
-    const score = (startMs * cold + againMs) * (1 + TIE * random());
+    const laneMs =
+      lane === undefined || lane.has(state.record.id) ? 0 : OUT_OF_LANE_MS;
+    const score = (startMs * cold + againMs + laneMs) * (1 + TIE * random());
     if (score >= bestScore) continue;
     bestScore = score;
     best = { state, startMs, candidates: list.length };
--- a/src/proxy/placing/endpoint_choice_test.ts
+++ b/src/proxy/placing/endpoint_choice_test.ts
@@ -35,6 +35,7 @@
     random: () => 0,
     tried: new Set(),
     homes: [],
+    lane: undefined,
     entries: 1,
     coldPerSecond: 1,
     ...fields,
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -13,6 +13,7 @@
   type Choice,
   type EndpointState,
   estimateTokensToRead,
+  type Lanes,
   type PromptHomes,
   type RepeatBudget,
 } from "../placing/index.js";
@@ -54,6 +55,7 @@
 
 export interface RunServices {
   readonly homes: PromptHomes;
+  readonly lanes: Lanes;
   readonly wire: Wire;
   readonly log: Logger;
   readonly metrics: ProxyMetrics;
@@ -199,6 +201,8 @@
     const { state } = choice;
     const work = this.#placement.createWork(model);
     const toRead = estimateTokensToRead(state, work, []) * work.weight;
+    const size = work.promptTokens * work.weight;
+    if (size > 0) this.#services.lanes.record(service.name, size);
     state.inFlight++;
     state.pendingWork += toRead;
     const controller = new AbortController();
--- a/src/proxy/request/request_placement.ts
+++ b/src/proxy/request/request_placement.ts
@@ -11,6 +11,7 @@
   type ChoiceOptions,
   chooseEndpoint,
   type EndpointState,
+  type Lanes,
   type PromptHomes,
   type Work,
 } from "../placing/index.js";
@@ -23,6 +24,7 @@
 
 export interface PlacementOptions {
   readonly homes: PromptHomes;
+  readonly lanes: Lanes;
   readonly view: FleetView;
   readonly sessions: SessionVersions;
   readonly random: () => number;
@@ -123,18 +125,22 @@
     nowMs: number,
   ): Omit<ChoiceOptions, "tried"> {
     const { route, facts } = this.#request;
-    const { homes, random, countEntries } = this.#options;
+    const { homes, lanes, random, countEntries } = this.#options;
     const shared = route.sharesPrompts ? facts.parts.at(-2) : undefined;
+    const work = this.createWork(model);
+    const ids = states.map((state) => state.record.id);
+    const size = work.promptTokens * work.weight;
+    const lane =
+      size > 0
+        ? lanes.choose(this.#request.service.name, size, ids)
+        : undefined;
+    const near = lane === undefined ? ids : ids.filter((id) => lane.has(id));
     return {
-      work: this.createWork(model),
+      work,
       nowMs,
       random,
-      homes: shared
-        ? homes.list(
-            `${model} ${shared.id}`,
-            states.map((state) => state.record.id),
-          )
-        : [],
+      homes: shared ? homes.list(`${model} ${shared.id}`, near) : [],
+      lane,
       entries: countEntries(),
       coldPerSecond: this.coldPerSecond,
     };
