--- a/src/proxy/placing/lanes.ts
+++ b/src/proxy/placing/lanes.ts
@@ -11,7 +11,7 @@
 import { sortByRendezvous } from "../../core/canonical.js";
 
 /** Part of all work that counts as long, from the longest prompt downwards. */
-const LONG_SHARE = 0.5;
+const LONG_SHARE = 0.35;
 /** Requests after which the sizes are known well enough. */
 const MIN_REQUESTS = 50;
 /** Requests after which the past counts half. */
