--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -24,6 +24,7 @@
   RequestPath,
   Rollouts,
   SessionVersions,
+  SettledDoubts,
   startListening,
   startMetricsServer,
   startPeerServer,
@@ -135,6 +136,7 @@
   });
   const path = new RequestPath({
     homes: new PromptHomes(),
+    doubts: new SettledDoubts(),
     wire: platformWire,
     log,
     metrics,
--- a/src/proxy/placing/cascade.ts
+++ b/src/proxy/placing/cascade.ts
@@ -1,8 +1,8 @@
 /**
  * Which model of a route answers. The smallest goes first; an answer that it
  * doubts itself is dropped before the caller gets any of it, and the largest
- * model is asked. The model in between costs half of the largest and is hardly
- * better than the smallest, so it is passed over.
+ * model is asked, or one in between where that is expected to cost less: a
+ * slight doubt is often settled by a slightly larger model.
  *
  * Answers the load in which the largest model's long prompts fill the
  * endpoints: the later its answer would begin, the surer a doubt has to be.
@@ -18,6 +18,8 @@
 const BOUND_AT_TARGET = 38;
 /** Share of the target from which on nothing is escalated. */
 const HOPELESS_SHARE = 3;
+/** Part of the largest model's cost below which another model is worth a try. */
+const WORTHWHILE = 0.9;
 
 export interface CascadeState {
   readonly models: readonly string[];
@@ -32,6 +34,10 @@
   readonly largerStartMs: number;
   /** Time to the first event that the route aims at, ms. */
   readonly targetMs: number;
+  /** Price of a model's token; undefined where it is not known. */
+  readonly getCost: (model: string) => number | undefined;
+  /** Chance that a model settles the doubt; `guess` is that of the unknown. */
+  readonly estimateSettled: (model: string, guess: number) => number;
 }
 
 export function chooseFirstModel(models: readonly string[]): string {
@@ -59,5 +65,31 @@
   }
   const startMs = state.spentMs + state.largerStartMs;
   const bound = computeConfidenceBound(startMs / state.targetMs);
-  return state.confidence < bound ? largest : undefined;
+  if (state.confidence >= bound) return undefined;
+  return chooseCheapest(state, largest);
+}
+
+/** True where a model settles the doubt about the answer of a smaller one. */
+export function isSettled(confidence: number): boolean {
+  return confidence >= CONFIDENCE_BOUND;
+}
+
+/** The model with the least expected cost, where it may fail to settle it. */
+function chooseCheapest(state: CascadeState, largest: string): string {
+  const { models, model, confidence, getCost, estimateSettled } = state;
+  const most = getCost(largest);
+  // One attempt for the model in between, and one for the largest after it.
+  if (most === undefined || state.attemptsLeft < 2) return largest;
+  const guess = confidence / CONFIDENCE_BOUND;
+  let best = largest;
+  let bestCost = WORTHWHILE * most;
+  for (const middle of models.slice(models.indexOf(model) + 1, -1)) {
+    const cost = getCost(middle);
+    if (cost === undefined) continue;
+    const expected = cost + (1 - estimateSettled(middle, guess)) * most;
+    if (expected >= bestCost) continue;
+    best = middle;
+    bestCost = expected;
+  }
+  return best;
 }
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -15,6 +15,7 @@
   estimateTokensToRead,
   type PromptHomes,
   type RepeatBudget,
+  type SettledDoubts,
 } from "../placing/index.js";
 import {
   type AnswerFacts,
@@ -61,6 +62,7 @@
   readonly connections: Connections;
   readonly budget: RepeatBudget;
   readonly sessions: SessionVersions;
+  readonly doubts: SettledDoubts;
   /** Steady clock, ms. */
   readonly now: () => number;
   readonly random: () => number;
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -8,6 +8,7 @@
   type Choice,
   chooseFirstModel,
   chooseNextModel,
+  isSettled,
 } from "../placing/index.js";
 import { REPEAT } from "../types.js";
 import {
@@ -51,6 +52,8 @@
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
   #lastFailure = "";
+  /** Confidence of the first model in its answer. */
+  #doubt: number | undefined;
   #sentFailure: FailureAnswer | undefined;
 
   constructor(services: RunServices, request: RunRequest, sink: AnswerSink) {
@@ -168,14 +171,24 @@
     if (confidence === undefined || attempt.head.status >= 300) {
       return undefined;
     }
-    const { budget, countEntries, now } = this.#services;
+    const { budget, countEntries, now, doubts } = this.#services;
     const nowMs = now();
     const largest = route.models.at(-1) ?? "";
     const largerStartMs =
       attempt.model === largest
         ? 0
         : this.#placement.estimateStartMs(largest, nowMs);
+    const key = `${service.name} ${route.models.join(" ")}`;
+    if (this.#doubt !== undefined && attempt.model !== largest) {
+      doubts.record(key, attempt.model, this.#doubt, isSettled(confidence));
+    }
+    this.#doubt ??= confidence;
+    const doubt = this.#doubt;
     const next = chooseNextModel({
+      getCost: (model) =>
+        service.models.find(({ name }) => name === model)?.cost,
+      estimateSettled: (model, guess) =>
+        doubts.estimate(key, model, doubt, guess),
       models: route.models,
       model: attempt.model,
       confidence,
