Remove a bundle option without effect; share two definitions

Nothing imports the program's file by name, so marking it external did nothing; the services of a run extend the options of its placement, which list the same five; two tests use the test bed's delay. No behaviour changes.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,8 +10,6 @@
 const OPTIONAL = /^(?:mv|dtrace-provider|source-map-support)$/;
 /** Parts of the metrics library that nothing uses and that load slowly. */
 const UNUSED = /^\.\/lib\/(?:pushgateway|defaultMetrics)$/;
-/** The program, which the first file loads once its port is open. */
-const PROGRAM = "./program.cjs";
 
 /** Replaces modules by code that is run when they are asked for. */
 function replaceModules(filter, contents) {
@@ -45,7 +43,6 @@
 await build({
   ...common,
   entryPoints: { entry: "src/platform/start.ts" },
-  external: [PROGRAM],
 });
 // Compiled code is taken from the cache under the same flags only.
 const deploy = parse(readFileSync("deploy/system.toml", "utf8"));
--- a/src/platform/early_listener_test.ts
+++ b/src/platform/early_listener_test.ts
@@ -2,11 +2,10 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, connect, createServer as listen } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { delay } from "../testbed/delay.js";
 import { EarlyListener } from "./early_listener.js";
 import { createConfiguration, TestSystem } from "./entry_fixtures_test.js";
 
-const delay = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 async function findFreePort(): Promise<number> {
   const server = listen();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
--- a/src/platform/endpoint_wishes_test.ts
+++ b/src/platform/endpoint_wishes_test.ts
@@ -1,11 +1,10 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import { delay } from "../testbed/delay.js";
 import { TestSystem } from "./entry_fixtures_test.js";
 import { parseAnswer } from "./headers.js";
 import type { ReplicaStandin } from "./standins/replica.js";
 
-const delay = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 describe("what endpoints ask of the entry", () => {
   let system: TestSystem;
   beforeEach(() => {
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -5,7 +5,6 @@
 
 import type { Agent } from "node:http";
 import type { Logger } from "../../adapters/logs.js";
-import type { FleetView, SessionVersions } from "../fleet/index.js";
 import type { ProxyMetrics } from "../metrics.js";
 import {
   ATTEMPT_RESULT,
@@ -13,7 +12,6 @@
   type Choice,
   type EndpointState,
   estimateTokensToRead,
-  type PromptHomes,
   type RepeatBudget,
 } from "../placing/index.js";
 import {
@@ -33,7 +31,10 @@
   startAttempt,
 } from "./attempt.js";
 import type { Connections } from "./connections.js";
-import type { RequestPlacement } from "./request_placement.js";
+import type {
+  PlacementOptions,
+  RequestPlacement,
+} from "./request_placement.js";
 import { SilenceTimer } from "./silence_timer.js";
 
 /** Part of the target after which a silent endpoint is given up on. */
@@ -53,20 +54,14 @@
 /** Connections of one entry to an endpoint, as a share of an equal split. */
 const CONNECTION_SHARE = 0.8;
 
-export interface RunServices {
-  readonly homes: PromptHomes;
+export interface RunServices extends PlacementOptions {
   readonly wire: Wire;
   readonly log: Logger;
   readonly metrics: ProxyMetrics;
-  readonly view: FleetView;
   readonly connections: Connections;
   readonly budget: RepeatBudget;
-  readonly sessions: SessionVersions;
   /** Steady clock, ms. */
   readonly now: () => number;
-  readonly random: () => number;
-  /** Entries that share the endpoints. */
-  readonly countEntries: () => number;
 }
 
 export interface RunRequest {
