Log which parts a prompt shares and whether a broken stream had begun

An endpoint that ends under a request was logged as "broken" with a time only. Two tests of sendStream compare the whole result and now check the two new fields as well.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -56,6 +56,8 @@
 const STATUS_UNAVAILABLE = 503;
 /** Part that one entry uses of its equal share of an endpoint's connections. */
 const CONNECTION_SHARE = 0.8;
+/** Callers choose the ids, so they may be of any length. */
+const MAX_LOGGED_PARTS_LENGTH = 160;
 
 export interface RunDependencies extends PlacementOptions {
   readonly wire: WireFormat;
@@ -238,6 +240,7 @@
       expectedMs: Math.round(choice.expectedMs),
       load: Math.round(state.estimateLoad(now())),
       limitPerSecond: state.availability.limit.perSecond,
+      parts: describeSharedParts(this.#request.facts),
       config: view.catalog?.configuration.version,
     });
     return {
@@ -386,12 +389,15 @@
   }
 
   /** Ends an attempt whose stream broke. */
-  endBroken(attempt: Attempt, detail: string): void {
+  endBroken(
+    attempt: Attempt,
+    { hasBegun, detail }: { hasBegun: boolean; detail: string },
+  ): void {
     attempt.controller.abort();
     if (!this.#request.signal.aborted) {
       this.#recordResult(attempt, ATTEMPT_RESULT.broken);
     }
-    this.#logEnd(attempt, ATTEMPT_RESULT.broken, detail);
+    this.#logEnd(attempt, ATTEMPT_RESULT.broken, detail, hasBegun);
   }
 
   /** Ends an attempt that the endpoint answered with status 500 or above. */
@@ -406,13 +412,19 @@
     return { kind: OUTCOME_KIND.erred, detail, answer };
   }
 
-  #logEnd(attempt: Attempt, result: string, detail?: string): void {
+  #logEnd(
+    attempt: Attempt,
+    result: string,
+    detail?: string,
+    hasBegun?: boolean,
+  ): void {
     this.#dependencies.log.info("attempt-ended", {
       request: this.#request.facts.id,
       attempt: attempt.number,
       endpoint: attempt.state.record.id,
       result,
       ms: Math.round(this.#dependencies.now() - attempt.startedAtMs),
+      hasBegun,
       detail,
     });
   }
@@ -448,6 +460,15 @@
   }
 }
 
+/** Ids of the parts that the prompt shares with others; the last is its own. */
+function describeSharedParts({ parts }: RequestFacts): string | undefined {
+  const text = parts
+    .slice(0, -1)
+    .map(({ id }) => id)
+    .join(",");
+  return text === "" ? undefined : text.slice(0, MAX_LOGGED_PARTS_LENGTH);
+}
+
 function toAttemptResult(failure: AttemptFailure): AttemptResult {
   const { notRun, notSent } = ATTEMPT_FAILURE;
   if (failure.kind === notRun) return ATTEMPT_RESULT.refused;
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -278,7 +278,10 @@
       this.#lastFailure = signal.aborted
         ? "the caller left or its time was up"
         : (end.detail ?? "");
-      this.#attemptRunner.endBroken(attempt, this.#lastFailure);
+      this.#attemptRunner.endBroken(attempt, {
+        hasBegun: end.hasBegun,
+        detail: this.#lastFailure,
+      });
       const mayResume =
         route.retryPolicy === RETRY_POLICY.resume && !signal.aborted;
       attempt = mayResume
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -40,6 +40,8 @@
   readonly stallTimeoutMs: number;
   /** If false, a stalled stream is kept, as it may still continue. */
   readonly canResumeElsewhere: () => boolean;
+  /** Called at the first event. */
+  readonly onBegin?: () => void;
   /** Aborts when the caller leaves or the deadline passes. */
   readonly signal: AbortSignal;
 }
@@ -47,6 +49,10 @@
 export interface StreamEnd {
   readonly isComplete: boolean;
   readonly lastEventId?: number;
+  /** The endpoint sent at least one event. */
+  readonly hasBegun: boolean;
+  /** The connection ended, or the stream on it, before it was complete. */
+  readonly isCut: boolean;
   readonly detail?: string;
 }
 
@@ -56,20 +62,26 @@
   options: StreamOptions,
 ): Promise<StreamEnd> {
   const { message, stallTimeoutMs, canResumeElsewhere, signal } = options;
+  const { onBegin = () => {} } = options;
   const splitter = new EventSplitter();
   let { lastEventId } = options;
   return new Promise((resolve) => {
     let isSettled = false;
-    const settle = (isComplete: boolean, detail?: string) => {
+    let hasBegun = false;
+    const settle = (
+      end: Pick<StreamEnd, "detail"> & Partial<StreamEnd> = {},
+    ) => {
       if (isSettled) return;
       isSettled = true;
       stallTimer.cancel();
-      resolve({ isComplete, lastEventId, detail });
+      const { isComplete = false, isCut = false, detail } = end;
+      resolve({ isComplete, lastEventId, hasBegun, isCut, detail });
     };
+    const settleCut = (detail: string) => settle({ isCut: true, detail });
     const startStallTimer = () => new InactivityTimer(onStall, stallTimeoutMs);
     const onStall = () => {
       if (canResumeElsewhere())
-        settle(false, `No event for ${stallTimeoutMs} ms`);
+        settle({ detail: `No event for ${stallTimeoutMs} ms` });
       else stallTimer = startStallTimer();
     };
     let stallTimer = startStallTimer();
@@ -87,21 +99,25 @@
       if (isSettled) return;
       const complete = splitter.push(chunk);
       if (splitter.isOversized) {
-        settle(false, `An event exceeds ${MAX_EVENT_BYTES} bytes`);
+        settle({ detail: `An event exceeds ${MAX_EVENT_BYTES} bytes` });
         return;
       }
       if (complete.events.length === 0) return;
-      if (complete.hasEvent) stallTimer.refresh();
+      if (complete.hasEvent) {
+        stallTimer.refresh();
+        if (!hasBegun) onBegin();
+        hasBegun = true;
+      }
       lastEventId = complete.lastEventId ?? lastEventId;
       if (!sink.write(complete.events)) pause();
     });
     message.once("end", () => {
-      if (!isWholeAnswer(message)) settle(false, "Stream ended early");
+      if (!isWholeAnswer(message)) settleCut("Stream ended early");
       else if (splitter.incompleteEvent.length > 0)
-        settle(false, "Stream ended in an event");
-      else settle(true);
+        settleCut("Stream ended in an event");
+      else settle({ isComplete: true });
     });
-    message.once("error", (error) => settle(false, error.message));
-    message.once("close", () => settle(false, "Connection closed"));
+    message.once("error", (error) => settleCut(error.message));
+    message.once("close", () => settleCut("Connection closed"));
   });
 }
--- a/src/proxy/request/send_answer_test.ts
+++ b/src/proxy/request/send_answer_test.ts
@@ -98,6 +98,8 @@
     assert.deepEqual(end, {
       isComplete: true,
       lastEventId: 1,
+      hasBegun: true,
+      isCut: false,
       detail: undefined,
     });
   });
@@ -114,6 +116,8 @@
     assert.deepEqual(end, {
       isComplete: true,
       lastEventId: 1,
+      hasBegun: true,
+      isCut: false,
       detail: undefined,
     });
     assert.equal(sink.written.length, 2);
