--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -36,6 +36,12 @@
   readonly isComplete: boolean;
 }
 
+export interface CrashRecord {
+  readonly endpoint: string;
+  readonly atMs: number;
+  readonly sharedParts: readonly string[];
+}
+
 export interface LogRecord extends LogFields {
   readonly event: string;
 }
@@ -98,8 +104,11 @@
   readonly store = new PlatformStoreStandin();
   readonly logs: LogRecord[] = [];
   readonly replicas = new Map<string, ReplicaStandin>();
+  /** Endpoints that ended under a request, and when. */
+  readonly crashes: CrashRecord[] = [];
   readonly #closers: (() => unknown)[] = [];
   #storePort = 0;
+  #isClosed = false;
   readonly #entries: RunningEntry[] = [];
 
   async startStore(): Promise<void> {
@@ -122,6 +131,32 @@
     return replica;
   }
 
+  /** Starts a replica that is back under another id after each crash. */
+  async startCrashingReplica(
+    options: ReplicaOptions,
+    restartAfterMs: number,
+    fields: object = {},
+  ): Promise<void> {
+    const { id } = options;
+    await this.startReplica(
+      {
+        ...options,
+        onCrash: (sharedParts) => {
+          const atMs = performance.now();
+          this.crashes.push({ endpoint: id, atMs, sharedParts });
+          this.store.delete("servers", id);
+          if (this.#isClosed) return;
+          const timer = setTimeout(() => {
+            const nextOptions = { ...options, id: `${id}x` };
+            void this.startCrashingReplica(nextOptions, restartAfterMs, fields);
+          }, restartAfterMs);
+          this.#closers.push(() => clearTimeout(timer));
+        },
+      },
+      fields,
+    );
+  }
+
   /** Starts an entry; a later one finds the others through the first. */
   async startEntry(bounds: Partial<EntryBounds> = {}): Promise<void> {
     const anyPortAddress = { address: "127.0.0.1", port: 0 };
@@ -266,6 +301,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     for (const entry of this.#entries) entry.abort();
     for (const close of this.#closers) await close();
   }
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -34,6 +34,7 @@
   atMs: 20_050,
   isLeaving: true,
   retryAfterMs: 2_000,
+  sharedParts: [],
 };
 const LATER = { ...CALL, id: "c2", sentAtMs: 20_800, endedAtMs: 20_900 };
 const LATER_ARRIVAL = { ...ARRIVAL, requestId: "c2", atMs: 20_850 };
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -36,6 +36,8 @@
   readonly retryAfterMs?: number;
   /** Requests per second from all entries that the answer asks for. */
   readonly limitPerSecond?: number;
+  /** Ids of the prompt's parts but the last one. */
+  readonly sharedParts: readonly string[];
 }
 
 export interface ReplicaOptions {
@@ -69,6 +71,10 @@
   plainAnswerBytes?: number;
   /** Names another request in the answer, as if two were swapped. */
   sendsWrongRequestId?: boolean;
+  /** Ends as soon as it begins an answer to a prompt with one of these parts. */
+  crashesOn?: ReadonlySet<string>;
+  /** Called when it has ended for that reason. */
+  onCrash?: (sharedParts: readonly string[]) => void;
 }
 
 /** Name of the service that every replica provides. */
@@ -92,6 +98,16 @@
 /** Body of a complete plain answer, unless `plainAnswerBytes` is set. */
 export const PLAIN_ANSWER_BODY = "0123456789".repeat(20);
 
+/** Time between the head of an answer and the crash that it leads to, ms. */
+const CRASH_DELAY_MS = 20;
+
+function listSharedParts({ headers }: IncomingMessage): string[] {
+  return String(headers["prefix-hash"] ?? "")
+    .split(",")
+    .slice(0, -1)
+    .map((item) => item.trim().split(":")[0] ?? "");
+}
+
 export class ReplicaStandin {
   readonly options: ReplicaOptions;
   readonly runs: ReplicaRun[] = [];
@@ -125,7 +141,8 @@
     const chunks: Buffer[] = [];
     request.on("error", () => undefined);
     for await (const chunk of request) chunks.push(chunk as Buffer);
-    this.#recordArrival(String(request.headers["attempt-id"]));
+    const sharedParts = listSharedParts(request);
+    this.#recordArrival(String(request.headers["attempt-id"]), sharedParts);
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== options.id) {
       response.writeHead(421, {
@@ -152,6 +169,10 @@
     });
     if (options.neverAnswers) return;
     await this.#delay();
+    if (sharedParts.some((part) => options.crashesOn?.has(part))) {
+      this.#crash(run, response, sharedParts);
+      return;
+    }
     if (options.isFailing) {
       response.writeHead(500, this.#createHeaders(run));
       response.end("failed");
@@ -163,7 +184,22 @@
     else this.#sendPlain(run, response);
   }
 
-  #recordArrival(requestId: string): void {
+  /** Sends the head of the answer, then breaks all connections. */
+  #crash(
+    run: ReplicaRun,
+    response: ServerResponse,
+    sharedParts: readonly string[],
+  ): void {
+    response.writeHead(200, this.#createHeaders(run));
+    response.flushHeaders();
+    run.state = "cut";
+    setTimeout(() => {
+      this.close();
+      this.options.onCrash?.(sharedParts);
+    }, CRASH_DELAY_MS);
+  }
+
+  #recordArrival(requestId: string, sharedParts: readonly string[]): void {
     const { isFull, isLeaving = false, retryAfter, limit } = this.options;
     this.arrivals.push({
       requestId,
@@ -174,6 +210,7 @@
           ? 1_000 * Number(retryAfter)
           : undefined,
       limitPerSecond: limit === undefined ? undefined : Number(limit),
+      sharedParts,
     });
   }
 
