Refuse requests with a prompt part under which endpoints crash

Callers saw: requests with one part in their prompts ended one endpoint after the other, up to all 13 of a service, and every request that ran there broke.

Cause: the end of an endpoint counted against that endpoint alone. A request that ends each endpoint on which it begins went on to as many as its route allows, and nothing of it was kept for the next one.

Change: an entry records the shared parts of a prompt when the connection ends before the endpoint goes on with the answer it began. A part that an endpoint went on to answer is cleared. The part that most crashes have in common explains them; with three crashes it is held, and requests with it are refused as not run before their body is read. Entries exchange crashes and holds with the messages that they send anyway. A request under which two endpoints ended is not retried.

Why it works: only the part that crashes endpoints is in all these prompts and in no answered one.

Ruled out: load as the cause (endpoints with one request end as well). Weighed and not built: holding the whole account or first part, which refuses sound requests.

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -87,7 +87,7 @@
 const DISCARD_TIMEOUT_MS = 1_000;
 
 /** Discards the rest of a body; disconnects when it does not end in time. */
-function ignoreBody(request: IncomingMessage): void {
+export function ignoreBody(request: IncomingMessage): void {
   request.resume();
   const timer = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
   request.once("close", () => clearTimeout(timer));
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -24,6 +24,7 @@
   "version-withdrawn": { status: 410, ran: "no" },
   overloaded: { status: 429, ran: "no" },
   capacity: { status: 503, ran: "no" },
+  "prompt-held": { status: 503, ran: "no" },
   draining: { status: 503, ran: "no" },
   stopping: { status: 503, ran: "no" },
   isolated: { status: 503, ran: "no" },
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -20,6 +20,7 @@
   type NetworkAddress,
   Peers,
   PreferredEndpoints,
+  PromptHolds,
   ProxyMetrics,
   RequestHandler,
   RetryBudget,
@@ -130,6 +131,13 @@
     random,
     log,
   });
+  const promptHolds = new PromptHolds({
+    selfName: settings.name,
+    listSharers: () => peers.listSharers(),
+    onHold: () => {},
+    clock,
+    log,
+  });
   const peerServer = await startPeerServer(
     new Map<string, MessageHandler>([
       [EXCHANGE_PATH, (data) => peers.answer(data)],
@@ -150,6 +158,7 @@
     rollouts: view.rollouts,
     sessions,
     limits,
+    promptHolds,
     now,
     random,
     log,
@@ -174,6 +183,7 @@
     }),
     sessions,
     limits,
+    promptHolds,
     countEntries: () => peers.countEntries(),
     maxConfigAgeMs,
     maxDenyAgeMs: bounds.configMs,
--- a/src/proxy/fleet/endpoint_limits.ts
+++ b/src/proxy/fleet/endpoint_limits.ts
@@ -16,6 +16,7 @@
 import type { SuspendClock } from "../suspend_clock.js";
 import type { AnswerFacts } from "../types.js";
 import type { EndpointTable } from "./endpoint_table.js";
+import { MAX_TRANSIT_MS } from "./peer_messages.js";
 
 /** Time for which a computed part is used; the entries rarely change. */
 const SHARE_LIFETIME_MS = 250;
@@ -23,11 +24,6 @@
 const MAX_SHARES = 1_000;
 /** Time for which other entries are told that a limit has ended. */
 const REPORT_END_FOR_MS = 30_000;
-/**
- * Most time that a message is in transit. Reports count as older by it: without
- * that, entries would make old knowledge newer with each message.
- */
-const MAX_TRANSIT_MS = 1_000;
 /** Factor of the score where this entry uses an endpoint for others as well. */
 const STAND_IN_SCORE_FACTOR = 0.5;
 
--- a/src/proxy/fleet/index.ts
+++ b/src/proxy/fleet/index.ts
@@ -7,6 +7,7 @@
 export * from "./freshness.js";
 export * from "./peer_messages.js";
 export * from "./peers.js";
+export * from "./prompt_holds.js";
 export * from "./rollout_evidence.js";
 export * from "./rollouts.js";
 export * from "./session_versions.js";
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -15,6 +15,11 @@
 
 /** Largest message that is accepted from another entry. */
 const MAX_MESSAGE_BYTES = 8_388_608;
+/**
+ * Most time that a message is in transit. Reports count as older by it: without
+ * that, entries would make old knowledge newer with each message.
+ */
+export const MAX_TRANSIT_MS = 1_000;
 
 export interface OutgoingMessage {
   readonly agent: Agent;
--- a/src/proxy/fleet/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -14,6 +14,7 @@
 import type { NetworkAddress } from "../types.js";
 import type { EndpointLimits } from "./endpoint_limits.js";
 import { sendMessage } from "./peer_messages.js";
+import type { PromptHolds } from "./prompt_holds.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
 
@@ -49,6 +50,10 @@
   readonly rollouts: Rollouts;
   readonly sessions: SessionVersions;
   readonly limits: Pick<EndpointLimits, "listReports" | "merge">;
+  readonly promptHolds: Pick<
+    PromptHolds,
+    "listCrashReports" | "listHoldReports" | "mergeCrashes" | "mergeHolds"
+  >;
   readonly now: () => number;
   readonly random: () => number;
   readonly log: Logger;
@@ -178,7 +183,8 @@
   }
 
   #createMessage(): Uint8Array {
-    const { self, rollouts, sessions, limits, now, random } = this.#options;
+    const { self, rollouts, sessions, limits, promptHolds, now, random } =
+      this.#options;
     const nowMs = now();
     const presentPeers = this.#listHeardWithin(ABSENT_AFTER_MS);
     const listedCount = Math.max(
@@ -198,6 +204,8 @@
       rollouts: rollouts.listReports(nowMs),
       sessions: sessions.listReports(nowMs),
       limits: limits.listReports(),
+      crashes: promptHolds.listCrashReports(),
+      holds: promptHolds.listHoldReports(),
     }).finish();
   }
 
@@ -220,7 +228,7 @@
   }
 
   #applyMessage(data: Uint8Array): void {
-    const { log, now, rollouts, sessions, limits } = this.#options;
+    const { log, now, rollouts, sessions, limits, promptHolds } = this.#options;
     let message: Exchange;
     try {
       message = Exchange.decode(data);
@@ -240,6 +248,8 @@
     for (const report of message.rollouts) rollouts.mergeReport(report, nowMs);
     sessions.merge(message.sessions, nowMs);
     limits.merge(message.limits);
+    promptHolds.mergeHolds(message.holds);
+    promptHolds.mergeCrashes(message.crashes);
   }
 
   #recordPeer(place: Place, lastHeardAtMs: number): void {
--- a/src/proxy/fleet/peers_test.ts
+++ b/src/proxy/fleet/peers_test.ts
@@ -17,6 +17,13 @@
   readonly abortController: AbortController;
 }
 
+const NO_HOLDS = {
+  listCrashReports: () => [],
+  listHoldReports: () => [],
+  mergeCrashes: () => {},
+  mergeHolds: () => {},
+};
+
 describe("exchange between entries", () => {
   const closers: (() => void)[] = [];
   afterEach(() => {
@@ -41,6 +48,7 @@
       rollouts,
       sessions,
       limits: { listReports: () => [], merge: () => {} },
+      promptHolds: NO_HOLDS,
       now: () => performance.now(),
       random: Math.random,
       log: LOG,
@@ -212,6 +220,7 @@
       rollouts: new Rollouts("e0", 0.15),
       sessions: new SessionVersions({ maxGapMs: 5_000, reportBelow: 1 }),
       limits: { listReports: () => [], merge: () => {} },
+      promptHolds: NO_HOLDS,
       now: () => nowMs,
       random: Math.random,
       log: LOG,
--- a/src/proxy/placing/index.ts
+++ b/src/proxy/placing/index.ts
@@ -1,5 +1,6 @@
 export * from "./announced_availability.js";
 export * from "./cascade.js";
+export * from "./crash_evidence.js";
 export * from "./endpoint_choice.js";
 export * from "./endpoint_limit.js";
 export * from "./endpoint_state.js";
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -6,7 +6,7 @@
 
 import type { Agent } from "node:http";
 import type { Logger } from "../../adapters/logger.js";
-import type { LimitReservation } from "../fleet/index.js";
+import type { LimitReservation, PromptHolds } from "../fleet/index.js";
 import {
   ATTEMPT_RESULT,
   type AttemptResult,
@@ -65,6 +65,7 @@
   readonly metrics: ProxyMetrics;
   readonly connections: Connections;
   readonly retryBudget: RetryBudget;
+  readonly promptHolds: PromptHolds;
   /** Monotonic clock, ms. */
   readonly now: () => number;
 }
@@ -308,6 +309,7 @@
       wire,
       maySend: () =>
         this.#dependencies.view.maySendTo(attempt.state, now()) &&
+        this.#dependencies.promptHolds.find(facts) === undefined &&
         attempt.reservation.redeem(),
       onHead: (status: number, answerFacts: AnswerFacts) =>
         this.#recordAvailability(
@@ -383,7 +385,10 @@
     // If the caller left or the deadline passed, the endpoint has no fault.
     const isCancelled = this.#request.signal.aborted;
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
-    if (isFault) this.#recordResult(attempt, toAttemptResult(failure));
+    const isBlameless = isFault && failure.isCut && this.#recordCrash(attempt);
+    if (isFault && !isBlameless) {
+      this.#recordResult(attempt, toAttemptResult(failure));
+    }
     this.#logEnd(attempt, kind, detail);
     return { kind, detail };
   }
@@ -391,15 +396,38 @@
   /** Ends an attempt whose stream broke. */
   endBroken(
     attempt: Attempt,
-    { hasBegun, detail }: { hasBegun: boolean; detail: string },
+    end: { hasBegun: boolean; isCut: boolean; detail: string },
   ): void {
+    const { hasBegun, isCut, detail } = end;
     attempt.controller.abort();
     if (!this.#request.signal.aborted) {
-      this.#recordResult(attempt, ATTEMPT_RESULT.broken);
+      const isBlameless = isCut && !hasBegun && this.#recordCrash(attempt);
+      if (!isBlameless) this.#recordResult(attempt, ATTEMPT_RESULT.broken);
     }
     this.#logEnd(attempt, ATTEMPT_RESULT.broken, detail, hasBegun);
   }
 
+  /** Records that the endpoint goes on after it has begun its answer. */
+  recordBegin(): void {
+    this.#dependencies.promptHolds.recordAnswer(this.#request.facts.parts);
+  }
+
+  /** Records the crash of an endpoint whose answer waits to be delivered. */
+  recordCrashWhileWaiting(attempt: Attempt): void {
+    if (!this.#request.signal.aborted) this.#recordCrash(attempt);
+  }
+
+  /** True when the request, not the endpoint, is likely to have caused it. */
+  #recordCrash({ state }: Attempt): boolean {
+    // Planned stops break streams as well.
+    if (state.isLeaving) return false;
+    const { id, startedAtMs = 0 } = state.record;
+    return this.#dependencies.promptHolds.recordCrash(
+      `${id}/${startedAtMs}`,
+      this.#request.facts.parts,
+    );
+  }
+
   /** Ends an attempt that the endpoint answered with status 500 or above. */
   async #endErred(attempt: AnsweredAttempt): Promise<AttemptOutcome> {
     const { head, stallTimeoutMs } = attempt;
--- a/src/proxy/request/low_confidence_answer.ts
+++ b/src/proxy/request/low_confidence_answer.ts
@@ -16,9 +16,15 @@
   readonly #attempt: AnsweredAttempt;
   readonly #timer: NodeJS.Timeout;
 
-  constructor(attempt: AnsweredAttempt) {
+  /** `onCut` is called if the endpoint ends before it has sent an event. */
+  constructor(attempt: AnsweredAttempt, onCut: () => void) {
     this.#attempt = attempt;
     this.#timer = setTimeout(() => this.discard(), MAX_OVERLAP_MS);
+    const { message } = attempt.head;
+    message.once("close", () => {
+      const hasEvents = message.readableLength > 0 || message.readableFlowing;
+      if (!attempt.controller.signal.aborted && !hasEvents) onCut();
+    });
   }
 
   /** The answer to deliver; undefined if it was discarded or has broken. */
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -4,12 +4,13 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { readBody } from "../../adapters/http_server.js";
+import { ignoreBody, readBody } from "../../adapters/http_server.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
 import type { RawHeaders, RequestFacts, Route, WireFormat } from "../types.js";
 import type { RunDependencies, RunRequest } from "./attempt_runner.js";
+import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
@@ -104,6 +105,13 @@
     const headers = incoming.rawHeaders;
     const facts = wire.parseRequest(method, target, headers);
     const sink = createSink(response, wire, facts?.id ?? "");
+    const { promptHolds } = this.#options;
+    const held = facts === undefined ? undefined : promptHolds.admit(facts);
+    if (facts !== undefined && held !== undefined) {
+      ignoreBody(incoming);
+      this.#refuse(sink, facts, createHeldRefusal(promptHolds, held, random));
+      return;
+    }
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const body = await readBody(incoming, limit).catch((error: Error) => {
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -5,6 +5,7 @@
  */
 
 import { createRefusal } from "../../core/errors.js";
+import type { HeldParts } from "../fleet/index.js";
 import {
   chooseFirstModel,
   chooseNextModel,
@@ -20,6 +21,7 @@
   type RunDependencies,
   type RunRequest,
 } from "./attempt_runner.js";
+import { createHeldRefusal } from "./held_refusal.js";
 import { LowConfidenceAnswer } from "./low_confidence_answer.js";
 import { RequestPlacement } from "./request_placement.js";
 import {
@@ -53,6 +55,8 @@
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
   #lastFailure = "";
+  /** Parts of the prompt for which no more attempts may be made. */
+  #heldParts: HeldParts | undefined;
   /** Last error answer of an endpoint; passed on if no attempt succeeds. */
   #errorAnswer: ErrorAnswer | undefined;
 
@@ -98,7 +102,9 @@
       if (next === undefined) return await this.#deliver(attempt);
       // The model ran the request even if its answer is discarded later.
       this.#mayHaveRun = true;
-      fallback = new LowConfidenceAnswer(attempt);
+      fallback = new LowConfidenceAnswer(attempt, () =>
+        this.#attemptRunner.recordCrashWhileWaiting(attempt),
+      );
       this.#triedEndpointIds.clear();
       model = next;
     }
@@ -153,13 +159,21 @@
 
   #choose(model: string): EndpointChoice | undefined {
     const { service, signal, deadlineAtMs } = this.#request;
-    const { now, countEntries, retryBudget } = this.#dependencies;
+    const { now, countEntries, retryBudget, promptHolds } = this.#dependencies;
     const nowMs = now();
     if (signal.aborted || deadlineAtMs - nowMs < MIN_ATTEMPT_MS) {
       return this.#addFailure("no time is left");
     }
     if (this.#attemptsLeft <= 0)
       return this.#addFailure("no attempts are left");
+    const { facts } = this.#request;
+    this.#heldParts = promptHolds.find(facts);
+    if (this.#heldParts !== undefined) {
+      return this.#addFailure("a part of the prompt is held");
+    }
+    if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts.parts)) {
+      return this.#addFailure("endpoints crashed under a part of the prompt");
+    }
     const entryCount = countEntries();
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
     if (choice === undefined) return this.#addFailure("no endpoint is open");
@@ -241,6 +255,7 @@
     const body = await readAnswerBody(head.message, stallTimeoutMs);
     attempt.release();
     if (body.isOk()) {
+      this.#attemptRunner.recordBegin();
       sendAnswer(this.#sink, this.#dependencies.wire, head, body.value);
       return "answered";
     }
@@ -267,6 +282,7 @@
         lastEventId,
         stallTimeoutMs: route.targetEventGapMs * STALL_TIMEOUT_PER_TARGET_GAP,
         canResumeElsewhere: () => this.#canResumeElsewhere(),
+        onBegin: () => this.#attemptRunner.recordBegin(),
         signal,
       });
       attempt.release();
@@ -280,6 +296,7 @@
         : (end.detail ?? "");
       this.#attemptRunner.endBroken(attempt, {
         hasBegun: end.hasBegun,
+        isCut: end.isCut,
         detail: this.#lastFailure,
       });
       const mayResume =
@@ -324,7 +341,7 @@
   /** Forwards an endpoint's error or refuses, telling if it may have run. */
   #sendFailure(): RunOutcome {
     const { signal, deadlineAtMs } = this.#request;
-    const { now, random, wire } = this.#dependencies;
+    const { now, random, wire, promptHolds } = this.#dependencies;
     if (this.#errorAnswer !== undefined) {
       const { head, body } = this.#errorAnswer;
       sendAnswer(this.#sink, wire, head, body);
@@ -339,6 +356,10 @@
       this.#sink.refuse(createRefusal("deadline-exceeded", detail, { ran }));
     } else if (this.#mayHaveRun) {
       this.#sink.refuse(createRefusal("outcome-unknown", detail));
+    } else if (this.#heldParts !== undefined) {
+      this.#sink.refuse(
+        createHeldRefusal(promptHolds, this.#heldParts, random),
+      );
     } else {
       const reopensInMs = this.#placement.assignReturnDelay(now()) ?? 0;
       const retryAfterMs = reopensInMs + spreadMs;
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -40,7 +40,7 @@
   readonly stallTimeoutMs: number;
   /** If false, a stalled stream is kept, as it may still continue. */
   readonly canResumeElsewhere: () => boolean;
-  /** Called at the first event. */
+  /** Called once, when the endpoint goes on after the first event. */
   readonly onBegin?: () => void;
   /** Aborts when the caller leaves or the deadline passes. */
   readonly signal: AbortSignal;
@@ -49,7 +49,7 @@
 export interface StreamEnd {
   readonly isComplete: boolean;
   readonly lastEventId?: number;
-  /** The endpoint sent at least one event. */
+  /** The endpoint went on after it had begun the answer. */
   readonly hasBegun: boolean;
   /** The connection ended, or the stream on it, before it was complete. */
   readonly isCut: boolean;
@@ -67,7 +67,12 @@
   let { lastEventId } = options;
   return new Promise((resolve) => {
     let isSettled = false;
+    let readsWithEvents = 0;
     let hasBegun = false;
+    const begin = () => {
+      if (!hasBegun) onBegin();
+      hasBegun = true;
+    };
     const settle = (
       end: Pick<StreamEnd, "detail"> & Partial<StreamEnd> = {},
     ) => {
@@ -105,8 +110,8 @@
       if (complete.events.length === 0) return;
       if (complete.hasEvent) {
         stallTimer.refresh();
-        if (!hasBegun) onBegin();
-        hasBegun = true;
+        readsWithEvents++;
+        if (readsWithEvents > 1) begin();
       }
       lastEventId = complete.lastEventId ?? lastEventId;
       if (!sink.write(complete.events)) pause();
@@ -115,7 +120,10 @@
       if (!isWholeAnswer(message)) settleCut("Stream ended early");
       else if (splitter.incompleteEvent.length > 0)
         settleCut("Stream ended in an event");
-      else settle({ isComplete: true });
+      else {
+        begin();
+        settle({ isComplete: true });
+      }
     });
     message.once("error", (error) => settleCut(error.message));
     message.once("close", () => settleCut("Connection closed"));
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -44,6 +44,8 @@
   readonly kind: AttemptFailureKind;
   readonly detail: string;
   readonly facts?: AnswerFacts;
+  /** The connection ended within the body of the answer. */
+  readonly isCut?: boolean;
 }
 
 export interface AttemptHead {
@@ -222,12 +224,15 @@
 ): Promise<Result<Buffer, AttemptFailure>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
+    let isCut = true;
     const fail = (detail: string) =>
-      resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail }));
+      resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail, isCut }));
+    const abandon = (detail: string) => {
+      isCut = false;
+      message.destroy(new Error(detail));
+    };
     const failStalled = () =>
-      message.destroy(
-        new Error(`Nothing of the answer for ${stallTimeoutMs} ms`),
-      );
+      abandon(`Nothing of the answer for ${stallTimeoutMs} ms`);
     const stallTimer =
       stallTimeoutMs === undefined
         ? undefined
@@ -238,8 +243,7 @@
       stallTimer?.refresh();
       size += chunk.length;
       if (size <= MAX_ANSWER_BYTES) chunks.push(chunk);
-      else
-        message.destroy(new Error(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`));
+      else abandon(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`);
     });
     message.once("end", () => {
       if (isWholeAnswer(message)) resolve(ok(Buffer.concat(chunks)));
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -29,6 +29,41 @@
   sessions: SessionReport[];
   /** Endpoints that limit their rate, or did so recently. */
   limits: LimitReport[];
+  /** Endpoints that ended as they began an answer. */
+  crashes: EndpointCrash[];
+  holds: PromptHold[];
+}
+
+/**
+ * An endpoint that ended, with the prompts on which it had just begun an
+ * answer.
+ */
+export interface EndpointCrash {
+  endpoint: string;
+  /** Milliseconds since the crash. */
+  ageMs: number;
+  prompts: PromptParts[];
+}
+
+/** The parts of one prompt that may have led to the crash. */
+export interface PromptParts {
+  ids: string[];
+}
+
+/**
+ * Parts of prompts under which endpoints crash. A prompt that has all of them
+ * is refused.
+ */
+export interface PromptHold {
+  parts: string[];
+  /** False once the parts were released. */
+  isHeld: boolean;
+  /** Endpoints that ended under them. */
+  crashes: number;
+  /** How often they were held again after a trial that failed. */
+  failedTrials: number;
+  /** Milliseconds since the parts were held or released. */
+  ageMs: number;
 }
 
 /** The rate that an endpoint takes from all entries together. */
@@ -148,7 +183,16 @@
 }
 
 function createBaseExchange(): Exchange {
-  return { sender: undefined, leaving: false, peers: [], rollouts: [], sessions: [], limits: [] };
+  return {
+    sender: undefined,
+    leaving: false,
+    peers: [],
+    rollouts: [],
+    sessions: [],
+    limits: [],
+    crashes: [],
+    holds: [],
+  };
 }
 
 export const Exchange: MessageFns<Exchange> = {
@@ -171,6 +215,12 @@
     for (const v of message.limits) {
       LimitReport.encode(v!, writer.uint32(50).fork()).join();
     }
+    for (const v of message.crashes) {
+      EndpointCrash.encode(v!, writer.uint32(58).fork()).join();
+    }
+    for (const v of message.holds) {
+      PromptHold.encode(v!, writer.uint32(66).fork()).join();
+    }
     return writer;
   },
 
@@ -235,6 +285,22 @@
             message.limits.push(LimitReport.decode(reader, reader.uint32()));
             continue;
           }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.crashes.push(EndpointCrash.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 8: {
+            if (tag !== 66) {
+              break;
+            }
+
+            message.holds.push(PromptHold.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -260,6 +326,245 @@
     message.rollouts = object.rollouts?.map((e) => RolloutReport.fromPartial(e)) || [];
     message.sessions = object.sessions?.map((e) => SessionReport.fromPartial(e)) || [];
     message.limits = object.limits?.map((e) => LimitReport.fromPartial(e)) || [];
+    message.crashes = object.crashes?.map((e) => EndpointCrash.fromPartial(e)) || [];
+    message.holds = object.holds?.map((e) => PromptHold.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseEndpointCrash(): EndpointCrash {
+  return { endpoint: "", ageMs: 0, prompts: [] };
+}
+
+export const EndpointCrash: MessageFns<EndpointCrash> = {
+  encode(message: EndpointCrash, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.endpoint !== "") {
+      writer.uint32(10).string(message.endpoint);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(16).uint32(message.ageMs);
+    }
+    for (const v of message.prompts) {
+      PromptParts.encode(v!, writer.uint32(26).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): EndpointCrash {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseEndpointCrash();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.endpoint = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.prompts.push(PromptParts.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<EndpointCrash>): EndpointCrash {
+    return EndpointCrash.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<EndpointCrash>): EndpointCrash {
+    const message = createBaseEndpointCrash();
+    message.endpoint = object.endpoint ?? "";
+    message.ageMs = object.ageMs ?? 0;
+    message.prompts = object.prompts?.map((e) => PromptParts.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBasePromptParts(): PromptParts {
+  return { ids: [] };
+}
+
+export const PromptParts: MessageFns<PromptParts> = {
+  encode(message: PromptParts, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.ids) {
+      writer.uint32(10).string(v!);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PromptParts {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePromptParts();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.ids.push(reader.string());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<PromptParts>): PromptParts {
+    return PromptParts.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<PromptParts>): PromptParts {
+    const message = createBasePromptParts();
+    message.ids = object.ids?.map((e) => e) || [];
+    return message;
+  },
+};
+
+function createBasePromptHold(): PromptHold {
+  return { parts: [], isHeld: false, crashes: 0, failedTrials: 0, ageMs: 0 };
+}
+
+export const PromptHold: MessageFns<PromptHold> = {
+  encode(message: PromptHold, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.parts) {
+      writer.uint32(10).string(v!);
+    }
+    if (message.isHeld !== false) {
+      writer.uint32(16).bool(message.isHeld);
+    }
+    if (message.crashes !== 0) {
+      writer.uint32(24).uint32(message.crashes);
+    }
+    if (message.failedTrials !== 0) {
+      writer.uint32(32).uint32(message.failedTrials);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(40).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PromptHold {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePromptHold();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.parts.push(reader.string());
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.isHeld = reader.bool();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.crashes = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.failedTrials = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<PromptHold>): PromptHold {
+    return PromptHold.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<PromptHold>): PromptHold {
+    const message = createBasePromptHold();
+    message.parts = object.parts?.map((e) => e) || [];
+    message.isHeld = object.isHeld ?? false;
+    message.crashes = object.crashes ?? 0;
+    message.failedTrials = object.failedTrials ?? 0;
+    message.ageMs = object.ageMs ?? 0;
     return message;
   },
 };
