Keep held prompt parts in the store, and let operators release them

After a loss of all entries nobody knows which parts are held, and each entry would learn it from crashes again. The entry that finds a part writes it to the store, one call; each entry reads the list once when it starts. Between entries the exchange stays the only way, so no watch is added. A POST of the part to /release-prompt-part on the control address lets it go at all entries.

Tests: refused at once and as not run, before the body; known after all entries start anew; served after a release; nothing held where data centres end with all their requests; few endpoints end in a cascade.

--- a/src/platform/crashing_part_test.ts
+++ b/src/platform/crashing_part_test.ts
@@ -25,7 +25,15 @@
         RESTART_MS,
       );
     }
-    await delay(300);
+    await waitUntilKnown(entryCount, endpointCount);
+  }
+
+  async function waitUntilKnown(entries: number, endpoints: number) {
+    const isAdded = ({ event }: { event: string }) =>
+      event === "endpoint-added";
+    await system.waitFor(
+      () => system.logs.filter(isAdded).length >= entries * endpoints,
+    );
   }
 
   function send(
@@ -76,4 +84,133 @@
     const served = answers.filter((answer) => answer?.isComplete === true);
     assert.ok(served.length >= 190, `${served.length} of 200 are served`);
   });
+
+  /** Sends requests with the part until no more of them reach an endpoint. */
+  async function sendUntilHeld(entryCount: number): Promise<void> {
+    for (let entry = 0; entry < entryCount; entry++) {
+      await send(`s${entry}`, entry, ["first", `own-${entry}`]);
+    }
+    for (let i = 0; i < 4; i++) {
+      await send(`h${i}`, i % entryCount, ["first", CRASHING_PART, `own-${i}`]);
+    }
+    await system.waitFor(() => listHeldBy().size === entryCount);
+  }
+
+  function listHeldBy(): Set<unknown> {
+    const held = system.logs.filter(
+      ({ event }) => event === "prompt-part-held",
+    );
+    return new Set(held.map(({ entry }) => entry));
+  }
+
+  it("has its requests refused at once, as not run", async () => {
+    await start(1, 4);
+    await sendUntilHeld(1);
+    const sentMs = performance.now();
+    const answer = await send("x", 0, ["other", CRASHING_PART, "own"]);
+    assert.ok(performance.now() - sentMs < 100);
+    assert.equal(answer?.status, 503);
+    assert.match(answer.body, /^prompt-held: /);
+    assert.ok(Number(answer.headers["retry-after"]) >= 60);
+    assert.equal(system.listRuns("x").length, 0);
+  });
+
+  it("is refused before the body of the request has come", async () => {
+    await start(1, 4);
+    await sendUntilHeld(1);
+    const answer = await system.call("/stream/a", {
+      id: "x",
+      headers: {
+        "prefix-hash": `${CRASHING_PART}:9,own:9`,
+        "content-length": "50000",
+      },
+      body: "only the beginning",
+      isBodyOpen: true,
+    });
+    assert.equal(answer.status, 503);
+  });
+
+  it("is known to entries that all start anew", async () => {
+    await start(2, 4);
+    await sendUntilHeld(2);
+    await system.waitFor(
+      () => system.store.listNames("prompt-holds").length > 0,
+    );
+    system.abortEntries();
+    await system.startEntry();
+    await system.waitFor(() => system.isReady);
+    await system.waitFor(() =>
+      system.logs.some(
+        ({ event, source }) =>
+          event === "prompt-part-held" && source === "store",
+      ),
+    );
+    const answer = await send("x", 0, ["first", CRASHING_PART, "own"]);
+    assert.equal(answer?.status, 503);
+    assert.equal(system.listRuns("x").length, 0);
+  });
+
+  it("is served again once an operator has released it", async () => {
+    await start(2, 4);
+    await sendUntilHeld(2);
+    await delay(RESTART_MS + 500);
+    for (const replica of system.replicas.values()) {
+      replica.options.crashesOn = undefined;
+    }
+    const text = await system.releasePromptPart(CRASHING_PART);
+    assert.equal(text, "1 released\n");
+    await system.waitFor(async () => {
+      const answers = await Promise.all(
+        [0, 1].map((i) => send(`x${i}`, i, ["first", CRASHING_PART, "own"])),
+      );
+      return answers.every((answer) => answer?.isComplete);
+    });
+    await system.waitFor(
+      () => system.store.listNames("prompt-holds").length === 0,
+    );
+  });
+
+  // Its connections break as in a crash, but no part of a prompt is to blame.
+  it("is not found where whole data centres end with all requests", async () => {
+    await system.start([], {}, 2);
+    const running: Promise<unknown>[] = [];
+    for (let round = 0; round < 4; round++) {
+      for (let i = 0; i < 6; i++) {
+        await system.startReplica({ id: `i-${round}-${i}`, delayMs: 60 });
+      }
+      await delay(150);
+      for (let i = 0; i < 40; i++) {
+        const parts = ["first", `m${i % 9}`, `own-${round}-${i}`];
+        running.push(send(`r${round}-${i}`, i % 2, parts));
+        await delay(5);
+      }
+      for (let i = 0; i < 6; i++) {
+        system.replicas.get(`i-${round}-${i}`)?.close();
+        system.store.delete("servers", `i-${round}-${i}`);
+      }
+    }
+    await Promise.all(running);
+    assert.equal(listHeldBy().size, 0);
+  });
+
+  it("ends few endpoints where a cascade asks a second model", async () => {
+    const confidence = { small: 5, middle: 5, large: 90 };
+    await system.start([], {}, 1);
+    for (let i = 0; i < 8; i++) {
+      await system.startCrashingReplica(
+        { id: `i-${i}`, confidence, crashesOn: new Set([CRASHING_PART]) },
+        60_000,
+      );
+    }
+    await waitUntilKnown(1, 8);
+    for (let i = 0; i < 6; i++) {
+      await system
+        .call("/stream/sized/a", {
+          id: `c${i}`,
+          headers: { "prefix-hash": `${CRASHING_PART}:9,own-${i}:9` },
+        })
+        .catch(() => undefined);
+    }
+    assert.ok(system.crashes.length <= 4, `${system.crashes.length} crashes`);
+  });
 });
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -37,6 +37,7 @@
 import { FleetSync } from "./fleet_sync.js";
 import { platformWire } from "./platform_wire.js";
 import { StoreClient } from "./store_client.js";
+import { StoredHolds } from "./stored_holds.js";
 
 const READY_PATH = "/hornbeamrill/readyz";
 /** Interval of checks for due roll-out outcomes and expired records, ms. */
@@ -60,6 +61,9 @@
 /** Share of the grace period after which running requests are aborted. */
 const ABORT_SHARE = 0.94;
 
+/** HTTP path at which an operator releases a prompt part, named in the body. */
+const RELEASE_PATH = "/release-prompt-part";
+
 /** Length of the random id of this start; each message to peers carries it. */
 const INCARNATION_BYTES = 6;
 /**
@@ -134,14 +138,30 @@
   const promptHolds = new PromptHolds({
     selfName: settings.name,
     listSharers: () => peers.listSharers(),
-    onHold: () => {},
+    onHold: (held) => void storedHolds.write(held),
+    onRelease: (held) => void storedHolds.remove(held),
     clock,
     log,
   });
+  const storedHolds = new StoredHolds({
+    store,
+    promptHolds,
+    now: () => clock.now(),
+    readWallClockMs: Date.now,
+    log,
+    signal,
+  });
   const peerServer = await startPeerServer(
     new Map<string, MessageHandler>([
       [EXCHANGE_PATH, (data) => peers.answer(data)],
       [NEWS_PATH, (data) => sync.relay.answer(data)],
+      [
+        RELEASE_PATH,
+        (data) => {
+          const part = Buffer.from(data).toString().trim();
+          return Buffer.from(`${promptHolds.releasePart(part)} released\n`);
+        },
+      ],
     ]),
     settings.exchangeAddress,
   );
@@ -211,6 +231,7 @@
       metrics.loopDelaySeconds.set(loopDelay.meanMs / 1_000);
       metrics.endpoints.set(view.endpoints.size);
       metrics.setEndpointLimits(limits.listStatuses());
+      metrics.heldPromptParts.set(promptHolds.listHeld().length);
       return metrics.render();
     },
     { address: settings.address, port: settings.metricsPort },
@@ -229,6 +250,7 @@
   };
   void peers.run();
   void sync.run();
+  void storedHolds.load();
   void runTicks({ view, sync, peers, loopDelay, now, log, signal });
   return {
     callerPort: (callerServer.address() as AddressInfo).port,
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -245,6 +245,8 @@
       headers?: Record<string, string>;
       deadlineMs?: number;
       signal?: AbortSignal;
+      /** The rest of the body never comes. */
+      isBodyOpen?: boolean;
       /** Number of the entry, from 0. */
       entry?: number;
       /** Called with the body received so far. */
@@ -288,14 +290,31 @@
               isComplete: response.complete,
             });
           response.once("error", resolveAnswer);
-          response.once("end", resolveAnswer);
+          response.once("end", () => {
+            resolveAnswer();
+            if (options.isBodyOpen) clientRequest.destroy();
+          });
         },
       );
       clientRequest.once("error", reject);
-      clientRequest.end(body);
+      if (options.isBodyOpen) clientRequest.write(body);
+      else clientRequest.end(body);
     });
   }
 
+  /** Ends all entries without a word, as a loss of power does. */
+  abortEntries(): void {
+    for (const entry of this.#entries.splice(0)) entry.abort();
+  }
+
+  /** Releases a held part as an operator does; resolves to the answer. */
+  async releasePromptPart(part: string): Promise<string> {
+    const port = this.#entries[0]?.exchangePort;
+    const url = `http://127.0.0.1:${port}/release-prompt-part`;
+    const answer = await fetch(url, { method: "POST", body: part });
+    return await answer.text();
+  }
+
   async stop(entry = 0): Promise<void> {
     await this.#entries[entry]?.stop();
   }
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -19,9 +19,9 @@
 import { STORE_FAILURE } from "./failures.js";
 import {
   OBJECT_KIND,
-  type ObjectKind,
   type StoreClient,
   type StoredObject,
+  type ViewKind,
 } from "./store_client.js";
 import { StoreOutage } from "./store_outage.js";
 import {
@@ -162,7 +162,7 @@
       },
     });
     const createWatch = (
-      kind: ObjectKind,
+      kind: ViewKind,
       waitMs: number,
       handlers: WatchHandlers,
     ) =>
@@ -283,7 +283,7 @@
   }
 
   #createWatch(
-    kind: ObjectKind,
+    kind: ViewKind,
     kindOptions: Pick<
       WatchOptions,
       "handlers" | "confirmsAtCallStart" | "getPauseMs" | "getWaitMs"
--- a/src/platform/standins/store.ts
+++ b/src/platform/standins/store.ts
@@ -118,6 +118,10 @@
     this.#recordEvent(kind, stored, true);
   }
 
+  listNames(kind: string): string[] {
+    return [...(this.#objects.get(kind)?.keys() ?? [])];
+  }
+
   getSpec(kind: string, name: string): unknown {
     return this.#objects.get(kind)?.get(name)?.spec;
   }
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -18,7 +18,11 @@
   rollouts: "rollouts",
   evacuations: "evacuations",
 } as const;
-export type ObjectKind = (typeof OBJECT_KIND)[keyof typeof OBJECT_KIND];
+/** Kind of the held prompt parts, which only entries write. */
+export const PROMPT_HOLD_KIND = "prompt-holds";
+/** A kind of which entries keep a view. */
+export type ViewKind = (typeof OBJECT_KIND)[keyof typeof OBJECT_KIND];
+export type ObjectKind = ViewKind | typeof PROMPT_HOLD_KIND;
 
 export interface StoredObject {
   readonly name: string;
@@ -124,6 +128,31 @@
     return answer.andThen((body) => decodeObject(body));
   }
 
+  /** Creates the object or replaces its content. */
+  async put(
+    kind: ObjectKind,
+    name: string,
+    spec: Fields,
+  ): Promise<Result<StoredObject, StoreFailure>> {
+    const body = { metadata: { name }, spec };
+    const created = await this.#call(kind, "POST", kind, { body });
+    const isExisting =
+      created.isErr() && created.error.kind === STORE_FAILURE.conflict;
+    const path = `${kind}/${encodeURIComponent(name)}`;
+    const answer = isExisting
+      ? await this.#call(kind, "PUT", path, { body })
+      : created;
+    return answer.andThen((value) => decodeObject(value));
+  }
+
+  async delete(
+    kind: ObjectKind,
+    name: string,
+  ): Promise<Result<unknown, StoreFailure>> {
+    const path = `${kind}/${encodeURIComponent(name)}`;
+    return await this.#call(kind, "DELETE", path);
+  }
+
   /** Replaces the status unless the object was changed since the revision. */
   async putStatus(
     kind: ObjectKind,
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -14,11 +14,11 @@
 import { STORE_FAILURE, type StoreFailure } from "./failures.js";
 import {
   type ObjectEvent,
-  type ObjectKind,
   parseEvent,
   type StoreClient,
   type StoredObject,
   serializeEvent,
+  type ViewKind,
 } from "./store_client.js";
 import type { StoreOutage } from "./store_outage.js";
 
@@ -42,7 +42,7 @@
 }
 
 export interface WatchOptions {
-  readonly kind: ObjectKind;
+  readonly kind: ViewKind;
   readonly store: StoreClient;
   /** Longest wait of the next watch call, ms; bounds the age of the view. */
   readonly getWaitMs: (state: WatchState) => number;
--- a/src/proxy/fleet/prompt_holds.ts
+++ b/src/proxy/fleet/prompt_holds.ts
@@ -43,6 +43,8 @@
   readonly listSharers: () => readonly string[] | undefined;
   /** Called when this entry holds parts by its own finding. */
   readonly onHold: (held: HeldParts) => void;
+  /** Called when this entry, not another one, releases parts. */
+  readonly onRelease: (held: HeldParts) => void;
   readonly clock: SuspendClock;
   readonly log: Logger;
 }
@@ -179,6 +181,7 @@
     this.#trials.delete(toKey(held.parts));
     const fields = { ...describeParts(held), reason };
     this.#options.log.warn("prompt-part-released", fields);
+    if (reason !== HOLD_SOURCE.peer) this.#options.onRelease(held);
   }
 
   /** Releases all holds that the part is in; returns how many these were. */
--- a/src/proxy/fleet/prompt_holds_test.ts
+++ b/src/proxy/fleet/prompt_holds_test.ts
@@ -13,12 +13,14 @@
 class TestEntry {
   readonly holds: PromptHolds;
   readonly written: HeldParts[] = [];
+  readonly removed: HeldParts[] = [];
 
   constructor(name: string, names: readonly string[], now: () => number) {
     this.holds = new PromptHolds({
       selfName: name,
       listSharers: () => names,
       onHold: (held) => this.written.push(held),
+      onRelease: (held) => this.removed.push(held),
       clock: new SuspendClock({
         readMonotonicMs: now,
         readWallClockMs: now,
@@ -191,6 +193,7 @@
     assert.equal(other.holds.releasePart("bad"), 1);
     exchange(one, other);
     assert.equal(one.holds.find(createFacts("u", "bad")), undefined);
+    assert.deepEqual([one.removed.length, other.removed.length], [0, 1]);
     assert.equal(one.holds.releasePart("unknown"), 0);
   });
 
--- a/src/proxy/proxy_metrics.ts
+++ b/src/proxy/proxy_metrics.ts
@@ -59,6 +59,11 @@
     registers: [this.#registry],
   });
 
+  readonly heldPromptParts = new Gauge({
+    name: "hornbeamrill_held_prompt_parts",
+    help: "Prompt parts for which requests are refused, as endpoints crash",
+    registers: [this.#registry],
+  });
   readonly #endpointLimit = new Gauge({
     name: "hornbeamrill_endpoint_limit",
     help: "Requests per second that an endpoint takes from all entries",
