Reset the connection of a broken answer that has no chunks

A caller of HTTP/1.0 gets a stream without length or chunks: the end of the connection is that of the answer. An entry closed it normally when the endpoint had broken off, and when the time to stop was over, so half a stream looked complete. A new test plays three framings of the endpoint, six places at which it ends, and callers of HTTP/1.0 and 1.1: the three cases with 1.0 failed, and so did the stop; all seven pass now. With neither length nor chunks an end between two events can't be told from the end of the stream and counts as such.

--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -116,5 +116,6 @@
     await waitForPendingReads();
   } while (getElapsedMs() < times.abortAfterMs && handler.openRequestCount > 0);
   server.close();
+  handler.breakOpenAnswers();
   server.closeAllConnections();
 }
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -50,6 +50,7 @@
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
   #openRequests = 0;
+  readonly #openResponses = new Set<ServerResponse>();
   #unsentAnswers = 0;
   #closesConnections = false;
   #refusesRequests = false;
@@ -77,18 +78,25 @@
     this.#refusesRequests = true;
   }
 
+  /** Breaks off the answers that are not complete when the time is over. */
+  breakOpenAnswers(): void {
+    for (const response of this.#openResponses) breakAnswer(response);
+  }
+
   async handle(request: IncomingMessage, response: ServerResponse) {
     this.#openRequests++;
+    this.#openResponses.add(response);
     try {
       await this.#handle(request, response);
     } catch (error) {
       this.#options.log.error("request-failed", { error: String(error) });
-      response.destroy();
+      breakAnswer(response);
     }
     this.#unsentAnswers++;
     await waitUntilSent(request, response);
     this.#unsentAnswers--;
     this.#openRequests--;
+    this.#openResponses.delete(response);
   }
 
   async #handle(
@@ -321,6 +329,17 @@
   return createRefusal("stale-revision", detail, { retryAfterMs });
 }
 
+/**
+ * Closes the connection of an answer that is not complete. Without chunks, as
+ * for callers of HTTP/1.0, its end is that of the answer, unless it is reset.
+ */
+function breakAnswer(response: ServerResponse): void {
+  if (response.headersSent && !response.chunkedEncoding) {
+    response.socket?.resetAndDestroy();
+  }
+  response.destroy();
+}
+
 function createSink(
   response: ServerResponse,
   wire: WireFormat,
@@ -347,7 +366,7 @@
     end: (data?: Buffer) => {
       if (!response.destroyed) response.end(data);
     },
-    destroy: () => response.destroy(),
+    destroy: () => breakAnswer(response),
     refuse: (refusal: Refusal) =>
       sendRefusal(response, wire, requestId, refusal),
   };
@@ -361,7 +380,7 @@
 ): void {
   if (response.destroyed) return;
   if (response.headersSent) {
-    response.destroy();
+    breakAnswer(response);
     return;
   }
   const mayRetry = refusal.status === 429 || refusal.status === 503;
