Count endpoints that end at the same moment as one incident

A test in which all endpoints of a service end at once four times failed beside load: a part that many of the broken prompts shared was held. Endpoints that end together have another cause than the requests. So crashes within 250 ms are one incident unless this entry sent the request after the first one, a part has to explain two thirds of an incident, and three incidents name it. The soak's stand-in endpoints crash on a part, and it checks that requests with it end and that no sound request is refused for it.

--- a/src/platform/crashing_part_test.ts
+++ b/src/platform/crashing_part_test.ts
@@ -92,6 +92,8 @@
     }
     for (let i = 0; i < 4; i++) {
       await send(`h${i}`, i % entryCount, ["first", CRASHING_PART, `own-${i}`]);
+      // Crashes at the same moment count once.
+      await delay(300);
     }
     await system.waitFor(() => listHeldBy().size === entryCount);
   }
--- a/src/platform/soak/callers.ts
+++ b/src/platform/soak/callers.ts
@@ -4,7 +4,12 @@
 import type { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
 import { HOST } from "./fleet.js";
-import { type CallRecord, ROUTE, type RouteName } from "./records.js";
+import {
+  type CallRecord,
+  CRASHING_PART,
+  ROUTE,
+  type RouteName,
+} from "./records.js";
 
 /** Longest pause of a caller between two requests, ms. */
 const MAX_PAUSE_MS = 120;
@@ -13,6 +18,11 @@
 const CALL_DEADLINE_MS = 1_500;
 /** A caller waits this much longer than its deadline for an answer, ms. */
 const EXTRA_WAIT_MS = 1_500;
+/** First part of all prompts, and how many second parts there are. */
+const FIRST_PART = "first0";
+const SECOND_PART_COUNT = 12;
+/** Mean pause between two calls with the part that ends replicas, ms. */
+const CRASHING_CALL_PAUSE_MS = 700;
 /** Share of calls after which a caller moves to another entry. */
 const ENTRY_CHANGE_SHARE = 0.03;
 
@@ -21,6 +31,8 @@
   /** Ports of the entries' links, by name. */
   readonly portsByEntry: ReadonlyMap<string, number>;
   readonly random: Random;
+  /** Apart from `random`, so that seeds keep their other calls. */
+  readonly crashingRandom: Random;
   readonly listKeys: () => {
     readonly valid: readonly string[];
     readonly withdrawn: readonly string[];
@@ -30,6 +42,8 @@
 
 export class Callers {
   readonly calls: CallRecord[] = [];
+  /** Calls with the part that ends replicas. */
+  readonly crashingCalls: CallRecord[] = [];
   readonly #options: CallersOptions;
   #callCount = 0;
 
@@ -39,9 +53,29 @@
 
   async run(): Promise<void> {
     const { callerCount } = this.#options;
-    await Promise.all(
-      Array.from({ length: callerCount }, () => this.#runCaller()),
-    );
+    await Promise.all([
+      this.#runCrashingCaller(),
+      ...Array.from({ length: callerCount }, () => this.#runCaller()),
+    ]);
+  }
+
+  async #runCrashingCaller(): Promise<void> {
+    const { portsByEntry, crashingRandom, listKeys, signal } = this.#options;
+    while (!signal.aborted) {
+      await delay(crashingRandom.pickInteger(0, 2 * CRASHING_CALL_PAUSE_MS));
+      const [entry, port] = crashingRandom.pick([...portsByEntry]);
+      const record = createRecord({
+        id: `x${this.crashingCalls.length}`,
+        route: ROUTE.stream,
+        entry,
+        key: crashingRandom.pick(listKeys().valid),
+        secondPart: CRASHING_PART,
+      });
+      this.crashingCalls.push(record);
+      const agent = new Agent();
+      await sendCall(record, agent, port);
+      agent.destroy();
+    }
   }
 
   async #runCaller(): Promise<void> {
@@ -76,17 +110,14 @@
       requestedRoute === undefined &&
       withdrawn.length > 0 &&
       random.chance(WITHDRAWN_KEY_SHARE);
-    const record: CallRecord = {
-      id: `c${this.#callCount++}`,
+    const number = this.#callCount++;
+    const record = createRecord({
+      id: `c${number}`,
       route,
       entry,
       key: random.pick(usesWithdrawnKey ? withdrawn.slice(-2) : valid),
-      deadlineMs: CALL_DEADLINE_MS,
-      sentAtMs: performance.now(),
-      endedAtMs: 0,
-      body: "",
-      isComplete: false,
-    };
+      secondPart: `m${number % SECOND_PART_COUNT}`,
+    });
     this.calls.push(record);
     await sendCall(record, agent, portsByEntry.get(entry) ?? 0);
     record.endedAtMs = performance.now();
@@ -94,6 +125,23 @@
   }
 }
 
+function createRecord(
+  options: Pick<CallRecord, "id" | "route" | "entry" | "key"> & {
+    readonly secondPart: string;
+  },
+): CallRecord {
+  const { secondPart, ...fields } = options;
+  return {
+    ...fields,
+    sharedParts: [FIRST_PART, secondPart],
+    deadlineMs: CALL_DEADLINE_MS,
+    sentAtMs: performance.now(),
+    endedAtMs: 0,
+    body: "",
+    isComplete: false,
+  };
+}
+
 function sendCall(
   record: CallRecord,
   agent: Agent,
@@ -113,6 +161,9 @@
           authorization: `Bearer ${record.key}`,
           "deadline-ms": String(record.deadlineMs),
           "content-length": "5",
+          "prefix-hash": [...record.sharedParts, record.id]
+            .map((part) => `${part}:10`)
+            .join(","),
         },
       },
       (response) => {
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -10,12 +10,14 @@
   startProcess,
 } from "../../standins/managed_process.js";
 import { startServer } from "../../standins/server.js";
+import { delay } from "../../testbed/delay.js";
 import {
   createReplicaSpec,
   REPLICA_SERVICE,
   ReplicaStandin,
 } from "../standins/replica.js";
 import { PlatformStoreStandin } from "../standins/store.js";
+import { CRASHING_PART } from "./records.js";
 
 export const HOST = "soak.example";
 /** Time limits in the settings of the entries. */
@@ -32,6 +34,8 @@
   new URL("../../../target/entry.cjs", import.meta.url),
 );
 const ENTRY_COUNT = 5;
+/** Time after which a replica that has crashed is back, ms. */
+const CRASH_DOWN_MS = 1_000;
 const REPLICA_COUNT = 4;
 /** Ports of one entry; see `createSettings`. */
 const PORTS_PER_ENTRY = 5;
@@ -66,6 +70,8 @@
   /** All that ever ran, also those that have left. */
   readonly replicas: ReplicaMember[] = [];
   readonly currentReplicaIds = new Set<string>();
+  /** When replicas ended under a part of a prompt. */
+  readonly crashes: number[] = [];
   readonly apiKeys: string[] = ["key-a", "key-b", "key-c"];
   readonly #options: FleetOptions;
   #configVersion = 0;
@@ -219,6 +225,13 @@
       id,
       delayMs: 10,
       streamEvents: STREAM_EVENTS,
+      crashesOn: new Set([CRASHING_PART]),
+      onCrash: () => {
+        this.crashes.push(performance.now());
+        void delay(CRASH_DOWN_MS).then(() => {
+          if (!signal.aborted) void replica.start(port);
+        });
+      },
     });
     const port = await replica.start();
     signal.addEventListener("abort", () => replica.close(), { once: true });
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -7,6 +7,7 @@
 import {
   type ArrivalRecord,
   type CallRecord,
+  CRASHING_PART,
   ROUTE,
   type RunRecord,
   type SoakRecords,
@@ -22,6 +23,8 @@
   "leavingWordIgnored",
   "pauseIgnored",
   "limitExceeded",
+  "crashingPartSent",
+  "soundPromptRefused",
   "cutByPlannedStop",
   "lostRequest",
   "answeredLate",
@@ -49,6 +52,10 @@
 const LIMIT_TOLERANCE = { factor: 1.5, requests: 5 } as const;
 /** Faults of an entry or a link after which a limit need not hold at once. */
 const LIMIT_EXCUSES = new Set(["kill", "stop", "freeze", "cut", "slow"]);
+/** Crashes after which entries have to know the part that led to them. */
+const CRASHES_BEFORE_HOLD = 5;
+/** Requests with the part that may reach replicas after that. */
+const MAX_AFTER_HOLD = 3;
 /** Statuses which promise that the request has not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -65,6 +72,7 @@
   checkLeavingReplicas(records, findings);
   checkReplicaRequests(records, findings);
   checkLimits(records, findings);
+  checkCrashingPart(records, findings);
   for (const exit of records.unexpectedExits) {
     findings.addViolation("unexpectedExit", exit);
   }
@@ -381,3 +389,42 @@
     );
   }
 }
+
+/** Checks that requests with the crashing part end, and others go on. */
+function checkCrashingPart(
+  records: SoakRecords,
+  findings: Findings<Property>,
+): void {
+  const refused = records.calls.filter(({ body }) =>
+    body.startsWith("prompt-held"),
+  );
+  findings.check(
+    "soundPromptRefused",
+    refused.length === 0,
+    () => `${refused.length} requests, the first one ${refused[0]?.id}`,
+  );
+  const lastCrashMs = [...records.crashes].sort((a, b) => a - b)[
+    CRASHES_BEFORE_HOLD - 1
+  ];
+  if (lastCrashMs === undefined) return;
+  const calls = new Map(records.crashingCalls.map((call) => [call.id, call]));
+  const late = records.arrivals.filter(({ requestId, atMs, sharedParts }) => {
+    const entry = calls.get(requestId)?.entry;
+    return (
+      sharedParts.includes(CRASHING_PART) &&
+      atMs > lastCrashMs + CALM_BEFORE_MS &&
+      !records.disturbances.some(
+        ({ kind, member, fromMs, toMs }) =>
+          (member === entry || kind.startsWith("store")) &&
+          fromMs < atMs &&
+          toMs > atMs - CALM_BEFORE_MS,
+      )
+    );
+  });
+  findings.check(
+    "crashingPartSent",
+    late.length <= MAX_AFTER_HOLD,
+    () =>
+      `${late.length} requests after the fifth crash, ${records.crashes.length} crashes in all`,
+  );
+}
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -20,8 +20,13 @@
   stamp?: string;
   /** The answer ended as its framing says. */
   isComplete: boolean;
+  /** Ids of the prompt's parts but the last one. */
+  readonly sharedParts: readonly string[];
 }
 
+/** Part of a prompt that ends each replica that begins an answer. */
+export const CRASHING_PART = "bad0";
+
 export interface RunRecord {
   readonly requestId: string;
   readonly replica: string;
@@ -48,6 +53,10 @@
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
   readonly arrivals: readonly ArrivalRecord[];
+  /** Calls with the part that ends replicas; they need no answer. */
+  readonly crashingCalls: readonly CallRecord[];
+  /** When replicas ended under such calls. */
+  readonly crashes: readonly number[];
   readonly disturbances: readonly Disturbance[];
   /** When keys were withdrawn and replicas began to leave. */
   readonly withdrawals: ReadonlyMap<string, number>;
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -49,6 +49,7 @@
       fleet.entries.map(({ name, callerLink }) => [name, callerLink.port]),
     ),
     random: new Random(seed + 1),
+    crashingRandom: new Random(seed + 3),
     listKeys: () => ({
       valid: fleet.apiKeys,
       withdrawn: [...faults.withdrawals.keys()],
@@ -72,6 +73,8 @@
     arrivals: fleet.replicas.flatMap(({ id, replica }) =>
       replica.arrivals.map((arrival) => ({ ...arrival, replica: id })),
     ),
+    crashingCalls: callers.crashingCalls,
+    crashes: fleet.crashes,
     disturbances,
     withdrawals,
     leavings,
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -113,6 +113,7 @@
   readonly runs: ReplicaRun[] = [];
   readonly arrivals: ReplicaArrival[] = [];
   readonly #server: Server;
+  #isCrashing = false;
 
   constructor(options: ReplicaOptions) {
     this.options = options;
@@ -193,7 +194,10 @@
     response.writeHead(200, this.#createHeaders(run));
     response.flushHeaders();
     run.state = "cut";
+    if (this.#isCrashing) return;
+    this.#isCrashing = true;
     setTimeout(() => {
+      this.#isCrashing = false;
       this.close();
       this.options.onCrash?.(sharedParts);
     }, CRASH_DELAY_MS);
--- a/src/proxy/fleet/prompt_holds.ts
+++ b/src/proxy/fleet/prompt_holds.ts
@@ -116,7 +116,11 @@
    * An endpoint ended as it began an answer. Returns whether a part of the
    * prompt, not the endpoint, is the likely cause.
    */
-  recordCrash(endpoint: string, prompt: readonly PromptPart[]): boolean {
+  recordCrash(
+    endpoint: string,
+    prompt: readonly PromptPart[],
+    runMs: number,
+  ): boolean {
     const ids = listSharedPartIds(prompt);
     const atMs = this.#now();
     for (const held of this.listHeld()) {
@@ -124,7 +128,8 @@
       this.#failTrial(held);
       return true;
     }
-    const crash = { endpoint, atMs, prompts: [ids] };
+    const prompts = [{ parts: ids, runMs }];
+    const crash = { endpoint, atMs, isOwn: true, prompts };
     if (!this.#evidence.recordCrash(crash, atMs)) return false;
     this.#options.log.info("endpoint-crash-seen", {
       endpoint,
@@ -243,7 +248,10 @@
       .map(({ endpoint, atMs, prompts }) => ({
         endpoint,
         ageMs: toAgeMs(nowMs, atMs),
-        prompts: prompts.map((ids) => ({ ids: [...ids] })),
+        prompts: prompts.map(({ parts, runMs }) => ({
+          ids: [...parts],
+          runMs: Math.round(runMs),
+        })),
       }));
   }
 
@@ -270,10 +278,11 @@
     for (const { endpoint, ageMs, prompts } of reports) {
       const crash = {
         endpoint,
-        atMs: nowMs - ageMs - MAX_TRANSIT_MS,
+        atMs: nowMs - ageMs,
+        isOwn: false,
         prompts: prompts
-          .map(({ ids }) => ids)
-          .filter((ids) => !this.listHeld().some(isPartOf(ids))),
+          .filter(({ ids }) => !this.listHeld().some(isPartOf(ids)))
+          .map(({ ids, runMs }) => ({ parts: ids, runMs })),
       };
       if (this.#evidence.recordCrash(crash, nowMs)) isNew = true;
     }
--- a/src/proxy/placing/crash_evidence.ts
+++ b/src/proxy/placing/crash_evidence.ts
@@ -12,15 +12,25 @@
 import { hashSha256 } from "../../core/canonical.js";
 import type { PromptPart } from "../types.js";
 
-/** Crashes from which a part counts as their cause. */
-const MIN_CRASHES = 3;
+/** Incidents, of one or more crashes each, from which a part is their cause. */
+const MIN_INCIDENTS = 3;
 /** The same for a part with which endpoints had answered before. */
-const MIN_CRASHES_AFTER_ANSWERS = 6;
+const MIN_INCIDENTS_AFTER_ANSWERS = 6;
+/**
+ * Crashes within this time are one incident, ms: endpoints that end together
+ * have another cause, such as a loss of power, and many parts in common. What
+ * this entry sent after the first crash is a further one.
+ */
+const INCIDENT_MS = 250;
+/** Share of an incident's crashes that a part has to explain. */
+const MIN_EXPLAINED_SHARE = 2 / 3;
 /** Crashes from which a request with the part is not retried. */
 const MIN_CRASHES_OF_SUSPECT = 2;
 /** Time for which a crash is evidence, ms. */
 const CRASH_LIFETIME_MS = 600_000;
-const MAX_CRASHES = 32;
+const MAX_CRASHES = 128;
+/** Of them, crashes whose prompts are remembered, the newest ones. */
+const MAX_CRASHES_WITH_PROMPTS = 32;
 /** Prompts that are remembered for one crash. */
 const MAX_PROMPTS_PER_CRASH = 4;
 /** Parts of one prompt that are considered. */
@@ -30,11 +40,19 @@
 /** Parts with which endpoints answered that are remembered. */
 const MAX_ANSWERED_PARTS = 5_000;
 
+export interface CrashPrompt {
+  /** Ids of the suspected parts. */
+  readonly parts: readonly string[];
+  /** Time from the sending of the request to the crash, ms. */
+  readonly runMs: number;
+}
+
 export interface Crash {
   readonly endpoint: string;
   readonly atMs: number;
-  /** Ids of the suspected parts of each prompt. */
-  readonly prompts: readonly (readonly string[])[];
+  /** This entry saw it; the times of others are less precise. */
+  readonly isOwn: boolean;
+  readonly prompts: readonly CrashPrompt[];
 }
 
 /** Parts that a prompt must all have for an endpoint to crash. */
@@ -68,34 +86,36 @@
   }
 
   /** Returns whether the crash was not known with these prompts. */
-  recordCrash({ endpoint, atMs, prompts }: Crash, nowMs: number): boolean {
-    const suspects = prompts
-      .slice(0, MAX_PROMPTS_PER_CRASH)
-      .map((parts) => this.#listSuspects(parts, atMs))
-      .filter((parts) => parts.length > 0);
-    if (suspects.length === 0) return false;
-    const known = this.#crashes.find((crash) => crash.endpoint === endpoint);
+  recordCrash(crash: Crash, nowMs: number): boolean {
+    const { endpoint } = crash;
+    const known = this.#crashes.find((other) => other.endpoint === endpoint);
     const knownPrompts = known?.prompts ?? [];
-    const added = suspects.filter(
-      (parts) => !knownPrompts.some((other) => isSameList(parts, other)),
+    const added = this.#listSuspects(crash).filter(
+      ({ parts }) =>
+        !knownPrompts.some((other) => isSameList(parts, other.parts)),
     );
-    if (added.length === 0) return false;
+    if (known !== undefined && added.length === 0) return false;
     const merged: Crash = {
-      endpoint,
-      atMs: known?.atMs ?? atMs,
+      ...(known ?? crash),
       prompts: [...knownPrompts, ...added].slice(0, MAX_PROMPTS_PER_CRASH),
     };
     const others = this.#crashes.filter(
-      (crash) => crash !== known && nowMs - crash.atMs < CRASH_LIFETIME_MS,
+      (other) => other !== known && nowMs - other.atMs < CRASH_LIFETIME_MS,
     );
-    this.#crashes = [...others, merged].slice(-MAX_CRASHES);
-    return true;
+    this.#crashes = [...others, merged]
+      .slice(-MAX_CRASHES)
+      .map((other, index, all) =>
+        index < all.length - MAX_CRASHES_WITH_PROMPTS
+          ? { ...other, prompts: [] }
+          : other,
+      );
+    return added.length > 0;
   }
 
   /** Forgets the crashes that the parts explain. */
   removeCrashes({ parts }: Pick<CrashCause, "parts">): void {
     this.#crashes = this.#crashes.filter(
-      ({ prompts }) => !prompts.some((prompt) => hasAll(prompt, parts)),
+      ({ prompts }) => !prompts.some((prompt) => hasAll(prompt.parts, parts)),
     );
   }
 
@@ -103,26 +123,49 @@
   listCrashes(nowMs: number): Crash[] {
     return this.#crashes
       .filter(({ atMs }) => nowMs - atMs < CRASH_LIFETIME_MS)
-      .map((crash) => ({
-        ...crash,
-        prompts: crash.prompts
-          .map((parts) => this.#listSuspects(parts, crash.atMs))
-          .filter((parts) => parts.length > 0),
-      }))
+      .map((crash) => ({ ...crash, prompts: this.#listSuspects(crash) }))
       .filter(({ prompts }) => prompts.length > 0);
   }
 
   /** The causes that have enough crashes to be sure. */
   listCauses(nowMs: number): CrashCause[] {
     return this.#explainCrashes(nowMs).filter((cause) => {
-      const { parts, endpoints, isAmbiguous } = cause;
+      const { parts, isAmbiguous } = cause;
       if (isAmbiguous) return false;
       const wasAnswered = parts.every((part) => this.#answeredAtMs.has(part));
-      const minCrashes = wasAnswered ? MIN_CRASHES_AFTER_ANSWERS : MIN_CRASHES;
-      return endpoints.length >= minCrashes;
+      const minIncidents = wasAnswered
+        ? MIN_INCIDENTS_AFTER_ANSWERS
+        : MIN_INCIDENTS;
+      return this.#countIncidents(cause) >= minIncidents;
     });
   }
 
+  /** Incidents of which the cause explains most crashes. */
+  #countIncidents({ parts, endpoints }: CrashCause): number {
+    const explained = this.#crashes
+      .filter(({ endpoint }) => endpoints.includes(endpoint))
+      .sort((one, other) => one.atMs - other.atMs);
+    let count = 0;
+    for (let i = 0; i < explained.length; ) {
+      const first = explained[i];
+      if (first === undefined) break;
+      const isNext = (crash: Crash) => !isSameIncident(first, crash, parts);
+      const size = explained.slice(i).findIndex(isNext);
+      const crashes = size < 0 ? explained.length - i : size;
+      const all = this.#crashes.filter(
+        ({ atMs }) => Math.abs(atMs - first.atMs) < INCIDENT_MS,
+      );
+      // Later crashes may be further incidents of the same cause.
+      const others = all.filter(
+        ({ endpoint }) => !endpoints.includes(endpoint),
+      );
+      const share = crashes / (crashes + others.length);
+      if (share >= MIN_EXPLAINED_SHARE) count++;
+      i += crashes;
+    }
+    return count;
+  }
+
   /** True when a prompt with these parts may well lead to a further crash. */
   isSuspect(parts: readonly string[], nowMs: number): boolean {
     return this.#explainCrashes(nowMs).some(
@@ -133,11 +176,14 @@
     );
   }
 
-  #listSuspects(parts: readonly string[], atMs: number): readonly string[] {
-    return parts.filter(
-      (part) =>
-        (this.#answeredAtMs.peek(part) ?? Number.NEGATIVE_INFINITY) < atMs,
-    );
+  /** Prompts without the parts that were answered after the crash. */
+  #listSuspects({ prompts, atMs }: Crash): CrashPrompt[] {
+    const isSuspected = (part: string) =>
+      (this.#answeredAtMs.peek(part) ?? Number.NEGATIVE_INFINITY) < atMs;
+    return prompts
+      .slice(0, MAX_PROMPTS_PER_CRASH)
+      .map((prompt) => ({ ...prompt, parts: prompt.parts.filter(isSuspected) }))
+      .filter(({ parts }) => parts.length > 0);
   }
 
   /** Greedy set cover: the part with the most unexplained crashes is next. */
@@ -155,9 +201,9 @@
       );
       const prompts = unexplained
         .flatMap((crash) => crash.prompts)
-        .filter((parts) => parts.includes(best.part));
+        .filter(({ parts }) => parts.includes(best.part));
       const companions = rivals.filter(({ part }) =>
-        prompts.every((parts) => parts.includes(part)),
+        prompts.every(({ parts }) => parts.includes(part)),
       );
       causes.push({
         parts: [best, ...companions].map(({ part }) => part),
@@ -176,19 +222,37 @@
    * that were answered before count only where there are no others.
    */
   #listCandidates(crashes: readonly Crash[]) {
-    const all = [...new Set(crashes.flatMap(({ prompts }) => prompts.flat()))];
+    const prompts = crashes.flatMap((crash) => crash.prompts);
+    const all = [...new Set(prompts.flatMap(({ parts }) => parts))];
     const unanswered = all.filter((part) => !this.#answeredAtMs.has(part));
     return (unanswered.length > 0 ? unanswered : all)
       .map((part) => ({
         part,
         endpoints: crashes
-          .filter(({ prompts }) => prompts.some((ids) => ids.includes(part)))
+          .filter((crash) =>
+            crash.prompts.some(({ parts }) => parts.includes(part)),
+          )
           .map(({ endpoint }) => endpoint),
       }))
       .sort((one, other) => other.endpoints.length - one.endpoints.length);
   }
 }
 
+/** Both crashes may have had one cause beyond the requests. */
+function isSameIncident(
+  first: Crash,
+  crash: Crash,
+  parts: readonly string[],
+): boolean {
+  const areBothOwn = first.isOwn && crash.isOwn;
+  const isClose = crash.atMs - first.atMs < INCIDENT_MS;
+  if (!areBothOwn) return isClose;
+  const runsMs = crash.prompts
+    .filter((prompt) => hasAll(prompt.parts, parts))
+    .map(({ runMs }) => runMs);
+  return crash.atMs - Math.min(...runsMs) <= first.atMs;
+}
+
 export function hasAll<Item>(
   items: readonly Item[],
   wanted: readonly Item[],
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -418,13 +418,14 @@
   }
 
   /** True when the request, not the endpoint, is likely to have caused it. */
-  #recordCrash({ state }: Attempt): boolean {
+  #recordCrash({ state, startedAtMs: sentAtMs }: Attempt): boolean {
     // Planned stops break streams as well.
     if (state.isLeaving) return false;
     const { id, startedAtMs = 0 } = state.record;
     return this.#dependencies.promptHolds.recordCrash(
       `${id}/${startedAtMs}`,
       this.#request.facts.parts,
+      this.#dependencies.now() - sentAtMs,
     );
   }
 
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -48,6 +48,8 @@
 /** The parts of one prompt that may have led to the crash. */
 export interface PromptParts {
   ids: string[];
+  /** Milliseconds from the sending of the request to the crash. */
+  runMs: number;
 }
 
 /**
@@ -412,7 +414,7 @@
 };
 
 function createBasePromptParts(): PromptParts {
-  return { ids: [] };
+  return { ids: [], runMs: 0 };
 }
 
 export const PromptParts: MessageFns<PromptParts> = {
@@ -420,6 +422,9 @@
     for (const v of message.ids) {
       writer.uint32(10).string(v!);
     }
+    if (message.runMs !== 0) {
+      writer.uint32(16).uint32(message.runMs);
+    }
     return writer;
   },
 
@@ -444,6 +449,14 @@
             message.ids.push(reader.string());
             continue;
           }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.runMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -462,6 +475,7 @@
   fromPartial(object: DeepPartial<PromptParts>): PromptParts {
     const message = createBasePromptParts();
     message.ids = object.ids?.map((e) => e) || [];
+    message.runMs = object.runMs ?? 0;
     return message;
   },
 };
