--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -17,7 +17,7 @@
   ReplicaStandin,
 } from "../standins/replica.js";
 import { PlatformStoreStandin } from "../standins/store.js";
-import { CRASHING_PART } from "./records.js";
+import { CRASH_KIND, CRASHING_PART, type Disturbance } from "./records.js";
 
 export const HOST = "soak.example";
 /** Time limits in the settings of the entries. */
@@ -70,8 +70,8 @@
   /** All that ever ran, also those that have left. */
   readonly replicas: ReplicaMember[] = [];
   readonly currentReplicaIds = new Set<string>();
-  /** When replicas ended under a part of a prompt. */
-  readonly crashes: number[] = [];
+  /** Replicas that ended under a part of a prompt. */
+  readonly crashes: Disturbance[] = [];
   readonly apiKeys: string[] = ["key-a", "key-b", "key-c"];
   readonly #options: FleetOptions;
   #configVersion = 0;
@@ -227,7 +227,9 @@
       streamEvents: STREAM_EVENTS,
       crashesOn: new Set([CRASHING_PART]),
       onCrash: () => {
-        this.crashes.push(performance.now());
+        const fromMs = performance.now();
+        const toMs = fromMs + CRASH_DOWN_MS;
+        this.crashes.push({ kind: CRASH_KIND, member: id, fromMs, toMs });
         void delay(CRASH_DOWN_MS).then(() => {
           if (!signal.aborted) void replica.start(port);
         });
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -7,6 +7,7 @@
 import {
   type ArrivalRecord,
   type CallRecord,
+  CRASH_KIND,
   CRASHING_PART,
   ROUTE,
   type RunRecord,
@@ -403,9 +404,10 @@
     refused.length === 0,
     () => `${refused.length} requests, the first one ${refused[0]?.id}`,
   );
-  const lastCrashMs = [...records.crashes].sort((a, b) => a - b)[
-    CRASHES_BEFORE_HOLD - 1
-  ];
+  const crashes = records.disturbances
+    .filter(({ kind }) => kind === CRASH_KIND)
+    .sort((one, other) => one.fromMs - other.fromMs);
+  const lastCrashMs = crashes[CRASHES_BEFORE_HOLD - 1]?.fromMs;
   if (lastCrashMs === undefined) return;
   const calls = new Map(records.crashingCalls.map((call) => [call.id, call]));
   const late = records.arrivals.filter(({ requestId, atMs, sharedParts }) => {
@@ -425,6 +427,6 @@
     "crashingPartSent",
     late.length <= MAX_AFTER_HOLD,
     () =>
-      `${late.length} requests after the fifth crash, ${records.crashes.length} crashes in all`,
+      `${late.length} requests after the fifth crash, ${crashes.length} crashes in all`,
   );
 }
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -6,6 +6,7 @@
 import {
   type ArrivalRecord,
   type CallRecord,
+  CRASH_KIND,
   CRASHING_PART,
   type RunRecord,
   type SoakRecords,
@@ -75,7 +76,12 @@
   const sharedParts = ["first0", CRASHING_PART];
   const ids = Array.from({ length: count }, (_, index) => `x${index}`);
   return {
-    crashes: [20_000, 20_100, 20_200, 20_300, 20_400],
+    disturbances: [0, 1, 2, 3, 4].map((index) => ({
+      kind: CRASH_KIND,
+      member: `i-${index}`,
+      fromMs: 20_000 + 100 * index,
+      toMs: 21_000,
+    })),
     crashingCalls: ids.map((id) => ({ ...CALL, id, sharedParts })),
     arrivals: ids.map((requestId) => ({
       ...ARRIVAL,
@@ -94,7 +100,6 @@
     runs: [RUN],
     arrivals: [],
     crashingCalls: [],
-    crashes: [],
     disturbances: [],
     withdrawals: new Map(),
     leavings: new Map(),
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -26,6 +26,8 @@
 
 /** Part of a prompt that ends each replica that begins an answer. */
 export const CRASHING_PART = "bad0";
+/** Kind of disturbance of a replica that has ended under that part. */
+export const CRASH_KIND = "crash";
 
 export interface RunRecord {
   readonly requestId: string;
@@ -55,8 +57,6 @@
   readonly arrivals: readonly ArrivalRecord[];
   /** Calls with the part that ends replicas; they need no answer. */
   readonly crashingCalls: readonly CallRecord[];
-  /** When replicas ended under such calls. */
-  readonly crashes: readonly number[];
   readonly disturbances: readonly Disturbance[];
   /** When keys were withdrawn and replicas began to leave. */
   readonly withdrawals: ReadonlyMap<string, number>;
