--- a/src/platform/standins/store.ts
+++ b/src/platform/standins/store.ts
@@ -34,6 +34,12 @@
   readonly object: unknown;
 }
 
+/** All objects at one revision of the store. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: string;
+}
+
 export interface StoreFaults {
   /** Each call is answered with 503 ("busy"), reset, or left to hang. */
   outage?: "busy" | "reset" | "silent";
@@ -56,6 +62,7 @@
   #revision = 1;
   #oldestRevision = 1;
   #faults: StoreFaults = {};
+  #era = 1;
   /** Largest number of objects on one page of a list. */
   objectsPerPage = DEFAULT_OBJECTS_PER_PAGE;
   /** Delay before each answer. */
@@ -68,6 +75,19 @@
   }
 
   readonly handle: Handler = async (call) => {
+    // Also of an answer that is written only after a restore.
+    const era = String(this.#era);
+    try {
+      const reply = await this.#answer(call);
+      return reply && { ...reply, headers: { "Store-Era": era } };
+    } catch (error) {
+      if (!(error instanceof ReplyError)) throw error;
+      const headers = { "Store-Era": era };
+      throw new ReplyError(error.status, error.code, headers);
+    }
+  };
+
+  async #answer(call: Call): Promise<Reply | undefined> {
     const [root, objects, kind = "", name, subresource] = call.path;
     if (root !== "hornbeamrill" || objects !== "objects") {
       throw new ReplyError(404, "no-route");
@@ -90,7 +110,7 @@
       return undefined;
     }
     return { status: 200, body };
-  };
+  }
 
   get faults(): StoreFaults {
     return this.#faults;
@@ -130,6 +150,30 @@
     return this.#objects.get(kind)?.get(name)?.status;
   }
 
+  takeCopy(): StoreCopy {
+    const kinds = [...this.#objects].map(([kind, objects]) => [
+      kind,
+      [...objects],
+    ]);
+    return { revision: this.#revision, objects: JSON.stringify(kinds) };
+  }
+
+  /** Comes back from the copy: what was written since is gone. */
+  restore({ revision, objects }: StoreCopy): void {
+    this.#objects.clear();
+    for (const [kind, entries] of JSON.parse(objects) as [
+      string,
+      [string, StoredObject][],
+    ][]) {
+      this.#objects.set(kind, new Map(entries));
+    }
+    this.#revision = revision;
+    this.#history = [];
+    this.#oldestRevision = revision;
+    this.#era++;
+    this.#wakeWatches();
+  }
+
   /** Drops the history, so that watches from an older revision get 410. */
   compact(): void {
     this.#history = [];
@@ -174,8 +218,10 @@
     const endMs = performance.now() + Math.min(MAX_WATCH_MS, waitMs);
     for (;;) {
       if (this.#failByOutage(call)) return undefined;
-      if (sinceRevision < this.#oldestRevision)
-        throw new ReplyError(410, "gone");
+      const isKnown =
+        sinceRevision >= this.#oldestRevision &&
+        sinceRevision <= this.#revision;
+      if (!isKnown) throw new ReplyError(410, "gone");
       const events = this.faults.hidesChangesFromWatches
         ? []
         : this.#listEvents(kind, sinceRevision);
