Bind what entries know of the store to the era of its answers

Callers saw: routes that had been acknowledged answered with 404 after the store had come back from a copy.

Cause: a revision was compared with the same number of another era, by followers, by change logs and by watches sent when the store had reached the number again; and what the copy says was taken for news.

Change: the client reads Store-Era. An answer of an era that has ended counts as no answer. When the era rises, every view is listed again, first without taking anything back (two seconds), then as it stands; records that are older than what the entry knows of their process are left out until they change. Questions for news carry the era. Orders of roll-outs are decided only once they are read again; outcomes and held prompt parts that are lost are written again. A configuration is not confirmed by the copy, nor while another entry has a newer version.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -37,6 +37,7 @@
 import { FleetSync } from "./fleet_sync.js";
 import { platformWire } from "./platform_wire.js";
 import { StoreClient } from "./store_client.js";
+import { StoreEra } from "./store_era.js";
 import { StoredHolds } from "./stored_holds.js";
 
 const READY_PATH = "/hornbeamrill/readyz";
@@ -101,13 +102,20 @@
   const connections = new Connections(signal);
   const loopDelay = new LoopDelay();
   const freshness = new Freshness(clock, () => void sync.confirmNow());
+  const era = new StoreEra(() => {
+    void sync.startRestore();
+    void writeHoldsAgain();
+  });
   const store = new StoreClient({
     ...settings.storeAddress,
+    era,
     signal,
     onCall: (kind, result) => metrics.storeCalls.inc({ kind, result }),
   });
   const sync = new FleetSync({
     store,
+    era,
+    getPeerConfigVersion: () => peers.newestConfigVersion,
     view,
     freshness,
     clock,
@@ -151,6 +159,11 @@
     log,
     signal,
   });
+  /** The first entry by name does it for all. */
+  const writeHoldsAgain = async () => {
+    if (peers.getRankByName() > 0) return;
+    for (const held of promptHolds.listHeld()) await storedHolds.write(held);
+  };
   const peerServer = await startPeerServer(
     new Map<string, MessageHandler>([
       [EXCHANGE_PATH, (data) => peers.answer(data)],
@@ -179,6 +192,7 @@
     sessions,
     limits,
     promptHolds,
+    getConfigVersion: () => view.catalog?.configuration.version ?? 0,
     now,
     random,
     log,
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -104,6 +104,7 @@
   readonly store = new PlatformStoreStandin();
   readonly logs: LogRecord[] = [];
   readonly replicas = new Map<string, ReplicaStandin>();
+  readonly replicaPorts = new Map<string, number>();
   /** Endpoints that ended under a request, and when. */
   readonly crashes: CrashRecord[] = [];
   readonly #closers: (() => unknown)[] = [];
@@ -126,6 +127,7 @@
     const port = await replica.start();
     this.#closers.push(() => replica.close());
     this.replicas.set(options.id, replica);
+    this.replicaPorts.set(options.id, port);
     const spec = createReplicaSpec(port, fields);
     this.store.put("servers", options.id, spec);
     return replica;
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -1,6 +1,7 @@
 /** Keeps the entry's view of the fleet up to date with the store. */
 
 import type { Logger } from "../adapters/logger.js";
+import { pauseFor } from "../adapters/pause_for.js";
 import {
   type FleetView,
   type Freshness,
@@ -23,6 +24,7 @@
   type StoredObject,
   type ViewKind,
 } from "./store_client.js";
+import type { StoreEra } from "./store_era.js";
 import { StoreOutage } from "./store_outage.js";
 import {
   StoreWatch,
@@ -82,6 +84,14 @@
 /** Shortest wait of a reader's watch call, ms; limits its rate of calls. */
 const MIN_WATCH_WAIT_MS = 100;
 
+/**
+ * After a restore of the store, endpoints and operators write again what it has
+ * lost. Until the first of these times what it holds may be older than what the
+ * entry knows; until the second, records of endpoints that had gone may remain.
+ */
+const RESTORE_SETTLE_MS = 2_000;
+const RESTORE_DISTRUST_MS = 6_000;
+
 /**
  * Longest pauses between calls that probe a lost store, ms. An entry with a
  * reader learns from it that the store is back, so it probes less often.
@@ -90,6 +100,9 @@
 
 export interface FleetSyncOptions {
   readonly store: StoreClient;
+  readonly era: StoreEra;
+  /** Newest version of the configuration that another entry has in force. */
+  readonly getPeerConfigVersion: () => number;
   readonly view: FleetView;
   readonly freshness: Freshness;
   readonly clock: SuspendClock;
@@ -118,6 +131,11 @@
   /** Lets one entry of a data centre read the store for the others. */
   readonly relay: ViewRelay;
   #isConfirming = false;
+  /** The store has come back from a copy and may lack what was written. */
+  #isSettling = false;
+  /** Revisions of records that are older than what the entry knows, by name. */
+  readonly #distrusted = new Map<string, number>();
+  readonly #endedEvacuations = new Set<string>();
 
   constructor(options: FleetSyncOptions) {
     this.#options = options;
@@ -206,6 +224,11 @@
       waitMs: Math.round(
         QUESTION_WAIT_SHARE * Math.min(...Object.values(boundMs)),
       ),
+      getEra: () => options.era.current,
+      onEra: (era) => {
+        // 0 where the other entry has not read the store yet.
+        if (era > 0) options.era.observe(era);
+      },
       onAnswer: options.onNewsAnswer,
       onSourceLost: () => this.#outage.suspect(),
       clock,
@@ -237,12 +260,37 @@
     ]);
   }
 
+  /** To be called when the store has come back from a copy. */
+  async startRestore(): Promise<void> {
+    const { view, era, now, log, signal } = this.#options;
+    const { current } = era;
+    log.warn("store-restored", { era: current });
+    this.#isSettling = true;
+    this.#distrusted.clear();
+    view.endpoints.startLapseGrace(now());
+    view.rollouts.startRestore();
+    this.#restartWatches();
+    await pauseFor(RESTORE_SETTLE_MS, signal);
+    if (signal.aborted || era.current !== current) return;
+    this.#isSettling = false;
+    this.#restartWatches();
+    await pauseFor(RESTORE_DISTRUST_MS - RESTORE_SETTLE_MS, signal);
+    if (signal.aborted || era.current !== current) return;
+    if (this.#distrusted.size === 0) return;
+    this.#distrusted.clear();
+    this.#restartWatches();
+  }
+
+  #restartWatches(): void {
+    for (const watch of this.#watches) watch.restart();
+  }
+
   /** Reads the configuration at once, for a decision that can't wait. */
   async confirmNow(): Promise<void> {
     // While the store is lost, the watches find out when it is back.
     if (this.#isConfirming || this.#configurationWatch.isLost) return;
     this.#isConfirming = true;
-    const { store, clock, freshness } = this.#options;
+    const { store, clock } = this.#options;
     await this.#outage.run(async () => {
       const startedAtMs = clock.now();
       const object = await store.get(
@@ -251,7 +299,7 @@
       );
       if (object.isErr()) return object.error;
       this.#applyConfiguration(object.value);
-      freshness.confirm(startedAtMs);
+      this.#confirmConfiguration(startedAtMs);
       return undefined;
     });
     this.#isConfirming = false;
@@ -302,6 +350,7 @@
       },
       kind,
       store,
+      getEra: () => this.#options.era.current,
       clock,
       log,
       signal,
@@ -320,10 +369,18 @@
       onList: (objects) => objects.forEach(apply),
       onChange: apply,
       onDelete: () => {},
-      onConfirm: (atMs) => this.#options.freshness.confirm(atMs),
+      onConfirm: (atMs) => this.#confirmConfiguration(atMs),
     };
   }
 
+  /** A copy, or a version behind that of another entry, confirms nothing. */
+  #confirmConfiguration(atMs: number): void {
+    const { view, freshness, getPeerConfigVersion } = this.#options;
+    const version = view.catalog?.configuration.version ?? 0;
+    if (this.#isSettling || version < getPeerConfigVersion()) return;
+    freshness.confirm(atMs);
+  }
+
   #applyConfiguration(object: StoredObject): void {
     if (object.name !== CONFIGURATION_NAME) return;
     const { view, log } = this.#options;
@@ -364,13 +421,30 @@
       log.warn("endpoint-skipped", { reason: record.error.detail });
       return [];
     };
+    const isDistrusted = ({ name, revision }: StoredObject) =>
+      this.#distrusted.get(name) === revision;
+    const listTrusted = (objects: readonly StoredObject[]) =>
+      objects.flatMap((object) => {
+        const [record] = decodeOrSkip(object);
+        if (record === undefined) return [];
+        if (this.#isSettling && view.endpoints.isOutdated(record)) {
+          this.#distrusted.set(object.name, object.revision);
+        }
+        return isDistrusted(object) ? [] : [record];
+      });
     return {
       onList: (objects) => {
-        reportChanges(
-          view.endpoints.replaceAll(objects.flatMap(decodeOrSkip), now()),
-        );
+        const records = listTrusted(objects);
+        if (!this.#isSettling) {
+          reportChanges(view.endpoints.replaceAll(records, now()));
+          return;
+        }
+        for (const record of records) {
+          reportChanges(view.endpoints.put(record, now()));
+        }
       },
       onChange: (object) => {
+        if (isDistrusted(object)) return;
         const [record] = decodeOrSkip(object);
         if (record === undefined) {
           reportChanges(view.endpoints.remove(object.name, now()));
@@ -387,7 +461,8 @@
       onList: (objects) => {
         const names = new Set(objects.map((object) => object.name));
         for (const service of view.rollouts.listServices()) {
-          if (!names.has(service)) view.rollouts.remove(service);
+          const isMissing = !this.#isSettling && !names.has(service);
+          if (isMissing) view.rollouts.remove(service);
         }
         for (const object of objects) this.#applyRollout(object);
       },
@@ -407,6 +482,10 @@
       return;
     }
     const { service, target, outcome } = order.value;
+    if (this.#isSettling && view.rollouts.isReplaced(order.value)) {
+      log.info("rollout-outdated", { service, target });
+      return;
+    }
     log.info("rollout-ordered", {
       service,
       target,
@@ -419,17 +498,24 @@
   #evacuationHandlers(): WatchHandlers {
     const { view, log, now } = this.#options;
     const start = (dataCentre: string) => {
+      this.#endedEvacuations.delete(dataCentre);
       if (view.evacuatedDataCentres.has(dataCentre)) return;
       log.info("evacuation-started", { dataCentre });
       view.startEvacuation(dataCentre);
     };
     const end = (dataCentre: string) => {
       log.info("evacuation-ended", { dataCentre });
+      this.#endedEvacuations.add(dataCentre);
       view.endEvacuation(dataCentre, now());
     };
     return {
       onList: (objects) => {
         const names = new Set(objects.map((object) => object.name));
+        if (this.#isSettling) {
+          for (const name of names)
+            if (!this.#endedEvacuations.has(name)) start(name);
+          return;
+        }
         for (const name of [...view.evacuatedDataCentres])
           if (!names.has(name)) end(name);
         for (const name of names) start(name);
--- a/src/platform/standins/store.ts
+++ b/src/platform/standins/store.ts
@@ -129,6 +129,12 @@
     });
   }
 
+  putStatus(kind: string, name: string, status: unknown): void {
+    this.#changeObject(kind, name, (stored) => {
+      stored.status = status;
+    });
+  }
+
   delete(kind: string, name: string): void {
     const stored = this.#objects.get(kind)?.get(name);
     if (stored === undefined) return;
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -10,6 +10,7 @@
   getText,
   isFields,
 } from "./fields.js";
+import { parseEra, type StoreEra } from "./store_era.js";
 
 /** Kinds of stored objects, under the platform's own names. */
 export const OBJECT_KIND = {
@@ -79,6 +80,7 @@
   readonly port: number;
   /** Called after each call; the result is `ok` or the kind of failure. */
   readonly onCall: (kind: string, result: string) => void;
+  readonly era: StoreEra;
   readonly signal: AbortSignal;
 }
 
@@ -112,10 +114,11 @@
     kind: ObjectKind,
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<Result<ObjectEvents, StoreFailure>> {
     const path = `${kind}?watch=${revision}&wait_ms=${waitMs}`;
     const timeoutMs = waitMs + WATCH_SLACK_MS;
-    const answer = await this.#call(kind, "GET", path, { timeoutMs });
+    const answer = await this.#call(kind, "GET", path, { timeoutMs, signal });
     return answer.andThen(decodeEvents);
   }
 
@@ -170,9 +173,9 @@
     kind: ObjectKind,
     method: string,
     path: string,
-    options: { timeoutMs?: number; body?: unknown } = {},
+    options: { timeoutMs?: number; body?: unknown; signal?: AbortSignal } = {},
   ): Promise<Result<unknown, StoreFailure>> {
-    const { address, port, signal, onCall } = this.#options;
+    const { address, port, signal, onCall, era: storeEra } = this.#options;
     const { timeoutMs = CALL_TIMEOUT_MS, body } = options;
     const requestBody = body === undefined ? undefined : JSON.stringify(body);
     return new Promise((resolve) => {
@@ -201,6 +204,11 @@
                 "content-length": Buffer.byteLength(requestBody),
               },
       });
+      options.signal?.addEventListener(
+        "abort",
+        () => outgoing.destroy(new Error("The call is no longer wanted")),
+        { once: true },
+      );
       // Also closes the connection: after a lost answer it is of no use.
       const timer = setTimeout(
         () => outgoing.destroy(new Error(`No answer in ${timeoutMs} ms`)),
@@ -210,6 +218,12 @@
         fail(STORE_FAILURE.noAnswer, error.message),
       );
       outgoing.once("response", (response) => {
+        const era = parseEra(response.headers["store-era"]);
+        if (era !== undefined && !storeEra.observe(era)) {
+          fail(STORE_FAILURE.noAnswer, `Answer of era ${era}, which has ended`);
+          response.destroy();
+          return;
+        }
         const chunks: Buffer[] = [];
         let sizeBytes = 0;
         response.on("data", (chunk: Buffer) => {
--- a/src/platform/store_client_test.ts
+++ b/src/platform/store_client_test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Socket } from "node:net";
 import { describe, it } from "node:test";
 import { OBJECT_KIND, StoreClient } from "./store_client.js";
+import { StoreEra } from "./store_era.js";
 
 describe("store client", () => {
   // An endless answer would otherwise fill the memory of a small host.
@@ -31,6 +32,7 @@
     assert.ok(address !== null && typeof address === "object");
     const callResults: string[] = [];
     const client = new StoreClient({
+      era: new StoreEra(() => {}),
       address: "127.0.0.1",
       port: address.port,
       onCall: (_kind, result) => callResults.push(result),
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -54,6 +54,8 @@
    * make the view count as recent.
    */
   readonly confirmsAtCallStart: boolean;
+  /** Era of the store, 0 if it is not known. */
+  readonly getEra: () => number;
   /** When the store last answered this entry, on the suspend clock. */
   readonly getReachedAtMs: () => number;
   readonly outage: StoreOutage;
@@ -68,6 +70,9 @@
 export class StoreWatch implements RelayedView {
   readonly #options: WatchOptions;
   #revision: number | undefined;
+  #isLoaded = false;
+  /** Ends the pending watch call. */
+  #watchController = new AbortController();
   #lostAtMs: number | undefined;
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
   #reachedAtMs = Number.NEGATIVE_INFINITY;
@@ -85,7 +90,15 @@
 
   /** True once all objects were listed. */
   get isLoaded(): boolean {
-    return this.#revision !== undefined;
+    return this.#isLoaded;
+  }
+
+  /** Lists all objects again; until then the view stays as it is. */
+  restart(): void {
+    this.#revision = undefined;
+    this.#watchStartedAtMs = undefined;
+    this.#watchController.abort();
+    this.setFollowing(false);
   }
 
   get kind(): string {
@@ -208,14 +221,18 @@
   }
 
   async #list(): Promise<StoreFailure | undefined> {
-    const { store, kind, clock, handlers, log } = this.#options;
+    const { store, kind, clock, handlers, log, getEra } = this.#options;
     const startedAtMs = clock.now();
+    let era = getEra();
     const objects: StoredObject[] = [];
     let after: string | undefined;
     let firstRevision: number | undefined;
     for (;;) {
       const result = await store.list(kind, after);
       if (result.isErr()) return result.error;
+      // Pages of two eras don't fit together.
+      if (after === undefined) era = getEra();
+      else if (getEra() !== era) return undefined;
       const page = result.value;
       objects.push(...page.objects);
       this.#logSkipped(page.skipReasons);
@@ -225,11 +242,13 @@
       after = page.lastName;
     }
     this.#revision = firstRevision;
+    this.#isLoaded = true;
     this.#changes.reset(firstRevision);
     log.info("store-listed", {
       kind,
       count: objects.length,
       at: firstRevision,
+      era,
     });
     handlers.onList(objects);
     this.#confirmByStore(startedAtMs);
@@ -251,8 +270,12 @@
     const startedAtMs = clock.now();
     const sinceRevision = this.#revision ?? 0;
     this.#watchStartedAtMs = startedAtMs;
-    const result = await store.watch(kind, sinceRevision, waitMs);
+    const controller = new AbortController();
+    this.#watchController = controller;
+    const { signal } = controller;
+    const result = await store.watch(kind, sinceRevision, waitMs, signal);
     this.#watchStartedAtMs = undefined;
+    if (signal.aborted) return undefined;
     if (result.isErr()) return result.error;
     // Another entry has sent newer changes in the meantime.
     if (this.#revision !== sinceRevision) return undefined;
--- a/src/platform/view_relay_test.ts
+++ b/src/platform/view_relay_test.ts
@@ -16,6 +16,7 @@
 import { createReplicaSpec } from "./standins/replica.js";
 import { PlatformStoreStandin } from "./standins/store.js";
 import { StoreClient } from "./store_client.js";
+import { StoreEra } from "./store_era.js";
 
 const LOG = { debug() {}, info() {}, warn() {}, error() {} };
 /** Maximum age of the configuration at which requests with a key are served. */
@@ -62,8 +63,12 @@
       state.calls++;
       return state.isCutOff ? undefined : await store.handle(call);
     }, 0);
+    const era = new StoreEra(() => void sync.startRestore());
     const sync = new FleetSync({
+      era,
+      getPeerConfigVersion: () => 0,
       store: new StoreClient({
+        era,
         address: "127.0.0.1",
         port: storeServer.port,
         onCall: () => {},
--- a/src/proxy/fleet/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -111,6 +111,19 @@
     return [{ event: "endpoint-removed", record: known.record }];
   }
 
+  /** True when the record is older than what is known of its process. */
+  isOutdated(record: EndpointRecord): boolean {
+    const removed = this.#removedEndpoints.peek(record.id);
+    if (removed !== undefined) return isSameProcess(removed.record, record);
+    const known = this.#endpoints.get(record.id);
+    return (
+      known !== undefined &&
+      isSameProcess(known.record, record) &&
+      known.record.isLeaving &&
+      !record.isLeaving
+    );
+  }
+
   get(id: string): EndpointState | undefined {
     return this.#endpoints.get(id);
   }
--- a/src/proxy/fleet/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -54,6 +54,8 @@
     PromptHolds,
     "listCrashReports" | "listHoldReports" | "mergeCrashes" | "mergeHolds"
   >;
+  /** Version of the configuration in force, 0 without one. */
+  readonly getConfigVersion: () => number;
   readonly now: () => number;
   readonly random: () => number;
   readonly log: Logger;
@@ -75,6 +77,7 @@
   readonly #agent = new Agent({ keepAlive: true });
   readonly #startedAtMs: number;
   #isLeaving = false;
+  #newestConfigVersion = 0;
 
   constructor(options: PeersOptions) {
     this.#options = options;
@@ -117,6 +120,11 @@
     return [self.name, ...names];
   }
 
+  /** Newest version of the configuration that another entry had in force. */
+  get newestConfigVersion(): number {
+    return this.#newestConfigVersion;
+  }
+
   /** Position of this entry among the present ones in order of name, from 0. */
   getRankByName(): number {
     const { name } = this.#options.self;
@@ -183,8 +191,8 @@
   }
 
   #createMessage(): Uint8Array {
-    const { self, rollouts, sessions, limits, promptHolds, now, random } =
-      this.#options;
+    const { self, rollouts, sessions, limits, promptHolds } = this.#options;
+    const { getConfigVersion, now, random } = this.#options;
     const nowMs = now();
     const presentPeers = this.#listHeardWithin(ABSENT_AFTER_MS);
     const listedCount = Math.max(
@@ -204,6 +212,7 @@
       rollouts: rollouts.listReports(nowMs),
       sessions: sessions.listReports(nowMs),
       limits: limits.listReports(),
+      configVersion: getConfigVersion(),
       crashes: promptHolds.listCrashReports(),
       holds: promptHolds.listHoldReports(),
     }).finish();
@@ -248,6 +257,10 @@
     for (const report of message.rollouts) rollouts.mergeReport(report, nowMs);
     sessions.merge(message.sessions, nowMs);
     limits.merge(message.limits);
+    this.#newestConfigVersion = Math.max(
+      this.#newestConfigVersion,
+      message.configVersion,
+    );
     promptHolds.mergeHolds(message.holds);
     promptHolds.mergeCrashes(message.crashes);
   }
--- a/src/proxy/fleet/rollouts.ts
+++ b/src/proxy/fleet/rollouts.ts
@@ -90,6 +90,10 @@
   targetEndpointCount: number;
   /** Why the target is rolled back; undefined while no fault is found. */
   fault?: string;
+  /** The store came back from a copy, and the order was not read since. */
+  isUnconfirmed: boolean;
+  /** The store has lost the outcome. */
+  isOutcomeLost: boolean;
 }
 
 /** Targets of the orders for one service up to now. */
@@ -129,23 +133,46 @@
 
   put(order: RolloutOrder, nowMs: number): void {
     const current = this.#rolloutsByService.get(order.service);
-    this.#recordPastTargets(order, current?.order);
-    if (
+    const isSame =
       current !== undefined &&
-      current.order.createdRevision === order.createdRevision &&
-      current.order.target === order.target
-    ) {
-      current.order = order;
+      current.order.target === order.target &&
+      (current.isUnconfirmed ||
+        current.order.createdRevision === order.createdRevision);
+    if (isSame) {
+      // The outcome of an order is final, also where the store has lost it.
+      const { outcome = current.order.outcome } = order;
+      current.isUnconfirmed = false;
+      current.isOutcomeLost = outcome !== order.outcome;
+      current.order = { ...order, outcome };
+      this.#recordPastTargets(current.order, current.order);
       return;
     }
+    this.#recordPastTargets(order, current?.order);
     this.#rolloutsByService.set(order.service, {
       order,
       startedAtMs: nowMs,
       evidence: new RolloutEvidence(this.#origin, this.#random),
       targetEndpointCount: 0,
+      isUnconfirmed: false,
+      isOutcomeLost: false,
     });
   }
 
+  /** The store came back from a copy: it has other revisions from now on. */
+  startRestore(): void {
+    for (const rollout of this.#rolloutsByService.values()) {
+      rollout.isUnconfirmed = true;
+    }
+  }
+
+  /** True for an order that a later one has replaced. */
+  isReplaced({ service, target }: RolloutOrder): boolean {
+    const current = this.#rolloutsByService.get(service)?.order.target;
+    const { stable, abandoned } = this.#pastTargets.get(service) ?? {};
+    const isPast = target === stable || abandoned?.has(target) === true;
+    return current !== undefined && current !== target && isPast;
+  }
+
   #recordPastTargets(
     order: RolloutOrder,
     previous: RolloutOrder | undefined,
@@ -264,8 +291,14 @@
   decide(nowMs: number): RolloutDecision[] {
     const decisions: RolloutDecision[] = [];
     for (const rollout of this.#rolloutsByService.values()) {
-      const { order, fault, evidence } = rollout;
-      if (order.outcome !== undefined) continue;
+      const { order, fault, evidence, isOutcomeLost } = rollout;
+      if (rollout.isUnconfirmed) continue;
+      if (order.outcome !== undefined) {
+        const reason = "the store had lost the outcome";
+        const { outcome } = order;
+        if (isOutcomeLost) decisions.push({ order, outcome, reason });
+        continue;
+      }
       if (fault !== undefined) {
         const outcome = ROLLOUT_OUTCOME.rolledBack;
         decisions.push({ order, outcome, reason: fault });
--- a/src/proxy/fleet/view_relay.ts
+++ b/src/proxy/fleet/view_relay.ts
@@ -70,6 +70,10 @@
   readonly maxAgeMs: Readonly<Record<string, number>>;
   /** Longest time for which an answer is held back without changes. */
   readonly waitMs: number;
+  /** Era of the store; revisions of different eras can't be compared. */
+  readonly getEra: () => number;
+  /** Another entry has seen this era. */
+  readonly onEra: (era: number) => void;
   /** The other present entries of the data centre, sorted by name. */
   readonly listNeighbours: () => readonly Place[];
   readonly onAnswer: (result: "ok" | "failed") => void;
@@ -168,7 +172,8 @@
 
   async #askForNews(source: Place): Promise<void> {
     const { views, waitMs, clock, log, signal } = this.#options;
-    const { onAnswer, onSourceLost } = this.#options;
+    const { onAnswer, onSourceLost, getEra, onEra } = this.#options;
+    const era = getEra();
     const askedViews = views.map((view) => ({
       view,
       since: view.revision ?? 0,
@@ -182,7 +187,7 @@
       agent: this.#agent,
       target: source,
       path: NEWS_PATH,
-      data: NewsQuestion.encode({ positions, waitMs }).finish(),
+      data: NewsQuestion.encode({ positions, waitMs, era }).finish(),
       timeoutMs: waitMs + ANSWER_SLACK_MS,
       signal,
     });
@@ -198,6 +203,8 @@
     if (source.name < this.#options.selfName)
       this.#lastAnswerAtMs = clock.now();
     const message = news.value;
+    onEra(message.era);
+    const isSameEra = message.era === era && getEra() === era;
     let areAllUsable = true;
     // The source sent the answer after this wait at the earliest.
     const waitedMs = Math.min(message.waitedMs, clock.now() - startedAtMs);
@@ -205,7 +212,8 @@
     if (isSourceLost && this.#isFollowing) onSourceLost();
     for (const { view, since } of askedViews) {
       const viewNews = message.views.find(({ kind }) => kind === view.kind);
-      const isUsable = viewNews?.isComplete === true && !viewNews.isLost;
+      const isUsable =
+        isSameEra && viewNews?.isComplete === true && !viewNews.isLost;
       // If the source is behind, the view keeps what it has.
       if (isUsable && viewNews.revision >= since) {
         view.applyChanges({
@@ -228,8 +236,9 @@
 
   /** Answers a question for news as soon as there are changes. */
   async answer(data: Uint8Array): Promise<Uint8Array> {
-    const { views, clock } = this.#options;
-    const { positions, waitMs } = this.#decodeQuestion(data);
+    const { views, clock, getEra, onEra } = this.#options;
+    const { positions, waitMs, era } = this.#decodeQuestion(data);
+    onEra(era);
     const startedAtMs = clock.now();
     this.#lastAskedAtMs = startedAtMs;
     const askedRevisions = new Map(
@@ -240,13 +249,16 @@
       () =>
         askedViews.some(
           (view) =>
+            era !== getEra() ||
             this.#usesFallbackSource ||
             view.isLost ||
             view.hasChangesSince(askedRevisions.get(view.kind) ?? 0),
         ),
       Math.min(waitMs, this.#options.waitMs),
     );
+    const isSameEra = era === getEra();
     return News.encode({
+      era: getEra(),
       views: askedViews.map((view) => {
         const changes = view.listChangesSince(
           askedRevisions.get(view.kind) ?? 0,
@@ -255,7 +267,8 @@
           kind: view.kind,
           revision: view.revision ?? 0,
           ageMs: Math.ceil(Math.min(view.ageMs, MAX_REPORTED_AGE_MS)),
-          isComplete: changes !== undefined && view.revision !== undefined,
+          isComplete:
+            isSameEra && changes !== undefined && view.revision !== undefined,
           isLost: this.#usesFallbackSource || view.isLost,
           changes: [...(changes ?? [])],
         };
@@ -271,7 +284,7 @@
     } catch (error) {
       const reason = String(error);
       this.#options.log.warn("peer-message-skipped", { reason });
-      return { positions: [], waitMs: 0 };
+      return { positions: [], waitMs: 0, era: this.#options.getEra() };
     }
   }
 }
--- a/src/proxy/fleet/view_relay_test.ts
+++ b/src/proxy/fleet/view_relay_test.ts
@@ -21,6 +21,7 @@
       return News.encode({
         views: [{ ...view, isLost: false, changes: [] }],
         waitedMs: 0,
+        era: 0,
       }).finish();
     };
     const server = await startPeerServer(new Map([[NEWS_PATH, answer]]), {
@@ -57,6 +58,8 @@
           ageMs: 0,
           dataCentre: "dc1",
         })),
+      getEra: () => 0,
+      onEra: () => {},
       onAnswer: () => {},
       onSourceLost: () => {},
       clock: createSuspendClock(),
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -32,6 +32,8 @@
   /** Endpoints that ended as they began an answer. */
   crashes: EndpointCrash[];
   holds: PromptHold[];
+  /** Version of the sender's configuration, 0 if it has none. */
+  configVersion: number;
 }
 
 /**
@@ -107,6 +109,8 @@
   positions: ViewPosition[];
   /** Longest time until the answer while there is nothing new. */
   waitMs: number;
+  /** Era of the store that the revisions are of. */
+  era: number;
 }
 
 /** Latest revision of one kind of record that the asking entry has. */
@@ -120,6 +124,8 @@
   views: ViewNews[];
   /** Milliseconds for which the answer waited for news. */
   waitedMs: number;
+  /** Era of the store that the revisions are of. */
+  era: number;
 }
 
 /** Changes of one kind of record since the revision in the question. */
@@ -194,6 +200,7 @@
     limits: [],
     crashes: [],
     holds: [],
+    configVersion: 0,
   };
 }
 
@@ -223,6 +230,9 @@
     for (const v of message.holds) {
       PromptHold.encode(v!, writer.uint32(66).fork()).join();
     }
+    if (message.configVersion !== 0) {
+      writer.uint32(73).double(message.configVersion);
+    }
     return writer;
   },
 
@@ -303,6 +313,14 @@
             message.holds.push(PromptHold.decode(reader, reader.uint32()));
             continue;
           }
+          case 9: {
+            if (tag !== 73) {
+              break;
+            }
+
+            message.configVersion = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -330,6 +348,7 @@
     message.limits = object.limits?.map((e) => LimitReport.fromPartial(e)) || [];
     message.crashes = object.crashes?.map((e) => EndpointCrash.fromPartial(e)) || [];
     message.holds = object.holds?.map((e) => PromptHold.fromPartial(e)) || [];
+    message.configVersion = object.configVersion ?? 0;
     return message;
   },
 };
@@ -893,7 +912,7 @@
 };
 
 function createBaseNewsQuestion(): NewsQuestion {
-  return { positions: [], waitMs: 0 };
+  return { positions: [], waitMs: 0, era: 0 };
 }
 
 export const NewsQuestion: MessageFns<NewsQuestion> = {
@@ -904,6 +923,9 @@
     if (message.waitMs !== 0) {
       writer.uint32(16).uint32(message.waitMs);
     }
+    if (message.era !== 0) {
+      writer.uint32(25).double(message.era);
+    }
     return writer;
   },
 
@@ -936,6 +958,14 @@
             message.waitMs = reader.uint32();
             continue;
           }
+          case 3: {
+            if (tag !== 25) {
+              break;
+            }
+
+            message.era = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -955,6 +985,7 @@
     const message = createBaseNewsQuestion();
     message.positions = object.positions?.map((e) => ViewPosition.fromPartial(e)) || [];
     message.waitMs = object.waitMs ?? 0;
+    message.era = object.era ?? 0;
     return message;
   },
 };
@@ -1027,7 +1058,7 @@
 };
 
 function createBaseNews(): News {
-  return { views: [], waitedMs: 0 };
+  return { views: [], waitedMs: 0, era: 0 };
 }
 
 export const News: MessageFns<News> = {
@@ -1038,6 +1069,9 @@
     if (message.waitedMs !== 0) {
       writer.uint32(16).uint32(message.waitedMs);
     }
+    if (message.era !== 0) {
+      writer.uint32(25).double(message.era);
+    }
     return writer;
   },
 
@@ -1070,6 +1104,14 @@
             message.waitedMs = reader.uint32();
             continue;
           }
+          case 3: {
+            if (tag !== 25) {
+              break;
+            }
+
+            message.era = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1089,6 +1131,7 @@
     const message = createBaseNews();
     message.views = object.views?.map((e) => ViewNews.fromPartial(e)) || [];
     message.waitedMs = object.waitedMs ?? 0;
+    message.era = object.era ?? 0;
     return message;
   },
 };
