Play restores of the store in the soak, and confirm once it has caught up

The soak's store comes back from copies up to six seconds old, and operator and endpoints write again what it lost up to 1.5 s later.

A store that holds the version in force confirms it now at once; one that holds an older one still does not.

--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -133,6 +133,8 @@
   #isConfirming = false;
   /** The store has come back from a copy and may lack what was written. */
   #isSettling = false;
+  /** Version of the configuration that the store was last seen to hold. */
+  #storedVersion = 0;
   /** Revisions of records that are older than what the entry knows, by name. */
   readonly #distrusted = new Map<string, number>();
   readonly #endedEvacuations = new Set<string>();
@@ -266,6 +268,7 @@
     const { current } = era;
     log.warn("store-restored", { era: current });
     this.#isSettling = true;
+    this.#storedVersion = 0;
     this.#distrusted.clear();
     view.endpoints.startLapseGrace(now());
     view.rollouts.startRestore();
@@ -373,11 +376,12 @@
     };
   }
 
-  /** A copy, or a version behind that of another entry, confirms nothing. */
+  /** A store or view behind a version in force somewhere confirms nothing. */
   #confirmConfiguration(atMs: number): void {
     const { view, freshness, getPeerConfigVersion } = this.#options;
     const version = view.catalog?.configuration.version ?? 0;
-    if (this.#isSettling || version < getPeerConfigVersion()) return;
+    const isOutdated = this.#isSettling && this.#storedVersion < version;
+    if (isOutdated || version < getPeerConfigVersion()) return;
     freshness.confirm(atMs);
   }
 
@@ -390,6 +394,7 @@
       return;
     }
     const { configuration, skipReasons } = decoded.value;
+    this.#storedVersion = configuration.version;
     if (!view.setConfiguration(configuration)) return;
     for (const reason of skipReasons)
       log.warn("configuration-part-skipped", { reason });
--- a/src/platform/soak/fault_injector.ts
+++ b/src/platform/soak/fault_injector.ts
@@ -39,11 +39,20 @@
   { outage: "silent" },
 ];
 
+/** Times around a restore of the store, ms. */
+const RESTORE = {
+  maxGapMs: 9_000,
+  maxAgeMs: 6_000,
+  maxOutageMs: 1_500,
+  maxLateMs: 1_500,
+} as const;
+
 export interface FaultInjectorOptions {
   readonly fleet: Fleet;
   readonly random: Random;
   /** Apart from `random`, so that seeds keep their other faults. */
   readonly limitRandom: Random;
+  readonly restoreRandom: Random;
   readonly untilMs: number;
 }
 
@@ -70,7 +79,7 @@
   async run(): Promise<void> {
     const { fleet, random, untilMs } = this.#options;
     for (const entry of fleet.entries) this.#watchExit(entry);
-    const running: Promise<void>[] = [this.#runLimits()];
+    const running: Promise<void>[] = [this.#runLimits(), this.#runRestores()];
     while (performance.now() < untilMs) {
       running.push(this.#runFault());
       await delay(random.pickInteger(50, MAX_FAULT_GAP_MS));
@@ -97,6 +106,27 @@
     }
   }
 
+  /** Lets the store come back from copies of several ages. */
+  async #runRestores(): Promise<void> {
+    const { fleet, restoreRandom: random, untilMs } = this.#options;
+    const { maxGapMs, maxAgeMs, maxOutageMs, maxLateMs } = RESTORE;
+    while (performance.now() < untilMs) {
+      await delay(random.pickInteger(0, maxGapMs));
+      const copy = fleet.store.takeCopy();
+      await delay(random.pickInteger(0, maxAgeMs));
+      this.counts.set("restore", (this.counts.get("restore") ?? 0) + 1);
+      const disturbance = this.#startDisturbance("store-restore");
+      this.#activeStoreFaults++;
+      fleet.store.faults = { outage: "reset" };
+      await delay(random.pickInteger(0, maxOutageMs));
+      fleet.store.restore(copy);
+      this.#activeStoreFaults--;
+      if (this.#activeStoreFaults === 0) fleet.store.faults = {};
+      await fleet.writeAgain(random.pickInteger(0, maxLateMs));
+      this.#endDisturbance(disturbance);
+    }
+  }
+
   async #runFault(): Promise<void> {
     const { fleet, random } = this.#options;
     const entry = random.pick(fleet.entries);
@@ -290,9 +320,11 @@
     // Some replicas tell only their callers, not the store.
     if (random.chance(0.5)) {
       this.leavings.set(member.id, performance.now());
+      member.isDraining = true;
       fleet.writeReplica(member, "draining");
     }
     await delay(LEAVING_DURATION_MS);
+    member.hasLeft = true;
     fleet.store.delete("servers", member.id);
     const disturbance = this.#startDisturbance("gone", member.id);
     member.replica.close();
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -54,6 +54,9 @@
 
 export interface ReplicaMember {
   readonly id: string;
+  /** What its record in the store says. */
+  isDraining?: boolean;
+  hasLeft?: boolean;
   readonly replica: ReplicaStandin;
   readonly link: Link;
 }
@@ -75,6 +78,7 @@
   readonly apiKeys: string[] = ["key-a", "key-b", "key-c"];
   readonly #options: FleetOptions;
   #configVersion = 0;
+  #configuration: object = {};
   #nextReplicaNumber = 0;
 
   constructor(options: FleetOptions) {
@@ -190,7 +194,7 @@
       public: false,
       service: REPLICA_SERVICE,
     };
-    this.store.put("config", "main", {
+    this.#configuration = {
       version: this.#configVersion,
       routes: [
         { ...route, name: "s", prefix: "/safe/", kind: "safe", attempts: 3 },
@@ -215,7 +219,24 @@
       ],
       limits: { max_body_bytes: 100_000, idle_timeout_ms: 5_000 },
       tenants: [{ name: "farm", api_keys: [...this.apiKeys] }],
-    });
+    };
+    this.#writeConfigurationAgain();
+  }
+
+  #writeConfigurationAgain(): void {
+    this.store.put("config", "main", this.#configuration);
+  }
+
+  /** The operator and the replicas write what a restored store has lost. */
+  async writeAgain(maxDelayMs: number): Promise<void> {
+    this.#writeConfigurationAgain();
+    await delay(maxDelayMs);
+    for (const member of this.replicas) {
+      const isCurrent = this.currentReplicaIds.has(member.id);
+      if (isCurrent) this.writeReplica(member, "ready");
+      else if (member.hasLeft) this.store.delete("servers", member.id);
+      else if (member.isDraining) this.writeReplica(member, "draining");
+    }
   }
 
   async addReplica(): Promise<ReplicaMember> {
@@ -238,7 +259,7 @@
     const port = await replica.start();
     signal.addEventListener("abort", () => replica.close(), { once: true });
     const link = await openLink({ targetPort: port, signal });
-    const member = { id, replica, link };
+    const member: ReplicaMember = { id, replica, link };
     this.replicas.push(member);
     this.currentReplicaIds.add(id);
     this.writeReplica(member, "ready");
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -40,6 +40,7 @@
     fleet,
     random: new Random(seed),
     limitRandom: new Random(seed + 2),
+    restoreRandom: new Random(seed + 4),
     untilMs: performance.now() + seconds * 1_000,
   });
   const callersEnd = new AbortController();
