Count crashes in roll-outs until the part that causes them is held

A crash under a part with two crashes was kept out of the evidence of a roll-out. A version that breaks answers off as they begin would hide behind the prompts of its callers: each of their own parts is suspect after two. Now only a held part does, which no request is sent with. Whether that was the cause is not shown yet.

--- a/src/proxy/fleet/prompt_holds.ts
+++ b/src/proxy/fleet/prompt_holds.ts
@@ -113,8 +113,8 @@
   }
 
   /**
-   * An endpoint ended as it began an answer. Returns whether a part of the
-   * prompt, not the endpoint, is the likely cause.
+   * An endpoint ended as it began an answer. Returns whether a held part of the
+   * prompt, not the endpoint, is the cause.
    */
   recordCrash(
     endpoint: string,
@@ -136,7 +136,7 @@
       parts: ids.join(","),
     });
     this.#holdCauses();
-    return this.isSuspect(prompt) || this.listHeld().some(isPartOf(ids));
+    return this.listHeld().some(isPartOf(ids));
   }
 
   #holdCauses(): void {
--- a/src/proxy/fleet/prompt_holds_test.ts
+++ b/src/proxy/fleet/prompt_holds_test.ts
@@ -202,14 +202,18 @@
     assert.equal(one.holds.releasePart("unknown"), 0);
   });
 
-  it("tells a crash by a suspected part from one of the endpoint", () => {
+  // A version that breaks answers off would otherwise never be rolled back.
+  it("lays a crash to the endpoint until the part is held", () => {
     const [entry] = createEntries(1);
     assert.ok(entry);
     entry.holds.recordAnswer(createFacts("s", "first").parts);
     const facts = createFacts("r", "first", "bad");
     assert.equal(crash(entry, "a", facts), false);
-    assert.equal(crash(entry, "b", facts), true);
-    assert.equal(crash(entry, "c", createFacts("s", "first")), false);
+    nowMs += INCIDENT_MS;
+    assert.equal(crash(entry, "b", facts), false);
+    nowMs += INCIDENT_MS;
+    assert.equal(crash(entry, "c", facts), true);
+    assert.equal(crash(entry, "d", createFacts("s", "first")), false);
   });
 
   it("reports few holds and crashes however many there are", () => {
