--- a/src/platform/restored_store_test.ts
+++ b/src/platform/restored_store_test.ts
@@ -49,11 +49,9 @@
     const copy = system.store.takeCopy();
     system.store.put("config", "main", createConfiguration(2));
     await waitForVersion(2, entries);
-    system.store.faults = { outage: "reset" };
-    await delay(OUTAGE_MS);
-    system.store.restore(copy);
-    system.store.put("config", "main", createWithRoute(3, "added"));
-    system.store.faults = {};
+    await restore(copy, () =>
+      system.store.put("config", "main", createWithRoute(3, "added")),
+    );
     await waitForVersion(3, entries);
     for (const [entry] of entries.entries()) {
       const answer = await system.call("/added/a", { id: `a${entry}`, entry });
