Log whom an answer names and whether its connection was used before

The hypotheses of the incident need both: a refusal that was left on a kept connection names another request or none, and comes on a connection that had carried requests. No decision changes.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Agent } from "node:http";
-import type { Logger } from "../../adapters/logger.js";
+import type { LogFields, Logger } from "../../adapters/logger.js";
 import type { LimitReservation, PromptHolds } from "../fleet/index.js";
 import {
   ATTEMPT_RESULT,
@@ -389,7 +389,11 @@
     if (isFault && !isBlameless) {
       this.#recordResult(attempt, toAttemptResult(failure));
     }
-    this.#logEnd(attempt, kind, detail);
+    this.#logEnd(attempt, kind, {
+      detail,
+      reused: failure.isConnectionReused,
+      answerTo: facts && (facts.requestId ?? "none"),
+    });
     return { kind, detail };
   }
 
@@ -404,7 +408,7 @@
       const isBlameless = isCut && !hasBegun && this.#recordCrash(attempt);
       if (!isBlameless) this.#recordResult(attempt, ATTEMPT_RESULT.broken);
     }
-    this.#logEnd(attempt, ATTEMPT_RESULT.broken, detail, hasBegun);
+    this.#logEnd(attempt, ATTEMPT_RESULT.broken, { detail, hasBegun });
   }
 
   /** Records that the endpoint goes on after it has begun its answer. */
@@ -436,25 +440,19 @@
     attempt.release();
     const detail = `Status ${head.status} of the endpoint`;
     this.#recordResult(attempt, ATTEMPT_RESULT.erred);
-    this.#logEnd(attempt, OUTCOME_KIND.erred, detail);
+    this.#logEnd(attempt, OUTCOME_KIND.erred, { detail });
     const answer = body.isOk() ? { head, body: body.value } : undefined;
     return { kind: OUTCOME_KIND.erred, detail, answer };
   }
 
-  #logEnd(
-    attempt: Attempt,
-    result: string,
-    detail?: string,
-    hasBegun?: boolean,
-  ): void {
+  #logEnd(attempt: Attempt, result: string, fields: LogFields): void {
     this.#dependencies.log.info("attempt-ended", {
       request: this.#request.facts.id,
       attempt: attempt.number,
       endpoint: attempt.state.record.id,
       result,
       ms: Math.round(this.#dependencies.now() - attempt.startedAtMs),
-      hasBegun,
-      detail,
+      ...fields,
     });
   }
 
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -44,6 +44,8 @@
   readonly kind: AttemptFailureKind;
   readonly detail: string;
   readonly facts?: AnswerFacts;
+  /** Its connection had carried another request before. */
+  readonly isConnectionReused?: boolean;
   /** The connection ended within the body of the answer. */
   readonly isCut?: boolean;
 }
@@ -91,12 +93,19 @@
       );
       outgoing.destroy();
     };
-    const fail = (kind: AttemptFailureKind, detail: string) =>
-      resolve(err({ kind, detail }));
     if (signal.aborted) {
-      fail(ATTEMPT_FAILURE.notSent, "The attempt was cancelled");
+      const detail = "The attempt was cancelled";
+      resolve(err({ kind: ATTEMPT_FAILURE.notSent, detail }));
       return;
     }
+    const fail = (
+      kind: AttemptFailureKind,
+      detail: string,
+      facts?: AnswerFacts,
+    ) => {
+      const isConnectionReused = outgoing.reusedSocket;
+      resolve(err({ kind, detail, facts, isConnectionReused }));
+    };
     const outgoing = request({
       host: options.address,
       port: options.port,
@@ -139,13 +148,13 @@
       if (facts.isNotRun) {
         ignoreAnswerBody(message);
         const detail = `Status ${message.statusCode}, not run`;
-        resolve(err({ kind: ATTEMPT_FAILURE.notRun, detail, facts }));
+        fail(ATTEMPT_FAILURE.notRun, detail, facts);
         return;
       }
       const detail = findMismatch(message, facts, requestId);
       if (detail !== undefined) {
         outgoing.destroy();
-        resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail, facts }));
+        fail(ATTEMPT_FAILURE.unknown, detail, facts);
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
