Show that an endpoint's repeated refusal is taken for the next request's

An endpoint writes the refusal of an earlier request once more on a kept connection and runs the request that came after it. On this code:

- the order is answered 503 while the endpoint runs it (also where the refusal names no request, or the caller uses an id again);
- with two endpoints the order runs at both;
- a stream stays at work at an endpoint though the entry has gone on;
- the endpoint is closed for the time that the old refusal asks for.

--- /dev/null
+++ b/src/platform/repeated_refusal_test.ts
@@ -0,0 +1,171 @@
+import assert from "node:assert/strict";
+import { createServer, type Socket } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { createConfiguration, TestSystem } from "./entry_fixtures_test.js";
+import { createReplicaSpec } from "./standins/replica.js";
+
+/** Statuses that promise callers that the request has not run. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+const ANSWER_BODY = "done";
+
+function createRefusal(id: string): string {
+  return `HTTP/1.1 503 Full\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+}
+
+function createAnswer(id: string): string {
+  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\nContent-Length: ${ANSWER_BODY.length}\r\n\r\n${ANSWER_BODY}`;
+}
+
+/** Answers one request; `ids` are those of its connection, newest last. */
+type Respond = (socket: Socket, ids: readonly string[]) => void;
+
+describe("an endpoint that writes an earlier refusal once more", () => {
+  let system: TestSystem;
+  const closers: (() => void)[] = [];
+  /** Ids that the endpoint has run, and those whose connection has closed. */
+  let runs: string[];
+  let closed: string[];
+  /** How long the endpoint runs a request. */
+  let runMs: number;
+  beforeEach(() => {
+    system = new TestSystem();
+    runs = [];
+    closed = [];
+    runMs = 20;
+  });
+  afterEach(async () => {
+    for (const close of closers.splice(0)) close();
+    await system.close();
+  });
+
+  async function startEndpoint(id: string, respond: Respond): Promise<void> {
+    const server = createServer((socket) => {
+      const ids: string[] = [];
+      socket.on("error", () => undefined);
+      socket.once("close", () => closed.push(...ids));
+      socket.on("data", (data) => {
+        const requestId = /attempt-id: (\S+)/i.exec(data.toString())?.[1];
+        if (requestId === undefined) return;
+        ids.push(requestId);
+        respond(socket, ids);
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve),
+    );
+    closers.push(() => server.close());
+    const address = server.address();
+    assert.ok(address !== null && typeof address === "object");
+    system.store.put("servers", id, createReplicaSpec(address.port));
+  }
+
+  async function startSystem(
+    respond: Respond,
+    endpoints: readonly string[] = ["i-1"],
+  ): Promise<void> {
+    await system.startStore();
+    system.store.put("config", "main", createConfiguration());
+    for (const id of endpoints) await startEndpoint(id, respond);
+    await system.startEntry();
+    await system.waitFor(() => system.isReady);
+  }
+
+  function runAndAnswer(socket: Socket, id: string): void {
+    runs.push(id);
+    const timer = setTimeout(() => socket.write(createAnswer(id)), runMs);
+    closers.push(() => clearTimeout(timer));
+  }
+
+  /** Refuses a connection's first request, and repeats that to the others. */
+  const repeatRefusal: Respond = (socket, [first = "", ...others]) => {
+    socket.write(createRefusal(first));
+    const id = others.at(-1);
+    if (id !== undefined) runAndAnswer(socket, id);
+  };
+
+  it("does not make callers believe that an order has not run", async () => {
+    await startSystem(repeatRefusal);
+    const refused = await system.call("/once/a", { id: "r1" });
+    assert.equal(refused.status, 503);
+    const { status } = await system.call("/once/a", { id: "r2" });
+    assert.deepEqual(runs, ["r2"]);
+    assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
+  });
+
+  it("does not make an order run at a second endpoint", async () => {
+    await startSystem(repeatRefusal, ["i-1", "i-2"]);
+    // Leaves a connection to each endpoint that has refused once.
+    await system.call("/once/a", { id: "r1" });
+    await system.call("/once/a", { id: "order-2" });
+    assert.deepEqual(runs, ["order-2"]);
+  });
+
+  it("does not keep it at work on a stream that may run elsewhere by now", async () => {
+    runMs = 2_000;
+    await startSystem(repeatRefusal);
+    await system.call("/once/a", { id: "r1" });
+    const call = system.call("/stream/a", {
+      id: "stream-3",
+      deadlineMs: 1_500,
+    });
+    await system.waitFor(() => runs.includes("stream-3"));
+    await system.waitFor(() => closed.includes("stream-3"), 400);
+    await call;
+  });
+
+  it("is not believed when the caller uses the id of the refused order again", async () => {
+    await startSystem((socket, ids) => {
+      if (ids.length === 1) socket.write(createRefusal(ids[0] ?? ""));
+      else repeatRefusal(socket, ids);
+    });
+    await system.call("/once/a", { id: "r1" });
+    const { status } = await system.call("/once/a", { id: "r1" });
+    if (runs.includes("r1")) {
+      assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
+    }
+  });
+
+  // A refusal without an id can't be told from an earlier one.
+  it("is not believed when the refusal names no request", async () => {
+    await startSystem((socket, ids) => {
+      const id = ids.at(-1) ?? "";
+      if (ids.length > 1) {
+        socket.write(
+          "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        );
+      }
+      runAndAnswer(socket, id);
+    });
+    const first = await system.call("/once/a", { id: "r1" });
+    assert.equal(first.status, 200);
+    const { status } = await system.call("/once/a", { id: "r2" });
+    assert.deepEqual(runs, ["r1", "r2"]);
+    assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
+  });
+
+  it("does not close the endpoint to other requests for the time it had asked for", async () => {
+    await startSystem((socket, ids) => {
+      const id = ids.at(-1) ?? "";
+      if (ids.length > 1) {
+        socket.write(
+          `HTTP/1.1 503 Full\r\nAttempt-Id: ${ids[0]}\r\nNot-Executed: 1\r\nRetry-After: 30\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n`,
+        );
+      }
+      runAndAnswer(socket, id);
+    });
+    await system.call("/safe/a", { id: "r1" });
+    await system.call("/safe/a", { id: "r2" });
+    assert.equal((await system.call("/safe/a", { id: "r3" })).status, 200);
+  });
+
+  it("is named in the log with the request that it belongs to", async () => {
+    await startSystem(repeatRefusal);
+    await system.call("/once/a", { id: "r1" });
+    await system.call("/once/a", { id: "r2" });
+    const end = system.logs.find(
+      ({ event, request }) => event === "attempt-ended" && request === "r2",
+    );
+    assert.equal(end?.answerTo, "r1");
+    assert.equal(end?.reused, true);
+  });
+});
