Take an answer for a request's own only if it names that request

Callers were answered 503, a promise that an order has not run, for orders that an endpoint ran. An endpoint writes the refusal of an earlier request once more on a kept connection; the next request there reads it, and "not run" was accepted before the ids were compared. Its connection then went back to the pool with the request's own answer still to come, so each later request was judged by the answer to the one before.

The owner of an answer is now established before anything of it counts: not run, Retry-After, that the endpoint leaves, load and rate. An answer that names another request, none, or two makes the outcome unknown and closes its connection. A connection that has carried a request doesn't carry it again, as an id can't tell the answers apart there. A success that says that it did not run is refused too.

Ruled out: an attempt that counts as not sent although it was. The mark is set when the connection opens, before the request is written.

send_attempt_test took a refusal without an id for a true one. That was wrong: it can't be told from an earlier one. It now checks five heads, of which one counts. The stand-in endpoint's refusals name their request, as the platform's do.

--- a/src/platform/platform_wire.ts
+++ b/src/platform/platform_wire.ts
@@ -69,6 +69,20 @@
   return values;
 }
 
+/** All values of a header that may be repeated. */
+function listValues(headers: RawHeaders, name: string): string[] {
+  return headers
+    .filter((_, i) => i % 2 === 1)
+    .filter((_, i) => headers[2 * i]?.toLowerCase() === name)
+    .map((text) => text.trim());
+}
+
+/** Undefined where the header is missing or has several different values. */
+function findOnlyValue(headers: RawHeaders, name: string): string | undefined {
+  const [value, ...others] = new Set(listValues(headers, name));
+  return others.length === 0 ? value : undefined;
+}
+
 function parseWholeNumber(text: string | undefined): number | undefined {
   if (text === undefined || !/^\d{1,15}$/.test(text.trim())) return undefined;
   return Number(text);
@@ -192,10 +206,7 @@
 function parseLimit(
   headers: RawHeaders,
 ): Pick<AnswerFacts, "limitPerSecond" | "invalidLimit"> {
-  const texts = headers
-    .filter((_, i) => i % 2 === 1)
-    .filter((_, i) => headers[2 * i]?.toLowerCase() === "server-limit")
-    .map((text) => text.trim());
+  const texts = listValues(headers, "server-limit");
   const limits = texts.filter((text) => DECIMAL_PATTERN.test(text)).map(Number);
   return {
     limitPerSecond: limits.length > 0 ? Math.min(...limits) : undefined,
@@ -211,7 +222,7 @@
       ? undefined
       : parseRetryAfter(retryAfter, values.get("date"));
   return {
-    requestId: values.get("attempt-id"),
+    requestId: findOnlyValue(headers, "attempt-id"),
     isSigned: (values.get("server-stamp") ?? "") !== "",
     // Only this header promises that; the status alone does not.
     isNotRun: values.has("not-executed"),
--- a/src/platform/send_attempt_test.ts
+++ b/src/platform/send_attempt_test.ts
@@ -110,15 +110,24 @@
     assert.match(result.detail, /no signature/);
   });
 
-  // A request counts as not run only if the endpoint itself says so.
+  // A request counts as not run only if the endpoint itself says so of it.
   it("distinguishes a refusal by the endpoint from a failure", async () => {
-    const refused = await sendAttemptTo((socket) =>
-      socket.end(
-        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-      ),
-    );
-    assert.ok(typeof refused !== "string");
-    assert.equal(refused.kind, "not-run");
+    const sendRefusal = (head: string) =>
+      sendAttemptTo((socket) =>
+        socket.end(`${head}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`),
+      );
+    const cases = [
+      ["HTTP/1.1 503 Full\r\nAttempt-Id: r1", "not-run"],
+      ["HTTP/1.1 503 Full", "unknown"],
+      ["HTTP/1.1 503 Full\r\nAttempt-Id: r0", "unknown"],
+      ["HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nAttempt-Id: r0", "unknown"],
+      ["HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: r1", "unknown"],
+    ] as const;
+    for (const [head, kind] of cases) {
+      const refused = await sendRefusal(head);
+      assert.ok(typeof refused !== "string");
+      assert.equal(refused.kind, kind, head);
+    }
     const closed = await sendAttemptTo((socket) => socket.destroy());
     assert.ok(typeof closed !== "string");
     assert.equal(closed.kind, "unknown");
@@ -129,7 +138,8 @@
     const CHUNK = "x".repeat(65_536);
     const MAX_SENT_BYTES = 16_777_216;
     const ANSWER_HEAD = SIGNED_HEAD;
-    const REFUSAL_HEAD = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n";
+    const REFUSAL_HEAD =
+      "HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\n";
     const cases = [
       ["in a body without a length", `${ANSWER_HEAD}\r\n`, CHUNK, "unknown"],
       [
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -143,10 +143,12 @@
     request.on("error", () => undefined);
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const sharedParts = listSharedParts(request);
-    this.#recordArrival(String(request.headers["attempt-id"]), sharedParts);
+    const requestId = String(request.headers["attempt-id"]);
+    this.#recordArrival(requestId, sharedParts);
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== options.id) {
       response.writeHead(421, {
+        "Attempt-Id": requestId,
         "Replica-Id": options.id,
         "Not-Executed": "1",
         ...this.#createAvailabilityHeaders(),
@@ -157,6 +159,7 @@
     if (options.isFull) {
       const { retryAfter } = options;
       response.writeHead(503, {
+        "Attempt-Id": requestId,
         "Not-Executed": "1",
         ...(retryAfter === undefined ? {} : { "Retry-After": retryAfter }),
         ...this.#createAvailabilityHeaders(),
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -392,7 +392,7 @@
     this.#logEnd(attempt, kind, {
       detail,
       reused: failure.isConnectionReused,
-      answerTo: facts && (facts.requestId ?? "none"),
+      answerTo: failure.answerTo,
     });
     return { kind, detail };
   }
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -37,13 +37,18 @@
 const MAX_DISCARDED_BYTES = 65_536;
 /** Time limit to read a refusal's body, ms. */
 const DISCARD_TIMEOUT_MS = 500;
+/** Lowest status of an answer that is a failure. */
+const MIN_ERROR_STATUS = 400;
 /** Most 1xx responses before an answer; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind;
   readonly detail: string;
+  /** What the endpoint's answer says, if it is the one to this request. */
   readonly facts?: AnswerFacts;
+  /** Id of the request that the answer names. */
+  readonly answerTo?: string;
   /** Its connection had carried another request before. */
   readonly isConnectionReused?: boolean;
   /** The connection ended within the body of the answer. */
@@ -69,7 +74,7 @@
   readonly wire: WireFormat;
   /** Checked once there is a connection, as the wait for one may be long. */
   readonly maySend: () => boolean;
-  /** Called with each answer's head, before it is checked. */
+  /** Called with the head of this request's answer, signed or not. */
   readonly onHead: (status: number, facts: AnswerFacts) => void;
   /** Aborts the attempt and its connection, also after the head. */
   readonly signal: AbortSignal;
@@ -84,13 +89,10 @@
     let isSent = false;
     const markSentIfAllowed = () => {
       if (maySend()) isSent = true;
-      else withhold();
+      else withhold("The endpoint takes no requests now, so it was not sent");
     };
-    const withhold = () => {
-      fail(
-        ATTEMPT_FAILURE.withheld,
-        "The endpoint takes no requests now, so it was not sent",
-      );
+    const withhold = (detail: string) => {
+      fail(ATTEMPT_FAILURE.withheld, detail);
       outgoing.destroy();
     };
     if (signal.aborted) {
@@ -101,10 +103,10 @@
     const fail = (
       kind: AttemptFailureKind,
       detail: string,
-      facts?: AnswerFacts,
+      answer: Pick<AttemptFailure, "facts" | "answerTo"> = {},
     ) => {
       const isConnectionReused = outgoing.reusedSocket;
-      resolve(err({ kind, detail, facts, isConnectionReused }));
+      resolve(err({ kind, detail, isConnectionReused, ...answer }));
     };
     const outgoing = request({
       host: options.address,
@@ -117,6 +119,10 @@
     });
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
+      if (!recordRequest(socket, requestId)) {
+        withhold("The connection has carried this request before");
+        return;
+      }
       if (!socket.connecting) {
         markSentIfAllowed();
         return;
@@ -144,42 +150,66 @@
     outgoing.on("response", (message) => {
       const headers = message.rawHeaders;
       const facts = wire.parseAnswer(headers);
-      onHead(message.statusCode ?? 0, facts);
-      if (facts.isNotRun) {
+      const { requestId: answerTo = "none" } = facts;
+      // Nothing of an answer to another request says anything about this one.
+      if (facts.requestId !== requestId) {
+        outgoing.destroy();
+        const detail = `Answer is for request "${answerTo}"`;
+        fail(ATTEMPT_FAILURE.unknown, detail, { answerTo });
+        return;
+      }
+      const status = message.statusCode ?? 0;
+      onHead(status, facts);
+      if (facts.isNotRun && status >= MIN_ERROR_STATUS) {
         ignoreAnswerBody(message);
-        const detail = `Status ${message.statusCode}, not run`;
-        fail(ATTEMPT_FAILURE.notRun, detail, facts);
+        const detail = `Status ${status}, not run`;
+        fail(ATTEMPT_FAILURE.notRun, detail, { facts, answerTo });
         return;
       }
-      const detail = findMismatch(message, facts, requestId);
+      const detail = findInvalidity(message, facts);
       if (detail !== undefined) {
         outgoing.destroy();
-        fail(ATTEMPT_FAILURE.unknown, detail, facts);
+        fail(ATTEMPT_FAILURE.unknown, detail, { facts, answerTo });
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
-      const status = message.statusCode ?? 0;
       resolve(ok({ status, facts, headers, message }));
     });
     outgoing.end(body);
   });
 }
 
-/** Says why an answer can't be accepted as the one to this request. */
-function findMismatch(
+/** Says why the answer to this request can't be accepted. */
+function findInvalidity(
   message: IncomingMessage,
   facts: AnswerFacts,
-  requestId: string,
 ): string | undefined {
-  if (facts.requestId !== requestId) {
-    return `Answer is for request "${facts.requestId ?? ""}"`;
-  }
+  if (facts.isNotRun) return "Answer is a success that did not run";
   if (!facts.isSigned) return "Answer has no signature of the endpoint";
   const encoding = message.headers["content-encoding"];
   if (encoding !== undefined) return `Answer is encoded as "${encoding}"`;
   return undefined;
 }
 
+/** Ids of the latest requests of each connection, oldest first. */
+const carriedRequestIds = new WeakMap<Socket, Set<string>>();
+/** More than one caller's attempts can take turns with on a connection. */
+const MAX_CARRIED_IDS = 100;
+
+/**
+ * Records that a connection carries a request. False if it has carried one
+ * with this id before: an answer left over from that would look like this one's.
+ */
+function recordRequest(socket: Socket, requestId: string): boolean {
+  const ids = carriedRequestIds.get(socket) ?? new Set();
+  carriedRequestIds.set(socket, ids);
+  if (ids.has(requestId)) return false;
+  ids.add(requestId);
+  const [oldest = ""] = ids;
+  if (ids.size > MAX_CARRIED_IDS) ids.delete(oldest);
+  return true;
+}
+
 /** True when the answer's own framing marks its end. */
 function hasLength({ headers }: IncomingMessage): boolean {
   return (
