Keep the reader of a data centre running when a record is nested deeply

Another writer's record of many nested arrays ended the entry that reads the store for the others of its data centre; the next reader ended with the writer's next change, and so on (issue: an odd record ends the machines that read the list).

Cause: JSON.parse has no limit of levels, but JSON.stringify is recursive and fails from some 4,000. The reader serializes changes when a follower asks for news, so the rejection was not handled and ended the process. Ruled out: the parser, which takes 400,000 levels, and a single entry, which serializes nothing.

A spec or status of over 64 levels now counts as missing when it is decoded, before it is kept or passed on. Endpoints and roll-outs leave it out with a log line, a configuration is rejected, and an evacuation, of which only the name counts, holds.

The new fuzz test serializes events of up to 100,000 levels.

--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -152,7 +152,11 @@
   spec: unknown,
 ): Result<DecodedConfiguration, DecodeFailure> {
   if (!isFields(spec))
-    return err(createDecodeFailure("configuration is not an object"));
+    return err(
+      createDecodeFailure(
+        "configuration is not an object or is nested too deeply",
+      ),
+    );
   const version = getNumber(spec, "version");
   if (version === undefined) {
     return err(createDecodeFailure("configuration has no version"));
@@ -196,7 +200,8 @@
   const { name, spec } = object;
   const fail = (detail: string) =>
     err(createDecodeFailure(`server ${name}: ${detail}`));
-  if (!isFields(spec)) return fail("spec is not an object");
+  if (!isFields(spec))
+    return fail("spec is not an object or is nested too deeply");
   const service = getText(spec, "service");
   const networkAddress = parseAddress(getText(spec, "addr") ?? "");
   const state = getText(spec, "state");
@@ -236,7 +241,11 @@
 ): Result<RolloutOrder, DecodeFailure> {
   const { name, spec, status, revision, createdRevision } = object;
   if (!isFields(spec)) {
-    return err(createDecodeFailure(`rollout ${name}: spec is not an object`));
+    return err(
+      createDecodeFailure(
+        `rollout ${name}: spec is not an object or is nested too deeply`,
+      ),
+    );
   }
   const service = getText(spec, "service");
   const target = getText(spec, "target");
--- a/src/platform/decode_fuzz_test.ts
+++ b/src/platform/decode_fuzz_test.ts
@@ -10,7 +10,13 @@
 import { decodeSettings } from "./entry_settings.js";
 import { parseAddress } from "./parse_address.js";
 import { platformWire } from "./platform_wire.js";
-import { decodeEvents, decodeObject, decodePage } from "./store_client.js";
+import {
+  decodeEvents,
+  decodeObject,
+  decodePage,
+  parseEvent,
+  serializeEvent,
+} from "./store_client.js";
 
 const FUZZ_OPTIONS = { numRuns: 2_000 };
 /** Spec of an endpoint, as stored on the platform. */
@@ -118,6 +124,27 @@
     });
   }
 
+  // Entries pass on what they have read, and `JSON.stringify` is recursive.
+  it("events: can be serialized, however deeply they are nested", () => {
+    const nest = (levels: number, open: string, close: string) =>
+      open.repeat(levels) + (open === "[" ? "" : "0") + close.repeat(levels);
+    const metadata = JSON.stringify({ name: "a", revision: 3 });
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 100_000 }),
+        fc.constantFrom(["[", "]"], ['{"a":', "}"]),
+        fc.constantFrom("spec", "status"),
+        (levels, [open = "", close = ""], field) => {
+          const object = `{"metadata":${metadata},"${field}":${nest(levels, open, close)}}`;
+          const event = parseEvent(Buffer.from(`{"object":${object}}`));
+          assert.ok(event.isOk());
+          assert.ok(parseEvent(serializeEvent(event.value)).isOk());
+        },
+      ),
+      { numRuns: 50 },
+    );
+  });
+
   it("endpoint: never returns a record with a missing field", () => {
     fc.assert(
       fc.property(replaceAnyLeaf(ENDPOINT), (spec) => {
--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -35,3 +35,12 @@
   const value = fields[name];
   return isFields(value) ? value : {};
 }
+
+/** True when arrays and objects are nested in at most so many levels. */
+export function isNestedWithin(value: unknown, maxLevels: number): boolean {
+  if (typeof value !== "object" || value === null) return true;
+  if (maxLevels === 0) return false;
+  return Object.values(value).every((item) =>
+    isNestedWithin(item, maxLevels - 1),
+  );
+}
--- a/src/platform/standins/store.ts
+++ b/src/platform/standins/store.ts
@@ -58,6 +58,7 @@
   readonly #writeLimit = new RateLimit(() => performance.now());
   readonly #readLimit = new RateLimit(() => performance.now());
   readonly #rates: { writesPerSecond: number; readsPerSecond: number };
+  readonly #rawSpecs = new Map<string, string>();
   #history: StoreEvent[] = [];
   #revision = 1;
   #oldestRevision = 1;
@@ -79,7 +80,8 @@
     const era = String(this.#era);
     try {
       const reply = await this.#answer(call);
-      return reply && { ...reply, headers: { "Store-Era": era } };
+      const text = this.#renderRaw(reply?.body);
+      return reply && { ...reply, text, headers: { "Store-Era": era } };
     } catch (error) {
       if (!(error instanceof ReplyError)) throw error;
       const headers = { "Store-Era": era };
@@ -129,6 +131,21 @@
     });
   }
 
+  /** Sets an object's spec to bytes that `JSON.stringify` can't create. */
+  putRaw(kind: string, name: string, text: string): void {
+    const token = `raw-spec-${this.#rawSpecs.size}`;
+    this.#rawSpecs.set(token, text);
+    this.put(kind, name, token);
+  }
+
+  #renderRaw(body: unknown): string | undefined {
+    if (this.#rawSpecs.size === 0 || body === undefined) return undefined;
+    return JSON.stringify(body).replace(
+      /"(raw-spec-\d+)"/g,
+      (found, token: string) => this.#rawSpecs.get(token) ?? found,
+    );
+  }
+
   putStatus(kind: string, name: string, status: unknown): void {
     this.#changeObject(kind, name, (stored) => {
       stored.status = status;
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -9,6 +9,7 @@
   getNumber,
   getText,
   isFields,
+  isNestedWithin,
 } from "./fields.js";
 import { parseEra, type StoreEra } from "./store_era.js";
 
@@ -32,10 +33,17 @@
   /** Revision at which the object was created; never changes. */
   readonly createdRevision: number;
   readonly isDeleting: boolean;
+  /** Undefined if it is nested too deeply. */
   readonly spec: unknown;
   readonly status: unknown;
 }
 
+/**
+ * Most levels of a spec or status; the deepest document of the platform has
+ * six. `JSON.stringify` is recursive and fails from some 4,000.
+ */
+const MAX_NESTING_LEVELS = 64;
+
 export interface ObjectPage {
   readonly objects: readonly StoredObject[];
   /** Reasons why invalid objects were left out, one for each object. */
@@ -288,11 +296,15 @@
     revision,
     createdRevision: getNumber(metadata, "created") ?? 0,
     isDeleting: metadata.deleting === true,
-    spec: value.spec,
-    status: value.status,
+    spec: getIfShallow(value.spec),
+    status: getIfShallow(value.status),
   });
 }
 
+function getIfShallow(value: unknown): unknown {
+  return isNestedWithin(value, MAX_NESTING_LEVELS) ? value : undefined;
+}
+
 export function decodePage(body: unknown): Result<ObjectPage, StoreFailure> {
   if (!isFields(body))
     return err(createMalformedFailure("The list is not a JSON object"));
--- a/src/standins/server.ts
+++ b/src/standins/server.ts
@@ -26,6 +26,8 @@
   readonly status: number;
   readonly body: unknown;
   readonly headers?: Record<string, string>;
+  /** Sent in place of `body`, also if it is not JSON. */
+  readonly text?: string;
 }
 
 /** Returns undefined if the handler answered or disconnected by itself. */
@@ -73,7 +75,7 @@
     response.writeHead(reply.status, reply.headers).end();
     return;
   }
-  const text = JSON.stringify(reply.body ?? {});
+  const text = reply.text ?? JSON.stringify(reply.body ?? {});
   response.writeHead(reply.status, {
     "content-type": "application/json",
     "content-length": Buffer.byteLength(text),
