Report ages of over 49 days without ending the process

An entry that held a prompt part for 49.7 days, or as long knew the rate of an endpoint that got no requests or a roll-out that was not decided, ended with its next message to another entry. A hold is read again from the store, so the process ended again after each start.

Cause: ages in messages are unsigned 32-bit numbers of milliseconds, and the encoder throws on a larger one, in the loop of the exchange and in the answer to another entry, where nothing catches it. Ruled out: the decoder, which takes any message, and ages of peers and sessions, which are listed for some seconds only.

All numbers of reports are now limited to what their field holds. A receiver takes them as "at least as old", which changes nothing for it.

--- a/src/proxy/fleet/endpoint_limits.ts
+++ b/src/proxy/fleet/endpoint_limits.ts
@@ -16,7 +16,7 @@
 import type { SuspendClock } from "../suspend_clock.js";
 import type { AnswerFacts } from "../types.js";
 import type { EndpointTable } from "./endpoint_table.js";
-import { MAX_TRANSIT_MS } from "./peer_messages.js";
+import { MAX_TRANSIT_MS, toMessageNumber } from "./peer_messages.js";
 
 /** Time for which a computed part is used; the entries rarely change. */
 const SHARE_LIFETIME_MS = 250;
@@ -224,10 +224,7 @@
           startedAtMs: state.record.startedAtMs ?? 0,
           isLimited,
           perSecond: limit.perSecond ?? 0,
-          ageMs: Math.max(
-            0,
-            Math.round(this.readAnswerClock() - limit.heardAtMs),
-          ),
+          ageMs: toMessageNumber(this.readAnswerClock() - limit.heardAtMs),
         },
       ];
     });
--- a/src/proxy/fleet/endpoint_limits_test.ts
+++ b/src/proxy/fleet/endpoint_limits_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { LimitReport } from "../../schema/exchange/index.js";
+import { LimitReport } from "../../schema/exchange/index.js";
 import { createRandom } from "../../standins/random.js";
 import { chooseEndpoint, type EndpointState } from "../placing/index.js";
 import { SuspendClock } from "../suspend_clock.js";
@@ -405,6 +405,19 @@
     }
   });
 
+  // A message whose numbers don't fit in their fields can't be encoded.
+  it("can be reported however long ago it was heard", () => {
+    const entry = new Entry();
+    entry.hear(1.2);
+    for (const days of [1, 50, 1_000]) {
+      entry.time.monotonicMs = days * 86_400_000;
+      const [report] = entry.limits.listReports();
+      assert.ok(report);
+      const data = LimitReport.encode(report).finish();
+      assert.equal(LimitReport.decode(data).perSecond, 1.2);
+    }
+  });
+
   it("does not pass to a new process of the endpoint", () => {
     const [entry, other] = [new Entry(), new Entry()];
     entry.hear(1.2);
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -21,6 +21,17 @@
  */
 export const MAX_TRANSIT_MS = 1_000;
 
+/** Largest number in an integer field of a message. */
+const MAX_MESSAGE_NUMBER = 2 ** 32 - 1;
+
+/**
+ * The nearest number that fits in an integer field. A message with any other
+ * number can't be encoded; 2^32 ms are 49.7 days.
+ */
+export function toMessageNumber(value: number): number {
+  return Math.min(MAX_MESSAGE_NUMBER, Math.max(0, Math.round(value)));
+}
+
 export interface OutgoingMessage {
   readonly agent: Agent;
   readonly target: NetworkAddress;
--- a/src/proxy/fleet/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -13,7 +13,7 @@
 import { chooseSome } from "../choose_some.js";
 import type { NetworkAddress } from "../types.js";
 import type { EndpointLimits } from "./endpoint_limits.js";
-import { sendMessage } from "./peer_messages.js";
+import { sendMessage, toMessageNumber } from "./peer_messages.js";
 import type { PromptHolds } from "./prompt_holds.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
@@ -202,7 +202,7 @@
     const peers = chooseSome(presentPeers, listedCount, random).map(
       ({ place, lastHeardAtMs }) => ({
         ...place,
-        ageMs: Math.max(0, Math.round(nowMs - lastHeardAtMs)),
+        ageMs: toMessageNumber(nowMs - lastHeardAtMs),
       }),
     );
     return Exchange.encode({
--- a/src/proxy/fleet/prompt_holds.ts
+++ b/src/proxy/fleet/prompt_holds.ts
@@ -10,7 +10,7 @@
 import { CrashEvidence, hasAll, listSharedPartIds } from "../placing/index.js";
 import type { SuspendClock } from "../suspend_clock.js";
 import type { PromptPart, RequestFacts } from "../types.js";
-import { MAX_TRANSIT_MS } from "./peer_messages.js";
+import { MAX_TRANSIT_MS, toMessageNumber } from "./peer_messages.js";
 
 /** Time for which parts are held, ms; doubles with each trial that fails. */
 const HOLD_MS = 600_000;
@@ -247,10 +247,10 @@
       .slice(-MAX_REPORTED_CRASHES)
       .map(({ endpoint, atMs, prompts }) => ({
         endpoint,
-        ageMs: toAgeMs(nowMs, atMs),
+        ageMs: toMessageNumber(nowMs - atMs),
         prompts: prompts.map(({ parts, runMs }) => ({
           ids: [...parts],
-          runMs: Math.round(runMs),
+          runMs: toMessageNumber(runMs),
         })),
       }));
   }
@@ -266,9 +266,9 @@
       .map(({ parts, isHeld, crashes, failedTrials, changedAtMs }) => ({
         parts: [...parts],
         isHeld,
-        crashes,
-        failedTrials,
-        ageMs: toAgeMs(nowMs, changedAtMs),
+        crashes: toMessageNumber(crashes),
+        failedTrials: toMessageNumber(failedTrials),
+        ageMs: toMessageNumber(nowMs - changedAtMs),
       }));
   }
 
@@ -334,10 +334,6 @@
   return [...parts].sort().join(" ");
 }
 
-function toAgeMs(nowMs: number, atMs: number): number {
-  return Math.max(0, Math.round(nowMs - atMs));
-}
-
 function describeParts({ parts, crashes, failedTrials }: HeldParts) {
   return { parts: parts.join(","), crashes, failedTrials };
 }
--- a/src/proxy/fleet/prompt_holds_test.ts
+++ b/src/proxy/fleet/prompt_holds_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PromptHold } from "../../schema/exchange/index.js";
 import { SuspendClock } from "../suspend_clock.js";
 import type { RequestFacts } from "../types.js";
 import { type HeldParts, PromptHolds } from "./prompt_holds.js";
@@ -216,6 +217,19 @@
     assert.equal(crash(entry, "d", createFacts("s", "first")), false);
   });
 
+  // A message whose numbers don't fit in their fields can't be encoded.
+  it("can be reported however long it is held", () => {
+    const [entry] = createEntries(1);
+    assert.ok(entry);
+    holdPart(entry);
+    for (const days of [1, 50, 1_000]) {
+      nowMs = days * 86_400_000;
+      const [report] = entry.holds.listHoldReports();
+      assert.ok(report);
+      assert.ok(PromptHold.decode(PromptHold.encode(report).finish()).isHeld);
+    }
+  });
+
   it("reports few holds and crashes however many there are", () => {
     const [entry] = createEntries(1);
     assert.ok(entry);
--- a/src/proxy/fleet/rollouts.ts
+++ b/src/proxy/fleet/rollouts.ts
@@ -12,6 +12,7 @@
   type RolloutOrder,
   type RolloutOutcome,
 } from "../types.js";
+import { toMessageNumber } from "./peer_messages.js";
 import {
   type AnswerTotals,
   getFailureShare,
@@ -269,7 +270,7 @@
         service: order.service,
         target: order.target,
         createdRevision: order.createdRevision,
-        elapsedMs: Math.round(nowMs - startedAtMs),
+        elapsedMs: toMessageNumber(nowMs - startedAtMs),
         ...evidence.createReport(),
       }));
   }
--- a/src/proxy/fleet/rollouts_test.ts
+++ b/src/proxy/fleet/rollouts_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { RolloutReport } from "../../schema/exchange/index.js";
 import { createRandom } from "../../standins/random.js";
 import type { RolloutOrder } from "../types.js";
 import { RolloutEvidence } from "./rollout_evidence.js";
@@ -269,3 +270,17 @@
     }
   });
 });
+
+describe("report of a roll-out", () => {
+  // A message whose numbers don't fit in their fields can't be encoded.
+  it("can be encoded however long the order is undecided", () => {
+    const rollouts = new Rollouts("a", MAX_EXPOSURE);
+    rollouts.put(ORDER, 0);
+    for (const days of [1, 50, 1_000]) {
+      const [report] = rollouts.listReports(days * 86_400_000);
+      assert.ok(report);
+      const data = RolloutReport.encode(report).finish();
+      assert.equal(RolloutReport.decode(data).target, ORDER.target);
+    }
+  });
+});
