Leave out odd prompt holds when they are read from the store

One odd object among the held prompt parts ended every entry with its first message to another one, and again after each start: the holds are read at the start, and each message reports them.

Cause: counts and times were taken as they were, or as 0 where missing. A fraction, a negative or a large number doesn't fit the field of the message, whose encoder throws; a missing time gave an age of 57 years. Ruled out: names, which are not read.

A hold is now decoded like other records: up to eight parts of up to 32 characters, as entries write them, and whole counts. An odd one is left out with one line, as holds are read once.

--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -19,6 +19,14 @@
     : undefined;
 }
 
+/** A whole number from 0 that is exact. */
+export function getCount(fields: Fields, name: string): number | undefined {
+  const value = getNumber(fields, name);
+  return Number.isSafeInteger(value) && value !== undefined && value >= 0
+    ? value
+    : undefined;
+}
+
 export function getList(fields: Fields, name: string): readonly unknown[] {
   const value = fields[name];
   return Array.isArray(value) ? value : [];
--- a/src/platform/stored_holds.ts
+++ b/src/platform/stored_holds.ts
@@ -3,17 +3,29 @@
  * start anew know them.
  */
 
+import { err, ok, type Result } from "neverthrow";
 import type { Logger } from "../adapters/logger.js";
 import { pauseFor } from "../adapters/pause_for.js";
 import { hashSha256, serializeCanonical } from "../core/canonical.js";
 import {
   type HeldParts,
   HOLD_SOURCE,
+  MAX_PART_ID_LENGTH,
+  MAX_PROMPT_PARTS,
   type PromptHolds,
 } from "../proxy/index.js";
-import { STORE_FAILURE, type StoreFailure } from "./failures.js";
-import { getNumber, getTexts, isFields } from "./fields.js";
-import { PROMPT_HOLD_KIND, type StoreClient } from "./store_client.js";
+import {
+  createDecodeFailure,
+  type DecodeFailure,
+  STORE_FAILURE,
+  type StoreFailure,
+} from "./failures.js";
+import { getCount, getList, getTexts, isFields } from "./fields.js";
+import {
+  PROMPT_HOLD_KIND,
+  type StoreClient,
+  type StoredObject,
+} from "./store_client.js";
 
 /** Pause after a call that failed, ms. */
 const RETRY_PAUSE_MS = 1_000;
@@ -52,22 +64,16 @@
     const { store, promptHolds, readWallClockMs, log } = this.#options;
     const page = await store.list(PROMPT_HOLD_KIND, undefined);
     if (page.isErr()) return page.error.kind === STORE_FAILURE.notFound;
-    const reports = page.value.objects.flatMap(({ name, spec }) => {
-      const parts = isFields(spec) ? getTexts(spec, "parts") : [];
-      if (!isFields(spec) || parts.length === 0) {
-        log.warn("prompt-hold-skipped", { name });
-        return [];
+    const reports = page.value.objects.flatMap((object) => {
+      const held = decodeHold(object);
+      if (held.isOk()) {
+        const { heldAtMs, ...counts } = held.value;
+        const ageMs = Math.max(0, readWallClockMs() - heldAtMs);
+        return [{ ...counts, isHeld: true, ageMs }];
       }
-      const heldAtMs = getNumber(spec, "held_at_ms") ?? 0;
-      return [
-        {
-          parts,
-          isHeld: true,
-          crashes: getNumber(spec, "crashes") ?? 0,
-          failedTrials: getNumber(spec, "failed_trials") ?? 0,
-          ageMs: Math.max(0, readWallClockMs() - heldAtMs),
-        },
-      ];
+      const name = object.name.slice(0, NAME_LENGTH);
+      log.warn("prompt-hold-skipped", { name, reason: held.error.detail });
+      return [];
     });
     promptHolds.mergeHolds(reports, HOLD_SOURCE.store);
     return true;
@@ -115,6 +121,44 @@
   }
 }
 
+interface StoredHold {
+  readonly parts: string[];
+  readonly crashes: number;
+  readonly failedTrials: number;
+  /** Unix time, ms. */
+  readonly heldAtMs: number;
+}
+
+/** Holds reach every entry in messages, so odd ones are left out here. */
+function decodeHold({
+  spec,
+}: Pick<StoredObject, "spec">): Result<StoredHold, DecodeFailure> {
+  const fields = isFields(spec) ? spec : {};
+  const parts = getTexts(fields, "parts");
+  const isValidPart = (id: string) =>
+    id !== "" && id.length <= MAX_PART_ID_LENGTH;
+  if (parts.length === 0 || parts.length > MAX_PROMPT_PARTS) {
+    return err(createDecodeFailure("parts are missing or too many"));
+  }
+  if (parts.length !== getList(fields, "parts").length) {
+    return err(createDecodeFailure("a part is not a text"));
+  }
+  if (!parts.every(isValidPart)) {
+    return err(createDecodeFailure("a part is empty or too long"));
+  }
+  const crashes = getCount(fields, "crashes");
+  const failedTrials = getCount(fields, "failed_trials");
+  const heldAtMs = getCount(fields, "held_at_ms");
+  if (
+    crashes === undefined ||
+    failedTrials === undefined ||
+    heldAtMs === undefined
+  ) {
+    return err(createDecodeFailure("a count or the time is not valid"));
+  }
+  return ok({ parts, crashes, failedTrials, heldAtMs });
+}
+
 function createName(parts: readonly string[]): string {
   const text = serializeCanonical([...parts].sort());
   return hashSha256(text).slice(0, NAME_LENGTH);
--- a/src/proxy/placing/crash_evidence.ts
+++ b/src/proxy/placing/crash_evidence.ts
@@ -34,9 +34,9 @@
 /** Prompts that are remembered for one crash. */
 const MAX_PROMPTS_PER_CRASH = 4;
 /** Parts of one prompt that are considered. */
-const MAX_PARTS = 8;
+export const MAX_PROMPT_PARTS = 8;
 /** Callers choose the ids; longer ones are replaced by a hash. */
-const MAX_ID_LENGTH = 32;
+export const MAX_PART_ID_LENGTH = 32;
 /** Parts with which endpoints answered that are remembered. */
 const MAX_ANSWERED_PARTS = 5_000;
 
@@ -67,9 +67,11 @@
 export function listSharedPartIds(parts: readonly PromptPart[]): string[] {
   return parts
     .slice(0, -1)
-    .slice(0, MAX_PARTS)
+    .slice(0, MAX_PROMPT_PARTS)
     .map(({ id }) =>
-      id.length <= MAX_ID_LENGTH ? id : hashSha256(id).slice(0, MAX_ID_LENGTH),
+      id.length <= MAX_PART_ID_LENGTH
+        ? id
+        : hashSha256(id).slice(0, MAX_PART_ID_LENGTH),
     );
 }
 
