Send no requests to an endpoint whose id no header can have

One odd record in the list of endpoints broke the requests for which it was chosen: callers lost the connection without an answer, also for requests that may run once. The record looked idle, so it was chosen again, and each time the endpoint's load was counted up for good.

Cause: the id is the value of a header of each attempt, and Node throws when a request is created with a control character or a letter beyond Latin-1. The error passed by all that ends an attempt, up to the request handler, which closes the connection. Ruled out: the port, which is checked when a record is decoded, and the path and headers of callers, whose parser accepts no such characters.

Ids are now 256 printable ASCII characters at most; other records are left out, with a log line of limited length. Where a request still can't be created, as under an account with such a name, the attempt ends as withheld: not sent, without blame for the endpoint, and the caller hears that it did not run.

--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -193,6 +193,14 @@
   });
 }
 
+/** Characters that a header may have; names are also compared with headers. */
+const NAME_PATTERN = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/;
+const MAX_NAME_LENGTH = 256;
+
+function isName(text: string): boolean {
+  return text.length <= MAX_NAME_LENGTH && NAME_PATTERN.test(text);
+}
+
 /** An endpoint with an invalid record is not used. */
 export function decodeEndpoint(
   object: StoredObject,
@@ -200,6 +208,7 @@
   const { name, spec } = object;
   const fail = (detail: string) =>
     err(createDecodeFailure(`server ${name}: ${detail}`));
+  if (!isName(name)) return fail("the id is too long or no header value");
   if (!isFields(spec))
     return fail("spec is not an object or is nested too deeply");
   const service = getText(spec, "service");
--- a/src/platform/failures.ts
+++ b/src/platform/failures.ts
@@ -30,6 +30,9 @@
   readonly detail: string;
 }
 
+/** Details are logged, and names in them are as long as their writer likes. */
+const MAX_DETAIL_LENGTH = 200;
+
 export function createDecodeFailure(detail: string): DecodeFailure {
-  return { kind: "decode", detail };
+  return { kind: "decode", detail: detail.slice(0, MAX_DETAIL_LENGTH) };
 }
--- a/src/platform/odd_records_test.ts
+++ b/src/platform/odd_records_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { createConfiguration, TestSystem } from "./entry_fixtures_test.js";
+import {
+  API_KEY,
+  createConfiguration,
+  TestSystem,
+} from "./entry_fixtures_test.js";
+import { createReplicaSpec } from "./standins/replica.js";
 
 /** `JSON.parse` accepts this nesting, `JSON.stringify` fails from some 4,000. */
 const DEEP_LEVELS = 100_000;
@@ -85,4 +90,61 @@
       assert.match(answer.body, /^prompt-held/);
     });
   }
+
+  // The id is a header of each attempt, and a request with one that no header
+  // can have throws: callers lost their connections without an answer.
+  for (const [name, id] of Object.entries({
+    "line breaks": "i-9\r\nTenant: other",
+    "letters beyond Latin-1": "i-\u65e5",
+    "a control character": "i-9\u0000",
+    "half a surrogate pair": "i-\ud800",
+    "a great length": "i".repeat(100_000),
+  })) {
+    it(`an endpoint whose id has ${name} gets no requests`, async () => {
+      system = new TestSystem();
+      await system.start([{ id: "i-1" }]);
+      const port = system.replicaPorts.get("i-1") ?? 0;
+      system.store.put("servers", id, createReplicaSpec(port));
+      await system.startReplica({ id: "i-2" });
+      await system.waitFor(
+        () => listEntries("endpoint-added", "i-2").length === 1,
+      );
+      for (let i = 0; i < 10; i++) {
+        const answer = await system.call("/safe/a", { id: `r-${i}` });
+        assert.equal(answer.status, 200);
+        assert.equal(system.listRuns(`r-${i}`).length, 1);
+      }
+      const skipped = system.logs.filter(
+        ({ event }) =>
+          event === "endpoint-skipped" || event === "object-skipped",
+      );
+      assert.equal(skipped.length, 1);
+      assert.ok(JSON.stringify(skipped).length < 500);
+    });
+  }
+
+  it("an account whose name no header can have gets an answer", async () => {
+    system = new TestSystem();
+    await system.start([{ id: "i-1" }, { id: "i-2" }]);
+    const tenants = [
+      { name: "\u65e5", api_keys: ["odd-key"] },
+      { name: "farm", api_keys: [API_KEY] },
+    ];
+    system.store.put("config", "main", { ...createConfiguration(2), tenants });
+    await system.waitFor(() =>
+      system.logs.some(
+        ({ event, version }) =>
+          event === "configuration-in-force" && version === 2,
+      ),
+    );
+    const odd = await system.call("/safe/a", { id: "o", key: "odd-key" });
+    assert.equal(odd.status, 503);
+    assert.equal((await system.call("/safe/a", { id: "r" })).status, 200);
+    assert.ok(
+      system.logs.some(
+        ({ event, result }) =>
+          event === "attempt-ended" && result === "withheld",
+      ),
+    );
+  });
 });
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -4,7 +4,12 @@
  * and carries the id of this request.
  */
 
-import { type Agent, type IncomingMessage, request } from "node:http";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import type { AnswerFacts, RawHeaders, WireFormat } from "../types.js";
@@ -97,15 +102,13 @@
       fail(ATTEMPT_FAILURE.notSent, "The attempt was cancelled");
       return;
     }
-    const outgoing = request({
-      host: options.address,
-      port: options.port,
-      method: options.method,
-      path: options.path,
-      headers: options.headers,
-      agent: options.agent,
-      signal,
-    });
+    const opened = openRequest(options);
+    if (opened.isErr()) {
+      // The endpoint is not at fault, so it must not count as unreachable.
+      fail(ATTEMPT_FAILURE.withheld, opened.error);
+      return;
+    }
+    const outgoing = opened.value;
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
       if (!socket.connecting) {
@@ -156,6 +159,16 @@
   });
 }
 
+/** Node throws on a header value, path or port that can't be sent. */
+function openRequest(options: AttemptOptions): Result<ClientRequest, string> {
+  const { address: host, port, method, path, headers, agent, signal } = options;
+  try {
+    return ok(request({ host, port, method, path, headers, agent, signal }));
+  } catch (error) {
+    return err(`The request can't be sent: ${String(error)}`);
+  }
+}
+
 /** Says why an answer can't be accepted as the one to this request. */
 function findMismatch(
   message: IncomingMessage,
