Read the whole list where a page ends with an odd name

One odd record at the end of a page of a list ended every entry at its start, again and again. One without a name cut the list off there, so that all later endpoints counted as gone.

Cause: the next page is asked for by the last name of the page. encodeURIComponent throws on half a surrogate pair, which JSON may carry, in a loop where nothing catches it; a missing name ended the loop. Ruled out: watches, which name a revision only.

Such names are now left out with a log line, and the list continues after the last name that was decoded. A page without a new name ends it with "list-incomplete", as it would be returned for ever.

Evidence: two tests of entries failed with "URI malformed" as an unhandled rejection, and a test of a page got no name; they pass now. That a page without a new name ends the list has no test.

--- a/src/platform/decode_fuzz_test.ts
+++ b/src/platform/decode_fuzz_test.ts
@@ -145,6 +145,18 @@
     );
   });
 
+  // The last name asks for the next page: none would end the list, and one with
+  // half a surrogate pair can't be part of a path.
+  it("page: continues after the last name that a path can have", () => {
+    const named = (name: unknown) => ({ metadata: { name, revision: 3 } });
+    const items = [named("a"), named("b"), named("c\ud800"), named(7), 8];
+    const page = decodePage({ items, has_more: true, at: 4 });
+    assert.ok(page.isOk());
+    assert.equal(page.value.lastName, "b");
+    assert.equal(page.value.objects.length, 2);
+    assert.equal(page.value.skipReasons.length, 3);
+  });
+
   it("endpoint: never returns a record with a missing field", () => {
     fc.assert(
       fc.property(replaceAnyLeaf(ENDPOINT), (spec) => {
--- a/src/platform/odd_records_test.ts
+++ b/src/platform/odd_records_test.ts
@@ -147,4 +147,32 @@
       ),
     );
   });
+
+  // The next page is asked for by the last name: one that no path can have
+  // threw and ended the process, again after each start.
+  for (const [kind, name] of [
+    ["servers", "i-1\ud800"],
+    ["evacuations", "dc9\udfff"],
+  ] as const) {
+    it(`an ill-formed name at the end of a page of ${kind} doesn't end the list`, async () => {
+      system = new TestSystem();
+      system.store.objectsPerPage = 2;
+      await system.startStore();
+      system.store.put("config", "main", createConfiguration());
+      for (const other of ["dc8", "dcx"]) {
+        if (kind === "evacuations") system.store.put(kind, other, {});
+      }
+      for (const id of ["i-0", "i-1", "i-2", "i-3"]) {
+        if (kind !== "servers" || id !== "i-1")
+          await system.startReplica({ id });
+      }
+      system.store.put(kind, name, createReplicaSpec(9));
+      await system.startEntry();
+      await system.waitFor(() => system.isReady);
+      await system.waitFor(
+        () => listEntries("endpoint-added", "i-3").length === 1,
+      );
+      assert.equal((await system.call("/safe/a")).status, 200);
+    });
+  }
 });
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -51,7 +51,7 @@
   readonly hasMore: boolean;
   /** Revision of the store at which the page was read. */
   readonly storeRevision: number;
-  /** Name of the last object on the page, even if it was left out. */
+  /** Name after which the list continues; the page has it or a later one. */
   readonly lastName?: string;
 }
 
@@ -275,6 +275,9 @@
   }
 }
 
+/** With the flag, both halves of a pair are one character. */
+const LONE_SURROGATE = /\p{Surrogate}/u;
+
 /** Never throws, whatever the value. */
 export function decodeObject(
   value: unknown,
@@ -291,6 +294,10 @@
       createMalformedFailure("The stored object has no name or revision"),
     );
   }
+  // Names become parts of paths, which half a surrogate pair can't.
+  if (LONE_SURROGATE.test(name)) {
+    return err(createMalformedFailure("The stored object's name is no text"));
+  }
   return ok({
     name,
     revision,
@@ -320,10 +327,8 @@
     if (object.isOk()) objects.push(object.value);
     else skipReasons.push(object.error.detail);
   }
-  const last = items.at(-1);
-  const lastName = isFields(last)
-    ? getText(getFields(last, "metadata"), "name")
-    : undefined;
+  // An odd object has no name, and the list goes on all the same.
+  const lastName = objects.at(-1)?.name;
   return ok({
     objects,
     skipReasons,
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -238,8 +238,14 @@
       this.#logSkipped(page.skipReasons);
       // The first watch call returns the changes between the pages.
       firstRevision ??= page.storeRevision;
-      if (!page.hasMore || page.lastName === undefined) break;
-      after = page.lastName;
+      if (!page.hasMore) break;
+      const { lastName } = page;
+      if (lastName === undefined || lastName === after) {
+        // Without a further name each call would return this page again.
+        log.warn("list-incomplete", { kind, count: objects.length });
+        break;
+      }
+      after = lastName;
     }
     this.#revision = firstRevision;
     this.#isLoaded = true;
