--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -152,7 +152,11 @@
   spec: unknown,
 ): Result<DecodedConfiguration, DecodeFailure> {
   if (!isFields(spec))
-    return err(createDecodeFailure("configuration is not an object"));
+    return err(
+      createDecodeFailure(
+        "configuration is not an object or is nested too deeply",
+      ),
+    );
   const version = getNumber(spec, "version");
   if (version === undefined) {
     return err(createDecodeFailure("configuration has no version"));
@@ -189,6 +193,14 @@
   });
 }
 
+/** Characters that a header may have; names are also compared with headers. */
+const NAME_PATTERN = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/;
+const MAX_NAME_LENGTH = 256;
+
+function isName(text: string): boolean {
+  return text.length <= MAX_NAME_LENGTH && NAME_PATTERN.test(text);
+}
+
 /** An endpoint with an invalid record is not used. */
 export function decodeEndpoint(
   object: StoredObject,
@@ -196,7 +208,9 @@
   const { name, spec } = object;
   const fail = (detail: string) =>
     err(createDecodeFailure(`server ${name}: ${detail}`));
-  if (!isFields(spec)) return fail("spec is not an object");
+  if (!isName(name)) return fail("the id is too long or no header value");
+  if (!isFields(spec))
+    return fail("spec is not an object or is nested too deeply");
   const service = getText(spec, "service");
   const networkAddress = parseAddress(getText(spec, "addr") ?? "");
   const state = getText(spec, "state");
@@ -236,7 +250,11 @@
 ): Result<RolloutOrder, DecodeFailure> {
   const { name, spec, status, revision, createdRevision } = object;
   if (!isFields(spec)) {
-    return err(createDecodeFailure(`rollout ${name}: spec is not an object`));
+    return err(
+      createDecodeFailure(
+        `rollout ${name}: spec is not an object or is nested too deeply`,
+      ),
+    );
   }
   const service = getText(spec, "service");
   const target = getText(spec, "target");
--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -19,6 +19,14 @@
     : undefined;
 }
 
+/** A whole number from 0 that is exact. */
+export function getCount(fields: Fields, name: string): number | undefined {
+  const value = getNumber(fields, name);
+  return Number.isSafeInteger(value) && value !== undefined && value >= 0
+    ? value
+    : undefined;
+}
+
 export function getList(fields: Fields, name: string): readonly unknown[] {
   const value = fields[name];
   return Array.isArray(value) ? value : [];
@@ -35,3 +43,12 @@
   const value = fields[name];
   return isFields(value) ? value : {};
 }
+
+/** True when arrays and objects are nested in at most so many levels. */
+export function isNestedWithin(value: unknown, maxLevels: number): boolean {
+  if (typeof value !== "object" || value === null) return true;
+  if (maxLevels === 0) return false;
+  return Object.values(value).every((item) =>
+    isNestedWithin(item, maxLevels - 1),
+  );
+}
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -9,6 +9,7 @@
   getNumber,
   getText,
   isFields,
+  isNestedWithin,
 } from "./fields.js";
 import { parseEra, type StoreEra } from "./store_era.js";
 
@@ -32,10 +33,17 @@
   /** Revision at which the object was created; never changes. */
   readonly createdRevision: number;
   readonly isDeleting: boolean;
+  /** Undefined if it is nested too deeply. */
   readonly spec: unknown;
   readonly status: unknown;
 }
 
+/**
+ * Most levels of a spec or status; the deepest document of the platform has
+ * six. `JSON.stringify` is recursive and fails from some 4,000.
+ */
+const MAX_NESTING_LEVELS = 64;
+
 export interface ObjectPage {
   readonly objects: readonly StoredObject[];
   /** Reasons why invalid objects were left out, one for each object. */
@@ -43,7 +51,7 @@
   readonly hasMore: boolean;
   /** Revision of the store at which the page was read. */
   readonly storeRevision: number;
-  /** Name of the last object on the page, even if it was left out. */
+  /** Name after which the list continues; the page has it or a later one. */
   readonly lastName?: string;
 }
 
@@ -267,6 +275,9 @@
   }
 }
 
+/** With the flag, both halves of a pair are one character. */
+const LONE_SURROGATE = /\p{Surrogate}/u;
+
 /** Never throws, whatever the value. */
 export function decodeObject(
   value: unknown,
@@ -283,16 +294,24 @@
       createMalformedFailure("The stored object has no name or revision"),
     );
   }
+  // Names become parts of paths, which half a surrogate pair can't.
+  if (LONE_SURROGATE.test(name)) {
+    return err(createMalformedFailure("The stored object's name is no text"));
+  }
   return ok({
     name,
     revision,
     createdRevision: getNumber(metadata, "created") ?? 0,
     isDeleting: metadata.deleting === true,
-    spec: value.spec,
-    status: value.status,
+    spec: getIfShallow(value.spec),
+    status: getIfShallow(value.status),
   });
 }
 
+function getIfShallow(value: unknown): unknown {
+  return isNestedWithin(value, MAX_NESTING_LEVELS) ? value : undefined;
+}
+
 export function decodePage(body: unknown): Result<ObjectPage, StoreFailure> {
   if (!isFields(body))
     return err(createMalformedFailure("The list is not a JSON object"));
@@ -308,10 +327,8 @@
     if (object.isOk()) objects.push(object.value);
     else skipReasons.push(object.error.detail);
   }
-  const last = items.at(-1);
-  const lastName = isFields(last)
-    ? getText(getFields(last, "metadata"), "name")
-    : undefined;
+  // An odd object has no name, and the list goes on all the same.
+  const lastName = objects.at(-1)?.name;
   return ok({
     objects,
     skipReasons,
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -4,7 +4,12 @@
  * and carries the id of this request.
  */
 
-import { type Agent, type IncomingMessage, request } from "node:http";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import type { AnswerFacts, RawHeaders, WireFormat } from "../types.js";
@@ -100,6 +105,13 @@
       resolve(err({ kind: ATTEMPT_FAILURE.notSent, detail }));
       return;
     }
+    const opened = openRequest(options);
+    if (opened.isErr()) {
+      // The endpoint is not at fault, so it must not count as unreachable.
+      resolve(err({ kind: ATTEMPT_FAILURE.withheld, detail: opened.error }));
+      return;
+    }
+    const outgoing = opened.value;
     const fail = (
       kind: AttemptFailureKind,
       detail: string,
@@ -108,15 +120,6 @@
       const isConnectionReused = outgoing.reusedSocket;
       resolve(err({ kind, detail, isConnectionReused, ...answer }));
     };
-    const outgoing = request({
-      host: options.address,
-      port: options.port,
-      method: options.method,
-      path: options.path,
-      headers: options.headers,
-      agent: options.agent,
-      signal,
-    });
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
       if (!recordRequest(socket, requestId)) {
@@ -179,6 +182,16 @@
   });
 }
 
+/** Node throws on a header value, path or port that can't be sent. */
+function openRequest(options: AttemptOptions): Result<ClientRequest, string> {
+  const { address: host, port, method, path, headers, agent, signal } = options;
+  try {
+    return ok(request({ host, port, method, path, headers, agent, signal }));
+  } catch (error) {
+    return err(`The request can't be sent: ${String(error)}`);
+  }
+}
+
 /** Says why the answer to this request can't be accepted. */
 function findInvalidity(
   message: IncomingMessage,
