Give each call to the platform's store a connection of its own

What would be seen: a roll-out's outcome that the store refused is logged as written, or one that it took as refused; a configuration that has changed counts as up to date, so that a withdrawn key still works.

Cause: answers of the store don't name their call, and calls shared kept connections. A second copy of an answer was taken for the answer to the next call on its connection, whatever its kind. The copy did so when it came after the next call was sent, on the idle connection, or in part with the first one.

Ruled out: two whole answers in one segment (Node closes the connection), and closing an idle connection on which bytes come, which leaves the copy that comes after the next call. Names and revisions are in some bodies only: a refusal (404, 409, 503) and a watch without events name nothing.

With one call on a connection, every answer on it is that call's.

Costs a connection (one round trip) for each call. Calls are priced and stay the same in number; connections to the store are not priced.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -1,6 +1,6 @@
 /** Client of the platform's object store. All calls to it go through here. */
 
-import { Agent, request } from "node:http";
+import { request } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { STORE_FAILURE, type StoreFailure } from "./failures.js";
 import {
@@ -64,8 +64,6 @@
  * the answer to a watch call several changes of objects of up to 1 MiB each.
  */
 const MAX_ANSWER_BYTES = 8_388_608;
-/** Idle connections to keep; each watch uses one, and so do the writes. */
-const MAX_IDLE_CONNECTIONS = 6;
 
 const FAILURE_BY_STATUS: Readonly<Record<number, StoreFailure["kind"]>> = {
   404: STORE_FAILURE.notFound,
@@ -84,18 +82,24 @@
   readonly signal: AbortSignal;
 }
 
+interface CallOptions {
+  readonly timeoutMs?: number;
+  readonly body?: unknown;
+  readonly signal?: AbortSignal;
+  /** Called when there is a connection, on which the call is sent at once. */
+  readonly onSend?: () => void;
+}
+
+export interface WatchCallOptions
+  extends Pick<CallOptions, "signal" | "onSend"> {
+  readonly waitMs: number;
+}
+
 export class StoreClient {
   readonly #options: StoreClientOptions;
-  readonly #agent = new Agent({
-    keepAlive: true,
-    maxFreeSockets: MAX_IDLE_CONNECTIONS,
-  });
 
   constructor(options: StoreClientOptions) {
     this.#options = options;
-    options.signal.addEventListener("abort", () => this.#agent.destroy(), {
-      once: true,
-    });
   }
 
   /** Reads one page; `after` is `lastName` of the page before. */
@@ -113,12 +117,15 @@
   async watch(
     kind: ObjectKind,
     revision: number,
-    waitMs: number,
-    signal?: AbortSignal,
+    options: WatchCallOptions,
   ): Promise<Result<ObjectEvents, StoreFailure>> {
+    const { waitMs } = options;
     const path = `${kind}?watch=${revision}&wait_ms=${waitMs}`;
     const timeoutMs = waitMs + WATCH_SLACK_MS;
-    const answer = await this.#call(kind, "GET", path, { timeoutMs, signal });
+    const answer = await this.#call(kind, "GET", path, {
+      ...options,
+      timeoutMs,
+    });
     return answer.andThen(decodeEvents);
   }
 
@@ -173,7 +180,7 @@
     kind: ObjectKind,
     method: string,
     path: string,
-    options: { timeoutMs?: number; body?: unknown; signal?: AbortSignal } = {},
+    options: CallOptions = {},
   ): Promise<Result<unknown, StoreFailure>> {
     const { address, port, signal, onCall, era: storeEra } = this.#options;
     const { timeoutMs = CALL_TIMEOUT_MS, body } = options;
@@ -194,7 +201,9 @@
         port,
         method,
         path: `/hornbeamrill/objects/${path}`,
-        agent: this.#agent,
+        // Answers don't name their call. On a kept connection a second copy of
+        // an answer would be taken for the answer to the next call.
+        agent: false,
         signal,
         headers:
           requestBody === undefined
@@ -204,12 +213,14 @@
                 "content-length": Buffer.byteLength(requestBody),
               },
       });
+      outgoing.once("socket", (socket) =>
+        socket.once("connect", () => options.onSend?.()),
+      );
       options.signal?.addEventListener(
         "abort",
         () => outgoing.destroy(new Error("The call is no longer wanted")),
         { once: true },
       );
-      // Also closes the connection: after a lost answer it is of no use.
       const timer = setTimeout(
         () => outgoing.destroy(new Error(`No answer in ${timeoutMs} ms`)),
         timeoutMs,
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -22,7 +22,7 @@
 } from "./store_client.js";
 import type { StoreOutage } from "./store_outage.js";
 
-/** Time within which a watch call surely arrives at the store, ms. */
+/** Time within which a watch call on an open connection reaches the store, ms. */
 const WATCH_ARRIVAL_MS = 100;
 
 export interface WatchHandlers {
@@ -43,7 +43,7 @@
 
 export interface WatchOptions {
   readonly kind: ViewKind;
-  readonly store: StoreClient;
+  readonly store: Pick<StoreClient, "list" | "watch">;
   /** Longest wait of the next watch call, ms; bounds the age of the view. */
   readonly getWaitMs: (state: WatchState) => number;
   /** Pause after a list or changes, to collect further changes, ms. */
@@ -76,8 +76,8 @@
   #lostAtMs: number | undefined;
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
   #reachedAtMs = Number.NEGATIVE_INFINITY;
-  /** Start of the pending watch call. */
-  #watchStartedAtMs: number | undefined;
+  /** When the pending watch call was sent. */
+  #watchSentAtMs: number | undefined;
   #hasChanged = false;
   readonly #changes = new ChangeLog<ObjectEvent>();
   /** Another entry reads the store for this one. */
@@ -96,7 +96,7 @@
   /** Lists all objects again; until then the view stays as it is. */
   restart(): void {
     this.#revision = undefined;
-    this.#watchStartedAtMs = undefined;
+    this.#watchSentAtMs = undefined;
     this.#watchController.abort();
     this.setFollowing(false);
   }
@@ -122,8 +122,8 @@
     const { clock, getReachedAtMs } = this.#options;
     const reachedAtMs = getReachedAtMs();
     const isWatching =
-      this.#watchStartedAtMs !== undefined &&
-      reachedAtMs >= this.#watchStartedAtMs + WATCH_ARRIVAL_MS;
+      this.#watchSentAtMs !== undefined &&
+      reachedAtMs >= this.#watchSentAtMs + WATCH_ARRIVAL_MS;
     const confirmedAtMs = isWatching
       ? Math.max(this.#confirmedAtMs, reachedAtMs)
       : this.#confirmedAtMs;
@@ -269,12 +269,18 @@
     const waitMs = isShort ? 0 : getWaitMs({ ageMs, hasChanged });
     const startedAtMs = clock.now();
     const sinceRevision = this.#revision ?? 0;
-    this.#watchStartedAtMs = startedAtMs;
     const controller = new AbortController();
     this.#watchController = controller;
     const { signal } = controller;
-    const result = await store.watch(kind, sinceRevision, waitMs, signal);
-    this.#watchStartedAtMs = undefined;
+    const result = await store.watch(kind, sinceRevision, {
+      waitMs,
+      signal,
+      // A connection may open seconds later if its first packet is lost.
+      onSend: () => {
+        this.#watchSentAtMs = clock.now();
+      },
+    });
+    this.#watchSentAtMs = undefined;
     if (signal.aborted) return undefined;
     if (result.isErr()) return result.error;
     // Another entry has sent newer changes in the meantime.
--- /dev/null
+++ b/src/platform/store_watch_test.ts
@@ -0,0 +1,68 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ok } from "neverthrow";
+import { createSuspendClock } from "../proxy/index.js";
+import { delay } from "../testbed/delay.js";
+import { OBJECT_KIND, type WatchCallOptions } from "./store_client.js";
+import { StoreOutage } from "./store_outage.js";
+import { StoreWatch } from "./store_watch.js";
+
+const LOG = { debug() {}, info() {}, warn() {}, error() {} };
+/** Well above the time in which a watch call reaches the store, ms. */
+const WAIT_MS = 300;
+
+describe("store watch", () => {
+  /** Age of the view while a watch call waits, sent or not. */
+  async function measureAge(isSent: boolean): Promise<number> {
+    const controller = new AbortController();
+    const { signal } = controller;
+    const clock = createSuspendClock();
+    const storeRevision = 1;
+    const page = { objects: [], skipReasons: [], hasMore: false };
+    const watch = new StoreWatch({
+      kind: OBJECT_KIND.endpoints,
+      store: {
+        list: () => Promise.resolve(ok({ ...page, storeRevision })),
+        watch: (_kind, _revision, { onSend, signal }: WatchCallOptions) => {
+          if (isSent) onSend?.();
+          return new Promise((resolve) =>
+            signal?.addEventListener("abort", () =>
+              resolve(ok({ events: [], skipReasons: [], storeRevision })),
+            ),
+          );
+        },
+      },
+      getWaitMs: () => 10_000,
+      getPauseMs: () => 0,
+      confirmsAtCallStart: false,
+      getEra: () => 1,
+      getReachedAtMs: () => clock.now(),
+      outage: new StoreOutage({
+        getMaxProbePauseMs: () => 500,
+        random: Math.random,
+        signal,
+      }),
+      clock,
+      log: LOG,
+      handlers: { onList() {}, onChange() {}, onDelete() {} },
+      onViewChange: () => {},
+      signal,
+    });
+    const run = watch.run();
+    await delay(WAIT_MS);
+    const { ageMs } = watch;
+    controller.abort();
+    watch.restart();
+    await run;
+    return ageMs;
+  }
+
+  it("counts as recent while the store answers other calls", async () => {
+    assert.ok((await measureAge(true)) < WAIT_MS / 2);
+  });
+
+  // Its connection may open seconds later, and the store holds back no changes.
+  it("does not count as recent by a watch call that was not sent", async () => {
+    assert.ok((await measureAge(false)) >= WAIT_MS / 2);
+  });
+});
--- a/src/standins/testing.ts
+++ b/src/standins/testing.ts
@@ -72,9 +72,9 @@
   close(): Promise<void>;
 }
 
-/** Passes each connection to the listener once it has sent data. */
+/** Passes each connection to the listener with the first data on it. */
 export async function startRawServer(
-  onRequest: (socket: Socket) => void,
+  onRequest: (socket: Socket, data: Buffer) => void,
   port = 0,
 ): Promise<RawServer> {
   const sockets = new Set<Socket>();
@@ -84,7 +84,7 @@
     socket.on("error", () => {
       // The adapter under test may close the connection at any time.
     });
-    socket.once("data", () => onRequest(socket));
+    socket.once("data", (data: Buffer) => onRequest(socket, data));
   });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
