Resume a stream only with an answer that is a stream

What callers saw: a stream broke off, the next endpoint answered 204, 206 or an error page with status 200, and the stream ended as if it were complete, with the page's text in its middle. After a 3xx or 4xx the stream broke off, although a third endpoint could have gone on.

Cause: the answer that resumes a stream counted from its status alone, and every status under 300 did. Its type was not looked at, and a status from 300 on ended the search.

Ruled out: 5xx, answers without signature, of another request, and those that say that they did not run.

Why it works: only status 200 without a type or as text/event-stream resumes a stream. Every other answer ends its attempt as broken, with a log line, and the next endpoint is asked within the route's attempts and the retry budget.

--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -26,11 +26,12 @@
 import { RequestPlacement } from "./request_placement.js";
 import {
   type AnswerSink,
+  isEventStream,
   type StreamEnd,
   sendAnswer,
   sendStream,
 } from "./send_answer.js";
-import { readAnswerBody } from "./send_attempt.js";
+import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
 
 /** Stall timeout of a stream, as a multiple of the route's target event gap. */
 const STALL_TIMEOUT_PER_TARGET_GAP = 1.25;
@@ -38,6 +39,7 @@
 const MIN_ATTEMPT_MS = 10;
 /** Random part of the retry delay for lack of capacity: spreads callers. */
 const RETRY_AFTER_MS = { minMs: 150, maxMs: 600 } as const;
+const STATUS_OK = 200;
 
 type RunOutcome = "answered" | "broken" | "refused";
 
@@ -320,22 +322,29 @@
     );
   }
 
+  /** Finds an endpoint that goes on after `lastEventId` with events. */
   async #resume(
     model: string,
     lastEventId: number | undefined,
     nowMs: number,
   ): Promise<AnsweredAttempt | undefined> {
-    const attempt = await this.#runAttempts(model, lastEventId);
-    this.#dependencies.log.info("stream-resumed", {
-      request: this.#request.facts.id,
-      after: lastEventId,
-      endpoint: attempt?.state.record.id ?? "none",
-      ms: Math.round(this.#dependencies.now() - nowMs),
-    });
-    if (attempt === undefined || attempt.head.status < 300) return attempt;
-    attempt.controller.abort();
-    attempt.release();
-    return undefined;
+    for (;;) {
+      const attempt = await this.#runAttempts(model, lastEventId);
+      this.#dependencies.log.info("stream-resumed", {
+        request: this.#request.facts.id,
+        after: lastEventId,
+        endpoint: attempt?.state.record.id ?? "none",
+        ms: Math.round(this.#dependencies.now() - nowMs),
+      });
+      if (attempt === undefined || isStreamRest(attempt.head)) return attempt;
+      attempt.release();
+      this.#lastFailure = describeHead(attempt.head);
+      this.#attemptRunner.endBroken(attempt, {
+        hasBegun: false,
+        isCut: false,
+        detail: this.#lastFailure,
+      });
+    }
   }
 
   /** Forwards an endpoint's error or refuses, telling if it may have run. */
@@ -368,3 +377,13 @@
     return "refused";
   }
 }
+
+/** True where the body may be the rest of a stream, by its head. */
+function isStreamRest(head: AttemptHead): boolean {
+  return head.status === STATUS_OK && isEventStream(head);
+}
+
+function describeHead({ status, message }: AttemptHead): string {
+  const type = message.headers["content-type"] ?? "no type";
+  return `Status ${status} with ${type} does not resume a stream`;
+}
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -32,6 +32,14 @@
   sink.end(body);
 }
 
+const EVENT_STREAM_TYPE = /^text\/event-stream\s*(?:;|$)/i;
+
+/** True unless the answer names another type than that of event streams. */
+export function isEventStream({ message }: AttemptHead): boolean {
+  const type = message.headers["content-type"];
+  return type === undefined || EVENT_STREAM_TYPE.test(type);
+}
+
 export interface StreamOptions {
   readonly message: IncomingMessage;
   /** Id of the last event that the caller has. */
