Check that the events that resume a stream follow on its last one

What callers saw: a stream broke off and the next endpoint answered with status 200 and something else than the rest. The text of an error, at times its whole head, stood in the middle of the stream; events came twice, were missing or had no ids; or the stream ended as complete where the answer had no event. A stream whose last event has no id started again from its beginning.

Cause: of an answer that resumes a stream, every block up to an empty line was forwarded, and its normal end was taken for the end of the stream. The id of its first event was not compared with the last one, and a stream without ids was asked for anew without a last event id.

Ruled out: text after the last event boundary, a reset and answers of another request; they ended as broken before, as the tests show.

Why it works: EventSequence knows the last id that the caller has. In a later answer each event has to be the next one (or no further off than the largest step so far, where ids rise by more), and each line a comment, a field of event streams or a field with a number. The first block that is not ends the attempt as broken before it is forwarded, and another endpoint is asked. An answer without an event does not end a stream, and one whose last event has no id is not resumed. First answers are not checked. The test of the splitter reads the last id from EventSequence now, with the same assertions.

--- a/src/platform/stream_resume_test.ts
+++ b/src/platform/stream_resume_test.ts
@@ -58,6 +58,7 @@
 const refusing = withLength("503 Service Unavailable", NOT_RUN, "");
 
 const PAGE = "<html>\n\n<p>out of order</p>\n\n";
+const HEAD_TEXT = "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\n";
 
 function assertStream(
   { status, body, isComplete }: Answer,
@@ -166,15 +167,75 @@
       `HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n${withLength("404 Not Found", STAMP, PAGE)(id, last)}`,
   };
 
-  for (const [name, answer] of Object.entries(unfitHeads)) {
+  /** Answers with the head of a stream that do not go on after its last event. */
+  const unfitBodies: Readonly<Record<string, EndpointAnswer>> = {
+    "no event, with a length": withLength("200 OK", EVENT_STREAM, ""),
+    "no event, in chunks": chunked(() => ""),
+    "no event, without length": withoutLength("200 OK", EVENT_STREAM, ""),
+    "text that ends as an event does": chunked(() => "out of memory\n\n"),
+    "text without an end": chunked(() => "out of memory"),
+    "text in an event": chunked(() => "event: error\ndata: no memory\n\n"),
+    "text before the first event": chunked(
+      (last) => `oops\n${formatEvents(last + 1, 5)}`,
+    ),
+    "a head before the first event": chunked(
+      (last) => `${HEAD_TEXT}${formatEvents(last + 1, 5)}`,
+    ),
+    "a head as text": withoutLength("200 OK", EVENT_STREAM, HEAD_TEXT),
+    "a head as text, with LF": chunked(
+      () => "HTTP/1.1 500 Error\nContent-Type: text/plain\n\n",
+    ),
+    "a head with text": withoutLength(
+      "200 OK",
+      EVENT_STREAM,
+      `${HEAD_TEXT}no memory\n\n`,
+    ),
+    "a repeated event": chunked((last) => formatEvents(last, EVENT_COUNT - 1)),
+    "all events anew": chunked(() => ALL_EVENTS),
+    "a gap": chunked((last) => formatEvents(last + 2, EVENT_COUNT - 1)),
+    "events without ids": chunked(() => "data: piece 3\n\ndata: piece 4\n\n"),
+  };
+
+  /** Answers that go on as they should and then don't. */
+  const partlyFit: Readonly<Record<string, EndpointAnswer>> = {
+    "a second head in the body": (id, last) =>
+      withoutLength(
+        "200 OK",
+        EVENT_STREAM,
+        `${formatEvents(last + 1, last + 1)}${HEAD_TEXT}no memory\n\n`,
+      )(id, last),
+    "a second answer in the body": (id, last) =>
+      withoutLength(
+        "200 OK",
+        EVENT_STREAM,
+        `${formatEvents(last + 1, last + 1)}${HEAD_TEXT}${formatEvents(last + 2, 5)}`,
+      )(id, last),
+    "text after the last event": chunked(
+      (last) => `${formatEvents(last + 1, last + 1)}no memory`,
+    ),
+    "a gap after an event": chunked(
+      (last) => formatEvents(last + 1, last + 1) + formatEvents(last + 3, 5),
+    ),
+    "a repeated event after an event": chunked(
+      (last) => formatEvents(last + 1, last + 1) + formatEvents(last + 1, 5),
+    ),
+    "a reset": chunked((last) => formatEvents(last + 1, last + 1), ""),
+  };
+
+  for (const [name, answer] of Object.entries({
+    ...unfitHeads,
+    ...unfitBodies,
+    ...partlyFit,
+  })) {
     it(`does not take ${name} for its rest`, async () => {
       await startEndpoints((id) => [
         breakingOff,
         answer,
         id === "r2" ? continuing : refusing,
       ]);
+      const eventCount = name in partlyFit ? 4 : FIRST_EVENT_COUNT;
       const broken = await system.call("/stream/a", { id: "r1" });
-      assertStream(broken, formatEvents(0, FIRST_EVENT_COUNT - 1), false);
+      assertStream(broken, formatEvents(0, eventCount - 1), false);
       const resumed = await system.call("/stream/a", { id: "r2" });
       assertStream(resumed, ALL_EVENTS, true);
     });
@@ -201,4 +262,67 @@
       assertStream(await system.call("/stream/a"), ALL_EVENTS, true);
     });
   }
+
+  const LF_EVENTS = formatEvents(3, 5);
+  const otherForms: Readonly<Record<string, string>> = {
+    "comments and blank lines": `: hello\n\n\n\n${LF_EVENTS}`,
+    "a retry field": `retry: 10\n\n${LF_EVENTS}`,
+    "a field of the platform": `weight-versions: 7\n${LF_EVENTS}`,
+    "no space after colons": LF_EVENTS.replaceAll(": ", ":"),
+  };
+  for (const [name, events] of Object.entries(otherForms)) {
+    it(`goes on with events that have ${name}`, async () => {
+      await startEndpoints(() => [breakingOff, chunked(() => events)]);
+      const answer = await system.call("/stream/a");
+      assertStream(answer, formatEvents(0, 2) + events, true);
+    });
+  }
+
+  // Nothing says where a stream without ids goes on: it would start again.
+  for (const [name, events] of [
+    ["without ids", "data: a\n\ndata: b\n\n"],
+    ["whose last event has no id", "id: 0\ndata: a\n\ndata: b\n\n"],
+  ] as const) {
+    it(`ends as broken ${name}`, async () => {
+      await startEndpoints(() => [chunked(() => events, ""), continuing]);
+      assertStream(await system.call("/stream/a"), events, false);
+    });
+  }
+
+  it("goes on where ids rise by more than one", async () => {
+    const [first, rest] = [
+      "id: 8\ndata: a\n\nid: 16\ndata: b\n\n",
+      "id: 24\ndata: c\n\n",
+    ];
+    await startEndpoints((id) => [
+      chunked(() => first, ""),
+      chunked(() => (id === "r1" ? rest : "id: 32\ndata: d\n\n")),
+    ]);
+    assertStream(await system.call("/stream/a"), first + rest, true);
+    assertStream(await system.call("/stream/a", { id: "r2" }), first, false);
+  });
+
+  // To these the comment is a keep-alive, which the caller may get.
+  it("does not take a comment without an event for its rest", async () => {
+    await startEndpoints(() => [breakingOff, chunked(() => ": hello\n\n")]);
+    const answer = await system.call("/stream/a");
+    assertStream(answer, `${formatEvents(0, 2)}: hello\n\n`, false);
+  });
+
+  for (const [name, events] of [
+    ["no ids", "data: a\n\ndata: b\n\n"],
+    ["ids that start at 7", formatEvents(7, 9)],
+    ["ids that fall", formatEvents(3, 4) + formatEvents(0, 1)],
+    [
+      "comments, other fields and a byte order mark",
+      `\ufeff: a\n\nx-y: z\nid: 0\ndata\n\n`,
+    ],
+    ["no event", ""],
+  ] as const) {
+    it(`is forwarded whole from a sound endpoint with ${name}`, async () => {
+      const bytes = Buffer.from(events).toString("latin1");
+      await startEndpoints(() => [chunked(() => bytes)]);
+      assertStream(await system.call("/stream/a"), events, true);
+    });
+  }
 });
--- a/src/proxy/request/event_splitter.ts
+++ b/src/proxy/request/event_splitter.ts
@@ -5,31 +5,19 @@
  */
 
 const EVENT_BOUNDARY = Buffer.from("\n\n");
-const ID_LINE = /^id: ?(\d+)\r?$/gm;
-/** A block is an event only with data or an id; comments are keep-alives. */
-const EVENT_LINE = /^(?:data|id)(?::|\r?$)/m;
 /**
  * Largest incomplete event that is buffered, bytes. Events hold a few tokens,
  * some hundred bytes.
  */
 export const MAX_EVENT_BYTES = 65_536;
 
-export interface CompleteEvents {
-  /** Complete events; empty if there are none yet. */
-  readonly events: Buffer;
-  /** Id of the last event that has one. */
-  readonly lastEventId?: number;
-  /** False where the blocks are only comments, blank lines or other fields. */
-  readonly hasEvent: boolean;
-}
-
-const NO_EVENTS: CompleteEvents = { events: Buffer.alloc(0), hasEvent: false };
+const NO_EVENTS = Buffer.alloc(0);
 
 export class EventSplitter {
   #incompleteEvent: Buffer = Buffer.alloc(0);
 
   /** Adds a chunk and returns the events that it completes. */
-  push(chunk: Buffer): CompleteEvents {
+  push(chunk: Buffer): Buffer {
     const data =
       this.#incompleteEvent.length === 0
         ? chunk
@@ -41,14 +29,7 @@
     }
     const boundaryEnd = boundaryStart + EVENT_BOUNDARY.length;
     this.#incompleteEvent = data.subarray(boundaryEnd);
-    const events = data.subarray(0, boundaryEnd);
-    const text = events.toString("latin1");
-    const lastIdText = [...text.matchAll(ID_LINE)].at(-1)?.[1];
-    return {
-      events,
-      hasEvent: EVENT_LINE.test(text),
-      lastEventId: lastIdText === undefined ? undefined : Number(lastIdText),
-    };
+    return data.subarray(0, boundaryEnd);
   }
 
   /** True when the incomplete event exceeds `MAX_EVENT_BYTES`. */
--- a/src/proxy/request/event_splitter_test.ts
+++ b/src/proxy/request/event_splitter_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import { EventSequence } from "./event_sequence.js";
 import { EventSplitter } from "./event_splitter.js";
 
 const createStream = (count: number) =>
@@ -21,16 +22,16 @@
           const bytes = Buffer.from(createStream(count)).subarray(0, byteCount);
           const splitter = new EventSplitter();
           let forwarded = "";
-          let lastEventId: number | undefined;
+          const sequence = new EventSequence();
+          sequence.beginAnswer();
           let offset = 0;
           for (const size of [...sizes, bytes.length]) {
             if (offset >= bytes.length) break;
-            const complete = splitter.push(
-              bytes.subarray(offset, offset + size),
-            );
+            const blocks = splitter.push(bytes.subarray(offset, offset + size));
             offset += size;
-            forwarded += complete.events.toString();
-            lastEventId = complete.lastEventId ?? lastEventId;
+            const { events, fault } = sequence.accept(blocks);
+            assert.equal(fault, undefined);
+            forwarded += events.toString();
           }
           const text = bytes.toString();
           const end = text.lastIndexOf("\n\n");
@@ -38,7 +39,7 @@
           assert.equal(forwarded, whole);
           const ids = [...whole.matchAll(/id: (\d+)/g)];
           assert.equal(
-            lastEventId,
+            sequence.lastEventId,
             ids.length === 0 ? undefined : ids.length - 1,
           );
         },
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -21,6 +21,7 @@
   type RunDependencies,
   type RunRequest,
 } from "./attempt_runner.js";
+import { EventSequence } from "./event_sequence.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { LowConfidenceAnswer } from "./low_confidence_answer.js";
 import { RequestPlacement } from "./request_placement.js";
@@ -273,7 +274,7 @@
     const { route, facts, signal } = this.#request;
     const { wire, now } = this.#dependencies;
     let attempt: AnsweredAttempt | undefined = first;
-    let lastEventId = facts.lastEventId;
+    const sequence = new EventSequence(facts.lastEventId);
     this.#sink.writeHead(
       first.head.status,
       wire.createAnswerHeaders(first.head.headers),
@@ -281,14 +282,14 @@
     while (attempt !== undefined) {
       const end: StreamEnd = await sendStream(this.#sink, {
         message: attempt.head.message,
-        lastEventId,
+        sequence,
         stallTimeoutMs: route.targetEventGapMs * STALL_TIMEOUT_PER_TARGET_GAP,
-        canResumeElsewhere: () => this.#canResumeElsewhere(),
+        canResumeElsewhere: () =>
+          sequence.canResume && this.#canResumeElsewhere(),
         onBegin: () => this.#attemptRunner.recordBegin(),
         signal,
       });
       attempt.release();
-      lastEventId = end.lastEventId;
       if (end.isComplete) {
         this.#sink.end();
         return "answered";
@@ -296,15 +297,18 @@
       this.#lastFailure = signal.aborted
         ? "the caller left or its time was up"
         : (end.detail ?? "");
+      if (!sequence.canResume) this.#addFailure("the last event has no id");
       this.#attemptRunner.endBroken(attempt, {
         hasBegun: end.hasBegun,
         isCut: end.isCut,
         detail: this.#lastFailure,
       });
       const mayResume =
-        route.retryPolicy === RETRY_POLICY.resume && !signal.aborted;
+        route.retryPolicy === RETRY_POLICY.resume &&
+        sequence.canResume &&
+        !signal.aborted;
       attempt = mayResume
-        ? await this.#resume(attempt.model, lastEventId, now())
+        ? await this.#resume(attempt.model, sequence.lastEventId, now())
         : undefined;
     }
     this.#sink.destroy();
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Refusal } from "../../core/errors.js";
 import type { RawHeaders, WireFormat } from "../types.js";
+import { EventSequence } from "./event_sequence.js";
 import { EventSplitter, MAX_EVENT_BYTES } from "./event_splitter.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { type AttemptHead, isWholeAnswer } from "./send_attempt.js";
@@ -42,8 +43,8 @@
 
 export interface StreamOptions {
   readonly message: IncomingMessage;
-  /** Id of the last event that the caller has. */
-  readonly lastEventId?: number;
+  /** What the caller has of the stream; new where this is its first answer. */
+  readonly sequence?: EventSequence;
   /** Time without an event after which the stream counts as broken, ms. */
   readonly stallTimeoutMs: number;
   /** If false, a stalled stream is kept, as it may still continue. */
@@ -70,9 +71,9 @@
   options: StreamOptions,
 ): Promise<StreamEnd> {
   const { message, stallTimeoutMs, canResumeElsewhere, signal } = options;
-  const { onBegin = () => {} } = options;
+  const { onBegin = () => {}, sequence = new EventSequence() } = options;
   const splitter = new EventSplitter();
-  let { lastEventId } = options;
+  sequence.beginAnswer();
   return new Promise((resolve) => {
     let isSettled = false;
     let readsWithEvents = 0;
@@ -88,6 +89,7 @@
       isSettled = true;
       stallTimer.cancel();
       const { isComplete = false, isCut = false, detail } = end;
+      const { lastEventId } = sequence;
       resolve({ isComplete, lastEventId, hasBegun, isCut, detail });
     };
     const settleCut = (detail: string) => settle({ isCut: true, detail });
@@ -110,24 +112,28 @@
     };
     message.on("data", (chunk: Buffer) => {
       if (isSettled) return;
-      const complete = splitter.push(chunk);
+      const blocks = splitter.push(chunk);
       if (splitter.isOversized) {
         settle({ detail: `An event exceeds ${MAX_EVENT_BYTES} bytes` });
         return;
       }
-      if (complete.events.length === 0) return;
-      if (complete.hasEvent) {
+      if (blocks.length === 0) return;
+      const { events, hasEvent, fault } = sequence.accept(blocks);
+      if (hasEvent) {
         stallTimer.refresh();
         readsWithEvents++;
         if (readsWithEvents > 1) begin();
       }
-      lastEventId = complete.lastEventId ?? lastEventId;
-      if (!sink.write(complete.events)) pause();
+      const isDrained = events.length === 0 || sink.write(events);
+      if (fault !== undefined) settle({ detail: fault });
+      else if (!isDrained) pause();
     });
     message.once("end", () => {
       if (!isWholeAnswer(message)) settleCut("Stream ended early");
       else if (splitter.incompleteEvent.length > 0)
         settleCut("Stream ended in an event");
+      else if (!sequence.mayEnd)
+        settle({ detail: "The answer that resumes the stream has no event" });
       else {
         begin();
         settle({ isComplete: true });
