Break a stream where its first answer goes on with other text

What callers saw: a first answer without length went on with text or with a second head after some events. They got it in their stream, which ended as complete, or was resumed with the events of another endpoint after it.

Cause: every block up to an empty line was forwarded as it was.

Ruled out: text without an empty line after it; it was never forwarded.

Evidence, before: not ok 55 - goes on elsewhere after a head and text in its first answer not ok 56 - goes on elsewhere after a whole answer in its first answer not ok 57 - goes on elsewhere after text in its first answer # fail 3 After: # pass 74, # fail 0 (with the tests in src/proxy/request).

Why it works: a line of an event stream is empty, a comment or begins with the name of a field. A block with any other line ends the attempt as broken, and the stream is resumed after the event before it. Streams without ids, with comments, unknown fields, a byte order mark or ids that fall pass unchanged.

--- a/src/platform/stream_resume_test.ts
+++ b/src/platform/stream_resume_test.ts
@@ -309,6 +309,20 @@
     assertStream(answer, `${formatEvents(0, 2)}: hello\n\n`, false);
   });
 
+  for (const [name, text] of [
+    ["a head and text", `${HEAD_TEXT}no memory\n\n`],
+    ["a whole answer", `${HEAD_TEXT}${formatEvents(3, 5)}`],
+    ["text", "no memory\n\n"],
+  ] as const) {
+    it(`goes on elsewhere after ${name} in its first answer`, async () => {
+      await startEndpoints(() => [
+        withoutLength("200 OK", EVENT_STREAM, formatEvents(0, 2) + text),
+        continuing,
+      ]);
+      assertStream(await system.call("/stream/a"), ALL_EVENTS, true);
+    });
+  }
+
   for (const [name, events] of [
     ["no ids", "data: a\n\ndata: b\n\n"],
     ["ids that start at 7", formatEvents(7, 9)],
--- a/src/proxy/request/event_sequence.ts
+++ b/src/proxy/request/event_sequence.ts
@@ -14,6 +14,11 @@
 const RESUMED_LINE =
   /^(?::.*|(?:data|id|event|retry)(?::.*)?|[a-z][a-z-]*: ?\d+)?$/;
 const LINE_END = /\r\n|\n|\r/;
+/** A line of the first answer that is neither a field, a comment nor empty. */
+const FOREIGN_LINE = /^(?![\w-]+(?::|$)|:|$)/m;
+/** Byte order mark at the start of a stream, decoded as latin1. */
+const BYTE_ORDER_MARK = "\xef\xbb\xbf";
+
 export interface AcceptedEvents {
   /** The blocks up to the first one that does not belong to the stream. */
   readonly events: Buffer;
@@ -33,6 +38,7 @@
   #hasUnnumberedEvent = false;
   /** The events of this answer have to follow on `lastEventId`. */
   #mustFollow = false;
+  #isStart = true;
 
   /** `lastEventId` is that of the last event that the caller has. */
   constructor(lastEventId?: number) {
@@ -60,6 +66,7 @@
   beginAnswer(): void {
     this.#answers++;
     this.#hasEventOfAnswer = false;
+    this.#isStart = true;
     this.#mustFollow = this.#answers > 1 && this.#lastEventId !== undefined;
   }
 
@@ -80,6 +87,7 @@
 
   #acceptBlock(block: string): string | undefined {
     if (this.#hasForeignLine(block)) return "A block is not of an event stream";
+    this.#isStart = false;
     if (!EVENT_LINE.test(block)) return undefined;
     const idText = [...block.matchAll(ID_LINE)].at(-1)?.[1];
     const id = idText === undefined ? undefined : Number(idText);
@@ -91,9 +99,12 @@
   }
 
   #hasForeignLine(block: string): boolean {
-    return (
-      this.#answers > 1 &&
-      block.split(LINE_END).some((line) => !RESUMED_LINE.test(line))
+    if (this.#answers > 1) {
+      return block.split(LINE_END).some((line) => !RESUMED_LINE.test(line));
+    }
+    const hasMark = this.#isStart && block.startsWith(BYTE_ORDER_MARK);
+    return FOREIGN_LINE.test(
+      hasMark ? block.slice(BYTE_ORDER_MARK.length) : block,
     );
   }
 
