Pass on a first answer that is no event stream as a whole

What callers saw: the endpoint of a streaming route answered 200 with an HTML page. They got the head of the page with the events of another endpoint, or parts of the page before them.

Cause: every answer under status 300 on such a route was split into events.

Ruled out: answers without a type and with text/event-stream; they stay streams.

Evidence, before: not ok 63 - is the whole page where the first answer is one with a length + body: 'id: 0\n' + 'data: piece 0\n' + ... - body: '<html>\n\n<p>out of order</p>\n\n<p>end</p>', not ok 64 - is the whole page where the first answer is one without length not ok 65 - has nothing of a page that broke off before it # fail 3 After: # pass 65, # fail 0.

Why it works: an answer of another type is read whole before its head is sent, so it is passed on unchanged or not at all. If it breaks off, the next answer is delivered by its own type, a stream event by event.

--- a/src/platform/stream_resume_test.ts
+++ b/src/platform/stream_resume_test.ts
@@ -339,4 +339,30 @@
       assertStream(await system.call("/stream/a"), events, true);
     });
   }
+
+  // Part of a page and the events of another endpoint would make one answer.
+  for (const [name, write] of [
+    ["with a length", withLength],
+    ["without length", withoutLength],
+  ] as const) {
+    it(`is the whole page where the first answer is one ${name}`, async () => {
+      const headers = `${STAMP}Content-Type: text/html\r\n`;
+      const page = `${PAGE}<p>end</p>`;
+      await startEndpoints(() => [write("200 OK", headers, page), continuing]);
+      const answer = await system.call("/stream/a");
+      assertStream(answer, page, true);
+      assert.equal(answer.headers["content-type"], "text/html");
+    });
+  }
+
+  it("has nothing of a page that broke off before it", async () => {
+    const headers = `${STAMP}Content-Type: text/html\r\nContent-Length: 999\r\n`;
+    await startEndpoints(() => [
+      withoutLength("200 OK", headers, PAGE),
+      continuing,
+    ]);
+    const answer = await system.call("/stream/a");
+    assertStream(answer, ALL_EVENTS, true);
+    assert.equal(answer.headers["content-type"], "text/event-stream");
+  });
 });
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -248,7 +248,8 @@
         atMs: this.#dependencies.now(),
       });
     }
-    return route.isStream && attempt.head.status < 300
+    const { head } = attempt;
+    return route.isStream && head.status < 300 && isEventStream(head)
       ? await this.#deliverStream(attempt)
       : await this.#deliverWhole(attempt);
   }
@@ -267,7 +268,7 @@
     const nextAttempt = await this.#runAttempts(attempt.model);
     return nextAttempt === undefined
       ? this.#sendFailure()
-      : await this.#deliverWhole(nextAttempt);
+      : await this.#deliver(nextAttempt);
   }
 
   async #deliverStream(first: AnsweredAttempt): Promise<RunOutcome> {
