Forward event streams whose lines end with CRLF

What callers saw: a stream with CRLF line ends gave no event and broke off.

Cause: only two line feeds in a row were taken for the end of an event.

Ruled out: lines that end with CRLF before a blank line with LF; they passed.

Why it works: a line feed, then CRLF or LF, ends an event, also where a chunk ends between them, since the search runs over all that is buffered.

--- a/src/platform/stream_resume_test.ts
+++ b/src/platform/stream_resume_test.ts
@@ -268,6 +268,7 @@
     "comments and blank lines": `: hello\n\n\n\n${LF_EVENTS}`,
     "a retry field": `retry: 10\n\n${LF_EVENTS}`,
     "a field of the platform": `weight-versions: 7\n${LF_EVENTS}`,
+    "CRLF line ends": LF_EVENTS.replaceAll("\n", "\r\n"),
     "no space after colons": LF_EVENTS.replaceAll(": ", ":"),
   };
   for (const [name, events] of Object.entries(otherForms)) {
@@ -331,6 +332,7 @@
       "comments, other fields and a byte order mark",
       `\ufeff: a\n\nx-y: z\nid: 0\ndata\n\n`,
     ],
+    ["CRLF line ends", ALL_EVENTS.replaceAll("\n", "\r\n")],
     ["no event", ""],
   ] as const) {
     it(`is forwarded whole from a sound endpoint with ${name}`, async () => {
--- a/src/proxy/request/event_sequence.ts
+++ b/src/proxy/request/event_sequence.ts
@@ -3,7 +3,7 @@
  * answer that resumes its stream goes on after the last of them.
  */
 
-const AFTER_BLOCK = /(?<=\n\n)/;
+const AFTER_BLOCK = /(?<=\n\r?\n)/;
 const ID_LINE = /^id: ?(\d+)\r?$/gm;
 /** A block is an event only with data or an id; comments are keep-alives. */
 const EVENT_LINE = /^(?:data|id)(?::|\r?$)/m;
--- a/src/proxy/request/event_splitter.ts
+++ b/src/proxy/request/event_splitter.ts
@@ -4,7 +4,8 @@
  * the last of them.
  */
 
-const EVENT_BOUNDARY = Buffer.from("\n\n");
+/** Ends of an event, with lines that end with LF or with CRLF. */
+const EVENT_BOUNDARIES = [Buffer.from("\n\n"), Buffer.from("\n\r\n")];
 /**
  * Largest incomplete event that is buffered, bytes. Events hold a few tokens,
  * some hundred bytes.
@@ -22,12 +23,11 @@
       this.#incompleteEvent.length === 0
         ? chunk
         : Buffer.concat([this.#incompleteEvent, chunk]);
-    const boundaryStart = data.lastIndexOf(EVENT_BOUNDARY);
-    if (boundaryStart < 0) {
+    const boundaryEnd = findLastBoundaryEnd(data);
+    if (boundaryEnd === undefined) {
       this.#incompleteEvent = data;
       return NO_EVENTS;
     }
-    const boundaryEnd = boundaryStart + EVENT_BOUNDARY.length;
     this.#incompleteEvent = data.subarray(boundaryEnd);
     return data.subarray(0, boundaryEnd);
   }
@@ -42,3 +42,12 @@
     return this.#incompleteEvent;
   }
 }
+
+function findLastBoundaryEnd(data: Buffer): number | undefined {
+  const ends = EVENT_BOUNDARIES.map((boundary) => {
+    const start = data.lastIndexOf(boundary);
+    return start < 0 ? 0 : start + boundary.length;
+  });
+  const lastEnd = Math.max(...ends);
+  return lastEnd === 0 ? undefined : lastEnd;
+}
