--- a/src/platform/stream_resume_test.ts
+++ b/src/platform/stream_resume_test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
-import { createServer, type Socket } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
   type Answer,
+  API_KEY,
   createConfiguration,
+  HOST,
   TestSystem,
 } from "./entry_fixtures_test.js";
 import { createReplicaSpec } from "./standins/replica.js";
@@ -367,4 +369,38 @@
     assertStream(answer, ALL_EVENTS, true);
     assert.equal(answer.headers["content-type"], "text/event-stream");
   });
+
+  // Without chunks only a reset tells such a caller that events are missing.
+  for (const name of ["204", "no event, in chunks", "text in an event"]) {
+    it(`is reset for a caller of HTTP/1.0 after ${name}`, async () => {
+      const answer = { ...unfitHeads, ...unfitBodies }[name] ?? refusing;
+      await startEndpoints(() => [breakingOff, answer]);
+      const { text, isReset } = await new Promise<{
+        text: string;
+        isReset: boolean;
+      }>((resolve) => {
+        const socket = connect(system.callerPort, "127.0.0.1");
+        let received = "";
+        socket.on("data", (data) => {
+          received += data.toString();
+        });
+        socket.once("error", () => resolve({ text: received, isReset: true }));
+        socket.once("close", () => resolve({ text: received, isReset: false }));
+        socket.write(
+          `POST /stream/a HTTP/1.0\r\nHost: ${HOST}\r\nAttempt-Id: r1\r\nAuthorization: Bearer ${API_KEY}\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n`,
+        );
+      });
+      assert.equal(text.split("\r\n\r\n")[1], formatEvents(0, 2));
+      assert.equal(isReset, true);
+    });
+  }
+
+  it("has no events of a low-confidence answer before it", async () => {
+    const headers = `${EVENT_STREAM}Confidence: 0\r\n`;
+    const small = withLength("200 OK", headers, "id: 0\ndata: small\n\n");
+    await startEndpoints(() => [small, breakingOff, continuing]);
+    const answer = await system.call("/stream/sized/a");
+    assertStream(answer, ALL_EVENTS, true);
+    assert.equal(answer.headers.confidence, undefined);
+  });
 });
