--- a/src/proxy/request/event_splitter.ts
+++ b/src/proxy/request/event_splitter.ts
@@ -4,51 +4,32 @@
  * the last of them.
  */
 
-const EVENT_BOUNDARY = Buffer.from("\n\n");
-const ID_LINE = /^id: ?(\d+)\r?$/gm;
-/** A block is an event only with data or an id; comments are keep-alives. */
-const EVENT_LINE = /^(?:data|id)(?::|\r?$)/m;
+/** Ends of an event, with lines that end with LF or with CRLF. */
+const EVENT_BOUNDARIES = [Buffer.from("\n\n"), Buffer.from("\n\r\n")];
 /**
  * Largest incomplete event that is buffered, bytes. Events hold a few tokens,
  * some hundred bytes.
  */
 export const MAX_EVENT_BYTES = 65_536;
 
-export interface CompleteEvents {
-  /** Complete events; empty if there are none yet. */
-  readonly events: Buffer;
-  /** Id of the last event that has one. */
-  readonly lastEventId?: number;
-  /** False where the blocks are only comments, blank lines or other fields. */
-  readonly hasEvent: boolean;
-}
-
-const NO_EVENTS: CompleteEvents = { events: Buffer.alloc(0), hasEvent: false };
+const NO_EVENTS = Buffer.alloc(0);
 
 export class EventSplitter {
   #incompleteEvent: Buffer = Buffer.alloc(0);
 
   /** Adds a chunk and returns the events that it completes. */
-  push(chunk: Buffer): CompleteEvents {
+  push(chunk: Buffer): Buffer {
     const data =
       this.#incompleteEvent.length === 0
         ? chunk
         : Buffer.concat([this.#incompleteEvent, chunk]);
-    const boundaryStart = data.lastIndexOf(EVENT_BOUNDARY);
-    if (boundaryStart < 0) {
+    const boundaryEnd = findLastBoundaryEnd(data);
+    if (boundaryEnd === undefined) {
       this.#incompleteEvent = data;
       return NO_EVENTS;
     }
-    const boundaryEnd = boundaryStart + EVENT_BOUNDARY.length;
     this.#incompleteEvent = data.subarray(boundaryEnd);
-    const events = data.subarray(0, boundaryEnd);
-    const text = events.toString("latin1");
-    const lastIdText = [...text.matchAll(ID_LINE)].at(-1)?.[1];
-    return {
-      events,
-      hasEvent: EVENT_LINE.test(text),
-      lastEventId: lastIdText === undefined ? undefined : Number(lastIdText),
-    };
+    return data.subarray(0, boundaryEnd);
   }
 
   /** True when the incomplete event exceeds `MAX_EVENT_BYTES`. */
@@ -61,3 +42,12 @@
     return this.#incompleteEvent;
   }
 }
+
+function findLastBoundaryEnd(data: Buffer): number | undefined {
+  const ends = EVENT_BOUNDARIES.map((boundary) => {
+    const start = data.lastIndexOf(boundary);
+    return start < 0 ? 0 : start + boundary.length;
+  });
+  const lastEnd = Math.max(...ends);
+  return lastEnd === 0 ? undefined : lastEnd;
+}
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -21,16 +21,18 @@
   type RunDependencies,
   type RunRequest,
 } from "./attempt_runner.js";
+import { EventSequence } from "./event_sequence.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { LowConfidenceAnswer } from "./low_confidence_answer.js";
 import { RequestPlacement } from "./request_placement.js";
 import {
   type AnswerSink,
+  isEventStream,
   type StreamEnd,
   sendAnswer,
   sendStream,
 } from "./send_answer.js";
-import { readAnswerBody } from "./send_attempt.js";
+import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
 
 /** Stall timeout of a stream, as a multiple of the route's target event gap. */
 const STALL_TIMEOUT_PER_TARGET_GAP = 1.25;
@@ -38,6 +40,7 @@
 const MIN_ATTEMPT_MS = 10;
 /** Random part of the retry delay for lack of capacity: spreads callers. */
 const RETRY_AFTER_MS = { minMs: 150, maxMs: 600 } as const;
+const STATUS_OK = 200;
 
 type RunOutcome = "answered" | "broken" | "refused";
 
@@ -245,7 +248,8 @@
         atMs: this.#dependencies.now(),
       });
     }
-    return route.isStream && attempt.head.status < 300
+    const { head } = attempt;
+    return route.isStream && head.status < 300 && isEventStream(head)
       ? await this.#deliverStream(attempt)
       : await this.#deliverWhole(attempt);
   }
@@ -264,14 +268,14 @@
     const nextAttempt = await this.#runAttempts(attempt.model);
     return nextAttempt === undefined
       ? this.#sendFailure()
-      : await this.#deliverWhole(nextAttempt);
+      : await this.#deliver(nextAttempt);
   }
 
   async #deliverStream(first: AnsweredAttempt): Promise<RunOutcome> {
     const { route, facts, signal } = this.#request;
     const { wire, now } = this.#dependencies;
     let attempt: AnsweredAttempt | undefined = first;
-    let lastEventId = facts.lastEventId;
+    const sequence = new EventSequence(facts.lastEventId);
     this.#sink.writeHead(
       first.head.status,
       wire.createAnswerHeaders(first.head.headers),
@@ -279,14 +283,14 @@
     while (attempt !== undefined) {
       const end: StreamEnd = await sendStream(this.#sink, {
         message: attempt.head.message,
-        lastEventId,
+        sequence,
         stallTimeoutMs: route.targetEventGapMs * STALL_TIMEOUT_PER_TARGET_GAP,
-        canResumeElsewhere: () => this.#canResumeElsewhere(),
+        canResumeElsewhere: () =>
+          sequence.canResume && this.#canResumeElsewhere(),
         onBegin: () => this.#attemptRunner.recordBegin(),
         signal,
       });
       attempt.release();
-      lastEventId = end.lastEventId;
       if (end.isComplete) {
         this.#sink.end();
         return "answered";
@@ -294,15 +298,18 @@
       this.#lastFailure = signal.aborted
         ? "the caller left or its time was up"
         : (end.detail ?? "");
+      if (!sequence.canResume) this.#addFailure("the last event has no id");
       this.#attemptRunner.endBroken(attempt, {
         hasBegun: end.hasBegun,
         isCut: end.isCut,
         detail: this.#lastFailure,
       });
       const mayResume =
-        route.retryPolicy === RETRY_POLICY.resume && !signal.aborted;
+        route.retryPolicy === RETRY_POLICY.resume &&
+        sequence.canResume &&
+        !signal.aborted;
       attempt = mayResume
-        ? await this.#resume(attempt.model, lastEventId, now())
+        ? await this.#resume(attempt.model, sequence.lastEventId, now())
         : undefined;
     }
     this.#sink.destroy();
@@ -320,22 +327,29 @@
     );
   }
 
+  /** Finds an endpoint that goes on after `lastEventId` with events. */
   async #resume(
     model: string,
     lastEventId: number | undefined,
     nowMs: number,
   ): Promise<AnsweredAttempt | undefined> {
-    const attempt = await this.#runAttempts(model, lastEventId);
-    this.#dependencies.log.info("stream-resumed", {
-      request: this.#request.facts.id,
-      after: lastEventId,
-      endpoint: attempt?.state.record.id ?? "none",
-      ms: Math.round(this.#dependencies.now() - nowMs),
-    });
-    if (attempt === undefined || attempt.head.status < 300) return attempt;
-    attempt.controller.abort();
-    attempt.release();
-    return undefined;
+    for (;;) {
+      const attempt = await this.#runAttempts(model, lastEventId);
+      this.#dependencies.log.info("stream-resumed", {
+        request: this.#request.facts.id,
+        after: lastEventId,
+        endpoint: attempt?.state.record.id ?? "none",
+        ms: Math.round(this.#dependencies.now() - nowMs),
+      });
+      if (attempt === undefined || isStreamRest(attempt.head)) return attempt;
+      attempt.release();
+      this.#lastFailure = describeHead(attempt.head);
+      this.#attemptRunner.endBroken(attempt, {
+        hasBegun: false,
+        isCut: false,
+        detail: this.#lastFailure,
+      });
+    }
   }
 
   /** Forwards an endpoint's error or refuses, telling if it may have run. */
@@ -368,3 +382,13 @@
     return "refused";
   }
 }
+
+/** True where the body may be the rest of a stream, by its head. */
+function isStreamRest(head: AttemptHead): boolean {
+  return head.status === STATUS_OK && isEventStream(head);
+}
+
+function describeHead({ status, message }: AttemptHead): string {
+  const type = message.headers["content-type"] ?? "no type";
+  return `Status ${status} with ${type} does not resume a stream`;
+}
