Let the stand-in replica repeat earlier answers, and name the request in refusals

Operators of other systems report an endpoint that wrote an earlier refusal once more on a kept connection. The stand-in could not play that: a replica on the platform echoes Attempt-Id in all responses, and its refusals, 421 included, did not. They do now, with a Content-Length in place of chunks.

New options: slots, beyond which it refuses, and repeats, which writes the last refusal or the last complete answer of a connection once more while it is idle, before the next request runs, or in one write with the next answer. Answers carry Run-Id, which entries pass through, so that a caller can tell an answer of another request.

--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -10,6 +10,11 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import {
+  REPEATED_ANSWER,
+  RepeatedAnswers,
+  type RepeatOptions,
+} from "./repeated_answers.js";
 
 export interface ReplicaRun {
   readonly requestId: string;
@@ -50,7 +55,9 @@
   confidence?: Readonly<Record<string, number>>;
   /** Refuses every request for lack of capacity, without running it. */
   isFull?: boolean;
-  /** Seconds, as text, after which such a refusal allows a retry. */
+  /** Refuses requests while it works on so many. */
+  slots?: number;
+  /** Seconds, as text, after which a refusal due to `isFull` allows a retry. */
   retryAfter?: string;
   /** Announces in each answer that it shuts down. */
   isLeaving?: boolean;
@@ -71,12 +78,17 @@
   plainAnswerBytes?: number;
   /** Names another request in the answer, as if two were swapped. */
   sendsWrongRequestId?: boolean;
+  /** Writes earlier answers of a kept connection once more. */
+  repeats?: RepeatOptions;
   /** Ends as soon as it begins an answer to a prompt with one of these parts. */
   crashesOn?: ReadonlySet<string>;
   /** Called when it has ended for that reason. */
   onCrash?: (sharedParts: readonly string[]) => void;
 }
 
+/** Header that passes through a proxy and names the request that ran. */
+export const RUN_ID_HEADER = "Run-Id";
+
 /** Name of the service that every replica provides. */
 export const REPLICA_SERVICE = "svc";
 
@@ -113,6 +125,8 @@
   readonly runs: ReplicaRun[] = [];
   readonly arrivals: ReplicaArrival[] = [];
   readonly #server: Server;
+  readonly #repeated = new RepeatedAnswers(() => this.options.repeats);
+  #workCount = 0;
   #isCrashing = false;
 
   constructor(options: ReplicaOptions) {
@@ -134,11 +148,18 @@
     this.#server.closeAllConnections();
   }
 
+  /** Answers that were written once more. */
+  get copyCount(): number {
+    return this.#repeated.copyCount;
+  }
+
   async #answer(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const { options } = this;
+    const { socket } = request;
+    this.#repeated.startRequest(socket, response);
     const chunks: Buffer[] = [];
     request.on("error", () => undefined);
     for await (const chunk of request) chunks.push(chunk as Buffer);
@@ -146,30 +167,27 @@
     this.#recordArrival(String(request.headers["attempt-id"]), sharedParts);
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== options.id) {
-      response.writeHead(421, {
-        "Replica-Id": options.id,
-        "Not-Executed": "1",
-        ...this.#createAvailabilityHeaders(),
-      });
-      response.end();
+      this.#refuse(request, response, 421, { "Replica-Id": options.id });
       return;
     }
-    if (options.isFull) {
-      const { retryAfter } = options;
-      response.writeHead(503, {
-        "Not-Executed": "1",
-        ...(retryAfter === undefined ? {} : { "Retry-After": retryAfter }),
-        ...this.#createAvailabilityHeaders(),
-      });
-      response.end();
+    const { isFull, retryAfter, slots = Number.POSITIVE_INFINITY } = options;
+    if (isFull || this.#workCount >= slots) {
+      const hasDelay = isFull && retryAfter !== undefined;
+      const fields = hasDelay ? [["Retry-After", retryAfter]] : [];
+      this.#refuse(request, response, 503, Object.fromEntries(fields));
       return;
     }
+    this.#repeated.writeBeforeRun(socket);
     const run = this.#recordRun(request, Buffer.concat(chunks).toString());
+    // No further event comes once the caller has left.
+    if (!response.destroyed) this.#workCount++;
     response.once("close", () => {
+      this.#workCount--;
       if (run.state === "running") run.state = "left";
     });
     if (options.neverAnswers) return;
     await this.#delay();
+    this.#repeated.writeWithAnswer(socket);
     if (sharedParts.some((part) => options.crashesOn?.has(part))) {
       this.#crash(run, response, sharedParts);
       return;
@@ -185,6 +203,25 @@
     else this.#sendPlain(run, response);
   }
 
+  #refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    fields: Readonly<Record<string, string>>,
+  ): void {
+    const headers = {
+      "Attempt-Id": String(request.headers["attempt-id"]),
+      "Not-Executed": "1",
+      "Content-Length": "0",
+      ...fields,
+      ...this.#createAvailabilityHeaders(),
+    };
+    response.writeHead(status, headers);
+    response.end();
+    const { refusal } = REPEATED_ANSWER;
+    this.#repeated.setAnswer(request.socket, refusal, status, headers, "");
+  }
+
   /** Sends the head of the answer, then breaks all connections. */
   #crash(
     run: ReplicaRun,
@@ -246,6 +283,7 @@
         ? "another"
         : run.requestId,
       "Server-Stamp": `stamp-${this.options.id}`,
+      [RUN_ID_HEADER]: run.requestId,
       "Replica-Load": "1,0,8",
       ...(confidence === undefined ? {} : { Confidence: String(confidence) }),
       ...this.#createAvailabilityHeaders(),
@@ -267,10 +305,8 @@
         ? PLAIN_ANSWER_BODY
         : "x".repeat(plainAnswerBytes);
     const { length } = body;
-    response.writeHead(200, {
-      ...this.#createHeaders(run),
-      "Content-Length": length,
-    });
+    const headers = { ...this.#createHeaders(run), "Content-Length": length };
+    response.writeHead(200, headers);
     if (stallsInBody) {
       response.write(body.slice(0, length / 2));
       return;
@@ -280,8 +316,13 @@
       run.state = "cut";
       return;
     }
+    // The response has no socket once its caller has left.
+    const { socket } = response;
     response.end(body);
     run.state = "complete";
+    if (socket === null) return;
+    const { complete } = REPEATED_ANSWER;
+    this.#repeated.setAnswer(socket, complete, 200, headers, body);
   }
 
   async #stream(run: ReplicaRun, response: ServerResponse): Promise<void> {
