Play repeated refusals in the platform's soak, and end crashing calls before the last ones

The soak could not find that an entry takes an earlier refusal for the next request's: no stand-in wrote one. For 2 to 5 s at a time, two to four replicas now have few slots, so that bursts of orders make them refuse, and repeat refusals or complete answers at one of three times. falseNotRun and ranTwice judge it as before. foreignAnswer is new: every answer, and the run behind it, has to name the caller's request.

They end with the start of new faults now, as many as before in that time, and the last calls wait until crashed replicas are back.

--- a/src/platform/soak/callers.ts
+++ b/src/platform/soak/callers.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from "node:http";
 import type { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
+import { RUN_ID_HEADER } from "../standins/replica.js";
 import { HOST } from "./fleet.js";
 import {
   type CallRecord,
@@ -22,7 +23,9 @@
 const FIRST_PART = "first0";
 const SECOND_PART_COUNT = 12;
 /** Mean pause between two calls with the part that ends replicas, ms. */
-const CRASHING_CALL_PAUSE_MS = 700;
+const CRASHING_CALL_PAUSE_MS = 500;
+/** Orders of one burst, more than all replicas take while they have few slots. */
+const BURST_SIZE = 24;
 /** Share of calls after which a caller moves to another entry. */
 const ENTRY_CHANGE_SHARE = 0.03;
 
@@ -33,6 +36,7 @@
   readonly random: Random;
   /** Apart from `random`, so that seeds keep their other calls. */
   readonly crashingRandom: Random;
+  readonly burstRandom: Random;
   readonly listKeys: () => {
     readonly valid: readonly string[];
     readonly withdrawn: readonly string[];
@@ -53,16 +57,17 @@
 
   async run(): Promise<void> {
     const { callerCount } = this.#options;
-    await Promise.all([
-      this.#runCrashingCaller(),
-      ...Array.from({ length: callerCount }, () => this.#runCaller()),
-    ]);
+    await Promise.all(
+      Array.from({ length: callerCount }, () => this.#runCaller()),
+    );
   }
 
-  async #runCrashingCaller(): Promise<void> {
-    const { portsByEntry, crashingRandom, listKeys, signal } = this.#options;
-    while (!signal.aborted) {
+  /** Calls with the part that ends replicas; they start before `untilMs`. */
+  async runCrashingCalls(untilMs: number): Promise<void> {
+    const { portsByEntry, crashingRandom, listKeys } = this.#options;
+    for (;;) {
       await delay(crashingRandom.pickInteger(0, 2 * CRASHING_CALL_PAUSE_MS));
+      if (performance.now() >= untilMs) return;
       const [entry, port] = crashingRandom.pick([...portsByEntry]);
       const record = createRecord({
         id: `x${this.crashingCalls.length}`,
@@ -78,6 +83,19 @@
     }
   }
 
+  /** Sends orders at once, each on its own connection. */
+  async sendBurst(): Promise<void> {
+    const { portsByEntry, burstRandom } = this.#options;
+    const names = [...portsByEntry.keys()];
+    const sendOrder = async () => {
+      const agent = new Agent();
+      const entry = burstRandom.pick(names);
+      await this.callOnce(entry, agent, ROUTE.once, burstRandom);
+      agent.destroy();
+    };
+    await Promise.all(Array.from({ length: BURST_SIZE }, sendOrder));
+  }
+
   async #runCaller(): Promise<void> {
     const { portsByEntry, random, signal } = this.#options;
     const names = [...portsByEntry.keys()];
@@ -102,8 +120,9 @@
     entry: string,
     agent: Agent,
     requestedRoute?: RouteName,
+    random = this.#options.random,
   ): Promise<CallRecord> {
-    const { portsByEntry, random, listKeys } = this.#options;
+    const { portsByEntry, listKeys } = this.#options;
     const route = requestedRoute ?? random.pick(Object.values(ROUTE));
     const { valid, withdrawn } = listKeys();
     const usesWithdrawnKey =
@@ -137,6 +156,7 @@
     deadlineMs: CALL_DEADLINE_MS,
     sentAtMs: performance.now(),
     endedAtMs: 0,
+    namedIds: [],
     body: "",
     isComplete: false,
   };
@@ -169,6 +189,9 @@
       (response) => {
         record.status = response.statusCode;
         record.stamp = response.headers["server-stamp"]?.toString();
+        record.namedIds = ["attempt-id", RUN_ID_HEADER.toLowerCase()].flatMap(
+          (name) => response.headers[name] ?? [],
+        );
         response.on("data", (chunk: Buffer) => {
           record.body += chunk.toString();
         });
--- a/src/platform/soak/fault_injector.ts
+++ b/src/platform/soak/fault_injector.ts
@@ -8,6 +8,7 @@
 import type { StoreFaults } from "../standins/store.js";
 import type { EntryMember, Fleet, ReplicaMember } from "./fleet.js";
 import type { Disturbance } from "./records.js";
+import { runRepeatFaults } from "./repeat_faults.js";
 
 /** Shortest and longest duration of a fault, ms. */
 const FAULT_DURATION_MS = { min: 300, max: 7_000 };
@@ -53,6 +54,8 @@
   /** Apart from `random`, so that seeds keep their other faults. */
   readonly limitRandom: Random;
   readonly restoreRandom: Random;
+  readonly repeatRandom: Random;
+  readonly sendBurst: () => Promise<void>;
   readonly untilMs: number;
 }
 
@@ -77,9 +80,19 @@
 
   /** Starts faults until the end time; resolves once all have ended. */
   async run(): Promise<void> {
-    const { fleet, random, untilMs } = this.#options;
+    const { fleet, random, repeatRandom, sendBurst, untilMs } = this.#options;
     for (const entry of fleet.entries) this.#watchExit(entry);
-    const running: Promise<void>[] = [this.#runLimits(), this.#runRestores()];
+    const running: Promise<void>[] = [
+      this.#runLimits(),
+      this.#runRestores(),
+      runRepeatFaults({
+        random: repeatRandom,
+        untilMs,
+        listReplicas: () => this.#listCurrentReplicas(),
+        sendBurst,
+        onFault: () => this.#countFault("repeat"),
+      }),
+    ];
     while (performance.now() < untilMs) {
       running.push(this.#runFault());
       await delay(random.pickInteger(50, MAX_FAULT_GAP_MS));
@@ -98,7 +111,7 @@
     while (performance.now() < untilMs) {
       const { options } = random.pick(this.#listCurrentReplicas()).replica;
       options.limit = String(random.pick(LIMITS_PER_SECOND));
-      this.counts.set("limit", (this.counts.get("limit") ?? 0) + 1);
+      this.#countFault("limit");
       const { min, max } = LIMIT_DURATION_MS;
       await delay(random.pickInteger(min, max));
       options.limit = undefined;
@@ -114,7 +127,7 @@
       await delay(random.pickInteger(0, maxGapMs));
       const copy = fleet.store.takeCopy();
       await delay(random.pickInteger(0, maxAgeMs));
-      this.counts.set("restore", (this.counts.get("restore") ?? 0) + 1);
+      this.#countFault("restore");
       const disturbance = this.#startDisturbance("store-restore");
       this.#activeStoreFaults++;
       fleet.store.faults = { outage: "reset" };
@@ -174,10 +187,14 @@
       { weight: 2, kind: "key", run: () => this.#rotateKeys() },
       { weight: 1, kind: "kill-all", run: () => this.#killAll() },
     ]);
-    this.counts.set(fault.kind, (this.counts.get(fault.kind) ?? 0) + 1);
+    this.#countFault(fault.kind);
     await fault.run();
   }
 
+  #countFault(kind: string): void {
+    this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
+  }
+
   #pickCutOptions(): CutOptions {
     const { random } = this.#options;
     const direction = random.pick<Direction>(["both", "requests", "replies"]);
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -77,6 +77,7 @@
   readonly crashes: Disturbance[] = [];
   readonly apiKeys: string[] = ["key-a", "key-b", "key-c"];
   readonly #options: FleetOptions;
+  readonly #restarts: Promise<unknown>[] = [];
   #configVersion = 0;
   #configuration: object = {};
   #nextReplicaNumber = 0;
@@ -251,9 +252,10 @@
         const fromMs = performance.now();
         const toMs = fromMs + CRASH_DOWN_MS;
         this.crashes.push({ kind: CRASH_KIND, member: id, fromMs, toMs });
-        void delay(CRASH_DOWN_MS).then(() => {
-          if (!signal.aborted) void replica.start(port);
-        });
+        const restart = delay(CRASH_DOWN_MS).then(() =>
+          signal.aborted ? undefined : replica.start(port),
+        );
+        this.#restarts.push(restart);
       },
     });
     const port = await replica.start();
@@ -266,6 +268,11 @@
     return member;
   }
 
+  /** Resolves once all replicas that have crashed are back. */
+  async waitForRestarts(): Promise<void> {
+    await Promise.all(this.#restarts);
+  }
+
   writeReplica(member: ReplicaMember, state: "ready" | "draining"): void {
     const spec = createReplicaSpec(member.link.port, { state });
     this.store.put("servers", member.id, spec);
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -19,6 +19,7 @@
   "falseNotRun",
   "wrongAnswer",
   "wrongStream",
+  "foreignAnswer",
   "withdrawnKeyServed",
   "leavingReplicaServed",
   "leavingWordIgnored",
@@ -70,6 +71,9 @@
     checkWithdrawnKey(call, ownRuns, records, findings);
     checkCompletion(call, ownRuns, records, findings);
   }
+  for (const call of [...records.calls, ...records.crashingCalls]) {
+    checkNamedIds(call, findings);
+  }
   checkLeavingReplicas(records, findings);
   checkReplicaRequests(records, findings);
   checkLimits(records, findings);
@@ -136,6 +140,17 @@
   );
 }
 
+/** Neither an answer nor the run behind it may belong to another request. */
+function checkNamedIds(call: CallRecord, findings: Findings<Property>): void {
+  const { id, status, namedIds } = call;
+  if (status === undefined) return;
+  const isOwn = namedIds.every((namedId) => namedId === id);
+  const isNamed = status !== 200 || namedIds.length === 2;
+  findings.check("foreignAnswer", isOwn && isNamed, () =>
+    describeCall(call, `the answer names ${JSON.stringify(namedIds)}`),
+  );
+}
+
 /** Each event comes once and in order, and all of them if it is complete. */
 function isValidStream(call: CallRecord): boolean {
   const events = call.body.split("\n\n");
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -47,7 +47,7 @@
   setMaxListeners(0, signal);
   const options = { seed, seconds, basePort, folder, signal };
   const result = await runSoak(options).finally(() => lifetime.abort());
-  const { findings, calls, served, faults } = result;
+  const { findings, calls, served, faults, repeatedAnswers } = result;
   for (const property of PROPERTIES) {
     for (const detail of findings.listViolations(property)) {
       process.stdout.write(`${property}: ${detail}\n`);
@@ -63,6 +63,7 @@
       calls,
       served,
       faults,
+      repeatedAnswers,
       cases: findings.countCases(),
       violations: findings.countViolations(),
       notExercised: findings.listNotExercised(),
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -18,6 +18,8 @@
   status?: number;
   body: string;
   stamp?: string;
+  /** The requests that the answer and the run behind it name. */
+  namedIds: readonly string[];
   /** The answer ended as its framing says. */
   isComplete: boolean;
   /** Ids of the prompt's parts but the last one. */
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -29,6 +29,8 @@
   readonly calls: number;
   readonly served: number;
   readonly faults: Readonly<Record<string, number>>;
+  /** Answers that replicas wrote once more. */
+  readonly repeatedAnswers: number;
 }
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -36,12 +38,15 @@
   const fleet = new Fleet({ basePort, folder, signal });
   await fleet.start();
   await waitUntilReady(fleet, START_TIMEOUT_MS);
+  const untilMs = performance.now() + seconds * 1_000;
   const faults = new FaultInjector({
     fleet,
     random: new Random(seed),
     limitRandom: new Random(seed + 2),
     restoreRandom: new Random(seed + 4),
-    untilMs: performance.now() + seconds * 1_000,
+    repeatRandom: new Random(seed + 5),
+    sendBurst: () => callers.sendBurst(),
+    untilMs,
   });
   const callersEnd = new AbortController();
   const callers = new Callers({
@@ -51,6 +56,7 @@
     ),
     random: new Random(seed + 1),
     crashingRandom: new Random(seed + 3),
+    burstRandom: new Random(seed + 6),
     listKeys: () => ({
       valid: fleet.apiKeys,
       withdrawn: [...faults.withdrawals.keys()],
@@ -58,8 +64,12 @@
     signal: callersEnd.signal,
   });
   const callersDone = callers.run();
+  // Ends earlier than most faults, so that recovery gets no extra time.
+  const crashingDone = callers.runCrashingCalls(untilMs);
   await faults.run();
   faults.heal();
+  await crashingDone;
+  await fleet.waitForRestarts();
   await waitUntilReady(fleet, RECOVERY_TIMEOUT_MS);
   callersEnd.abort();
   await callersDone;
@@ -86,6 +96,10 @@
     calls: calls.length,
     served: calls.filter(({ status }) => status === 200).length,
     faults: Object.fromEntries(faults.counts),
+    repeatedAnswers: fleet.replicas.reduce(
+      (sum, { replica }) => sum + replica.copyCount,
+      0,
+    ),
   };
 }
 
