--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -122,7 +122,7 @@
     };
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
-      if (!recordRequest(socket, requestId)) {
+      if (!addCarriedRequest(socket, requestId)) {
         withhold("The connection has carried this request before");
         return;
       }
@@ -210,10 +210,10 @@
 const MAX_CARRIED_IDS = 100;
 
 /**
- * Records that a connection carries a request. False if it has carried one
+ * Adds a request to those of a connection. False if it has carried one
  * with this id before: an answer left over from that would look like this one's.
  */
-function recordRequest(socket: Socket, requestId: string): boolean {
+function addCarriedRequest(socket: Socket, requestId: string): boolean {
   const ids = carriedRequestIds.get(socket) ?? new Set();
   carriedRequestIds.set(socket, ids);
   if (ids.has(requestId)) return false;
