Leave out endpoint records with numbers that no endpoint writes

A number too large in one record lasted: an endpoint whose cold time was overwritten with years got the rate of a cold one for good, also after it had written its own record again. Other odd fields were used: slots of 1e300 never filled, a cold time or a start of another type counted as missing, an address as 10.0.0.999 was looked up as a host name, and a version of a megabyte was kept and logged.

Cause: numbers were only checked to be finite and texts to be there, and the time until which an endpoint is cold only rises. Ruled out: ports, which were checked already (the test passed before).

Such a record now names no endpoint, as the platform asks. Missing or null cold times and starts are accepted as before, and `seq` is not read.

Evidence: eleven of the twelve new tests failed; all pass now.

--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -17,6 +17,7 @@
 import { createDecodeFailure, type DecodeFailure } from "./failures.js";
 import {
   type Fields,
+  getCount,
   getFields,
   getList,
   getNumber,
@@ -201,6 +202,15 @@
   return text.length <= MAX_NAME_LENGTH && NAME_PATTERN.test(text);
 }
 
+/** Above any endpoint's; a larger number is another writer's. */
+const MAX_SLOTS = 1_000_000;
+/** Endpoints are cold for seconds, and one that says more stays cold. */
+const MAX_COLD_LEFT_MS = 3_600_000;
+
+function isMissing(value: unknown): boolean {
+  return value === undefined || value === null;
+}
+
 /** An endpoint with an invalid record is not used. */
 export function decodeEndpoint(
   object: StoredObject,
@@ -227,6 +237,21 @@
   if (state !== "ready" && state !== "draining") {
     return fail(`state "${state ?? ""}" is unknown`);
   }
+  if (!Number.isInteger(slots) || slots > MAX_SLOTS)
+    return fail("slots is not a whole number or too large");
+  const texts = [service, dataCentre, version];
+  if (texts.some((text) => text.length > MAX_NAME_LENGTH))
+    return fail("service, zone or version is too long");
+  const { cold_left_ms: coldLeft, born } = spec;
+  const coldLeftMs = getNumber(spec, "cold_left_ms");
+  if (
+    !isMissing(coldLeft) &&
+    (coldLeftMs ?? Number.POSITIVE_INFINITY) > MAX_COLD_LEFT_MS
+  )
+    return fail("cold_left_ms is not a number or too large");
+  const startedAtMs = getCount(spec, "born");
+  if (!isMissing(born) && startedAtMs === undefined)
+    return fail("born is not a whole number");
   return ok({
     id: name,
     service,
@@ -235,8 +260,8 @@
     version,
     slots,
     isLeaving: state === "draining",
-    coldLeftMs: Math.max(0, getNumber(spec, "cold_left_ms") ?? 0),
-    startedAtMs: getNumber(spec, "born"),
+    coldLeftMs: Math.max(0, coldLeftMs ?? 0),
+    startedAtMs,
   });
 }
 
--- a/src/platform/decode_fuzz_test.ts
+++ b/src/platform/decode_fuzz_test.ts
@@ -173,6 +173,32 @@
     );
   });
 
+  // Such a record is another writer's. One that was cold for ever stayed so
+  // after the endpoint had written its own again.
+  for (const [name, odd] of Object.entries({
+    "an endless cold time": { cold_left_ms: Number.POSITIVE_INFINITY },
+    "a cold time of years": { cold_left_ms: 1e300 },
+    "a cold time that is a text": { cold_left_ms: "5" },
+    "too many slots": { slots: 1e300 },
+    "a part of a slot": { slots: 1.5 },
+    "a start time that is a text": { born: "5" },
+    "a start time that is not exact": { born: 1e300 },
+    "an address that is none": { addr: "10.0.0.999:80" },
+    "a port out of range": { addr: "10.0.0.1:65536" },
+    "a huge version": { version: "v".repeat(1_000_000) },
+    "a huge service": { service: "s".repeat(1_000_000) },
+    "a huge data centre": { zone: "z".repeat(1_000_000) },
+  })) {
+    it(`endpoint: is left out with ${name}`, () => {
+      assert.ok(decodeEndpoint(createStoredObject(ENDPOINT)).isOk());
+      const record = decodeEndpoint(
+        createStoredObject({ ...ENDPOINT, ...odd }),
+      );
+      assert.ok(record.isErr());
+      assert.ok(record.error.detail.length < 300);
+    });
+  }
+
   it("settings: returns a failure for every arbitrary text", () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
--- a/src/platform/parse_address.ts
+++ b/src/platform/parse_address.ts
@@ -1,3 +1,4 @@
+import { isIPv4 } from "node:net";
 import type { NetworkAddress } from "../proxy/index.js";
 
 const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
@@ -8,6 +9,7 @@
   const match = ADDRESS_PATTERN.exec(text);
   const [, address, digits] = match ?? [];
   const port = Number(digits);
-  if (address === undefined || port < 1 || port > MAX_PORT) return undefined;
+  if (address === undefined || !isIPv4(address)) return undefined;
+  if (port < 1 || port > MAX_PORT) return undefined;
   return { address, port };
 }
