Leave out roll-out orders that are not for their service

One odd order among the roll-outs could keep a service from its own: an object under any name took the place of the order of the service that its spec names, and stayed when it was deleted. A negative duration or one of 1e300 s was never decided, nor was an order with "constructor" or "__proto__" as state of its status: it counted as ended, with an outcome that is none.

Cause: orders are kept by the service in the spec but removed by the name of the object, and the outcome of one under another name is written to the service's object with a revision that is not its own. Durations were only compared with 0, and states looked up in an object with a prototype. Ruled out: NaN and Infinity, which were left out before.

An order now needs its service as name and a duration of up to 31 days, and states are looked up in a map.

Evidence: four of the six new tests failed; all pass now. The other two (NaN, Infinity) passed before. That the write was repeated with each tick, ten times a second, is read from the code and was not run. The fixture's name is now that of its service.

--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -265,10 +265,13 @@
   });
 }
 
-const OUTCOME_BY_STATE: Readonly<Record<string, RolloutOutcome>> = {
-  completed: ROLLOUT_OUTCOME.completed,
-  rolled_back: ROLLOUT_OUTCOME.rolledBack,
-};
+/** A map, since an object also has the names of its prototype. */
+const OUTCOME_BY_STATE: ReadonlyMap<string, RolloutOutcome> = new Map([
+  ["completed", ROLLOUT_OUTCOME.completed],
+  ["rolled_back", ROLLOUT_OUTCOME.rolledBack],
+]);
+/** Above any order's; a larger number is another writer's. */
+const MAX_ROLLOUT_S = 31 * 86_400;
 
 export function decodeRollout(
   object: StoredObject,
@@ -291,6 +294,16 @@
       ),
     );
   }
+  if (durationS < 0 || durationS > MAX_ROLLOUT_S) {
+    return err(
+      createDecodeFailure(`rollout ${name}: duration_s is out of range`),
+    );
+  }
+  if (service !== name) {
+    return err(
+      createDecodeFailure(`rollout ${name}: service has another name`),
+    );
+  }
   const statusFields = isFields(status) ? status : {};
   // A status with another target belongs to an earlier order.
   const isSameOrder = getText(statusFields, "target") === target;
@@ -299,7 +312,7 @@
     service,
     target,
     durationMs: durationS * MS_PER_SECOND,
-    outcome: isSameOrder ? OUTCOME_BY_STATE[state] : undefined,
+    outcome: isSameOrder ? OUTCOME_BY_STATE.get(state) : undefined,
     createdRevision,
     revision,
   });
@@ -310,7 +323,7 @@
   order: RolloutOrder,
   outcome: RolloutOutcome | undefined,
 ): Fields {
-  const state = Object.entries(OUTCOME_BY_STATE).find(
+  const state = [...OUTCOME_BY_STATE].find(
     ([, value]) => value === outcome,
   )?.[0];
   return { state: state ?? "running", target: order.target };
--- a/src/platform/decode_fuzz_test.ts
+++ b/src/platform/decode_fuzz_test.ts
@@ -85,7 +85,7 @@
     (value: unknown): T =>
       decode(createStoredObject(value));
   const createStoredObject = (spec: unknown) => ({
-    name: "a",
+    name: "svc",
     revision: 3,
     createdRevision: 2,
     isDeleting: false,
@@ -199,6 +199,33 @@
     });
   }
 
+  const decodeOrder = (spec: object, status: unknown = null) =>
+    decodeRollout({ ...createStoredObject(spec), name: "svc", status });
+
+  // Names of a status were looked up in an object with a prototype, so that a
+  // roll-out had an outcome that is none and was never decided.
+  it("rollout: has no outcome with a state that names none", () => {
+    for (const state of ["__proto__", "constructor", "toString", "", 7]) {
+      const order = decodeOrder(ROLLOUT, { target: "v2", state });
+      assert.ok(order.isOk());
+      assert.equal(order.value.outcome, undefined, String(state));
+    }
+    const done = decodeOrder(ROLLOUT, { target: "v2", state: "completed" });
+    assert.equal(done.isOk() && done.value.outcome, "completed");
+  });
+
+  // It replaced the service's own order, and stayed after its object was gone.
+  it("rollout: is left out under the name of another service", () => {
+    const order = decodeRollout({ ...createStoredObject(ROLLOUT), name: "x" });
+    assert.ok(order.isErr());
+  });
+
+  for (const seconds of [-5, 1e300, Number.POSITIVE_INFINITY, Number.NaN]) {
+    it(`rollout: is left out with a duration of ${seconds} s`, () => {
+      assert.ok(decodeOrder({ ...ROLLOUT, duration_s: seconds }).isErr());
+    });
+  }
+
   it("settings: returns a failure for every arbitrary text", () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
