--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -17,6 +17,7 @@
 import { createDecodeFailure, type DecodeFailure } from "./failures.js";
 import {
   type Fields,
+  getCount,
   getFields,
   getList,
   getNumber,
@@ -201,6 +202,15 @@
   return text.length <= MAX_NAME_LENGTH && NAME_PATTERN.test(text);
 }
 
+/** Above any endpoint's; a larger number is another writer's. */
+const MAX_SLOTS = 1_000_000;
+/** Endpoints are cold for seconds, and one that says more stays cold. */
+const MAX_COLD_LEFT_MS = 3_600_000;
+
+function isMissing(value: unknown): boolean {
+  return value === undefined || value === null;
+}
+
 /** An endpoint with an invalid record is not used. */
 export function decodeEndpoint(
   object: StoredObject,
@@ -227,6 +237,21 @@
   if (state !== "ready" && state !== "draining") {
     return fail(`state "${state ?? ""}" is unknown`);
   }
+  if (!Number.isInteger(slots) || slots > MAX_SLOTS)
+    return fail("slots is not a whole number or too large");
+  const texts = [service, dataCentre, version];
+  if (texts.some((text) => text.length > MAX_NAME_LENGTH))
+    return fail("service, zone or version is too long");
+  const { cold_left_ms: coldLeft, born } = spec;
+  const coldLeftMs = getNumber(spec, "cold_left_ms");
+  if (
+    !isMissing(coldLeft) &&
+    (coldLeftMs ?? Number.POSITIVE_INFINITY) > MAX_COLD_LEFT_MS
+  )
+    return fail("cold_left_ms is not a number or too large");
+  const startedAtMs = getCount(spec, "born");
+  if (!isMissing(born) && startedAtMs === undefined)
+    return fail("born is not a whole number");
   return ok({
     id: name,
     service,
@@ -235,15 +260,18 @@
     version,
     slots,
     isLeaving: state === "draining",
-    coldLeftMs: Math.max(0, getNumber(spec, "cold_left_ms") ?? 0),
-    startedAtMs: getNumber(spec, "born"),
+    coldLeftMs: Math.max(0, coldLeftMs ?? 0),
+    startedAtMs,
   });
 }
 
-const OUTCOME_BY_STATE: Readonly<Record<string, RolloutOutcome>> = {
-  completed: ROLLOUT_OUTCOME.completed,
-  rolled_back: ROLLOUT_OUTCOME.rolledBack,
-};
+/** A map, since an object also has the names of its prototype. */
+const OUTCOME_BY_STATE: ReadonlyMap<string, RolloutOutcome> = new Map([
+  ["completed", ROLLOUT_OUTCOME.completed],
+  ["rolled_back", ROLLOUT_OUTCOME.rolledBack],
+]);
+/** Above any order's; a larger number is another writer's. */
+const MAX_ROLLOUT_S = 31 * 86_400;
 
 export function decodeRollout(
   object: StoredObject,
@@ -266,6 +294,16 @@
       ),
     );
   }
+  if (durationS < 0 || durationS > MAX_ROLLOUT_S) {
+    return err(
+      createDecodeFailure(`rollout ${name}: duration_s is out of range`),
+    );
+  }
+  if (service !== name) {
+    return err(
+      createDecodeFailure(`rollout ${name}: service has another name`),
+    );
+  }
   const statusFields = isFields(status) ? status : {};
   // A status with another target belongs to an earlier order.
   const isSameOrder = getText(statusFields, "target") === target;
@@ -274,7 +312,7 @@
     service,
     target,
     durationMs: durationS * MS_PER_SECOND,
-    outcome: isSameOrder ? OUTCOME_BY_STATE[state] : undefined,
+    outcome: isSameOrder ? OUTCOME_BY_STATE.get(state) : undefined,
     createdRevision,
     revision,
   });
@@ -285,7 +323,7 @@
   order: RolloutOrder,
   outcome: RolloutOutcome | undefined,
 ): Fields {
-  const state = Object.entries(OUTCOME_BY_STATE).find(
+  const state = [...OUTCOME_BY_STATE].find(
     ([, value]) => value === outcome,
   )?.[0];
   return { state: state ?? "running", target: order.target };
--- a/src/platform/decode_fuzz_test.ts
+++ b/src/platform/decode_fuzz_test.ts
@@ -85,7 +85,7 @@
     (value: unknown): T =>
       decode(createStoredObject(value));
   const createStoredObject = (spec: unknown) => ({
-    name: "a",
+    name: "svc",
     revision: 3,
     createdRevision: 2,
     isDeleting: false,
@@ -173,6 +173,59 @@
     );
   });
 
+  // Such a record is another writer's. One that was cold for ever stayed so
+  // after the endpoint had written its own again.
+  for (const [name, odd] of Object.entries({
+    "an endless cold time": { cold_left_ms: Number.POSITIVE_INFINITY },
+    "a cold time of years": { cold_left_ms: 1e300 },
+    "a cold time that is a text": { cold_left_ms: "5" },
+    "too many slots": { slots: 1e300 },
+    "a part of a slot": { slots: 1.5 },
+    "a start time that is a text": { born: "5" },
+    "a start time that is not exact": { born: 1e300 },
+    "an address that is none": { addr: "10.0.0.999:80" },
+    "a port out of range": { addr: "10.0.0.1:65536" },
+    "a huge version": { version: "v".repeat(1_000_000) },
+    "a huge service": { service: "s".repeat(1_000_000) },
+    "a huge data centre": { zone: "z".repeat(1_000_000) },
+  })) {
+    it(`endpoint: is left out with ${name}`, () => {
+      assert.ok(decodeEndpoint(createStoredObject(ENDPOINT)).isOk());
+      const record = decodeEndpoint(
+        createStoredObject({ ...ENDPOINT, ...odd }),
+      );
+      assert.ok(record.isErr());
+      assert.ok(record.error.detail.length < 300);
+    });
+  }
+
+  const decodeOrder = (spec: object, status: unknown = null) =>
+    decodeRollout({ ...createStoredObject(spec), name: "svc", status });
+
+  // Names of a status were looked up in an object with a prototype, so that a
+  // roll-out had an outcome that is none and was never decided.
+  it("rollout: has no outcome with a state that names none", () => {
+    for (const state of ["__proto__", "constructor", "toString", "", 7]) {
+      const order = decodeOrder(ROLLOUT, { target: "v2", state });
+      assert.ok(order.isOk());
+      assert.equal(order.value.outcome, undefined, String(state));
+    }
+    const done = decodeOrder(ROLLOUT, { target: "v2", state: "completed" });
+    assert.equal(done.isOk() && done.value.outcome, "completed");
+  });
+
+  // It replaced the service's own order, and stayed after its object was gone.
+  it("rollout: is left out under the name of another service", () => {
+    const order = decodeRollout({ ...createStoredObject(ROLLOUT), name: "x" });
+    assert.ok(order.isErr());
+  });
+
+  for (const seconds of [-5, 1e300, Number.POSITIVE_INFINITY, Number.NaN]) {
+    it(`rollout: is left out with a duration of ${seconds} s`, () => {
+      assert.ok(decodeOrder({ ...ROLLOUT, duration_s: seconds }).isErr());
+    });
+  }
+
   it("settings: returns a failure for every arbitrary text", () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
