Write no answer of the HTTP server's own behind a running request

A caller whose order ran and who had begun to write another request on the connection was answered 408 by Node's server when the head's time was over. That is read as the answer to the order, and promises that it has not run. Bytes that are no request gave 400, a head that is too large 431 in the same way.

Cause: the server had no handler of its own for bytes that it can't parse. While an answer is open the connection now closes without a word, as the own interface's server does.

--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -5,7 +5,9 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
+import type { Duplex } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "../fleet/index.js";
 import { startListening } from "../start_listening.js";
@@ -28,6 +30,8 @@
   handler: RequestHandler,
   view: FleetView,
 ): Server {
+  /** The latest response on each connection. */
+  const responses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -44,12 +48,30 @@
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
       }
+      responses.set(request.socket, response);
       void handler.handle(request, response);
     },
   );
+  // Node's own answer would be taken for that to a request which still runs.
+  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    const response = responses.get(socket);
+    const isAnswering = response !== undefined && !response.writableFinished;
+    if (isAnswering || !socket.writable) socket.destroy();
+    else socket.end(createParseRefusal(error.code));
+  });
   return server;
 }
 
+/** Refuses what Node's parser rejects or waited for in vain. */
+function createParseRefusal(code: string | undefined): string {
+  const statuses: Record<string, number> = {
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+    HPE_HEADER_OVERFLOW: 431,
+  };
+  const status = statuses[code ?? ""] ?? 400;
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`;
+}
+
 /** Answers readiness checks with 200 or 503. */
 export function startReadinessServer(
   isReady: () => boolean,
