Send a request that was on a connection before on another one

The entry answered 503, a promise, to an order with an id that had just run on the same connection: an attempt there counted as not sent, and no other endpoint was open. Such an attempt now closes that connection and is sent on another one. The log also said that a connection was new when the agent had handed it to a request that waited for it; whether it has carried a request is now taken from the record of its ids.

The test of a caller that uses a refused order's id again checked nothing once no run came; it now checks that none comes and that the refusal is passed on.

--- a/src/platform/repeated_refusal_test.ts
+++ b/src/platform/repeated_refusal_test.ts
@@ -62,9 +62,10 @@
   async function startSystem(
     respond: Respond,
     endpoints: readonly string[] = ["i-1"],
+    configuration = createConfiguration(),
   ): Promise<void> {
     await system.startStore();
-    system.store.put("config", "main", createConfiguration());
+    system.store.put("config", "main", configuration);
     for (const id of endpoints) await startEndpoint(id, respond);
     await system.startEntry();
     await system.waitFor(() => system.isReady);
@@ -120,9 +121,8 @@
     });
     await system.call("/once/a", { id: "r1" });
     const { status } = await system.call("/once/a", { id: "r1" });
-    if (runs.includes("r1")) {
-      assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
-    }
+    assert.deepEqual(runs, []);
+    assert.equal(status, 503);
   });
 
   // A refusal without an id can't be told from an earlier one.
@@ -168,6 +168,103 @@
     assert.equal(end?.answerTo, "r1");
     assert.equal(end?.reused, true);
   });
+
+  it("is not told to have not run when its id was used on the connection before", async () => {
+    await startSystem((socket, ids) => runAndAnswer(socket, ids.at(-1) ?? ""));
+    await system.call("/once/a", { id: "r1" });
+    const { status } = await system.call("/once/a", { id: "r1" });
+    assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
+  });
+
+  // The agent hands a connection that requests wait for over by itself.
+  it("is logged as read from a used connection when its request waited for that", async () => {
+    const configuration = createConfiguration();
+    for (const service of configuration.services) service.max_conns = 1;
+    await startSystem(
+      (socket, ids) => {
+        const [first = "", ...others] = ids;
+        if (others.length > 0) repeatRefusal(socket, ids);
+        else setTimeout(() => socket.write(createRefusal(first)), 100);
+      },
+      ["i-1"],
+      configuration,
+    );
+    const first = system.call("/once/a", { id: "r1" });
+    await system.waitFor(() =>
+      system.logs.some(({ event }) => event === "endpoint-chosen"),
+    );
+    const { status } = await system.call("/once/a", { id: "r2" });
+    await first;
+    assert.deepEqual(runs, ["r2"]);
+    assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
+    const end = system.logs.find(
+      ({ event, request }) => event === "attempt-ended" && request === "r2",
+    );
+    assert.equal(end?.answerTo, "r1");
+    assert.equal(end?.reused, true);
+  });
+
+  const refusalWithBody = (id: string) =>
+    createRefusal(id).replace("Length: 0\r\n\r\n", "Length: 4\r\n\r\nfull");
+  /** Bytes that answer the first request, and the bytes to the next one. */
+  const ORDERS: Record<string, (a: string, b: string) => [string, string]> = {
+    "in one packet with the first": (a, b) => [
+      createRefusal(a).repeat(2),
+      createAnswer(b),
+    ],
+    "in one packet with an answer": (a, b) => [
+      createAnswer(a) + createRefusal(a),
+      createAnswer(b),
+    ],
+    "after an answer": (a, b) => [
+      createAnswer(a),
+      createRefusal(a) + createAnswer(b),
+    ],
+    "cut, its rest before the next answer": (a, b) => [
+      createRefusal(a) + createRefusal(a).slice(0, 30),
+      createRefusal(a).slice(30) + createAnswer(b),
+    ],
+    "with a body": (a, b) => [
+      refusalWithBody(a),
+      refusalWithBody(a) + createAnswer(b),
+    ],
+    "as a success": (a, b) => [
+      createRefusal(a),
+      createRefusal(a).replace("503 Full", "200 OK") + createAnswer(b),
+    ],
+    "after informational heads": (a, b) => [
+      createRefusal(a),
+      `HTTP/1.1 102 Processing\r\nAttempt-Id: ${b}\r\nNot-Executed: 1\r\n\r\n${createRefusal(a)}`,
+    ],
+    "without its last line": (a) => [
+      createRefusal(a),
+      createRefusal(a).slice(0, -2),
+    ],
+  };
+  for (const [name, order] of Object.entries(ORDERS)) {
+    for (const closesAfter of [false, true]) {
+      const end = closesAfter ? " and closes the connection" : "";
+      it(`is not believed ${name}${end}`, async () => {
+        await startSystem((socket, ids) => {
+          const [first = "", next] = ids;
+          const [firstBytes, nextBytes] = order(first, next ?? first);
+          const isRefusedFirst = first === "r1" && next === undefined;
+          if (!isRefusedFirst) runs.push(next ?? first);
+          if (isRefusedFirst) socket.write(firstBytes);
+          else if (next === undefined) socket.write(createAnswer(first));
+          else if (closesAfter) socket.end(nextBytes);
+          else socket.write(nextBytes);
+        });
+        await system.call("/once/a", { id: "r1" });
+        const { status } = await system.call("/once/a", {
+          id: "r2",
+          deadlineMs: 500,
+        });
+        assert.ok(runs.includes("r2"));
+        assert.ok(!NOT_RUN_STATUSES.includes(status), `status ${status}`);
+      });
+    }
+  }
 });
 // Callers take these statuses as a promise, and an endpoint may have run it.
 describe("an endpoint's answer with a status that promises callers no run", () => {
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -92,6 +92,7 @@
   const { wire, requestId, body, signal, maySend, onHead } = options;
   return new Promise((resolve) => {
     let isSent = false;
+    let isConnectionReused = false;
     const markSentIfAllowed = () => {
       if (maySend()) isSent = true;
       else withhold("The endpoint takes no requests now, so it was not sent");
@@ -117,13 +118,15 @@
       detail: string,
       answer: Pick<AttemptFailure, "facts" | "answerTo"> = {},
     ) => {
-      const isConnectionReused = outgoing.reusedSocket;
       resolve(err({ kind, detail, isConnectionReused, ...answer }));
     };
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
+      // Not `reusedSocket`, which is false for a request that waited for it.
+      isConnectionReused = carriedRequestIds.has(socket);
       if (!addCarriedRequest(socket, requestId)) {
-        withhold("The connection has carried this request before");
+        outgoing.destroy();
+        resolve(sendAttempt(options));
         return;
       }
       if (!socket.connecting) {
