End attempts that wait for a connection or whose endpoint switches protocols

A caller's time was up and the entry answered two seconds later (504 after 2,495 ms with a deadline of 500): Node reports the abort of a request that waits in the agent's queue only once it gets a connection. Another caller had no answer 3 s into a deadline of 1 s, and the endpoint's load stayed counted: after status 101 Node closes the connection and tells neither an error nor an answer.

An abort now fails a waiting attempt as not sent, and the end of a request without an answer fails it. Evidence: one new test for each timed out after 1 s, and passes now.

--- a/src/platform/connections_test.ts
+++ b/src/platform/connections_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { Connections } from "../proxy/request/connections.js";
 import {
   ATTEMPT_FAILURE,
@@ -47,21 +48,26 @@
     connections: Connections,
     port: number,
     id: string,
-    options: { maxConnections?: number; maySend?: () => boolean } = {},
+    options: {
+      maxConnections?: number;
+      maySend?: () => boolean;
+      signal?: AbortSignal;
+      body?: Buffer;
+    } = {},
   ) {
     return sendAttempt({
       maySend: options.maySend ?? (() => true),
       onHead: () => undefined,
       address: "127.0.0.1",
       port,
-      method: "GET",
+      method: options.body === undefined ? "GET" : "POST",
       path: "/a/",
       headers: ["Host", "h", "Attempt-Id", id],
-      body: Buffer.alloc(0),
+      body: options.body ?? Buffer.alloc(0),
       requestId: id,
       agent: connections.getAgent("i-1", options.maxConnections ?? 8),
       wire: platformWire,
-      signal: AbortSignal.timeout(3_000),
+      signal: options.signal ?? AbortSignal.timeout(3_000),
     });
   }
 
@@ -132,6 +138,23 @@
     }
   });
 
+  // Its caller's time may be up long before a connection is free.
+  it("don't keep an attempt that waits for one when it is aborted", async () => {
+    const { port } = await startEndpoint(() => undefined);
+    const connections = createConnections();
+    // Its body is not read, so it keeps the only connection.
+    const first = await send(connections, port, "a", { maxConnections: 1 });
+    assert.ok(first.isOk());
+    const waiting = send(connections, port, "b", {
+      maxConnections: 1,
+      signal: AbortSignal.timeout(50),
+    });
+    const result = await Promise.race([waiting, delay(1_000)]);
+    assert.ok(result !== undefined, "the attempt is still open");
+    assert.ok(result.isErr());
+    assert.equal(result.error.kind, ATTEMPT_FAILURE.notSent);
+  });
+
   it("of an endpoint that was removed are closed", async () => {
     const { port, sockets } = await startEndpoint(() => undefined);
     const connections = createConnections();
--- a/src/platform/send_attempt_test.ts
+++ b/src/platform/send_attempt_test.ts
@@ -2,6 +2,7 @@
 import { Agent } from "node:http";
 import { createServer, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { readAnswerBody, sendAttempt } from "../proxy/request/send_attempt.js";
 import { platformWire } from "./platform_wire.js";
 
@@ -110,6 +111,18 @@
     assert.match(result.detail, /no signature/);
   });
 
+  // Node closes the connection without an error event of the request.
+  it("ends when an endpoint switches protocols", async () => {
+    const sent = sendAttemptTo((socket) =>
+      socket.write(
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+      ),
+    );
+    const result = await Promise.race([sent, delay(1_000, "pending")]);
+    assert.ok(typeof result !== "string", "the attempt is still open");
+    assert.equal(result.kind, "unknown");
+  });
+
   // A request counts as not run only if the endpoint itself says so of it.
   it("distinguishes a refusal by the endpoint from a failure", async () => {
     const sendRefusal = (head: string) =>
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -143,10 +143,21 @@
       });
       socket.once("close", () => clearTimeout(timer));
     });
-    outgoing.on("error", (error) => {
+    const failUnanswered = (detail: string) => {
       const { notSent, unknown } = ATTEMPT_FAILURE;
-      fail(isSent ? unknown : notSent, error.message);
-    });
+      fail(isSent ? unknown : notSent, detail);
+    };
+    outgoing.on("error", (error) => failUnanswered(error.message));
+    // Node reports no error when an endpoint switches protocols.
+    outgoing.once("close", () => failUnanswered("Closed without an answer"));
+    // While it waits for a connection, an abort is reported only with that.
+    const failWaiting = () => {
+      if (outgoing.socket === null) failUnanswered("The attempt was cancelled");
+    };
+    signal.addEventListener("abort", failWaiting, { once: true });
+    outgoing.once("close", () =>
+      signal.removeEventListener("abort", failWaiting),
+    );
     let informationalHeads = 0;
     outgoing.on("information", () => {
       informationalHeads++;
