Close the connection of a refusal that came before the request was sent

An endpoint that refuses before it has read a long body, and reads no more of it, kept its connection for good: it is free only once the request is written. Callers then waited for a connection. It is closed now.

--- a/src/platform/connections_test.ts
+++ b/src/platform/connections_test.ts
@@ -155,6 +155,40 @@
     assert.equal(result.error.kind, ATTEMPT_FAILURE.notSent);
   });
 
+  it("are closed after a refusal of a request whose body is not read", async () => {
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.once("data", (data) => {
+        const id = /Attempt-Id: (\w+)/i.exec(data.toString())?.[1] ?? "";
+        if (id === "b") socket.write(formatAnswer(id, "own b"));
+        else {
+          socket.pause();
+          socket.write(
+            `HTTP/1.1 503 Full\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+          );
+        }
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve),
+    );
+    closers.push(() => server.close());
+    const address = server.address();
+    assert.ok(address !== null && typeof address === "object");
+    const { port } = address;
+    const connections = createConnections();
+    const body = Buffer.alloc(33_554_432);
+    const refused = await send(connections, port, "a", {
+      maxConnections: 1,
+      body,
+    });
+    assert.ok(refused.isErr());
+    assert.equal(refused.error.kind, ATTEMPT_FAILURE.notRun);
+    const sent = send(connections, port, "b", { maxConnections: 1 });
+    const result = await Promise.race([sent, delay(1_500)]);
+    assert.ok(result?.isOk(), "the connection is not free");
+  });
+
   it("of an endpoint that was removed are closed", async () => {
     const { port, sockets } = await startEndpoint(() => undefined);
     const connections = createConnections();
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -178,7 +178,8 @@
       const status = message.statusCode ?? 0;
       onHead(status, facts);
       if (facts.isNotRun && status >= MIN_ERROR_STATUS) {
-        ignoreAnswerBody(message);
+        if (outgoing.writableFinished) ignoreAnswerBody(message);
+        else outgoing.destroy();
         const detail = `Status ${status}, not run`;
         fail(ATTEMPT_FAILURE.notRun, detail, { facts, answerTo });
         return;
