Keep time limits of attempts within what timers hold

A caller that named 999,999,999,999,999 prompt tokens had each attempt aborted at once, which counted against the endpoints: the expected time was over 2^31 ms, and Node fires such a timer after 1 ms.

--- a/src/proxy/request/inactivity_timer.ts
+++ b/src/proxy/request/inactivity_timer.ts
@@ -1,5 +1,8 @@
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
 
+/** Longest time of a timer; Node fires a longer one at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /**
  * Calls back after a time without activity on a connection. A process that was
  * stalled runs its timers before it reads. So when the time is up, pending data
@@ -13,7 +16,10 @@
 
   constructor(onInactive: () => void, ms: number) {
     this.#onInactive = onInactive;
-    this.#timer = setTimeout(() => void this.#check(), ms);
+    this.#timer = setTimeout(
+      () => void this.#check(),
+      Math.min(ms, MAX_TIMER_MS),
+    );
   }
 
   async #check(): Promise<void> {
