Tell requests with two ids and loads of other endpoints apart

A caller's request with two ids was passed on with both while only the first was compared, so its answers looked like foreign ones and counted against the endpoints; it is refused as bad now. An id was compared after trimming, which its endpoint doesn't do. The load in a 421 of another endpoint at the same address was counted for the one that was asked.

--- a/src/platform/platform_wire.ts
+++ b/src/platform/platform_wire.ts
@@ -76,8 +76,7 @@
 function listValues(headers: RawHeaders, name: string): string[] {
   return headers
     .filter((_, i) => i % 2 === 1)
-    .filter((_, i) => headers[2 * i]?.toLowerCase() === name)
-    .map((text) => text.trim());
+    .filter((_, i) => headers[2 * i]?.toLowerCase() === name);
 }
 
 /** Undefined where the header is missing or has several different values. */
@@ -120,7 +119,8 @@
   headers: RawHeaders,
 ): RequestFacts | undefined {
   const values = groupHeaders(headers);
-  const id = values.get("attempt-id");
+  // Endpoints would answer to either of two ids.
+  const id = findOnlyValue(headers, "attempt-id");
   const host = values.get("host");
   if (id === undefined || id === "" || host === undefined) return undefined;
   const [promptTokens = 0, maxOutputTokens = 0] = (
@@ -209,7 +209,7 @@
 function parseLimit(
   headers: RawHeaders,
 ): Pick<AnswerFacts, "limitPerSecond" | "invalidLimit"> {
-  const texts = listValues(headers, "server-limit");
+  const texts = listValues(headers, "server-limit").map((text) => text.trim());
   const limits = texts.filter((text) => DECIMAL_PATTERN.test(text)).map(Number);
   return {
     limitPerSecond: limits.length > 0 ? Math.min(...limits) : undefined,
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -179,9 +179,6 @@
     if (result.isErr()) return this.endFailed(attempt, result.error);
     const head = result.value;
     const headLatencyMs = this.#dependencies.now() - attempt.startedAtMs;
-    if (head.facts.load !== undefined) {
-      state.recordLoad(head.facts.load, this.#dependencies.now());
-    }
     const answered = { ...attempt, head, stallTimeoutMs };
     if (head.status >= 500 || this.#isUnfoundedPromise(head)) {
       return await this.#endErred(answered);
@@ -335,7 +332,7 @@
     return status === STATUS_MISDIRECTED ? undefined : asked;
   }
 
-  /** Records that the answering endpoint leaves, or takes fewer requests. */
+  /** Records the answering endpoint's load, and whether it takes requests. */
   #recordAvailability(
     state: EndpointState,
     { status, facts: answerFacts }: Pick<AttemptHead, "status" | "facts">,
@@ -350,6 +347,9 @@
       answerFacts,
     );
     if (answeringEndpoint === undefined) return;
+    if (answerFacts.load !== undefined) {
+      answeringEndpoint.recordLoad(answerFacts.load, now());
+    }
     const endpoint = answeringEndpoint.record.id;
     if (answerFacts.isLeaving && !answeringEndpoint.isLeaving) {
       answeringEndpoint.availability.setLeaving();
@@ -380,10 +380,7 @@
   /** Ends an attempt that failed before or after its head. */
   endFailed(attempt: Attempt, failure: AttemptFailure): AttemptOutcome {
     attempt.release();
-    const { state } = attempt;
-    const { kind, detail, facts } = failure;
-    const nowMs = this.#dependencies.now();
-    if (facts?.load !== undefined) state.recordLoad(facts.load, nowMs);
+    const { kind, detail } = failure;
     // If the caller left or the deadline passed, the endpoint has no fault.
     const isCancelled = this.#request.signal.aborted;
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
+import { hashSha256 } from "../../core/canonical.js";
 import type { AnswerFacts, RawHeaders, WireFormat } from "../types.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 
@@ -50,8 +51,6 @@
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind;
   readonly detail: string;
-  /** What the endpoint's answer says, if it is the one to this request. */
-  readonly facts?: AnswerFacts;
   /** Id of the request that the answer names. */
   readonly answerTo?: string;
   /** Its connection had carried another request before. */
@@ -116,9 +115,9 @@
     const fail = (
       kind: AttemptFailureKind,
       detail: string,
-      answer: Pick<AttemptFailure, "facts" | "answerTo"> = {},
+      answerTo?: string,
     ) => {
-      resolve(err({ kind, detail, isConnectionReused, ...answer }));
+      resolve(err({ kind, detail, isConnectionReused, answerTo }));
     };
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
@@ -172,7 +171,7 @@
       if (facts.requestId !== requestId) {
         outgoing.destroy();
         const detail = `Answer is for request "${answerTo}"`;
-        fail(ATTEMPT_FAILURE.unknown, detail, { answerTo });
+        fail(ATTEMPT_FAILURE.unknown, detail, answerTo);
         return;
       }
       const status = message.statusCode ?? 0;
@@ -181,13 +180,13 @@
         if (outgoing.writableFinished) ignoreAnswerBody(message);
         else outgoing.destroy();
         const detail = `Status ${status}, not run`;
-        fail(ATTEMPT_FAILURE.notRun, detail, { facts, answerTo });
+        fail(ATTEMPT_FAILURE.notRun, detail, answerTo);
         return;
       }
       const detail = findInvalidity(message, facts);
       if (detail !== undefined) {
         outgoing.destroy();
-        fail(ATTEMPT_FAILURE.unknown, detail, { facts, answerTo });
+        fail(ATTEMPT_FAILURE.unknown, detail, answerTo);
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
@@ -221,6 +220,8 @@
 
 /** Ids of the latest requests of each connection, oldest first. */
 const carriedRequestIds = new WeakMap<Socket, Set<string>>();
+/** Callers choose the ids; of longer ones the hash is kept. */
+const MAX_CARRIED_ID_LENGTH = 64;
 /** More than one caller's attempts can take turns with on a connection. */
 const MAX_CARRIED_IDS = 100;
 
@@ -231,8 +232,12 @@
 function addCarriedRequest(socket: Socket, requestId: string): boolean {
   const ids = carriedRequestIds.get(socket) ?? new Set();
   carriedRequestIds.set(socket, ids);
-  if (ids.has(requestId)) return false;
-  ids.add(requestId);
+  const id =
+    requestId.length > MAX_CARRIED_ID_LENGTH
+      ? hashSha256(requestId)
+      : requestId;
+  if (ids.has(id)) return false;
+  ids.add(id);
   const [oldest = ""] = ids;
   if (ids.size > MAX_CARRIED_IDS) ids.delete(oldest);
   return true;
