Report the longest stall of the soak's own process

Callers, links and replicas run in it, so a stall makes answers late that the entry gave in time. The report has the figure now; no check heeds it.

--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -47,7 +47,7 @@
   setMaxListeners(0, signal);
   const options = { seed, seconds, basePort, folder, signal };
   const result = await runSoak(options).finally(() => lifetime.abort());
-  const { findings, calls, served, faults, repeatedAnswers } = result;
+  const { findings, ...counts } = result;
   for (const property of PROPERTIES) {
     for (const detail of findings.listViolations(property)) {
       process.stdout.write(`${property}: ${detail}\n`);
@@ -60,10 +60,7 @@
     const report = {
       seed,
       seconds,
-      calls,
-      served,
-      faults,
-      repeatedAnswers,
+      ...counts,
       cases: findings.countCases(),
       violations: findings.countViolations(),
       notExercised: findings.listNotExercised(),
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -1,6 +1,7 @@
 /** One seeded soak run: start, load and faults, recovery, and the checks. */
 
 import { Agent } from "node:http";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import type { Findings } from "../../soak/findings.js";
 import { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
@@ -11,6 +12,7 @@
 import { ROUTE, type RunRecord } from "./records.js";
 
 const CALLER_COUNT = 16;
+const NANOSECONDS_PER_MS = 1_000_000;
 /** Time for every entry to be ready again once all faults have ended, ms. */
 const RECOVERY_TIMEOUT_MS = 12_000;
 /** Time for every entry to be ready at the start, ms. */
@@ -31,6 +33,8 @@
   readonly faults: Readonly<Record<string, number>>;
   /** Answers that replicas wrote once more. */
   readonly repeatedAnswers: number;
+  /** Longest pause of this process, which has callers, links and replicas, ms. */
+  readonly longestStallMs: number;
 }
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -38,6 +42,8 @@
   const fleet = new Fleet({ basePort, folder, signal });
   await fleet.start();
   await waitUntilReady(fleet, START_TIMEOUT_MS);
+  const stalls = monitorEventLoopDelay();
+  stalls.enable();
   const untilMs = performance.now() + seconds * 1_000;
   const faults = new FaultInjector({
     fleet,
@@ -76,6 +82,7 @@
   const unserved = await callEveryRoute(fleet, callers);
   faults.isStoppingEntries = true;
   await Promise.all(fleet.entries.map(({ process }) => process?.stop()));
+  stalls.disable();
   const { calls } = callers;
   const { disturbances, withdrawals, leavings, unexpectedExits } = faults;
   const findings = judgeSoak({
@@ -100,6 +107,7 @@
       (sum, { replica }) => sum + replica.copyCount,
       0,
     ),
+    longestStallMs: Math.round(stalls.max / NANOSECONDS_PER_MS),
   };
 }
 
