Wait for what two tests expect instead of a fixed time

connections_test "are closed when bytes arrive" failed once beside load: when the test's process stalls for longer than its pause of 40 ms, the late bytes and the next request are written together, and that request rightly gets a foreign answer. It now waits for the close that it expects.

Node reports a reset that comes together with data as the end; a write then fails at once, which is what the test looks at now, too.

--- a/src/platform/answer_framing_test.ts
+++ b/src/platform/answer_framing_test.ts
@@ -87,7 +87,11 @@
     deadlineMs = 1_000,
   ): Promise<Received> {
     return new Promise((resolve) => {
-      const socket = connect(system.callerPort, "127.0.0.1");
+      const socket = connect({
+        port: system.callerPort,
+        host: "127.0.0.1",
+        allowHalfOpen: true,
+      });
       let text = "";
       socket.on("data", (data) => {
         text += data.toString();
@@ -95,6 +99,14 @@
         if (/^HTTP\/1\.1 .*\r\n0\r\n\r\n$/s.test(text)) socket.end();
       });
       socket.once("error", () => resolve({ text, isReset: true }));
+      // A reset that comes with the last data is read as the end; then a write
+      // fails at once.
+      socket.once("end", () =>
+        socket.write("\r\n", (error) => {
+          resolve({ text, isReset: error instanceof Error });
+          socket.destroy();
+        }),
+      );
       socket.once("close", () => resolve({ text, isReset: false }));
       socket.write(
         `POST /stream/a HTTP/${version}\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\nAuthorization: Bearer ${API_KEY}\r\nDeadline-Ms: ${deadlineMs}\r\nContent-Length: 0\r\n\r\n`,
--- a/src/platform/connections_test.ts
+++ b/src/platform/connections_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
@@ -100,14 +101,18 @@
   });
 
   // The next request would get an answer that belongs to no request.
-  it("are closed when bytes arrive that no request asked for", async () => {
+  it("are closed when bytes arrive that no request asked for", {
+    timeout: 5_000,
+  }, async () => {
     const { port, sockets } = await startEndpoint((socket) => {
       setTimeout(() => socket.write(formatAnswer("x", "late")), 10);
     });
     const connections = createConnections();
     for (const id of ["a", "b", "c"]) {
       assert.equal(await sendAndRead(connections, port, id), `own ${id}`);
-      await new Promise((resolve) => setTimeout(resolve, 40));
+      const socket = sockets.at(-1);
+      assert.ok(socket);
+      if (!socket.closed) await once(socket, "close");
     }
     assert.equal(sockets.length, 3);
   });
