Close connections of a link that are already closing

What would be seen: the process of a test with a link did not end after its tests had passed. It came with clients that close their connection after each call; a run of link_test was stopped after ten minutes.

Cause: libuv refuses to reset a connection whose sending side has ended, and the socket stays open. A link resets all its connections when it closes.

A connection whose sending side has ended is closed instead of reset.

--- a/src/standins/link.ts
+++ b/src/standins/link.ts
@@ -112,7 +112,7 @@
       if (sink.writable) sink.write(item.chunk);
     } else if (item.end === "end") sink.end();
     else if (item.end === "close") sink.destroySoon();
-    else sink.resetAndDestroy();
+    else closeByReset(sink);
   }
 }
 
@@ -126,6 +126,8 @@
   #refusing = false;
   /** Connections opened through the link so far. */
   openedConnections = 0;
+  /** Connections that are open now. */
+  openConnections = 0;
   /** Bytes received from both sides so far, without TCP and IP headers. */
   receivedBytes = 0;
 
@@ -185,7 +187,7 @@
   }
 
   #resetAll(): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) closeByReset(socket);
   }
 
   #relay(caller: Socket): void {
@@ -194,6 +196,7 @@
       return;
     }
     this.openedConnections += 1;
+    this.openConnections += 1;
     const target = connect({
       port: this.#targetPort,
       host: "127.0.0.1",
@@ -216,12 +219,19 @@
         this.#sockets.delete(socket);
         openSockets -= 1;
         if (openSockets > 0) return;
+        this.openConnections -= 1;
         for (const flow of flows) this.#flows.delete(flow);
       });
     }
   }
 }
 
+/** libuv refuses to reset a connection whose sending side has ended. */
+function closeByReset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Opens a relay from a port of its own to the target's port. */
 export async function openLink(options: LinkOptions): Promise<Link> {
   const { targetPort, port = 0, signal } = options;
--- a/src/standins/link_test.ts
+++ b/src/standins/link_test.ts
@@ -11,6 +11,7 @@
   SUITE_TIMEOUT_MS,
   startTestStandin,
   TEST_TIMEOUT_MS,
+  waitUntil,
 } from "./testing.js";
 
 async function startLinkedStore(t: TestContext) {
@@ -86,10 +87,12 @@
   });
 
   it("closes when its signal aborts", async (t) => {
-    const { connectStore, controller } = await startLinkedStore(t);
+    const { link, connectStore, controller } = await startLinkedStore(t);
     const store = connectStore(TEST_TIMEOUT_MS);
     assert.ok((await store.read("a", NEVER_ABORTED)).isOk());
     controller.abort();
     await expectFailure(store.read("a", NEVER_ABORTED), "unavailable");
+    // A connection that was closing would keep the process from ending.
+    await waitUntil(async () => link.openConnections === 0);
   });
 });
