Give each call to an engine, service or store a connection of its own

What would be seen: an order that a service ran is reported as not run, its claim is released, and another endpoint may run it again; a caller gets the answer of another request; a conditional write of the object store that took effect counts as a conflict, or the reverse.

Cause: replies don't name their call, and calls shared kept connections. A second copy of a reply, such as a service's 429, was taken for the reply to the next call on its connection.

Ruled out: two whole replies in one segment (Node closes the connection); closing an idle connection on which bytes come, which leaves the copy that comes after the next call; the check of the key in replies of the store, as refusals and writes name none.

With one call on a connection, every reply on it is that call's.

Costs a connection for each call: engines and services are beside their endpoint, the others take one round trip more. The processor time was not measured.

--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -1,11 +1,10 @@
 /**
- * HTTP client for external systems, with keep-alive connections. A failure
+ * HTTP client for external systems, with a connection for each call. A failure
  * says whether the call may have taken effect on the server.
  */
 
 import { setMaxListeners } from "node:events";
 import {
-  Agent,
   type ClientRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
@@ -58,19 +57,12 @@
 const MAX_REPLY_BYTES = 16_000_000;
 
 /**
- * An idle connection is closed before the 5 s after which common servers close
- * it. A call sent while the server closes fails with an unknown outcome,
- * although it did not run.
+ * Calls one external system. Its replies don't name their call: on a kept
+ * connection, a second copy of a reply would be taken for the reply to the next
+ * call, which may then count as not run although it ran.
  */
-const IDLE_SOCKET_TIMEOUT_MS = 4_000;
-
-/** Connection pool to one external system. */
 export class HttpClient {
   readonly #target: HttpTarget;
-  readonly #agent = new Agent({
-    keepAlive: true,
-    timeout: IDLE_SOCKET_TIMEOUT_MS,
-  });
 
   constructor(target: HttpTarget) {
     this.#target = target;
@@ -146,7 +138,7 @@
     if (body !== undefined) {
       headers["content-length"] = String(Buffer.byteLength(body));
     }
-    const agent = this.#agent;
+    const agent = false;
     return openRequest({ host: address, port, agent, method, path, headers })
       .once("socket", (socket) => {
         if (socket.connecting) socket.once("connect", onConnect);
@@ -189,7 +181,7 @@
   try {
     return await read(message);
   } finally {
-    // Bytes left unread would block the connection's next call.
+    // Bytes left unread would keep the connection open.
     if (message.complete) message.resume();
     else if (!message.readableFlowing) message.destroy();
   }
@@ -198,7 +190,7 @@
 /** Time for the few bytes between a stream's `[DONE]` and the reply's end. */
 const DRAIN_TIMEOUT_MS = 1_000;
 
-/** Discards the rest of a reply, so that its connection can be reused. */
+/** Discards the rest of a reply; to the server a close would be a cancel. */
 export function ignoreReply(message: IncomingMessage): void {
   message.resume();
   const timer = setTimeout(() => {
