Wait for the close of a call's connection instead of a fixed time

Two tests looked 20 and 100 ms after a call whether its connection had closed, which a stalled process can't promise. They wait for it now, for less than the server itself would keep an idle connection.

--- a/src/adapters/failures_test.ts
+++ b/src/adapters/failures_test.ts
@@ -3,7 +3,6 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { describe, it, type TestContext } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { ResultAsync } from "neverthrow";
 import { openLink } from "../standins/link.js";
 import {
@@ -19,6 +18,7 @@
   startRawServer,
   startTestStandin,
   TEST_TIMEOUT_MS,
+  waitUntil,
 } from "../standins/testing.js";
 import {
   createHttpEngine,
@@ -191,7 +191,7 @@
     let openedConnections = 0;
     let openConnections = 0;
     const server = createServer((_request, response) => response.end("{}"));
-    server.keepAliveTimeout = 5_000;
+    server.keepAliveTimeout = 2 * TEST_TIMEOUT_MS;
     server.on("connection", (socket) => {
       openedConnections += 1;
       openConnections += 1;
@@ -206,8 +206,7 @@
     for (let count = 1; count <= 3; count += 1) {
       await expectOk(service.callService(SERVICE_CALL, NEVER_ABORTED));
       assert.equal(openedConnections, count);
-      await sleep(100);
-      assert.equal(openConnections, 0);
+      await waitUntil(async () => openConnections === 0);
     }
   });
 
@@ -249,10 +248,8 @@
       (
         await engine.complete(COMPLETION, () => {}, NEVER_ABORTED)
       )._unsafeUnwrap();
-      // The connection closes once the reply's last bytes arrived.
-      await sleep(20);
       assert.equal(link.openedConnections, count);
-      assert.equal(link.openConnections, 0);
+      await waitUntil(async () => link.openConnections === 0);
     }
   });
 });
