Count the soak's calls that were served apart from its bursts

Since bursts of orders, more than replicas with few slots take, count among the calls, so the share tells little of the callers for which it was meant. It counts these alone again, as before bursts were played; the bound is the same.

--- a/src/platform/soak/callers.ts
+++ b/src/platform/soak/callers.ts
@@ -45,6 +45,8 @@
 }
 
 export class Callers {
+  /** Those of `calls` that came in a burst, which replicas may refuse. */
+  readonly burstCalls = new Set<CallRecord>();
   readonly calls: CallRecord[] = [];
   /** Calls with the part that ends replicas. */
   readonly crashingCalls: CallRecord[] = [];
@@ -90,7 +92,8 @@
     const sendOrder = async () => {
       const agent = new Agent();
       const entry = burstRandom.pick(names);
-      await this.callOnce(entry, agent, ROUTE.once, burstRandom);
+      const call = await this.callOnce(entry, agent, ROUTE.once, burstRandom);
+      this.burstCalls.add(call);
       agent.destroy();
     };
     await Promise.all(Array.from({ length: BURST_SIZE }, sendOrder));
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -28,8 +28,10 @@
 
 export interface SoakResult {
   readonly findings: Findings<Property>;
+  /** Calls apart from those of bursts, and those of them that were served. */
   readonly calls: number;
   readonly served: number;
+  readonly burstCalls: number;
   readonly faults: Readonly<Record<string, number>>;
   /** Answers that replicas wrote once more. */
   readonly repeatedAnswers: number;
@@ -84,6 +86,7 @@
   await Promise.all(fleet.entries.map(({ process }) => process?.stop()));
   stalls.disable();
   const { calls } = callers;
+  const steadyCalls = calls.filter((call) => !callers.burstCalls.has(call));
   const { disturbances, withdrawals, leavings, unexpectedExits } = faults;
   const findings = judgeSoak({
     calls,
@@ -100,8 +103,9 @@
   });
   return {
     findings,
-    calls: calls.length,
-    served: calls.filter(({ status }) => status === 200).length,
+    calls: steadyCalls.length,
+    served: steadyCalls.filter(({ status }) => status === 200).length,
+    burstCalls: callers.burstCalls.size,
     faults: Object.fromEntries(faults.counts),
     repeatedAnswers: fleet.replicas.reduce(
       (sum, { replica }) => sum + replica.copyCount,
