--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -95,6 +95,9 @@
     this.#unsentAnswers++;
     await waitUntilSent(request, response);
     this.#unsentAnswers--;
+    if (response.writableEnded && !response.writableFinished) {
+      this.#logUnsentAnswer(response);
+    }
     this.#openRequests--;
     this.#openResponses.delete(response);
   }
@@ -153,6 +156,16 @@
     );
   }
 
+  /** The answer was complete, but its connection ended before it was sent. */
+  #logUnsentAnswer(response: ServerResponse): void {
+    const { wire, log } = this.#options;
+    const { method = "GET", url = "/", rawHeaders } = response.req;
+    log.info("answer-unsent", {
+      request: wire.parseRequest(method, url, rawHeaders)?.id,
+      status: response.statusCode,
+    });
+  }
+
   #logCallerLeft(facts: RequestFacts | undefined): void {
     this.#options.log.info("request-aborted", {
       request: facts?.id,
