--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as pauseMs } from "node:timers/promises";
 import {
   REPEATED_ANSWER,
   RepeatedAnswers,
@@ -45,6 +46,16 @@
   readonly sharedParts: readonly string[];
 }
 
+/** A pause of a sound replica. */
+export interface Silence {
+  readonly ms: number;
+  readonly beforeHead?: boolean;
+  /** Events of a stream after which it pauses. */
+  readonly afterEvents?: number;
+  /** Pauses in the middle of a plain answer's body. */
+  readonly inBody?: boolean;
+}
+
 export interface ReplicaOptions {
   readonly id: string;
   /** Number of events in a stream. */
@@ -74,6 +85,10 @@
    * the number, in the middle of a plain answer's body.
    */
   cutAfterEvents?: number;
+  /** Pauses once within each answer, then goes on. */
+  silence?: Silence;
+  /** Closes the connection of a request that it runs, without an answer. */
+  breaksOffBeforeHead?: boolean;
   /** Sends only the first half of a plain answer and keeps it open. */
   stallsInBody?: boolean;
   /** Size of a plain answer. */
@@ -191,6 +206,12 @@
     });
     if (options.neverAnswers) return;
     await this.#delay();
+    if (options.silence?.beforeHead) await pauseMs(options.silence.ms);
+    if (options.breaksOffBeforeHead) {
+      response.destroy();
+      run.state = "cut";
+      return;
+    }
     this.#repeated.writeWithAnswer(socket);
     if (sharedParts.some((part) => options.crashesOn?.has(part))) {
       this.#crash(run, response, sharedParts);
@@ -205,7 +226,7 @@
     }
     const isStream = run.path.includes("/stream");
     if (isStream) await this.#stream(run, response);
-    else this.#sendPlain(run, response);
+    else await this.#sendPlain(run, response);
   }
 
   #refuse(
@@ -303,8 +324,8 @@
     };
   }
 
-  #sendPlain(run: ReplicaRun, response: ServerResponse): void {
-    const { plainAnswerBytes, stallsInBody } = this.options;
+  async #sendPlain(run: ReplicaRun, response: ServerResponse): Promise<void> {
+    const { plainAnswerBytes, stallsInBody, silence } = this.options;
     const body =
       plainAnswerBytes === undefined
         ? PLAIN_ANSWER_BODY
@@ -321,9 +342,14 @@
       run.state = "cut";
       return;
     }
+    const halfLength = silence?.inBody ? length / 2 : 0;
+    if (silence?.inBody) {
+      response.write(body.slice(0, halfLength));
+      await pauseMs(silence.ms);
+    }
     // The response has no socket once its caller has left.
     const { socket } = response;
-    response.end(body);
+    response.end(body.slice(halfLength));
     run.state = "complete";
     if (socket === null) return;
     const { complete } = REPEATED_ANSWER;
@@ -346,6 +372,8 @@
       }
       response.write(`id: ${id}\ndata: piece ${id}\n\n`);
       run.sentEvents++;
+      const { silence } = this.options;
+      if (silence?.afterEvents === run.sentEvents) await pauseMs(silence.ms);
       await this.#delay();
       if (run.state !== "running") return;
     }
@@ -354,7 +382,6 @@
   }
 
   #delay(): Promise<void> {
-    const { delayMs = 0 } = this.options;
-    return new Promise((resolve) => setTimeout(resolve, delayMs));
+    return pauseMs(this.options.delayMs ?? 0);
   }
 }
