Keep a silent endpoint until another one has taken its request

Callers saw streams end with their connection and 502 for answers, although the endpoint was sound and went on after a pause.

Cause: an attempt was aborted when its stall timeout had passed, and another endpoint was looked for only then. Where that one refused, failed, could not be reached, or there was none, nothing was left. For streams had asked whether an attempt was still allowed, not whether anybody would take it.

Change: a stall is reported, not an end. Before the answer, attempts race; within it, a search for a replacement runs beside the silent endpoint. The silent one ends 300 ms after the request was sent to another, or at the other's answer, and the other one ends if the first goes on. An attempt that is superseded without a stall has no fault. The tests of sendStream that decided by canResumeElsewhere decide the same by the abort of the answer now.

The regression test starts its requests at once and has endpoints that answer with 500 as a further case.

--- a/src/platform/silent_endpoint_test.ts
+++ b/src/platform/silent_endpoint_test.ts
@@ -78,6 +78,12 @@
     );
   }
 
+  /** Sends requests and expects the whole answer to each. */
+  async function sendAll(path: string, body: string): Promise<void> {
+    const answers = REQUEST_IDS.map((id) => send(path, id));
+    for (const answer of answers) assertWhole(await answer, body);
+  }
+
   /** Endpoints that can't go on with what the silent one runs. */
   const others: Readonly<Record<string, () => Promise<unknown>>> = {
     refuses: () => system.startReplica({ id: "i-other", isFull: true }),
@@ -88,6 +94,7 @@
       system.store.delete("servers", "i-closed");
       system.store.put("servers", "i-other", createReplicaSpec(port));
     },
+    fails: () => system.startReplica({ id: "i-other", isFailing: true }),
     "breaks off before its answer": () =>
       system.startReplica({ id: "i-other", breaksOffBeforeHead: true }),
   };
@@ -106,9 +113,7 @@
     ] as const) {
       it(`has its whole stream where another endpoint ${what}, ${name}`, async () => {
         await start(place);
-        for (const id of REQUEST_IDS) {
-          assertWhole(await send("/stream/a", id), STREAM);
-        }
+        await sendAll("/stream/a", STREAM);
       });
     }
 
@@ -118,9 +123,7 @@
     ] as const) {
       it(`has its whole answer where another endpoint ${what}, ${name}`, async () => {
         await start(place);
-        for (const id of REQUEST_IDS) {
-          assertWhole(await send("/safe/a", id), PLAIN_ANSWER_BODY);
-        }
+        await sendAll("/safe/a", PLAIN_ANSWER_BODY);
       });
     }
   }
@@ -143,8 +146,7 @@
         await system.startReplica(createOptions(id, place));
       }
       await waitForEndpoints(4);
-      const answers = REQUEST_IDS.map((id) => send(path, id));
-      for (const answer of answers) assertWhole(await answer, body);
+      await sendAll(path, body);
     });
   }
 
@@ -154,9 +156,7 @@
     await startSilent(SILENCE.stream, { confidence });
     await system.startReplica({ id: "i-other", isFull: true });
     await waitForEndpoints(2);
-    for (const id of REQUEST_IDS) {
-      assertWhole(await send("/stream/sized/a", id), STREAM);
-    }
+    await sendAll("/stream/sized/a", STREAM);
   });
 
   // The same while each second brings another version of the configuration.
@@ -170,8 +170,7 @@
       system.store.put("config", "main", createConfiguration(version));
     }, 200);
     try {
-      const answers = REQUEST_IDS.map((id) => send("/stream/a", id));
-      for (const answer of answers) assertWhole(await answer, STREAM);
+      await sendAll("/stream/a", STREAM);
     } finally {
       clearInterval(timer);
     }
--- /dev/null
+++ b/src/proxy/request/attempt_race.ts
@@ -0,0 +1,114 @@
+/**
+ * Attempts of one request that run at the same time: one that is silent is kept
+ * until another endpoint has taken the request.
+ */
+
+import {
+  type AnsweredAttempt,
+  type AttemptHooks,
+  type AttemptOutcome,
+  type FailedOutcome,
+  OUTCOME_KIND,
+} from "./attempt_runner.js";
+import { MAX_OVERLAP_MS } from "./max_overlap.js";
+
+export const RACE_EVENT = {
+  answered: "answered",
+  failed: "failed",
+  /** An attempt is silent, but goes on. */
+  stalled: "stalled",
+} as const;
+
+export type RaceEvent =
+  | {
+      readonly kind: typeof RACE_EVENT.answered;
+      readonly attempt: AnsweredAttempt;
+    }
+  | { readonly kind: typeof RACE_EVENT.failed | typeof RACE_EVENT.stalled };
+
+export interface AttemptRaceOptions {
+  /** Called for each attempt that ends without an answer that is used. */
+  readonly onFailed: (outcome: FailedOutcome) => void;
+  /** Ends an attempt whose answer is not needed any more. */
+  readonly discard: (attempt: AnsweredAttempt) => FailedOutcome;
+}
+
+export class AttemptRace {
+  readonly #options: AttemptRaceOptions;
+  readonly #running = new Set<AbortController>();
+  #events: RaceEvent[] = [];
+  #notify = () => {};
+  #isClosed = false;
+
+  constructor(options: AttemptRaceOptions) {
+    this.#options = options;
+  }
+
+  get runningCount(): number {
+    return this.#running.size;
+  }
+
+  /** Starts an attempt; earlier ones end soon after it is sent. */
+  start(run: (hooks: AttemptHooks) => Promise<AttemptOutcome>): void {
+    const controller = new AbortController();
+    const earlier = [...this.#running];
+    this.#running.add(controller);
+    let timer: NodeJS.Timeout | undefined;
+    const abortEarlier = () => {
+      for (const other of earlier) other.abort();
+    };
+    const hooks: AttemptHooks = {
+      signal: controller.signal,
+      onStall: () => this.#push({ kind: RACE_EVENT.stalled }),
+      onSent: () => {
+        timer = setTimeout(abortEarlier, MAX_OVERLAP_MS);
+      },
+    };
+    void run(hooks).then((outcome) => {
+      clearTimeout(timer);
+      this.#running.delete(controller);
+      this.#settle(outcome, controller.signal.aborted);
+    });
+  }
+
+  #settle(outcome: AttemptOutcome, isSuperseded: boolean): void {
+    const { discard, onFailed } = this.#options;
+    if (outcome.kind !== OUTCOME_KIND.answered) {
+      onFailed(outcome);
+    } else if (isSuperseded) {
+      onFailed(discard(outcome.attempt));
+    } else {
+      this.#push({ kind: RACE_EVENT.answered, attempt: outcome.attempt });
+      return;
+    }
+    if (isSuperseded) this.#notify();
+    else this.#push({ kind: RACE_EVENT.failed });
+  }
+
+  #push(event: RaceEvent): void {
+    this.#events.push(event);
+    this.#notify();
+  }
+
+  /** The next event; undefined where no attempt runs, or after `close`. */
+  async next(): Promise<RaceEvent | undefined> {
+    while (!this.#isClosed && this.#events.length === 0) {
+      if (this.#running.size === 0) return undefined;
+      await new Promise<void>((resolve) => {
+        this.#notify = resolve;
+      });
+    }
+    return this.#isClosed ? undefined : this.#events.shift();
+  }
+
+  /** Ends the attempts that still run and discards further answers. */
+  close(): void {
+    this.#isClosed = true;
+    for (const controller of this.#running) controller.abort();
+    for (const event of this.#events.splice(0)) {
+      if (event.kind === RACE_EVENT.answered)
+        this.#options.onFailed(this.#options.discard(event.attempt));
+    }
+    this.#notify();
+  }
+}
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -1,7 +1,7 @@
 /**
- * Runs one attempt of a request at one endpoint: sends it, aborts it when the
- * endpoint stalls, and records the result in the endpoint's state, the metrics
- * and the roll-outs.
+ * Runs one attempt of a request at one endpoint: sends it, tells when the
+ * endpoint is silent, and records the result in the endpoint's state, the
+ * metrics and the roll-outs.
  */
 
 import type { Agent } from "node:http";
@@ -86,6 +86,15 @@
   readonly signal: AbortSignal;
 }
 
+export interface AttemptHooks {
+  /** Aborts when another attempt takes the place of this one. */
+  readonly signal: AbortSignal;
+  /** The request is being sent. */
+  readonly onSent: () => void;
+  /** The endpoint is silent; called again for as long as it stays so. */
+  readonly onStall: () => void;
+}
+
 export interface Attempt {
   /** Counts from 1, attempts that were not sent included. */
   readonly number: number;
@@ -95,6 +104,10 @@
   /** Expected time until the head of the answer. */
   readonly expectedMs: number;
   readonly controller: AbortController;
+  /** Aborts when another attempt takes the place of this one. */
+  readonly supersededSignal: AbortSignal;
+  /** The endpoint was silent for longer than its stall timeout. */
+  hasStalled: boolean;
   /** Right to send it to an endpoint that limits its rate. */
   readonly reservation: LimitReservation;
   /** Ends the attempt's share of the endpoint's prompts still to be read. */
@@ -105,7 +118,7 @@
 
 export interface AnsweredAttempt extends Attempt {
   readonly head: AttemptHead;
-  /** Pause in a buffered answer after which it counts as failed, ms. */
+  /** Pause in a buffered answer after which its endpoint is silent, ms. */
   readonly stallTimeoutMs?: number;
 }
 
@@ -122,19 +135,21 @@
   ...ATTEMPT_FAILURE,
 } as const;
 
+export interface FailedOutcome {
+  readonly kind: Exclude<
+    (typeof OUTCOME_KIND)[keyof typeof OUTCOME_KIND],
+    typeof OUTCOME_KIND.answered
+  >;
+  readonly detail: string;
+  readonly answer?: ErrorAnswer;
+}
+
 export type AttemptOutcome =
   | {
       readonly kind: typeof OUTCOME_KIND.answered;
       readonly attempt: AnsweredAttempt;
     }
-  | {
-      readonly kind: Exclude<
-        (typeof OUTCOME_KIND)[keyof typeof OUTCOME_KIND],
-        typeof OUTCOME_KIND.answered
-      >;
-      readonly detail: string;
-      readonly answer?: ErrorAnswer;
-    };
+  | FailedOutcome;
 
 export interface AttemptSpec {
   readonly choice: EndpointChoice;
@@ -144,6 +159,7 @@
   /** The route allows no attempt after this one. */
   readonly isLast: boolean;
   readonly lastEventId?: number;
+  readonly hooks: AttemptHooks;
 }
 
 export class AttemptRunner {
@@ -166,12 +182,17 @@
     const attempt = this.#beginAttempt(spec);
     const { state } = attempt;
     const stallTimeoutMs = this.#computeStallTimeoutMs(attempt, spec);
+    const onStall = () => {
+      stallTimer?.refresh();
+      this.#recordStall(attempt);
+      spec.hooks.onStall();
+    };
     const stallTimer =
       stallTimeoutMs === undefined
         ? undefined
-        : new InactivityTimer(() => attempt.controller.abort(), stallTimeoutMs);
+        : new InactivityTimer(onStall, stallTimeoutMs);
     const result = await sendAttempt({
-      ...this.#createAttemptOptions(attempt, spec.lastEventId),
+      ...this.#createAttemptOptions(attempt, spec),
       signal: attempt.controller.signal,
     });
     stallTimer?.cancel();
@@ -197,7 +218,7 @@
     return { kind: OUTCOME_KIND.answered, attempt: answered };
   }
 
-  #beginAttempt({ choice, model, number }: AttemptSpec): Attempt {
+  #beginAttempt({ choice, model, number, hooks }: AttemptSpec): Attempt {
     const { service, route, signal } = this.#request;
     const { now, limits, log, view } = this.#dependencies;
     const { state } = choice;
@@ -210,6 +231,7 @@
     const controller = new AbortController();
     const abort = () => controller.abort();
     signal.addEventListener("abort", abort, { once: true });
+    hooks.signal.addEventListener("abort", abort, { once: true });
     let isReading = true;
     const endReading = () => {
       if (!isReading) return;
@@ -250,6 +272,8 @@
       startedAtMs: now(),
       expectedMs: choice.expectedMs,
       controller,
+      supersededSignal: hooks.signal,
+      hasStalled: false,
       reservation,
       endReading,
       release,
@@ -257,7 +281,7 @@
   }
 
   /**
-   * Time without data after which an attempt is aborted, ms, early enough for
+   * Time without data after which the endpoint is silent, ms, early enough for
    * another endpoint to answer in time; undefined where there is no other or
    * the request must not be retried.
    */
@@ -281,7 +305,7 @@
     );
   }
 
-  #createAttemptOptions(attempt: Attempt, lastEventId?: number) {
+  #createAttemptOptions(attempt: Attempt, spec: AttemptSpec) {
     const { facts, method, headers, body, account, rank, deadlineAtMs } =
       this.#request;
     const { wire, connections, limits, now } = this.#dependencies;
@@ -299,17 +323,21 @@
         account,
         model: attempt.model || undefined,
         rank,
-        lastEventId: lastEventId ?? facts.lastEventId,
+        lastEventId: spec.lastEventId ?? facts.lastEventId,
         bodyBytes: body.length,
       }),
       body,
       requestId: facts.id,
       agent: this.#getAgent(connections, record.id),
       wire,
-      maySend: () =>
-        this.#dependencies.view.maySendTo(attempt.state, now()) &&
-        this.#dependencies.promptHolds.find(facts) === undefined &&
-        attempt.reservation.redeem(),
+      maySend: () => {
+        const isAllowed =
+          this.#dependencies.view.maySendTo(attempt.state, now()) &&
+          this.#dependencies.promptHolds.find(facts) === undefined &&
+          attempt.reservation.redeem();
+        if (isAllowed) spec.hooks.onSent();
+        return isAllowed;
+      },
       onHead: (status: number, answerFacts: AnswerFacts) =>
         this.#recordAvailability(
           attempt.state,
@@ -378,11 +406,13 @@
   }
 
   /** Ends an attempt that failed before or after its head. */
-  endFailed(attempt: Attempt, failure: AttemptFailure): AttemptOutcome {
+  endFailed(attempt: Attempt, failure: AttemptFailure): FailedOutcome {
     attempt.release();
     const { kind, detail } = failure;
     // If the caller left or the deadline passed, the endpoint has no fault.
-    const isCancelled = this.#request.signal.aborted;
+    const isCancelled =
+      this.#request.signal.aborted ||
+      (attempt.supersededSignal.aborted && !attempt.hasStalled);
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
     const isBlameless = isFault && failure.isCut && this.#recordCrash(attempt);
     if (isFault && !isBlameless) {
@@ -396,6 +426,32 @@
     return { kind, detail };
   }
 
+  /** Ends an attempt whose answer came when another one was in use. */
+  endSuperseded(attempt: Attempt): FailedOutcome {
+    const kind = ATTEMPT_FAILURE.unknown;
+    const detail = "Another endpoint's answer is used";
+    attempt.controller.abort();
+    attempt.release();
+    this.#logEnd(attempt, kind, { detail });
+    return { kind, detail };
+  }
+
+  /** The endpoint is silent, but may go on. */
+  #recordStall(attempt: Attempt): void {
+    if (attempt.hasStalled) return;
+    attempt.hasStalled = true;
+    this.logSilence(attempt);
+  }
+
+  logSilence(attempt: Attempt): void {
+    this.#dependencies.log.info("endpoint-silent", {
+      request: this.#request.facts.id,
+      attempt: attempt.number,
+      endpoint: attempt.state.record.id,
+      ms: Math.round(this.#dependencies.now() - attempt.startedAtMs),
+    });
+  }
+
   /** Ends an attempt whose stream broke. */
   endBroken(
     attempt: Attempt,
@@ -443,7 +499,13 @@
   /** Ends an attempt that the endpoint answered with a failure. */
   async #endErred(attempt: AnsweredAttempt): Promise<AttemptOutcome> {
     const { head, stallTimeoutMs } = attempt;
-    const body = await readAnswerBody(head.message, stallTimeoutMs);
+    // The body of a failure is not worth a longer wait.
+    const controller = new AbortController();
+    const body = await readAnswerBody(head.message, {
+      stallTimeoutMs,
+      onStall: () => controller.abort(),
+      abandonSignal: controller.signal,
+    });
     attempt.release();
     const detail = `Status ${head.status} of the endpoint`;
     this.#recordResult(attempt, ATTEMPT_RESULT.erred);
--- a/src/proxy/request/low_confidence_answer.ts
+++ b/src/proxy/request/low_confidence_answer.ts
@@ -5,12 +5,7 @@
  */
 
 import type { AnsweredAttempt } from "./attempt_runner.js";
-
-/**
- * How long two endpoints may work on one request, ms; after 400 ms the
- * platform counts it as run twice.
- */
-const MAX_OVERLAP_MS = 300;
+import { MAX_OVERLAP_MS } from "./max_overlap.js";
 
 export class LowConfidenceAnswer {
   readonly #attempt: AnsweredAttempt;
--- /dev/null
+++ b/src/proxy/request/replacement_search.ts
@@ -0,0 +1,88 @@
+/**
+ * Looks for an endpoint to go on with a request whose endpoint fell silent
+ * within its answer. The silent one is kept until another one has taken the
+ * request, and goes on if its next data comes first.
+ */
+
+import type { AnsweredAttempt } from "./attempt_runner.js";
+import { MAX_OVERLAP_MS } from "./max_overlap.js";
+
+export interface SearchHooks {
+  /** Aborts when the silent endpoint goes on. */
+  readonly signal: AbortSignal;
+  /** An attempt was sent to another endpoint. */
+  readonly onSent: () => void;
+  /** No attempt at another endpoint runs any more. */
+  readonly onFailed: () => void;
+}
+
+export interface ReplacementSearchOptions {
+  readonly find: (hooks: SearchHooks) => Promise<AnsweredAttempt | undefined>;
+  /** Ends an attempt that was found too late. */
+  readonly discard: (attempt: AnsweredAttempt) => void;
+}
+
+interface RunningSearch {
+  readonly controller: AbortController;
+  readonly found: Promise<AnsweredAttempt | undefined>;
+}
+
+export class ReplacementSearch {
+  readonly #options: ReplacementSearchOptions;
+  readonly #abandon = new AbortController();
+  #running: RunningSearch | undefined;
+
+  constructor(options: ReplacementSearchOptions) {
+    this.#options = options;
+  }
+
+  /** Aborts when the silent endpoint has to be given up. */
+  get abandonSignal(): AbortSignal {
+    return this.#abandon.signal;
+  }
+
+  /** Called when the endpoint is silent, more than once if it stays so. */
+  start(): void {
+    if (this.#running !== undefined) return;
+    const controller = new AbortController();
+    const { signal } = controller;
+    let timer: NodeJS.Timeout | undefined;
+    const abandon = () => this.#abandon.abort();
+    const hooks: SearchHooks = {
+      signal,
+      onSent: () => {
+        clearTimeout(timer);
+        timer = setTimeout(abandon, MAX_OVERLAP_MS);
+      },
+      onFailed: () => clearTimeout(timer),
+    };
+    signal.addEventListener("abort", () => clearTimeout(timer));
+    const search = async () => {
+      const attempt = await this.#options.find(hooks);
+      clearTimeout(timer);
+      if (signal.aborted) {
+        if (attempt !== undefined) this.#options.discard(attempt);
+        return undefined;
+      }
+      if (attempt !== undefined) abandon();
+      else if (!this.#abandon.signal.aborted) this.#running = undefined;
+      return attempt;
+    };
+    this.#running = { controller, found: search() };
+  }
+
+  /** Called when the endpoint goes on. */
+  cancel(): void {
+    this.#running?.controller.abort();
+    this.#running = undefined;
+  }
+
+  /** The result of the search that runs; undefined where there is none. */
+  async take(): Promise<AnsweredAttempt | undefined> {
+    return await this.#running?.found;
+  }
+
+  get isRunning(): boolean {
+    return this.#running !== undefined;
+  }
+}
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -4,6 +4,7 @@
  * the request may have run.
  */
 
+import { err, ok, type Result } from "neverthrow";
 import { createRefusal } from "../../core/errors.js";
 import type { HeldParts } from "../fleet/index.js";
 import {
@@ -12,11 +13,12 @@
   type EndpointChoice,
 } from "../placing/index.js";
 import { RETRY_POLICY } from "../types.js";
+import { AttemptRace, RACE_EVENT } from "./attempt_race.js";
 import {
   type AnsweredAttempt,
-  type AttemptOutcome,
   AttemptRunner,
   type ErrorAnswer,
+  type FailedOutcome,
   OUTCOME_KIND,
   type RunDependencies,
   type RunRequest,
@@ -24,6 +26,7 @@
 import { EventSequence } from "./event_sequence.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { LowConfidenceAnswer } from "./low_confidence_answer.js";
+import { ReplacementSearch, type SearchHooks } from "./replacement_search.js";
 import { RequestPlacement } from "./request_placement.js";
 import {
   type AnswerSink,
@@ -44,6 +47,14 @@
 
 type RunOutcome = "answered" | "broken" | "refused";
 
+interface AttemptsOptions {
+  readonly model: string;
+  /** The last event that the caller has of a stream to resume. */
+  readonly lastEventId?: number;
+  /** Where another endpoint is silent with the request meanwhile. */
+  readonly hooks?: SearchHooks;
+}
+
 export class RequestRun {
   readonly #dependencies: RunDependencies;
   readonly #request: RunRequest;
@@ -93,7 +104,7 @@
     let model = chooseFirstModel(route.models);
     let fallback: LowConfidenceAnswer | undefined;
     for (;;) {
-      const attempt = await this.#runAttempts(model);
+      const attempt = await this.#runAttempts({ model });
       if (attempt === undefined) {
         const fallbackAttempt = fallback?.take();
         return fallbackAttempt
@@ -113,33 +124,80 @@
     }
   }
 
-  /** Tries endpoints until one answers, or until no attempt is allowed. */
+  /**
+   * Tries endpoints until one answers, or until no attempt is allowed. While one
+   * is silent, another is tried beside it.
+   */
   async #runAttempts(
-    model: string,
-    lastEventId?: number,
+    options: AttemptsOptions,
   ): Promise<AnsweredAttempt | undefined> {
+    const { hooks } = options;
+    const race = new AttemptRace({
+      onFailed: (outcome) => {
+        this.#recordFailure(outcome);
+        if (race.runningCount === 0) hooks?.onFailed();
+      },
+      discard: (attempt) => this.#attemptRunner.endSuperseded(attempt),
+    });
+    const close = () => race.close();
+    hooks?.signal.addEventListener("abort", close, { once: true });
+    try {
+      return await this.#runRace(race, options);
+    } finally {
+      hooks?.signal.removeEventListener("abort", close);
+      race.close();
+    }
+  }
+
+  async #runRace(
+    race: AttemptRace,
+    options: AttemptsOptions,
+  ): Promise<AnsweredAttempt | undefined> {
+    let mayStart = true;
     for (;;) {
-      const choice = this.#choose(model);
-      if (choice === undefined) return undefined;
-      this.#countedAttempts++;
-      this.#startedAttempts++;
-      this.#triedEndpointIds.add(choice.state.record.id);
-      const outcome = await this.#attemptRunner.run({
-        choice,
-        model,
-        number: this.#startedAttempts,
-        isLast: this.#attemptsLeft <= 0,
-        lastEventId,
-      });
-      if (outcome.kind === OUTCOME_KIND.answered) return outcome.attempt;
-      this.#recordFailure(outcome);
-      if (!this.#mayRetry()) return undefined;
+      const choice = mayStart ? this.#choose(options.model) : undefined;
+      if (choice?.isOk()) this.#startAttempt(race, choice.value, options);
+      else if (choice?.isErr() && race.runningCount === 0) {
+        this.#addFailure(choice.error);
+        return undefined;
+      }
+      const event = await race.next();
+      if (event === undefined) return undefined;
+      if (event.kind === RACE_EVENT.answered) return event.attempt;
+      mayStart = event.kind === RACE_EVENT.stalled || this.#mayRetry();
     }
   }
 
-  #recordFailure(outcome: AttemptOutcome): void {
-    if (outcome.kind === OUTCOME_KIND.answered) return;
-    const { kind, detail, answer } = outcome;
+  #startAttempt(
+    race: AttemptRace,
+    choice: EndpointChoice,
+    { model, lastEventId, hooks }: AttemptsOptions,
+  ): void {
+    this.#countedAttempts++;
+    this.#startedAttempts++;
+    this.#triedEndpointIds.add(choice.state.record.id);
+    const spec = {
+      choice,
+      model,
+      number: this.#startedAttempts,
+      isLast: this.#attemptsLeft <= 0,
+      lastEventId,
+    };
+    race.start(({ onSent, ...raceHooks }) =>
+      this.#attemptRunner.run({
+        ...spec,
+        hooks: {
+          ...raceHooks,
+          onSent: () => {
+            onSent();
+            hooks?.onSent();
+          },
+        },
+      }),
+    );
+  }
+
+  #recordFailure({ kind, detail, answer }: FailedOutcome): void {
     const isUnsent =
       kind === OUTCOME_KIND.notSent || kind === OUTCOME_KIND.withheld;
     if (isUnsent) this.#countedAttempts--;
@@ -160,44 +218,41 @@
     return this.#request.route.maxAttempts - this.#countedAttempts;
   }
 
-  #choose(model: string): EndpointChoice | undefined {
-    const { service, signal, deadlineAtMs } = this.#request;
+  /** Chooses an endpoint, or says why there is none. */
+  #choose(model: string): Result<EndpointChoice, string> {
+    const { service, signal, deadlineAtMs, facts } = this.#request;
     const { now, countEntries, retryBudget, promptHolds } = this.#dependencies;
     const nowMs = now();
     if (signal.aborted || deadlineAtMs - nowMs < MIN_ATTEMPT_MS) {
-      return this.#addFailure("no time is left");
+      return err("no time is left");
     }
-    if (this.#attemptsLeft <= 0)
-      return this.#addFailure("no attempts are left");
-    const { facts } = this.#request;
+    if (this.#attemptsLeft <= 0) return err("no attempts are left");
     this.#heldParts = promptHolds.find(facts);
     if (this.#heldParts !== undefined) {
-      return this.#addFailure("a part of the prompt is held");
+      return err("a part of the prompt is held");
     }
     if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts.parts)) {
-      return this.#addFailure("endpoints crashed under a part of the prompt");
+      return err("endpoints crashed under a part of the prompt");
     }
-    const entryCount = countEntries();
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
-    if (choice === undefined) return this.#addFailure("no endpoint is open");
+    if (choice === undefined) return err("no endpoint is open");
     if (
       this.#countedAttempts > 0 &&
-      !retryBudget.spend(service.name, entryCount, nowMs)
+      !retryBudget.spend(service.name, countEntries(), nowMs)
     ) {
-      return this.#addFailure("the retry budget is spent");
+      return err("the retry budget is spent");
     }
     if (choice.state.isCold(nowMs)) {
       choice.state.spendColdCredit(this.#placement.coldPerSecond, nowMs);
     }
-    return choice;
+    return ok(choice);
   }
 
   /** Puts why no endpoint was chosen before the last failure. */
-  #addFailure(reason: string): undefined {
+  #addFailure(reason: string): void {
     this.#lastFailure = this.#lastFailure
       ? `${reason}; ${this.#lastFailure}`
       : reason;
-    return undefined;
   }
 
   /** The larger model to ask next; undefined to deliver this answer. */
@@ -255,17 +310,30 @@
   }
 
   async #deliverWhole(attempt: AnsweredAttempt): Promise<RunOutcome> {
-    const { head, stallTimeoutMs } = attempt;
-    const body = await readAnswerBody(head.message, stallTimeoutMs);
+    const { head, model, stallTimeoutMs } = attempt;
+    const search = this.#createSearch((hooks) =>
+      this.#runAttempts({ model, hooks }),
+    );
+    const body = await readAnswerBody(head.message, {
+      stallTimeoutMs,
+      onStall: () => search.start(),
+      onData: () => search.cancel(),
+      abandonSignal: search.abandonSignal,
+    });
     attempt.release();
     if (body.isOk()) {
+      search.cancel();
       this.#attemptRunner.recordBegin();
       sendAnswer(this.#sink, this.#dependencies.wire, head, body.value);
       return "answered";
     }
     this.#recordFailure(this.#attemptRunner.endFailed(attempt, body.error));
-    if (!this.#mayRetry()) return this.#sendFailure();
-    const nextAttempt = await this.#runAttempts(attempt.model);
+    if (!this.#mayRetry()) {
+      search.cancel();
+      return this.#sendFailure();
+    }
+    const nextAttempt =
+      (await search.take()) ?? (await this.#runAttempts({ model }));
     return nextAttempt === undefined
       ? this.#sendFailure()
       : await this.#deliver(nextAttempt);
@@ -273,73 +341,92 @@
 
   async #deliverStream(first: AnsweredAttempt): Promise<RunOutcome> {
     const { route, facts, signal } = this.#request;
-    const { wire, now } = this.#dependencies;
     let attempt: AnsweredAttempt | undefined = first;
     const sequence = new EventSequence(facts.lastEventId);
     this.#sink.writeHead(
       first.head.status,
-      wire.createAnswerHeaders(first.head.headers),
+      this.#dependencies.wire.createAnswerHeaders(first.head.headers),
     );
     while (attempt !== undefined) {
+      const current: AnsweredAttempt = attempt;
+      const search = this.#createSearch((hooks) =>
+        this.#resume(current.model, sequence.lastEventId, hooks),
+      );
+      const mayResume = () =>
+        route.retryPolicy === RETRY_POLICY.resume &&
+        sequence.canResume &&
+        !signal.aborted;
       const end: StreamEnd = await sendStream(this.#sink, {
-        message: attempt.head.message,
+        message: current.head.message,
         sequence,
         stallTimeoutMs: route.targetEventGapMs * STALL_TIMEOUT_PER_TARGET_GAP,
-        canResumeElsewhere: () =>
-          sequence.canResume && this.#canResumeElsewhere(),
+        onStall: () => {
+          if (!mayResume()) return;
+          this.#attemptRunner.logSilence(current);
+          search.start();
+        },
+        onEvent: () => search.cancel(),
+        abandonSignal: search.abandonSignal,
         onBegin: () => this.#attemptRunner.recordBegin(),
         signal,
       });
-      attempt.release();
+      current.release();
       if (end.isComplete) {
+        search.cancel();
         this.#sink.end();
         return "answered";
       }
-      this.#lastFailure = signal.aborted
-        ? "the caller left or its time was up"
-        : (end.detail ?? "");
-      if (!sequence.canResume) this.#addFailure("the last event has no id");
-      this.#attemptRunner.endBroken(attempt, {
-        hasBegun: end.hasBegun,
-        isCut: end.isCut,
-        detail: this.#lastFailure,
-      });
-      const mayResume =
-        route.retryPolicy === RETRY_POLICY.resume &&
-        sequence.canResume &&
-        !signal.aborted;
-      attempt = mayResume
-        ? await this.#resume(attempt.model, sequence.lastEventId, now())
+      this.#recordBrokenStream(current, end, sequence);
+      attempt = mayResume()
+        ? ((await search.take()) ??
+          (await this.#resume(current.model, sequence.lastEventId)))
         : undefined;
+      if (attempt === undefined) search.cancel();
     }
     this.#sink.destroy();
     return "broken";
   }
 
-  /** True where another endpoint may resume a stream that broke. */
-  #canResumeElsewhere(): boolean {
-    const { route, service } = this.#request;
-    const { retryBudget, countEntries, now } = this.#dependencies;
-    return (
-      route.retryPolicy === RETRY_POLICY.resume &&
-      this.#attemptsLeft > 0 &&
-      retryBudget.getUsedShare(service.name, countEntries(), now()) < 1
-    );
+  #createSearch(
+    find: (hooks: SearchHooks) => Promise<AnsweredAttempt | undefined>,
+  ): ReplacementSearch {
+    const discard = (attempt: AnsweredAttempt) => {
+      this.#recordFailure(this.#attemptRunner.endSuperseded(attempt));
+    };
+    return new ReplacementSearch({ find, discard });
+  }
+
+  #recordBrokenStream(
+    attempt: AnsweredAttempt,
+    { detail = "", hasBegun, isCut }: StreamEnd,
+    { canResume }: EventSequence,
+  ): void {
+    this.#lastFailure = this.#request.signal.aborted
+      ? "the caller left or its time was up"
+      : detail;
+    if (!canResume) this.#addFailure("the last event has no id");
+    this.#attemptRunner.endBroken(attempt, {
+      hasBegun,
+      isCut,
+      detail: this.#lastFailure,
+    });
   }
 
   /** Finds an endpoint that goes on after `lastEventId` with events. */
   async #resume(
     model: string,
     lastEventId: number | undefined,
-    nowMs: number,
+    hooks?: SearchHooks,
   ): Promise<AnsweredAttempt | undefined> {
+    const { now, log } = this.#dependencies;
+    const startedAtMs = now();
     for (;;) {
-      const attempt = await this.#runAttempts(model, lastEventId);
-      this.#dependencies.log.info("stream-resumed", {
+      const attempt = await this.#runAttempts({ model, lastEventId, hooks });
+      log.info("stream-resumed", {
         request: this.#request.facts.id,
         after: lastEventId,
         endpoint: attempt?.state.record.id ?? "none",
-        ms: Math.round(this.#dependencies.now() - nowMs),
+        ms: Math.round(now() - startedAtMs),
       });
       if (attempt === undefined || isStreamRest(attempt.head)) return attempt;
       attempt.release();
@@ -349,6 +436,7 @@
         isCut: false,
         detail: this.#lastFailure,
       });
+      hooks?.onFailed();
     }
   }
 
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -45,10 +45,14 @@
   readonly message: IncomingMessage;
   /** What the caller has of the stream; new where this is its first answer. */
   readonly sequence?: EventSequence;
-  /** Time without an event after which the stream counts as broken, ms. */
+  /** Time without an event after which the endpoint is silent, ms. */
   readonly stallTimeoutMs: number;
-  /** If false, a stalled stream is kept, as it may still continue. */
-  readonly canResumeElsewhere: () => boolean;
+  /** The endpoint is silent; called again for as long as it stays so. */
+  readonly onStall: () => void;
+  /** The endpoint goes on. */
+  readonly onEvent?: () => void;
+  /** Aborts when the answer is given up. */
+  readonly abandonSignal: AbortSignal;
   /** Called once, when the endpoint goes on after the first event. */
   readonly onBegin?: () => void;
   /** Aborts when the caller leaves or the deadline passes. */
@@ -70,8 +74,9 @@
   sink: AnswerSink,
   options: StreamOptions,
 ): Promise<StreamEnd> {
-  const { message, stallTimeoutMs, canResumeElsewhere, signal } = options;
-  const { onBegin = () => {}, sequence = new EventSequence() } = options;
+  const { message, stallTimeoutMs, abandonSignal, signal } = options;
+  const { onStall, onEvent = () => {}, onBegin = () => {} } = options;
+  const { sequence = new EventSequence() } = options;
   const splitter = new EventSplitter();
   sequence.beginAnswer();
   return new Promise((resolve) => {
@@ -88,17 +93,21 @@
       if (isSettled) return;
       isSettled = true;
       stallTimer.cancel();
+      abandonSignal.removeEventListener("abort", abandon);
       const { isComplete = false, isCut = false, detail } = end;
       const { lastEventId } = sequence;
       resolve({ isComplete, lastEventId, hasBegun, isCut, detail });
     };
     const settleCut = (detail: string) => settle({ isCut: true, detail });
-    const startStallTimer = () => new InactivityTimer(onStall, stallTimeoutMs);
-    const onStall = () => {
-      if (canResumeElsewhere())
-        settle({ detail: `No event for ${stallTimeoutMs} ms` });
-      else stallTimer = startStallTimer();
+    const abandon = () =>
+      settle({ detail: `No event for ${stallTimeoutMs} ms` });
+    abandonSignal.addEventListener("abort", abandon, { once: true });
+    const reportStall = () => {
+      stallTimer = startStallTimer();
+      onStall();
     };
+    const startStallTimer = () =>
+      new InactivityTimer(reportStall, stallTimeoutMs);
     let stallTimer = startStallTimer();
     // While reading is paused for a slow caller, a stall can't be detected.
     const pause = () => {
@@ -121,6 +130,7 @@
       const { events, hasEvent, fault } = sequence.accept(blocks);
       if (hasEvent) {
         stallTimer.refresh();
+        onEvent();
         readsWithEvents++;
         if (readsWithEvents > 1) begin();
       }
--- a/src/proxy/request/send_answer_test.ts
+++ b/src/proxy/request/send_answer_test.ts
@@ -68,13 +68,19 @@
     message: IncomingMessage,
     sink: AnswerSink,
     canResumeElsewhere = () => true,
-  ) =>
-    sendStream(sink, {
+    timeoutMs = 2_000,
+  ) => {
+    const controller = new AbortController();
+    return sendStream(sink, {
       message,
       stallTimeoutMs: STALL_TIMEOUT_MS,
-      canResumeElsewhere,
-      signal: AbortSignal.timeout(2_000),
+      onStall: () => {
+        if (canResumeElsewhere()) controller.abort();
+      },
+      abandonSignal: controller.signal,
+      signal: AbortSignal.timeout(timeoutMs),
     });
+  };
 
   // After a stall of the process, timers run before data is read, so the stall
   // timeout could break a stream whose events have already arrived.
@@ -89,12 +95,7 @@
         });
       }, STALL_TIMEOUT_MS / 2);
     });
-    const end = await sendStream(createFakeSink(), {
-      message,
-      stallTimeoutMs: STALL_TIMEOUT_MS,
-      canResumeElsewhere: () => true,
-      signal: AbortSignal.timeout(5_000),
-    });
+    const end = await sendToSink(message, createFakeSink(), () => true, 5_000);
     assert.deepEqual(end, {
       isComplete: true,
       lastEventId: 1,
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -286,14 +286,26 @@
   message.once("close", () => clearTimeout(timer));
 }
 
+export interface ReadOptions {
+  /** Pause after which the endpoint is silent, ms. */
+  readonly stallTimeoutMs?: number;
+  /** The endpoint is silent; called again for as long as it stays so. */
+  readonly onStall?: () => void;
+  /** The endpoint goes on. */
+  readonly onData?: () => void;
+  /** Aborts when the answer is given up. */
+  readonly abandonSignal?: AbortSignal;
+}
+
 /**
  * Reads a whole body. Fails when it ends early, exceeds `MAX_ANSWER_BYTES`, or
- * pauses for `stallTimeoutMs` where that is given.
+ * is given up.
  */
 export function readAnswerBody(
   message: IncomingMessage,
-  stallTimeoutMs?: number,
+  options: ReadOptions = {},
 ): Promise<Result<Buffer, AttemptFailure>> {
+  const { stallTimeoutMs, onStall, onData, abandonSignal } = options;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let isCut = true;
@@ -303,16 +315,25 @@
       isCut = false;
       message.destroy(new Error(detail));
     };
-    const failStalled = () =>
+    const abandonStalled = () =>
       abandon(`Nothing of the answer for ${stallTimeoutMs} ms`);
+    abandonSignal?.addEventListener("abort", abandonStalled, { once: true });
+    const reportStall = () => {
+      stallTimer?.refresh();
+      onStall?.();
+    };
     const stallTimer =
       stallTimeoutMs === undefined
         ? undefined
-        : new InactivityTimer(failStalled, stallTimeoutMs);
-    message.once("close", () => stallTimer?.cancel());
+        : new InactivityTimer(reportStall, stallTimeoutMs);
+    message.once("close", () => {
+      stallTimer?.cancel();
+      abandonSignal?.removeEventListener("abort", abandonStalled);
+    });
     let size = 0;
     message.on("data", (chunk: Buffer) => {
       stallTimer?.refresh();
+      onData?.();
       size += chunk.length;
       if (size <= MAX_ANSWER_BYTES) chunks.push(chunk);
       else abandon(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`);
