Let only the last answer of a connection close it

Callers with several requests behind one another on a connection got one answer, with Connection: close, beside a planned stop and from a process that is late; the others had run at endpoints without an answer.

Cause: each request that arrived then had its answer close the connection, and Node closes it after the first such answer. Node's own refusal of a request without a host did the same.

Change: whether an answer closes its connection is decided when its head is written, and only the answer to the newest request may. From that moment further requests on the connection are not passed on (log line request-ignored). Requests of HTTP/1.0 always close theirs, since the end of a stream is that of the connection there. A request without a host gets the entry's own 400, which keeps the connection.

Ruled out: running requests of a connection one after the other. Later ones would wait for answers that are independent of them, and the test of a slow reader with twelve requests relies on that.

Remains: a stream that breaks under its caller closes the connection, also for requests behind it.

--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -7,7 +7,6 @@
   type ServerResponse,
   STATUS_CODES,
 } from "node:http";
-import type { Duplex } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "../fleet/index.js";
 import { startListening } from "../start_listening.js";
@@ -30,8 +29,6 @@
   handler: RequestHandler,
   view: FleetView,
 ): Server {
-  /** The latest response on each connection. */
-  const responses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -39,6 +36,8 @@
       headersTimeout: DEFAULT_HEAD_TIMEOUT_MS,
       connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
       requestTimeout: 0,
+      // Node's own refusal would close the connection before later answers.
+      requireHostHeader: false,
       noDelay: true,
     },
     (request: IncomingMessage, response: ServerResponse) => {
@@ -48,14 +47,12 @@
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
       }
-      responses.set(request.socket, response);
       void handler.handle(request, response);
     },
   );
   // Node's own answer would be taken for that to a request which still runs.
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    const response = responses.get(socket);
-    const isAnswering = response !== undefined && !response.writableFinished;
+    const isAnswering = handler.callerConnections.isAnswering(socket);
     if (isAnswering || !socket.writable) socket.destroy();
     else socket.end(createParseRefusal(error.code));
   });
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -10,6 +10,7 @@
 import type { LoopDelay } from "../loop_delay.js";
 import type { RawHeaders, RequestFacts, Route, WireFormat } from "../types.js";
 import type { RunDependencies, RunRequest } from "./attempt_runner.js";
+import { CallerConnections } from "./caller_connections.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { RequestRun } from "./request_run.js";
@@ -51,6 +52,7 @@
   readonly #options: RequestHandlerOptions;
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
+  readonly callerConnections = new CallerConnections();
   #unsentAnswers = 0;
   #closesConnections = false;
   #refusesRequests = false;
@@ -68,7 +70,7 @@
     return this.#unsentAnswers > 0;
   }
 
-  /** From now on the connection is closed after each answer. */
+  /** From now on connections are closed after the last of their answers. */
   closeConnectionsAfterAnswers(): void {
     this.#closesConnections = true;
   }
@@ -84,6 +86,10 @@
   }
 
   async handle(request: IncomingMessage, response: ServerResponse) {
+    if (!this.callerConnections.addRequest(request, response)) {
+      this.#ignoreRequest(request);
+      return;
+    }
     this.#openRequests++;
     this.#openResponses.add(response);
     try {
@@ -108,14 +114,16 @@
   ): Promise<void> {
     const startedAtMs = this.#options.now();
     const { wire, view, log, loopDelay, random } = this.#options;
-    if (this.#closesConnections || random() < loopDelay.closeShare) {
-      response.shouldKeepAlive = false;
-    }
     const method = incoming.method ?? "GET";
     const target = incoming.url ?? "/";
     const headers = incoming.rawHeaders;
     const facts = wire.parseRequest(method, target, headers);
-    const sink = createSink(response, wire, facts?.id ?? "");
+    const prepareHead = () => {
+      const isLate = random() < loopDelay.closeShare;
+      if (!this.#closesConnections && !isLate) return;
+      this.callerConnections.closeAfter(incoming, response);
+    };
+    const sink = createSink(response, wire, facts?.id ?? "", prepareHead);
     const { promptHolds } = this.#options;
     const held = facts === undefined ? undefined : promptHolds.admit(facts);
     if (facts !== undefined && held !== undefined) {
@@ -156,6 +164,17 @@
     );
   }
 
+  /** It came behind a request whose answer closes the connection. */
+  #ignoreRequest(request: IncomingMessage): void {
+    const { wire, log } = this.#options;
+    const { method = "GET", url = "/", rawHeaders } = request;
+    request.on("error", () => {}).resume();
+    log.info("request-ignored", {
+      request: wire.parseRequest(method, url, rawHeaders)?.id,
+      reason: "an earlier answer closes the connection",
+    });
+  }
+
   /** The answer was complete, but its connection ended before it was sent. */
   #logUnsentAnswer(response: ServerResponse): void {
     const { wire, log } = this.#options;
@@ -357,10 +376,12 @@
   response: ServerResponse,
   wire: WireFormat,
   requestId: string,
+  prepareHead: () => void,
 ): AnswerSink {
   return {
     writeHead: (status: number, headers: RawHeaders) => {
       if (response.destroyed) return;
+      prepareHead();
       response.writeHead(status, headers);
     },
     write: (data: Buffer) => response.destroyed || response.write(data),
@@ -380,8 +401,10 @@
       if (!response.destroyed) response.end(data);
     },
     destroy: () => breakAnswer(response),
-    refuse: (refusal: Refusal) =>
-      sendRefusal(response, wire, requestId, refusal),
+    refuse: (refusal: Refusal) => {
+      prepareHead();
+      sendRefusal(response, wire, requestId, refusal);
+    },
   };
 }
 
