End the runs of all requests of a connection when its caller leaves

Endpoints went on working for a caller that had left, on a connection with several requests behind one another, for as long as the runs lasted.

Cause: only the response that is being sent hears that its connection ended; those that wait for it have no connection yet. So the connection is watched in place of the response, with one listener for all its requests.

--- a/src/platform/pipelined_requests_test.ts
+++ b/src/platform/pipelined_requests_test.ts
@@ -168,4 +168,19 @@
     assertRunsAnswered(caller);
     await stopped;
   });
+
+  // Endpoints would go on working for nobody, for as long as the run lasts.
+  it("are all given up when their caller disconnects", async () => {
+    await system.start([{ id: "i-1", streamEvents: 200, delayMs: 20 }]);
+    const caller = connectCaller();
+    caller.write(
+      IDS.map((id) => createRequestText(id, { path: "/stream/a" })).join(""),
+    );
+    await system.waitFor(() => listRunIds().length === IDS.length);
+    caller.close();
+    await system.waitFor(
+      () => IDS.every((id) => system.listRuns(id)[0]?.state === "left"),
+      500,
+    );
+  });
 });
--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -13,6 +13,8 @@
   newestResponse: ServerResponse;
   /** The newest response closes the connection. */
   isClosing: boolean;
+  /** Called when the caller ends or leaves the connection. */
+  readonly leaveListeners: Set<() => void>;
 }
 
 export class CallerConnections {
@@ -30,10 +32,21 @@
     this.#states.set(socket, {
       newestResponse: response,
       isClosing: !response.shouldKeepAlive,
+      leaveListeners: state?.leaveListeners ?? createLeaveListeners(socket),
     });
     return true;
   }
 
+  /**
+   * Calls back when the caller leaves. A response that waits for those before
+   * it does not hear of that itself. Returns a function that ends this.
+   */
+  onLeave({ socket }: IncomingMessage, listener: () => void): () => void {
+    const listeners = this.#states.get(socket)?.leaveListeners;
+    listeners?.add(listener);
+    return () => listeners?.delete(listener);
+  }
+
   /** Closes the connection after this answer, unless others are to follow. */
   closeAfter({ socket }: IncomingMessage, response: ServerResponse): void {
     const state = this.#states.get(socket);
@@ -42,9 +55,44 @@
     state.isClosing = true;
   }
 
+  /**
+   * Waits until the last byte of an answer is sent, so that a slow reader gets
+   * all of it even when the entry stops meanwhile.
+   */
+  async waitUntilSent(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { socket } = request;
+    const isSent = response.closed || !response.writableEnded;
+    if (isSent || socket.destroyed) return;
+    await new Promise<void>((resolve) => {
+      const settle = () => {
+        response.off("close", settle);
+        endLeave();
+        resolve();
+      };
+      response.once("close", settle);
+      const endLeave = this.onLeave(request, () => {
+        if (socket.destroyed) settle();
+      });
+    });
+  }
+
   /** True while an answer is not yet sent. */
   isAnswering(socket: Duplex): boolean {
     const state = this.#states.get(socket);
     return state !== undefined && !state.newestResponse.writableFinished;
   }
 }
+
+function createLeaveListeners(socket: Duplex): Set<() => void> {
+  const listeners = new Set<() => void>();
+  const report = () => {
+    for (const listener of listeners) listener();
+  };
+  // "end" comes some turns of the event loop before "close".
+  socket.once("end", report);
+  socket.once("close", report);
+  return listeners;
+}
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -99,7 +99,7 @@
       breakAnswer(response);
     }
     this.#unsentAnswers++;
-    await waitUntilSent(request, response);
+    await this.callerConnections.waitUntilSent(request, response);
     this.#unsentAnswers--;
     if (response.writableEnded && !response.writableFinished) {
       this.#logUnsentAnswer(response);
@@ -270,9 +270,8 @@
       Math.max(0, deadlineAtMs - now()),
     );
     response.once("close", abort);
-    // "end" comes some turns of the event loop before "close".
-    const { socket } = response;
-    socket?.once("end", abort);
+    const { req } = response;
+    const endLeave = this.callerConnections.onLeave(req, abort);
     const run = new RequestRun(
       this.#options,
       {
@@ -288,11 +287,12 @@
     const outcome = await run.run();
     deadlineTimer.cancel();
     response.off("close", abort);
-    socket?.off("end", abort);
+    endLeave();
     // Cancels attempts that still run because their answers were discarded.
     abort();
     const totalMs = now() - startedAtMs;
-    const isCallerGone = response.destroyed && !response.writableFinished;
+    const isClosed = response.destroyed || req.socket.destroyed;
+    const isCallerGone = isClosed && !response.writableFinished;
     const result =
       outcome === "refused" && isCallerGone ? "caller-left" : outcome;
     metrics.requests.inc({ route: route.name, outcome: result });
@@ -311,33 +311,13 @@
   }
 }
 
-/**
- * Waits until the last byte of an answer is sent, so that a slow reader gets
- * all of it even when the entry stops meanwhile.
- */
-async function waitUntilSent(
-  { socket }: IncomingMessage,
-  response: ServerResponse,
-): Promise<void> {
-  const isSent = response.closed || !response.writableEnded;
-  if (isSent || socket.destroyed) return;
-  await new Promise<void>((resolve) => {
-    const settle = () => {
-      response.off("close", settle);
-      socket.off("close", settle);
-      resolve();
-    };
-    response.once("close", settle);
-    socket.once("close", settle);
-  });
-}
-
 /** Callers never half-close: the end of the stream means that one has left. */
 function hasCallerLeft(
   incoming: IncomingMessage,
   response: ServerResponse,
 ): boolean {
-  return response.destroyed || incoming.socket.readableEnded;
+  const { readableEnded, destroyed } = incoming.socket;
+  return response.destroyed || destroyed || readableEnded;
 }
 
 /** Looks up route and account in one version of the configuration. */
