--- /dev/null
+++ b/src/proxy/request/caller_connections.ts
@@ -0,0 +1,98 @@
+/**
+ * Decides which requests on a caller's connection get an answer, and which
+ * answer closes it. Callers may send requests behind one another; the answers
+ * go out in their order, and Node closes the connection after the first one
+ * that says so. What has run behind that one would get no answer.
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+
+interface ConnectionState {
+  /** The response to the newest request, which is sent last. */
+  newestResponse: ServerResponse;
+  /** The newest response closes the connection. */
+  isClosing: boolean;
+  /** Called when the caller ends or leaves the connection. */
+  readonly leaveListeners: Set<() => void>;
+}
+
+export class CallerConnections {
+  readonly #states = new WeakMap<Duplex, ConnectionState>();
+
+  /** False where an earlier answer closes the connection: it must not run. */
+  addRequest(
+    { socket, httpVersion }: IncomingMessage,
+    response: ServerResponse,
+  ): boolean {
+    const state = this.#states.get(socket);
+    if (state?.isClosing) return false;
+    // Without chunks, the end of a stream is that of its connection.
+    if (httpVersion !== "1.1") response.shouldKeepAlive = false;
+    this.#states.set(socket, {
+      newestResponse: response,
+      isClosing: !response.shouldKeepAlive,
+      leaveListeners: state?.leaveListeners ?? createLeaveListeners(socket),
+    });
+    return true;
+  }
+
+  /**
+   * Calls back when the caller leaves. A response that waits for those before
+   * it does not hear of that itself. Returns a function that ends this.
+   */
+  onLeave({ socket }: IncomingMessage, listener: () => void): () => void {
+    const listeners = this.#states.get(socket)?.leaveListeners;
+    listeners?.add(listener);
+    return () => listeners?.delete(listener);
+  }
+
+  /** Closes the connection after this answer, unless others are to follow. */
+  closeAfter({ socket }: IncomingMessage, response: ServerResponse): void {
+    const state = this.#states.get(socket);
+    if (state?.newestResponse !== response || response.headersSent) return;
+    response.shouldKeepAlive = false;
+    state.isClosing = true;
+  }
+
+  /**
+   * Waits until the last byte of an answer is sent, so that a slow reader gets
+   * all of it even when the entry stops meanwhile.
+   */
+  async waitUntilSent(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { socket } = request;
+    const isSent = response.closed || !response.writableEnded;
+    if (isSent || socket.destroyed) return;
+    await new Promise<void>((resolve) => {
+      const settle = () => {
+        response.off("close", settle);
+        endLeave();
+        resolve();
+      };
+      response.once("close", settle);
+      const endLeave = this.onLeave(request, () => {
+        if (socket.destroyed) settle();
+      });
+    });
+  }
+
+  /** True while an answer is not yet sent. */
+  isAnswering(socket: Duplex): boolean {
+    const state = this.#states.get(socket);
+    return state !== undefined && !state.newestResponse.writableFinished;
+  }
+}
+
+function createLeaveListeners(socket: Duplex): Set<() => void> {
+  const listeners = new Set<() => void>();
+  const report = () => {
+    for (const listener of listeners) listener();
+  };
+  // "end" comes some turns of the event loop before "close".
+  socket.once("end", report);
+  socket.once("close", report);
+  return listeners;
+}
