Take no empty answer that ends with its connection for a whole one

Callers saw a 200 with Content-Length 0, or a stream without an event that ended well, where the endpoint's answer had a head without length and chunks and then ended. That is also what is left of an answer whose endpoint stopped before its length and body.

Cause: an answer without a length ends with its connection, so an end right after the head counted as the end of an empty body. Now a success that is empty in this form counts as "may have run"; 204, 304 and answers to HEAD have no body anyway, and a failure's status is passed on as before. An answer with some bytes of its body can still not be told from a whole one.

--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -77,6 +77,7 @@
   return new Promise((resolve) => {
     let isSettled = false;
     let readsWithEvents = 0;
+    let bodyBytes = 0;
     let hasBegun = false;
     const begin = () => {
       if (!hasBegun) onBegin();
@@ -112,6 +113,7 @@
     };
     message.on("data", (chunk: Buffer) => {
       if (isSettled) return;
+      bodyBytes += chunk.length;
       const blocks = splitter.push(chunk);
       if (splitter.isOversized) {
         settle({ detail: `An event exceeds ${MAX_EVENT_BYTES} bytes` });
@@ -129,7 +131,7 @@
       else if (!isDrained) pause();
     });
     message.once("end", () => {
-      if (!isWholeAnswer(message)) settleCut("Stream ended early");
+      if (!isWholeAnswer(message, bodyBytes)) settleCut("Stream ended early");
       else if (splitter.incompleteEvent.length > 0)
         settleCut("Stream ended in an event");
       else if (!sequence.mayEnd)
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -190,6 +190,7 @@
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
+      if (mustHaveBody(message, options.method)) needsBody.add(message);
       resolve(ok({ status, facts, headers, message }));
     });
     outgoing.end(body);
@@ -265,11 +266,35 @@
   socket.prependOnceListener("end", () => socket.write(EMPTY_LINE));
 }
 
+/** Successes that have no body, whatever their headers. */
+const BODYLESS_STATUSES = [204, 304];
+/** Answers of which an empty body is no proof that they are complete. */
+const needsBody = new WeakSet<IncomingMessage>();
+
+/**
+ * True for a success that ends with its connection. Without a body it looks
+ * like one whose endpoint stopped before the body and its length.
+ */
+function mustHaveBody(message: IncomingMessage, method: string): boolean {
+  const { statusCode = 0 } = message;
+  return (
+    !hasLength(message) &&
+    method !== "HEAD" &&
+    statusCode < MIN_ERROR_STATUS &&
+    !BODYLESS_STATUSES.includes(statusCode)
+  );
+}
+
 /**
- * True when an answer that ended is complete. An answer without a length ends
- * with its connection, and the parser takes a reset for such an end.
+ * True when an answer that ended after `bodyBytes` is complete. An answer
+ * without a length ends with its connection, and the parser takes a reset for
+ * such an end.
  */
-export function isWholeAnswer(message: IncomingMessage): boolean {
+export function isWholeAnswer(
+  message: IncomingMessage,
+  bodyBytes: number,
+): boolean {
+  if (bodyBytes === 0 && needsBody.has(message)) return false;
   return message.complete && !message.socket?.errored;
 }
 
@@ -318,7 +343,7 @@
       else abandon(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`);
     });
     message.once("end", () => {
-      if (isWholeAnswer(message)) resolve(ok(Buffer.concat(chunks)));
+      if (isWholeAnswer(message, size)) resolve(ok(Buffer.concat(chunks)));
       else fail("Answer ended early");
     });
     message.once("error", (error) => fail(error.message));
