Take no answer in another transfer coding than chunks

Callers would have got a body in gzip as if it were plain, since the header that names the coding concerns one connection and is dropped; and a reset at the end of such an answer, or of one with the coding "identity", counted as its end.

Cause: each answer with a Transfer-Encoding counted as one whose framing marks its end. Node decodes chunks only, and takes the end of the connection for the end of all others. Now only chunks count as framing, another coding makes the outcome unknown, as Content-Encoding does, and "identity", which changes no byte, ends with its connection.

--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -45,6 +45,8 @@
 const DISCARD_TIMEOUT_MS = 500;
 /** Lowest status of an answer that is a failure. */
 const MIN_ERROR_STATUS = 400;
+/** The only transfer coding that Node's parser decodes. */
+const CHUNKED = "chunked";
 /** Most 1xx responses before an answer; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 
@@ -216,6 +218,8 @@
   if (!facts.isSigned) return "Answer has no signature of the endpoint";
   const encoding = message.headers["content-encoding"];
   if (encoding !== undefined) return `Answer is encoded as "${encoding}"`;
+  const coding = listTransferCodings(message).find((one) => one !== CHUNKED);
+  if (coding !== undefined) return `Answer is encoded as "${coding}"`;
   return undefined;
 }
 
@@ -244,11 +248,19 @@
   return true;
 }
 
+/** Transfer codings, outermost last. `identity` leaves the body as it is. */
+function listTransferCodings({ headers }: IncomingMessage): string[] {
+  return (headers["transfer-encoding"] ?? "")
+    .split(",")
+    .map((coding) => coding.trim().toLowerCase())
+    .filter((coding) => coding !== "" && coding !== "identity");
+}
+
 /** True when the answer's own framing marks its end. */
-function hasLength({ headers }: IncomingMessage): boolean {
+function hasLength(message: IncomingMessage): boolean {
   return (
-    headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined
+    message.headers["content-length"] !== undefined ||
+    listTransferCodings(message).at(-1) === CHUNKED
   );
 }
 
