Go on with a planned stop when its signal comes twice

Callers whose requests still ran saw a closed connection when a second SIGTERM, or a SIGINT after it, reached a stopping entry.

Cause: the listeners were removed with the first signal, and without one Node ends the process at once. They stay now; the stop that has begun keeps its times, so a SIGKILL remains the way to end it sooner.

Figures: the test failed before, its request is answered with 200 now.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -68,7 +68,8 @@
   const log = createEntryLogger(settings.value, output);
   const stopRequested = new Promise<string>((resolve) => {
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.once(signal, () => resolve(signal));
+      // Without a listener, a second signal would end the process at once.
+      process.on(signal, () => resolve(signal));
     }
   });
   process.on("SIGHUP", () => reportReload(settings.value, log));
