Answer what still runs at the end of a planned stop

Callers of a stopping entry saw closed connections for all requests without a head, at 0.94 of the grace: at a silent endpoint, behind an endpoint's head, in the queue for a connection, with a body still to come. That promises nothing, also where the request had never run.

Cause: the end of a stop only broke connections. Now it aborts the requests. Each one is answered with what is known: 502 where it may have run, 503 (stopping) where no attempt was sent, before admission too. A stream of which the caller has a part is broken as before. The answers' bytes have until 0.97 of the grace, after which nothing is sent, so that no answer without chunks ends with the death of the process.

A stream's head goes out with its first event, as Node sent it before; until then a broken stream is answered with 502 instead of a closed connection, also beside a stop. An answered attempt counts as run.

Tried first: the end at 0.94 and 0.97 for each grace. Now at least 150 and 50 ms are left, but the end is not sooner than 0.85 of the grace: endpoints may be at work until 5/6 of it.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -26,6 +26,7 @@
   RetryBudget,
   Rollouts,
   SessionVersions,
+  Shutdown,
   startListening,
   startMetricsServer,
   startPeerServer,
@@ -59,8 +60,14 @@
  * failure.
  */
 const ACCEPT_SHARE = 0.3;
-/** Share of the grace period after which running requests are aborted. */
-const ABORT_SHARE = 0.94;
+/**
+ * When requests that still run are ended, as a share of the grace period, and
+ * the least time before its end: their callers must get the last answers. It is
+ * later than five sixths, since endpoints may be at work until then.
+ */
+const END = { share: 0.94, minRestMs: 150, minShare: 0.85 } as const;
+/** The same for when answers are no longer sent. */
+const BREAK = { share: 0.97, minRestMs: 50, minShare: 0.95 } as const;
 
 /** HTTP path at which an operator releases a prompt part, named in the body. */
 const RELEASE_PATH = "/release-prompt-part";
@@ -101,6 +108,7 @@
   const { random } = Math;
   const connections = new Connections(signal);
   const loopDelay = new LoopDelay();
+  const shutdown = new Shutdown();
   const freshness = new Freshness(clock, () => void sync.confirmNow());
   const era = new StoreEra(() => {
     void sync.startRestore();
@@ -208,6 +216,7 @@
     connections,
     freshness,
     loopDelay,
+    shutdown,
     now,
     random,
     retryBudget: new RetryBudget({
@@ -274,15 +283,26 @@
     stop: async () => {
       isStopping = true;
       peers.leave();
-      await stopServer(callerServer, requestHandler, {
+      await stopServer(callerServer, requestHandler, shutdown, {
         acceptMs: ACCEPT_SHARE * bounds.graceMs,
-        abortAfterMs: ABORT_SHARE * bounds.graceMs,
+        endAfterMs: computeTimeInGrace(END, bounds.graceMs),
+        breakAfterMs: computeTimeInGrace(BREAK, bounds.graceMs),
       });
       abort();
     },
   };
 }
 
+function computeTimeInGrace(
+  { share, minRestMs, minShare }: typeof END | typeof BREAK,
+  graceMs: number,
+): number {
+  return Math.max(
+    minShare * graceMs,
+    Math.min(share * graceMs, graceMs - minRestMs),
+  );
+}
+
 /** Takes over the early listener if it listens on the callers' address. */
 async function openCallerServer<S extends Server>(
   server: S,
--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -3,6 +3,7 @@
 export * from "./placing/index.js";
 export * from "./proxy_metrics.js";
 export * from "./request/index.js";
+export * from "./shutdown.js";
 export * from "./start_listening.js";
 export * from "./suspend_clock.js";
 export * from "./types.js";
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -16,6 +16,7 @@
   type RetryBudget,
 } from "../placing/index.js";
 import type { ProxyMetrics } from "../proxy_metrics.js";
+import type { Shutdown } from "../shutdown.js";
 import {
   type AnswerFacts,
   type RawHeaders,
@@ -66,6 +67,7 @@
   readonly connections: Connections;
   readonly retryBudget: RetryBudget;
   readonly promptHolds: PromptHolds;
+  readonly shutdown: Shutdown;
   /** Monotonic clock, ms. */
   readonly now: () => number;
 }
@@ -82,7 +84,7 @@
   readonly startedAtMs: number;
   /** The caller's deadline or the route's timeout, whichever is first. */
   readonly deadlineAtMs: number;
-  /** Aborts when the caller leaves or the deadline passes. */
+  /** Aborts when the caller leaves, the deadline passes or the stop ends. */
   readonly signal: AbortSignal;
 }
 
--- a/src/proxy/request/index.ts
+++ b/src/proxy/request/index.ts
@@ -9,3 +9,4 @@
 export * from "./request_run.js";
 export * from "./send_answer.js";
 export * from "./send_attempt.js";
+export * from "./stopping_refusal.js";
--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -10,6 +10,7 @@
 import type { Duplex } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "../fleet/index.js";
+import type { Shutdown } from "../shutdown.js";
 import { startListening } from "../start_listening.js";
 import type { NetworkAddress } from "../types.js";
 import type { RequestHandler } from "./request_handler.js";
@@ -24,6 +25,8 @@
 const HEAD_CHECK_INTERVAL_MS = 1_000;
 /** Interval at which idle connections are closed while stopping, ms. */
 const IDLE_CLOSE_INTERVAL_MS = 100;
+/** Interval at which the last answers are checked for having been sent, ms. */
+const SENT_CHECK_INTERVAL_MS = 5;
 
 /** Creates the server for callers; it does not listen yet. */
 export function createCallerServer(
@@ -109,34 +112,45 @@
 export interface DrainTimes {
   /** How long requests on open connections are still accepted, ms. */
   readonly acceptMs: number;
-  /** When requests still running are aborted, ms after the start. */
-  readonly abortAfterMs: number;
+  /** When requests still running are ended, ms after the start. */
+  readonly endAfterMs: number;
+  /** When answers that are still being sent are broken off. */
+  readonly breakAfterMs: number;
 }
 
 /**
  * Drains the server, so that callers move to other entries: first connections
  * are closed after each answer; then new requests are refused and idle
- * connections closed. Resolves when no request is open, or when the remaining
- * ones are aborted.
+ * connections closed. Resolves when no request is open. At the end of the time
+ * the remaining ones are answered with a failure, or broken off where a part of
+ * the answer has been sent.
  */
 export async function stopServer(
   server: Server,
   handler: RequestHandler,
+  shutdown: Shutdown,
   times: DrainTimes,
 ): Promise<void> {
   const startedAtMs = performance.now();
+  const { acceptMs, endAfterMs, breakAfterMs } = times;
   const getElapsedMs = () => performance.now() - startedAtMs;
+  const hasTime = (untilMs: number) =>
+    getElapsedMs() < untilMs && handler.openRequestCount > 0;
+  shutdown.begin(startedAtMs + endAfterMs);
   handler.closeConnectionsAfterAnswers();
-  await delay(times.acceptMs);
+  await delay(acceptMs);
   handler.refuseRequests();
   do {
     // Data may wait unread in a busy process; don't close such a connection.
     await waitForPendingReads();
     // To Node, a connection is idle even if its answer is not yet sent.
     if (!handler.hasUnsentAnswers) server.closeIdleConnections();
-    await delay(IDLE_CLOSE_INTERVAL_MS);
+    const remainingMs = endAfterMs - getElapsedMs();
+    await delay(Math.min(IDLE_CLOSE_INTERVAL_MS, remainingMs));
     await waitForPendingReads();
-  } while (getElapsedMs() < times.abortAfterMs && handler.openRequestCount > 0);
+  } while (hasTime(endAfterMs));
+  shutdown.end();
+  while (hasTime(breakAfterMs)) await delay(SENT_CHECK_INTERVAL_MS);
   server.close();
   handler.breakOpenAnswers();
   server.closeAllConnections();
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -3,17 +3,24 @@
  * account, and runs it, or refuses at once what can't be served.
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  validateHeaderName,
+  validateHeaderValue,
+} from "node:http";
 import { ignoreBody, readBody } from "../../adapters/http_server.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
+import type { Shutdown } from "../shutdown.js";
 import type { RawHeaders, RequestFacts, Route, WireFormat } from "../types.js";
 import type { RunDependencies, RunRequest } from "./attempt_runner.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
+import { createStoppingRefusal } from "./stopping_refusal.js";
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
 
 /** Longest wait for the store to confirm an old or load a missing view, ms. */
@@ -22,8 +29,8 @@
 const REFUSAL_MARGIN_MS = 20;
 /** Retry delay in a refusal for a missing or outdated configuration, ms. */
 const STALE_RETRY_AFTER_MS = 500;
-/** Retry delay while stopping, ms: short, as another entry is available. */
-const STOPPING_RETRY_AFTER_MS = 20;
+/** Lowest status that Node sends. */
+const MIN_STATUS = 100;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
 export interface RequestHandlerOptions extends RunDependencies {
@@ -78,7 +85,7 @@
     this.#refusesRequests = true;
   }
 
-  /** Breaks off the answers that are not complete when the time is over. */
+  /** Breaks off the answers of which not all bytes could be sent. */
   breakOpenAnswers(): void {
     for (const response of this.#openResponses) breakAnswer(response);
   }
@@ -104,7 +111,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
-    const { wire, view, log, loopDelay, random } = this.#options;
+    const { wire, view, log, loopDelay, random, shutdown } = this.#options;
     if (this.#closesConnections || random() < loopDelay.closeShare) {
       response.shouldKeepAlive = false;
     }
@@ -122,12 +129,14 @@
     }
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(incoming, limit).catch((error: Error) => {
-      log.info("request-aborted", {
-        request: facts?.id,
-        reason: error.message,
-      });
-    });
+    const body = await refuseAtEnd(readBody(incoming, limit), shutdown).catch(
+      (error: Error) => {
+        log.info("request-aborted", {
+          request: facts?.id,
+          reason: error.message,
+        });
+      },
+    );
     if (body === undefined) return;
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
@@ -141,7 +150,7 @@
       this.#refuse(sink, facts, body);
       return;
     }
-    const admitted = await this.#admit(facts);
+    const admitted = await refuseAtEnd(this.#admit(facts), shutdown);
     if ("kind" in admitted) {
       this.#refuse(sink, facts, admitted);
       return;
@@ -177,10 +186,7 @@
   async #admit(facts: RequestFacts): Promise<AdmittedRequest | Refusal> {
     const { view, freshness, maxConfigAgeMs, maxDenyAgeMs, waitUntilLoaded } =
       this.#options;
-    if (this.#refusesRequests) {
-      const retryAfterMs = STOPPING_RETRY_AFTER_MS;
-      return createRefusal("stopping", "The entry stops", { retryAfterMs });
-    }
+    if (this.#refusesRequests) return createStoppingRefusal("The entry stops");
     await waitUntilLoaded(MAX_CONFIRM_WAIT_MS);
     if (view.catalog === undefined) {
       return createStaleRefusal("No configuration has been read yet");
@@ -213,7 +219,7 @@
     response: ServerResponse,
     sink: AnswerSink,
   ): Promise<void> {
-    const { random, log, metrics, now } = this.#options;
+    const { random, log, metrics, now, shutdown } = this.#options;
     const { catalog, facts, startedAtMs, ...rest } = admitted;
     const { route } = rest;
     const service = catalog.findService(chooseService(route, random));
@@ -237,6 +243,8 @@
       abort,
       Math.max(0, deadlineAtMs - now()),
     );
+    shutdown.signal.addEventListener("abort", abort, { once: true });
+    if (shutdown.signal.aborted) abort();
     response.once("close", abort);
     // "end" comes some turns of the event loop before "close".
     const { socket } = response;
@@ -255,6 +263,7 @@
     );
     const outcome = await run.run();
     deadlineTimer.cancel();
+    shutdown.signal.removeEventListener("abort", abort);
     response.off("close", abort);
     socket?.off("end", abort);
     // Cancels attempts that still run because their answers were discarded.
@@ -279,6 +288,23 @@
   }
 }
 
+/**
+ * Resolves to the result of work that comes before a request runs, or to a
+ * refusal if the stop of the entry ends first.
+ */
+function refuseAtEnd<T>(
+  work: Promise<T>,
+  { signal }: Shutdown,
+): Promise<T | Refusal> {
+  return new Promise((resolve, reject) => {
+    const refuse = () => resolve(createStoppingRefusal("The entry stops"));
+    if (signal.aborted) refuse();
+    signal.addEventListener("abort", refuse, { once: true });
+    const settle = () => signal.removeEventListener("abort", refuse);
+    work.then(resolve, reject).finally(settle);
+  });
+}
+
 /**
  * Waits until the last byte of an answer is sent, so that a slow reader gets
  * all of it even when the entry stops meanwhile.
@@ -340,17 +366,38 @@
   response.destroy();
 }
 
+/** Throws on what Node would refuse to send. */
+function checkHead(status: number, headers: RawHeaders): void {
+  if (status < MIN_STATUS) throw new RangeError(`Status ${status}`);
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] ?? "";
+    validateHeaderName(name);
+    validateHeaderValue(name, headers[i + 1] ?? "");
+  }
+}
+
 function createSink(
   response: ServerResponse,
   wire: WireFormat,
   requestId: string,
 ): AnswerSink {
+  let pendingHead: { status: number; headers: RawHeaders } | undefined;
+  const sendHead = () => {
+    if (pendingHead === undefined) return;
+    response.writeHead(pendingHead.status, pendingHead.headers);
+    pendingHead = undefined;
+  };
   return {
+    // Sent with the first data: until then a failure can still be told.
     writeHead: (status: number, headers: RawHeaders) => {
-      if (response.destroyed) return;
-      response.writeHead(status, headers);
+      checkHead(status, headers);
+      pendingHead = { status, headers };
+    },
+    write: (data: Buffer) => {
+      if (response.destroyed) return true;
+      sendHead();
+      return response.write(data);
     },
-    write: (data: Buffer) => response.destroyed || response.write(data),
     waitForDrain: (signal: AbortSignal) =>
       new Promise<void>((resolve) => {
         const settle = () => {
@@ -364,9 +411,16 @@
         signal.addEventListener("abort", settle, { once: true });
       }),
     end: (data?: Buffer) => {
-      if (!response.destroyed) response.end(data);
+      if (response.destroyed) return;
+      sendHead();
+      response.end(data);
+    },
+    destroy: () => {
+      if (pendingHead === undefined) return breakAnswer(response);
+      const detail = "The answer broke off before its first event";
+      const refusal = createRefusal("outcome-unknown", detail);
+      sendRefusal(response, wire, requestId, refusal);
     },
-    destroy: () => breakAnswer(response),
     refuse: (refusal: Refusal) =>
       sendRefusal(response, wire, requestId, refusal),
   };
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -33,6 +33,7 @@
   sendStream,
 } from "./send_answer.js";
 import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
+import { createStoppingRefusal } from "./stopping_refusal.js";
 
 /** Stall timeout of a stream, as a multiple of the route's target event gap. */
 const STALL_TIMEOUT_PER_TARGET_GAP = 1.25;
@@ -131,7 +132,10 @@
         isLast: this.#attemptsLeft <= 0,
         lastEventId,
       });
-      if (outcome.kind === OUTCOME_KIND.answered) return outcome.attempt;
+      if (outcome.kind === OUTCOME_KIND.answered) {
+        this.#mayHaveRun = true;
+        return outcome.attempt;
+      }
       this.#recordFailure(outcome);
       if (!this.#mayRetry()) return undefined;
     }
@@ -296,7 +300,7 @@
         return "answered";
       }
       this.#lastFailure = signal.aborted
-        ? "the caller left or its time was up"
+        ? "the caller left, its time was up or the entry stopped"
         : (end.detail ?? "");
       if (!sequence.canResume) this.#addFailure("the last event has no id");
       this.#attemptRunner.endBroken(attempt, {
@@ -355,17 +359,21 @@
   /** Forwards an endpoint's error or refuses, telling if it may have run. */
   #sendFailure(): RunOutcome {
     const { signal, deadlineAtMs } = this.#request;
-    const { now, random, wire, promptHolds } = this.#dependencies;
+    const { now, random, wire, promptHolds, shutdown } = this.#dependencies;
     if (this.#errorAnswer !== undefined) {
       const { head, body } = this.#errorAnswer;
       sendAnswer(this.#sink, wire, head, body);
       return "answered";
     }
     const detail = this.#lastFailure;
-    const isOutOfTime = signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS;
+    const isStopped = shutdown.signal.aborted;
+    const isOutOfTime =
+      !isStopped && (signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS);
     const { minMs, maxMs } = RETRY_AFTER_MS;
     const spreadMs = minMs + random() * (maxMs - minMs);
-    if (isOutOfTime) {
+    if (isStopped && !this.#mayHaveRun) {
+      this.#sink.refuse(createStoppingRefusal(detail));
+    } else if (isOutOfTime) {
       const ran = this.#mayHaveRun ? "unknown" : "no";
       this.#sink.refuse(createRefusal("deadline-exceeded", detail, { ran }));
     } else if (this.#mayHaveRun) {
