Decide with an answer's head whether it closes its connection

Callers that sent two requests without waiting got the first answer and a closed connection, in a stop and on a busy host: the second request had been read and passed on, and may have run. A request read before the SIGTERM was answered with keep-alive, and its connection closed.

Cause: whether a connection is closed was decided when a request was read. It is decided with the head of its answer now, and only the answer to the latest request read from the connection closes it. What comes behind such an answer is not handled: nothing could answer it.

--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -9,6 +9,7 @@
   validateHeaderName,
   validateHeaderValue,
 } from "node:http";
+import type { Socket } from "node:net";
 import { ignoreBody, readBody } from "../../adapters/http_server.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
@@ -58,6 +59,8 @@
   readonly #options: RequestHandlerOptions;
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
+  /** The response to the latest request of each connection. */
+  readonly #latestResponses = new WeakMap<Socket, ServerResponse>();
   #unsentAnswers = 0;
   #closesConnections = false;
   #refusesRequests = false;
@@ -91,6 +94,15 @@
   }
 
   async handle(request: IncomingMessage, response: ServerResponse) {
+    const { socket } = request;
+    const previous = this.#latestResponses.get(socket);
+    if (previous?.headersSent && !previous.shouldKeepAlive) {
+      // No answer can follow, so it must not run.
+      const reason = "the answer before it closes the connection";
+      this.#options.log.info("request-ignored", { reason });
+      return;
+    }
+    this.#latestResponses.set(socket, response);
     this.#openRequests++;
     this.#openResponses.add(response);
     try {
@@ -111,15 +123,14 @@
     response: ServerResponse,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
-    const { wire, view, log, loopDelay, random, shutdown } = this.#options;
-    if (this.#closesConnections || random() < loopDelay.closeShare) {
-      response.shouldKeepAlive = false;
-    }
+    const { wire, view, log, random, shutdown } = this.#options;
     const method = incoming.method ?? "GET";
     const target = incoming.url ?? "/";
     const headers = incoming.rawHeaders;
     const facts = wire.parseRequest(method, target, headers);
-    const sink = createSink(response, wire, facts?.id ?? "");
+    const sink = createSink(response, wire, facts?.id ?? "", () =>
+      this.#closeConnectionIfDue(incoming, response),
+    );
     const { promptHolds } = this.#options;
     const held = facts === undefined ? undefined : promptHolds.admit(facts);
     if (facts !== undefined && held !== undefined) {
@@ -162,6 +173,21 @@
     );
   }
 
+  /**
+   * Called just before the head of an answer: a later answer on the connection
+   * could not be sent after one that closes it.
+   */
+  #closeConnectionIfDue(
+    { socket }: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    if (this.#latestResponses.get(socket) !== response) return;
+    const { random, loopDelay } = this.#options;
+    if (this.#closesConnections || random() < loopDelay.closeShare) {
+      response.shouldKeepAlive = false;
+    }
+  }
+
   #logCallerLeft(facts: RequestFacts | undefined): void {
     this.#options.log.info("request-aborted", {
       request: facts?.id,
@@ -380,10 +406,16 @@
   response: ServerResponse,
   wire: WireFormat,
   requestId: string,
+  onHead: () => void,
 ): AnswerSink {
+  const refuse = (refusal: Refusal) => {
+    onHead();
+    sendRefusal(response, wire, requestId, refusal);
+  };
   let pendingHead: { status: number; headers: RawHeaders } | undefined;
   const sendHead = () => {
     if (pendingHead === undefined) return;
+    onHead();
     response.writeHead(pendingHead.status, pendingHead.headers);
     pendingHead = undefined;
   };
@@ -418,11 +450,9 @@
     destroy: () => {
       if (pendingHead === undefined) return breakAnswer(response);
       const detail = "The answer broke off before its first event";
-      const refusal = createRefusal("outcome-unknown", detail);
-      sendRefusal(response, wire, requestId, refusal);
+      refuse(createRefusal("outcome-unknown", detail));
     },
-    refuse: (refusal: Refusal) =>
-      sendRefusal(response, wire, requestId, refusal),
+    refuse,
   };
 }
 
