Begin nothing in a planned stop that can't end within its grace

Endpoints were given up to the callers' whole deadline by an entry that stopped sooner (4,001 ms of 2,000 in the test), and worked on what was cut at the end; requests that may run once were passed on although the service usually takes longer than the grace leaves.

Now an attempt's time ends 50 ms before the end of the stop, and a request that has not run is refused at once (503, 20 ms to return) where the usual time of its service, or that expected of the endpoint, does not fit. A request that may have run is tried on with the time that is left: its caller gains nothing by an earlier failure.

Tried first: the endpoint's expected time alone. It compares endpoints and was 40 ms where answers take 950, so one of the two tests still failed; the mean time to a head is known for each service and model.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -57,6 +57,11 @@
 const STATUS_UNAVAILABLE = 503;
 /** Part that one entry uses of its equal share of an endpoint's connections. */
 const CONNECTION_SHARE = 0.8;
+/**
+ * Time for an endpoint's answer at its deadline before the stop of the entry
+ * ends, ms: it may state that it has not run.
+ */
+const END_MARGIN_MS = 50;
 /** Callers choose the ids, so they may be of any length. */
 const MAX_LOGGED_PARTS_LENGTH = 160;
 
@@ -286,10 +291,11 @@
   #createAttemptOptions(attempt: Attempt, lastEventId?: number) {
     const { facts, method, headers, body, account, rank, deadlineAtMs } =
       this.#request;
-    const { wire, connections, limits, now } = this.#dependencies;
+    const { wire, connections, limits, now, shutdown } = this.#dependencies;
     const { record } = attempt.state;
+    const endsAtMs = Math.min(deadlineAtMs, shutdown.endsAtMs - END_MARGIN_MS);
     const startedAtMs = limits.readAnswerClock();
-    const remainingMs = Math.max(1, Math.floor(deadlineAtMs - now()));
+    const remainingMs = Math.max(1, Math.floor(endsAtMs - now()));
     return {
       address: record.address,
       port: record.port,
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -58,6 +58,8 @@
   #startedAttempts = 0;
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
+  /** The entry stops before an endpoint would have answered. */
+  #isTooLate = false;
   #lastFailure = "";
   /** Parts of the prompt for which no more attempts may be made. */
   #heldParts: HeldParts | undefined;
@@ -166,7 +168,8 @@
 
   #choose(model: string): EndpointChoice | undefined {
     const { service, signal, deadlineAtMs } = this.#request;
-    const { now, countEntries, retryBudget, promptHolds } = this.#dependencies;
+    const { now, view, countEntries, retryBudget, promptHolds, shutdown } =
+      this.#dependencies;
     const nowMs = now();
     if (signal.aborted || deadlineAtMs - nowMs < MIN_ATTEMPT_MS) {
       return this.#addFailure("no time is left");
@@ -184,6 +187,13 @@
     const entryCount = countEntries();
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
     if (choice === undefined) return this.#addFailure("no endpoint is open");
+    // Where it may have run, the caller gains nothing by an earlier failure.
+    const usualMs = view.meanHeadLatencies.getMs(service.name, model);
+    const expectedMs = Math.max(choice.expectedMs, usualMs);
+    if (!this.#mayHaveRun && nowMs + expectedMs > shutdown.endsAtMs) {
+      this.#isTooLate = true;
+      return this.#addFailure("the entry stops before an answer is expected");
+    }
     if (
       this.#countedAttempts > 0 &&
       !retryBudget.spend(service.name, entryCount, nowMs)
@@ -371,7 +381,7 @@
       !isStopped && (signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS);
     const { minMs, maxMs } = RETRY_AFTER_MS;
     const spreadMs = minMs + random() * (maxMs - minMs);
-    if (isStopped && !this.#mayHaveRun) {
+    if ((isStopped || this.#isTooLate) && !this.#mayHaveRun) {
       this.#sink.refuse(createStoppingRefusal(detail));
     } else if (isOutOfTime) {
       const ran = this.#mayHaveRun ? "unknown" : "no";
