Show that a stopping entry sends requests that waited for a connection

Chosen in time, a request that may run once waits for one of the endpoint's connections, gets it 850 ms before the end of the stop, and is sent to a service that takes 1,000 ms: its caller gets 502, and it may have run. The time is checked only when the endpoint is chosen.

--- a/src/platform/planned_stop_test.ts
+++ b/src/platform/planned_stop_test.ts
@@ -280,6 +280,31 @@
       assert.equal(countArrivals("late"), 0);
     });
 
+    // It was chosen in time and sent when there was a connection.
+    it("refuses as not run what gets its connection too late", async () => {
+      await system.startStore();
+      const configuration = createConfiguration();
+      for (const service of configuration.services) service.max_conns = 1;
+      system.store.put("config", "main", configuration);
+      await system.startReplica({ id: "i-1", delayMs: 1_000 });
+      await system.startEntry();
+      await system.waitFor(() => system.isReady);
+      await system.call("/once/a", { id: "first" });
+      const running = system.call("/once/a", { id: "running" });
+      await system.waitFor(() => system.listRuns("running").length === 1);
+      const stopped = measureStop();
+      const calledAtMs = performance.now();
+      const waiting = await system.call("/once/a", {
+        id: "waiting",
+        deadlineMs: LONG_DEADLINE_MS,
+      });
+      assert.equal((await running).status, 200);
+      assert.equal(waiting.status, 503);
+      assert.ok(performance.now() - calledAtMs < 1_400);
+      await stopped;
+      assert.equal(countArrivals("waiting"), 0);
+    });
+
     // The load balancer sends callers elsewhere by then.
     it("refuses late requests at once while earlier ones still run", async () => {
       await system.start([{ id: "i-1", neverAnswers: true }]);
