Send no request in a planned stop that got its connection too late

Whether a request can end within the grace was asked when its endpoint was chosen. It is asked again when there is a connection, as the other reasons not to send are: what is not sent then is refused as not run, or goes to another endpoint.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -204,6 +204,14 @@
     return { kind: OUTCOME_KIND.answered, attempt: answered };
   }
 
+  /** True where an answer is expected before a stop of the entry ends. */
+  isInTime(expectedMs: number, model: string): boolean {
+    const { view, now, shutdown } = this.#dependencies;
+    const { service } = this.#request;
+    const usualMs = view.meanHeadLatencies.getMs(service.name, model);
+    return now() + Math.max(expectedMs, usualMs) <= shutdown.endsAtMs;
+  }
+
   #beginAttempt({ choice, model, number }: AttemptSpec): Attempt {
     const { service, route, signal } = this.#request;
     const { now, limits, log, view } = this.#dependencies;
@@ -315,6 +323,7 @@
       agent: this.#getAgent(connections, record.id),
       wire,
       maySend: () =>
+        this.isInTime(attempt.expectedMs, attempt.model) &&
         this.#dependencies.view.maySendTo(attempt.state, now()) &&
         this.#dependencies.promptHolds.find(facts) === undefined &&
         attempt.reservation.redeem(),
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -168,8 +168,7 @@
 
   #choose(model: string): EndpointChoice | undefined {
     const { service, signal, deadlineAtMs } = this.#request;
-    const { now, view, countEntries, retryBudget, promptHolds, shutdown } =
-      this.#dependencies;
+    const { now, countEntries, retryBudget, promptHolds } = this.#dependencies;
     const nowMs = now();
     if (signal.aborted || deadlineAtMs - nowMs < MIN_ATTEMPT_MS) {
       return this.#addFailure("no time is left");
@@ -188,9 +187,8 @@
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
     if (choice === undefined) return this.#addFailure("no endpoint is open");
     // Where it may have run, the caller gains nothing by an earlier failure.
-    const usualMs = view.meanHeadLatencies.getMs(service.name, model);
-    const expectedMs = Math.max(choice.expectedMs, usualMs);
-    if (!this.#mayHaveRun && nowMs + expectedMs > shutdown.endsAtMs) {
+    const isInTime = this.#attemptRunner.isInTime(choice.expectedMs, model);
+    if (!this.#mayHaveRun && !isInTime) {
       this.#isTooLate = true;
       return this.#addFailure("the entry stops before an answer is expected");
     }
