--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -16,6 +16,7 @@
   type RetryBudget,
 } from "../placing/index.js";
 import type { ProxyMetrics } from "../proxy_metrics.js";
+import type { Shutdown } from "../shutdown.js";
 import {
   type AnswerFacts,
   type RawHeaders,
@@ -56,6 +57,11 @@
 const STATUS_UNAVAILABLE = 503;
 /** Part that one entry uses of its equal share of an endpoint's connections. */
 const CONNECTION_SHARE = 0.8;
+/**
+ * Time for an endpoint's answer at its deadline before the stop of the entry
+ * ends, ms: it may state that it has not run.
+ */
+const END_MARGIN_MS = 50;
 /** Callers choose the ids, so they may be of any length. */
 const MAX_LOGGED_PARTS_LENGTH = 160;
 
@@ -66,6 +72,7 @@
   readonly connections: Connections;
   readonly retryBudget: RetryBudget;
   readonly promptHolds: PromptHolds;
+  readonly shutdown: Shutdown;
   /** Monotonic clock, ms. */
   readonly now: () => number;
 }
@@ -82,7 +89,7 @@
   readonly startedAtMs: number;
   /** The caller's deadline or the route's timeout, whichever is first. */
   readonly deadlineAtMs: number;
-  /** Aborts when the caller leaves or the deadline passes. */
+  /** Aborts when the caller leaves, the deadline passes or the stop ends. */
   readonly signal: AbortSignal;
 }
 
@@ -218,6 +225,14 @@
     return { kind: OUTCOME_KIND.answered, attempt: answered };
   }
 
+  /** True where an answer is expected before a stop of the entry ends. */
+  isInTime(expectedMs: number, model: string): boolean {
+    const { view, now, shutdown } = this.#dependencies;
+    const { service } = this.#request;
+    const usualMs = view.meanHeadLatencies.getMs(service.name, model);
+    return now() + Math.max(expectedMs, usualMs) <= shutdown.endsAtMs;
+  }
+
   #beginAttempt({ choice, model, number, hooks }: AttemptSpec): Attempt {
     const { service, route, signal } = this.#request;
     const { now, limits, log, view } = this.#dependencies;
@@ -308,10 +323,11 @@
   #createAttemptOptions(attempt: Attempt, spec: AttemptSpec) {
     const { facts, method, headers, body, account, rank, deadlineAtMs } =
       this.#request;
-    const { wire, connections, limits, now } = this.#dependencies;
+    const { wire, connections, limits, now, shutdown } = this.#dependencies;
     const { record } = attempt.state;
+    const endsAtMs = Math.min(deadlineAtMs, shutdown.endsAtMs - END_MARGIN_MS);
     const startedAtMs = limits.readAnswerClock();
-    const remainingMs = Math.max(1, Math.floor(deadlineAtMs - now()));
+    const remainingMs = Math.max(1, Math.floor(endsAtMs - now()));
     return {
       address: record.address,
       port: record.port,
@@ -332,6 +348,7 @@
       wire,
       maySend: () => {
         const isAllowed =
+          this.isInTime(attempt.expectedMs, attempt.model) &&
           this.#dependencies.view.maySendTo(attempt.state, now()) &&
           this.#dependencies.promptHolds.find(facts) === undefined &&
           attempt.reservation.redeem();
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -3,11 +3,17 @@
  * account, and runs it, or refuses at once what can't be served.
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  validateHeaderName,
+  validateHeaderValue,
+} from "node:http";
 import { ignoreBody, readBody } from "../../adapters/http_server.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
+import type { Shutdown } from "../shutdown.js";
 import type { RawHeaders, RequestFacts, Route, WireFormat } from "../types.js";
 import type { RunDependencies, RunRequest } from "./attempt_runner.js";
 import { CallerConnections } from "./caller_connections.js";
@@ -15,6 +21,7 @@
 import { InactivityTimer } from "./inactivity_timer.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
+import { createStoppingRefusal } from "./stopping_refusal.js";
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
 
 /** Longest wait for the store to confirm an old or load a missing view, ms. */
@@ -23,8 +30,8 @@
 const REFUSAL_MARGIN_MS = 20;
 /** Retry delay in a refusal for a missing or outdated configuration, ms. */
 const STALE_RETRY_AFTER_MS = 500;
-/** Retry delay while stopping, ms: short, as another entry is available. */
-const STOPPING_RETRY_AFTER_MS = 20;
+/** Lowest status that Node sends. */
+const MIN_STATUS = 100;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
 export interface RequestHandlerOptions extends RunDependencies {
@@ -80,7 +87,7 @@
     this.#refusesRequests = true;
   }
 
-  /** Breaks off the answers that are not complete when the time is over. */
+  /** Breaks off the answers of which not all bytes could be sent. */
   breakOpenAnswers(): void {
     for (const response of this.#openResponses) breakAnswer(response);
   }
@@ -113,7 +120,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
-    const { wire, view, log, loopDelay, random } = this.#options;
+    const { wire, view, log, loopDelay, random, shutdown } = this.#options;
     const method = incoming.method ?? "GET";
     const target = incoming.url ?? "/";
     const headers = incoming.rawHeaders;
@@ -133,12 +140,14 @@
     }
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(incoming, limit).catch((error: Error) => {
-      log.info("request-aborted", {
-        request: facts?.id,
-        reason: error.message,
-      });
-    });
+    const body = await refuseAtEnd(readBody(incoming, limit), shutdown).catch(
+      (error: Error) => {
+        log.info("request-aborted", {
+          request: facts?.id,
+          reason: error.message,
+        });
+      },
+    );
     if (body === undefined) return;
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
@@ -152,7 +161,7 @@
       this.#refuse(sink, facts, body);
       return;
     }
-    const admitted = await this.#admit(facts);
+    const admitted = await refuseAtEnd(this.#admit(facts), shutdown);
     if ("kind" in admitted) {
       this.#refuse(sink, facts, admitted);
       return;
@@ -209,10 +218,7 @@
   async #admit(facts: RequestFacts): Promise<AdmittedRequest | Refusal> {
     const { view, freshness, maxConfigAgeMs, maxDenyAgeMs, waitUntilLoaded } =
       this.#options;
-    if (this.#refusesRequests) {
-      const retryAfterMs = STOPPING_RETRY_AFTER_MS;
-      return createRefusal("stopping", "The entry stops", { retryAfterMs });
-    }
+    if (this.#refusesRequests) return createStoppingRefusal("The entry stops");
     await waitUntilLoaded(MAX_CONFIRM_WAIT_MS);
     if (view.catalog === undefined) {
       return createStaleRefusal("No configuration has been read yet");
@@ -245,7 +251,7 @@
     response: ServerResponse,
     sink: AnswerSink,
   ): Promise<void> {
-    const { random, log, metrics, now } = this.#options;
+    const { random, log, metrics, now, shutdown } = this.#options;
     const { catalog, facts, startedAtMs, ...rest } = admitted;
     const { route } = rest;
     const service = catalog.findService(chooseService(route, random));
@@ -269,6 +275,8 @@
       abort,
       Math.max(0, deadlineAtMs - now()),
     );
+    shutdown.signal.addEventListener("abort", abort, { once: true });
+    if (shutdown.signal.aborted) abort();
     response.once("close", abort);
     const { req } = response;
     const endLeave = this.callerConnections.onLeave(req, abort);
@@ -286,6 +294,7 @@
     );
     const outcome = await run.run();
     deadlineTimer.cancel();
+    shutdown.signal.removeEventListener("abort", abort);
     response.off("close", abort);
     endLeave();
     // Cancels attempts that still run because their answers were discarded.
@@ -311,6 +320,23 @@
   }
 }
 
+/**
+ * Resolves to the result of work that comes before a request runs, or to a
+ * refusal if the stop of the entry ends first.
+ */
+function refuseAtEnd<T>(
+  work: Promise<T>,
+  { signal }: Shutdown,
+): Promise<T | Refusal> {
+  return new Promise((resolve, reject) => {
+    const refuse = () => resolve(createStoppingRefusal("The entry stops"));
+    if (signal.aborted) refuse();
+    signal.addEventListener("abort", refuse, { once: true });
+    const settle = () => signal.removeEventListener("abort", refuse);
+    work.then(resolve, reject).finally(settle);
+  });
+}
+
 /** Callers never half-close: the end of the stream means that one has left. */
 function hasCallerLeft(
   incoming: IncomingMessage,
@@ -352,19 +378,44 @@
   response.destroy();
 }
 
+/** Throws on what Node would refuse to send. */
+function checkHead(status: number, headers: RawHeaders): void {
+  if (status < MIN_STATUS) throw new RangeError(`Status ${status}`);
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] ?? "";
+    validateHeaderName(name);
+    validateHeaderValue(name, headers[i + 1] ?? "");
+  }
+}
+
 function createSink(
   response: ServerResponse,
   wire: WireFormat,
   requestId: string,
   prepareHead: () => void,
 ): AnswerSink {
+  const refuse = (refusal: Refusal) => {
+    prepareHead();
+    sendRefusal(response, wire, requestId, refusal);
+  };
+  let pendingHead: { status: number; headers: RawHeaders } | undefined;
+  const sendHead = () => {
+    if (pendingHead === undefined) return;
+    prepareHead();
+    response.writeHead(pendingHead.status, pendingHead.headers);
+    pendingHead = undefined;
+  };
   return {
+    // Sent with the first data: until then a failure can still be told.
     writeHead: (status: number, headers: RawHeaders) => {
-      if (response.destroyed) return;
-      prepareHead();
-      response.writeHead(status, headers);
+      checkHead(status, headers);
+      pendingHead = { status, headers };
+    },
+    write: (data: Buffer) => {
+      if (response.destroyed) return true;
+      sendHead();
+      return response.write(data);
     },
-    write: (data: Buffer) => response.destroyed || response.write(data),
     waitForDrain: (signal: AbortSignal) =>
       new Promise<void>((resolve) => {
         const settle = () => {
@@ -378,13 +429,16 @@
         signal.addEventListener("abort", settle, { once: true });
       }),
     end: (data?: Buffer) => {
-      if (!response.destroyed) response.end(data);
+      if (response.destroyed) return;
+      sendHead();
+      response.end(data);
     },
-    destroy: () => breakAnswer(response),
-    refuse: (refusal: Refusal) => {
-      prepareHead();
-      sendRefusal(response, wire, requestId, refusal);
+    destroy: () => {
+      if (pendingHead === undefined) return breakAnswer(response);
+      const detail = "The answer broke off before its first event";
+      refuse(createRefusal("outcome-unknown", detail));
     },
+    refuse,
   };
 }
 
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -36,6 +36,7 @@
   sendStream,
 } from "./send_answer.js";
 import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
+import { createStoppingRefusal } from "./stopping_refusal.js";
 
 /** Stall timeout of a stream, as a multiple of the route's target event gap. */
 const STALL_TIMEOUT_PER_TARGET_GAP = 1.25;
@@ -68,6 +69,8 @@
   #startedAttempts = 0;
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
+  /** The entry stops before an endpoint would have answered. */
+  #isTooLate = false;
   #lastFailure = "";
   /** Parts of the prompt for which no more attempts may be made. */
   #heldParts: HeldParts | undefined;
@@ -163,7 +166,10 @@
       }
       const event = await race.next();
       if (event === undefined) return undefined;
-      if (event.kind === RACE_EVENT.answered) return event.attempt;
+      if (event.kind === RACE_EVENT.answered) {
+        this.#mayHaveRun = true;
+        return event.attempt;
+      }
       mayStart = event.kind === RACE_EVENT.stalled || this.#mayRetry();
     }
   }
@@ -236,6 +242,12 @@
     }
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
     if (choice === undefined) return err("no endpoint is open");
+    // Where it may have run, the caller gains nothing by an earlier failure.
+    const isInTime = this.#attemptRunner.isInTime(choice.expectedMs, model);
+    if (!this.#mayHaveRun && !isInTime) {
+      this.#isTooLate = true;
+      return err("the entry stops before an answer is expected");
+    }
     if (
       this.#countedAttempts > 0 &&
       !retryBudget.spend(service.name, countEntries(), nowMs)
@@ -402,7 +414,7 @@
     { canResume }: EventSequence,
   ): void {
     this.#lastFailure = this.#request.signal.aborted
-      ? "the caller left or its time was up"
+      ? "the caller left, its time was up or the entry stopped"
       : detail;
     if (!canResume) this.#addFailure("the last event has no id");
     this.#attemptRunner.endBroken(attempt, {
@@ -443,17 +455,21 @@
   /** Forwards an endpoint's error or refuses, telling if it may have run. */
   #sendFailure(): RunOutcome {
     const { signal, deadlineAtMs } = this.#request;
-    const { now, random, wire, promptHolds } = this.#dependencies;
+    const { now, random, wire, promptHolds, shutdown } = this.#dependencies;
     if (this.#errorAnswer !== undefined) {
       const { head, body } = this.#errorAnswer;
       sendAnswer(this.#sink, wire, head, body);
       return "answered";
     }
     const detail = this.#lastFailure;
-    const isOutOfTime = signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS;
+    const isStopped = shutdown.signal.aborted;
+    const isOutOfTime =
+      !isStopped && (signal.aborted || deadlineAtMs - now() < MIN_ATTEMPT_MS);
     const { minMs, maxMs } = RETRY_AFTER_MS;
     const spreadMs = minMs + random() * (maxMs - minMs);
-    if (isOutOfTime) {
+    if ((isStopped || this.#isTooLate) && !this.#mayHaveRun) {
+      this.#sink.refuse(createStoppingRefusal(detail));
+    } else if (isOutOfTime) {
       const ran = this.#mayHaveRun ? "unknown" : "no";
       this.#sink.refuse(createRefusal("deadline-exceeded", detail, { ran }));
     } else if (this.#mayHaveRun) {
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -82,6 +82,7 @@
   return new Promise((resolve) => {
     let isSettled = false;
     let readsWithEvents = 0;
+    let bodyBytes = 0;
     let hasBegun = false;
     const begin = () => {
       if (!hasBegun) onBegin();
@@ -121,6 +122,7 @@
     };
     message.on("data", (chunk: Buffer) => {
       if (isSettled) return;
+      bodyBytes += chunk.length;
       const blocks = splitter.push(chunk);
       if (splitter.isOversized) {
         settle({ detail: `An event exceeds ${MAX_EVENT_BYTES} bytes` });
@@ -139,7 +141,7 @@
       else if (!isDrained) pause();
     });
     message.once("end", () => {
-      if (!isWholeAnswer(message)) settleCut("Stream ended early");
+      if (!isWholeAnswer(message, bodyBytes)) settleCut("Stream ended early");
       else if (splitter.incompleteEvent.length > 0)
         settleCut("Stream ended in an event");
       else if (!sequence.mayEnd)
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -45,6 +45,8 @@
 const DISCARD_TIMEOUT_MS = 500;
 /** Lowest status of an answer that is a failure. */
 const MIN_ERROR_STATUS = 400;
+/** The only transfer coding that Node's parser decodes. */
+const CHUNKED = "chunked";
 /** Most 1xx responses before an answer; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 
@@ -190,6 +192,7 @@
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
+      if (isBodyExpected(message, options.method)) needsBody.add(message);
       resolve(ok({ status, facts, headers, message }));
     });
     outgoing.end(body);
@@ -215,6 +218,8 @@
   if (!facts.isSigned) return "Answer has no signature of the endpoint";
   const encoding = message.headers["content-encoding"];
   if (encoding !== undefined) return `Answer is encoded as "${encoding}"`;
+  const coding = listTransferCodings(message).find((one) => one !== CHUNKED);
+  if (coding !== undefined) return `Answer is encoded as "${coding}"`;
   return undefined;
 }
 
@@ -243,11 +248,19 @@
   return true;
 }
 
+/** Transfer codings, outermost last. `identity` leaves the body as it is. */
+function listTransferCodings({ headers }: IncomingMessage): string[] {
+  return (headers["transfer-encoding"] ?? "")
+    .split(",")
+    .map((coding) => coding.trim().toLowerCase())
+    .filter((coding) => coding !== "" && coding !== "identity");
+}
+
 /** True when the answer's own framing marks its end. */
-function hasLength({ headers }: IncomingMessage): boolean {
+function hasLength(message: IncomingMessage): boolean {
   return (
-    headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined
+    message.headers["content-length"] !== undefined ||
+    listTransferCodings(message).at(-1) === CHUNKED
   );
 }
 
@@ -265,11 +278,35 @@
   socket.prependOnceListener("end", () => socket.write(EMPTY_LINE));
 }
 
+/** Successes that have no body, whatever their headers. */
+const BODYLESS_STATUSES = [204, 304];
+/** Answers of which an empty body is no proof that they are complete. */
+const needsBody = new WeakSet<IncomingMessage>();
+
+/**
+ * True for a success that ends with its connection. Without a body it looks
+ * like one whose endpoint stopped before the body and its length.
+ */
+function isBodyExpected(message: IncomingMessage, method: string): boolean {
+  const { statusCode = 0 } = message;
+  return (
+    !hasLength(message) &&
+    method !== "HEAD" &&
+    statusCode < MIN_ERROR_STATUS &&
+    !BODYLESS_STATUSES.includes(statusCode)
+  );
+}
+
 /**
- * True when an answer that ended is complete. An answer without a length ends
- * with its connection, and the parser takes a reset for such an end.
+ * True when an answer that ended after `bodyBytes` is complete. An answer
+ * without a length ends with its connection, and the parser takes a reset for
+ * such an end.
  */
-export function isWholeAnswer(message: IncomingMessage): boolean {
+export function isWholeAnswer(
+  message: IncomingMessage,
+  bodyBytes: number,
+): boolean {
+  if (bodyBytes === 0 && needsBody.has(message)) return false;
   return message.complete && !message.socket?.errored;
 }
 
@@ -339,7 +376,7 @@
       else abandon(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`);
     });
     message.once("end", () => {
-      if (isWholeAnswer(message)) resolve(ok(Buffer.concat(chunks)));
+      if (isWholeAnswer(message, size)) resolve(ok(Buffer.concat(chunks)));
       else fail("Answer ended early");
     });
     message.once("error", (error) => fail(error.message));
