Answer running orders whose caller writes what can't be read behind them

A caller whose order ran lost its answer when it wrote bytes that are no request behind it, a head that is too large or one that is overdue: the entry closed the connection at once.

Change: the connection ends with the answer that is due, and nothing further on it runs. A request whose body can't be read gets 400 behind the answers before it; where it had its answer already, no second one follows. A caller that has left before its request was read has its connection closed at once, as before.

--- a/src/platform/caller_bytes_test.ts
+++ b/src/platform/caller_bytes_test.ts
@@ -1,12 +1,18 @@
 import assert from "node:assert/strict";
 import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import {
   API_KEY,
   createConfiguration,
   HOST,
   TestSystem,
 } from "./entry_fixtures_test.js";
+import {
+  createRequestText,
+  parseAnswers,
+  RawCaller,
+} from "./raw_caller_fixtures_test.js";
 
 /** Time limit for a request's head, ms; checked once a second. */
 const HEADER_TIMEOUT_MS = 500;
@@ -20,6 +26,7 @@
 
 // Node's server answers what it can't parse by itself, also while it is still
 // to answer the request before: the caller takes that for this one's answer.
+// Closing the connection at once would lose the answer of a run.
 describe("a running order whose caller goes on to write", () => {
   let system: TestSystem;
   const closers: (() => void)[] = [];
@@ -32,7 +39,7 @@
   });
 
   for (const [name, bytes] of Object.entries(FOLLOWING_BYTES)) {
-    it(`gets its own answer or none after ${name}`, async () => {
+    it(`gets its own answer and the close after ${name}`, async () => {
       await system.startStore();
       const configuration = createConfiguration();
       Object.assign(configuration.limits, {
@@ -58,8 +65,84 @@
       );
       await system.waitFor(() => system.listRuns("r1").length === 1);
       socket.write(bytes);
-      await system.waitFor(() => isClosed || text.includes("\r\n\r\n"));
-      assert.ok(text === "" || text.startsWith("HTTP/1.1 200 "), text);
+      await system.waitFor(() => isClosed);
+      assert.match(text, /^HTTP\/1\.1 200 /);
+      assert.equal(parseAnswers(text).length, 1);
     });
   }
 });
+
+// 408 and 400 promise that the request has not run and never will.
+describe("a caller that goes on after it was refused", () => {
+  let system: TestSystem;
+  let caller: RawCaller | undefined;
+  beforeEach(() => {
+    system = new TestSystem();
+  });
+  afterEach(async () => {
+    caller?.close();
+    await system.close();
+  });
+
+  it("has nothing run after 408 for its overdue head", async () => {
+    await system.startStore();
+    const configuration = createConfiguration();
+    Object.assign(configuration.limits, {
+      header_timeout_ms: HEADER_TIMEOUT_MS,
+    });
+    system.store.put("config", "main", configuration);
+    await system.startReplica({ id: "i-1" });
+    await system.startEntry();
+    await system.waitFor(() => system.isReady);
+    await system.call("/safe/a", { id: "r0" });
+    const slowCaller = new RawCaller(system.callerPort);
+    caller = slowCaller;
+    const text = createRequestText("r1", { path: "/once/a" });
+    slowCaller.write(text.slice(0, 30));
+    await system.waitFor(() => slowCaller.text.includes("HTTP/1.1 408 "));
+    slowCaller.write(text.slice(30));
+    await delay(200);
+    assert.equal(system.listRuns("r1").length, 0);
+  });
+
+  it("gets 400 for a body that can't be read, behind a running order", async () => {
+    await system.start([{ id: "i-1", delayMs: 300 }]);
+    const brokenCaller = new RawCaller(system.callerPort);
+    caller = brokenCaller;
+    const path = "/once/a";
+    brokenCaller.write(createRequestText("r1", { path }));
+    await system.waitFor(() => system.listRuns("r1").length === 1);
+    const chunked = createRequestText("r2", { path, body: "no chunk\r\n" });
+    brokenCaller.write(
+      chunked.replace(/Content-Length: \d+/, "Transfer-Encoding: chunked"),
+    );
+    await system.waitFor(() => brokenCaller.isClosed);
+    assert.deepEqual(
+      brokenCaller.answers.map(({ status }) => status),
+      [200, 400],
+    );
+    assert.equal(system.listRuns("r2").length, 0);
+  });
+
+  // A second answer would be taken for that to the caller's next request.
+  it("gets no second refusal when the rest of its body can't be read", async () => {
+    await system.start([{ id: "i-1" }]);
+    const brokenCaller = new RawCaller(system.callerPort);
+    caller = brokenCaller;
+    const chunk = "x".repeat(110_000);
+    const text = createRequestText("r1", {
+      body: `${chunk.length.toString(16)}\r\n${chunk}\r\n`,
+    });
+    brokenCaller.write(
+      text.replace(/Content-Length: \d+/, "Transfer-Encoding: chunked"),
+    );
+    await system.waitFor(() => brokenCaller.answers.length === 1);
+    brokenCaller.write("no chunk\r\n");
+    await system.waitFor(() => brokenCaller.isClosed);
+    assert.deepEqual(
+      brokenCaller.answers.map(({ status }) => status),
+      [413],
+    );
+    assert.equal(brokenCaller.text.split("HTTP/1.1 ").length, 2);
+  });
+});
--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -10,29 +10,29 @@
 
 interface ConnectionState {
   /** The response to the newest request, which is sent last. */
-  newestResponse: ServerResponse;
-  /** The newest response closes the connection. */
-  isClosing: boolean;
+  readonly newestResponse: ServerResponse;
   /** Called when the caller ends or leaves the connection. */
   readonly leaveListeners: Set<() => void>;
 }
 
 export class CallerConnections {
   readonly #states = new WeakMap<Duplex, ConnectionState>();
+  /** Connections that end with the answer to their newest request. */
+  readonly #closingSockets = new WeakSet<Duplex>();
 
   /** False where an earlier answer closes the connection: it must not run. */
   addRequest(
     { socket, httpVersion }: IncomingMessage,
     response: ServerResponse,
   ): boolean {
-    const state = this.#states.get(socket);
-    if (state?.isClosing) return false;
+    if (this.#closingSockets.has(socket)) return false;
     // Without chunks, the end of a stream is that of its connection.
     if (httpVersion !== "1.1") response.shouldKeepAlive = false;
+    if (!response.shouldKeepAlive) this.#closingSockets.add(socket);
+    const listeners = this.#states.get(socket)?.leaveListeners;
     this.#states.set(socket, {
       newestResponse: response,
-      isClosing: !response.shouldKeepAlive,
-      leaveListeners: state?.leaveListeners ?? createLeaveListeners(socket),
+      leaveListeners: listeners ?? createLeaveListeners(socket),
     });
     return true;
   }
@@ -52,7 +52,24 @@
     const state = this.#states.get(socket);
     if (state?.newestResponse !== response || response.headersSent) return;
     response.shouldKeepAlive = false;
-    state.isClosing = true;
+    this.#closingSockets.add(socket);
+  }
+
+  /**
+   * Ends a connection whose further bytes can't be read, with the last of the
+   * answers that are due. A request that is not complete gets the error.
+   */
+  closeAfterAnswers(socket: Duplex, error: Error): void {
+    if (this.#closingSockets.has(socket)) return;
+    this.#closingSockets.add(socket);
+    const response = this.#states.get(socket)?.newestResponse;
+    if (response === undefined) return;
+    if (response.headersSent) response.once("finish", () => socket.end());
+    else response.shouldKeepAlive = false;
+    const { req } = response;
+    // A request that was refused before its body has nobody reading it.
+    const isReading = req.listenerCount("error") > 0;
+    if (!req.complete && isReading) req.emit("error", error);
   }
 
   /**
@@ -84,6 +101,11 @@
     const state = this.#states.get(socket);
     return state !== undefined && !state.newestResponse.writableFinished;
   }
+
+  /** True while a request arrives, also one that has its answer already. */
+  isReceiving(socket: Duplex): boolean {
+    return this.#states.get(socket)?.newestResponse.req.complete === false;
+  }
 }
 
 function createLeaveListeners(socket: Duplex): Set<() => void> {
--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -52,9 +52,16 @@
   );
   // Node's own answer would be taken for that to a request which still runs.
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    const isAnswering = handler.callerConnections.isAnswering(socket);
-    if (isAnswering || !socket.writable) socket.destroy();
-    else socket.end(createParseRefusal(error.code));
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const { callerConnections } = handler;
+    const isAnswering = callerConnections.isAnswering(socket);
+    callerConnections.closeAfterAnswers(socket, error);
+    if (isAnswering) return;
+    const isRefused = callerConnections.isReceiving(socket);
+    socket.end(isRefused ? undefined : createParseRefusal(error.code));
   });
   return server;
 }
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -113,7 +113,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
-    const { wire, view, log, loopDelay, random } = this.#options;
+    const { wire, view, loopDelay, random } = this.#options;
     const method = incoming.method ?? "GET";
     const target = incoming.url ?? "/";
     const headers = incoming.rawHeaders;
@@ -133,16 +133,16 @@
     }
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(incoming, limit).catch((error: Error) => {
-      log.info("request-aborted", {
-        request: facts?.id,
-        reason: error.message,
-      });
-    });
-    if (body === undefined) return;
+    const body = await readBody(incoming, limit).catch((error: Error) =>
+      createRefusal("bad-request", `The body can't be read: ${error.message}`),
+    );
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
-    if (hasCallerLeft(incoming, response)) return this.#logCallerLeft(facts);
+    if (hasCallerLeft(incoming, response)) {
+      this.#logCallerLeft(facts);
+      incoming.socket.destroy();
+      return;
+    }
     if (facts === undefined) {
       const detail = "The request has no id or no host";
       sink.refuse(createRefusal("bad-request", detail));
