Read what has come before a caller's connection is closed as idle or overdue

After a stall of the process, a whole request that lay unread got no answer: its connection was closed as idle. One whose head was complete in time was refused with 408.

Cause: after a stall, timers run before the connections are read. Node's time limits of idle connections and of heads act in the timer.

Change: both wait until pending data is read, and act only if no request came.

Ruled out: raising the time limits, which only needs a longer stall.

--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -96,6 +96,11 @@
     });
   }
 
+  /** Undefined until the first request is read. */
+  getNewestResponse(socket: Duplex): ServerResponse | undefined {
+    return this.#states.get(socket)?.newestResponse;
+  }
+
   /** True while an answer is not yet sent. */
   isAnswering(socket: Duplex): boolean {
     const state = this.#states.get(socket);
--- /dev/null
+++ b/src/proxy/request/caller_errors.ts
@@ -0,0 +1,55 @@
+/** Ends callers' connections that are idle, overdue or can't be read. */
+
+import { STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { CallerConnections } from "./caller_connections.js";
+import { waitForPendingReads } from "./wait_for_pending_reads.js";
+
+const OVERDUE_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+
+/** Refuses what Node's parser rejects or waited for in vain. */
+function createParseRefusal(code: string | undefined): string {
+  const statuses: Record<string, number> = {
+    [OVERDUE_HEAD_CODE]: 408,
+    HPE_HEADER_OVERFLOW: 431,
+  };
+  const status = statuses[code ?? ""] ?? 400;
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`;
+}
+
+/** Node's own answer would be taken for that to a request which still runs. */
+export async function refuseUnreadable(
+  callerConnections: CallerConnections,
+  error: NodeJS.ErrnoException,
+  socket: Duplex,
+): Promise<void> {
+  if (error.code === OVERDUE_HEAD_CODE) {
+    const response = callerConnections.getNewestResponse(socket);
+    await waitForPendingReads();
+    // The rest of the head had come, and lay unread.
+    if (callerConnections.getNewestResponse(socket) !== response) return;
+  }
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const isAnswering = callerConnections.isAnswering(socket);
+  callerConnections.closeAfterAnswers(socket, error);
+  if (isAnswering) return;
+  const isRefused = callerConnections.isReceiving(socket);
+  socket.end(isRefused ? undefined : createParseRefusal(error.code));
+}
+
+/** Closes a connection after its idle time, unless a request lies unread. */
+export async function closeIfIdle(
+  callerConnections: CallerConnections,
+  socket: Socket,
+): Promise<void> {
+  const { bytesRead } = socket;
+  await waitForPendingReads();
+  if (socket.bytesRead > bytesRead || callerConnections.isAnswering(socket)) {
+    return;
+  }
+  socket.destroy();
+}
--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -5,12 +5,12 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
-  STATUS_CODES,
 } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "../fleet/index.js";
 import { startListening } from "../start_listening.js";
 import type { NetworkAddress } from "../types.js";
+import { closeIfIdle, refuseUnreadable } from "./caller_errors.js";
 import type { RequestHandler } from "./request_handler.js";
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
 
@@ -50,32 +50,16 @@
       void handler.handle(request, response);
     },
   );
-  // Node's own answer would be taken for that to a request which still runs.
+  const { callerConnections } = handler;
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    if (!socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const { callerConnections } = handler;
-    const isAnswering = callerConnections.isAnswering(socket);
-    callerConnections.closeAfterAnswers(socket, error);
-    if (isAnswering) return;
-    const isRefused = callerConnections.isReceiving(socket);
-    socket.end(isRefused ? undefined : createParseRefusal(error.code));
+    void refuseUnreadable(callerConnections, error, socket);
+  });
+  server.on("timeout", (socket) => {
+    void closeIfIdle(callerConnections, socket);
   });
   return server;
 }
 
-/** Refuses what Node's parser rejects or waited for in vain. */
-function createParseRefusal(code: string | undefined): string {
-  const statuses: Record<string, number> = {
-    ERR_HTTP_REQUEST_TIMEOUT: 408,
-    HPE_HEADER_OVERFLOW: 431,
-  };
-  const status = statuses[code ?? ""] ?? 400;
-  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`;
-}
-
 /** Answers readiness checks with 200 or 503. */
 export function startReadinessServer(
   isReady: () => boolean,
