Show that a long grace lets a stopping entry take requests too long

Requests are taken for 0.3 of the grace. With a grace of 20 s one that is sent 3 s after the SIGTERM is still passed on; a stream of it that runs on to the end is cut, although it came late. With the users' 8 s the time is 2.4 s and this can't happen.

--- a/src/platform/planned_stop_test.ts
+++ b/src/platform/planned_stop_test.ts
@@ -325,6 +325,20 @@
     });
   });
 
+  // By then the load balancer has taken the entry out, whatever its grace.
+  it("refuses requests sent after 3 s however long the grace period is", async () => {
+    await system.start([{ id: "i-1", delayMs: 3_500 }], { graceMs: 20_000 });
+    const call = system.call("/once/a", { deadlineMs: LONG_DEADLINE_MS });
+    await system.waitFor(() => system.listRuns("r1").length === 1);
+    const stopped = measureStop();
+    await delay(3_000);
+    const late = await system.call("/once/a", { id: "late" });
+    assert.equal(late.status, 503);
+    assert.equal(countArrivals("late"), 0);
+    assert.equal((await call).status, 200);
+    await stopped;
+  });
+
   describe("loses no request on a connection that it closes", () => {
     // Both were read, so a close after the first answer would lose the second.
     it("when requests follow each other without waiting for answers", async () => {
