Take requests for 2.4 s at most in a planned stop

The load balancer removes a host two seconds after it stops being ready, however long its grace is, so later requests are refused as not run, as with a grace of 8 s.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -60,6 +60,8 @@
  * failure.
  */
 const ACCEPT_SHARE = 0.3;
+/** Longest time in which they are, ms: that host is removed by then. */
+const MAX_ACCEPT_MS = 2_400;
 /**
  * When requests that still run are ended, as a share of the grace period, and
  * the least time before its end: their callers must get the last answers. It is
@@ -284,7 +286,7 @@
       isStopping = true;
       peers.leave();
       await stopServer(callerServer, requestHandler, shutdown, {
-        acceptMs: ACCEPT_SHARE * bounds.graceMs,
+        acceptMs: Math.min(ACCEPT_SHARE * bounds.graceMs, MAX_ACCEPT_MS),
         endAfterMs: computeTimeInGrace(END, bounds.graceMs),
         breakAfterMs: computeTimeInGrace(BREAK, bounds.graceMs),
       });
