Bound the time in which two endpoints work on a request, and keep what failed from ending it

It begins with the first one and ends when none is at work. - Each further silence of an older attempt started another one, 0 to 3 ms after the last. Only the newest attempt's silence does. - An endpoint that was cancelled as the silent one went on was never asked again. - A failure whose body has no end counted as an attempt at work, and the silent endpoint was given up for it. - The timers of the overlap ran before data was read that had come while the process was stalled. - An exception in an attempt would have ended the process.

--- a/src/proxy/request/attempt_race.ts
+++ b/src/proxy/request/attempt_race.ts
@@ -10,15 +10,17 @@
   type FailedOutcome,
   OUTCOME_KIND,
 } from "./attempt_runner.js";
-import { MAX_OVERLAP_MS } from "./max_overlap.js";
+import { OverlapTimer } from "./overlap_timer.js";
 
 export const RACE_EVENT = {
   answered: "answered",
   failed: "failed",
-  /** An attempt is silent, but goes on. */
+  /** The newest attempt is silent, but goes on. */
   stalled: "stalled",
 } as const;
 
+const THREW = "threw";
+
 export type RaceEvent =
   | {
       readonly kind: typeof RACE_EVENT.answered;
@@ -26,6 +28,11 @@
     }
   | { readonly kind: typeof RACE_EVENT.failed | typeof RACE_EVENT.stalled };
 
+interface ThrownError {
+  readonly kind: typeof THREW;
+  readonly error: unknown;
+}
+
 export interface AttemptRaceOptions {
   /** Called for each attempt that ends without an answer that is used. */
   readonly onFailed: (outcome: FailedOutcome) => void;
@@ -36,7 +43,7 @@
 export class AttemptRace {
   readonly #options: AttemptRaceOptions;
   readonly #running = new Set<AbortController>();
-  #events: RaceEvent[] = [];
+  #events: (RaceEvent | ThrownError)[] = [];
   #notify = () => {};
   #isClosed = false;
 
@@ -53,22 +60,34 @@
     const controller = new AbortController();
     const earlier = [...this.#running];
     this.#running.add(controller);
-    let timer: NodeJS.Timeout | undefined;
-    const abortEarlier = () => {
+    const timer = new OverlapTimer(() => {
       for (const other of earlier) other.abort();
-    };
+    });
     const hooks: AttemptHooks = {
       signal: controller.signal,
-      onStall: () => this.#push({ kind: RACE_EVENT.stalled }),
-      onSent: () => {
-        timer = setTimeout(abortEarlier, MAX_OVERLAP_MS);
+      onStall: () => {
+        if ([...this.#running].at(-1) !== controller) return;
+        this.#push({ kind: RACE_EVENT.stalled });
       },
+      onSent: () => timer.start(),
+      onErred: () => timer.cancel(),
     };
-    void run(hooks).then((outcome) => {
-      clearTimeout(timer);
+    const end = () => {
+      timer.cancel();
       this.#running.delete(controller);
-      this.#settle(outcome, controller.signal.aborted);
-    });
+    };
+    void run(hooks).then(
+      (outcome) => {
+        end();
+        this.#settle(outcome, controller.signal.aborted);
+      },
+      (error: unknown) => {
+        end();
+        const detail = String(error);
+        if (!this.#isClosed) this.#push({ kind: THREW, error });
+        else this.#options.onFailed({ kind: OUTCOME_KIND.unknown, detail });
+      },
+    );
   }
 
   #settle(outcome: AttemptOutcome, isSuperseded: boolean): void {
@@ -85,12 +104,15 @@
     else this.#push({ kind: RACE_EVENT.failed });
   }
 
-  #push(event: RaceEvent): void {
+  #push(event: RaceEvent | ThrownError): void {
     this.#events.push(event);
     this.#notify();
   }
 
-  /** The next event; undefined where no attempt runs, or after `close`. */
+  /**
+   * The next event; undefined where no attempt runs, or after `close`. Throws
+   * what an attempt has thrown.
+   */
   async next(): Promise<RaceEvent | undefined> {
     while (!this.#isClosed && this.#events.length === 0) {
       if (this.#running.size === 0) return undefined;
@@ -98,7 +120,9 @@
         this.#notify = resolve;
       });
     }
-    return this.#isClosed ? undefined : this.#events.shift();
+    const event = this.#isClosed ? undefined : this.#events.shift();
+    if (event?.kind === THREW) throw event.error;
+    return event;
   }
 
   /** Ends the attempts that still run and discards further answers. */
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -100,6 +100,8 @@
   readonly onSent: () => void;
   /** The endpoint is silent; called again for as long as it stays so. */
   readonly onStall: () => void;
+  /** The answer is a failure, whose body is not yet read. */
+  readonly onErred: () => void;
 }
 
 export interface Attempt {
@@ -143,6 +145,8 @@
 } as const;
 
 export interface FailedOutcome {
+  /** Ended for another attempt; the endpoint may be tried again. */
+  readonly isSuperseded?: boolean;
   readonly kind: Exclude<
     (typeof OUTCOME_KIND)[keyof typeof OUTCOME_KIND],
     typeof OUTCOME_KIND.answered
@@ -209,6 +213,7 @@
     const headLatencyMs = this.#dependencies.now() - attempt.startedAtMs;
     const answered = { ...attempt, head, stallTimeoutMs };
     if (head.status >= 500 || this.#isUnfoundedPromise(head)) {
+      spec.hooks.onErred();
       return await this.#endErred(answered);
     }
     this.#dependencies.view.meanHeadLatencies.record(
@@ -426,10 +431,10 @@
   endFailed(attempt: Attempt, failure: AttemptFailure): FailedOutcome {
     attempt.release();
     const { kind, detail } = failure;
+    const isSuperseded =
+      attempt.supersededSignal.aborted && !attempt.hasStalled;
     // If the caller left or the deadline passed, the endpoint has no fault.
-    const isCancelled =
-      this.#request.signal.aborted ||
-      (attempt.supersededSignal.aborted && !attempt.hasStalled);
+    const isCancelled = this.#request.signal.aborted || isSuperseded;
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
     const isBlameless = isFault && failure.isCut && this.#recordCrash(attempt);
     if (isFault && !isBlameless) {
@@ -440,7 +445,7 @@
       reused: failure.isConnectionReused,
       answerTo: failure.answerTo,
     });
-    return { kind, detail };
+    return { kind, detail, isSuperseded };
   }
 
   /** Ends an attempt whose answer came when another one was in use. */
@@ -450,7 +455,7 @@
     attempt.controller.abort();
     attempt.release();
     this.#logEnd(attempt, kind, { detail });
-    return { kind, detail };
+    return { kind, detail, isSuperseded: true };
   }
 
   /** The endpoint is silent, but may go on. */
--- a/src/proxy/request/low_confidence_answer.ts
+++ b/src/proxy/request/low_confidence_answer.ts
@@ -5,7 +5,7 @@
  */
 
 import type { AnsweredAttempt } from "./attempt_runner.js";
-import { MAX_OVERLAP_MS } from "./max_overlap.js";
+import { MAX_OVERLAP_MS } from "./overlap_timer.js";
 
 export class LowConfidenceAnswer {
   readonly #attempt: AnsweredAttempt;
--- a/src/proxy/request/replacement_search.ts
+++ b/src/proxy/request/replacement_search.ts
@@ -5,7 +5,7 @@
  */
 
 import type { AnsweredAttempt } from "./attempt_runner.js";
-import { MAX_OVERLAP_MS } from "./max_overlap.js";
+import { OverlapTimer } from "./overlap_timer.js";
 
 export interface SearchHooks {
   /** Aborts when the silent endpoint goes on. */
@@ -46,20 +46,17 @@
     if (this.#running !== undefined) return;
     const controller = new AbortController();
     const { signal } = controller;
-    let timer: NodeJS.Timeout | undefined;
     const abandon = () => this.#abandon.abort();
+    const timer = new OverlapTimer(abandon);
     const hooks: SearchHooks = {
       signal,
-      onSent: () => {
-        clearTimeout(timer);
-        timer = setTimeout(abandon, MAX_OVERLAP_MS);
-      },
-      onFailed: () => clearTimeout(timer),
+      onSent: () => timer.start(),
+      onFailed: () => timer.cancel(),
     };
-    signal.addEventListener("abort", () => clearTimeout(timer));
+    signal.addEventListener("abort", () => timer.cancel());
     const search = async () => {
       const attempt = await this.#options.find(hooks);
-      clearTimeout(timer);
+      timer.cancel();
       if (signal.aborted) {
         if (attempt !== undefined) this.#options.discard(attempt);
         return undefined;
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -140,7 +140,7 @@
         this.#recordFailure(outcome);
         if (race.runningCount === 0) hooks?.onFailed();
       },
-      discard: (attempt) => this.#attemptRunner.endSuperseded(attempt),
+      discard: (attempt) => this.#discard(attempt),
     });
     const close = () => race.close();
     hooks?.signal.addEventListener("abort", close, { once: true });
@@ -181,7 +181,8 @@
   ): void {
     this.#countedAttempts++;
     this.#startedAttempts++;
-    this.#triedEndpointIds.add(choice.state.record.id);
+    const { id } = choice.state.record;
+    this.#triedEndpointIds.add(id);
     const spec = {
       choice,
       model,
@@ -189,18 +190,31 @@
       isLast: this.#attemptsLeft <= 0,
       lastEventId,
     };
-    race.start(({ onSent, ...raceHooks }) =>
-      this.#attemptRunner.run({
+    race.start(async (raceHooks) => {
+      const outcome = await this.#attemptRunner.run({
         ...spec,
         hooks: {
           ...raceHooks,
           onSent: () => {
-            onSent();
+            raceHooks.onSent();
             hooks?.onSent();
           },
+          onErred: () => {
+            raceHooks.onErred();
+            hooks?.onFailed();
+          },
         },
-      }),
-    );
+      });
+      const isFailed = outcome.kind !== OUTCOME_KIND.answered;
+      if (isFailed && outcome.isSuperseded) this.#triedEndpointIds.delete(id);
+      return outcome;
+    });
+  }
+
+  /** Ends an attempt whose answer is not needed any more. */
+  #discard(attempt: AnsweredAttempt): FailedOutcome {
+    this.#triedEndpointIds.delete(attempt.state.record.id);
+    return this.#attemptRunner.endSuperseded(attempt);
   }
 
   #recordFailure({ kind, detail, answer }: FailedOutcome): void {
@@ -403,7 +417,7 @@
     find: (hooks: SearchHooks) => Promise<AnsweredAttempt | undefined>,
   ): ReplacementSearch {
     const discard = (attempt: AnsweredAttempt) => {
-      this.#recordFailure(this.#attemptRunner.endSuperseded(attempt));
+      this.#recordFailure(this.#discard(attempt));
     };
     return new ReplacementSearch({ find, discard });
   }
