Tell the caller of an error in the handling of its request

An exception in the entry's own code closed the caller's connection without an answer, whether or not the request had run.

Change: before the first attempt it is refused with 503, which is true since nothing has been sent; from then on it is answered 502. Only where the head of an answer was sent is the connection broken. The log line names the request, and timers and listeners of the run end with it.

--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -53,6 +53,8 @@
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
   readonly callerConnections = new CallerConnections();
+  /** Responses to requests of which an attempt may have been sent. */
+  readonly #startedResponses = new WeakSet<ServerResponse>();
   #unsentAnswers = 0;
   #closesConnections = false;
   #refusesRequests = false;
@@ -95,8 +97,7 @@
     try {
       await this.#handle(request, response);
     } catch (error) {
-      this.#options.log.error("request-failed", { error: String(error) });
-      breakAnswer(response);
+      this.#refuseFailed(response, error);
     }
     this.#unsentAnswers++;
     await this.callerConnections.waitUntilSent(request, response);
@@ -164,6 +165,23 @@
     );
   }
 
+  /** Tells the caller of an error in the handling, if no answer has begun. */
+  #refuseFailed(response: ServerResponse, error: unknown): void {
+    const { wire, log } = this.#options;
+    const { method = "GET", url = "/", rawHeaders } = response.req;
+    try {
+      const id = wire.parseRequest(method, url, rawHeaders)?.id;
+      log.error("request-failed", { request: id, error: String(error) });
+      const mayHaveRun = this.#startedResponses.has(response);
+      const code = mayHaveRun ? "outcome-unknown" : "capacity";
+      const refusal = createRefusal(code, "The request's handling failed");
+      sendRefusal(response, wire, id ?? "", refusal);
+    } catch (refusalError) {
+      log.error("request-failed", { error: String(refusalError) });
+      breakAnswer(response);
+    }
+  }
+
   /** It came behind a request whose answer closes the connection. */
   #ignoreRequest(request: IncomingMessage): void {
     const { wire, log } = this.#options;
@@ -284,12 +302,14 @@
       },
       sink,
     );
-    const outcome = await run.run();
-    deadlineTimer.cancel();
-    response.off("close", abort);
-    endLeave();
-    // Cancels attempts that still run because their answers were discarded.
-    abort();
+    this.#startedResponses.add(response);
+    const outcome = await run.run().finally(() => {
+      deadlineTimer.cancel();
+      response.off("close", abort);
+      endLeave();
+      // Cancels attempts that still run because their answers were discarded.
+      abort();
+    });
     const totalMs = now() - startedAtMs;
     const isClosed = response.destroyed || req.socket.destroyed;
     const isCallerGone = isClosed && !response.writableFinished;
