Log and count every request that ends without a whole answer, with its reason

Each is now a line request-unanswered with its reason, and hornbeamrill_unanswered_requests_total counts them by reason. The lines request-aborted, answer-unsent and request-ignored are replaced by it; no tool or test of the project matches them.

--- a/src/proxy/proxy_metrics.ts
+++ b/src/proxy/proxy_metrics.ts
@@ -13,6 +13,12 @@
     labelNames: ["route", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly unansweredRequests = new Counter({
+    name: "hornbeamrill_unanswered_requests_total",
+    help: "Requests that ended without a whole answer, by reason",
+    labelNames: ["reason"] as const,
+    registers: [this.#registry],
+  });
   readonly attempts = new Counter({
     name: "hornbeamrill_attempts_total",
     help: "Attempts at endpoints by service and result",
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -27,6 +27,17 @@
 const STOPPING_RETRY_AFTER_MS = 20;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
+/** Why a request ends without a whole answer. */
+const UNANSWERED_REASON = {
+  /** It came behind a request whose answer closes the connection. */
+  behindClosingAnswer: "behind-closing-answer",
+  callerLeft: "caller-left",
+  /** A stream that no endpoint could continue. */
+  broken: "broken",
+  /** The answer was whole, but its connection ended before it was sent. */
+  answerUnsent: "answer-unsent",
+} as const;
+
 export interface RequestHandlerOptions extends RunDependencies {
   /** Resolves once the view of the fleet is loaded, or after `waitMs`. */
   readonly waitUntilLoaded: (waitMs: number) => Promise<void>;
@@ -89,7 +100,8 @@
 
   async handle(request: IncomingMessage, response: ServerResponse) {
     if (!this.callerConnections.addRequest(request, response)) {
-      this.#ignoreRequest(request);
+      request.on("error", () => {}).resume();
+      this.#reportUnanswered(request, UNANSWERED_REASON.behindClosingAnswer);
       return;
     }
     this.#openRequests++;
@@ -103,7 +115,7 @@
     await this.callerConnections.waitUntilSent(request, response);
     this.#unsentAnswers--;
     if (response.writableEnded && !response.writableFinished) {
-      this.#logUnsentAnswer(response);
+      this.#reportUnanswered(request, UNANSWERED_REASON.answerUnsent);
     }
     this.#openRequests--;
     this.#openResponses.delete(response);
@@ -140,7 +152,7 @@
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
     if (hasCallerLeft(incoming, response)) {
-      this.#logCallerLeft(facts);
+      this.#reportUnanswered(incoming, UNANSWERED_REASON.callerLeft);
       incoming.socket.destroy();
       return;
     }
@@ -182,32 +194,13 @@
     }
   }
 
-  /** It came behind a request whose answer closes the connection. */
-  #ignoreRequest(request: IncomingMessage): void {
-    const { wire, log } = this.#options;
+  /** Logs and counts a request that ends without a whole answer. */
+  #reportUnanswered(request: IncomingMessage, reason: string): void {
+    const { wire, log, metrics } = this.#options;
     const { method = "GET", url = "/", rawHeaders } = request;
-    request.on("error", () => {}).resume();
-    log.info("request-ignored", {
-      request: wire.parseRequest(method, url, rawHeaders)?.id,
-      reason: "an earlier answer closes the connection",
-    });
-  }
-
-  /** The answer was complete, but its connection ended before it was sent. */
-  #logUnsentAnswer(response: ServerResponse): void {
-    const { wire, log } = this.#options;
-    const { method = "GET", url = "/", rawHeaders } = response.req;
-    log.info("answer-unsent", {
-      request: wire.parseRequest(method, url, rawHeaders)?.id,
-      status: response.statusCode,
-    });
-  }
-
-  #logCallerLeft(facts: RequestFacts | undefined): void {
-    this.#options.log.info("request-aborted", {
-      request: facts?.id,
-      reason: "the caller had left before the request was read",
-    });
+    const id = wire.parseRequest(method, url, rawHeaders)?.id;
+    metrics.unansweredRequests.inc({ reason });
+    log.info("request-unanswered", { request: id, reason });
   }
 
   #refuse(sink: AnswerSink, facts: RequestFacts, refusal: Refusal): void {
@@ -289,7 +282,11 @@
     );
     response.once("close", abort);
     const { req } = response;
-    const endLeave = this.callerConnections.onLeave(req, abort);
+    let hasLeft = false;
+    const endLeave = this.callerConnections.onLeave(req, () => {
+      hasLeft = true;
+      abort();
+    });
     const run = new RequestRun(
       this.#options,
       {
@@ -315,6 +312,11 @@
     const isCallerGone = isClosed && !response.writableFinished;
     const result =
       outcome === "refused" && isCallerGone ? "caller-left" : outcome;
+    if (result === "caller-left" || (result === "broken" && hasLeft)) {
+      this.#reportUnanswered(req, UNANSWERED_REASON.callerLeft);
+    } else if (result === "broken") {
+      this.#reportUnanswered(req, UNANSWERED_REASON.broken);
+    }
     metrics.requests.inc({ route: route.name, outcome: result });
     metrics.answerSeconds.observe({ route: route.name }, totalMs / 1_000);
     log.info("request-ended", {
