--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -34,6 +34,17 @@
 const MIN_STATUS = 100;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
+/** Why a request ends without a whole answer. */
+const UNANSWERED_REASON = {
+  /** It came behind a request whose answer closes the connection. */
+  behindClosingAnswer: "behind-closing-answer",
+  callerLeft: "caller-left",
+  /** A stream that no endpoint could continue. */
+  broken: "broken",
+  /** The answer was whole, but its connection ended before it was sent. */
+  answerUnsent: "answer-unsent",
+} as const;
+
 export interface RequestHandlerOptions extends RunDependencies {
   /** Resolves once the view of the fleet is loaded, or after `waitMs`. */
   readonly waitUntilLoaded: (waitMs: number) => Promise<void>;
@@ -60,6 +71,8 @@
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
   readonly callerConnections = new CallerConnections();
+  /** Responses to requests of which an attempt may have been sent. */
+  readonly #startedResponses = new WeakSet<ServerResponse>();
   #unsentAnswers = 0;
   #closesConnections = false;
   #refusesRequests = false;
@@ -94,7 +107,8 @@
 
   async handle(request: IncomingMessage, response: ServerResponse) {
     if (!this.callerConnections.addRequest(request, response)) {
-      this.#ignoreRequest(request);
+      request.on("error", () => {}).resume();
+      this.#reportUnanswered(request, UNANSWERED_REASON.behindClosingAnswer);
       return;
     }
     this.#openRequests++;
@@ -102,14 +116,13 @@
     try {
       await this.#handle(request, response);
     } catch (error) {
-      this.#options.log.error("request-failed", { error: String(error) });
-      breakAnswer(response);
+      this.#refuseFailed(response, error);
     }
     this.#unsentAnswers++;
     await this.callerConnections.waitUntilSent(request, response);
     this.#unsentAnswers--;
     if (response.writableEnded && !response.writableFinished) {
-      this.#logUnsentAnswer(response);
+      this.#reportUnanswered(request, UNANSWERED_REASON.answerUnsent);
     }
     this.#openRequests--;
     this.#openResponses.delete(response);
@@ -150,7 +163,7 @@
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
     if (hasCallerLeft(incoming, response)) {
-      this.#logCallerLeft(facts);
+      this.#reportUnanswered(incoming, UNANSWERED_REASON.callerLeft);
       incoming.socket.destroy();
       return;
     }
@@ -175,32 +188,30 @@
     );
   }
 
-  /** It came behind a request whose answer closes the connection. */
-  #ignoreRequest(request: IncomingMessage): void {
-    const { wire, log } = this.#options;
-    const { method = "GET", url = "/", rawHeaders } = request;
-    request.on("error", () => {}).resume();
-    log.info("request-ignored", {
-      request: wire.parseRequest(method, url, rawHeaders)?.id,
-      reason: "an earlier answer closes the connection",
-    });
-  }
-
-  /** The answer was complete, but its connection ended before it was sent. */
-  #logUnsentAnswer(response: ServerResponse): void {
+  /** Tells the caller of an error in the handling, if no answer has begun. */
+  #refuseFailed(response: ServerResponse, error: unknown): void {
     const { wire, log } = this.#options;
     const { method = "GET", url = "/", rawHeaders } = response.req;
-    log.info("answer-unsent", {
-      request: wire.parseRequest(method, url, rawHeaders)?.id,
-      status: response.statusCode,
-    });
+    try {
+      const id = wire.parseRequest(method, url, rawHeaders)?.id;
+      log.error("request-failed", { request: id, error: String(error) });
+      const mayHaveRun = this.#startedResponses.has(response);
+      const code = mayHaveRun ? "outcome-unknown" : "capacity";
+      const refusal = createRefusal(code, "The request's handling failed");
+      sendRefusal(response, wire, id ?? "", refusal);
+    } catch (refusalError) {
+      log.error("request-failed", { error: String(refusalError) });
+      breakAnswer(response);
+    }
   }
 
-  #logCallerLeft(facts: RequestFacts | undefined): void {
-    this.#options.log.info("request-aborted", {
-      request: facts?.id,
-      reason: "the caller had left before the request was read",
-    });
+  /** Logs and counts a request that ends without a whole answer. */
+  #reportUnanswered(request: IncomingMessage, reason: string): void {
+    const { wire, log, metrics } = this.#options;
+    const { method = "GET", url = "/", rawHeaders } = request;
+    const id = wire.parseRequest(method, url, rawHeaders)?.id;
+    metrics.unansweredRequests.inc({ reason });
+    log.info("request-unanswered", { request: id, reason });
   }
 
   #refuse(sink: AnswerSink, facts: RequestFacts, refusal: Refusal): void {
@@ -281,7 +292,11 @@
     if (shutdown.signal.aborted) abort();
     response.once("close", abort);
     const { req } = response;
-    const endLeave = this.callerConnections.onLeave(req, abort);
+    let hasLeft = false;
+    const endLeave = this.callerConnections.onLeave(req, () => {
+      hasLeft = true;
+      abort();
+    });
     const run = new RequestRun(
       this.#options,
       {
@@ -294,18 +309,25 @@
       },
       sink,
     );
-    const outcome = await run.run();
-    deadlineTimer.cancel();
-    shutdown.signal.removeEventListener("abort", abort);
-    response.off("close", abort);
-    endLeave();
-    // Cancels attempts that still run because their answers were discarded.
-    abort();
+    this.#startedResponses.add(response);
+    const outcome = await run.run().finally(() => {
+      deadlineTimer.cancel();
+      shutdown.signal.removeEventListener("abort", abort);
+      response.off("close", abort);
+      endLeave();
+      // Cancels attempts that still run because their answers were discarded.
+      abort();
+    });
     const totalMs = now() - startedAtMs;
     const isClosed = response.destroyed || req.socket.destroyed;
     const isCallerGone = isClosed && !response.writableFinished;
     const result =
       outcome === "refused" && isCallerGone ? "caller-left" : outcome;
+    if (result === "caller-left" || (result === "broken" && hasLeft)) {
+      this.#reportUnanswered(req, UNANSWERED_REASON.callerLeft);
+    } else if (result === "broken") {
+      this.#reportUnanswered(req, UNANSWERED_REASON.broken);
+    }
     metrics.requests.inc({ route: route.name, outcome: result });
     metrics.answerSeconds.observe({ route: route.name }, totalMs / 1_000);
     log.info("request-ended", {
