--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -150,6 +150,8 @@
   readonly number: number;
   /** The route allows no attempt after this one. */
   readonly isLast: boolean;
+  /** An endpoint may have run the request before. */
+  readonly isRepeat: boolean;
   readonly lastEventId?: number;
 }
 
@@ -178,7 +180,7 @@
         ? undefined
         : new InactivityTimer(() => attempt.controller.abort(), stallTimeoutMs);
     const result = await sendAttempt({
-      ...this.#createAttemptOptions(attempt, spec.lastEventId),
+      ...this.#createAttemptOptions(attempt, spec),
       signal: attempt.controller.signal,
     });
     stallTimer?.cancel();
@@ -296,7 +298,10 @@
     );
   }
 
-  #createAttemptOptions(attempt: Attempt, lastEventId?: number) {
+  #createAttemptOptions(
+    attempt: Attempt,
+    { lastEventId, isRepeat }: AttemptSpec,
+  ) {
     const { facts, method, headers, body, account, rank, deadlineAtMs } =
       this.#request;
     const { wire, connections, limits, now, shutdown } = this.#dependencies;
@@ -323,7 +328,7 @@
       agent: this.#getAgent(connections, record.id),
       wire,
       maySend: () =>
-        this.isInTime(attempt.expectedMs, attempt.model) &&
+        (isRepeat || this.isInTime(attempt.expectedMs, attempt.model)) &&
         this.#dependencies.view.maySendTo(attempt.state, now()) &&
         this.#dependencies.promptHolds.find(facts) === undefined &&
         attempt.reservation.redeem(),
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -132,6 +132,7 @@
         model,
         number: this.#startedAttempts,
         isLast: this.#attemptsLeft <= 0,
+        isRepeat: this.#mayHaveRun,
         lastEventId,
       });
       if (outcome.kind === OUTCOME_KIND.answered) {
