--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -169,6 +169,8 @@
   readonly number: number;
   /** The route allows no attempt after this one. */
   readonly isLast: boolean;
+  /** An endpoint may have run the request before. */
+  readonly isRepeat: boolean;
   readonly lastEventId?: number;
   readonly hooks: AttemptHooks;
 }
@@ -353,7 +355,7 @@
       wire,
       maySend: () => {
         const isAllowed =
-          this.isInTime(attempt.expectedMs, attempt.model) &&
+          (spec.isRepeat || this.isInTime(attempt.expectedMs, attempt.model)) &&
           this.#dependencies.view.maySendTo(attempt.state, now()) &&
           this.#dependencies.promptHolds.find(facts) === undefined &&
           attempt.reservation.redeem();
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -188,6 +188,7 @@
       model,
       number: this.#startedAttempts,
       isLast: this.#attemptsLeft <= 0,
+      isRepeat: this.#mayHaveRun || race.runningCount > 0,
       lastEventId,
     };
     race.start(async (raceHooks) => {
