Play silences of sound replicas in the platform's soak

An entry gives a stream up after 375 ms without an event, asks another endpoint, and breaks the stream where that one refuses or breaks, though the silent one would have gone on. The soak could not find it: its replicas were silent for good or not at all.

One to all replicas now fall silent together for 0.5 to 1.6 s and go on: before the head, in the middle of a plain body, in the middle of a stream, or at all three. The silences have their own random numbers and run beside all other faults. cutBySilence names calls that a silent replica ran and that ended broken before their deadline; refusals and faults of replicas that did not run them excuse nothing, nor do store outages and planned stops. Other checks take a silence for no disturbance; calls that it delayed are judged by cutBySilence in place of lostRequest and cutByPlannedStop, since a stream that is still silent at its deadline has to end. Four callers with a deadline of 5 s are new, and routes allow 10 s for them.

--- a/src/platform/soak/callers.ts
+++ b/src/platform/soak/callers.ts
@@ -1,26 +1,21 @@
 /** Callers that keep connections open, each to one entry at a time. */
 
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import type { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
-import { RUN_ID_HEADER } from "../standins/replica.js";
-import { HOST } from "./fleet.js";
 import {
   type CallRecord,
   CRASHING_PART,
   ROUTE,
   type RouteName,
 } from "./records.js";
+import { createRecord, sendCall } from "./send_call.js";
 
 /** Longest pause of a caller between two requests, ms. */
 const MAX_PAUSE_MS = 120;
 /** Share of requests with a key that was withdrawn. */
 const WITHDRAWN_KEY_SHARE = 0.1;
-const CALL_DEADLINE_MS = 1_500;
-/** A caller waits this much longer than its deadline for an answer, ms. */
-const EXTRA_WAIT_MS = 1_500;
-/** First part of all prompts, and how many second parts there are. */
-const FIRST_PART = "first0";
+/** How many second parts of prompts there are. */
 const SECOND_PART_COUNT = 12;
 /** Mean pause between two calls with the part that ends replicas, ms. */
 const CRASHING_CALL_PAUSE_MS = 500;
@@ -29,6 +24,9 @@
 /** Share of calls after which a caller moves to another entry. */
 const ENTRY_CHANGE_SHARE = 0.03;
 
+/** Callers whose deadline is far beyond any silence, and that deadline, ms. */
+const PATIENT_CALLERS = { count: 4, deadlineMs: 5_000 } as const;
+
 export interface CallersOptions {
   readonly callerCount: number;
   /** Ports of the entries' links, by name. */
@@ -37,6 +35,7 @@
   /** Apart from `random`, so that seeds keep their other calls. */
   readonly crashingRandom: Random;
   readonly burstRandom: Random;
+  readonly patientRandom: Random;
   readonly listKeys: () => {
     readonly valid: readonly string[];
     readonly withdrawn: readonly string[];
@@ -44,6 +43,12 @@
   readonly signal: AbortSignal;
 }
 
+export interface CallOptions {
+  readonly route?: RouteName;
+  readonly random?: Random;
+  readonly deadlineMs?: number;
+}
+
 export class Callers {
   /** Those of `calls` that came in a burst, which replicas may refuse. */
   readonly burstCalls = new Set<CallRecord>();
@@ -58,10 +63,14 @@
   }
 
   async run(): Promise<void> {
-    const { callerCount } = this.#options;
-    await Promise.all(
-      Array.from({ length: callerCount }, () => this.#runCaller()),
-    );
+    const { callerCount, random, patientRandom } = this.#options;
+    const { count, deadlineMs } = PATIENT_CALLERS;
+    await Promise.all([
+      ...Array.from({ length: callerCount }, () => this.#runCaller(random)),
+      ...Array.from({ length: count }, () =>
+        this.#runCaller(patientRandom, deadlineMs),
+      ),
+    ]);
   }
 
   /** Calls with the part that ends replicas; they start before `untilMs`. */
@@ -92,20 +101,23 @@
     const sendOrder = async () => {
       const agent = new Agent();
       const entry = burstRandom.pick(names);
-      const call = await this.callOnce(entry, agent, ROUTE.once, burstRandom);
+      const call = await this.callOnce(entry, agent, {
+        route: ROUTE.once,
+        random: burstRandom,
+      });
       this.burstCalls.add(call);
       agent.destroy();
     };
     await Promise.all(Array.from({ length: BURST_SIZE }, sendOrder));
   }
 
-  async #runCaller(): Promise<void> {
-    const { portsByEntry, random, signal } = this.#options;
+  async #runCaller(random: Random, deadlineMs?: number): Promise<void> {
+    const { portsByEntry, signal } = this.#options;
     const names = [...portsByEntry.keys()];
     let entry = random.pick(names);
     let agent = new Agent({ keepAlive: true, maxSockets: 1 });
     while (!signal.aborted) {
-      const call = await this.callOnce(entry, agent);
+      const call = await this.callOnce(entry, agent, { random, deadlineMs });
       const isFailed = call.status === undefined || call.status >= 500;
       // The connection is kept while it works, whatever happens to the entry.
       if (isFailed || random.chance(ENTRY_CHANGE_SHARE)) {
@@ -122,10 +134,10 @@
   async callOnce(
     entry: string,
     agent: Agent,
-    requestedRoute?: RouteName,
-    random = this.#options.random,
+    options: CallOptions = {},
   ): Promise<CallRecord> {
     const { portsByEntry, listKeys } = this.#options;
+    const { random = this.#options.random, route: requestedRoute } = options;
     const route = requestedRoute ?? random.pick(Object.values(ROUTE));
     const { valid, withdrawn } = listKeys();
     const usesWithdrawnKey =
@@ -139,6 +151,9 @@
       entry,
       key: random.pick(usesWithdrawnKey ? withdrawn.slice(-2) : valid),
       secondPart: `m${number % SECOND_PART_COUNT}`,
+      ...(options.deadlineMs === undefined
+        ? {}
+        : { deadlineMs: options.deadlineMs }),
     });
     this.calls.push(record);
     await sendCall(record, agent, portsByEntry.get(entry) ?? 0);
@@ -146,76 +161,3 @@
     return record;
   }
 }
-
-function createRecord(
-  options: Pick<CallRecord, "id" | "route" | "entry" | "key"> & {
-    readonly secondPart: string;
-  },
-): CallRecord {
-  const { secondPart, ...fields } = options;
-  return {
-    ...fields,
-    sharedParts: [FIRST_PART, secondPart],
-    deadlineMs: CALL_DEADLINE_MS,
-    sentAtMs: performance.now(),
-    endedAtMs: 0,
-    namedIds: [],
-    body: "",
-    isComplete: false,
-  };
-}
-
-function sendCall(
-  record: CallRecord,
-  agent: Agent,
-  port: number,
-): Promise<void> {
-  return new Promise((resolve) => {
-    const outgoing = request(
-      {
-        host: "127.0.0.1",
-        port,
-        agent,
-        method: "POST",
-        path: `/${record.route}/a`,
-        headers: {
-          host: HOST,
-          "attempt-id": record.id,
-          authorization: `Bearer ${record.key}`,
-          "deadline-ms": String(record.deadlineMs),
-          "content-length": "5",
-          "prefix-hash": [...record.sharedParts, record.id]
-            .map((part) => `${part}:10`)
-            .join(","),
-        },
-      },
-      (response) => {
-        record.status = response.statusCode;
-        record.stamp = response.headers["server-stamp"]?.toString();
-        record.namedIds = ["attempt-id", RUN_ID_HEADER.toLowerCase()].flatMap(
-          (name) => response.headers[name] ?? [],
-        );
-        response.on("data", (chunk: Buffer) => {
-          record.body += chunk.toString();
-        });
-        const settle = () => {
-          clearTimeout(timer);
-          record.isComplete = response.complete;
-          resolve();
-        };
-        response.once("error", settle);
-        response.once("end", settle);
-        response.once("close", settle);
-      },
-    );
-    const timer = setTimeout(
-      () => outgoing.destroy(new Error("No answer")),
-      record.deadlineMs + EXTRA_WAIT_MS,
-    );
-    outgoing.once("error", () => {
-      clearTimeout(timer);
-      resolve();
-    });
-    outgoing.end("order");
-  });
-}
--- a/src/platform/soak/fault_injector.ts
+++ b/src/platform/soak/fault_injector.ts
@@ -9,6 +9,7 @@
 import type { EntryMember, Fleet, ReplicaMember } from "./fleet.js";
 import type { Disturbance } from "./records.js";
 import { runRepeatFaults } from "./repeat_faults.js";
+import { runSilences } from "./silences.js";
 
 /** Shortest and longest duration of a fault, ms. */
 const FAULT_DURATION_MS = { min: 300, max: 7_000 };
@@ -55,6 +56,7 @@
   readonly limitRandom: Random;
   readonly restoreRandom: Random;
   readonly repeatRandom: Random;
+  readonly silenceRandom: Random;
   readonly sendBurst: () => Promise<void>;
   readonly untilMs: number;
 }
@@ -81,6 +83,7 @@
   /** Starts faults until the end time; resolves once all have ended. */
   async run(): Promise<void> {
     const { fleet, random, repeatRandom, sendBurst, untilMs } = this.#options;
+    const { silenceRandom } = this.#options;
     for (const entry of fleet.entries) this.#watchExit(entry);
     const running: Promise<void>[] = [
       this.#runLimits(),
@@ -92,6 +95,15 @@
         sendBurst,
         onFault: () => this.#countFault("repeat"),
       }),
+      runSilences({
+        random: silenceRandom,
+        untilMs,
+        listReplicas: () => this.#listCurrentReplicas(),
+        onSilence: (silence) => {
+          this.#countFault("silence");
+          this.disturbances.push(silence);
+        },
+      }),
     ];
     while (performance.now() < untilMs) {
       running.push(this.#runFault());
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -33,6 +33,8 @@
 const BUNDLE_FILE = fileURLToPath(
   new URL("../../../target/entry.cjs", import.meta.url),
 );
+/** Longer than any caller waits. */
+const ROUTE_TIMEOUT_MS = 10_000;
 const ENTRY_COUNT = 5;
 /** Time after which a replica that has crashed is back, ms. */
 const CRASH_DOWN_MS = 1_000;
@@ -189,7 +191,7 @@
     this.#configVersion++;
     const route = {
       host: HOST,
-      timeout_ms: 2_000,
+      timeout_ms: ROUTE_TIMEOUT_MS,
       target_latency_ms: 300,
       priority: 1,
       public: false,
--- a/src/platform/soak/index.ts
+++ b/src/platform/soak/index.ts
@@ -1,3 +1,4 @@
 export * from "./judge_soak.js";
+export * from "./properties.js";
 export * from "./records.js";
 export * from "./soak.js";
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -3,7 +3,10 @@
 import { Findings } from "../../soak/findings.js";
 import { PLAIN_ANSWER_BODY } from "../standins/replica.js";
 import { countInBusiestWindow } from "./busiest_window.js";
+import { CALM_BEFORE_MS, describeCall, isCalm } from "./calm.js";
+import { checkSilence } from "./check_silence.js";
 import { STREAM_EVENTS, TIME_BOUNDS } from "./fleet.js";
+import { PROPERTIES, type Property } from "./properties.js";
 import {
   type ArrivalRecord,
   type CallRecord,
@@ -14,29 +17,6 @@
   type SoakRecords,
 } from "./records.js";
 
-export const PROPERTIES = [
-  "ranTwice",
-  "falseNotRun",
-  "wrongAnswer",
-  "wrongStream",
-  "foreignAnswer",
-  "withdrawnKeyServed",
-  "leavingReplicaServed",
-  "leavingWordIgnored",
-  "pauseIgnored",
-  "limitExceeded",
-  "crashingPartSent",
-  "soundPromptRefused",
-  "cutByPlannedStop",
-  "lostRequest",
-  "answeredLate",
-  "unexpectedExit",
-  "notRecovered",
-] as const;
-export type Property = (typeof PROPERTIES)[number];
-
-/** A time limit holds only after this long without a disturbance, ms. */
-const CALM_BEFORE_MS = 3_000;
 /** Time within which an entry forwards a request that it has read, ms. */
 const FORWARDING_MS = 200;
 /** How much later than its deadline an answer may come, ms. */
@@ -70,6 +50,7 @@
     checkAnswer(call, ownRuns, findings);
     checkWithdrawnKey(call, ownRuns, records, findings);
     checkCompletion(call, ownRuns, records, findings);
+    checkSilence(call, ownRuns, records, findings);
   }
   for (const call of [...records.calls, ...records.crashingCalls]) {
     checkNamedIds(call, findings);
@@ -99,12 +80,6 @@
   return groups;
 }
 
-function describeCall(call: CallRecord, text: string): string {
-  const { id, route, entry, status, sentAtMs, endedAtMs } = call;
-  const times = `${Math.round(sentAtMs)} to ${Math.round(endedAtMs)} ms`;
-  return `${id} ${route} at ${entry}, ${times}, status ${status}: ${text}`;
-}
-
 function checkRunCount(
   call: CallRecord,
   runs: readonly RunRecord[],
@@ -179,23 +154,6 @@
   );
 }
 
-/** True when nothing disturbed the members during the span. */
-function isCalm(
-  { disturbances }: SoakRecords,
-  members: ReadonlySet<string>,
-  span: { fromMs: number; toMs: number },
-  options: { ignorePlanned?: boolean; ignored?: string } = {},
-): boolean {
-  return !disturbances.some(
-    ({ kind, member, fromMs, toMs, isPlanned }) =>
-      kind !== options.ignored &&
-      fromMs < span.toMs &&
-      toMs > span.fromMs &&
-      (member === undefined || members.has(member)) &&
-      !(isPlanned && options.ignorePlanned),
-  );
-}
-
 function checkCompletion(
   call: CallRecord,
   runs: readonly RunRecord[],
@@ -211,6 +169,8 @@
   findings.check("answeredLate", tookMs <= deadlineMs + MAX_LATENESS_MS, () =>
     describeCall(call, `deadline ${deadlineMs} ms`),
   );
+  // Judged by `checkSilence`, which knows the deadline.
+  if (runs.some(({ wasSilent }) => wasSilent)) return;
   // A request sent while its connection closes may never be read.
   const wasRead = runs.length > 0 || tookMs > FORWARDING_MS;
   const isAnswered = call.status !== undefined && call.isComplete;
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -2,13 +2,16 @@
 import { describe, it } from "node:test";
 import { PLAIN_ANSWER_BODY } from "../standins/replica.js";
 import { STREAM_EVENTS } from "./fleet.js";
-import { judgeSoak, PROPERTIES, type Property } from "./judge_soak.js";
+import { judgeSoak } from "./judge_soak.js";
+import { PROPERTIES, type Property } from "./properties.js";
 import {
   type ArrivalRecord,
   type CallRecord,
   CRASH_KIND,
   CRASHING_PART,
+  type Disturbance,
   type RunRecord,
+  SILENCE_KIND,
   type SoakRecords,
 } from "./records.js";
 
@@ -71,6 +74,19 @@
     ...fields,
   };
 }
+const STOP = {
+  kind: "stop",
+  member: "entry-0",
+  fromMs: 19_000,
+  toMs: 22_000,
+  isPlanned: true,
+};
+const SILENCE = {
+  kind: SILENCE_KIND,
+  member: "i-0",
+  fromMs: 20_040,
+  toMs: 21_000,
+};
 const STREAM = Array.from(
   { length: STREAM_EVENTS },
   (_, id) => `id: ${id}\ndata: piece ${id}\n\n`,
@@ -194,15 +210,23 @@
       "cutByPlannedStop",
       {
         calls: [{ ...CALL, isComplete: false }],
-        disturbances: [
-          {
-            kind: "stop",
-            member: "entry-0",
-            fromMs: 19_000,
-            toMs: 22_000,
-            isPlanned: true,
-          },
-        ],
+        disturbances: [STOP],
+      },
+    ],
+    [
+      "cutBySilence",
+      {
+        calls: [{ ...CALL, route: "stream", isComplete: false, body: "" }],
+        runs: [{ ...RUN, wasSilent: true }],
+        disturbances: [SILENCE, STOP],
+      },
+    ],
+    [
+      "cutBySilence",
+      {
+        calls: [{ ...CALL, status: undefined }],
+        runs: [{ ...RUN, wasSilent: true }],
+        disturbances: [SILENCE],
       },
     ],
     ["answeredLate", { calls: [{ ...CALL, endedAtMs: 22_100 }] }],
@@ -226,6 +250,23 @@
     assert.deepEqual(broken, ["lostRequest"]);
   });
 
+  it("accept what a silence lets an entry do", () => {
+    const runs = [{ ...RUN, wasSilent: true }];
+    const cut: CallRecord = { ...CALL, status: undefined };
+    const listFor = (call: CallRecord, ...faults: Disturbance[]) =>
+      listViolated({ calls: [call], runs, disturbances: [SILENCE, ...faults] });
+    assert.deepEqual(listFor({ ...CALL, endedAtMs: 21_100 }), []);
+    const refused: CallRecord = { ...CALL, route: "safe", status: 503 };
+    assert.deepEqual(listFor(refused), []);
+    assert.deepEqual(listFor({ ...cut, endedAtMs: 21_490 }), []);
+    const crash = { ...SILENCE, kind: "crash", fromMs: 20_060 };
+    assert.deepEqual(listFor(cut, crash), []);
+    // A refusal or a fault elsewhere does not excuse it.
+    const other = { ...crash, member: "i-1" };
+    assert.deepEqual(listFor(cut, other), ["cutBySilence"]);
+    assert.ok(judge({}).listNotExercised().includes("cutBySilence"));
+  });
+
   it("accept what a limit allows, and what a fault excuses", () => {
     assert.deepEqual(listViolated(createLimitRecords(11)), []);
     const freeze = {
--- /dev/null
+++ b/src/platform/soak/properties.ts
@@ -0,0 +1,23 @@
+/** The properties that the soak on the platform's edge judges. */
+
+export const PROPERTIES = [
+  "ranTwice",
+  "falseNotRun",
+  "wrongAnswer",
+  "wrongStream",
+  "foreignAnswer",
+  "withdrawnKeyServed",
+  "leavingReplicaServed",
+  "leavingWordIgnored",
+  "pauseIgnored",
+  "limitExceeded",
+  "crashingPartSent",
+  "soundPromptRefused",
+  "cutByPlannedStop",
+  "cutBySilence",
+  "lostRequest",
+  "answeredLate",
+  "unexpectedExit",
+  "notRecovered",
+] as const;
+export type Property = (typeof PROPERTIES)[number];
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -24,17 +24,26 @@
   isComplete: boolean;
   /** Ids of the prompt's parts but the last one. */
   readonly sharedParts: readonly string[];
+  /** The prompt's last part. */
+  readonly ownPart?: string;
+  readonly requestBody?: string;
+  /** Delay before a retry that the answer asks for, s. */
+  retryAfterS?: number;
 }
 
 /** Part of a prompt that ends each replica that begins an answer. */
 export const CRASHING_PART = "bad0";
 /** Kind of disturbance of a replica that has ended under that part. */
 export const CRASH_KIND = "crash";
+/** Kind of a replica's silence, which is no reason to end an answer. */
+export const SILENCE_KIND = "silence";
 
 export interface RunRecord {
   readonly requestId: string;
   readonly replica: string;
   readonly startedAtMs: number;
+  /** A silence of the replica has delayed the answer. */
+  readonly wasSilent?: boolean;
 }
 
 /** A request that reached a replica, refused ones too. */
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -8,7 +8,8 @@
 import { Callers } from "./callers.js";
 import { FaultInjector } from "./fault_injector.js";
 import { Fleet } from "./fleet.js";
-import { judgeSoak, type Property } from "./judge_soak.js";
+import { judgeSoak } from "./judge_soak.js";
+import type { Property } from "./properties.js";
 import { ROUTE, type RunRecord } from "./records.js";
 
 const CALLER_COUNT = 16;
@@ -53,6 +54,7 @@
     limitRandom: new Random(seed + 2),
     restoreRandom: new Random(seed + 4),
     repeatRandom: new Random(seed + 5),
+    silenceRandom: new Random(seed + 7),
     sendBurst: () => callers.sendBurst(),
     untilMs,
   });
@@ -65,6 +67,7 @@
     random: new Random(seed + 1),
     crashingRandom: new Random(seed + 3),
     burstRandom: new Random(seed + 6),
+    patientRandom: new Random(seed + 8),
     listKeys: () => ({
       valid: fleet.apiKeys,
       withdrawn: [...faults.withdrawals.keys()],
@@ -135,7 +138,7 @@
   for (const { name } of fleet.entries) {
     for (const route of Object.values(ROUTE)) {
       const agent = new Agent();
-      const call = await callers.callOnce(name, agent, route);
+      const call = await callers.callOnce(name, agent, { route });
       agent.destroy();
       if (call.status === 200 && call.isComplete) continue;
       failures.push(`${call.id} ${route} at ${name}: ${call.status}`);
@@ -146,10 +149,11 @@
 
 function listRuns(fleet: Fleet): RunRecord[] {
   return fleet.replicas.flatMap(({ id, replica }) =>
-    replica.runs.map(({ requestId, startedAtMs }) => ({
+    replica.runs.map(({ requestId, startedAtMs, wasSilent }) => ({
       requestId,
       replica: id,
       startedAtMs,
+      wasSilent,
     })),
   );
 }
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -15,6 +15,13 @@
   RepeatedAnswers,
   type RepeatOptions,
 } from "./repeated_answers.js";
+import {
+  isSilent,
+  SILENCE_PLACE,
+  type Silence,
+  type SilencePlace,
+  waitForEnd,
+} from "./silence.js";
 
 export interface ReplicaRun {
   readonly requestId: string;
@@ -28,6 +35,8 @@
   sentEvents: number;
   /** "cut" by the replica itself, "left" when the caller disconnected. */
   state: "running" | "complete" | "cut" | "left";
+  /** A silence has delayed the answer. */
+  wasSilent?: boolean;
 }
 
 /** A request that arrived, also one that was refused. */
@@ -82,6 +91,8 @@
   sendsWrongRequestId?: boolean;
   /** Writes earlier answers of a kept connection once more. */
   repeats?: RepeatOptions;
+  /** Sends nothing until a given time, then goes on. */
+  silence?: Silence;
   /** Ends as soon as it begins an answer to a prompt with one of these parts. */
   crashesOn?: ReadonlySet<string>;
   /** Called when it has ended for that reason. */
@@ -191,6 +202,7 @@
     });
     if (options.neverAnswers) return;
     await this.#delay();
+    await this.#waitWhileSilent(run, SILENCE_PLACE.beforeHead);
     this.#repeated.writeWithAnswer(socket);
     if (sharedParts.some((part) => options.crashesOn?.has(part))) {
       this.#crash(run, response, sharedParts);
@@ -321,6 +333,10 @@
       run.state = "cut";
       return;
     }
+    if (isSilent(this.options.silence, SILENCE_PLACE.inBody)) {
+      void this.#sendHalves(run, response, body);
+      return;
+    }
     // The response has no socket once its caller has left.
     const { socket } = response;
     response.end(body);
@@ -330,6 +346,19 @@
     this.#repeated.setAnswer(socket, complete, 200, headers, body);
   }
 
+  async #sendHalves(
+    run: ReplicaRun,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    const half = body.length / 2;
+    response.write(body.slice(0, half));
+    await this.#waitWhileSilent(run, SILENCE_PLACE.inBody);
+    if (run.state !== "running") return;
+    response.end(body.slice(half));
+    run.state = "complete";
+  }
+
   async #stream(run: ReplicaRun, response: ServerResponse): Promise<void> {
     const { streamEvents = 5, cutAfterEvents } = this.options;
     const firstId = Number(run.headers["last-event-id"] ?? -1) + 1;
@@ -347,12 +376,20 @@
       response.write(`id: ${id}\ndata: piece ${id}\n\n`);
       run.sentEvents++;
       await this.#delay();
+      await this.#waitWhileSilent(run, SILENCE_PLACE.inStream);
       if (run.state !== "running") return;
     }
     response.end();
     run.state = "complete";
   }
 
+  async #waitWhileSilent(run: ReplicaRun, place: SilencePlace): Promise<void> {
+    const { silence } = this.options;
+    if (!isSilent(silence, place)) return;
+    run.wasSilent = true;
+    await waitForEnd(silence);
+  }
+
   #delay(): Promise<void> {
     const { delayMs = 0 } = this.options;
     return new Promise((resolve) => setTimeout(resolve, delayMs));
