Play requests that end each replica in the platform's soak

Entries know parts of prompts that end replicas, not requests that do it by themselves. The soak played the former only.

One request at a time, an order, a look-up or a stream, now comes every 0 to 0.3 s at any entry for 7 to 14 s, with the same path, key and body and a new id. Each replica that begins to run it ends with all its connections, before the head or after it, and is back 2.5 s later under a new id and address. It shares both prompt parts with sound requests. crashingRequestSent counts its arrivals from 3 s after its third crash, sent by entries in touch, entry and store undisturbed for 3 s: three are allowed, and a run with three such calls or fewer has no case. soundPromptRefused takes any code that ends in "-held", or 30 s to return, for a refusal of that kind, so that it does not hang on the name of a new code. ranTwice, falseNotRun and foreignAnswer judge these calls too.

So a run begins with 1.5 s of silences alone and 5.5 s with such a request, before the faults; a run takes 7 s longer for it.

--- a/src/platform/soak/fault_injector.ts
+++ b/src/platform/soak/fault_injector.ts
@@ -9,7 +9,6 @@
 import type { EntryMember, Fleet, ReplicaMember } from "./fleet.js";
 import type { Disturbance } from "./records.js";
 import { runRepeatFaults } from "./repeat_faults.js";
-import { runSilences } from "./silences.js";
 
 /** Shortest and longest duration of a fault, ms. */
 const FAULT_DURATION_MS = { min: 300, max: 7_000 };
@@ -56,7 +55,6 @@
   readonly limitRandom: Random;
   readonly restoreRandom: Random;
   readonly repeatRandom: Random;
-  readonly silenceRandom: Random;
   readonly sendBurst: () => Promise<void>;
   readonly untilMs: number;
 }
@@ -83,7 +81,6 @@
   /** Starts faults until the end time; resolves once all have ended. */
   async run(): Promise<void> {
     const { fleet, random, repeatRandom, sendBurst, untilMs } = this.#options;
-    const { silenceRandom } = this.#options;
     for (const entry of fleet.entries) this.#watchExit(entry);
     const running: Promise<void>[] = [
       this.#runLimits(),
@@ -91,19 +88,10 @@
       runRepeatFaults({
         random: repeatRandom,
         untilMs,
-        listReplicas: () => this.#listCurrentReplicas(),
+        listReplicas: () => fleet.listCurrentReplicas(),
         sendBurst,
         onFault: () => this.#countFault("repeat"),
       }),
-      runSilences({
-        random: silenceRandom,
-        untilMs,
-        listReplicas: () => this.#listCurrentReplicas(),
-        onSilence: (silence) => {
-          this.#countFault("silence");
-          this.disturbances.push(silence);
-        },
-      }),
     ];
     while (performance.now() < untilMs) {
       running.push(this.#runFault());
@@ -112,16 +100,11 @@
     await Promise.all(running);
   }
 
-  #listCurrentReplicas(): ReplicaMember[] {
-    const { fleet } = this.#options;
-    return fleet.replicas.filter(({ id }) => fleet.currentReplicaIds.has(id));
-  }
-
   /** Lets one replica after the other set a rate for some time. */
   async #runLimits(): Promise<void> {
-    const { limitRandom: random, untilMs } = this.#options;
+    const { fleet, limitRandom: random, untilMs } = this.#options;
     while (performance.now() < untilMs) {
-      const { options } = random.pick(this.#listCurrentReplicas()).replica;
+      const { options } = random.pick(fleet.listCurrentReplicas()).replica;
       options.limit = String(random.pick(LIMITS_PER_SECOND));
       this.#countFault("limit");
       const { min, max } = LIMIT_DURATION_MS;
@@ -155,7 +138,7 @@
   async #runFault(): Promise<void> {
     const { fleet, random } = this.#options;
     const entry = random.pick(fleet.entries);
-    const replica = random.pick(this.#listCurrentReplicas());
+    const replica = random.pick(fleet.listCurrentReplicas());
     const durationMs = random.pickInteger(
       FAULT_DURATION_MS.min,
       FAULT_DURATION_MS.max,
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -11,13 +11,20 @@
 } from "../../standins/managed_process.js";
 import { startServer } from "../../standins/server.js";
 import { delay } from "../../testbed/delay.js";
+import type { BodyCrashTime } from "../standins/body_crash.js";
 import {
   createReplicaSpec,
   REPLICA_SERVICE,
   ReplicaStandin,
 } from "../standins/replica.js";
 import { PlatformStoreStandin } from "../standins/store.js";
-import { CRASH_KIND, CRASHING_PART, type Disturbance } from "./records.js";
+import {
+  CRASH_KIND,
+  CRASHING_PART,
+  type Disturbance,
+  REQUEST_CRASH_KIND,
+  type RequestCrash,
+} from "./records.js";
 
 export const HOST = "soak.example";
 /** Time limits in the settings of the entries. */
@@ -38,6 +45,8 @@
 const ENTRY_COUNT = 5;
 /** Time after which a replica that has crashed is back, ms. */
 const CRASH_DOWN_MS = 1_000;
+/** Time after which one that a request ended is back under a new id, ms. */
+const REPLACEMENT_MS = 2_500;
 const REPLICA_COUNT = 4;
 /** Ports of one entry; see `createSettings`. */
 const PORTS_PER_ENTRY = 5;
@@ -77,6 +86,9 @@
   readonly currentReplicaIds = new Set<string>();
   /** Replicas that ended under a part of a prompt. */
   readonly crashes: Disturbance[] = [];
+  /** Bodies of requests that end replicas. */
+  readonly crashingBodies = new Map<string, BodyCrashTime>();
+  readonly requestCrashes: RequestCrash[] = [];
   readonly apiKeys: string[] = ["key-a", "key-b", "key-c"];
   readonly #options: FleetOptions;
   readonly #restarts: Promise<unknown>[] = [];
@@ -242,6 +254,10 @@
     }
   }
 
+  listCurrentReplicas(): ReplicaMember[] {
+    return this.replicas.filter(({ id }) => this.currentReplicaIds.has(id));
+  }
+
   async addReplica(): Promise<ReplicaMember> {
     const id = `i-${this.#nextReplicaNumber++}`;
     const { signal } = this.#options;
@@ -259,6 +275,8 @@
         );
         this.#restarts.push(restart);
       },
+      crashesOnBody: this.crashingBodies,
+      onBodyCrash: (body) => this.#restarts.push(this.#replace(member, body)),
     });
     const port = await replica.start();
     signal.addEventListener("abort", () => replica.close(), { once: true });
@@ -270,6 +288,24 @@
     return member;
   }
 
+  /** A replica that a request has ended is back later under a new id. */
+  async #replace(member: ReplicaMember, body: string): Promise<void> {
+    const { id } = member;
+    const atMs = performance.now();
+    if (this.requestCrashes.some(({ replica }) => replica === id)) return;
+    this.requestCrashes.push({ body, replica: id, atMs });
+    const span = { fromMs: atMs, toMs: Number.POSITIVE_INFINITY };
+    this.crashes.push({ kind: REQUEST_CRASH_KIND, member: id, ...span });
+    await member.link.close();
+    await delay(REPLACEMENT_MS);
+    if (this.#options.signal.aborted) return;
+    // One that was leaving has a successor already.
+    if (this.currentReplicaIds.has(id)) await this.addReplica();
+    this.currentReplicaIds.delete(id);
+    member.hasLeft = true;
+    this.store.delete("servers", id);
+  }
+
   /** Resolves once all replicas that have crashed are back. */
   async waitForRestarts(): Promise<void> {
     await Promise.all(this.#restarts);
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -4,6 +4,7 @@
 import { PLAIN_ANSWER_BODY } from "../standins/replica.js";
 import { countInBusiestWindow } from "./busiest_window.js";
 import { CALM_BEFORE_MS, describeCall, isCalm } from "./calm.js";
+import { checkCrashingRequests } from "./check_crashing_requests.js";
 import { checkSilence } from "./check_silence.js";
 import { STREAM_EVENTS, TIME_BOUNDS } from "./fleet.js";
 import { PROPERTIES, type Property } from "./properties.js";
@@ -38,6 +39,10 @@
 const CRASHES_BEFORE_HOLD = 5;
 /** Requests with the part that may reach replicas after that. */
 const MAX_AFTER_HOLD = 3;
+/** How refusals begin for what is held back as a cause of crashes. */
+const HELD_CODE = /^[a-z-]+-held\b/;
+/** No other refusal asks for so long a delay, s. */
+const MIN_HELD_RETRY_AFTER_S = 30;
 /** Statuses which promise that the request has not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -52,13 +57,21 @@
     checkCompletion(call, ownRuns, records, findings);
     checkSilence(call, ownRuns, records, findings);
   }
-  for (const call of [...records.calls, ...records.crashingCalls]) {
+  for (const call of records.crashingRequests) {
+    checkRunCount(call, runs.get(call.id) ?? [], findings);
+  }
+  for (const call of [
+    ...records.calls,
+    ...records.crashingCalls,
+    ...records.crashingRequests,
+  ]) {
     checkNamedIds(call, findings);
   }
   checkLeavingReplicas(records, findings);
   checkReplicaRequests(records, findings);
   checkLimits(records, findings);
   checkCrashingPart(records, findings);
+  checkCrashingRequests(records, findings);
   for (const exit of records.unexpectedExits) {
     findings.addViolation("unexpectedExit", exit);
   }
@@ -371,8 +384,10 @@
   records: SoakRecords,
   findings: Findings<Property>,
 ): void {
-  const refused = records.calls.filter(({ body }) =>
-    body.startsWith("prompt-held"),
+  const refused = records.calls.filter(
+    ({ status, body, retryAfterS = 0 }) =>
+      status !== 200 &&
+      (HELD_CODE.test(body) || retryAfterS >= MIN_HELD_RETRY_AFTER_S),
   );
   findings.check(
     "soundPromptRefused",
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -115,12 +115,40 @@
   };
 }
 
+/** Calls with a request that reaches replicas 4 s after its third crash. */
+function createRequestCrashRecords(
+  count: number,
+  arrivalCount: number,
+): Partial<SoakRecords> {
+  const requestBody = "ends 0";
+  const calls = Array.from({ length: count }, (_, index) =>
+    createCall(`y${index}`, { requestBody, sentAtMs: 24_200 + index }),
+  );
+  return {
+    crashingRequests: calls,
+    requestCrashes: [20_000, 20_100, 20_200].map((atMs, index) => ({
+      body: requestBody,
+      replica: `i-${index}`,
+      atMs,
+    })),
+    arrivals: calls.slice(0, arrivalCount).map(({ id, sentAtMs }) => ({
+      ...ARRIVAL,
+      isLeaving: false,
+      retryAfterMs: undefined,
+      requestId: id,
+      atMs: sentAtMs,
+    })),
+  };
+}
+
 function judge(records: Partial<SoakRecords>) {
   return judgeSoak({
     calls: [CALL],
     runs: [RUN],
     arrivals: [],
     crashingCalls: [],
+    crashingRequests: [],
+    requestCrashes: [],
     disturbances: [],
     withdrawals: new Map(),
     leavings: new Map(),
@@ -183,6 +211,14 @@
     ],
     ["limitExceeded", createLimitRecords(12)],
     ["crashingPartSent", createCrashRecords(4)],
+    ["crashingRequestSent", createRequestCrashRecords(6, 4)],
+    [
+      "soundPromptRefused",
+      {
+        calls: [{ ...CALL, status: 503, retryAfterS: 60, stamp: "" }],
+        runs: [],
+      },
+    ],
     [
       "soundPromptRefused",
       {
@@ -267,6 +303,18 @@
     assert.ok(judge({}).listNotExercised().includes("cutBySilence"));
   });
 
+  it("accept requests that crash replicas while few reach them", () => {
+    assert.deepEqual(listViolated(createRequestCrashRecords(6, 3)), []);
+    const unjudged = judge(createRequestCrashRecords(3, 3));
+    assert.ok(unjudged.listNotExercised().includes("crashingRequestSent"));
+    const frozen = { member: "entry-0", fromMs: 22_000, toMs: 22_500 };
+    const excused = judge({
+      ...createRequestCrashRecords(6, 6),
+      disturbances: [{ kind: "freeze", ...frozen }],
+    });
+    assert.ok(excused.listNotExercised().includes("crashingRequestSent"));
+  });
+
   it("accept what a limit allows, and what a fault excuses", () => {
     assert.deepEqual(listViolated(createLimitRecords(11)), []);
     const freeze = {
--- a/src/platform/soak/properties.ts
+++ b/src/platform/soak/properties.ts
@@ -12,6 +12,7 @@
   "pauseIgnored",
   "limitExceeded",
   "crashingPartSent",
+  "crashingRequestSent",
   "soundPromptRefused",
   "cutByPlannedStop",
   "cutBySilence",
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -35,9 +35,18 @@
 export const CRASHING_PART = "bad0";
 /** Kind of disturbance of a replica that has ended under that part. */
 export const CRASH_KIND = "crash";
+/** Kind of disturbance of a replica that a request has ended for good. */
+export const REQUEST_CRASH_KIND = "request-crash";
 /** Kind of a replica's silence, which is no reason to end an answer. */
 export const SILENCE_KIND = "silence";
 
+/** The end of a replica under a request with this body. */
+export interface RequestCrash {
+  readonly body: string;
+  readonly replica: string;
+  readonly atMs: number;
+}
+
 export interface RunRecord {
   readonly requestId: string;
   readonly replica: string;
@@ -68,6 +77,9 @@
   readonly arrivals: readonly ArrivalRecord[];
   /** Calls with the part that ends replicas; they need no answer. */
   readonly crashingCalls: readonly CallRecord[];
+  /** Calls with requests that end replicas by themselves, and these ends. */
+  readonly crashingRequests: readonly CallRecord[];
+  readonly requestCrashes: readonly RequestCrash[];
   readonly disturbances: readonly Disturbance[];
   /** When keys were withdrawn and replicas began to leave. */
   readonly withdrawals: ReadonlyMap<string, number>;
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -6,14 +6,18 @@
 import { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
 import { Callers } from "./callers.js";
+import { runCrashingRequests } from "./crashing_requests.js";
 import { FaultInjector } from "./fault_injector.js";
 import { Fleet } from "./fleet.js";
 import { judgeSoak } from "./judge_soak.js";
 import type { Property } from "./properties.js";
-import { ROUTE, type RunRecord } from "./records.js";
+import { type Disturbance, ROUTE, type RunRecord } from "./records.js";
+import { runSilences } from "./silences.js";
 
 const CALLER_COUNT = 16;
 const NANOSECONDS_PER_MS = 1_000_000;
+/** Times for which silences, then crashing requests as well, come alone, ms. */
+const ALONE = { silencesMs: 1_500, crashesMs: 5_500 } as const;
 /** Time for every entry to be ready again once all faults have ended, ms. */
 const RECOVERY_TIMEOUT_MS = 12_000;
 /** Time for every entry to be ready at the start, ms. */
@@ -47,39 +51,59 @@
   await waitUntilReady(fleet, START_TIMEOUT_MS);
   const stalls = monitorEventLoopDelay();
   stalls.enable();
-  const untilMs = performance.now() + seconds * 1_000;
+  const startedAtMs = performance.now();
+  const faultsFromMs = startedAtMs + ALONE.silencesMs + ALONE.crashesMs;
+  const untilMs = faultsFromMs + seconds * 1_000;
+  const silences: Disturbance[] = [];
   const faults = new FaultInjector({
     fleet,
     random: new Random(seed),
     limitRandom: new Random(seed + 2),
     restoreRandom: new Random(seed + 4),
     repeatRandom: new Random(seed + 5),
-    silenceRandom: new Random(seed + 7),
     sendBurst: () => callers.sendBurst(),
     untilMs,
   });
+  const portsByEntry = new Map(
+    fleet.entries.map(({ name, callerLink }) => [name, callerLink.port]),
+  );
+  const listKeys = () => ({
+    valid: fleet.apiKeys,
+    withdrawn: [...faults.withdrawals.keys()],
+  });
   const callersEnd = new AbortController();
   const callers = new Callers({
     callerCount: CALLER_COUNT,
-    portsByEntry: new Map(
-      fleet.entries.map(({ name, callerLink }) => [name, callerLink.port]),
-    ),
+    portsByEntry,
     random: new Random(seed + 1),
     crashingRandom: new Random(seed + 3),
     burstRandom: new Random(seed + 6),
     patientRandom: new Random(seed + 8),
-    listKeys: () => ({
-      valid: fleet.apiKeys,
-      withdrawn: [...faults.withdrawals.keys()],
-    }),
+    listKeys,
     signal: callersEnd.signal,
   });
   const callersDone = callers.run();
+  const silencesDone = runSilences({
+    random: new Random(seed + 7),
+    untilMs,
+    listReplicas: () => fleet.listCurrentReplicas(),
+    onSilence: (silence) => silences.push(silence),
+  });
+  await delay(ALONE.silencesMs);
+  const crashingRequestsDone = runCrashingRequests({
+    random: new Random(seed + 9),
+    untilMs,
+    portsByEntry,
+    listKeys,
+    crashingBodies: fleet.crashingBodies,
+  });
+  await delay(faultsFromMs - performance.now());
   // Ends earlier than most faults, so that recovery gets no extra time.
   const crashingDone = callers.runCrashingCalls(untilMs);
   await faults.run();
   faults.heal();
-  await crashingDone;
+  await Promise.all([crashingDone, silencesDone]);
+  const crashingRequests = await crashingRequestsDone;
   await fleet.waitForRestarts();
   await waitUntilReady(fleet, RECOVERY_TIMEOUT_MS);
   callersEnd.abort();
@@ -98,7 +122,9 @@
       replica.arrivals.map((arrival) => ({ ...arrival, replica: id })),
     ),
     crashingCalls: callers.crashingCalls,
-    disturbances: [...disturbances, ...fleet.crashes],
+    crashingRequests,
+    requestCrashes: fleet.requestCrashes,
+    disturbances: [...disturbances, ...silences, ...fleet.crashes],
     withdrawals,
     leavings,
     unexpectedExits,
@@ -109,7 +135,12 @@
     calls: steadyCalls.length,
     served: steadyCalls.filter(({ status }) => status === 200).length,
     burstCalls: callers.burstCalls.size,
-    faults: Object.fromEntries(faults.counts),
+    faults: {
+      ...Object.fromEntries(faults.counts),
+      silence: silences.length,
+      crashingRequest: fleet.crashingBodies.size,
+      requestCrash: fleet.requestCrashes.length,
+    },
     repeatedAnswers: fleet.replicas.reduce(
       (sum, { replica }) => sum + replica.copyCount,
       0,
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { BODY_CRASH_TIME, type BodyCrashTime } from "./body_crash.js";
 import {
   REPEATED_ANSWER,
   RepeatedAnswers,
@@ -97,6 +98,10 @@
   crashesOn?: ReadonlySet<string>;
   /** Called when it has ended for that reason. */
   onCrash?: (sharedParts: readonly string[]) => void;
+  /** Ends when it begins to run a request with one of these bodies. */
+  crashesOnBody?: ReadonlyMap<string, BodyCrashTime>;
+  /** Called when it has ended for that reason. */
+  onBodyCrash?: (body: string) => void;
 }
 
 /** Header that passes through a proxy and names the request that ran. */
@@ -200,6 +205,11 @@
     response.once("close", () => {
       if (run.state === "running") run.state = "left";
     });
+    const crashTime = options.crashesOnBody?.get(run.body);
+    if (crashTime !== undefined) {
+      this.#crashOnBody(run, response, crashTime);
+      return;
+    }
     if (options.neverAnswers) return;
     await this.#delay();
     await this.#waitWhileSilent(run, SILENCE_PLACE.beforeHead);
@@ -257,6 +267,22 @@
     }, CRASH_DELAY_MS);
   }
 
+  #crashOnBody(
+    run: ReplicaRun,
+    response: ServerResponse,
+    time: BodyCrashTime,
+  ): void {
+    if (time === BODY_CRASH_TIME.afterHead) {
+      response.writeHead(200, this.#createHeaders(run));
+      response.flushHeaders();
+    }
+    run.state = "cut";
+    setTimeout(() => {
+      this.close();
+      this.options.onBodyCrash?.(run.body);
+    }, CRASH_DELAY_MS);
+  }
+
   #recordArrival(requestId: string, sharedParts: readonly string[]): void {
     const { isFull, isLeaving = false, retryAfter, limit } = this.options;
     this.arrivals.push({
