Play planned stops in series, under callers that go on until the process is gone

The soak's stops were single, and its callers left an entry at its first answer that closed the connection. Requests late in the grace, orders with deadlines past it, stops that overlap and further signals were not played.

Ten callers now open a connection before the signal, use it at any time of the grace, and go on until the process is gone; orders have deadlines of 1.5 or 6 s (the grace is 4 s) and take up to 1.5 s at the replica, and in six of ten stops two take 1.5 to 4.5 s. Two entries are stopped in a series from the start of a run, now and then while the one before still stops, with SIGHUPs before and during the stop and new versions of the configuration. cutByPlannedStop does not judge a request sent up to 3 s after SIGTERM on which a replica still works in the last sixth of the grace, as the users' rule has it. Replicas record when an answer or its connection ended.

--- a/src/platform/soak/callers.ts
+++ b/src/platform/soak/callers.ts
@@ -47,6 +47,7 @@
   readonly route?: RouteName;
   readonly random?: Random;
   readonly deadlineMs?: number;
+  readonly requestBody?: string;
 }
 
 export class Callers {
@@ -151,9 +152,8 @@
       entry,
       key: random.pick(usesWithdrawnKey ? withdrawn.slice(-2) : valid),
       secondPart: `m${number % SECOND_PART_COUNT}`,
-      ...(options.deadlineMs === undefined
-        ? {}
-        : { deadlineMs: options.deadlineMs }),
+      deadlineMs: options.deadlineMs,
+      requestBody: options.requestBody,
     });
     this.calls.push(record);
     await sendCall(record, agent, portsByEntry.get(entry) ?? 0);
--- a/src/platform/soak/check_silence.ts
+++ b/src/platform/soak/check_silence.ts
@@ -2,6 +2,7 @@
 
 import type { Findings } from "../../soak/findings.js";
 import { CALM_BEFORE_MS, describeCall, isCalm } from "./calm.js";
+import { hasGraceEnded } from "./has_grace_ended.js";
 import type { Property } from "./properties.js";
 import type { CallRecord, RunRecord, SoakRecords } from "./records.js";
 
@@ -28,6 +29,7 @@
   const hasReachedDeadline =
     endedAtMs > sentAtMs + deadlineMs - DEADLINE_MARGIN_MS;
   if (!isAnswered && hasReachedDeadline) return;
+  if (!isAnswered && hasGraceEnded(call, runs, records)) return;
   const entryFaults = records.disturbances.filter(
     ({ member }) => member !== undefined,
   );
--- a/src/platform/soak/fault_injector.ts
+++ b/src/platform/soak/fault_injector.ts
@@ -9,6 +9,7 @@
 import type { EntryMember, Fleet, ReplicaMember } from "./fleet.js";
 import type { Disturbance } from "./records.js";
 import { runRepeatFaults } from "./repeat_faults.js";
+import { runStopSeries } from "./stop_series.js";
 
 /** Shortest and longest duration of a fault, ms. */
 const FAULT_DURATION_MS = { min: 300, max: 7_000 };
@@ -56,6 +57,11 @@
   readonly restoreRandom: Random;
   readonly repeatRandom: Random;
   readonly sendBurst: () => Promise<void>;
+  /** Calls an entry during its planned stop; resolves when that may begin. */
+  readonly startStopCalls: (
+    entry: EntryMember,
+    signal: AbortSignal,
+  ) => Promise<{ readonly done: Promise<unknown> }>;
   readonly untilMs: number;
 }
 
@@ -76,12 +82,28 @@
 
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
+    for (const entry of options.fleet.entries) this.#watchExit(entry);
+  }
+
+  /** Planned stops in series until the end time. */
+  runStops(random: Random, repeatsStops: boolean): Promise<void> {
+    const { fleet, untilMs } = this.#options;
+    return runStopSeries({
+      random,
+      untilMs,
+      entries: fleet.entries,
+      stop: (entry) => {
+        this.#countFault("stop");
+        return this.#stop(entry);
+      },
+      changeConfiguration: () => fleet.writeConfiguration(),
+      repeatsStops,
+    });
   }
 
   /** Starts faults until the end time; resolves once all have ended. */
   async run(): Promise<void> {
     const { fleet, random, repeatRandom, sendBurst, untilMs } = this.#options;
-    for (const entry of fleet.entries) this.#watchExit(entry);
     const running: Promise<void>[] = [
       this.#runLimits(),
       this.#runRestores(),
@@ -225,14 +247,18 @@
   async #stop(entry: EntryMember): Promise<void> {
     if (this.#endingEntries.has(entry)) return;
     this.#endingEntries.add(entry);
+    const gone = new AbortController();
+    const calls = await this.#options.startStopCalls(entry, gone.signal);
     const disturbance = this.#startDisturbance("stop", entry.name, true);
     const status = await entry.process?.stop();
+    gone.abort();
     if (status?.code !== 0) {
       const text = `${entry.name} after SIGTERM: ${JSON.stringify(status)}`;
       this.unexpectedExits.push(text);
     }
     await this.#restart(entry);
     this.#endDisturbance(disturbance);
+    await calls.done;
   }
 
   async #killAll(): Promise<void> {
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -25,6 +25,7 @@
   REQUEST_CRASH_KIND,
   type RequestCrash,
 } from "./records.js";
+import { parseWorkMs } from "./send_call.js";
 
 export const HOST = "soak.example";
 /** Time limits in the settings of the entries. */
@@ -275,6 +276,7 @@
         );
         this.#restarts.push(restart);
       },
+      getWorkMs: parseWorkMs,
       crashesOnBody: this.crashingBodies,
       onBodyCrash: (body) => this.#restarts.push(this.#replace(member, body)),
     });
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -7,6 +7,7 @@
 import { checkCrashingRequests } from "./check_crashing_requests.js";
 import { checkSilence } from "./check_silence.js";
 import { STREAM_EVENTS, TIME_BOUNDS } from "./fleet.js";
+import { hasGraceEnded } from "./has_grace_ended.js";
 import { PROPERTIES, type Property } from "./properties.js";
 import {
   type ArrivalRecord,
@@ -187,6 +188,7 @@
   // A request sent while its connection closes may never be read.
   const wasRead = runs.length > 0 || tookMs > FORWARDING_MS;
   const isAnswered = call.status !== undefined && call.isComplete;
+  if (!isAnswered && hasGraceEnded(call, runs, records)) return;
   const property = isStopping ? "cutByPlannedStop" : "lostRequest";
   findings.check(property, isAnswered || !wasRead, () =>
     describeCall(call, `no complete answer, ${runs.length} runs`),
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -303,6 +303,25 @@
     assert.ok(judge({}).listNotExercised().includes("cutBySilence"));
   });
 
+  it("accept only an order on which a replica works when the grace ends", () => {
+    const call: CallRecord = {
+      ...CALL,
+      status: undefined,
+      endedAtMs: 22_900,
+      deadlineMs: 6_000,
+    };
+    const late = { ...call, sentAtMs: 22_050 };
+    const run = { ...RUN, endedAtMs: 22_760 };
+    const stop = { ...STOP, toMs: 23_000 };
+    const listFor = (judged: CallRecord, ownRun: RunRecord) =>
+      listViolated({ calls: [judged], runs: [ownRun], disturbances: [stop] });
+    assert.deepEqual(listFor(call, run), []);
+    const early = { ...run, endedAtMs: 21_000 };
+    assert.deepEqual(listFor(call, early), ["cutByPlannedStop"]);
+    const lateRun = { ...run, startedAtMs: 22_100 };
+    assert.deepEqual(listFor(late, lateRun), ["cutByPlannedStop"]);
+  });
+
   it("accept requests that crash replicas while few reach them", () => {
     assert.deepEqual(listViolated(createRequestCrashRecords(6, 3)), []);
     const unjudged = judge(createRequestCrashRecords(3, 3));
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -18,6 +18,7 @@
   Options
     --seed N         seed of the faults and the load (1)
     --seconds T      how long faults are injected (60)
+    --repeat-stops   send SIGTERM again to entries that shut down
     --json           print the report as JSON on the last line
     --base-port N    first port of the entries (25000)
     --keep           keep the folder with settings and logs
@@ -31,6 +32,7 @@
     flags: {
       seed: { type: "number", default: 1 },
       seconds: { type: "number", default: 60 },
+      repeatStops: { type: "boolean", default: false },
       json: { type: "boolean", default: false },
       basePort: { type: "number", default: 25_000 },
       keep: { type: "boolean", default: false },
@@ -45,7 +47,14 @@
   const { signal } = lifetime;
   // Every process and link of the fleet adds an abort listener.
   setMaxListeners(0, signal);
-  const options = { seed, seconds, basePort, folder, signal };
+  const options = {
+    seed,
+    seconds,
+    repeatsStops: cli.flags.repeatStops,
+    basePort,
+    folder,
+    signal,
+  };
   const result = await runSoak(options).finally(() => lifetime.abort());
   const { findings, ...counts } = result;
   for (const property of PROPERTIES) {
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -53,6 +53,8 @@
   readonly startedAtMs: number;
   /** A silence of the replica has delayed the answer. */
   readonly wasSilent?: boolean;
+  /** When the answer was complete or its connection had ended. */
+  readonly endedAtMs?: number;
 }
 
 /** A request that reached a replica, refused ones too. */
--- a/src/platform/soak/send_call.ts
+++ b/src/platform/soak/send_call.ts
@@ -12,16 +12,31 @@
 const FIRST_PART = "first0";
 const REQUEST_BODY = "order";
 
+/** Body of a request on which a replica works for the given time. */
+export function formatWork(workMs: number): string {
+  return `${REQUEST_BODY} work=${workMs}`;
+}
+
+export function parseWorkMs(body: string): number {
+  return Number(/ work=(\d+)$/.exec(body)?.[1] ?? 0);
+}
+
 export function createRecord(
   options: Pick<CallRecord, "id" | "route" | "entry" | "key"> &
     Partial<CallRecord> & { readonly secondPart: string },
 ): CallRecord {
-  const { secondPart, ...fields } = options;
+  const {
+    secondPart,
+    deadlineMs = CALL_DEADLINE_MS,
+    requestBody = REQUEST_BODY,
+    ownPart = options.id,
+    ...fields
+  } = options;
   return {
     sharedParts: [FIRST_PART, secondPart],
-    deadlineMs: CALL_DEADLINE_MS,
-    requestBody: REQUEST_BODY,
-    ownPart: fields.id,
+    deadlineMs,
+    requestBody,
+    ownPart,
     sentAtMs: performance.now(),
     endedAtMs: 0,
     namedIds: [],
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -8,11 +8,12 @@
 import { Callers } from "./callers.js";
 import { runCrashingRequests } from "./crashing_requests.js";
 import { FaultInjector } from "./fault_injector.js";
-import { Fleet } from "./fleet.js";
+import { Fleet, type FleetOptions } from "./fleet.js";
 import { judgeSoak } from "./judge_soak.js";
 import type { Property } from "./properties.js";
 import { type Disturbance, ROUTE, type RunRecord } from "./records.js";
 import { runSilences } from "./silences.js";
+import { startStopCalls } from "./stop_calls.js";
 
 const CALLER_COUNT = 16;
 const NANOSECONDS_PER_MS = 1_000_000;
@@ -23,12 +24,11 @@
 /** Time for every entry to be ready at the start, ms. */
 const START_TIMEOUT_MS = 20_000;
 
-export interface SoakOptions {
+export interface SoakOptions extends FleetOptions {
   readonly seed: number;
   readonly seconds: number;
-  readonly basePort: number;
-  readonly folder: string;
-  readonly signal: AbortSignal;
+  /** Requests planned stops again while an entry shuts down. */
+  readonly repeatsStops: boolean;
 }
 
 export interface SoakResult {
@@ -45,8 +45,8 @@
 }
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, seconds, basePort, folder, signal } = options;
-  const fleet = new Fleet({ basePort, folder, signal });
+  const { seed, seconds, repeatsStops } = options;
+  const fleet = new Fleet(options);
   await fleet.start();
   await waitUntilReady(fleet, START_TIMEOUT_MS);
   const stalls = monitorEventLoopDelay();
@@ -55,6 +55,7 @@
   const faultsFromMs = startedAtMs + ALONE.silencesMs + ALONE.crashesMs;
   const untilMs = faultsFromMs + seconds * 1_000;
   const silences: Disturbance[] = [];
+  const stopRandom = new Random(seed + 10);
   const faults = new FaultInjector({
     fleet,
     random: new Random(seed),
@@ -62,6 +63,14 @@
     restoreRandom: new Random(seed + 4),
     repeatRandom: new Random(seed + 5),
     sendBurst: () => callers.sendBurst(),
+    startStopCalls: ({ name, callerLink }, stopSignal) =>
+      startStopCalls({
+        callers,
+        entry: name,
+        port: callerLink.port,
+        random: stopRandom,
+        signal: stopSignal,
+      }),
     untilMs,
   });
   const portsByEntry = new Map(
@@ -89,6 +98,7 @@
     listReplicas: () => fleet.listCurrentReplicas(),
     onSilence: (silence) => silences.push(silence),
   });
+  const stopsDone = faults.runStops(new Random(seed + 11), repeatsStops);
   await delay(ALONE.silencesMs);
   const crashingRequestsDone = runCrashingRequests({
     random: new Random(seed + 9),
@@ -100,7 +110,7 @@
   await delay(faultsFromMs - performance.now());
   // Ends earlier than most faults, so that recovery gets no extra time.
   const crashingDone = callers.runCrashingCalls(untilMs);
-  await faults.run();
+  await Promise.all([faults.run(), stopsDone]);
   faults.heal();
   await Promise.all([crashingDone, silencesDone]);
   const crashingRequests = await crashingRequestsDone;
@@ -180,11 +190,12 @@
 
 function listRuns(fleet: Fleet): RunRecord[] {
   return fleet.replicas.flatMap(({ id, replica }) =>
-    replica.runs.map(({ requestId, startedAtMs, wasSilent }) => ({
+    replica.runs.map(({ requestId, startedAtMs, wasSilent, endedAtMs }) => ({
       requestId,
       replica: id,
       startedAtMs,
       wasSilent,
+      endedAtMs,
     })),
   );
 }
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -38,6 +38,8 @@
   state: "running" | "complete" | "cut" | "left";
   /** A silence has delayed the answer. */
   wasSilent?: boolean;
+  /** When the answer was complete or its connection had ended. */
+  endedAtMs?: number;
 }
 
 /** A request that arrived, also one that was refused. */
@@ -92,6 +94,8 @@
   sendsWrongRequestId?: boolean;
   /** Writes earlier answers of a kept connection once more. */
   repeats?: RepeatOptions;
+  /** Time for which it works on a body, besides `delayMs`. */
+  getWorkMs?: (body: string) => number;
   /** Sends nothing until a given time, then goes on. */
   silence?: Silence;
   /** Ends as soon as it begins an answer to a prompt with one of these parts. */
@@ -204,14 +208,16 @@
     }
     response.once("close", () => {
       if (run.state === "running") run.state = "left";
+      run.endedAtMs = performance.now();
     });
+    if (response.destroyed) run.endedAtMs = performance.now();
     const crashTime = options.crashesOnBody?.get(run.body);
     if (crashTime !== undefined) {
       this.#crashOnBody(run, response, crashTime);
       return;
     }
     if (options.neverAnswers) return;
-    await this.#delay();
+    await this.#delay(options.getWorkMs?.(run.body));
     await this.#waitWhileSilent(run, SILENCE_PLACE.beforeHead);
     this.#repeated.writeWithAnswer(socket);
     if (sharedParts.some((part) => options.crashesOn?.has(part))) {
@@ -416,8 +422,8 @@
     await waitForEnd(silence);
   }
 
-  #delay(): Promise<void> {
+  #delay(workMs = 0): Promise<void> {
     const { delayMs = 0 } = this.options;
-    return new Promise((resolve) => setTimeout(resolve, delayMs));
+    return new Promise((resolve) => setTimeout(resolve, delayMs + workMs));
   }
 }
--- a/src/standins/managed_process.ts
+++ b/src/standins/managed_process.ts
@@ -167,6 +167,16 @@
     return this.exited;
   }
 
+  /** Asks the process to read its settings again. */
+  sendHangUp(): void {
+    this.#sendSignal("SIGHUP");
+  }
+
+  /** Requests a graceful shutdown, also of a process that shuts down already. */
+  sendTerminate(): void {
+    this.#sendSignal("SIGTERM");
+  }
+
   /** Suspends the process, as a long pause of its host does. */
   freeze(): void {
     this.#sendSignal("SIGSTOP");
