--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -38,17 +38,15 @@
 export const STREAM_EVENTS = 6;
 
 /** The bundle that a platform starts; scripts/bundle.mjs writes it. */
-const BUNDLE_FILE = fileURLToPath(
+export const BUNDLE_FILE = fileURLToPath(
   new URL("../../../target/entry.cjs", import.meta.url),
 );
 /** Longer than any caller waits. */
 const ROUTE_TIMEOUT_MS = 10_000;
-const ENTRY_COUNT = 5;
 /** Time after which a replica that has crashed is back, ms. */
 const CRASH_DOWN_MS = 1_000;
 /** Time after which one that a request ended is back under a new id, ms. */
 const REPLACEMENT_MS = 2_500;
-const REPLICA_COUNT = 4;
 /** Ports of one entry; see `createSettings`. */
 const PORTS_PER_ENTRY = 5;
 const READY_PATH = "/hornbeamrill/readyz";
@@ -74,6 +72,10 @@
 }
 
 export interface FleetOptions {
+  readonly entryCount: number;
+  readonly replicaCount: number;
+  /** First file of the entries' program. */
+  readonly bundleFile: string;
   readonly basePort: number;
   readonly folder: string;
   readonly signal: AbortSignal;
@@ -103,14 +105,14 @@
   }
 
   async start(): Promise<void> {
-    const { signal, basePort } = this.#options;
+    const { signal, basePort, entryCount, replicaCount } = this.#options;
     const storeServer = await startServer(this.store.handle, 0);
     signal.addEventListener("abort", () => void storeServer.close(), {
       once: true,
     });
     this.writeConfiguration();
-    for (let index = 0; index < REPLICA_COUNT; index++) await this.addReplica();
-    for (let index = 0; index < ENTRY_COUNT; index++) {
+    for (let index = 0; index < replicaCount; index++) await this.addReplica();
+    for (let index = 0; index < entryCount; index++) {
       const callerPort = basePort + index * PORTS_PER_ENTRY;
       this.entries.push({
         name: `entry-${index}`,
@@ -123,11 +125,11 @@
   }
 
   async startEntry(entry: EntryMember): Promise<void> {
-    const { folder, signal } = this.#options;
+    const { bundleFile, folder, signal } = this.#options;
     const file = join(folder, `${entry.name}.toml`);
     writeFileSync(file, this.#createSettings(entry));
     const started = await startProcess({
-      file: BUNDLE_FILE,
+      file: bundleFile,
       args: [`127.0.0.1:${this.#getPorts(entry.index).callers}`],
       env: { HORNBEAMRILL_NODE_FILE: file },
       readyLine: /event=started/,
@@ -177,7 +179,7 @@
     return `node_name = "${entry.name}"
 role = "entry"
 ip = "127.0.0.1"
-zone = "${entry.index === ENTRY_COUNT - 1 ? "dc2" : "dc1"}"
+zone = "${entry.index === this.#options.entryCount - 1 ? "dc2" : "dc1"}"
 port_range = [${ports.metrics}, ${ports.metrics + 1}]
 seeds = [${seeds.join(", ")}]
 [listen]
--- a/src/platform/soak/index.ts
+++ b/src/platform/soak/index.ts
@@ -1,3 +1,4 @@
+export { BUNDLE_FILE } from "./fleet.js";
 export * from "./judge_soak.js";
 export * from "./properties.js";
 export * from "./records.js";
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import meow from "meow";
-import { PROPERTIES, runSoak } from "./index.js";
+import { BUNDLE_FILE, PROPERTIES, runSoak } from "./index.js";
 
 const EXIT_OK = 0;
 const EXIT_VIOLATION = 1;
@@ -18,6 +18,9 @@
   Options
     --seed N         seed of the faults and the load (1)
     --seconds T      how long faults are injected (60)
+    --entries N      entries (5)
+    --replicas N     replicas (4)
+    --bundle FILE    program of the entries (target/entry.cjs)
     --repeat-stops   send SIGTERM again to entries that shut down
     --json           print the report as JSON on the last line
     --base-port N    first port of the entries (25000)
@@ -32,6 +35,9 @@
     flags: {
       seed: { type: "number", default: 1 },
       seconds: { type: "number", default: 60 },
+      entries: { type: "number", default: 5 },
+      replicas: { type: "number", default: 4 },
+      bundle: { type: "string", default: BUNDLE_FILE },
       repeatStops: { type: "boolean", default: false },
       json: { type: "boolean", default: false },
       basePort: { type: "number", default: 25_000 },
@@ -50,6 +56,9 @@
   const options = {
     seed,
     seconds,
+    entryCount: cli.flags.entries,
+    replicaCount: cli.flags.replicas,
+    bundleFile: cli.flags.bundle,
     repeatsStops: cli.flags.repeatStops,
     basePort,
     folder,
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -15,7 +15,8 @@
 import { runSilences } from "./silences.js";
 import { startStopCalls } from "./stop_calls.js";
 
-const CALLER_COUNT = 16;
+const MIN_CALLER_COUNT = 16;
+const CALLERS_PER_ENTRY = 3;
 const NANOSECONDS_PER_MS = 1_000_000;
 /** Times for which silences, then crashing requests as well, come alone, ms. */
 const ALONE = { silencesMs: 1_500, crashesMs: 5_500 } as const;
@@ -82,7 +83,10 @@
   });
   const callersEnd = new AbortController();
   const callers = new Callers({
-    callerCount: CALLER_COUNT,
+    callerCount: Math.max(
+      MIN_CALLER_COUNT,
+      CALLERS_PER_ENTRY * options.entryCount,
+    ),
     portsByEntry,
     random: new Random(seed + 1),
     crashingRandom: new Random(seed + 3),
