Count a call as read only up to the end of the process that could have read it

A call of the soak that ended without an answer later than 200 ms after it was sent counts as read. The soak notes when the process of a stopped entry is gone now, and a call that was sent before is taken to have ended by then. One that is sent later is judged as before, as the next process can have read it; a test of the judge has all three.

--- a/src/platform/soak/fault_injector.ts
+++ b/src/platform/soak/fault_injector.ts
@@ -251,6 +251,7 @@
     const calls = await this.#options.startStopCalls(entry, gone.signal);
     const disturbance = this.#startDisturbance("stop", entry.name, true);
     const status = await entry.process?.stop();
+    disturbance.goneAtMs = performance.now();
     gone.abort();
     if (status?.code !== 0) {
       const text = `${entry.name} after SIGTERM: ${JSON.stringify(status)}`;
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -186,7 +186,8 @@
   // Judged by `checkSilence`, which knows the deadline.
   if (runs.some(({ wasSilent }) => wasSilent)) return;
   // A request sent while its connection closes may never be read.
-  const wasRead = runs.length > 0 || tookMs > FORWARDING_MS;
+  const wasRead =
+    runs.length > 0 || findEndMs(call, records) - sentAtMs > FORWARDING_MS;
   const isAnswered = call.status !== undefined && call.isComplete;
   if (!isAnswered && hasGraceEnded(call, runs, records)) return;
   const property = isStopping ? "cutByPlannedStop" : "lostRequest";
@@ -195,6 +196,20 @@
   );
 }
 
+/**
+ * When the call ended, at the latest with the process that could have read it:
+ * the caller may hear of that end late.
+ */
+function findEndMs(
+  { entry, sentAtMs, endedAtMs }: CallRecord,
+  { disturbances }: SoakRecords,
+): number {
+  const ends = disturbances.flatMap(({ member, goneAtMs = 0 }) =>
+    member === entry && goneAtMs >= sentAtMs ? goneAtMs : [],
+  );
+  return Math.min(endedAtMs, ...ends);
+}
+
 function checkLeavingReplicas(
   records: SoakRecords,
   findings: Findings<Property>,
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -322,6 +322,20 @@
     assert.deepEqual(listFor(late, lateRun), ["cutByPlannedStop"]);
   });
 
+  it("accept a call that no process can have read in time", () => {
+    const call = { ...CALL, status: undefined, endedAtMs: 20_400 };
+    const listFor = (goneAtMs: number) =>
+      listViolated({
+        calls: [call],
+        runs: [],
+        disturbances: [{ ...STOP, goneAtMs }],
+      });
+    assert.deepEqual(listFor(20_190), []);
+    assert.deepEqual(listFor(20_210), ["cutByPlannedStop"]);
+    // The next process can have read it.
+    assert.deepEqual(listFor(19_990), ["cutByPlannedStop"]);
+  });
+
   it("accept requests that crash replicas while few reach them", () => {
     assert.deepEqual(listViolated(createRequestCrashRecords(6, 3)), []);
     const unjudged = judge(createRequestCrashRecords(3, 3));
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -71,6 +71,8 @@
   toMs: number;
   /** True for a graceful stop that was requested. */
   readonly isPlanned?: boolean;
+  /** When the process of a stopped entry was gone. */
+  goneAtMs?: number;
 }
 
 export interface SoakRecords {
