Tell calls that no entry accepted, and addresses that another program got, from faults

The link notes which callers' connections the entry's port has not accepted, and such a call was not read.

The link of an ended replica keeps its port and resets connections now, and the ids name the soak's first port.

--- a/src/platform/soak/callers.ts
+++ b/src/platform/soak/callers.ts
@@ -40,6 +40,8 @@
     readonly valid: readonly string[];
     readonly withdrawn: readonly string[];
   };
+  /** True while the entry's port has not accepted the caller's connection. */
+  readonly isUnaccepted: (entry: string, localPort: number) => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -158,6 +160,9 @@
     this.calls.push(record);
     await sendCall(record, agent, portsByEntry.get(entry) ?? 0);
     record.endedAtMs = performance.now();
+    const { localPort } = record;
+    record.isUnaccepted =
+      localPort !== undefined && this.#options.isUnaccepted(entry, localPort);
     return record;
   }
 }
--- a/src/platform/soak/crashing_requests.ts
+++ b/src/platform/soak/crashing_requests.ts
@@ -38,7 +38,7 @@
     const { min, max } = DURATION_MS;
     const endMs = performance.now() + random.pickInteger(min, max);
     crashingBodies.set(body, random.pick(Object.values(BODY_CRASH_TIME)));
-    await repeatRequest(options, calls, {
+    await sendRepeatedly(options, calls, {
       number,
       body,
       untilMs: Math.min(endMs, untilMs),
@@ -47,7 +47,7 @@
   return calls;
 }
 
-async function repeatRequest(
+async function sendRepeatedly(
   { random, portsByEntry, listKeys }: CrashingRequestsOptions,
   calls: CallRecord[],
   request: {
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -262,8 +262,9 @@
   }
 
   async addReplica(): Promise<ReplicaMember> {
-    const id = `i-${this.#nextReplicaNumber++}`;
-    const { signal } = this.#options;
+    const { basePort, signal } = this.#options;
+    // Unlike those of other soaks and tests, which may get a port of this one.
+    const id = `i-${basePort}-${this.#nextReplicaNumber++}`;
     const replica = new ReplicaStandin({
       id,
       delayMs: 10,
@@ -300,7 +301,8 @@
     this.requestCrashes.push({ body, replica: id, atMs });
     const span = { fromMs: atMs, toMs: Number.POSITIVE_INFINITY };
     this.crashes.push({ kind: REQUEST_CRASH_KIND, member: id, ...span });
-    await member.link.close();
+    // Keeps its port, which another program could get otherwise.
+    member.link.cut({ mode: "reset" });
     await delay(REPLACEMENT_MS);
     if (this.#options.signal.aborted) return;
     // One that was leaving has a successor already.
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -187,7 +187,8 @@
   if (runs.some(({ wasSilent }) => wasSilent)) return;
   // A request sent while its connection closes may never be read.
   const wasRead =
-    runs.length > 0 || findEndMs(call, records) - sentAtMs > FORWARDING_MS;
+    runs.length > 0 ||
+    (!call.isUnaccepted && findEndMs(call, records) - sentAtMs > FORWARDING_MS);
   const isAnswered = call.status !== undefined && call.isComplete;
   if (!isAnswered && hasGraceEnded(call, runs, records)) return;
   const property = isStopping ? "cutByPlannedStop" : "lostRequest";
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -324,9 +324,9 @@
 
   it("accept a call that no process can have read in time", () => {
     const call = { ...CALL, status: undefined, endedAtMs: 20_400 };
-    const listFor = (goneAtMs: number) =>
+    const listFor = (goneAtMs: number, isUnaccepted = false) =>
       listViolated({
-        calls: [call],
+        calls: [{ ...call, isUnaccepted }],
         runs: [],
         disturbances: [{ ...STOP, goneAtMs }],
       });
@@ -334,6 +334,7 @@
     assert.deepEqual(listFor(20_210), ["cutByPlannedStop"]);
     // The next process can have read it.
     assert.deepEqual(listFor(19_990), ["cutByPlannedStop"]);
+    assert.deepEqual(listFor(19_990, true), []);
   });
 
   it("accept requests that crash replicas while few reach them", () => {
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -29,6 +29,10 @@
   readonly requestBody?: string;
   /** Delay before a retry that the answer asks for, s. */
   retryAfterS?: number;
+  /** Port of the caller's end of the connection. */
+  localPort?: number;
+  /** The entry's port has not accepted the connection. */
+  isUnaccepted?: boolean;
 }
 
 /** Part of a prompt that ends each replica that begins an answer. */
--- a/src/platform/soak/send_call.ts
+++ b/src/platform/soak/send_call.ts
@@ -91,6 +91,13 @@
         response.once("close", settle);
       },
     );
+    outgoing.once("socket", (socket) => {
+      const keepPort = () => {
+        record.localPort = socket.localPort;
+      };
+      if (socket.connecting) socket.once("connect", keepPort);
+      else keepPort();
+    });
     const timer = setTimeout(
       () => outgoing.destroy(new Error("No answer")),
       record.deadlineMs + EXTRA_WAIT_MS,
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -93,6 +93,12 @@
     burstRandom: new Random(seed + 6),
     patientRandom: new Random(seed + 8),
     listKeys,
+    isUnaccepted: (name, localPort) =>
+      fleet.entries.some(
+        (entry) =>
+          entry.name === name &&
+          entry.callerLink.unacceptedPorts.has(localPort),
+      ),
     signal: callersEnd.signal,
   });
   const callersDone = callers.run();
--- a/src/standins/link.ts
+++ b/src/standins/link.ts
@@ -128,6 +128,8 @@
   openedConnections = 0;
   /** Connections that are open now. */
   openConnections = 0;
+  /** Ports of callers whose connections the target has not accepted. */
+  readonly unacceptedPorts = new Set<number>();
   /** Bytes received from both sides so far, without TCP and IP headers. */
   receivedBytes = 0;
 
@@ -203,6 +205,9 @@
       allowHalfOpen: true,
       noDelay: true,
     });
+    const { remotePort = 0 } = caller;
+    this.unacceptedPorts.add(remotePort);
+    target.once("connect", () => this.unacceptedPorts.delete(remotePort));
     caller.setNoDelay(true);
     const onBytes = (count: number) => {
       this.receivedBytes += count;
