Take the soak's own stalls off the time in which a request may have been read

Callers, links and replicas are in one process. While it stands still a request waits in its link, and after 200 ms it counted as read. It changes nothing for calls that ran.

--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -149,6 +149,7 @@
     crashingCalls: [],
     crashingRequests: [],
     requestCrashes: [],
+    ownStalls: [],
     disturbances: [],
     withdrawals: new Map(),
     leavings: new Map(),
@@ -335,6 +336,16 @@
     // The next process can have read it.
     assert.deepEqual(listFor(19_990), ["cutByPlannedStop"]);
     assert.deepEqual(listFor(19_990, true), []);
+    // The soak stood still while the request waited in its link.
+    const listStalled = (toMs: number) =>
+      listViolated({
+        calls: [call],
+        runs: [],
+        disturbances: [STOP],
+        ownStalls: [{ fromMs: 19_900, toMs }],
+      });
+    assert.deepEqual(listStalled(20_210), []);
+    assert.deepEqual(listStalled(20_190), ["cutByPlannedStop"]);
   });
 
   it("accept requests that crash replicas while few reach them", () => {
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -1,6 +1,7 @@
 /** What callers and replicas saw, for the checks. */
 
 import type { ReplicaArrival } from "../standins/replica.js";
+import type { Stall } from "./own_stalls.js";
 
 export const ROUTE = { safe: "safe", once: "once", stream: "stream" } as const;
 export type RouteName = (typeof ROUTE)[keyof typeof ROUTE];
@@ -89,6 +90,7 @@
   readonly crashingRequests: readonly CallRecord[];
   readonly requestCrashes: readonly RequestCrash[];
   readonly disturbances: readonly Disturbance[];
+  readonly ownStalls: readonly Stall[];
   /** When keys were withdrawn and replicas began to leave. */
   readonly withdrawals: ReadonlyMap<string, number>;
   readonly leavings: ReadonlyMap<string, number>;
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -10,6 +10,7 @@
 import { FaultInjector } from "./fault_injector.js";
 import { Fleet, type FleetOptions } from "./fleet.js";
 import { judgeSoak } from "./judge_soak.js";
+import { startStallRecords } from "./own_stalls.js";
 import type { Property } from "./properties.js";
 import { type Disturbance, ROUTE, type RunRecord } from "./records.js";
 import { runSilences } from "./silences.js";
@@ -52,6 +53,7 @@
   await waitUntilReady(fleet, START_TIMEOUT_MS);
   const stalls = monitorEventLoopDelay();
   stalls.enable();
+  const ownStalls = startStallRecords(options.signal);
   const startedAtMs = performance.now();
   const faultsFromMs = startedAtMs + ALONE.silencesMs + ALONE.crashesMs;
   const untilMs = faultsFromMs + seconds * 1_000;
@@ -144,6 +146,7 @@
     crashingCalls: callers.crashingCalls,
     crashingRequests,
     requestCrashes: fleet.requestCrashes,
+    ownStalls,
     disturbances: [...disturbances, ...silences, ...fleet.crashes],
     withdrawals,
     leavings,
