--- a/src/standins/link_test.ts
+++ b/src/standins/link_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
 import { describe, it, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createHttpObjectStore } from "../adapters/index.js";
@@ -29,6 +31,27 @@
 }
 
 describe("link", { timeout: SUITE_TIMEOUT_MS }, () => {
+  it("tells callers that the target has not accepted", async (t) => {
+    const { link, connectStore } = await startLinkedStore(t);
+    const store = connectStore(TEST_TIMEOUT_MS);
+    await store.write({ key: "a", value: 1, ifVersion: 0 }, NEVER_ABORTED);
+    assert.deepEqual([...link.unacceptedPorts], []);
+    const closed = createServer().listen(0, "127.0.0.1");
+    await once(closed, "listening");
+    const address = closed.address();
+    const targetPort = typeof address === "object" ? (address?.port ?? 0) : 0;
+    closed.close();
+    const { signal } = new AbortController();
+    const broken = await openLink({ targetPort, signal });
+    t.after(() => broken.close());
+    const caller = connect({ port: broken.port, host: "127.0.0.1" });
+    caller.on("error", () => undefined);
+    await once(caller, "connect");
+    const { localPort } = caller;
+    await new Promise((resolve) => caller.once("close", resolve));
+    assert.deepEqual([...broken.unacceptedPorts], [localPort]);
+  });
+
   it("holds bytes during a cut and delivers them when it is healed", async (t) => {
     const { link, connectStore, direct } = await startLinkedStore(t);
     const store = connectStore(TEST_TIMEOUT_MS);
