--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -11,13 +11,21 @@
 } from "../../standins/managed_process.js";
 import { startServer } from "../../standins/server.js";
 import { delay } from "../../testbed/delay.js";
+import type { BodyCrashTime } from "../standins/body_crash.js";
 import {
   createReplicaSpec,
   REPLICA_SERVICE,
   ReplicaStandin,
 } from "../standins/replica.js";
 import { PlatformStoreStandin } from "../standins/store.js";
-import { CRASH_KIND, CRASHING_PART, type Disturbance } from "./records.js";
+import {
+  CRASH_KIND,
+  CRASHING_PART,
+  type Disturbance,
+  REQUEST_CRASH_KIND,
+  type RequestCrash,
+} from "./records.js";
+import { parseWorkMs } from "./send_call.js";
 
 export const HOST = "soak.example";
 /** Time limits in the settings of the entries. */
@@ -30,13 +38,15 @@
 export const STREAM_EVENTS = 6;
 
 /** The bundle that a platform starts; scripts/bundle.mjs writes it. */
-const BUNDLE_FILE = fileURLToPath(
+export const BUNDLE_FILE = fileURLToPath(
   new URL("../../../target/entry.cjs", import.meta.url),
 );
-const ENTRY_COUNT = 5;
+/** Longer than any caller waits. */
+const ROUTE_TIMEOUT_MS = 10_000;
 /** Time after which a replica that has crashed is back, ms. */
 const CRASH_DOWN_MS = 1_000;
-const REPLICA_COUNT = 4;
+/** Time after which one that a request ended is back under a new id, ms. */
+const REPLACEMENT_MS = 2_500;
 /** Ports of one entry; see `createSettings`. */
 const PORTS_PER_ENTRY = 5;
 const READY_PATH = "/hornbeamrill/readyz";
@@ -62,6 +72,10 @@
 }
 
 export interface FleetOptions {
+  readonly entryCount: number;
+  readonly replicaCount: number;
+  /** First file of the entries' program. */
+  readonly bundleFile: string;
   readonly basePort: number;
   readonly folder: string;
   readonly signal: AbortSignal;
@@ -75,6 +89,9 @@
   readonly currentReplicaIds = new Set<string>();
   /** Replicas that ended under a part of a prompt. */
   readonly crashes: Disturbance[] = [];
+  /** Bodies of requests that end replicas. */
+  readonly crashingBodies = new Map<string, BodyCrashTime>();
+  readonly requestCrashes: RequestCrash[] = [];
   readonly apiKeys: string[] = ["key-a", "key-b", "key-c"];
   readonly #options: FleetOptions;
   readonly #restarts: Promise<unknown>[] = [];
@@ -88,14 +105,14 @@
   }
 
   async start(): Promise<void> {
-    const { signal, basePort } = this.#options;
+    const { signal, basePort, entryCount, replicaCount } = this.#options;
     const storeServer = await startServer(this.store.handle, 0);
     signal.addEventListener("abort", () => void storeServer.close(), {
       once: true,
     });
     this.writeConfiguration();
-    for (let index = 0; index < REPLICA_COUNT; index++) await this.addReplica();
-    for (let index = 0; index < ENTRY_COUNT; index++) {
+    for (let index = 0; index < replicaCount; index++) await this.addReplica();
+    for (let index = 0; index < entryCount; index++) {
       const callerPort = basePort + index * PORTS_PER_ENTRY;
       this.entries.push({
         name: `entry-${index}`,
@@ -108,11 +125,11 @@
   }
 
   async startEntry(entry: EntryMember): Promise<void> {
-    const { folder, signal } = this.#options;
+    const { bundleFile, folder, signal } = this.#options;
     const file = join(folder, `${entry.name}.toml`);
     writeFileSync(file, this.#createSettings(entry));
     const started = await startProcess({
-      file: BUNDLE_FILE,
+      file: bundleFile,
       args: [`127.0.0.1:${this.#getPorts(entry.index).callers}`],
       env: { HORNBEAMRILL_NODE_FILE: file },
       readyLine: /event=started/,
@@ -162,7 +179,7 @@
     return `node_name = "${entry.name}"
 role = "entry"
 ip = "127.0.0.1"
-zone = "${entry.index === ENTRY_COUNT - 1 ? "dc2" : "dc1"}"
+zone = "${entry.index === this.#options.entryCount - 1 ? "dc2" : "dc1"}"
 port_range = [${ports.metrics}, ${ports.metrics + 1}]
 seeds = [${seeds.join(", ")}]
 [listen]
@@ -189,7 +206,7 @@
     this.#configVersion++;
     const route = {
       host: HOST,
-      timeout_ms: 2_000,
+      timeout_ms: ROUTE_TIMEOUT_MS,
       target_latency_ms: 300,
       priority: 1,
       public: false,
@@ -240,9 +257,14 @@
     }
   }
 
+  listCurrentReplicas(): ReplicaMember[] {
+    return this.replicas.filter(({ id }) => this.currentReplicaIds.has(id));
+  }
+
   async addReplica(): Promise<ReplicaMember> {
-    const id = `i-${this.#nextReplicaNumber++}`;
-    const { signal } = this.#options;
+    const { basePort, signal } = this.#options;
+    // Unlike those of other soaks and tests, which may get a port of this one.
+    const id = `i-${basePort}-${this.#nextReplicaNumber++}`;
     const replica = new ReplicaStandin({
       id,
       delayMs: 10,
@@ -257,6 +279,9 @@
         );
         this.#restarts.push(restart);
       },
+      getWorkMs: parseWorkMs,
+      crashesOnBody: this.crashingBodies,
+      onBodyCrash: (body) => this.#restarts.push(this.#replace(member, body)),
     });
     const port = await replica.start();
     signal.addEventListener("abort", () => replica.close(), { once: true });
@@ -268,6 +293,25 @@
     return member;
   }
 
+  /** A replica that a request has ended is back later under a new id. */
+  async #replace(member: ReplicaMember, body: string): Promise<void> {
+    const { id } = member;
+    const atMs = performance.now();
+    if (this.requestCrashes.some(({ replica }) => replica === id)) return;
+    this.requestCrashes.push({ body, replica: id, atMs });
+    const span = { fromMs: atMs, toMs: Number.POSITIVE_INFINITY };
+    this.crashes.push({ kind: REQUEST_CRASH_KIND, member: id, ...span });
+    // Keeps its port, which another program could get otherwise.
+    member.link.cut({ mode: "reset" });
+    await delay(REPLACEMENT_MS);
+    if (this.#options.signal.aborted) return;
+    // One that was leaving has a successor already.
+    if (this.currentReplicaIds.has(id)) await this.addReplica();
+    this.currentReplicaIds.delete(id);
+    member.hasLeft = true;
+    this.store.delete("servers", id);
+  }
+
   /** Resolves once all replicas that have crashed are back. */
   async waitForRestarts(): Promise<void> {
     await Promise.all(this.#restarts);
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -1,6 +1,7 @@
 /** What callers and replicas saw, for the checks. */
 
 import type { ReplicaArrival } from "../standins/replica.js";
+import type { Stall } from "./own_stalls.js";
 
 export const ROUTE = { safe: "safe", once: "once", stream: "stream" } as const;
 export type RouteName = (typeof ROUTE)[keyof typeof ROUTE];
@@ -24,17 +25,41 @@
   isComplete: boolean;
   /** Ids of the prompt's parts but the last one. */
   readonly sharedParts: readonly string[];
+  /** The prompt's last part. */
+  readonly ownPart?: string;
+  readonly requestBody?: string;
+  /** Delay before a retry that the answer asks for, s. */
+  retryAfterS?: number;
+  /** Port of the caller's end of the connection. */
+  localPort?: number;
+  /** The entry's port has not accepted the connection. */
+  isUnaccepted?: boolean;
 }
 
 /** Part of a prompt that ends each replica that begins an answer. */
 export const CRASHING_PART = "bad0";
 /** Kind of disturbance of a replica that has ended under that part. */
 export const CRASH_KIND = "crash";
+/** Kind of disturbance of a replica that a request has ended for good. */
+export const REQUEST_CRASH_KIND = "request-crash";
+/** Kind of a replica's silence, which is no reason to end an answer. */
+export const SILENCE_KIND = "silence";
+
+/** The end of a replica under a request with this body. */
+export interface RequestCrash {
+  readonly body: string;
+  readonly replica: string;
+  readonly atMs: number;
+}
 
 export interface RunRecord {
   readonly requestId: string;
   readonly replica: string;
   readonly startedAtMs: number;
+  /** A silence of the replica has delayed the answer. */
+  readonly wasSilent?: boolean;
+  /** When the answer was complete or its connection had ended. */
+  readonly endedAtMs?: number;
 }
 
 /** A request that reached a replica, refused ones too. */
@@ -51,6 +76,8 @@
   toMs: number;
   /** True for a graceful stop that was requested. */
   readonly isPlanned?: boolean;
+  /** When the process of a stopped entry was gone. */
+  goneAtMs?: number;
 }
 
 export interface SoakRecords {
@@ -59,7 +86,11 @@
   readonly arrivals: readonly ArrivalRecord[];
   /** Calls with the part that ends replicas; they need no answer. */
   readonly crashingCalls: readonly CallRecord[];
+  /** Calls with requests that end replicas by themselves, and these ends. */
+  readonly crashingRequests: readonly CallRecord[];
+  readonly requestCrashes: readonly RequestCrash[];
   readonly disturbances: readonly Disturbance[];
+  readonly ownStalls: readonly Stall[];
   /** When keys were withdrawn and replicas began to leave. */
   readonly withdrawals: ReadonlyMap<string, number>;
   readonly leavings: ReadonlyMap<string, number>;
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -6,24 +6,31 @@
 import { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
 import { Callers } from "./callers.js";
+import { runCrashingRequests } from "./crashing_requests.js";
 import { FaultInjector } from "./fault_injector.js";
-import { Fleet } from "./fleet.js";
-import { judgeSoak, type Property } from "./judge_soak.js";
-import { ROUTE, type RunRecord } from "./records.js";
+import { Fleet, type FleetOptions } from "./fleet.js";
+import { judgeSoak } from "./judge_soak.js";
+import { startStallRecords } from "./own_stalls.js";
+import type { Property } from "./properties.js";
+import { type Disturbance, ROUTE, type RunRecord } from "./records.js";
+import { runSilences } from "./silences.js";
+import { startStopCalls } from "./stop_calls.js";
 
-const CALLER_COUNT = 16;
+const MIN_CALLER_COUNT = 16;
+const CALLERS_PER_ENTRY = 3;
 const NANOSECONDS_PER_MS = 1_000_000;
+/** Times for which silences, then crashing requests as well, come alone, ms. */
+const ALONE = { silencesMs: 1_500, crashesMs: 5_500 } as const;
 /** Time for every entry to be ready again once all faults have ended, ms. */
 const RECOVERY_TIMEOUT_MS = 12_000;
 /** Time for every entry to be ready at the start, ms. */
 const START_TIMEOUT_MS = 20_000;
 
-export interface SoakOptions {
+export interface SoakOptions extends FleetOptions {
   readonly seed: number;
   readonly seconds: number;
-  readonly basePort: number;
-  readonly folder: string;
-  readonly signal: AbortSignal;
+  /** Requests planned stops again while an entry shuts down. */
+  readonly repeatsStops: boolean;
 }
 
 export interface SoakResult {
@@ -40,13 +47,18 @@
 }
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, seconds, basePort, folder, signal } = options;
-  const fleet = new Fleet({ basePort, folder, signal });
+  const { seed, seconds, repeatsStops } = options;
+  const fleet = new Fleet(options);
   await fleet.start();
   await waitUntilReady(fleet, START_TIMEOUT_MS);
   const stalls = monitorEventLoopDelay();
   stalls.enable();
-  const untilMs = performance.now() + seconds * 1_000;
+  const ownStalls = startStallRecords(options.signal);
+  const startedAtMs = performance.now();
+  const faultsFromMs = startedAtMs + ALONE.silencesMs + ALONE.crashesMs;
+  const untilMs = faultsFromMs + seconds * 1_000;
+  const silences: Disturbance[] = [];
+  const stopRandom = new Random(seed + 10);
   const faults = new FaultInjector({
     fleet,
     random: new Random(seed),
@@ -54,29 +66,66 @@
     restoreRandom: new Random(seed + 4),
     repeatRandom: new Random(seed + 5),
     sendBurst: () => callers.sendBurst(),
+    startStopCalls: ({ name, callerLink }, stopSignal) =>
+      startStopCalls({
+        callers,
+        entry: name,
+        port: callerLink.port,
+        random: stopRandom,
+        signal: stopSignal,
+      }),
     untilMs,
   });
+  const portsByEntry = new Map(
+    fleet.entries.map(({ name, callerLink }) => [name, callerLink.port]),
+  );
+  const listKeys = () => ({
+    valid: fleet.apiKeys,
+    withdrawn: [...faults.withdrawals.keys()],
+  });
   const callersEnd = new AbortController();
   const callers = new Callers({
-    callerCount: CALLER_COUNT,
-    portsByEntry: new Map(
-      fleet.entries.map(({ name, callerLink }) => [name, callerLink.port]),
+    callerCount: Math.max(
+      MIN_CALLER_COUNT,
+      CALLERS_PER_ENTRY * options.entryCount,
     ),
+    portsByEntry,
     random: new Random(seed + 1),
     crashingRandom: new Random(seed + 3),
     burstRandom: new Random(seed + 6),
-    listKeys: () => ({
-      valid: fleet.apiKeys,
-      withdrawn: [...faults.withdrawals.keys()],
-    }),
+    patientRandom: new Random(seed + 8),
+    listKeys,
+    isUnaccepted: (name, localPort) =>
+      fleet.entries.some(
+        (entry) =>
+          entry.name === name &&
+          entry.callerLink.unacceptedPorts.has(localPort),
+      ),
     signal: callersEnd.signal,
   });
   const callersDone = callers.run();
+  const silencesDone = runSilences({
+    random: new Random(seed + 7),
+    untilMs,
+    listReplicas: () => fleet.listCurrentReplicas(),
+    onSilence: (silence) => silences.push(silence),
+  });
+  const stopsDone = faults.runStops(new Random(seed + 11), repeatsStops);
+  await delay(ALONE.silencesMs);
+  const crashingRequestsDone = runCrashingRequests({
+    random: new Random(seed + 9),
+    untilMs,
+    portsByEntry,
+    listKeys,
+    crashingBodies: fleet.crashingBodies,
+  });
+  await delay(faultsFromMs - performance.now());
   // Ends earlier than most faults, so that recovery gets no extra time.
   const crashingDone = callers.runCrashingCalls(untilMs);
-  await faults.run();
+  await Promise.all([faults.run(), stopsDone]);
   faults.heal();
-  await crashingDone;
+  await Promise.all([crashingDone, silencesDone]);
+  const crashingRequests = await crashingRequestsDone;
   await fleet.waitForRestarts();
   await waitUntilReady(fleet, RECOVERY_TIMEOUT_MS);
   callersEnd.abort();
@@ -95,7 +144,10 @@
       replica.arrivals.map((arrival) => ({ ...arrival, replica: id })),
     ),
     crashingCalls: callers.crashingCalls,
-    disturbances: [...disturbances, ...fleet.crashes],
+    crashingRequests,
+    requestCrashes: fleet.requestCrashes,
+    ownStalls,
+    disturbances: [...disturbances, ...silences, ...fleet.crashes],
     withdrawals,
     leavings,
     unexpectedExits,
@@ -106,7 +158,12 @@
     calls: steadyCalls.length,
     served: steadyCalls.filter(({ status }) => status === 200).length,
     burstCalls: callers.burstCalls.size,
-    faults: Object.fromEntries(faults.counts),
+    faults: {
+      ...Object.fromEntries(faults.counts),
+      silence: silences.length,
+      crashingRequest: fleet.crashingBodies.size,
+      requestCrash: fleet.requestCrashes.length,
+    },
     repeatedAnswers: fleet.replicas.reduce(
       (sum, { replica }) => sum + replica.copyCount,
       0,
@@ -135,7 +192,7 @@
   for (const { name } of fleet.entries) {
     for (const route of Object.values(ROUTE)) {
       const agent = new Agent();
-      const call = await callers.callOnce(name, agent, route);
+      const call = await callers.callOnce(name, agent, { route });
       agent.destroy();
       if (call.status === 200 && call.isComplete) continue;
       failures.push(`${call.id} ${route} at ${name}: ${call.status}`);
@@ -146,10 +203,12 @@
 
 function listRuns(fleet: Fleet): RunRecord[] {
   return fleet.replicas.flatMap(({ id, replica }) =>
-    replica.runs.map(({ requestId, startedAtMs }) => ({
+    replica.runs.map(({ requestId, startedAtMs, wasSilent, endedAtMs }) => ({
       requestId,
       replica: id,
       startedAtMs,
+      wasSilent,
+      endedAtMs,
     })),
   );
 }
