Log which calls are one request, and who ended a connection

The lines of an entry told neither that two calls have the same caller, path and body, nor that an endpoint, not the entry itself, ended a connection before the head of an answer. `fingerprint` of endpoint-chosen and `isCut` of attempt-ended do. No decision uses them yet: a connection that ends before a head is still no crash. send_attempt_test and connections_test pass.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -241,6 +241,7 @@
       load: Math.round(state.estimateLoad(now())),
       limitPerSecond: state.availability.limit.perSecond,
       parts: describeSharedParts(this.#request.facts),
+      fingerprint: this.#request.facts.fingerprint,
       config: view.catalog?.configuration.version,
     });
     return {
@@ -384,7 +385,8 @@
     // If the caller left or the deadline passed, the endpoint has no fault.
     const isCancelled = this.#request.signal.aborted;
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
-    const isBlameless = isFault && failure.isCut && this.#recordCrash(attempt);
+    const isCrash = isFault && failure.isCut && failure.hasHead;
+    const isBlameless = isCrash && this.#recordCrash(attempt);
     if (isFault && !isBlameless) {
       this.#recordResult(attempt, toAttemptResult(failure));
     }
@@ -392,6 +394,7 @@
       detail,
       reused: failure.isConnectionReused,
       answerTo: failure.answerTo,
+      isCut: failure.isCut,
     });
     return { kind, detail };
   }
@@ -407,7 +410,7 @@
       const isBlameless = isCut && !hasBegun && this.#recordCrash(attempt);
       if (!isBlameless) this.#recordResult(attempt, ATTEMPT_RESULT.broken);
     }
-    this.#logEnd(attempt, ATTEMPT_RESULT.broken, { detail, hasBegun });
+    this.#logEnd(attempt, ATTEMPT_RESULT.broken, { detail, hasBegun, isCut });
   }
 
   /** Records that the endpoint goes on after it has begun its answer. */
--- a/src/proxy/request/index.ts
+++ b/src/proxy/request/index.ts
@@ -4,6 +4,7 @@
 export * from "./event_splitter.js";
 export * from "./low_confidence_answer.js";
 export * from "./proxy_servers.js";
+export * from "./request_fingerprint.js";
 export * from "./request_handler.js";
 export * from "./request_placement.js";
 export * from "./request_run.js";
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -12,6 +12,7 @@
 import type { RunDependencies, RunRequest } from "./attempt_runner.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
+import { hashRequest } from "./request_fingerprint.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
@@ -146,8 +147,18 @@
       this.#refuse(sink, facts, admitted);
       return;
     }
+    const { host, path } = facts;
+    const caller = admitted.account ?? facts.apiKey ?? "";
+    const fingerprint = hashRequest({ caller, method, host, path, body });
     await this.#run(
-      { ...admitted, facts, method, headers, body, startedAtMs },
+      {
+        ...admitted,
+        facts: { ...facts, fingerprint },
+        method,
+        headers,
+        body,
+        startedAtMs,
+      },
       response,
       sink,
     );
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -45,6 +45,8 @@
 const DISCARD_TIMEOUT_MS = 500;
 /** Lowest status of an answer that is a failure. */
 const MIN_ERROR_STATUS = 400;
+/** Codes of errors by which the other side has ended a connection. */
+const CUT_CODES = ["ECONNRESET", "EPIPE"];
 /** Most 1xx responses before an answer; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 
@@ -55,8 +57,10 @@
   readonly answerTo?: string;
   /** Its connection had carried another request before. */
   readonly isConnectionReused?: boolean;
-  /** The connection ended within the body of the answer. */
+  /** The other side ended the connection before the answer was complete. */
   readonly isCut?: boolean;
+  /** The head of the answer had come. */
+  readonly hasHead?: boolean;
 }
 
 export interface AttemptHead {
@@ -115,9 +119,9 @@
     const fail = (
       kind: AttemptFailureKind,
       detail: string,
-      answerTo?: string,
+      fields: Pick<AttemptFailure, "answerTo" | "isCut"> = {},
     ) => {
-      resolve(err({ kind, detail, isConnectionReused, answerTo }));
+      resolve(err({ kind, detail, isConnectionReused, ...fields }));
     };
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
@@ -142,11 +146,14 @@
       });
       socket.once("close", () => clearTimeout(timer));
     });
-    const failUnanswered = (detail: string) => {
+    const failUnanswered = (detail: string, isCut = false) => {
       const { notSent, unknown } = ATTEMPT_FAILURE;
-      fail(isSent ? unknown : notSent, detail);
+      fail(isSent ? unknown : notSent, detail, { isCut: isSent && isCut });
     };
-    outgoing.on("error", (error) => failUnanswered(error.message));
+    outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      const isCut = !signal.aborted && CUT_CODES.includes(error.code ?? "");
+      failUnanswered(error.message, isCut);
+    });
     // Node reports no error when an endpoint switches protocols.
     outgoing.once("close", () => failUnanswered("Closed without an answer"));
     // While it waits for a connection, an abort is reported only with that.
@@ -171,7 +178,7 @@
       if (facts.requestId !== requestId) {
         outgoing.destroy();
         const detail = `Answer is for request "${answerTo}"`;
-        fail(ATTEMPT_FAILURE.unknown, detail, answerTo);
+        fail(ATTEMPT_FAILURE.unknown, detail, { answerTo });
         return;
       }
       const status = message.statusCode ?? 0;
@@ -180,13 +187,13 @@
         if (outgoing.writableFinished) ignoreAnswerBody(message);
         else outgoing.destroy();
         const detail = `Status ${status}, not run`;
-        fail(ATTEMPT_FAILURE.notRun, detail, answerTo);
+        fail(ATTEMPT_FAILURE.notRun, detail, { answerTo });
         return;
       }
       const detail = findInvalidity(message, facts);
       if (detail !== undefined) {
         outgoing.destroy();
-        fail(ATTEMPT_FAILURE.unknown, detail, answerTo);
+        fail(ATTEMPT_FAILURE.unknown, detail, { answerTo });
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
@@ -298,7 +305,9 @@
     const chunks: Buffer[] = [];
     let isCut = true;
     const fail = (detail: string) =>
-      resolve(err({ kind: ATTEMPT_FAILURE.unknown, detail, isCut }));
+      resolve(
+        err({ kind: ATTEMPT_FAILURE.unknown, detail, isCut, hasHead: true }),
+      );
     const abandon = (detail: string) => {
       isCut = false;
       message.destroy(new Error(detail));
--- a/src/proxy/types.ts
+++ b/src/proxy/types.ts
@@ -129,7 +129,7 @@
   readonly tokens: number;
 }
 
-/** What is parsed from the head of a caller's request. */
+/** What is known of a caller's request, mostly parsed from its head. */
 export interface RequestFacts {
   readonly id: string;
   readonly host: string;
@@ -143,6 +143,11 @@
   readonly parts: readonly PromptPart[];
   /** Last event that the caller received of an interrupted stream. */
   readonly lastEventId?: number;
+  /**
+   * Hash of the caller, the path and the body; the same each time that a caller
+   * repeats the request. Known once the body has been read.
+   */
+  readonly fingerprint?: string;
 }
 
 /** What the headers of one attempt at an endpoint are created from. */
