--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -84,8 +84,14 @@
   repeats?: RepeatOptions;
   /** Ends as soon as it begins an answer to a prompt with one of these parts. */
   crashesOn?: ReadonlySet<string>;
-  /** Called when it has ended for that reason. */
+  /** Ends as soon as it begins to run such a request. */
+  crashesOnRequest?: (run: Pick<ReplicaRun, "path" | "body">) => boolean;
+  /** Ends before the head of an answer instead of after it. */
+  crashesBeforeHead?: boolean;
+  /** Called when it has ended for one of these reasons. */
   onCrash?: (sharedParts: readonly string[]) => void;
+  /** Runs the request, then resets its connection in place of an answer. */
+  losesAnswers?: boolean;
 }
 
 /** Header that passes through a proxy and names the request that ran. */
@@ -112,7 +118,7 @@
 /** Body of a complete plain answer, unless `plainAnswerBytes` is set. */
 export const PLAIN_ANSWER_BODY = "0123456789".repeat(20);
 
-/** Time between the head of an answer and the crash that it leads to, ms. */
+/** Time between the begin of a run and the crash that it leads to, ms. */
 const CRASH_DELAY_MS = 20;
 
 function listSharedParts({ headers }: IncomingMessage): string[] {
@@ -192,7 +198,13 @@
     if (options.neverAnswers) return;
     await this.#delay();
     this.#repeated.writeWithAnswer(socket);
-    if (sharedParts.some((part) => options.crashesOn?.has(part))) {
+    if (options.losesAnswers) {
+      run.state = "cut";
+      socket.resetAndDestroy();
+      return;
+    }
+    const hasBadPart = sharedParts.some((part) => options.crashesOn?.has(part));
+    if (hasBadPart || options.crashesOnRequest?.(run)) {
       this.#crash(run, response, sharedParts);
       return;
     }
@@ -227,14 +239,16 @@
     this.#repeated.setAnswer(request.socket, refusal, status, headers, "");
   }
 
-  /** Sends the head of the answer, then breaks all connections. */
+  /** Sends the head of the answer, if any, then breaks all connections. */
   #crash(
     run: ReplicaRun,
     response: ServerResponse,
     sharedParts: readonly string[],
   ): void {
-    response.writeHead(200, this.#createHeaders(run));
-    response.flushHeaders();
+    if (!this.options.crashesBeforeHead) {
+      response.writeHead(200, this.#createHeaders(run));
+      response.flushHeaders();
+    }
     run.state = "cut";
     if (this.#isCrashing) return;
     this.#isCrashing = true;
