Hold a request under which endpoints crash

Cause: only the shared parts of prompts were suspects of a crash, and only after the head of an answer. The fingerprint of the request (caller, method, host, path, body) is one suspect more now, in the same evidence, messages, store records, trials and releases. Where a part and one request explain the same crashes, the request is held; its parts stay suspects, and the first crash under another request that has one holds the part. A connection that ends before the head counts for the request alone, and a request is a suspect only if the endpoint's host refuses a connection afterwards: a lost answer looks the same otherwise. An answer, one with an error too, clears it. Crashes whose cause is held take no more suspects from the reports of other entries.

Tried and dropped: a part blamed only after two crashes under other requests; the cascade's test ended five endpoints instead of four. The same test showed that a request with the parts of a suspect request must not be retried either.

--- a/src/platform/crashing_part_test.ts
+++ b/src/platform/crashing_part_test.ts
@@ -46,6 +46,8 @@
       .call("/stream/a", {
         id,
         entry,
+        // Prompts that differ have bodies that differ.
+        body: prefix,
         headers: { "prefix-hash": prefix, "token-counts": "300,10" },
       })
       .catch(() => undefined);
@@ -209,6 +211,7 @@
       await system
         .call("/stream/sized/a", {
           id: `c${i}`,
+          body: `prompt ${i}`,
           headers: { "prefix-hash": `${CRASHING_PART}:9,own-${i}:9` },
         })
         .catch(() => undefined);
--- a/src/proxy/fleet/prompt_holds.ts
+++ b/src/proxy/fleet/prompt_holds.ts
@@ -1,15 +1,20 @@
 /**
- * Prompt parts under which endpoints crash. Entries tell each other of the
- * crashes that they saw and of the parts that they found to cause them, and
- * refuse requests with these parts.
+ * Prompt parts and requests under which endpoints crash. Entries tell each
+ * other of the crashes that they saw and of what they found to cause them, and
+ * refuse that request, or all requests with these parts.
  */
 
 import type { Logger } from "../../adapters/logger.js";
 import { sortByRendezvous } from "../../core/canonical.js";
 import type { EndpointCrash, PromptHold } from "../../schema/exchange/index.js";
-import { CrashEvidence, hasAll, listSharedPartIds } from "../placing/index.js";
+import {
+  CrashEvidence,
+  hasAll,
+  listSuspectIds,
+  type Suspect,
+} from "../placing/index.js";
 import type { SuspendClock } from "../suspend_clock.js";
-import type { PromptPart, RequestFacts } from "../types.js";
+import type { RequestFacts } from "../types.js";
 import { MAX_TRANSIT_MS, toMessageNumber } from "./peer_messages.js";
 
 /** Time for which parts are held, ms; doubles with each trial that fails. */
@@ -26,7 +31,7 @@
 const MAX_REPORTED_CRASHES = 16;
 const MAX_REPORTED_HOLDS = 32;
 
-/** Parts that are held, or were released lately. */
+/** Parts, or the id of a request, that are held or were released lately. */
 export interface HeldParts {
   readonly parts: readonly string[];
   readonly isHeld: boolean;
@@ -72,9 +77,10 @@
   }
 
   /** The held parts for which a request must be refused, if any. */
-  find({ id, parts }: RequestFacts): HeldParts | undefined {
+  find(facts: RequestFacts): HeldParts | undefined {
     if (this.#holds.size === 0) return undefined;
-    const ids = listSharedPartIds(parts);
+    const { id } = facts;
+    const ids = listSuspectIds(facts);
     return this.listHeld().find(
       (held) =>
         hasAll(ids, held.parts) &&
@@ -94,13 +100,13 @@
   }
 
   /** True when the request has led to crashes and must not be retried. */
-  isSuspect(prompt: readonly PromptPart[]): boolean {
-    return this.#evidence.isSuspect(listSharedPartIds(prompt), this.#now());
+  isSuspect(suspect: Suspect): boolean {
+    return this.#evidence.isSuspect(listSuspectIds(suspect), this.#now());
   }
 
-  /** An endpoint has begun an answer to the prompt and goes on with it. */
-  recordAnswer(prompt: readonly PromptPart[]): void {
-    const ids = listSharedPartIds(prompt);
+  /** An endpoint has begun an answer to the request and goes on with it. */
+  recordAnswer(suspect: Suspect): void {
+    const ids = listSuspectIds(suspect);
     if (ids.length === 0) return;
     this.#evidence.recordAnswer(ids, this.#now());
     for (const held of this.listHeld()) {
@@ -113,15 +119,12 @@
   }
 
   /**
-   * An endpoint ended as it began an answer. Returns whether a held part of the
-   * prompt, not the endpoint, is the cause.
+   * An endpoint ended as it ran a request or began an answer. Returns whether
+   * what is held, not the endpoint, is the cause.
    */
-  recordCrash(
-    endpoint: string,
-    prompt: readonly PromptPart[],
-    runMs: number,
-  ): boolean {
-    const ids = listSharedPartIds(prompt);
+  recordCrash(endpoint: string, suspect: Suspect, runMs: number): boolean {
+    const ids = listSuspectIds(suspect);
+    if (ids.length === 0) return false;
     const atMs = this.#now();
     for (const held of this.listHeld()) {
       if (!hasAll(ids, held.parts)) continue;
@@ -150,7 +153,7 @@
         changedAtMs: nowMs,
       };
       this.#put(held, HOLD_SOURCE.crashes, endpoints);
-      this.#evidence.removeCrashes({ parts });
+      this.#evidence.removeSuspects({ parts });
       this.#options.onHold(held);
     }
   }
@@ -310,7 +313,7 @@
       const isCovered = this.listHeld().some(isPartOf(parts));
       if (isHeld && !isCovered) {
         this.#put(held, source);
-        this.#evidence.removeCrashes({ parts });
+        this.#evidence.removeSuspects({ parts });
       } else if (!isHeld && known !== undefined) {
         this.#release(known, source);
       }
--- a/src/proxy/fleet/prompt_holds_test.ts
+++ b/src/proxy/fleet/prompt_holds_test.ts
@@ -60,7 +60,7 @@
   }
 
   function crash({ holds }: TestEntry, endpoint: string, facts: RequestFacts) {
-    return holds.recordCrash(endpoint, facts.parts, 10);
+    return holds.recordCrash(endpoint, facts, 10);
   }
 
   function holdPart(entry: TestEntry, part = "bad"): void {
@@ -105,12 +105,12 @@
         for (let attempt = 0; attempt < 3; attempt++) {
           const isRetry = attempt > 0;
           if (entry.holds.admit(facts) !== undefined) break;
-          if (isRetry && entry.holds.isSuspect(facts.parts)) break;
+          if (isRetry && entry.holds.isSuspect(facts)) break;
           crashes.push(nowMs);
           crash(entry, `ep-${crashes.length}`, facts);
         }
         for (const other of entries) {
-          other.holds.recordAnswer(createFacts("s", "first", "m1").parts);
+          other.holds.recordAnswer(createFacts("s", "first", "m1"));
           if (nowMs % ROUND_MS !== 0) continue;
           for (let k = 0; k < 3; k++) {
             exchange(other, entries[draw(count)] ?? other);
@@ -135,7 +135,7 @@
     const [held] = entry.holds.listHeld();
     assert.deepEqual(held?.parts, ["first", "bad"]);
     assert.equal(entry.holds.find(createFacts("s", "first")), undefined);
-    entry.holds.recordAnswer(createFacts("s", "first").parts);
+    entry.holds.recordAnswer(createFacts("s", "first"));
     assert.deepEqual(
       entry.holds.find(createFacts("x", "other", "bad"))?.parts,
       ["bad"],
@@ -182,7 +182,7 @@
     const tester = entries.find(({ holds }) => !holds.admit(trial));
     const other = entries.find((entry) => entry !== tester);
     assert.ok(tester && other);
-    tester.holds.recordAnswer(trial.parts);
+    tester.holds.recordAnswer(trial);
     nowMs += ROUND_MS;
     exchange(tester, other);
     for (const { holds } of entries) {
@@ -207,7 +207,7 @@
   it("lays a crash to the endpoint until the part is held", () => {
     const [entry] = createEntries(1);
     assert.ok(entry);
-    entry.holds.recordAnswer(createFacts("s", "first").parts);
+    entry.holds.recordAnswer(createFacts("s", "first"));
     const facts = createFacts("r", "first", "bad");
     assert.equal(crash(entry, "a", facts), false);
     nowMs += INCIDENT_MS;
--- a/src/proxy/placing/crash_evidence.ts
+++ b/src/proxy/placing/crash_evidence.ts
@@ -1,16 +1,16 @@
 /**
- * Finds the parts of prompts under which endpoints crash. The crash of an
- * endpoint ends all requests that run there. Those of which it had just begun
- * an answer are suspects, and so is each part that their prompts share with
- * others, unless an endpoint answered a prompt with that part later on.
+ * Finds the parts of prompts, or the request, under which endpoints crash. The
+ * crash of an endpoint ends all requests that run there. Those of which it had
+ * just begun an answer are suspects, and so is each part that their prompts
+ * share with others, unless an endpoint answered it later on.
  *
- * The part that the most crashes have in common explains them, and the other
- * suspects of these crashes are cleared.
+ * The suspect that the most crashes have in common explains them, and the other
+ * suspects of these crashes are cleared. Where a part and one request explain
+ * the same crashes, the request is the cause: others may share the part.
  */
 
 import { LRUCache } from "lru-cache";
-import { hashSha256 } from "../../core/canonical.js";
-import type { PromptPart } from "../types.js";
+import { isRequestId } from "./suspect_ids.js";
 
 /** Incidents, of one or more crashes each, from which a part is their cause. */
 const MIN_INCIDENTS = 3;
@@ -32,16 +32,14 @@
 /** Of them, crashes whose prompts are remembered, the newest ones. */
 const MAX_CRASHES_WITH_PROMPTS = 32;
 /** Prompts that are remembered for one crash. */
-const MAX_PROMPTS_PER_CRASH = 4;
-/** Parts of one prompt that are considered. */
-export const MAX_PROMPT_PARTS = 8;
-/** Callers choose the ids; longer ones are replaced by a hash. */
-export const MAX_PART_ID_LENGTH = 32;
+const MAX_PROMPTS_PER_CRASH = 8;
 /** Parts with which endpoints answered that are remembered. */
 const MAX_ANSWERED_PARTS = 5_000;
+/** The same for requests; most come once only, so they are kept apart. */
+const MAX_ANSWERED_REQUESTS = 2_000;
 
 export interface CrashPrompt {
-  /** Ids of the suspected parts. */
+  /** Ids of the suspected parts, and of the request if it is a suspect. */
   readonly parts: readonly string[];
   /** Time from the sending of the request to the crash, ms. */
   readonly runMs: number;
@@ -53,44 +51,49 @@
   /** This entry saw it; the times of others are less precise. */
   readonly isOwn: boolean;
   readonly prompts: readonly CrashPrompt[];
+  /** Its cause is held, so what other requests saw of it is of no interest. */
+  readonly isExplained?: boolean;
 }
 
-/** Parts that a prompt must all have for an endpoint to crash. */
+/** Suspects that a request must all have for an endpoint to crash. */
 export interface CrashCause {
   readonly parts: readonly string[];
+  /** Parts that may be the cause instead of a request that has them. */
+  readonly rivalParts: readonly string[];
   readonly endpoints: readonly string[];
-  /** Other parts explain as many of these crashes. */
+  /** Others explain as many of these crashes. */
   readonly isAmbiguous: boolean;
 }
 
-/** Ids of the parts that a prompt may share; the last part is its own. */
-export function listSharedPartIds(parts: readonly PromptPart[]): string[] {
-  return parts
-    .slice(0, -1)
-    .slice(0, MAX_PROMPT_PARTS)
-    .map(({ id }) =>
-      id.length <= MAX_PART_ID_LENGTH
-        ? id
-        : hashSha256(id).slice(0, MAX_PART_ID_LENGTH),
-    );
-}
-
 export class CrashEvidence {
   #crashes: Crash[] = [];
   /** When an endpoint last answered a prompt with the part. */
-  readonly #answeredAtMs = new LRUCache<string, number>({
+  readonly #answeredParts = new LRUCache<string, number>({
     max: MAX_ANSWERED_PARTS,
   });
+  /** When an endpoint last answered the request. */
+  readonly #answeredRequests = new LRUCache<string, number>({
+    max: MAX_ANSWERED_REQUESTS,
+  });
 
   /** An endpoint has begun an answer and goes on with it. */
   recordAnswer(parts: readonly string[], nowMs: number): void {
-    for (const part of parts) this.#answeredAtMs.set(part, nowMs);
+    for (const part of parts) this.#getAnswered(part).set(part, nowMs);
+  }
+
+  #getAnswered(id: string): LRUCache<string, number> {
+    return isRequestId(id) ? this.#answeredRequests : this.#answeredParts;
+  }
+
+  #wasAnswered(id: string): boolean {
+    return this.#getAnswered(id).has(id);
   }
 
   /** Returns whether the crash was not known with these prompts. */
   recordCrash(crash: Crash, nowMs: number): boolean {
     const { endpoint } = crash;
     const known = this.#crashes.find((other) => other.endpoint === endpoint);
+    if (known?.isExplained) return false;
     const knownPrompts = known?.prompts ?? [];
     const added = this.#listSuspects(crash).filter(
       ({ parts }) =>
@@ -114,11 +117,21 @@
     return added.length > 0;
   }
 
-  /** Forgets the crashes that the parts explain. */
-  removeCrashes({ parts }: Pick<CrashCause, "parts">): void {
-    this.#crashes = this.#crashes.filter(
-      ({ prompts }) => !prompts.some((prompt) => hasAll(prompt.parts, parts)),
-    );
+  /**
+   * Forgets the suspects of the crashes that the cause explains. Only the parts
+   * of a request that is the cause remain: each of them may be the cause behind
+   * it, of which further requests will tell.
+   */
+  removeSuspects({ parts: cause }: Pick<CrashCause, "parts">): void {
+    const isOfCause = ({ parts }: CrashPrompt) => hasAll(parts, cause);
+    const mayBeMore = ({ parts }: CrashPrompt) =>
+      cause.some(isRequestId) && parts.length > cause.length;
+    this.#crashes = this.#crashes.map((crash) => {
+      const prompts = crash.prompts.filter(isOfCause);
+      if (prompts.length === 0) return crash;
+      const isExplained = true;
+      return { ...crash, prompts: prompts.filter(mayBeMore), isExplained };
+    });
   }
 
   /** Crashes with prompts that are still suspected. */
@@ -133,8 +146,11 @@
   listCauses(nowMs: number): CrashCause[] {
     return this.#explainCrashes(nowMs).filter((cause) => {
       const { parts, isAmbiguous } = cause;
-      if (isAmbiguous) return false;
-      const wasAnswered = parts.every((part) => this.#answeredAtMs.has(part));
+      if (isAmbiguous || this.#isExplained(cause)) return false;
+      const isRequest = parts.some(isRequestId);
+      // Answers before its crashes don't clear a request that is the same.
+      const wasAnswered =
+        !isRequest && parts.every((part) => this.#wasAnswered(part));
       const minIncidents = wasAnswered
         ? MIN_INCIDENTS_AFTER_ANSWERS
         : MIN_INCIDENTS;
@@ -142,6 +158,14 @@
     });
   }
 
+  /** True when none of the crashes is new since their cause was held. */
+  #isExplained({ endpoints }: CrashCause): boolean {
+    return this.#crashes.every(
+      ({ endpoint, isExplained }) =>
+        isExplained || !endpoints.includes(endpoint),
+    );
+  }
+
   /** Incidents of which the cause explains most crashes. */
   #countIncidents({ parts, endpoints }: CrashCause): number {
     const explained = this.#crashes
@@ -159,7 +183,8 @@
       );
       // Later crashes may be further incidents of the same cause.
       const others = all.filter(
-        ({ endpoint }) => !endpoints.includes(endpoint),
+        ({ endpoint, isExplained }) =>
+          !endpoints.includes(endpoint) && !isExplained,
       );
       const share = crashes / (crashes + others.length);
       if (share >= MIN_EXPLAINED_SHARE) count++;
@@ -168,27 +193,29 @@
     return count;
   }
 
-  /** True when a prompt with these parts may well lead to a further crash. */
-  isSuspect(parts: readonly string[], nowMs: number): boolean {
+  /** True when a request with these suspects may well lead to a crash. */
+  isSuspect(ids: readonly string[], nowMs: number): boolean {
     return this.#explainCrashes(nowMs).some(
-      (cause) =>
-        cause.endpoints.length >= MIN_CRASHES_OF_SUSPECT &&
-        hasAll(parts, cause.parts) &&
-        cause.parts.some((part) => !this.#answeredAtMs.has(part)),
+      ({ endpoints, parts, rivalParts }) => {
+        if (endpoints.length < MIN_CRASHES_OF_SUSPECT) return false;
+        if (parts.some(isRequestId) && hasAll(ids, parts)) return true;
+        const isUnanswered = (part: string) => !this.#wasAnswered(part);
+        return rivalParts.some(isUnanswered) && hasAll(ids, rivalParts);
+      },
     );
   }
 
   /** Prompts without the parts that were answered after the crash. */
   #listSuspects({ prompts, atMs }: Crash): CrashPrompt[] {
     const isSuspected = (part: string) =>
-      (this.#answeredAtMs.peek(part) ?? Number.NEGATIVE_INFINITY) < atMs;
+      (this.#getAnswered(part).peek(part) ?? Number.NEGATIVE_INFINITY) < atMs;
     return prompts
       .slice(0, MAX_PROMPTS_PER_CRASH)
       .map((prompt) => ({ ...prompt, parts: prompt.parts.filter(isSuspected) }))
       .filter(({ parts }) => parts.length > 0);
   }
 
-  /** Greedy set cover: the part with the most unexplained crashes is next. */
+  /** Greedy set cover: the suspect with the most unexplained crashes is next. */
   #explainCrashes(nowMs: number): CrashCause[] {
     const causes: CrashCause[] = [];
     let unexplained = this.listCrashes(nowMs);
@@ -196,21 +223,26 @@
       const candidates = this.#listCandidates(unexplained);
       const [best] = candidates;
       if (best === undefined) break;
-      // Other parts that explain the same crashes.
-      const rivals = candidates.filter(
-        ({ part, endpoints }) =>
-          part !== best.part && isSameList(endpoints, best.endpoints),
-      );
       const prompts = unexplained
         .flatMap((crash) => crash.prompts)
         .filter(({ parts }) => parts.includes(best.part));
-      const companions = rivals.filter(({ part }) =>
-        prompts.every(({ parts }) => parts.includes(part)),
+      // Others that explain the same crashes.
+      const equals = candidates.filter(
+        ({ part, endpoints }) =>
+          part !== best.part && isSameList(endpoints, best.endpoints),
       );
+      const isCompanion = ({ part }: Candidate) =>
+        prompts.every(({ parts }) => parts.includes(part));
+      const group = [best, ...equals.filter(isCompanion)];
+      const request = group.find(({ part }) => isRequestId(part));
+      const isRival = (candidate: Candidate) =>
+        !isCompanion(candidate) && (best.wasAnswered || !candidate.wasAnswered);
+      const groupParts = group.map(({ part }) => part);
       causes.push({
-        parts: [best, ...companions].map(({ part }) => part),
+        parts: request ? [request.part] : groupParts,
+        rivalParts: groupParts.filter((part) => !isRequestId(part)),
         endpoints: best.endpoints,
-        isAmbiguous: rivals.length > companions.length,
+        isAmbiguous: equals.some(isRival),
       });
       unexplained = unexplained.filter(
         ({ endpoint }) => !best.endpoints.includes(endpoint),
@@ -220,26 +252,52 @@
   }
 
   /**
-   * Parts with the endpoints that crashed under them, most crashes first. Parts
-   * that were answered before count only where there are no others.
+   * Suspects with the endpoints that crashed under them, most crashes first.
+   * Parts that were answered before count only where there are no other parts.
    */
-  #listCandidates(crashes: readonly Crash[]) {
+  #listCandidates(crashes: readonly Crash[]): Candidate[] {
     const prompts = crashes.flatMap((crash) => crash.prompts);
-    const all = [...new Set(prompts.flatMap(({ parts }) => parts))];
-    const unanswered = all.filter((part) => !this.#answeredAtMs.has(part));
-    return (unanswered.length > 0 ? unanswered : all)
-      .map((part) => ({
+    const all = [...new Set(prompts.flatMap(({ parts }) => parts))].map(
+      (part) => ({ part, wasAnswered: this.#wasAnswered(part) }),
+    );
+    const hasUnanswered = all.some(
+      ({ part, wasAnswered }) => !isRequestId(part) && !wasAnswered,
+    );
+    const candidates = all
+      .filter(
+        ({ part, wasAnswered }) =>
+          isRequestId(part) || !hasUnanswered || !wasAnswered,
+      )
+      .map(({ part, wasAnswered }) => ({
         part,
+        wasAnswered,
         endpoints: crashes
           .filter((crash) =>
             crash.prompts.some(({ parts }) => parts.includes(part)),
           )
           .map(({ endpoint }) => endpoint),
-      }))
-      .sort((one, other) => other.endpoints.length - one.endpoints.length);
+      }));
+    return sortCandidates(candidates);
   }
 }
 
+interface Candidate {
+  readonly part: string;
+  readonly endpoints: readonly string[];
+  /** An endpoint answered it before its crashes. */
+  readonly wasAnswered: boolean;
+}
+
+/** Most crashes first, then those never answered, then requests. */
+function sortCandidates(candidates: readonly Candidate[]): Candidate[] {
+  return [...candidates].sort(
+    (one, other) =>
+      other.endpoints.length - one.endpoints.length ||
+      Number(one.wasAnswered) - Number(other.wasAnswered) ||
+      Number(isRequestId(other.part)) - Number(isRequestId(one.part)),
+  );
+}
+
 /** Both crashes may have had one cause beyond the requests. */
 function isSameIncident(
   first: Crash,
--- a/src/proxy/placing/crash_evidence_test.ts
+++ b/src/proxy/placing/crash_evidence_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { CrashEvidence, listSharedPartIds } from "./crash_evidence.js";
+import { CrashEvidence } from "./crash_evidence.js";
+import { listSharedPartIds } from "./suspect_ids.js";
 
 const MINUTE_MS = 60_000;
 
@@ -195,6 +196,75 @@
     ]);
   });
 
+  // A request that comes again takes its parts with it.
+  it("blames a request, not the parts that sound requests share with it", () => {
+    const evidence = createEvidence({
+      a: [["first", "doc", "request:bad"]],
+      b: [["first", "doc", "request:bad"], ["request:m1"]],
+      c: [
+        ["first", "doc", "request:bad"],
+        ["first", "doc", "request:m2"],
+      ],
+    });
+    assert.deepEqual(listCausingParts(evidence), [["request:bad"]]);
+  });
+
+  it("blames a part under which several requests crash endpoints", () => {
+    const evidence = createEvidence({
+      a: [["first", "bad", "request:r1"]],
+      b: [["first", "bad", "request:r1"]],
+      c: [["first", "bad", "request:r1"]],
+    });
+    evidence.recordAnswer(["first"], 5_000);
+    assert.deepEqual(listCausingParts(evidence), [["request:r1"]]);
+    evidence.removeSuspects({ parts: ["request:r1"] });
+    assert.deepEqual(listCausingParts(evidence), []);
+    createEvidence({ d: [["first", "bad", "request:r2"]] }, evidence);
+    assert.deepEqual(listCausingParts(evidence), [["bad"]]);
+  });
+
+  it("blames a request that was answered before its crashes", () => {
+    const evidence = new CrashEvidence();
+    evidence.recordAnswer(["request:bad", "request:hot"], 10);
+    const crashes = {
+      a: [["request:bad"], ["request:hot"]],
+      b: [["request:bad"]],
+      c: [["request:bad"], ["request:hot"]],
+    };
+    createEvidence(crashes, evidence);
+    assert.equal(evidence.isSuspect(["request:bad"], 3_000), true);
+    assert.deepEqual(listCausingParts(evidence), [["request:bad"]]);
+  });
+
+  // A hundred callers may send the same look-up.
+  it("clears requests that are answered between the crashes", () => {
+    const evidence = createEvidence({
+      a: [["request:hot"]],
+      b: [["request:hot"]],
+    });
+    evidence.recordAnswer(["request:hot"], 1_500);
+    createEvidence({ c: [["request:hot"]] }, evidence);
+    assert.equal(evidence.isSuspect(["request:hot"], 3_000), false);
+    assert.deepEqual(listCausingParts(evidence), []);
+  });
+
+  // What ran beside a cause that is held would be next to take the blame.
+  it("takes no more suspects of a crash whose cause is held", () => {
+    const crashes = {
+      a: [["request:bad"]],
+      b: [["request:bad"]],
+      c: [["request:bad"]],
+    };
+    const evidence = createEvidence(crashes);
+    evidence.removeSuspects({ parts: ["request:bad"] });
+    for (const [i, endpoint] of ["a", "b", "c"].entries()) {
+      const atMs = 1_000 + 300 * i;
+      const prompts = [["request:m1"]];
+      recordCrash(evidence, { endpoint, atMs, prompts, isOwn: false });
+    }
+    assert.deepEqual(evidence.listCrashes(3_000), []);
+  });
+
   it("suspects a part from the second crash on", () => {
     const evidence = createEvidence({ a: [["first", "bad"]] });
     evidence.recordAnswer(["first"], 2_000);
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -26,6 +26,7 @@
   type WireFormat,
 } from "../types.js";
 import type { Connections } from "./connections.js";
+import type { EndpointProbe } from "./endpoint_probe.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import type {
   PlacementOptions,
@@ -66,6 +67,7 @@
   readonly connections: Connections;
   readonly retryBudget: RetryBudget;
   readonly promptHolds: PromptHolds;
+  readonly endpointProbe: EndpointProbe;
   /** Monotonic clock, ms. */
   readonly now: () => number;
 }
@@ -176,7 +178,7 @@
     });
     stallTimer?.cancel();
     attempt.endReading();
-    if (result.isErr()) return this.endFailed(attempt, result.error);
+    if (result.isErr()) return await this.endFailed(attempt, result.error);
     const head = result.value;
     const headLatencyMs = this.#dependencies.now() - attempt.startedAtMs;
     const answered = { ...attempt, head, stallTimeoutMs };
@@ -379,14 +381,17 @@
   }
 
   /** Ends an attempt that failed before or after its head. */
-  endFailed(attempt: Attempt, failure: AttemptFailure): AttemptOutcome {
+  async endFailed(
+    attempt: Attempt,
+    failure: AttemptFailure,
+  ): Promise<AttemptOutcome> {
     attempt.release();
-    const { kind, detail } = failure;
+    const { kind, detail, isCut = false, hasHead = false } = failure;
     // If the caller left or the deadline passed, the endpoint has no fault.
     const isCancelled = this.#request.signal.aborted;
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
-    const isCrash = isFault && failure.isCut && failure.hasHead;
-    const isBlameless = isCrash && this.#recordCrash(attempt);
+    const isBlameless =
+      isFault && isCut && (await this.#recordCrash(attempt, hasHead));
     if (isFault && !isBlameless) {
       this.#recordResult(attempt, toAttemptResult(failure));
     }
@@ -400,14 +405,15 @@
   }
 
   /** Ends an attempt whose stream broke. */
-  endBroken(
+  async endBroken(
     attempt: Attempt,
     end: { hasBegun: boolean; isCut: boolean; detail: string },
-  ): void {
+  ): Promise<void> {
     const { hasBegun, isCut, detail } = end;
     attempt.controller.abort();
     if (!this.#request.signal.aborted) {
-      const isBlameless = isCut && !hasBegun && this.#recordCrash(attempt);
+      const isBlameless =
+        isCut && !hasBegun && (await this.#recordCrash(attempt, true));
       if (!isBlameless) this.#recordResult(attempt, ATTEMPT_RESULT.broken);
     }
     this.#logEnd(attempt, ATTEMPT_RESULT.broken, { detail, hasBegun, isCut });
@@ -415,24 +421,35 @@
 
   /** Records that the endpoint goes on after it has begun its answer. */
   recordBegin(): void {
-    this.#dependencies.promptHolds.recordAnswer(this.#request.facts.parts);
+    this.#dependencies.promptHolds.recordAnswer(this.#request.facts);
   }
 
   /** Records the crash of an endpoint whose answer waits to be delivered. */
-  recordCrashWhileWaiting(attempt: Attempt): void {
-    if (!this.#request.signal.aborted) this.#recordCrash(attempt);
+  async recordCrashWhileWaiting(attempt: Attempt): Promise<void> {
+    if (!this.#request.signal.aborted) await this.#recordCrash(attempt, true);
   }
 
-  /** True when the request, not the endpoint, is likely to have caused it. */
-  #recordCrash({ state, startedAtMs: sentAtMs }: Attempt): boolean {
+  /**
+   * True when what is held, not the endpoint, is likely to have caused it. The
+   * request as a whole is a suspect only if the endpoint has ended: an answer
+   * may also be lost, and the caller of an order repeats it then.
+   */
+  async #recordCrash(
+    { state, startedAtMs: sentAtMs }: Attempt,
+    hasHead: boolean,
+  ): Promise<boolean> {
+    const { promptHolds, endpointProbe, now } = this.#dependencies;
     // Planned stops break streams as well.
     if (state.isLeaving) return false;
     const { id, startedAtMs = 0 } = state.record;
-    return this.#dependencies.promptHolds.recordCrash(
-      `${id}/${startedAtMs}`,
-      this.#request.facts.parts,
-      this.#dependencies.now() - sentAtMs,
-    );
+    const runMs = now() - sentAtMs;
+    const { parts, fingerprint } = this.#request.facts;
+    const hasEnded = await endpointProbe.hasEnded(state.record);
+    const suspect = {
+      parts: hasHead ? parts : [],
+      fingerprint: hasEnded ? fingerprint : undefined,
+    };
+    return promptHolds.recordCrash(`${id}/${startedAtMs}`, suspect, runMs);
   }
 
   /**
@@ -449,6 +466,10 @@
     const body = await readAnswerBody(head.message, stallTimeoutMs);
     attempt.release();
     const detail = `Status ${head.status} of the endpoint`;
+    const { fingerprint } = this.#request.facts;
+    if (body.isOk()) {
+      this.#dependencies.promptHolds.recordAnswer({ parts: [], fingerprint });
+    }
     this.#recordResult(attempt, ATTEMPT_RESULT.erred);
     this.#logEnd(attempt, OUTCOME_KIND.erred, { detail });
     const mayPassOn = body.isOk() && !this.#isUnfoundedPromise(head);
--- a/src/proxy/request/held_refusal.ts
+++ b/src/proxy/request/held_refusal.ts
@@ -1,7 +1,8 @@
-/** The refusal of a request with parts under which endpoints crash. */
+/** The refusal of what endpoints crash under: a request, or parts of prompts. */
 
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import type { HeldParts, PromptHolds } from "../fleet/index.js";
+import { isRequestId } from "../placing/index.js";
 
 /** Longest delay after which a caller is told to return, ms. */
 const MAX_RETRY_AFTER_MS = 60_000;
@@ -17,6 +18,8 @@
   const retryAfterMs =
     Math.min(MAX_RETRY_AFTER_MS, Math.max(1_000, remainingMs)) *
     (1 + RETRY_SPREAD * random());
-  const detail = `Endpoints crash under the prompt part ${held.parts.join(",")}`;
+  const detail = held.parts.some(isRequestId)
+    ? `Endpoints crash under this ${held.parts.join(",")}`
+    : `Endpoints crash under the prompt part ${held.parts.join(",")}`;
   return createRefusal("prompt-held", detail, { retryAfterMs });
 }
--- a/src/proxy/request/index.ts
+++ b/src/proxy/request/index.ts
@@ -1,5 +1,6 @@
 export * from "./attempt_runner.js";
 export * from "./connections.js";
+export * from "./endpoint_probe.js";
 export * from "./event_sequence.js";
 export * from "./event_splitter.js";
 export * from "./low_confidence_answer.js";
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -150,10 +150,17 @@
     const { host, path } = facts;
     const caller = admitted.account ?? facts.apiKey ?? "";
     const fingerprint = hashRequest({ caller, method, host, path, body });
+    const wholeFacts = { ...facts, fingerprint };
+    const heldWhole = promptHolds.admit(wholeFacts);
+    if (heldWhole !== undefined) {
+      const refusal = createHeldRefusal(promptHolds, heldWhole, random);
+      this.#refuse(sink, facts, refusal);
+      return;
+    }
     await this.#run(
       {
         ...admitted,
-        facts: { ...facts, fingerprint },
+        facts: wholeFacts,
         method,
         headers,
         body,
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -58,7 +58,7 @@
   /** An endpoint may have run the request. */
   #mayHaveRun = false;
   #lastFailure = "";
-  /** Parts of the prompt for which no more attempts may be made. */
+  /** What is held, so that no more attempts may be made. */
   #heldParts: HeldParts | undefined;
   /** Last error answer of an endpoint; passed on if no attempt succeeds. */
   #errorAnswer: ErrorAnswer | undefined;
@@ -105,8 +105,9 @@
       if (next === undefined) return await this.#deliver(attempt);
       // The model ran the request even if its answer is discarded later.
       this.#mayHaveRun = true;
-      fallback = new LowConfidenceAnswer(attempt, () =>
-        this.#attemptRunner.recordCrashWhileWaiting(attempt),
+      fallback = new LowConfidenceAnswer(
+        attempt,
+        () => void this.#attemptRunner.recordCrashWhileWaiting(attempt),
       );
       this.#triedEndpointIds.clear();
       model = next;
@@ -172,10 +173,10 @@
     const { facts } = this.#request;
     this.#heldParts = promptHolds.find(facts);
     if (this.#heldParts !== undefined) {
-      return this.#addFailure("a part of the prompt is held");
+      return this.#addFailure("the request or a part of it is held");
     }
-    if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts.parts)) {
-      return this.#addFailure("endpoints crashed under a part of the prompt");
+    if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts)) {
+      return this.#addFailure("endpoints crashed under it");
     }
     const entryCount = countEntries();
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
@@ -263,7 +264,8 @@
       sendAnswer(this.#sink, this.#dependencies.wire, head, body.value);
       return "answered";
     }
-    this.#recordFailure(this.#attemptRunner.endFailed(attempt, body.error));
+    const failure = await this.#attemptRunner.endFailed(attempt, body.error);
+    this.#recordFailure(failure);
     if (!this.#mayRetry()) return this.#sendFailure();
     const nextAttempt = await this.#runAttempts(attempt.model);
     return nextAttempt === undefined
@@ -299,7 +301,7 @@
         ? "the caller left or its time was up"
         : (end.detail ?? "");
       if (!sequence.canResume) this.#addFailure("the last event has no id");
-      this.#attemptRunner.endBroken(attempt, {
+      await this.#attemptRunner.endBroken(attempt, {
         hasBegun: end.hasBegun,
         isCut: end.isCut,
         detail: this.#lastFailure,
@@ -344,7 +346,7 @@
       if (attempt === undefined || isStreamRest(attempt.head)) return attempt;
       attempt.release();
       this.#lastFailure = describeHead(attempt.head);
-      this.#attemptRunner.endBroken(attempt, {
+      await this.#attemptRunner.endBroken(attempt, {
         hasBegun: false,
         isCut: false,
         detail: this.#lastFailure,
