--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -19,6 +19,7 @@
 import { CallerConnections } from "./caller_connections.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
+import { hashRequest } from "./request_fingerprint.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
 import { createStoppingRefusal } from "./stopping_refusal.js";
@@ -181,8 +182,25 @@
       this.#refuse(sink, facts, admitted);
       return;
     }
+    const { host, path } = facts;
+    const caller = admitted.account ?? facts.apiKey ?? "";
+    const fingerprint = hashRequest({ caller, method, host, path, body });
+    const wholeFacts = { ...facts, fingerprint };
+    const heldWhole = promptHolds.admit(wholeFacts);
+    if (heldWhole !== undefined) {
+      const refusal = createHeldRefusal(promptHolds, heldWhole, random);
+      this.#refuse(sink, facts, refusal);
+      return;
+    }
     await this.#run(
-      { ...admitted, facts, method, headers, body, startedAtMs },
+      {
+        ...admitted,
+        facts: wholeFacts,
+        method,
+        headers,
+        body,
+        startedAtMs,
+      },
       response,
       sink,
     );
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -72,7 +72,7 @@
   /** The entry stops before an endpoint would have answered. */
   #isTooLate = false;
   #lastFailure = "";
-  /** Parts of the prompt for which no more attempts may be made. */
+  /** What is held, so that no more attempts may be made. */
   #heldParts: HeldParts | undefined;
   /** Last error answer of an endpoint; passed on if no attempt succeeds. */
   #errorAnswer: ErrorAnswer | undefined;
@@ -119,8 +119,9 @@
       if (next === undefined) return await this.#deliver(attempt);
       // The model ran the request even if its answer is discarded later.
       this.#mayHaveRun = true;
-      fallback = new LowConfidenceAnswer(attempt, () =>
-        this.#attemptRunner.recordCrashWhileWaiting(attempt),
+      fallback = new LowConfidenceAnswer(
+        attempt,
+        () => void this.#attemptRunner.recordCrashWhileWaiting(attempt),
       );
       this.#triedEndpointIds.clear();
       model = next;
@@ -250,10 +251,10 @@
     if (this.#attemptsLeft <= 0) return err("no attempts are left");
     this.#heldParts = promptHolds.find(facts);
     if (this.#heldParts !== undefined) {
-      return err("a part of the prompt is held");
+      return err("the request or a part of it is held");
     }
-    if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts.parts)) {
-      return err("endpoints crashed under a part of the prompt");
+    if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts)) {
+      return err("endpoints crashed under it");
     }
     const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
     if (choice === undefined) return err("no endpoint is open");
@@ -354,7 +355,8 @@
       sendAnswer(this.#sink, this.#dependencies.wire, head, body.value);
       return "answered";
     }
-    this.#recordFailure(this.#attemptRunner.endFailed(attempt, body.error));
+    const failure = await this.#attemptRunner.endFailed(attempt, body.error);
+    this.#recordFailure(failure);
     if (!this.#mayRetry()) {
       search.cancel();
       return this.#sendFailure();
@@ -403,7 +405,7 @@
         this.#sink.end();
         return "answered";
       }
-      this.#recordBrokenStream(current, end, sequence);
+      await this.#recordBrokenStream(current, end, sequence);
       attempt = mayResume()
         ? ((await search.take()) ??
           (await this.#resume(current.model, sequence.lastEventId)))
@@ -423,16 +425,16 @@
     return new ReplacementSearch({ find, discard });
   }
 
-  #recordBrokenStream(
+  async #recordBrokenStream(
     attempt: AnsweredAttempt,
     { detail = "", hasBegun, isCut }: StreamEnd,
     { canResume }: EventSequence,
-  ): void {
+  ): Promise<void> {
     this.#lastFailure = this.#request.signal.aborted
       ? "the caller left, its time was up or the entry stopped"
       : detail;
     if (!canResume) this.#addFailure("the last event has no id");
-    this.#attemptRunner.endBroken(attempt, {
+    await this.#attemptRunner.endBroken(attempt, {
       hasBegun,
       isCut,
       detail: this.#lastFailure,
@@ -458,7 +460,7 @@
       if (attempt === undefined || isStreamRest(attempt.head)) return attempt;
       attempt.release();
       this.#lastFailure = describeHead(attempt.head);
-      this.#attemptRunner.endBroken(attempt, {
+      await this.#attemptRunner.endBroken(attempt, {
         hasBegun: false,
         isCut: false,
         detail: this.#lastFailure,
