Keep a silent endpoint until the answer that resumes its stream has data

An empty answer resumes nothing, but the first endpoint had been given up for its head. The new test fails without the change.

--- a/src/platform/silent_endpoint_race_test.ts
+++ b/src/platform/silent_endpoint_race_test.ts
@@ -87,6 +87,20 @@
     assert.ok(overlapMs < TWICE_MS, `both worked for ${overlapMs} ms`);
   });
 
+  // The other endpoint had no event to add, and an empty answer may mean
+  // anything, but the first one had been given up for its head.
+  it("has its whole stream where all but its end had come", async () => {
+    await system.start([
+      createOptions("i-1", { pause: { afterEvents: EVENT_COUNT, ms: 1_000 } }),
+      createOptions("i-2", { pause: { afterEvents: EVENT_COUNT, ms: 1_000 } }),
+    ]);
+    await waitForEndpoints(2);
+    const { body, isComplete } = await system.call("/stream/a", {
+      deadlineMs: DEADLINE_MS,
+    });
+    assert.deepEqual({ body, isComplete }, { body: STREAM, isComplete: true });
+  });
+
   // Each further silence of an earlier attempt started another one.
   it("gives each endpoint its time before the next one is tried", async () => {
     const configuration = createConfiguration();
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -37,6 +37,7 @@
 } from "./send_answer.js";
 import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
 import { createStoppingRefusal } from "./stopping_refusal.js";
+import { waitForData } from "./wait_for_data.js";
 
 /** Stall timeout of a stream, as a multiple of the route's target event gap. */
 const STALL_TIMEOUT_PER_TARGET_GAP = 1.25;
@@ -457,9 +458,17 @@
         endpoint: attempt?.state.record.id ?? "none",
         ms: Math.round(now() - startedAtMs),
       });
-      if (attempt === undefined || isStreamRest(attempt.head)) return attempt;
+      if (attempt === undefined) return undefined;
+      const { head } = attempt;
+      if (isStreamRest(head)) {
+        // An answer without events says nothing, and the silent one may go on.
+        if (hooks === undefined || (await waitForData(head.message)))
+          return attempt;
+        this.#lastFailure = "The answer that resumes the stream is empty";
+      } else {
+        this.#lastFailure = describeHead(head);
+      }
       attempt.release();
-      this.#lastFailure = describeHead(attempt.head);
       await this.#attemptRunner.endBroken(attempt, {
         hasBegun: false,
         isCut: false,
