--- a/src/proxy/request/request_fingerprint.ts
+++ b/src/proxy/request/request_fingerprint.ts
@@ -11,13 +11,15 @@
   readonly method: string;
   readonly host: string;
   readonly path: string;
+  /** Ids of the parts that its prompt shares with others. */
+  readonly parts: readonly string[];
   readonly body: Buffer;
 }
 
 export function hashRequest(identity: RequestIdentity): string {
-  const { caller, method, host, path, body } = identity;
+  const { caller, method, host, path, parts, body } = identity;
   return createHash("sha256")
-    .update(JSON.stringify([caller, method, host.toLowerCase(), path]))
+    .update(JSON.stringify([caller, method, host.toLowerCase(), path, parts]))
     .update(body)
     .digest("hex")
     .slice(0, FINGERPRINT_LENGTH);
--- a/src/proxy/request/request_fingerprint_test.ts
+++ b/src/proxy/request/request_fingerprint_test.ts
@@ -8,6 +8,7 @@
   method: "POST",
   host: "shop.example",
   path: "/orders/",
+  parts: ["first", "second"],
   body: Buffer.from("order"),
 };
 
@@ -20,6 +21,7 @@
       { ...ORDER, method: "PUT" },
       { ...ORDER, host: "other.example" },
       { ...ORDER, path: "/orders/2" },
+      { ...ORDER, parts: ["first", "other"] },
       { ...ORDER, body: Buffer.from("order2") },
       // The border between two fields counts.
       { ...ORDER, path: "/orders", body: Buffer.from("/order") },
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -13,6 +13,7 @@
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
+import { listSharedPartIds } from "../placing/index.js";
 import type { Shutdown } from "../shutdown.js";
 import type { RawHeaders, RequestFacts, Route, WireFormat } from "../types.js";
 import type { RunDependencies, RunRequest } from "./attempt_runner.js";
@@ -184,7 +185,9 @@
     }
     const { host, path } = facts;
     const caller = admitted.account ?? facts.apiKey ?? "";
-    const fingerprint = hashRequest({ caller, method, host, path, body });
+    const parts = listSharedPartIds(facts.parts);
+    const identity = { caller, method, host, path, parts, body };
+    const fingerprint = hashRequest(identity);
     const wholeFacts = { ...facts, fingerprint };
     const heldWhole = promptHolds.admit(wholeFacts);
     if (heldWhole !== undefined) {
