Release an attempt whose code throws, and mark endpoints that are silent to the deadline

An exception left the attempt in the endpoint's load and its stall timer running. An endpoint that never answers had no fault any more, as its attempt now ends with the request's deadline and not with the stall timeout: it was chosen again as before. No test of its own.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -193,9 +193,22 @@
   }
 
   async run(spec: AttemptSpec): Promise<AttemptOutcome> {
-    const { model } = spec;
     const attempt = this.#beginAttempt(spec);
+    try {
+      return await this.#runAttempt(attempt, spec);
+    } catch (error) {
+      attempt.release();
+      throw error;
+    }
+  }
+
+  async #runAttempt(
+    attempt: Attempt,
+    spec: AttemptSpec,
+  ): Promise<AttemptOutcome> {
+    const { model } = spec;
     const { state } = attempt;
+    const options = this.#createAttemptOptions(attempt, spec);
     const stallTimeoutMs = this.#computeStallTimeoutMs(attempt, spec);
     const onStall = () => {
       stallTimer?.refresh();
@@ -206,11 +219,10 @@
       stallTimeoutMs === undefined
         ? undefined
         : new InactivityTimer(onStall, stallTimeoutMs);
-    const result = await sendAttempt({
-      ...this.#createAttemptOptions(attempt, spec),
-      signal: attempt.controller.signal,
-    });
-    stallTimer?.cancel();
+    const { signal } = attempt.controller;
+    const result = await sendAttempt({ ...options, signal }).finally(() =>
+      stallTimer?.cancel(),
+    );
     attempt.endReading();
     if (result.isErr()) return await this.endFailed(attempt, result.error);
     const head = result.value;
@@ -441,8 +453,11 @@
     const { kind, detail, isCut = false, hasHead = false } = failure;
     const isSuperseded =
       attempt.supersededSignal.aborted && !attempt.hasStalled;
-    // If the caller left or the deadline passed, the endpoint has no fault.
-    const isCancelled = this.#request.signal.aborted || isSuperseded;
+    // If the caller left or the deadline passed, the endpoint has no fault,
+    // unless it was silent up to the deadline.
+    const isCancelled =
+      isSuperseded ||
+      (this.#request.signal.aborted && !this.#wasSilentToTheEnd(attempt));
     const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
     const isBlameless =
       isFault && isCut && (await this.#recordCrash(attempt, hasHead));
@@ -458,6 +473,11 @@
     return { kind, detail, isSuperseded };
   }
 
+  #wasSilentToTheEnd({ hasStalled }: Attempt): boolean {
+    const { now } = this.#dependencies;
+    return hasStalled && now() >= this.#request.deadlineAtMs;
+  }
+
   /** Ends an attempt whose answer came when another one was in use. */
   endSuperseded(attempt: Attempt): FailedOutcome {
     const kind = ATTEMPT_FAILURE.unknown;
