--- a/src/platform/changed_configuration_test.ts
+++ b/src/platform/changed_configuration_test.ts
@@ -130,6 +130,11 @@
         { id: "i-2", delayMs: RUN_MS },
         { service: "other" },
       );
+      await system.waitFor(
+        () =>
+          system.logs.filter(({ event }) => event === "endpoint-added")
+            .length === 2,
+      );
       const running = connectCaller(createRequestText("running", { path }));
       const half = createRequestText("half-sent", { path });
       const halfSent = connectCaller(half.slice(0, -3));
