--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -192,7 +192,8 @@
         return;
       }
       if (!hasLength(message)) checkResetAtEnd(message.socket);
-      if (mustHaveBody(message, options.method)) needsBody.add(message);
+      if (isBodyRequired(message, options.method))
+        answersWithRequiredBody.add(message);
       resolve(ok({ status, facts, headers, message }));
     });
     outgoing.end(body);
@@ -281,13 +282,13 @@
 /** Successes that have no body, whatever their headers. */
 const BODYLESS_STATUSES = [204, 304];
 /** Answers of which an empty body is no proof that they are complete. */
-const needsBody = new WeakSet<IncomingMessage>();
+const answersWithRequiredBody = new WeakSet<IncomingMessage>();
 
 /**
  * True for a success that ends with its connection. Without a body it looks
  * like one whose endpoint stopped before the body and its length.
  */
-function mustHaveBody(message: IncomingMessage, method: string): boolean {
+function isBodyRequired(message: IncomingMessage, method: string): boolean {
   const { statusCode = 0 } = message;
   return (
     !hasLength(message) &&
@@ -306,7 +307,7 @@
   message: IncomingMessage,
   bodyBytes: number,
 ): boolean {
-  if (bodyBytes === 0 && needsBody.has(message)) return false;
+  if (bodyBytes === 0 && answersWithRequiredBody.has(message)) return false;
   return message.complete && !message.socket?.errored;
 }
 
