End a replica once, also when a silent run goes on after its end

A run that a silence held went on after its replica had ended, ended it again, and so it was started twice. A replica that does not listen does not end any more. The tests of the stand-in's silences and crashes are new; "does not end a second time with a request that waited" fails without the change.

--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -268,6 +268,8 @@
     this.#isCrashing = true;
     setTimeout(() => {
       this.#isCrashing = false;
+      // A silent run may go on after its replica has ended.
+      if (!this.#server.listening) return;
       this.close();
       this.options.onCrash?.(sharedParts);
     }, CRASH_DELAY_MS);
