--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -25,7 +25,7 @@
   REQUEST_CRASH_KIND,
   type RequestCrash,
 } from "./records.js";
-import { parseWorkMs } from "./send_call.js";
+import { parseWorkMs } from "./request_body.js";
 
 export const HOST = "soak.example";
 /** Time limits in the settings of the entries. */
--- a/src/platform/soak/send_call.ts
+++ b/src/platform/soak/send_call.ts
@@ -4,23 +4,13 @@
 import { RUN_ID_HEADER } from "../standins/replica.js";
 import { HOST } from "./fleet.js";
 import type { CallRecord } from "./records.js";
+import { REQUEST_BODY } from "./request_body.js";
 
 const CALL_DEADLINE_MS = 1_500;
 /** A caller waits this much longer than its deadline for an answer, ms. */
 const EXTRA_WAIT_MS = 1_500;
 /** First part of all prompts. */
 const FIRST_PART = "first0";
-const REQUEST_BODY = "order";
-
-/** Body of a request on which a replica works for the given time. */
-export function formatWork(workMs: number): string {
-  return `${REQUEST_BODY} work=${workMs}`;
-}
-
-export function parseWorkMs(body: string): number {
-  return Number(/ work=(\d+)$/.exec(body)?.[1] ?? 0);
-}
-
 export function createRecord(
   options: Pick<CallRecord, "id" | "route" | "entry" | "key"> &
     Partial<CallRecord> & { readonly secondPart: string },
--- a/src/platform/soak/stop_calls.ts
+++ b/src/platform/soak/stop_calls.ts
@@ -10,7 +10,7 @@
 import type { Callers } from "./callers.js";
 import { TIME_BOUNDS } from "./fleet.js";
 import { ROUTE } from "./records.js";
-import { formatWork } from "./send_call.js";
+import { formatWork } from "./request_body.js";
 
 const CALLER_COUNT = 10;
 /** Orders that may keep the entry's process until the grace ends. */
