Suspect no request that was sent after its endpoint had ended

While something accepts connections for endpoints that have ended, and resets them, sound requests were sent there and broke: each was recorded as running in the crash, up to the eight that are kept, and the one that had ended the endpoint had no place. A request counts only if it was sent before the endpoint's end was first seen, with half a second of tolerance for reports of other entries.

--- a/src/proxy/placing/crash_evidence.ts
+++ b/src/proxy/placing/crash_evidence.ts
@@ -24,6 +24,8 @@
 const INCIDENT_MS = 250;
 /** Share of an incident's crashes that a part has to explain. */
 const MIN_EXPLAINED_SHARE = 2 / 3;
+/** By how much crashes that other entries saw may seem later, ms. */
+const REPORT_TOLERANCE_MS = 500;
 /** Crashes from which a request with the part is not retried. */
 const MIN_CRASHES_OF_SUSPECT = 2;
 /** Time for which a crash is evidence, ms. */
@@ -94,14 +96,19 @@
     const { endpoint } = crash;
     const known = this.#crashes.find((other) => other.endpoint === endpoint);
     if (known?.isExplained) return false;
-    const knownPrompts = known?.prompts ?? [];
-    const added = this.#listSuspects(crash).filter(
+    const atMs = Math.min(crash.atMs, known?.atMs ?? crash.atMs);
+    const knownPrompts = known === undefined ? [] : listRunning(known, atMs);
+    const added = this.#listSuspects({
+      ...crash,
+      prompts: listRunning(crash, atMs),
+    }).filter(
       ({ parts }) =>
         !knownPrompts.some((other) => isSameList(parts, other.parts)),
     );
     if (known !== undefined && added.length === 0) return false;
     const merged: Crash = {
       ...(known ?? crash),
+      atMs,
       prompts: [...knownPrompts, ...added].slice(0, MAX_PROMPTS_PER_CRASH),
     };
     const others = this.#crashes.filter(
@@ -298,6 +305,21 @@
   );
 }
 
+/**
+ * The prompts that had been sent when the endpoint ended, at the earliest time
+ * known. What accepts connections for it later breaks further ones.
+ */
+function listRunning(
+  { prompts, atMs: seenAtMs, isOwn }: Crash,
+  atMs: number,
+): CrashPrompt[] {
+  const toleranceMs = isOwn ? 0 : REPORT_TOLERANCE_MS;
+  return prompts
+    .map((prompt) => ({ ...prompt, runMs: prompt.runMs - (seenAtMs - atMs) }))
+    .filter(({ runMs }) => runMs >= -toleranceMs)
+    .map((prompt) => ({ ...prompt, runMs: Math.max(0, prompt.runMs) }));
+}
+
 /** Both crashes may have had one cause beyond the requests. */
 function isSameIncident(
   first: Crash,
--- a/src/proxy/placing/crash_evidence_test.ts
+++ b/src/proxy/placing/crash_evidence_test.ts
@@ -265,6 +265,25 @@
     assert.deepEqual(evidence.listCrashes(3_000), []);
   });
 
+  // What accepts connections for an endpoint that has ended broke sound requests,
+  // which filled the evidence in place of the one that had ended it.
+  it("does not suspect requests sent after the endpoint had ended", () => {
+    const evidence = new CrashEvidence();
+    for (const [i, endpoint] of ["a", "b", "c"].entries()) {
+      const atMs = 1_000 + 300 * i;
+      recordCrash(evidence, { endpoint, atMs, prompts: [["f", "bad"]] });
+      recordCrash(evidence, {
+        endpoint,
+        atMs: atMs + 100,
+        prompts: [["f", "sound"]],
+        runMs: 90,
+      });
+    }
+    assert.deepEqual(listCausingParts(evidence), [["f", "bad"]]);
+    evidence.recordAnswer(["f"], 2_000);
+    assert.ok(!evidence.isSuspect(["f", "sound"], 2_000));
+  });
+
   it("suspects a part from the second crash on", () => {
     const evidence = createEvidence({ a: [["first", "bad"]] });
     evidence.recordAnswer(["first"], 2_000);
