Blame a request that was answered before only after six crashes

A part that was answered before its crashes has to explain six of them; a request does now too. One that ends each endpoint was never answered, so three still name it.

--- a/src/proxy/placing/crash_evidence.ts
+++ b/src/proxy/placing/crash_evidence.ts
@@ -154,10 +154,7 @@
     return this.#explainCrashes(nowMs).filter((cause) => {
       const { parts, isAmbiguous } = cause;
       if (isAmbiguous || this.#isExplained(cause)) return false;
-      const isRequest = parts.some(isRequestId);
-      // Answers before its crashes don't clear a request that is the same.
-      const wasAnswered =
-        !isRequest && parts.every((part) => this.#wasAnswered(part));
+      const wasAnswered = parts.every((part) => this.#wasAnswered(part));
       const minIncidents = wasAnswered
         ? MIN_INCIDENTS_AFTER_ANSWERS
         : MIN_INCIDENTS;
