Take only an answer with the rest of a stream for the answer that resumes it

What an answer holds is looked at before it wins now: its status, its type and whether it has data; the silence of one without data lets the next one be tried. 132 tests of silences, resumed streams and the request path pass; no test has three endpoints in this order.

--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -37,7 +37,7 @@
 } from "./send_answer.js";
 import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
 import { createStoppingRefusal } from "./stopping_refusal.js";
-import { waitForData } from "./wait_for_data.js";
+import { type WaitOptions, waitForData } from "./wait_for_data.js";
 
 /** Stall timeout of a stream, as a multiple of the route's target event gap. */
 const STALL_TIMEOUT_PER_TARGET_GAP = 1.25;
@@ -53,6 +53,8 @@
   readonly model: string;
   /** The last event that the caller has of a stream to resume. */
   readonly lastEventId?: number;
+  /** The caller has a part of the stream; only an answer with the rest counts. */
+  readonly isResumed?: boolean;
   /** Where another endpoint is silent with the request meanwhile. */
   readonly hooks?: SearchHooks;
 }
@@ -179,7 +181,7 @@
   #startAttempt(
     race: AttemptRace,
     choice: EndpointChoice,
-    { model, lastEventId, hooks }: AttemptsOptions,
+    { model, lastEventId, isResumed, hooks }: AttemptsOptions,
   ): void {
     this.#countedAttempts++;
     this.#startedAttempts++;
@@ -208,9 +210,25 @@
           },
         },
       });
-      const isFailed = outcome.kind !== OUTCOME_KIND.answered;
-      if (isFailed && outcome.isSuperseded) this.#triedEndpointIds.delete(id);
-      return outcome;
+      if (outcome.kind !== OUTCOME_KIND.answered) {
+        if (outcome.isSuperseded) this.#triedEndpointIds.delete(id);
+        return outcome;
+      }
+      if (!isResumed) return outcome;
+      const { attempt } = outcome;
+      const { onStall, signal } = raceHooks;
+      const { stallTimeoutMs } = attempt;
+      const waitOptions = { stallTimeoutMs, onStall };
+      const detail = await findResumeFault(attempt.head, waitOptions);
+      if (detail === undefined) return outcome;
+      if (signal.aborted) return this.#discard(attempt);
+      attempt.release();
+      await this.#attemptRunner.endBroken(attempt, {
+        hasBegun: false,
+        isCut: false,
+        detail,
+      });
+      return { kind: OUTCOME_KIND.unknown, detail };
     });
   }
 
@@ -450,32 +468,19 @@
   ): Promise<AnsweredAttempt | undefined> {
     const { now, log } = this.#dependencies;
     const startedAtMs = now();
-    for (;;) {
-      const attempt = await this.#runAttempts({ model, lastEventId, hooks });
-      log.info("stream-resumed", {
-        request: this.#request.facts.id,
-        after: lastEventId,
-        endpoint: attempt?.state.record.id ?? "none",
-        ms: Math.round(now() - startedAtMs),
-      });
-      if (attempt === undefined) return undefined;
-      const { head } = attempt;
-      if (isStreamRest(head)) {
-        // An answer without events says nothing, and the silent one may go on.
-        if (hooks === undefined || (await waitForData(head.message)))
-          return attempt;
-        this.#lastFailure = "The answer that resumes the stream is empty";
-      } else {
-        this.#lastFailure = describeHead(head);
-      }
-      attempt.release();
-      await this.#attemptRunner.endBroken(attempt, {
-        hasBegun: false,
-        isCut: false,
-        detail: this.#lastFailure,
-      });
-      hooks?.onFailed();
-    }
+    const attempt = await this.#runAttempts({
+      model,
+      lastEventId,
+      isResumed: true,
+      hooks,
+    });
+    log.info("stream-resumed", {
+      request: this.#request.facts.id,
+      after: lastEventId,
+      endpoint: attempt?.state.record.id ?? "none",
+      ms: Math.round(now() - startedAtMs),
+    });
+    return attempt;
   }
 
   /** Forwards an endpoint's error or refuses, telling if it may have run. */
@@ -513,12 +518,17 @@
   }
 }
 
-/** True where the body may be the rest of a stream, by its head. */
-function isStreamRest(head: AttemptHead): boolean {
-  return head.status === STATUS_OK && isEventStream(head);
-}
-
-function describeHead({ status, message }: AttemptHead): string {
-  const type = message.headers["content-type"] ?? "no type";
-  return `Status ${status} with ${type} does not resume a stream`;
+/** Says why an answer is not the rest of a stream, as far as can be told. */
+async function findResumeFault(
+  head: AttemptHead,
+  options: WaitOptions,
+): Promise<string | undefined> {
+  const { status, message } = head;
+  if (status !== STATUS_OK || !isEventStream(head)) {
+    const type = message.headers["content-type"] ?? "no type";
+    return `Status ${status} with ${type} does not resume a stream`;
+  }
+  // It may be empty for other reasons than that nothing is left to send.
+  const hasData = await waitForData(message, options);
+  return hasData ? undefined : "The answer that resumes the stream is empty";
 }
