Count the end of an endpoint that was to resume a stream as its crash again

It is recorded as cut now where the answer was not complete. An error in a search for a replacement is logged and ends the search only.

--- a/src/proxy/request/replacement_search.ts
+++ b/src/proxy/request/replacement_search.ts
@@ -78,8 +78,4 @@
   async take(): Promise<AnsweredAttempt | undefined> {
     return await this.#running?.found;
   }
-
-  get isRunning(): boolean {
-    return this.#running !== undefined;
-  }
 }
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -219,15 +219,13 @@
       const { onStall, signal } = raceHooks;
       const { stallTimeoutMs } = attempt;
       const waitOptions = { stallTimeoutMs, onStall };
-      const detail = await findResumeFault(attempt.head, waitOptions);
-      if (detail === undefined) return outcome;
+      const fault = await findResumeFault(attempt.head, waitOptions);
+      if (fault === undefined) return outcome;
       if (signal.aborted) return this.#discard(attempt);
       attempt.release();
-      await this.#attemptRunner.endBroken(attempt, {
-        hasBegun: false,
-        isCut: false,
-        detail,
-      });
+      const { detail } = fault;
+      const end = { ...fault, hasBegun: false };
+      await this.#attemptRunner.endBroken(attempt, end);
       return { kind: OUTCOME_KIND.unknown, detail };
     });
   }
@@ -438,10 +436,22 @@
   #createSearch(
     find: (hooks: SearchHooks) => Promise<AnsweredAttempt | undefined>,
   ): ReplacementSearch {
-    const discard = (attempt: AnsweredAttempt) => {
-      this.#recordFailure(this.#discard(attempt));
-    };
-    return new ReplacementSearch({ find, discard });
+    const { log } = this.#dependencies;
+    return new ReplacementSearch({
+      // The silent endpoint may go on, so an error must not end the request.
+      find: (hooks) =>
+        find(hooks).catch((error: unknown) => {
+          const request = this.#request.facts.id;
+          log.error("replacement-search-failed", {
+            request,
+            error: `${error}`,
+          });
+          return undefined;
+        }),
+      discard: (attempt) => {
+        this.#recordFailure(this.#discard(attempt));
+      },
+    });
   }
 
   async #recordBrokenStream(
@@ -518,17 +528,25 @@
   }
 }
 
+interface ResumeFault {
+  readonly detail: string;
+  /** The connection ended before the answer was complete. */
+  readonly isCut: boolean;
+}
+
 /** Says why an answer is not the rest of a stream, as far as can be told. */
 async function findResumeFault(
   head: AttemptHead,
   options: WaitOptions,
-): Promise<string | undefined> {
+): Promise<ResumeFault | undefined> {
   const { status, message } = head;
   if (status !== STATUS_OK || !isEventStream(head)) {
     const type = message.headers["content-type"] ?? "no type";
-    return `Status ${status} with ${type} does not resume a stream`;
+    const detail = `Status ${status} with ${type} does not resume a stream`;
+    return { detail, isCut: false };
   }
+  if (await waitForData(message, options)) return undefined;
   // It may be empty for other reasons than that nothing is left to send.
-  const hasData = await waitForData(message, options);
-  return hasData ? undefined : "The answer that resumes the stream is empty";
+  const detail = "The answer that resumes the stream is empty";
+  return { detail, isCut: message.destroyed && !message.complete };
 }
