Keep the timer of a silent endpoint, and the test endpoint of its stream, in one place each

Four pieces of code started a timer, re-armed it when it fired and reported a stall, three of them with their own case for no time limit: attempts, whole bodies, streams and the wait for a resumed stream's first data. StallTimer serves them all. The tests of sendStream and of ReplacementSearch had the same endpoint; it is in stream_fixtures_test now, and their assertions are as they were. Nothing else changes.

--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -28,7 +28,6 @@
 } from "../types.js";
 import type { Connections } from "./connections.js";
 import type { EndpointProbe } from "./endpoint_probe.js";
-import { InactivityTimer } from "./inactivity_timer.js";
 import type {
   PlacementOptions,
   RequestPlacement,
@@ -40,6 +39,7 @@
   readAnswerBody,
   sendAttempt,
 } from "./send_attempt.js";
+import { StallTimer } from "./stall_timer.js";
 
 /** Stall timeout as a share of the route's target time. */
 const STALL_TIMEOUT_PER_TARGET = 0.6;
@@ -210,18 +210,13 @@
     const { state } = attempt;
     const options = this.#createAttemptOptions(attempt, spec);
     const stallTimeoutMs = this.#computeStallTimeoutMs(attempt, spec);
-    const onStall = () => {
-      stallTimer?.refresh();
+    const stallTimer = new StallTimer(() => {
       this.#recordStall(attempt);
       spec.hooks.onStall();
-    };
-    const stallTimer =
-      stallTimeoutMs === undefined
-        ? undefined
-        : new InactivityTimer(onStall, stallTimeoutMs);
+    }, stallTimeoutMs);
     const { signal } = attempt.controller;
     const result = await sendAttempt({ ...options, signal }).finally(() =>
-      stallTimer?.cancel(),
+      stallTimer.cancel(),
     );
     attempt.endReading();
     if (result.isErr()) return await this.endFailed(attempt, result.error);
--- a/src/proxy/request/replacement_search_test.ts
+++ b/src/proxy/request/replacement_search_test.ts
@@ -1,11 +1,9 @@
 import assert from "node:assert/strict";
-import { type IncomingMessage, request } from "node:http";
-import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { ReplacementSearch } from "./replacement_search.js";
 import { type AnswerSink, sendStream } from "./send_answer.js";
+import { requestStream } from "./stream_fixtures_test.js";
 
-const HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 const STALL_TIMEOUT_MS = 100;
 /** Longer than two endpoints may work on a request. */
 const BLOCKED_MS = 400;
@@ -25,39 +23,14 @@
     for (const cleanUp of cleanups.splice(0)) cleanUp();
   });
 
-  /** Answer of an endpoint that sends a head and then calls `write`. */
-  async function requestAnswer(
-    write: (socket: Socket) => void,
-  ): Promise<IncomingMessage> {
-    const server = createServer((socket) => {
-      cleanups.push(() => socket.destroy());
-      socket.on("error", () => undefined);
-      socket.once("data", () => {
-        socket.write(HEAD);
-        write(socket);
-      });
-    });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve),
-    );
-    cleanups.push(() => server.close());
-    const address = server.address();
-    assert.ok(address !== null && typeof address === "object");
-    const outgoing = request({ host: "127.0.0.1", port: address.port });
-    cleanups.push(() => outgoing.destroy());
-    outgoing.on("error", () => undefined);
-    outgoing.end();
-    return await new Promise((resolve) => outgoing.once("response", resolve));
-  }
-
   // After a stall of the process, timers run before data is read, so the silent
   // endpoint could be given up although its next event had arrived.
   it("keeps an endpoint whose data came while the process was stalled", async () => {
     let goOn = () => {};
-    const message = await requestAnswer((socket) => {
+    const message = await requestStream((socket) => {
       socket.write("id: 0\ndata: a\n\n");
       goOn = () => socket.end("id: 1\ndata: b\n\n");
-    });
+    }, cleanups);
     const search = new ReplacementSearch({
       find: ({ signal, onSent }) => {
         onSent();
--- a/src/proxy/request/send_answer.ts
+++ b/src/proxy/request/send_answer.ts
@@ -5,8 +5,8 @@
 import type { RawHeaders, WireFormat } from "../types.js";
 import { EventSequence } from "./event_sequence.js";
 import { EventSplitter, MAX_EVENT_BYTES } from "./event_splitter.js";
-import { InactivityTimer } from "./inactivity_timer.js";
 import { type AttemptHead, isWholeAnswer } from "./send_attempt.js";
+import { StallTimer } from "./stall_timer.js";
 
 /** Writes the answer to the caller. */
 export interface AnswerSink {
@@ -103,12 +103,7 @@
     const abandon = () =>
       settle({ detail: `No event for ${stallTimeoutMs} ms` });
     abandonSignal.addEventListener("abort", abandon, { once: true });
-    const reportStall = () => {
-      stallTimer = startStallTimer();
-      onStall();
-    };
-    const startStallTimer = () =>
-      new InactivityTimer(reportStall, stallTimeoutMs);
+    const startStallTimer = () => new StallTimer(onStall, stallTimeoutMs);
     let stallTimer = startStallTimer();
     // While reading is paused for a slow caller, a stall can't be detected.
     const pause = () => {
--- a/src/proxy/request/send_answer_test.ts
+++ b/src/proxy/request/send_answer_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
-import { type IncomingMessage, request } from "node:http";
-import { createServer, type Socket } from "node:net";
+import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { type AnswerSink, sendStream } from "./send_answer.js";
+import { requestStream } from "./stream_fixtures_test.js";
 
-const HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 const STALL_TIMEOUT_MS = 300;
 
 interface FakeSink extends AnswerSink {
@@ -34,30 +34,8 @@
     for (const cleanUp of cleanups.splice(0)) cleanUp();
   });
 
-  /** Answer of an endpoint that sends a head and then calls `write`. */
-  async function requestAnswer(
-    write: (socket: Socket) => void,
-  ): Promise<IncomingMessage> {
-    const server = createServer((socket) => {
-      cleanups.push(() => socket.destroy());
-      socket.on("error", () => undefined);
-      socket.once("data", () => {
-        socket.write(HEAD);
-        write(socket);
-      });
-    });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve),
-    );
-    cleanups.push(() => server.close());
-    const address = server.address();
-    assert.ok(address !== null && typeof address === "object");
-    const outgoing = request({ host: "127.0.0.1", port: address.port });
-    cleanups.push(() => outgoing.destroy());
-    outgoing.on("error", () => undefined);
-    outgoing.end();
-    return await new Promise((resolve) => outgoing.once("response", resolve));
-  }
+  const requestAnswer = (write: (socket: Socket) => void) =>
+    requestStream(write, cleanups);
 
   function writeEvery(socket: Socket, ms: number, data: string): void {
     const timer = setInterval(() => socket.write(data), ms);
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -14,7 +14,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { hashSha256 } from "../../core/canonical.js";
 import type { AnswerFacts, RawHeaders, WireFormat } from "../types.js";
-import { InactivityTimer } from "./inactivity_timer.js";
+import { StallTimer } from "./stall_timer.js";
 
 export const ATTEMPT_FAILURE = {
   /** Nothing was sent. */
@@ -350,7 +350,8 @@
   message: IncomingMessage,
   options: ReadOptions = {},
 ): Promise<Result<Buffer, AttemptFailure>> {
-  const { stallTimeoutMs, onStall, onData, abandonSignal } = options;
+  const { stallTimeoutMs, onData, abandonSignal } = options;
+  const { onStall = () => {} } = options;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let isCut = true;
@@ -365,21 +366,14 @@
     const abandonStalled = () =>
       abandon(`Nothing of the answer for ${stallTimeoutMs} ms`);
     abandonSignal?.addEventListener("abort", abandonStalled, { once: true });
-    const reportStall = () => {
-      stallTimer?.refresh();
-      onStall?.();
-    };
-    const stallTimer =
-      stallTimeoutMs === undefined
-        ? undefined
-        : new InactivityTimer(reportStall, stallTimeoutMs);
+    const stallTimer = new StallTimer(onStall, stallTimeoutMs);
     message.once("close", () => {
-      stallTimer?.cancel();
+      stallTimer.cancel();
       abandonSignal?.removeEventListener("abort", abandonStalled);
     });
     let size = 0;
     message.on("data", (chunk: Buffer) => {
-      stallTimer?.refresh();
+      stallTimer.refresh();
       onData?.();
       size += chunk.length;
       if (size <= MAX_ANSWER_BYTES) chunks.push(chunk);
--- a/src/proxy/request/wait_for_data.ts
+++ b/src/proxy/request/wait_for_data.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import { InactivityTimer } from "./inactivity_timer.js";
+import { StallTimer } from "./stall_timer.js";
 
 export interface WaitOptions {
   /** Time after which the endpoint is silent, ms; unlimited if missing. */
@@ -14,16 +14,9 @@
   { stallTimeoutMs, onStall }: WaitOptions,
 ): Promise<boolean> {
   return new Promise((resolve) => {
-    const reportStall = () => {
-      stallTimer?.refresh();
-      onStall();
-    };
-    const stallTimer =
-      stallTimeoutMs === undefined
-        ? undefined
-        : new InactivityTimer(reportStall, stallTimeoutMs);
+    const stallTimer = new StallTimer(onStall, stallTimeoutMs);
     const settle = () => {
-      stallTimer?.cancel();
+      stallTimer.cancel();
       message.off("readable", settle);
       message.off("close", settle);
       resolve(message.readableLength > 0);
