--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -20,22 +20,22 @@
 export const sleep = (ms) =>
   new Promise((done) => setTimeout(done, Math.max(0, ms)));
 
-const PORTS = { first: 12_000, count: 19_000 };
-const givenPorts = new Set();
+const FIRST_PORT = 12_000;
+const PORTS_PER_PROCESS = 50;
+const MAX_PROCESSES = 380;
+let nextPort =
+  FIRST_PORT + PORTS_PER_PROCESS * (process.pid % MAX_PROCESSES);
 
 /** A port that is free now, below those that the system gives to clients. */
 export async function findFreePort() {
   for (;;) {
-    const port = PORTS.first + Math.floor(Math.random() * PORTS.count);
-    if (givenPorts.has(port)) continue;
+    const port = nextPort++;
     const isFree = await new Promise((done) => {
       const server = net.createServer();
       server.once("error", () => done(false));
       server.listen(port, "127.0.0.1", () => server.close(() => done(true)));
     });
-    if (!isFree) continue;
-    givenPorts.add(port);
-    return port;
+    if (isFree) return port;
   }
 }
 
