End the processes of a review script with it, however it ends

Cause: a script that was ended by a signal would have left its entries behind.

Change: the stand-ins end the entries that they started on exit, SIGTERM and SIGINT.

--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -355,6 +355,13 @@
   };
 }
 
+/** Processes that still run; they end with the script, however it ends. */
+const children = new Set();
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const name of ["SIGTERM", "SIGINT"]) process.on(name, () => process.exit(2));
+
 /** One entry, started with the command of the deploy file. */
 export class Entry {
   #child;
@@ -416,8 +423,13 @@
     });
     this.#child.stdout.pipe(log);
     this.#child.stderr.pipe(log);
+    const child = this.#child;
+    children.add(child);
     this.exited = new Promise((done) => {
-      this.#child.once("exit", (code, signal) => done({ code, signal }));
+      child.once("exit", (code, signal) => {
+        children.delete(child);
+        done({ code, signal });
+      });
     });
   }
 
