--- a/src/platform/soak/soak_test.ts
+++ b/src/platform/soak/soak_test.ts
@@ -1,13 +1,10 @@
 import assert from "node:assert/strict";
 import { execFile } from "node:child_process";
-import { before, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
 import { promisify } from "node:util";
 
 const execute = promisify(execFile);
-const BUNDLE_SCRIPT = fileURLToPath(
-  new URL("../../../scripts/bundle.mjs", import.meta.url),
-);
 const SOAK_FILE = fileURLToPath(new URL("./main.js", import.meta.url));
 /** Ports that no other test uses. */
 const BASE_PORT = 26_800;
@@ -15,8 +12,6 @@
 const TIMEOUT_MS = 150_000;
 
 describe("soak on the platform's edge", () => {
-  before(() => execute(process.execPath, [BUNDLE_SCRIPT]));
-
   /** Asserts that a run breaks no property; it exits with 1 after a violation. */
   async function checkRun(flags: readonly string[]): Promise<void> {
     const options = { seed: 3, seconds: 10, "base-port": BASE_PORT };
