--- /dev/null
+++ b/src/platform/built_entry_fixtures_test.ts
@@ -0,0 +1,348 @@
+/** Starts the built entry as a process, as the deployment does, and watches it. */
+
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { request as sendRequest } from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parse } from "smol-toml";
+import {
+  type ExitStatus,
+  type ManagedProcess,
+  startProcess,
+} from "../standins/managed_process.js";
+import { startServer } from "../standins/server.js";
+import { readResidentMegabytes } from "../testbed/process_usage.js";
+import { HOST } from "./entry_fixtures_test.js";
+import { BUNDLE_FILE } from "./soak/fleet.js";
+import { createReplicaSpec, ReplicaStandin } from "./standins/replica.js";
+import { PlatformStoreStandin } from "./standins/store.js";
+
+/** Memory of the smallest hosts that entries run on, MB. */
+export const HOST_MEMORY_MB = 186;
+const MEMORY_CHECK_INTERVAL_MS = 10;
+/** Time in which a sound caller wants its answer, ms. */
+export const SOUND_DEADLINE_MS = 1_000;
+const SOUND_CALL_INTERVAL_MS = 50;
+
+interface DeployFile {
+  readonly roles: { readonly entry: { readonly run: string } };
+}
+
+/** Node's flags in the command of the deploy file. */
+function readNodeFlags(): string[] {
+  const text = readFileSync(
+    new URL("../../deploy/system.toml", import.meta.url),
+    "utf8",
+  );
+  const file = parse(text) as unknown as DeployFile;
+  return file.roles.entry.run.split(" ").filter((word) => word.startsWith("-"));
+}
+
+/** A port that was free a moment ago. */
+export async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve()),
+  );
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+export interface CallResult {
+  readonly id: string;
+  /** 0 where the connection ended without an answer. */
+  readonly status: number;
+  readonly isComplete: boolean;
+  readonly ms: number;
+}
+
+export interface BuiltEntryOptions {
+  readonly name?: string;
+  /** Where the store listens, if it is not the stand-in. */
+  readonly storePort?: number;
+  readonly seeds?: readonly string[];
+  readonly memoryMb?: number;
+}
+
+export interface BuiltEntryPorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly control: number;
+  readonly metrics: number;
+}
+
+/** One process of the entry. */
+export class BuiltEntry {
+  readonly process: ManagedProcess;
+  readonly ports: BuiltEntryPorts;
+  /** How it ended; undefined while it runs. */
+  exit: ExitStatus | undefined;
+  peakMemoryMb = 0;
+
+  constructor(process: ManagedProcess, ports: BuiltEntryPorts) {
+    this.process = process;
+    this.ports = ports;
+    const timer = setInterval(
+      () => this.#watchMemory(),
+      MEMORY_CHECK_INTERVAL_MS,
+    );
+    void process.exited.then((status) => {
+      this.exit = status;
+      clearInterval(timer);
+    });
+  }
+
+  #watchMemory(): void {
+    try {
+      const memoryMb = readResidentMegabytes(this.process.pid);
+      this.peakMemoryMb = Math.max(this.peakMemoryMb, memoryMb);
+    } catch {
+      // It has just ended, which `exit` tells.
+    }
+  }
+
+  call(
+    path: string,
+    id: string,
+    deadlineMs = SOUND_DEADLINE_MS,
+  ): Promise<CallResult> {
+    const startedAtMs = performance.now();
+    return new Promise((resolve) => {
+      const settle = (status: number, isComplete: boolean) => {
+        const ms = performance.now() - startedAtMs;
+        resolve({ id, status, isComplete, ms });
+      };
+      const outgoing = sendRequest({
+        host: "127.0.0.1",
+        port: this.ports.callers,
+        path,
+        agent: false,
+        headers: {
+          host: HOST,
+          "attempt-id": id,
+          "deadline-ms": String(deadlineMs),
+        },
+      });
+      outgoing.once("response", (answer) => {
+        answer.resume();
+        answer.on("error", () => undefined);
+        answer.once("close", () =>
+          settle(answer.statusCode ?? 0, answer.complete),
+        );
+      });
+      outgoing.once("error", () => settle(0, false));
+      outgoing.end();
+    });
+  }
+
+  /** Calls a sound endpoint at intervals until aborted or the process ends. */
+  async callRepeatedly(signal: AbortSignal): Promise<CallResult[]> {
+    const calls: Promise<CallResult>[] = [];
+    for (let i = 0; !signal.aborted && this.exit === undefined; i++) {
+      calls.push(this.call("/safe/sound", `sound-${i}`));
+      await new Promise((resolve) =>
+        setTimeout(resolve, SOUND_CALL_INTERVAL_MS),
+      );
+    }
+    return await Promise.all(calls);
+  }
+}
+
+/** A store, endpoints and processes of the entry. */
+export class BuiltSystem {
+  readonly store = new PlatformStoreStandin();
+  readonly entries: BuiltEntry[] = [];
+  readonly #controller = new AbortController();
+  readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
+  #storePort = 0;
+
+  /** Starts the store, with routes that need no key. */
+  async start(limits: object = {}): Promise<void> {
+    const { signal } = this.#controller;
+    const server = await startServer(this.store.handle, 0);
+    signal.addEventListener("abort", () => void server.close(), { once: true });
+    this.#storePort = server.port;
+    const route = {
+      host: HOST,
+      timeout_ms: 4_000,
+      target_latency_ms: 400,
+      priority: 1,
+      attempts: 3,
+      public: true,
+      service: "svc",
+    };
+    this.store.put("config", "main", {
+      version: 1,
+      routes: [
+        { ...route, name: "safe", prefix: "/safe/", kind: "safe" },
+        { ...route, name: "once", prefix: "/once/", kind: "unsafe" },
+        {
+          ...route,
+          name: "stream",
+          prefix: "/stream/",
+          kind: "streaming",
+          resumable: true,
+          gap_aim_ms: 300,
+        },
+        {
+          ...route,
+          name: "odd",
+          prefix: "/odd/",
+          kind: "safe",
+          service: "odd",
+        },
+        {
+          ...route,
+          name: "odd-stream",
+          prefix: "/odd-stream/",
+          kind: "streaming",
+          resumable: true,
+          gap_aim_ms: 300,
+          service: "odd",
+        },
+      ],
+      services: ["svc", "odd"].map((name) => ({
+        name,
+        max_conns: 360,
+        cold_start_s: 0,
+        cold_per_s: 0,
+      })),
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1_000_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+        ...limits,
+      },
+      tenants: [],
+    });
+  }
+
+  /** Starts a sound endpoint, of the routes `/safe/`, `/once/`, `/stream/`. */
+  async startEndpoint(id: string): Promise<ReplicaStandin> {
+    const replica = new ReplicaStandin({ id, delayMs: 5, streamEvents: 3 });
+    const port = await replica.start();
+    this.#onClose(() => replica.close());
+    this.store.put("servers", id, createReplicaSpec(port, { service: "svc" }));
+    return replica;
+  }
+
+  /**
+   * Starts an endpoint of the routes `/odd/` and `/odd-stream/`. It calls back
+   * with each request's id and connection, on which anything may be written.
+   */
+  async startOddEndpoint(
+    id: string,
+    answer: (socket: Socket, requestId: string) => void,
+  ): Promise<void> {
+    const port = await this.startRawServer((socket, text) => {
+      answer(socket, /^attempt-id: (\S+)/im.exec(text)?.[1] ?? "");
+    });
+    this.store.put("servers", id, createReplicaSpec(port, { service: "odd" }));
+  }
+
+  /** Calls back with the first packet of each connection. */
+  async startRawServer(
+    answer: (socket: Socket, text: string) => void,
+  ): Promise<number> {
+    const sockets = new Set<Socket>();
+    const server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on("error", () => undefined);
+      socket.once("close", () => sockets.delete(socket));
+      socket.once("data", (data) => answer(socket, data.toString("latin1")));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve()),
+    );
+    this.#onClose(() => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
+  #onClose(close: () => void): void {
+    const { signal } = this.#controller;
+    signal.addEventListener("abort", close, { once: true });
+  }
+
+  async startEntry(options: BuiltEntryOptions = {}): Promise<BuiltEntry> {
+    const { name = `entry-${this.entries.length + 1}` } = options;
+    const ports = {
+      callers: await findFreePort(),
+      readiness: await findFreePort(),
+      control: await findFreePort(),
+      metrics: await findFreePort(),
+    };
+    const file = join(this.#folder, `${name}.toml`);
+    writeFileSync(file, this.#createSettings(name, ports, options));
+    const started = await startProcess({
+      file: BUNDLE_FILE,
+      nodeFlags: readNodeFlags(),
+      args: [`127.0.0.1:${ports.callers}`],
+      env: { HORNBEAMRILL_NODE_FILE: file },
+      readyLine: /event=started/,
+      logFile: join(this.#folder, `${name}.log`),
+      signal: this.#controller.signal,
+    });
+    if (started.isErr()) throw new Error(started.error.detail);
+    const entry = new BuiltEntry(started.value, ports);
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** All that an entry has written to its log so far. */
+  readLog(name = "entry-1"): string {
+    return readFileSync(join(this.#folder, `${name}.log`), "utf8");
+  }
+
+  #createSettings(
+    name: string,
+    ports: BuiltEntryPorts,
+    { storePort = this.#storePort, seeds = [], memoryMb }: BuiltEntryOptions,
+  ): string {
+    return `node_name = "${name}"
+role = "entry"
+ip = "127.0.0.1"
+zone = "dc1"
+port_range = [${ports.metrics}, ${ports.metrics + 1}]
+seeds = [${seeds.map((seed) => `"${seed}"`).join(", ")}]
+[listen]
+front = "127.0.0.1:${ports.callers}"
+ready = "127.0.0.1:${ports.readiness}"
+control = "127.0.0.1:${ports.control}"
+[limits]
+memory_mb = ${memoryMb ?? HOST_MEMORY_MB}
+[bounds]
+revoke_ms = 5000
+config_deadline_ms = 2000
+drain_ms = 2000
+grace_s = 4
+retry_budget_ratio = 0.9
+retry_window_s = 10
+retry_slack = 50
+session_s = 5
+expose_share = 0.15
+[platform]
+addr = "127.0.0.1:${storePort}"
+`;
+  }
+
+  async close(): Promise<void> {
+    this.#controller.abort();
+    for (const entry of this.entries) await entry.process.exited;
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/** Writes the bytes again and again until the other side closes. */
+export function writeEndlessly(socket: Socket, bytes: Buffer): void {
+  const pump = () => {
+    while (!socket.destroyed && socket.writable && socket.write(bytes));
+  };
+  socket.on("drain", pump);
+  pump();
+}
