Free the connection of a caller that leaves within a body and was to be closed

Cause: closeAfterAnswers returned at once for a connection that was to close anyway, so the request whose body ended early was never told, and waited for the rest for good. The same for HTTP/1.0, whose connections always close. A connection that is reset was freed before as well.

--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -60,12 +60,14 @@
    * answers that are due. A request that is not complete gets the error.
    */
   closeAfterAnswers(socket: Duplex, error: Error): void {
-    if (this.#closingSockets.has(socket)) return;
+    const isClosing = this.#closingSockets.has(socket);
     this.#closingSockets.add(socket);
     const response = this.#states.get(socket)?.newestResponse;
     if (response === undefined) return;
-    if (response.headersSent) response.once("finish", () => socket.end());
-    else response.shouldKeepAlive = false;
+    if (!isClosing) {
+      if (response.headersSent) response.once("finish", () => socket.end());
+      else response.shouldKeepAlive = false;
+    }
     const { req } = response;
     // A request that was refused before its body has nobody reading it.
     const isReading = req.listenerCount("error") > 0;
