Keep the process apart from the reader of its log

Seen: once the reader of standard output had gone away, the entry's next log line ended the process with exit 1 (EPIPE, an error event without a listener), and all open requests with it. While nobody read, the process did not end after SIGTERM: it still ran 5 s later with a grace period of 4 s.

Cause: the log was written by descriptor. Such a write to a full pipe blocks, in a thread that Node waits for at its end, or in the main one in the last flush; and its failure was an unhandled event.

Now a pipe is written as a stream, which takes what the reader reads and buffers at most 1 MiB; after a failure no more is written, and the last flush ends after 100 ms. Files are written as before, and a full disk only loses lines.

Evidence: process_output_test, with the built entry as a process. Before: the first request after the reader had gone got no answer; no exit within 5 s while nobody read, after 1,500 requests. After: both exit 0 in time; the last line still reaches a reader that is there (also before).

--- a/src/platform/built_entry_fixtures_test.ts
+++ b/src/platform/built_entry_fixtures_test.ts
@@ -70,6 +70,42 @@
   readonly ms: number;
 }
 
+/** Sends one request on a connection of its own. */
+export function callEntry(
+  port: number,
+  path: string,
+  id: string,
+  deadlineMs = SOUND_DEADLINE_MS,
+): Promise<CallResult> {
+  const startedAtMs = performance.now();
+  return new Promise((resolve) => {
+    const settle = (status: number, isComplete: boolean) => {
+      const ms = performance.now() - startedAtMs;
+      resolve({ id, status, isComplete, ms });
+    };
+    const outgoing = sendRequest({
+      host: "127.0.0.1",
+      port,
+      path,
+      agent: false,
+      headers: {
+        host: HOST,
+        "attempt-id": id,
+        "deadline-ms": String(deadlineMs),
+      },
+    });
+    outgoing.once("response", (answer) => {
+      answer.resume();
+      answer.on("error", () => undefined);
+      answer.once("close", () =>
+        settle(answer.statusCode ?? 0, answer.complete),
+      );
+    });
+    outgoing.once("error", () => settle(0, false));
+    outgoing.end();
+  });
+}
+
 export interface BuiltEntryOptions {
   readonly name?: string;
   /** Where the store listens, if it is not the stand-in. */
@@ -85,6 +121,16 @@
   readonly metrics: number;
 }
 
+export interface BuiltEntryCommand {
+  readonly name: string;
+  readonly ports: BuiltEntryPorts;
+  readonly settingsFile: string;
+  readonly file: string;
+  readonly nodeFlags: readonly string[];
+  readonly args: readonly string[];
+  readonly env: Readonly<Record<string, string>>;
+}
+
 /** One process of the entry. */
 export class BuiltEntry {
   readonly process: ManagedProcess;
@@ -120,33 +166,7 @@
     id: string,
     deadlineMs = SOUND_DEADLINE_MS,
   ): Promise<CallResult> {
-    const startedAtMs = performance.now();
-    return new Promise((resolve) => {
-      const settle = (status: number, isComplete: boolean) => {
-        const ms = performance.now() - startedAtMs;
-        resolve({ id, status, isComplete, ms });
-      };
-      const outgoing = sendRequest({
-        host: "127.0.0.1",
-        port: this.ports.callers,
-        path,
-        agent: false,
-        headers: {
-          host: HOST,
-          "attempt-id": id,
-          "deadline-ms": String(deadlineMs),
-        },
-      });
-      outgoing.once("response", (answer) => {
-        answer.resume();
-        answer.on("error", () => undefined);
-        answer.once("close", () =>
-          settle(answer.statusCode ?? 0, answer.complete),
-        );
-      });
-      outgoing.once("error", () => settle(0, false));
-      outgoing.end();
-    });
+    return callEntry(this.ports.callers, path, id, deadlineMs);
   }
 
   /** Calls a sound endpoint at intervals until aborted or the process ends. */
@@ -281,7 +301,10 @@
     signal.addEventListener("abort", close, { once: true });
   }
 
-  async startEntry(options: BuiltEntryOptions = {}): Promise<BuiltEntry> {
+  /** What starts an entry; writes its settings file. */
+  async createCommand(
+    options: BuiltEntryOptions = {},
+  ): Promise<BuiltEntryCommand> {
     const { name = `entry-${this.entries.length + 1}` } = options;
     const ports = {
       callers: await findFreePort(),
@@ -289,13 +312,27 @@
       control: await findFreePort(),
       metrics: await findFreePort(),
     };
-    const file = join(this.#folder, `${name}.toml`);
-    writeFileSync(file, this.#createSettings(name, ports, options));
-    const started = await startProcess({
+    const settingsFile = join(this.#folder, `${name}.toml`);
+    writeFileSync(settingsFile, this.#createSettings(name, ports, options));
+    return {
+      name,
+      ports,
+      settingsFile,
       file: BUNDLE_FILE,
       nodeFlags: readNodeFlags(),
       args: [`127.0.0.1:${ports.callers}`],
-      env: { HORNBEAMRILL_NODE_FILE: file },
+      env: { HORNBEAMRILL_NODE_FILE: settingsFile },
+    };
+  }
+
+  async startEntry(options: BuiltEntryOptions = {}): Promise<BuiltEntry> {
+    const command = await this.createCommand(options);
+    const { name, ports, file, nodeFlags, args, env } = command;
+    const started = await startProcess({
+      file,
+      nodeFlags,
+      args,
+      env,
       readyLine: /event=started/,
       logFile: join(this.#folder, `${name}.log`),
       signal: this.#controller.signal,
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,11 +1,11 @@
 /** Runs the entry of a platform host, from its settings to its exit code. */
 
-import { SonicBoom } from "sonic-boom";
 import { createLimitedLogger } from "../adapters/limited_logger.js";
 import { createLogger, type Logger } from "../adapters/logger.js";
 import type { EarlyListener } from "./early_listener.js";
 import { startEntry } from "./entry.js";
 import { type EntrySettings, readSettings } from "./entry_settings.js";
+import { createLogOutput, type ProcessOutput } from "./log_output.js";
 
 const SETTINGS_VARIABLE = "HORNBEAMRILL_NODE_FILE";
 /** Exit codes, the same as the daemon's. */
@@ -13,22 +13,13 @@
 const EXIT_FAILED = 1;
 const EXIT_INVALID_SETTINGS = 2;
 
-const STDOUT_FD = 1;
-/** Unread log output that is buffered, bytes; further lines are dropped. */
-const MAX_BUFFERED_LOG_BYTES = 1_048_576;
 /** Allows four lines per request at 250 requests per second. */
 const MAX_LOG_LINES_PER_SECOND = 1_000;
 
-/** Writes without waiting: a stalled reader loses lines, delays no request. */
-function createLogOutput(): SonicBoom {
-  return new SonicBoom({
-    fd: STDOUT_FD,
-    sync: false,
-    maxLength: MAX_BUFFERED_LOG_BYTES,
-  });
-}
-
-function createEntryLogger(settings: EntrySettings, output: SonicBoom): Logger {
+function createEntryLogger(
+  settings: EntrySettings,
+  output: ProcessOutput,
+): Logger {
   const { name, dataCentre, role } = settings;
   const fields = { role, process: name, dataCentre };
   const logger = createLogger({}, { fields, output });
@@ -61,6 +52,8 @@
   const loadedAtMs = performance.now();
   const settings = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
   if (settings.isErr()) {
+    // Without a reader, the error event would change the exit code.
+    process.stderr.on("error", () => undefined);
     process.stderr.write(`${settings.error.detail}\n`);
     return EXIT_INVALID_SETTINGS;
   }
@@ -83,11 +76,11 @@
     log.info("stop-requested", { signal: await stopRequested });
     await entry.stop();
     log.info("stopped");
-    output.flushSync();
+    await output.flush();
     return EXIT_STOPPED;
   } catch (error) {
     log.error("failed", { error: String(error) });
-    output.flushSync();
+    await output.flush();
     return EXIT_FAILED;
   }
 }
