Take the signals before the program is loaded

Seen: SIGHUP up to some 80 ms after the start of the process ended it (5 of 5 at each of 20 to 80 ms), as SIGTERM and SIGINT did, instead of a reload or a stop.

Cause: the listeners were set once the whole program had been loaded. Until then a signal does what the system does by default.

Now the first module of the first file sets them, before any other is loaded. A reload is reported after the start. After a signal to stop the entry starts and then stops as planned, within the grace period counted from the signal: the connections that it holds by then get their answers.

Evidence: process_signals_test, with the built entry; all three fail before (ended by the signal) and pass after. What remains is Node's own start, which no program can cover.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -87,8 +87,11 @@
   readonly callerPort: number;
   readonly exchangePort: number;
   isReady(): boolean;
-  /** Drains the open requests, then stops; resolves when it has stopped. */
-  stop(): Promise<void>;
+  /**
+   * Drains the open requests, then stops; resolves when it has stopped. The
+   * signal to stop came `elapsedMs` ago.
+   */
+  stop(elapsedMs?: number): Promise<void>;
   /** Closes all servers and ends all calls and loops at once. */
   abort(): void;
 }
@@ -284,13 +287,14 @@
     exchangePort,
     isReady,
     abort,
-    stop: async () => {
+    stop: async (elapsedMs = 0) => {
+      const graceMs = Math.max(0, bounds.graceMs - elapsedMs);
       isStopping = true;
       peers.leave();
       await stopServer(callerServer, requestHandler, shutdown, {
-        acceptMs: Math.min(ACCEPT_SHARE * bounds.graceMs, MAX_ACCEPT_MS),
-        endAfterMs: computeTimeInGrace(END, bounds.graceMs),
-        breakAfterMs: computeTimeInGrace(BREAK, bounds.graceMs),
+        acceptMs: Math.min(ACCEPT_SHARE * graceMs, MAX_ACCEPT_MS),
+        endAfterMs: computeTimeInGrace(END, graceMs),
+        breakAfterMs: computeTimeInGrace(BREAK, graceMs),
       });
       abort();
     },
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -6,6 +6,7 @@
 import { startEntry } from "./entry.js";
 import { type EntrySettings, readSettings } from "./entry_settings.js";
 import { createLogOutput, type ProcessOutput } from "./log_output.js";
+import { ProcessSignals } from "./process_signals.js";
 
 const SETTINGS_VARIABLE = "HORNBEAMRILL_NODE_FILE";
 /** Exit codes, the same as the daemon's. */
@@ -44,10 +45,13 @@
 
 /**
  * Runs until a signal to stop; returns the exit code. `earlyListener` holds the
- * connections that callers opened while the program was loading.
+ * connections that callers opened while the program was loading, `signals` the
+ * signals that came meanwhile: after one to stop, the entry starts and stops as
+ * planned, so that those connections are answered.
  */
 export async function runProgram(
   earlyListener?: EarlyListener,
+  signals = new ProcessSignals(),
 ): Promise<number> {
   const loadedAtMs = performance.now();
   const settings = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
@@ -59,13 +63,7 @@
   }
   const output = createLogOutput();
   const log = createEntryLogger(settings.value, output);
-  const stopRequested = new Promise<string>((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      // Without a listener, a second signal would end the process at once.
-      process.on(signal, () => resolve(signal));
-    }
-  });
-  process.on("SIGHUP", () => reportReload(settings.value, log));
+  signals.setReload(() => reportReload(settings.value, log));
   try {
     const entry = await startEntry(settings.value, log, earlyListener);
     log.info("started", {
@@ -73,8 +71,9 @@
       initMs: Math.round(loadedAtMs),
       bootMs: Math.round(performance.nodeTiming.bootstrapComplete),
     });
-    log.info("stop-requested", { signal: await stopRequested });
-    await entry.stop();
+    const { signal, atMs } = await signals.stopRequested;
+    log.info("stop-requested", { signal });
+    await entry.stop(performance.now() - atMs);
     log.info("stopped");
     await output.flush();
     return EXIT_STOPPED;
--- a/src/platform/start.ts
+++ b/src/platform/start.ts
@@ -3,6 +3,12 @@
  * and then loads the rest, which takes ten times as long.
  */
 
+// Before the other modules: until its listeners are set, any signal ends the
+// process.
+import { earlySignals } from "./early_signals.js";
+
+// Loading these takes some 10 ms.
+
 import { createRequire } from "node:module";
 import { dirname } from "node:path";
 import { loadBundle, writeCodeCache } from "./code_cache.js";
@@ -15,7 +21,7 @@
 
 async function main(earlyListener: EarlyListener | undefined): Promise<void> {
   const { runProgram } = loadBundle<typeof Program>("program", bundleOptions);
-  process.exit(await runProgram(earlyListener));
+  process.exit(await runProgram(earlyListener, earlySignals));
 }
 
 if (argument === "--write-cache") writeCodeCache("program", bundleOptions);
