Wait for a port that the process before still holds

Seen: where one of the entry's own ports (callers, readiness, control, metrics) was still taken for 1.2 s at the start, the process ended with exit 1. An error of a server that listens, such as a connection that can't be accepted, would end it too: only the first error event had a listener.

Now a taken port is tried again every 50 ms for 5 s, with a line at the first failure (port-taken) and one at the end (port-free); after that the message and exit 1 are the same as before. A signal to stop ends the attempts with exit 0. Callers' connections are held by the early listener meanwhile. Errors of a listening server are logged once a second at most.

--- a/src/platform/early_listener.ts
+++ b/src/platform/early_listener.ts
@@ -16,10 +16,12 @@
   constructor(listenAddress: NetworkAddress) {
     this.listenAddress = listenAddress;
     this.#server = createServer({ pauseOnConnect: true }, (socket) => {
+      // A connection that breaks while it is held.
+      socket.on("error", () => undefined);
       this.#heldSockets.push(socket);
     });
     // The caller server then opens the port itself and reports why it can't.
-    this.#server.once("error", () => {
+    this.#server.on("error", () => {
       this.#hasFailed = true;
     });
     this.#server.listen(listenAddress.port, listenAddress.address);
@@ -43,7 +45,10 @@
   async handOverTo<S extends Server>(server: S): Promise<S> {
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
-      server.listen(this.#server, resolve);
+      server.listen(this.#server, () => {
+        server.off("error", reject);
+        resolve();
+      });
     });
     for (const socket of this.#heldSockets.splice(0)) {
       server.emit("connection", socket);
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -15,6 +15,7 @@
   FleetView,
   Freshness,
   getInitialShare,
+  type ListenOptions,
   LoopDelay,
   type MessageHandler,
   NEWS_PATH,
@@ -26,6 +27,7 @@
   RequestHandler,
   RetryBudget,
   Rollouts,
+  reportServerErrors,
   SessionVersions,
   Shutdown,
   startListening,
@@ -96,12 +98,15 @@
   abort(): void;
 }
 
+/** The start ends with an error if `stopSignal` aborts while a port is taken. */
 export async function startEntry(
   settings: EntrySettings,
   log: Logger,
   earlyListener?: EarlyListener,
+  stopSignal?: AbortSignal,
 ): Promise<RunningEntry> {
   const { bounds } = settings;
+  const listenOptions = { log, signal: stopSignal };
   const controller = new AbortController();
   const { signal } = controller;
   setMaxListeners(MAX_ABORT_LISTENERS, signal);
@@ -191,6 +196,7 @@
       ],
     ]),
     settings.exchangeAddress,
+    listenOptions,
   );
   const exchangePort = (peerServer.address() as AddressInfo).port;
   const peers = new Peers({
@@ -248,11 +254,13 @@
     createCallerServer(requestHandler, view),
     settings.callerAddress,
     earlyListener,
+    listenOptions,
   );
   const readinessServer = await startReadinessServer(
     isReady,
     READY_PATH,
     settings.readinessAddress,
+    listenOptions,
   );
   const metricsServer = await startMetricsServer(
     () => {
@@ -265,6 +273,7 @@
       return metrics.render();
     },
     { address: settings.address, port: settings.metricsPort },
+    listenOptions,
   );
   const abort = () => {
     controller.abort();
@@ -316,11 +325,14 @@
   server: S,
   listenAddress: NetworkAddress,
   earlyListener: EarlyListener | undefined,
+  options: ListenOptions,
 ): Promise<S> {
-  if (earlyListener?.isListeningOn(listenAddress))
+  if (earlyListener?.isListeningOn(listenAddress)) {
+    reportServerErrors(server, options.log);
     return await earlyListener.handOverTo(server);
+  }
   earlyListener?.close();
-  return await startListening(server, listenAddress);
+  return await startListening(server, listenAddress, options);
 }
 
 interface TickOptions {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -65,7 +65,12 @@
   const log = createEntryLogger(settings.value, output);
   signals.setReload(() => reportReload(settings.value, log));
   try {
-    const entry = await startEntry(settings.value, log, earlyListener);
+    const entry = await startEntry(
+      settings.value,
+      log,
+      earlyListener,
+      signals.stopSignal,
+    );
     log.info("started", {
       ms: Math.round(performance.now()),
       initMs: Math.round(loadedAtMs),
@@ -78,6 +83,11 @@
     await output.flush();
     return EXIT_STOPPED;
   } catch (error) {
+    if (signals.stopSignal.aborted) {
+      log.info("stopped", { during: "start", reason: String(error) });
+      await output.flush();
+      return EXIT_STOPPED;
+    }
     log.error("failed", { error: String(error) });
     await output.flush();
     return EXIT_FAILED;
--- a/src/platform/process_signals_test.ts
+++ b/src/platform/process_signals_test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { BuiltSystem, SOUND_DEADLINE_MS } from "./built_entry_fixtures_test.js";
-import { EntryProcess } from "./entry_process_fixtures_test.js";
+import { EntryProcess, occupyPort } from "./entry_process_fixtures_test.js";
 
 /** The entry's first lines have run by then, and the rest is still loading, ms. */
 const FIRST_LINES_MS = 15;
@@ -59,4 +59,16 @@
       assert.match(entry.output, /event=stopped/);
     });
   }
+
+  // The process of a host that is taken away must not outlive its grace period.
+  it("is not lost while a port is still taken", async () => {
+    const command = await system.createCommand();
+    const server = await occupyPort(command.ports.control);
+    entry = new EntryProcess(command);
+    await delay(SOUND_DEADLINE_MS);
+    entry.child.kill("SIGTERM");
+    const exit = await entry.waitForExit(STOPPED_WITHIN_MS);
+    server.close();
+    assert.deepEqual(exit, { code: 0, signal: undefined });
+  });
 });
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -10,7 +10,7 @@
 } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { readBody } from "../../adapters/http_server.js";
-import { startListening } from "../start_listening.js";
+import { type ListenOptions, startListening } from "../start_listening.js";
 import type { NetworkAddress } from "../types.js";
 
 /** Largest message that is accepted from another entry. */
@@ -99,11 +99,12 @@
 export function startPeerServer(
   handlers: ReadonlyMap<string, MessageHandler>,
   listenAddress: NetworkAddress,
+  options?: ListenOptions,
 ): Promise<Server> {
   const server = createServer((incoming, response) => {
     void answerMessage(handlers, incoming, response);
   });
-  return startListening(server, listenAddress);
+  return startListening(server, listenAddress, options);
 }
 
 async function answerMessage(
--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -9,7 +9,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetView } from "../fleet/index.js";
 import type { Shutdown } from "../shutdown.js";
-import { startListening } from "../start_listening.js";
+import { type ListenOptions, startListening } from "../start_listening.js";
 import type { NetworkAddress } from "../types.js";
 import { closeIfIdle, refuseUnreadable } from "./caller_errors.js";
 import type { RequestHandler } from "./request_handler.js";
@@ -68,6 +68,7 @@
   isReady: () => boolean,
   readinessPath: string,
   address: NetworkAddress,
+  options?: ListenOptions,
 ): Promise<Server> {
   const server = createServer((request, response) => {
     const isReadinessPath = request.url === readinessPath;
@@ -75,12 +76,13 @@
     response.writeHead(status, { "Content-Length": 0 });
     response.end();
   });
-  return startListening(server, address);
+  return startListening(server, address, options);
 }
 
 export function startMetricsServer(
   render: () => Promise<string>,
   address: NetworkAddress,
+  options?: ListenOptions,
 ): Promise<Server> {
   const server = createServer((_request, response) => {
     void render().then(
@@ -94,7 +96,7 @@
       },
     );
   });
-  return startListening(server, address);
+  return startListening(server, address, options);
 }
 
 export interface DrainTimes {
