Wait for a settings file that is still being written

Seen: where the settings file was missing or cut short for 0.6 s at the start, the process ended with exit 2.

Now the file is read again every 50 ms for 2.5 s until it can be decoded; one that stays as it is ends the process with exit 2 and the same message. A signal to stop meanwhile ends it with exit 0.

Evidence: process_settings_test, with the built entry. Before: exit 2 in both cases. After: ready within 0.23 s of the file; exit 2 after 2.7 s for a file that stays invalid. A file that was cut short where it still has all required keys can't be told from a whole one.

--- a/src/platform/entry_settings.ts
+++ b/src/platform/entry_settings.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
 import { parse } from "smol-toml";
+import { pauseFor } from "../adapters/pause_for.js";
 import type { NetworkAddress } from "../proxy/index.js";
 import { createDecodeFailure, type DecodeFailure } from "./failures.js";
 import {
@@ -152,3 +153,25 @@
     return err(createDecodeFailure(`Cannot read "${path}": ${String(error)}`));
   }
 }
+
+/** For how long a file that can't be read or decoded is tried again, ms. */
+const FILE_WAIT_MS = 2_500;
+const FILE_CHECK_INTERVAL_MS = 50;
+
+/**
+ * Reads the file at the start, at which it may still be missing or half
+ * written. Resolves to the last failure after a time or when aborted.
+ */
+export async function loadSettings(
+  path: string,
+  signal: AbortSignal,
+): Promise<Result<EntrySettings, DecodeFailure>> {
+  const startedAtMs = performance.now();
+  for (;;) {
+    const settings = readSettings(path);
+    const isOver = performance.now() - startedAtMs >= FILE_WAIT_MS;
+    if (settings.isOk() || path === "" || isOver || signal.aborted)
+      return settings;
+    await pauseFor(FILE_CHECK_INTERVAL_MS, signal);
+  }
+}
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,7 +4,11 @@
 import { createLogger, type Logger } from "../adapters/logger.js";
 import type { EarlyListener } from "./early_listener.js";
 import { startEntry } from "./entry.js";
-import { type EntrySettings, readSettings } from "./entry_settings.js";
+import {
+  type EntrySettings,
+  loadSettings,
+  readSettings,
+} from "./entry_settings.js";
 import { createLogOutput, type ProcessOutput } from "./log_output.js";
 import { ProcessSignals } from "./process_signals.js";
 
@@ -54,8 +58,10 @@
   signals = new ProcessSignals(),
 ): Promise<number> {
   const loadedAtMs = performance.now();
-  const settings = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
+  const path = process.env[SETTINGS_VARIABLE] ?? "";
+  const settings = await loadSettings(path, signals.stopSignal);
   if (settings.isErr()) {
+    if (signals.stopSignal.aborted) return EXIT_STOPPED;
     // Without a reader, the error event would change the exit code.
     process.stderr.on("error", () => undefined);
     process.stderr.write(`${settings.error.detail}\n`);
