--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -15,6 +15,7 @@
   FleetView,
   Freshness,
   getInitialShare,
+  type ListenOptions,
   LoopDelay,
   type MessageHandler,
   NEWS_PATH,
@@ -26,6 +27,7 @@
   RequestHandler,
   RetryBudget,
   Rollouts,
+  reportServerErrors,
   SessionVersions,
   Shutdown,
   startListening,
@@ -87,18 +89,24 @@
   readonly callerPort: number;
   readonly exchangePort: number;
   isReady(): boolean;
-  /** Drains the open requests, then stops; resolves when it has stopped. */
-  stop(): Promise<void>;
+  /**
+   * Drains the open requests, then stops; resolves when it has stopped. The
+   * signal to stop came `elapsedMs` ago.
+   */
+  stop(elapsedMs?: number): Promise<void>;
   /** Closes all servers and ends all calls and loops at once. */
   abort(): void;
 }
 
+/** The start ends with an error if `stopSignal` aborts while a port is taken. */
 export async function startEntry(
   settings: EntrySettings,
   log: Logger,
   earlyListener?: EarlyListener,
+  stopSignal?: AbortSignal,
 ): Promise<RunningEntry> {
   const { bounds } = settings;
+  const listenOptions = { log, signal: stopSignal };
   const controller = new AbortController();
   const { signal } = controller;
   setMaxListeners(MAX_ABORT_LISTENERS, signal);
@@ -188,6 +196,7 @@
       ],
     ]),
     settings.exchangeAddress,
+    listenOptions,
   );
   const exchangePort = (peerServer.address() as AddressInfo).port;
   const peers = new Peers({
@@ -245,11 +254,13 @@
     createCallerServer(requestHandler, view),
     settings.callerAddress,
     earlyListener,
+    listenOptions,
   );
   const readinessServer = await startReadinessServer(
     isReady,
     READY_PATH,
     settings.readinessAddress,
+    listenOptions,
   );
   const metricsServer = await startMetricsServer(
     () => {
@@ -262,6 +273,7 @@
       return metrics.render();
     },
     { address: settings.address, port: settings.metricsPort },
+    listenOptions,
   );
   const abort = () => {
     controller.abort();
@@ -284,13 +296,14 @@
     exchangePort,
     isReady,
     abort,
-    stop: async () => {
+    stop: async (elapsedMs = 0) => {
+      const graceMs = Math.max(0, bounds.graceMs - elapsedMs);
       isStopping = true;
       peers.leave();
       await stopServer(callerServer, requestHandler, shutdown, {
-        acceptMs: Math.min(ACCEPT_SHARE * bounds.graceMs, MAX_ACCEPT_MS),
-        endAfterMs: computeTimeInGrace(END, bounds.graceMs),
-        breakAfterMs: computeTimeInGrace(BREAK, bounds.graceMs),
+        acceptMs: Math.min(ACCEPT_SHARE * graceMs, MAX_ACCEPT_MS),
+        endAfterMs: computeTimeInGrace(END, graceMs),
+        breakAfterMs: computeTimeInGrace(BREAK, graceMs),
       });
       abort();
     },
@@ -312,11 +325,14 @@
   server: S,
   listenAddress: NetworkAddress,
   earlyListener: EarlyListener | undefined,
+  options: ListenOptions,
 ): Promise<S> {
-  if (earlyListener?.isListeningOn(listenAddress))
+  if (earlyListener?.isListeningOn(listenAddress)) {
+    reportServerErrors(server, options.log);
     return await earlyListener.handOverTo(server);
+  }
   earlyListener?.close();
-  return await startListening(server, listenAddress);
+  return await startListening(server, listenAddress, options);
 }
 
 interface TickOptions {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,11 +1,16 @@
 /** Runs the entry of a platform host, from its settings to its exit code. */
 
-import { SonicBoom } from "sonic-boom";
 import { createLimitedLogger } from "../adapters/limited_logger.js";
 import { createLogger, type Logger } from "../adapters/logger.js";
 import type { EarlyListener } from "./early_listener.js";
 import { startEntry } from "./entry.js";
-import { type EntrySettings, readSettings } from "./entry_settings.js";
+import {
+  type EntrySettings,
+  loadSettings,
+  readSettings,
+} from "./entry_settings.js";
+import { createLogOutput, type ProcessOutput } from "./log_output.js";
+import { ProcessSignals } from "./process_signals.js";
 
 const SETTINGS_VARIABLE = "HORNBEAMRILL_NODE_FILE";
 /** Exit codes, the same as the daemon's. */
@@ -13,22 +18,13 @@
 const EXIT_FAILED = 1;
 const EXIT_INVALID_SETTINGS = 2;
 
-const STDOUT_FD = 1;
-/** Unread log output that is buffered, bytes; further lines are dropped. */
-const MAX_BUFFERED_LOG_BYTES = 1_048_576;
 /** Allows four lines per request at 250 requests per second. */
 const MAX_LOG_LINES_PER_SECOND = 1_000;
 
-/** Writes without waiting: a stalled reader loses lines, delays no request. */
-function createLogOutput(): SonicBoom {
-  return new SonicBoom({
-    fd: STDOUT_FD,
-    sync: false,
-    maxLength: MAX_BUFFERED_LOG_BYTES,
-  });
-}
-
-function createEntryLogger(settings: EntrySettings, output: SonicBoom): Logger {
+function createEntryLogger(
+  settings: EntrySettings,
+  output: ProcessOutput,
+): Logger {
   const { name, dataCentre, role } = settings;
   const fields = { role, process: name, dataCentre };
   const logger = createLogger({}, { fields, output });
@@ -53,41 +49,53 @@
 
 /**
  * Runs until a signal to stop; returns the exit code. `earlyListener` holds the
- * connections that callers opened while the program was loading.
+ * connections that callers opened while the program was loading, `signals` the
+ * signals that came meanwhile: after one to stop, the entry starts and stops as
+ * planned, so that those connections are answered.
  */
 export async function runProgram(
   earlyListener?: EarlyListener,
+  signals = new ProcessSignals(),
 ): Promise<number> {
   const loadedAtMs = performance.now();
-  const settings = readSettings(process.env[SETTINGS_VARIABLE] ?? "");
+  const path = process.env[SETTINGS_VARIABLE] ?? "";
+  const settings = await loadSettings(path, signals.stopSignal);
   if (settings.isErr()) {
+    if (signals.stopSignal.aborted) return EXIT_STOPPED;
+    // Without a reader, the error event would change the exit code.
+    process.stderr.on("error", () => undefined);
     process.stderr.write(`${settings.error.detail}\n`);
     return EXIT_INVALID_SETTINGS;
   }
   const output = createLogOutput();
   const log = createEntryLogger(settings.value, output);
-  const stopRequested = new Promise<string>((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      // Without a listener, a second signal would end the process at once.
-      process.on(signal, () => resolve(signal));
-    }
-  });
-  process.on("SIGHUP", () => reportReload(settings.value, log));
+  signals.setReload(() => reportReload(settings.value, log));
   try {
-    const entry = await startEntry(settings.value, log, earlyListener);
+    const entry = await startEntry(
+      settings.value,
+      log,
+      earlyListener,
+      signals.stopSignal,
+    );
     log.info("started", {
       ms: Math.round(performance.now()),
       initMs: Math.round(loadedAtMs),
       bootMs: Math.round(performance.nodeTiming.bootstrapComplete),
     });
-    log.info("stop-requested", { signal: await stopRequested });
-    await entry.stop();
+    const { signal, atMs } = await signals.stopRequested;
+    log.info("stop-requested", { signal });
+    await entry.stop(performance.now() - atMs);
     log.info("stopped");
-    output.flushSync();
+    await output.flush();
     return EXIT_STOPPED;
   } catch (error) {
+    if (signals.stopSignal.aborted) {
+      log.info("stopped", { during: "start", reason: String(error) });
+      await output.flush();
+      return EXIT_STOPPED;
+    }
     log.error("failed", { error: String(error) });
-    output.flushSync();
+    await output.flush();
     return EXIT_FAILED;
   }
 }
