Take a status that no final answer has as a failed attempt

Callers got an endpoint's status 101 as their final answer and nothing else until their deadline, also on routes that allow another attempt.

Cause: Node reports a 101 without an upgrade as a response, and no check looked at the status. Statuses from 600 on passed as well, and a refusal with such a status counted as not run.

Such an attempt has failed and may have run: an order gets 502, a look-up another attempt. Nothing else in the head is used, since its bytes are wrong.

--- a/src/platform/send_attempt_test.ts
+++ b/src/platform/send_attempt_test.ts
@@ -123,6 +123,22 @@
     assert.equal(result.kind, "unknown");
   });
 
+  // The caller got it as its final answer, and nothing else until its deadline.
+  it("takes a status that no final answer has as a failed attempt", async () => {
+    for (const status of [101, 600, 999]) {
+      for (const fields of ["Server-Stamp: s", "Not-Executed: 1"]) {
+        const result = await sendAttemptTo((socket) =>
+          socket.end(
+            `HTTP/1.1 ${status} Odd\r\nAttempt-Id: r1\r\n${fields}\r\nContent-Length: 2\r\n\r\nok`,
+          ),
+        );
+        const name = `${status} ${fields}`;
+        assert.ok(typeof result !== "string", `${name}: ${result}`);
+        assert.equal(result.kind, "unknown", name);
+      }
+    }
+  });
+
   // A request counts as not run only if the endpoint itself says so of it.
   it("distinguishes a refusal by the endpoint from a failure", async () => {
     const sendRefusal = (head: string) =>
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -43,6 +43,8 @@
 const MAX_DISCARDED_BYTES = 65_536;
 /** Time limit to read a refusal's body, ms. */
 const DISCARD_TIMEOUT_MS = 500;
+/** Statuses of final answers; others announce one or mean nothing. */
+const FINAL_STATUS = { min: 200, max: 599 } as const;
 /** Lowest status of an answer that is a failure. */
 const MIN_ERROR_STATUS = 400;
 /** The only transfer coding that Node's parser decodes. */
@@ -184,6 +186,13 @@
         return;
       }
       const status = message.statusCode ?? 0;
+      // Nothing else in such a head can be relied on, not even a refusal.
+      if (status < FINAL_STATUS.min || status > FINAL_STATUS.max) {
+        outgoing.destroy();
+        const detail = `Status ${status} is none of a final answer`;
+        fail(ATTEMPT_FAILURE.unknown, detail, { answerTo });
+        return;
+      }
       onHead(status, facts);
       if (facts.isNotRun && status >= MIN_ERROR_STATUS) {
         if (outgoing.writableFinished) ignoreAnswerBody(message);
