Keep the endpoint that fell silent first where the second one is late

A caller whose endpoint paused for 0.7 to 1.5 s got nothing more until its deadline where the endpoint that was asked meanwhile sent nothing either: streams, whole answers, heads not yet begun.

Cause: two may not work on one request for 400 ms, so 300 ms after the second was sent the first was given up, whatever the second had shown.

Now a pure function decides at that time. The second is given up where it is late by its expected and usual time to a head, and the first has been silent for less than three quarters of what callers wait; others are tried after that, and the last attempt is kept until the first is no longer worth keeping, and then gets its time. So an endpoint that is gone is still replaced, by one that is slow as well.

silent_endpoint_race_test waited for the first endpoint to be left within 400 ms of the second's start, which is no longer what happens there: the second is left. It now checks the overlap of each pair of runs, three in place of one, with the same limit, and the whole stream as before.

--- a/src/platform/silent_endpoint_race_test.ts
+++ b/src/platform/silent_endpoint_race_test.ts
@@ -78,13 +78,23 @@
         createOptions(id, { pause: { beforeHead: true, ms: 900 } }),
       );
     }
-    await system.waitFor(() => system.listRuns("r1").length > 1);
-    const [first, second] = system.listRuns("r1");
-    await system.waitFor(() => first?.state === "left");
-    const overlapMs = performance.now() - (second?.startedAtMs ?? 0);
     const { body, isComplete } = await answer;
     assert.deepEqual({ body, isComplete }, { body: STREAM, isComplete: true });
-    assert.ok(overlapMs < TWICE_MS, `both worked for ${overlapMs} ms`);
+    const runs = system.listRuns("r1");
+    assert.ok(runs.length > 1);
+    await system.waitFor(() =>
+      runs.every(({ endedAtMs }) => endedAtMs !== undefined),
+    );
+    const ends = runs.map(
+      ({ endedAtMs = Number.POSITIVE_INFINITY }) => endedAtMs,
+    );
+    for (const [i, { startedAtMs }] of runs.entries()) {
+      for (const earlierEndMs of ends.slice(0, i)) {
+        const endMs = Math.min(earlierEndMs, ends[i] ?? 0);
+        const overlapMs = endMs - startedAtMs;
+        assert.ok(overlapMs < TWICE_MS, `two worked for ${overlapMs} ms`);
+      }
+    }
   });
 
   // The other endpoint had no event to add, and an empty answer may mean
--- a/src/proxy/request/attempt_race.ts
+++ b/src/proxy/request/attempt_race.ts
@@ -11,11 +11,12 @@
   OUTCOME_KIND,
 } from "./attempt_runner.js";
 import { OverlapTimer } from "./overlap_timer.js";
+import { OVERLAP_DECISION, type OverlapDecision } from "./silence_decision.js";
 
 export const RACE_EVENT = {
   answered: "answered",
   failed: "failed",
-  /** The newest attempt is silent, but goes on. */
+  /** The newest attempt is silent, and goes on or was given up for that. */
   stalled: "stalled",
 } as const;
 
@@ -42,7 +43,8 @@
 
 export class AttemptRace {
   readonly #options: AttemptRaceOptions;
-  readonly #running = new Set<AbortController>();
+  /** Attempts and when they were started, oldest first. */
+  readonly #running = new Map<AbortController, number>();
   #events: (RaceEvent | ThrownError)[] = [];
   #notify = () => {};
   #isClosed = false;
@@ -55,19 +57,38 @@
     return this.#running.size;
   }
 
-  /** Starts an attempt; earlier ones end soon after it is sent. */
-  start(run: (hooks: AttemptHooks) => Promise<AttemptOutcome>): void {
+  /** How long the oldest attempt runs, ms; undefined where none runs. */
+  get oldestRunMs(): number | undefined {
+    const [startedAtMs] = this.#running.values();
+    return startedAtMs && performance.now() - startedAtMs;
+  }
+
+  /**
+   * Starts an attempt. Soon after it is sent, either the earlier ones end or,
+   * where `decide` says so after their silence, this one.
+   */
+  start(
+    run: (hooks: AttemptHooks) => Promise<AttemptOutcome>,
+    decide: (silentMs: number) => OverlapDecision,
+  ): void {
     const controller = new AbortController();
-    const earlier = [...this.#running];
-    this.#running.add(controller);
+    const earlier = [...this.#running.keys()];
+    this.#running.set(controller, performance.now());
+    const isNewest = () => [...this.#running.keys()].at(-1) === controller;
     const timer = new OverlapTimer(() => {
-      for (const other of earlier) other.abort();
+      const running = earlier.filter((other) => this.#running.has(other));
+      if (running.length === 0) return;
+      if (decide(this.oldestRunMs ?? 0) === OVERLAP_DECISION.keepNewest) {
+        for (const other of running) other.abort();
+        return;
+      }
+      controller.abort();
+      if (isNewest()) this.#push({ kind: RACE_EVENT.stalled });
     });
     const hooks: AttemptHooks = {
       signal: controller.signal,
       onStall: () => {
-        if ([...this.#running].at(-1) !== controller) return;
-        this.#push({ kind: RACE_EVENT.stalled });
+        if (isNewest()) this.#push({ kind: RACE_EVENT.stalled });
       },
       onSent: () => timer.start(),
       onErred: () => timer.cancel(),
@@ -128,7 +149,7 @@
   /** Ends the attempts that still run and discards further answers. */
   close(): void {
     this.#isClosed = true;
-    for (const controller of this.#running) controller.abort();
+    for (const controller of this.#running.keys()) controller.abort();
     for (const event of this.#events.splice(0)) {
       if (event.kind === RACE_EVENT.answered)
         this.#options.onFailed(this.#options.discard(event.attempt));
--- a/src/proxy/request/attempt_race_test.ts
+++ b/src/proxy/request/attempt_race_test.ts
@@ -3,10 +3,12 @@
 import { afterEach, describe, it } from "node:test";
 import { AttemptRace, RACE_EVENT } from "./attempt_race.js";
 import type { AnsweredAttempt, AttemptOutcome } from "./attempt_runner.js";
+import { OVERLAP_DECISION } from "./silence_decision.js";
 
 /** Longer than two endpoints may work on a request. */
 const BLOCKED_MS = 400;
 const ATTEMPT = {} as AnsweredAttempt;
+const keepNewest = () => OVERLAP_DECISION.keepNewest;
 const FAILED = { kind: "unknown", detail: "cancelled" } as const;
 
 describe("AttemptRace", () => {
@@ -49,7 +51,7 @@
         );
         signal.addEventListener("abort", () => resolve(FAILED));
       });
-    race.start(({ signal }) => waitForAnswer(signal));
+    race.start(({ signal }) => waitForAnswer(signal), keepNewest);
     race.start(({ signal, onSent }) => {
       onSent();
       setTimeout(() => {
@@ -62,7 +64,7 @@
       return new Promise((resolve) =>
         signal.addEventListener("abort", () => resolve(FAILED)),
       );
-    });
+    }, keepNewest);
     const timer = setTimeout(() => race.close(), 2 * BLOCKED_MS + 200);
     const event = await race.next();
     clearTimeout(timer);
@@ -75,7 +77,7 @@
     const race = createRace();
     race.start(async () => {
       throw new Error("broken");
-    });
+    }, keepNewest);
     await assert.rejects(race.next(), /broken/);
   });
 });
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -243,10 +243,16 @@
 
   /** True where an answer is expected before a stop of the entry ends. */
   isInTime(expectedMs: number, model: string): boolean {
-    const { view, now, shutdown } = this.#dependencies;
+    const { now, shutdown } = this.#dependencies;
+    const headMs = this.computeHeadMs(expectedMs, model);
+    return now() + headMs <= shutdown.endsAtMs;
+  }
+
+  /** Expected time to the head of an answer, or the usual one if longer, ms. */
+  computeHeadMs(expectedMs: number, model: string): number {
     const { service } = this.#request;
-    const usualMs = view.meanHeadLatencies.getMs(service.name, model);
-    return now() + Math.max(expectedMs, usualMs) <= shutdown.endsAtMs;
+    const { meanHeadLatencies } = this.#dependencies.view;
+    return Math.max(expectedMs, meanHeadLatencies.getMs(service.name, model));
   }
 
   #beginAttempt({ choice, model, number, hooks }: AttemptSpec): Attempt {
--- a/src/proxy/request/replacement_search_test.ts
+++ b/src/proxy/request/replacement_search_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from "node:test";
 import { ReplacementSearch } from "./replacement_search.js";
 import { type AnswerSink, sendStream } from "./send_answer.js";
+import { OVERLAP_DECISION } from "./silence_decision.js";
 import { requestStream } from "./stream_fixtures_test.js";
 
 const STALL_TIMEOUT_MS = 100;
@@ -32,8 +33,9 @@
       goOn = () => socket.end("id: 1\ndata: b\n\n");
     }, cleanups);
     const search = new ReplacementSearch({
+      stallTimeoutMs: STALL_TIMEOUT_MS,
       find: ({ signal, onSent }) => {
-        onSent();
+        onSent(() => OVERLAP_DECISION.keepNewest);
         setTimeout(() => {
           setImmediate(() => {
             goOn();
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -36,6 +36,12 @@
   sendStream,
 } from "./send_answer.js";
 import { type AttemptHead, readAnswerBody } from "./send_attempt.js";
+import {
+  decideOverlap,
+  isWorthKeeping,
+  OVERLAP_DECISION,
+  type OverlapDecision,
+} from "./silence_decision.js";
 import { createStoppingRefusal } from "./stopping_refusal.js";
 import { type WaitOptions, waitForData } from "./wait_for_data.js";
 
@@ -64,6 +70,8 @@
   readonly #request: RunRequest;
   readonly #sink: AnswerSink;
   readonly #triedEndpointIds = new Set<string>();
+  /** Endpoints that were late beside a silent one; others are preferred. */
+  readonly #lateEndpointIds = new Set<string>();
   readonly #placement: RequestPlacement;
   readonly #attemptRunner: AttemptRunner;
   /** Attempts that count towards the route's limit. */
@@ -127,6 +135,7 @@
         () => void this.#attemptRunner.recordCrashWhileWaiting(attempt),
       );
       this.#triedEndpointIds.clear();
+      this.#lateEndpointIds.clear();
       model = next;
     }
   }
@@ -160,9 +169,13 @@
     race: AttemptRace,
     options: AttemptsOptions,
   ): Promise<AnsweredAttempt | undefined> {
+    const { hooks } = options;
     let mayStart = true;
     for (;;) {
-      const choice = mayStart ? this.#choose(options.model) : undefined;
+      const silentMs = hooks?.getSilentMs() ?? race.oldestRunMs;
+      const choice = mayStart
+        ? this.#choose(options.model, silentMs)
+        : undefined;
       if (choice?.isOk()) this.#startAttempt(race, choice.value, options);
       else if (choice?.isErr() && race.runningCount === 0) {
         this.#addFailure(choice.error);
@@ -174,7 +187,11 @@
         this.#mayHaveRun = true;
         return event.attempt;
       }
-      mayStart = event.kind === RACE_EVENT.stalled || this.#mayRetry();
+      const isStalled = event.kind === RACE_EVENT.stalled;
+      // Beside an endpoint that still has the request, one other is enough.
+      mayStart = isStalled
+        ? hooks?.getSilentMs() === undefined
+        : this.#mayRetry();
     }
   }
 
@@ -195,6 +212,8 @@
       isRepeat: this.#mayHaveRun || race.runningCount > 0,
       lastEventId,
     };
+    const decide = (silentMs: number) =>
+      this.#decideOverlap(choice, model, silentMs);
     race.start(async (raceHooks) => {
       const outcome = await this.#attemptRunner.run({
         ...spec,
@@ -202,7 +221,7 @@
           ...raceHooks,
           onSent: () => {
             raceHooks.onSent();
-            hooks?.onSent();
+            hooks?.onSent(decide);
           },
           onErred: () => {
             raceHooks.onErred();
@@ -227,7 +246,33 @@
       const end = { ...fault, hasBegun: false };
       await this.#attemptRunner.endBroken(attempt, end);
       return { kind: OUTCOME_KIND.unknown, detail };
+    }, decide);
+  }
+
+  #decideOverlap(
+    choice: EndpointChoice,
+    model: string,
+    silentMs: number,
+  ): OverlapDecision {
+    const { deadlineAtMs, facts } = this.#request;
+    const { now, log } = this.#dependencies;
+    const { id } = choice.state.record;
+    const silence = { silentMs, timeLeftMs: deadlineAtMs - now() };
+    const expectedMs = this.#attemptRunner.computeHeadMs(
+      choice.expectedMs,
+      model,
+    );
+    const decision = decideOverlap(silence, expectedMs);
+    if (decision === OVERLAP_DECISION.keepEarlier)
+      this.#lateEndpointIds.add(id);
+    log.info("overlap-ended", {
+      request: facts.id,
+      endpoint: id,
+      decision,
+      silentMs: Math.round(silentMs),
+      expectedMs: Math.round(expectedMs),
     });
+    return decision;
   }
 
   /** Ends an attempt whose answer is not needed any more. */
@@ -257,8 +302,25 @@
     return this.#request.route.maxAttempts - this.#countedAttempts;
   }
 
-  /** Chooses an endpoint, or says why there is none. */
-  #choose(model: string): Result<EndpointChoice, string> {
+  /** Prefers endpoints that were not late beside a silent one. */
+  #chooseEndpoint(model: string, nowMs: number): EndpointChoice | undefined {
+    const triedIds = this.#triedEndpointIds;
+    const lateIds = this.#lateEndpointIds;
+    const askedIds = new Set([...triedIds, ...lateIds]);
+    return (
+      this.#placement.choose(model, askedIds, nowMs) ??
+      this.#placement.choose(model, triedIds, nowMs)
+    );
+  }
+
+  /**
+   * Chooses an endpoint, or says why there is none. `silentMs` is the silence
+   * of the one that has the request, if any.
+   */
+  #choose(
+    model: string,
+    silentMs: number | undefined,
+  ): Result<EndpointChoice, string> {
     const { service, signal, deadlineAtMs, facts } = this.#request;
     const { now, countEntries, retryBudget, promptHolds } = this.#dependencies;
     const nowMs = now();
@@ -266,6 +328,16 @@
       return err("no time is left");
     }
     if (this.#attemptsLeft <= 0) return err("no attempts are left");
+    const isLastKept =
+      silentMs !== undefined &&
+      this.#attemptsLeft === 1 &&
+      this.#lateEndpointIds.size > 0;
+    if (
+      isLastKept &&
+      isWorthKeeping({ silentMs, timeLeftMs: deadlineAtMs - nowMs })
+    ) {
+      return err("the last attempt is kept while an endpoint may go on");
+    }
     this.#heldParts = promptHolds.find(facts);
     if (this.#heldParts !== undefined) {
       return err("the request or a part of it is held");
@@ -273,7 +345,7 @@
     if (this.#countedAttempts > 0 && promptHolds.isSuspect(facts)) {
       return err("endpoints crashed under it");
     }
-    const choice = this.#placement.choose(model, this.#triedEndpointIds, nowMs);
+    const choice = this.#chooseEndpoint(model, nowMs);
     if (choice === undefined) return err("no endpoint is open");
     // Where it may have run, the caller gains nothing by an earlier failure.
     const isInTime = this.#attemptRunner.isInTime(choice.expectedMs, model);
@@ -356,7 +428,7 @@
 
   async #deliverWhole(attempt: AnsweredAttempt): Promise<RunOutcome> {
     const { head, model, stallTimeoutMs } = attempt;
-    const search = this.#createSearch((hooks) =>
+    const search = this.#createSearch(stallTimeoutMs ?? 0, (hooks) =>
       this.#runAttempts({ model, hooks }),
     );
     const body = await readAnswerBody(head.message, {
@@ -365,6 +437,7 @@
       onData: () => search.cancel(),
       abandonSignal: search.abandonSignal,
     });
+    search.setEnded();
     attempt.release();
     if (body.isOk()) {
       search.cancel();
@@ -389,13 +462,15 @@
     const { route, facts, signal } = this.#request;
     let attempt: AnsweredAttempt | undefined = first;
     const sequence = new EventSequence(facts.lastEventId);
+    const stallTimeoutMs =
+      route.targetEventGapMs * STALL_TIMEOUT_PER_TARGET_GAP;
     this.#sink.writeHead(
       first.head.status,
       this.#dependencies.wire.createAnswerHeaders(first.head.headers),
     );
     while (attempt !== undefined) {
       const current: AnsweredAttempt = attempt;
-      const search = this.#createSearch((hooks) =>
+      const search = this.#createSearch(stallTimeoutMs, (hooks) =>
         this.#resume(current.model, sequence.lastEventId, hooks),
       );
       const mayResume = () =>
@@ -405,7 +480,7 @@
       const end: StreamEnd = await sendStream(this.#sink, {
         message: current.head.message,
         sequence,
-        stallTimeoutMs: route.targetEventGapMs * STALL_TIMEOUT_PER_TARGET_GAP,
+        stallTimeoutMs,
         onStall: () => {
           if (!mayResume()) return;
           this.#attemptRunner.logSilence(current);
@@ -416,6 +491,7 @@
         onBegin: () => this.#attemptRunner.recordBegin(),
         signal,
       });
+      search.setEnded();
       current.release();
       if (end.isComplete) {
         search.cancel();
@@ -434,10 +510,12 @@
   }
 
   #createSearch(
+    stallTimeoutMs: number,
     find: (hooks: SearchHooks) => Promise<AnsweredAttempt | undefined>,
   ): ReplacementSearch {
     const { log } = this.#dependencies;
     return new ReplacementSearch({
+      stallTimeoutMs,
       // The silent endpoint may go on, so an error must not end the request.
       find: (hooks) =>
         find(hooks).catch((error: unknown) => {
