End a call that is answered with status 101

Seen: a store or another entry that answers with status 101 left the call open for good: the entry never listed the store again, and sent no further round of messages to others (one call in 2.4 s).

Cause: without a listener Node drops the connection after such an answer and tells neither an answer nor an error, so the time limit has nothing to end.

Now the call fails at once and its connection is closed.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -236,6 +236,11 @@
       outgoing.once("error", (error) =>
         fail(STORE_FAILURE.noAnswer, error.message),
       );
+      // Status 101 comes as this event; without a listener, none tells the end.
+      outgoing.once("upgrade", ({ statusCode }, socket) => {
+        socket.destroy();
+        fail(STORE_FAILURE.malformed, `Status ${statusCode}`);
+      });
       outgoing.once("response", (response) => {
         const era = parseEra(response.headers["store-era"]);
         if (era !== undefined && !storeEra.observe(era)) {
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -67,6 +67,11 @@
       resolve(result);
     };
     clientRequest.once("error", (error) => settle(err(error.message)));
+    // Status 101 comes as this event; without a listener, none tells the end.
+    clientRequest.once("upgrade", ({ statusCode }, socket) => {
+      socket.destroy();
+      settle(err(`answer has status ${statusCode}`));
+    });
     clientRequest.once("response", (response) => {
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
