Log an odd record of the store once a minute

Seen: a record that can't be used and that its writer writes again each second was logged at each write.

Now such a line comes once a minute for each record, or each reason where the record has no name. Reasons and names are cut for the comparison.

--- a/src/adapters/repeat_log.ts
+++ b/src/adapters/repeat_log.ts
@@ -5,11 +5,13 @@
 
 /** Causes whose last line is remembered. */
 const MAX_REMEMBERED = 1_000;
+/** What tells two causes apart, characters; texts of others may be long. */
+const MAX_CAUSE_LENGTH = 200;
 /** Time in which a cause is not logged again, ms. */
 const DEFAULT_INTERVAL_MS = 60_000;
 
 export interface RepeatLogOptions {
-  readonly log: Pick<Logger, "warn">;
+  readonly log: Pick<Logger, "warn" | "error">;
   /** Monotonic clock, ms. */
   readonly now: () => number;
   readonly intervalMs?: number;
@@ -25,11 +27,21 @@
 
   /** `cause` tells what is the same for lines with different fields. */
   warn(cause: string, event: string, fields: LogFields): void {
-    const { log, now, intervalMs = DEFAULT_INTERVAL_MS } = this.#options;
+    if (this.#isDue(cause)) this.#options.log.warn(event, fields);
+  }
+
+  error(cause: string, event: string, fields: LogFields): void {
+    if (this.#isDue(cause)) this.#options.log.error(event, fields);
+  }
+
+  #isDue(text: string): boolean {
+    const cause = text.slice(0, MAX_CAUSE_LENGTH);
+    const { now, intervalMs = DEFAULT_INTERVAL_MS } = this.#options;
     const nowMs = now();
     const loggedAtMs = this.#loggedAtMs.get(cause);
-    if (loggedAtMs !== undefined && nowMs - loggedAtMs < intervalMs) return;
+    if (loggedAtMs !== undefined && nowMs - loggedAtMs < intervalMs)
+      return false;
     this.#loggedAtMs.set(cause, nowMs);
-    log.warn(event, fields);
+    return true;
   }
 }
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -2,6 +2,7 @@
 
 import type { Logger } from "../adapters/logger.js";
 import { pauseFor } from "../adapters/pause_for.js";
+import { RepeatLog } from "../adapters/repeat_log.js";
 import {
   type FleetView,
   type Freshness,
@@ -138,9 +139,12 @@
   /** Revisions of records that are older than what the entry knows, by name. */
   readonly #distrusted = new Map<string, number>();
   readonly #endedEvacuations = new Set<string>();
+  /** For odd records, which their writers may write again and again. */
+  readonly #oddLog: RepeatLog;
 
   constructor(options: FleetSyncOptions) {
     this.#options = options;
+    this.#oddLog = new RepeatLog(options);
     const { configMs, drainMs, evacuationMs } = options.bounds;
     const boundMs = {
       [OBJECT_KIND.configuration]: Math.min(configMs, options.maxConfigAgeMs),
@@ -390,7 +394,8 @@
     const { view, log } = this.#options;
     const decoded = decodeConfiguration(object.spec);
     if (decoded.isErr()) {
-      log.error("configuration-rejected", { reason: decoded.error.detail });
+      const reason = decoded.error.detail;
+      this.#oddLog.error(reason, "configuration-rejected", { reason });
       return;
     }
     const { configuration, skipReasons } = decoded.value;
@@ -423,7 +428,10 @@
     const decodeOrSkip = (object: StoredObject) => {
       const record = decodeEndpoint(object);
       if (record.isOk()) return [record.value];
-      log.warn("endpoint-skipped", { reason: record.error.detail });
+      const reason = record.error.detail;
+      this.#oddLog.warn(`endpoint ${object.name}`, "endpoint-skipped", {
+        reason,
+      });
       return [];
     };
     const isDistrusted = ({ name, revision }: StoredObject) =>
@@ -483,7 +491,9 @@
     const { view, log, now } = this.#options;
     const order = decodeRollout(object);
     if (order.isErr()) {
-      log.warn("rollout-skipped", { reason: order.error.detail });
+      const reason = order.error.detail;
+      const cause = `rollout ${object.name}`;
+      this.#oddLog.warn(cause, "rollout-skipped", { reason });
       return;
     }
     const { service, target, outcome } = order.value;
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -5,6 +5,7 @@
 
 import type { Logger } from "../adapters/logger.js";
 import { pauseFor } from "../adapters/pause_for.js";
+import { RepeatLog } from "../adapters/repeat_log.js";
 import {
   ChangeLog,
   type RelayedChanges,
@@ -82,10 +83,13 @@
   readonly #changes = new ChangeLog<ObjectEvent>();
   /** Another entry reads the store for this one. */
   #isFollowing = false;
+  readonly #oddLog: RepeatLog;
   #stopWaiting: () => void = () => {};
 
   constructor(options: WatchOptions) {
     this.#options = options;
+    const { log, clock } = options;
+    this.#oddLog = new RepeatLog({ log, now: () => clock.now() });
   }
 
   /** True once all objects were listed. */
@@ -307,9 +311,9 @@
   }
 
   #logSkipped(skipReasons: readonly string[]): void {
-    const { log, kind } = this.#options;
+    const { kind } = this.#options;
     for (const reason of skipReasons)
-      log.warn("object-skipped", { kind, reason });
+      this.#oddLog.warn(reason, "object-skipped", { kind, reason });
   }
 
   #recordRegained(): void {
