Check what a message of another entry says as it is decoded

Seen, each with one message to the built entry: a port of 70000, or an address that is none, ended the process with exit 1 (RangeError, ERR_INVALID_CHAR) in the next round of messages. An era without end in a question for news made the entry take all later answers of the store for outdated. Revisions without end in news hid all later changes of endpoints. A rate of 1e300 for an endpoint had all its requests refused with 503. 100,000 places were all taken over, and a name of any length.

Now decode_messages.ts checks each message once: addresses, ports, lengths of names, ids and lists, revisions, eras and rates, and counts that can't be more than another one. Odd parts are left out, with one line a minute that names their kinds and the sender (peer-message-odd); odd news and questions count as malformed. The tables of peers and of roll-out counts have bounds, and ages that are sent always fit in their fields.

What remains: a number that is possible but wrong, such as a configuration version that no one has, is believed.

--- /dev/null
+++ b/src/proxy/fleet/decode_messages.ts
@@ -0,0 +1,230 @@
+/**
+ * Decodes messages of other entries and checks what they say, once for all who
+ * use it. Another entry may be faulty or of another build: a number that Node or
+ * the encoding of the next message refuses would end the process.
+ */
+
+import { isIP } from "node:net";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type EndpointCrash,
+  Exchange,
+  type LimitReport,
+  News,
+  NewsQuestion,
+  type Place,
+  type PromptHold,
+  type PromptParts,
+  type RolloutReport,
+  type RolloutTally,
+  type SessionReport,
+} from "../../schema/exchange/index.js";
+import { MAX_PART_ID_LENGTH, MAX_PROMPT_PARTS } from "../placing/index.js";
+
+const MAX_PORT = 65_535;
+/** Names of entries, endpoints, services and versions, characters. */
+const MAX_NAME_LENGTH = 512;
+/** Sessions are texts of callers, characters. */
+const MAX_SESSION_LENGTH = 16_384;
+/** Largest rate that an endpoint may set, requests per second. */
+const MAX_RATE = 1e9;
+/** Largest logarithm of measured by expected time of one answer. */
+const MAX_LOG_SLOWNESS = 100;
+/** Revisions and versions may be more than what a number holds exactly. */
+const MAX_REVISION = 2 ** 64;
+/** The parts of a prompt, and its request. */
+const MAX_SUSPECT_IDS = MAX_PROMPT_PARTS + 1;
+
+/** Largest number of items in one message; entries send a part of these. */
+const MAX_ITEMS = {
+  peers: 200,
+  rollouts: 500,
+  tallies: 256,
+  failing: 256,
+  sessions: 2_000,
+  limits: 10_000,
+  crashes: 64,
+  prompts: 32,
+  holds: 128,
+  positions: 16,
+  views: 16,
+  changes: 10_000,
+} as const;
+type ItemKind = keyof typeof MAX_ITEMS;
+
+export interface DecodedExchange {
+  /** Without what is odd. */
+  readonly message: Exchange;
+  /** Kinds of items of which some, or surplus ones, were left out. */
+  readonly oddKinds: readonly string[];
+}
+
+/** Keeps the items that are sound, up to the largest number. */
+class ItemFilter {
+  readonly oddKinds = new Set<string>();
+
+  filter<Item>(
+    kind: ItemKind,
+    items: readonly Item[],
+    isSound: (item: Item) => boolean,
+  ): Item[] {
+    const sound = items.slice(0, MAX_ITEMS[kind]).filter(isSound);
+    if (sound.length < items.length) this.oddKinds.add(kind);
+    return sound;
+  }
+}
+
+export function decodeExchange(
+  data: Uint8Array,
+): Result<DecodedExchange, string> {
+  const decoded = decodeMessage(() => Exchange.decode(data));
+  if (decoded.isErr()) return err(decoded.error);
+  const { value } = decoded;
+  const { sender, configVersion } = value;
+  const items = new ItemFilter();
+  const { oddKinds } = items;
+  const isSoundSender = sender === undefined || isPlace(sender);
+  if (!isSoundSender) oddKinds.add("sender");
+  const isSoundVersion = isRevision(configVersion);
+  if (!isSoundVersion) oddKinds.add("configVersion");
+  const message: Exchange = {
+    sender: isSoundSender ? sender : undefined,
+    leaving: value.leaving,
+    configVersion: isSoundVersion ? configVersion : 0,
+    peers: items.filter("peers", value.peers, isPlace),
+    rollouts: items
+      .filter("rollouts", value.rollouts, isRolloutReport)
+      .map((report) => ({
+        ...report,
+        tallies: items.filter("tallies", report.tallies, isTally),
+        failing: items.filter(
+          "failing",
+          report.failing,
+          ({ origin, endpoint }) => isName(origin) && isName(endpoint),
+        ),
+      })),
+    sessions: items.filter("sessions", value.sessions, isSessionReport),
+    limits: items.filter("limits", value.limits, isLimitReport),
+    crashes: items.filter("crashes", value.crashes, isCrash).map((crash) => ({
+      ...crash,
+      prompts: items.filter("prompts", crash.prompts, arePromptParts),
+    })),
+    holds: items.filter("holds", value.holds, isHold),
+  };
+  return ok({ message, oddKinds: [...oddKinds] });
+}
+
+export function decodeNewsQuestion(
+  data: Uint8Array,
+): Result<NewsQuestion, string> {
+  return decodeMessage(() => NewsQuestion.decode(data)).andThen((question) => {
+    const { positions, era } = question;
+    const isSound =
+      isCount(era) &&
+      positions.length <= MAX_ITEMS.positions &&
+      positions.every(({ revision }) => isRevision(revision));
+    return isSound ? ok(question) : err("a number is odd");
+  });
+}
+
+export function decodeNews(data: Uint8Array): Result<News, string> {
+  return decodeMessage(() => News.decode(data)).andThen((news) => {
+    const { views, era } = news;
+    const isSound =
+      isCount(era) &&
+      views.length <= MAX_ITEMS.views &&
+      views.every(
+        ({ revision, changes }) =>
+          isRevision(revision) && changes.length <= MAX_ITEMS.changes,
+      );
+    return isSound ? ok(news) : err("a number is odd");
+  });
+}
+
+function decodeMessage<Message>(
+  decode: () => Message,
+): Result<Message, string> {
+  try {
+    return ok(decode());
+  } catch (error) {
+    return err(String(error));
+  }
+}
+
+function isName(text: string): boolean {
+  return text.length <= MAX_NAME_LENGTH;
+}
+
+function isRevision(value: number): boolean {
+  return value >= 0 && value <= MAX_REVISION;
+}
+
+/** An era is a count in a field for any number. */
+function isCount(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0;
+}
+
+function isPlace({
+  name,
+  incarnation,
+  address,
+  port,
+  dataCentre,
+}: Place): boolean {
+  return (
+    name !== "" &&
+    [name, incarnation, dataCentre].every(isName) &&
+    isIP(address) !== 0 &&
+    port >= 1 &&
+    port <= MAX_PORT
+  );
+}
+
+function isRolloutReport(report: RolloutReport): boolean {
+  const { service, target, createdRevision } = report;
+  return isName(service) && isName(target) && isRevision(createdRevision);
+}
+
+function isTally(tally: RolloutTally): boolean {
+  const { origin, route, answers, failures, timed, logSlowness } = tally;
+  return (
+    isName(origin) &&
+    isName(route) &&
+    failures <= answers &&
+    timed <= answers &&
+    Math.abs(logSlowness) <= timed * MAX_LOG_SLOWNESS
+  );
+}
+
+function isSessionReport(report: SessionReport): boolean {
+  const { service, session, version } = report;
+  const isSound = isName(service) && isName(version);
+  return isSound && session.length <= MAX_SESSION_LENGTH;
+}
+
+function isLimitReport(report: LimitReport): boolean {
+  const { endpoint, startedAtMs, perSecond } = report;
+  return (
+    isName(endpoint) &&
+    Number.isFinite(startedAtMs) &&
+    perSecond >= 0 &&
+    perSecond <= MAX_RATE
+  );
+}
+
+function isCrash({ endpoint }: EndpointCrash): boolean {
+  return isName(endpoint);
+}
+
+function arePromptParts({ ids }: PromptParts): boolean {
+  return areSuspectIds(ids);
+}
+
+function isHold({ parts }: PromptHold): boolean {
+  return parts.length > 0 && areSuspectIds(parts);
+}
+
+function areSuspectIds(ids: readonly string[]): boolean {
+  const isSuspectId = (id: string) => id.length <= MAX_PART_ID_LENGTH;
+  return ids.length <= MAX_SUSPECT_IDS && ids.every(isSuspectId);
+}
--- a/src/proxy/fleet/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -9,9 +9,11 @@
 import { LRUCache } from "lru-cache";
 import type { Logger } from "../../adapters/logger.js";
 import { pauseFor } from "../../adapters/pause_for.js";
+import { RepeatLog } from "../../adapters/repeat_log.js";
 import { Exchange, type Place } from "../../schema/exchange/index.js";
 import { chooseSome } from "../choose_some.js";
 import type { NetworkAddress } from "../types.js";
+import { decodeExchange } from "./decode_messages.js";
 import type { EndpointLimits } from "./endpoint_limits.js";
 import { sendMessage, toMessageNumber } from "./peer_messages.js";
 import type { PromptHolds } from "./prompt_holds.js";
@@ -35,6 +37,8 @@
 const MIN_ASSUMED_ENTRIES = 8;
 /** Time after the start in which the first rounds find the other entries. */
 const DISCOVERY_MS = 2_500;
+/** Above this number the peer that was heard of longest ago is forgotten. */
+const MAX_PEERS = 1_000;
 /** Departed peers that are remembered. */
 const MAX_REMEMBERED_DEPARTURES = 1_000;
 /** A message lists this share of the present peers, or the minimum if more. */
@@ -76,12 +80,14 @@
   });
   readonly #agent = new Agent({ keepAlive: true });
   readonly #startedAtMs: number;
+  readonly #oddLog: RepeatLog;
   #isLeaving = false;
   #newestConfigVersion = 0;
 
   constructor(options: PeersOptions) {
     this.#options = options;
     this.#startedAtMs = options.now();
+    this.#oddLog = new RepeatLog(options);
     const { signal } = options;
     signal.addEventListener("abort", () => this.#agent.destroy(), {
       once: true,
@@ -237,23 +243,31 @@
   }
 
   #applyMessage(data: Uint8Array): void {
-    const { log, now, rollouts, sessions, limits, promptHolds } = this.#options;
-    let message: Exchange;
-    try {
-      message = Exchange.decode(data);
-    } catch (error) {
-      log.warn("peer-message-skipped", { reason: String(error) });
+    const { now, rollouts, sessions, limits, promptHolds } = this.#options;
+    const decoded = decodeExchange(data);
+    if (decoded.isErr()) {
+      const reason = decoded.error;
+      this.#oddLog.warn("skipped", "peer-message-skipped", { reason });
       return;
     }
     const nowMs = now();
+    const { message, oddKinds } = decoded.value;
     const { sender, leaving, peers } = message;
+    if (oddKinds.length > 0) {
+      const odd = oddKinds.join(",");
+      const fields = { odd, peer: sender?.name, address: sender?.address };
+      this.#oddLog.warn("odd", "peer-message-odd", fields);
+    }
     if (sender !== undefined) {
       if (leaving) {
         this.#departed.set(`${sender.name} ${sender.incarnation}`, true);
         this.#peers.delete(sender.name);
       } else this.#recordPeer(sender, nowMs);
     }
-    for (const place of peers) this.#recordPeer(place, nowMs - place.ageMs);
+    for (const place of peers) {
+      if (place.ageMs <= FORGET_AFTER_MS)
+        this.#recordPeer(place, nowMs - place.ageMs);
+    }
     for (const report of message.rollouts) rollouts.mergeReport(report, nowMs);
     sessions.merge(message.sessions, nowMs);
     limits.merge(message.limits);
@@ -275,6 +289,14 @@
       log.info("peer-found", { peer: place.name, address: place.address });
     }
     this.#peers.set(place.name, { place, lastHeardAtMs });
+    if (this.#peers.size > MAX_PEERS) this.#forgetOldestPeer();
+  }
+
+  #forgetOldestPeer(): void {
+    const [oldest] = [...this.#peers.values()].sort(
+      (one, other) => one.lastHeardAtMs - other.lastHeardAtMs,
+    );
+    if (oldest !== undefined) this.#peers.delete(oldest.place.name);
   }
 
   /** Handles the message of another entry and answers with its own. */
--- a/src/proxy/fleet/rollout_evidence.ts
+++ b/src/proxy/fleet/rollout_evidence.ts
@@ -19,6 +19,9 @@
  */
 const MAX_REPORTED_COUNTS = { latest: 48, others: 16 } as const;
 
+/** Counts of one kind that are kept; further ones of others are left out. */
+const MAX_COUNTS = 10_000;
+
 export interface AnswerTotals {
   answers: number;
   failures: number;
@@ -95,6 +98,7 @@
       const key = createTallyKey(tally.origin, tally.route, tally.isTarget);
       const known = this.#tallies.get(key);
       if (known !== undefined && known.answers >= tally.answers) continue;
+      if (known === undefined && this.#tallies.size >= MAX_COUNTS) continue;
       putLast(this.#tallies, key, { ...tally });
     }
     for (const reported of report.failing) {
@@ -102,6 +106,8 @@
       const key = `${reported.origin} ${reported.endpoint}`;
       const known = this.#endpointFailures.get(key);
       if (known !== undefined && known.failures >= reported.failures) continue;
+      const isFull = this.#endpointFailures.size >= MAX_COUNTS;
+      if (known === undefined && isFull) continue;
       putLast(this.#endpointFailures, key, { ...reported });
     }
   }
--- a/src/proxy/fleet/session_versions.ts
+++ b/src/proxy/fleet/session_versions.ts
@@ -7,6 +7,7 @@
 import { LRUCache } from "lru-cache";
 import { hashToShare } from "../../core/canonical.js";
 import type { SessionReport } from "../../schema/exchange/index.js";
+import { toMessageNumber } from "./peer_messages.js";
 
 const MAX_SESSIONS = 50_000;
 /** Largest number of sessions that one message reports. */
@@ -78,7 +79,7 @@
     return [...this.#reported.values()]
       .filter((use) => nowMs - use.atMs <= reportedForMs)
       .map(({ service, session, version, atMs }) => {
-        const ageMs = Math.max(0, Math.round(nowMs - atMs));
+        const ageMs = toMessageNumber(nowMs - atMs);
         return { service, session, version, ageMs };
       });
   }
--- a/src/proxy/fleet/view_relay.ts
+++ b/src/proxy/fleet/view_relay.ts
@@ -6,13 +6,14 @@
  */
 
 import { Agent } from "node:http";
-import { err, ok, type Result } from "neverthrow";
 import type { Logger } from "../../adapters/logger.js";
 import { pauseFor } from "../../adapters/pause_for.js";
+import { RepeatLog } from "../../adapters/repeat_log.js";
 import { News, NewsQuestion, type Place } from "../../schema/exchange/index.js";
 import type { SuspendClock } from "../suspend_clock.js";
 import { Waiters } from "../waiters.js";
-import { sendMessage } from "./peer_messages.js";
+import { decodeNews, decodeNewsQuestion } from "./decode_messages.js";
+import { sendMessage, toMessageNumber } from "./peer_messages.js";
 
 /** HTTP path on which entries ask for news. */
 export const NEWS_PATH = "/news";
@@ -90,6 +91,7 @@
   /** Failed sources are not asked again until then, by name. */
   readonly #skipUntilMs = new Map<string, number>();
   readonly #waiters = new Waiters();
+  readonly #oddLog: RepeatLog;
   #fallbackUntilMs = Number.NEGATIVE_INFINITY;
   #lastAskedAtMs = Number.NEGATIVE_INFINITY;
   #lastAnswerAtMs = Number.NEGATIVE_INFINITY;
@@ -105,6 +107,8 @@
 
   constructor(options: ViewRelayOptions) {
     this.#options = options;
+    const { log, clock } = options;
+    this.#oddLog = new RepeatLog({ log, now: () => clock.now() });
     options.signal.addEventListener("abort", () => this.#agent.destroy(), {
       once: true,
     });
@@ -266,36 +270,28 @@
         return {
           kind: view.kind,
           revision: view.revision ?? 0,
-          ageMs: Math.ceil(Math.min(view.ageMs, MAX_REPORTED_AGE_MS)),
+          ageMs: toMessageNumber(
+            Math.ceil(Math.min(view.ageMs, MAX_REPORTED_AGE_MS)),
+          ),
           isComplete:
             isSameEra && changes !== undefined && view.revision !== undefined,
           isLost: this.#usesFallbackSource || view.isLost,
           changes: [...(changes ?? [])],
         };
       }),
-      waitedMs: Math.floor(clock.now() - startedAtMs),
+      waitedMs: toMessageNumber(Math.floor(clock.now() - startedAtMs)),
     }).finish();
   }
 
   /** A malformed question is answered as if it named no views. */
   #decodeQuestion(data: Uint8Array): NewsQuestion {
-    try {
-      return NewsQuestion.decode(data);
-    } catch (error) {
-      const reason = String(error);
-      this.#options.log.warn("peer-message-skipped", { reason });
-      return { positions: [], waitMs: 0, era: this.#options.getEra() };
-    }
+    const question = decodeNewsQuestion(data);
+    if (question.isOk()) return question.value;
+    const reason = question.error;
+    this.#oddLog.warn("skipped", "peer-message-skipped", { reason });
+    return { positions: [], waitMs: 0, era: this.#options.getEra() };
   }
 }
 
 /** Age in answers of views that were never confirmed. */
 const MAX_REPORTED_AGE_MS = 1_000_000_000;
-
-function decodeNews(data: Uint8Array): Result<News, string> {
-  try {
-    return ok(News.decode(data));
-  } catch (error) {
-    return err(String(error));
-  }
-}
