Keep loops alive after a round that fails, and the process after a stray error

Seen by reading, shown by tests: an error thrown in one round of the exchange with other entries, of a view, of the relay, of the ticks, or by the handler of another entry's message was a rejected promise that nobody handled, and ended the process with exit 1. A probe of the store that throws left the others waiting for one for good.

Now each loop logs such an error, once a minute for each reason, and goes on with its next round; a view lists all objects again, since a part of the changes may be applied. What else is uncaught is logged as error-uncaught and the process goes on, as it belongs to one connection or timer. After five in a minute it stops as planned and ends with exit 1, since a new process serves better than one with a broken part. Until the start is over Node's own handling stays.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo, Server } from "node:net";
 import type { Logger } from "../adapters/logger.js";
 import { pauseFor } from "../adapters/pause_for.js";
+import { RepeatLog } from "../adapters/repeat_log.js";
 import {
   Connections,
   createCallerServer,
@@ -117,13 +118,21 @@
   const clock = createSuspendClock();
   const now = () => performance.now();
   const { random } = Math;
+  /** Each loop goes on after a round that fails; this is for what they miss. */
+  const runTask = (task: string, run: () => Promise<void>): void => {
+    run().catch((error: unknown) => {
+      log.error("task-failed", { task, error: String(error) });
+    });
+  };
   const connections = new Connections(signal);
   const loopDelay = new LoopDelay();
   const shutdown = new Shutdown();
-  const freshness = new Freshness(clock, () => void sync.confirmNow());
+  const freshness = new Freshness(clock, () =>
+    runTask("confirm", () => sync.confirmNow()),
+  );
   const era = new StoreEra(() => {
-    void sync.startRestore();
-    void writeHoldsAgain();
+    runTask("restore", () => sync.startRestore());
+    runTask("restore-holds", () => writeHoldsAgain());
   });
   const store = new StoreClient({
     ...settings.storeAddress,
@@ -165,8 +174,8 @@
   const promptHolds = new PromptHolds({
     selfName: settings.name,
     listSharers: () => peers.listSharers(),
-    onHold: (held) => void storedHolds.write(held),
-    onRelease: (held) => void storedHolds.remove(held),
+    onHold: (held) => runTask("hold", () => storedHolds.write(held)),
+    onRelease: (held) => runTask("release", () => storedHolds.remove(held)),
     clock,
     log,
   });
@@ -287,10 +296,12 @@
       server.closeAllConnections();
     }
   };
-  void peers.run();
-  void sync.run();
-  void storedHolds.load();
-  void runTicks({ view, sync, peers, loopDelay, now, log, signal });
+  runTask("peers", () => peers.run());
+  runTask("views", () => sync.run());
+  runTask("stored-holds", () => storedHolds.load());
+  runTask("ticks", () =>
+    runTicks({ view, sync, peers, loopDelay, now, log, signal }),
+  );
   return {
     callerPort: (callerServer.address() as AddressInfo).port,
     exchangePort,
@@ -347,7 +358,8 @@
 
 /** Removes expired records and writes due roll-out outcomes until aborted. */
 async function runTicks(options: TickOptions): Promise<void> {
-  const { view, sync, peers, loopDelay, now, log, signal } = options;
+  const { loopDelay, now, log, signal } = options;
+  const repeatLog = new RepeatLog(options);
   const dueSinceMsByService = new Map<string, number>();
   while (!signal.aborted) {
     const tickStartedAtMs = now();
@@ -357,19 +369,28 @@
       const meanMs = Math.round(loopDelay.meanMs);
       log.warn(loopDelay.isLate ? "loop-late" : "loop-in-time", { meanMs });
     }
-    view.endpoints.removeExpired(now());
-    const decisions = view.rollouts.decide(now());
-    for (const decision of decisions) {
-      const { service } = decision.order;
-      const dueSinceMs = dueSinceMsByService.get(service) ?? now();
-      dueSinceMsByService.set(service, dueSinceMs);
-      if (
-        now() - dueSinceMs <
-        peers.getRankByName() * OUTCOME_DELAY_PER_RANK_MS
-      )
-        continue;
-      await sync.writeOutcome(decision);
+    try {
+      await runTick(options, dueSinceMsByService);
+    } catch (error) {
+      const reason = String(error);
+      repeatLog.error(reason, "tick-failed", { reason });
     }
-    if (decisions.length === 0) dueSinceMsByService.clear();
   }
 }
+
+async function runTick(
+  { view, sync, peers, now }: TickOptions,
+  dueSinceMsByService: Map<string, number>,
+): Promise<void> {
+  view.endpoints.removeExpired(now());
+  const decisions = view.rollouts.decide(now());
+  for (const decision of decisions) {
+    const { service } = decision.order;
+    const dueSinceMs = dueSinceMsByService.get(service) ?? now();
+    dueSinceMsByService.set(service, dueSinceMs);
+    if (now() - dueSinceMs < peers.getRankByName() * OUTCOME_DELAY_PER_RANK_MS)
+      continue;
+    await sync.writeOutcome(decision);
+  }
+  if (decisions.length === 0) dueSinceMsByService.clear();
+}
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -298,18 +298,21 @@
     if (this.#isConfirming || this.#configurationWatch.isLost) return;
     this.#isConfirming = true;
     const { store, clock } = this.#options;
-    await this.#outage.run(async () => {
-      const startedAtMs = clock.now();
-      const object = await store.get(
-        OBJECT_KIND.configuration,
-        CONFIGURATION_NAME,
-      );
-      if (object.isErr()) return object.error;
-      this.#applyConfiguration(object.value);
-      this.#confirmConfiguration(startedAtMs);
-      return undefined;
-    });
-    this.#isConfirming = false;
+    try {
+      await this.#outage.run(async () => {
+        const startedAtMs = clock.now();
+        const object = await store.get(
+          OBJECT_KIND.configuration,
+          CONFIGURATION_NAME,
+        );
+        if (object.isErr()) return object.error;
+        this.#applyConfiguration(object.value);
+        this.#confirmConfiguration(startedAtMs);
+        return undefined;
+      });
+    } finally {
+      this.#isConfirming = false;
+    }
   }
 
   /** Writes a roll-out's outcome; false if the write is to be retried. */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -11,6 +11,7 @@
 } from "./entry_settings.js";
 import { createLogOutput, type ProcessOutput } from "./log_output.js";
 import { ProcessSignals } from "./process_signals.js";
+import { UncaughtErrors } from "./uncaught_errors.js";
 
 const SETTINGS_VARIABLE = "HORNBEAMRILL_NODE_FILE";
 /** Exit codes, the same as the daemon's. */
@@ -69,6 +70,7 @@
   }
   const output = createLogOutput();
   const log = createEntryLogger(settings.value, output);
+  const errors = new UncaughtErrors({ log, now: () => performance.now() });
   signals.setReload(() => reportReload(settings.value, log));
   try {
     const entry = await startEntry(
@@ -82,12 +84,16 @@
       initMs: Math.round(loadedAtMs),
       bootMs: Math.round(performance.nodeTiming.bootstrapComplete),
     });
-    const { signal, atMs } = await signals.stopRequested;
-    log.info("stop-requested", { signal });
-    await entry.stop(performance.now() - atMs);
+    // Before, Node's own handling ends a start that would not come to its end.
+    errors.start();
+    const stop = await Promise.race([signals.stopRequested, errors.tooMany]);
+    if (stop === undefined) log.error("stop-requested", { reason: "errors" });
+    else log.info("stop-requested", { signal: stop.signal });
+    const elapsedMs = stop === undefined ? 0 : performance.now() - stop.atMs;
+    await entry.stop(elapsedMs);
     log.info("stopped");
     await output.flush();
-    return EXIT_STOPPED;
+    return stop === undefined ? EXIT_FAILED : EXIT_STOPPED;
   } catch (error) {
     if (signals.stopSignal.aborted) {
       log.info("stopped", { during: "start", reason: String(error) });
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -233,7 +233,7 @@
         () => outgoing.destroy(new Error(`No answer in ${timeoutMs} ms`)),
         timeoutMs,
       );
-      outgoing.once("error", (error) =>
+      outgoing.on("error", (error) =>
         fail(STORE_FAILURE.noAnswer, error.message),
       );
       // Status 101 comes as this event; without a listener, none tells the end.
--- a/src/platform/store_outage.ts
+++ b/src/platform/store_outage.ts
@@ -53,13 +53,16 @@
   ): Promise<CallOutcome> {
     const isProbe = await this.#waitForTurn();
     let failure: CallOutcome;
-    if (!this.#options.signal.aborted && isWanted()) {
-      failure = await send();
-      this.#recordResult(failure, isProbe);
-    }
-    if (isProbe) {
-      this.#isProbing = false;
-      this.#wake();
+    try {
+      if (!this.#options.signal.aborted && isWanted()) {
+        failure = await send();
+        this.#recordResult(failure, isProbe);
+      }
+    } finally {
+      if (isProbe) {
+        this.#isProbing = false;
+        this.#wake();
+      }
     }
     return failure;
   }
--- a/src/platform/store_outage_test.ts
+++ b/src/platform/store_outage_test.ts
@@ -93,4 +93,15 @@
     await outage.run(async () => ({ kind: STORE_FAILURE.historyGone, detail }));
     assert.equal(outage.isOngoing, false);
   });
+
+  // The others would wait for a probe that nobody makes any more.
+  it("goes on with another probe after one that throws", async () => {
+    const outage = createOutage();
+    await outage.run(async () => NO_ANSWER);
+    const thrown = outage.run(() => Promise.reject(new Error("odd")));
+    const next = outage.run(async () => undefined);
+    await assert.rejects(thrown, /odd/);
+    await next;
+    assert.equal(outage.isOngoing, false);
+  });
 });
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -26,6 +26,9 @@
 /** Time within which a watch call on an open connection reaches the store, ms. */
 const WATCH_ARRIVAL_MS = 100;
 
+/** Pause after a round that failed by an error in the entry's code, ms. */
+const ERROR_PAUSE_MS = 1_000;
+
 export interface WatchHandlers {
   onList(objects: readonly StoredObject[]): void;
   onChange(object: StoredObject): void;
@@ -215,15 +218,31 @@
       else this.#handleFailure(failure);
       return failure;
     };
-    while (!signal.aborted) {
+    const runRound = async () => {
       await this.#waitForTurn();
       const isAfterList = this.#revision === undefined;
       await outage.run(readStore, () => !this.#isFollowing);
-      if (!this.#hasChanged) continue;
+      if (!this.#hasChanged) return;
       await pauseFor(getPauseMs(this.ageMs, isAfterList), signal);
+    };
+    while (!signal.aborted) {
+      try {
+        await runRound();
+      } catch (error) {
+        this.#reportError(error);
+        await pauseFor(ERROR_PAUSE_MS, signal);
+      }
     }
   }
 
+  /** A part of the changes may be applied, so all objects are listed again. */
+  #reportError(error: unknown): void {
+    const { kind } = this.#options;
+    const reason = String(error);
+    this.#oddLog.error(reason, "view-round-failed", { kind, reason });
+    this.#revision = undefined;
+  }
+
   async #list(): Promise<StoreFailure | undefined> {
     const { store, kind, clock, handlers, log, getEra } = this.#options;
     const startedAtMs = clock.now();
--- a/src/platform/store_watch_test.ts
+++ b/src/platform/store_watch_test.ts
@@ -65,4 +65,53 @@
   it("does not count as recent by a watch call that was not sent", async () => {
     assert.ok((await measureAge(false)) >= WAIT_MS / 2);
   });
+
+  // Its view would never change again, and the process would go on with it.
+  it("lists again after a round that failed in the entry's code", async () => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    const clock = createSuspendClock();
+    let lists = 0;
+    const watch = new StoreWatch({
+      kind: OBJECT_KIND.endpoints,
+      store: {
+        list: async () =>
+          ok({
+            objects: [],
+            skipReasons: [],
+            hasMore: false,
+            storeRevision: 1,
+          }),
+        watch: async () =>
+          ok({ events: [], skipReasons: [], storeRevision: 1 }),
+      },
+      getWaitMs: () => 10,
+      getPauseMs: () => 10,
+      confirmsAtCallStart: false,
+      getEra: () => 1,
+      getReachedAtMs: () => clock.now(),
+      outage: new StoreOutage({
+        getMaxProbePauseMs: () => 500,
+        random: Math.random,
+        signal,
+      }),
+      clock,
+      log: LOG,
+      handlers: {
+        onList() {
+          lists++;
+          if (lists === 1) throw new Error("odd");
+        },
+        onChange() {},
+        onDelete() {},
+        onConfirm: () => {
+          if (lists === 2) controller.abort();
+        },
+      },
+      onViewChange: () => {},
+      signal,
+    });
+    await watch.run();
+    assert.equal(lists, 2);
+  });
 });
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -66,7 +66,7 @@
       clearTimeout(timer);
       resolve(result);
     };
-    clientRequest.once("error", (error) => settle(err(error.message)));
+    clientRequest.on("error", (error) => settle(err(error.message)));
     // Status 101 comes as this event; without a listener, none tells the end.
     clientRequest.once("upgrade", ({ statusCode }, socket) => {
       socket.destroy();
@@ -107,7 +107,10 @@
   options?: ListenOptions,
 ): Promise<Server> {
   const server = createServer((incoming, response) => {
-    void answerMessage(handlers, incoming, response);
+    answerMessage(handlers, incoming, response).catch((error: unknown) => {
+      options?.log.error("peer-answer-failed", { error: String(error) });
+      response.destroy();
+    });
   });
   return startListening(server, listenAddress, options);
 }
--- a/src/proxy/fleet/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -163,9 +163,16 @@
   async run(): Promise<void> {
     const { signal, random } = this.#options;
     for (let round = 0; !signal.aborted; round++) {
-      await Promise.all(
-        this.#chooseTargets(round).map((target) => this.#exchangeWith(target)),
-      );
+      try {
+        await Promise.all(
+          this.#chooseTargets(round).map((target) =>
+            this.#exchangeWith(target),
+          ),
+        );
+      } catch (error) {
+        const reason = String(error);
+        this.#oddLog.error(reason, "peer-round-failed", { reason });
+      }
       const pauseMs = ROUND_INTERVAL_MS * (0.8 + 0.4 * random());
       await pauseFor(pauseMs, signal);
     }
--- a/src/proxy/fleet/peers_test.ts
+++ b/src/proxy/fleet/peers_test.ts
@@ -239,4 +239,58 @@
     );
     assert.deepEqual(peers.listSharers(), ["e0", "e2"]);
   });
+
+  // The others would take an entry that goes on serving for one that has ended.
+  it("goes on with the next round after one that fails", async () => {
+    const controller = new AbortController();
+    let rounds = 0;
+    const self = { address: "127.0.0.1", port: 1, dataCentre: "dc1" };
+    const peers = new Peers({
+      self: { ...self, name: "e0", incarnation: "1" },
+      seeds: [{ address: "127.0.0.1", port: 2 }],
+      rollouts: new Rollouts("e0", 0.15),
+      sessions: new SessionVersions({ maxGapMs: 5_000, reportBelow: 1 }),
+      limits: {
+        listReports: () => {
+          rounds++;
+          if (rounds === 1) throw new Error("odd");
+          controller.abort();
+          return [];
+        },
+        merge: () => {},
+      },
+      promptHolds: NO_HOLDS,
+      getConfigVersion: () => 0,
+      now: () => performance.now(),
+      random: Math.random,
+      log: LOG,
+      signal: controller.signal,
+    });
+    await peers.run();
+    assert.equal(rounds, 2);
+  });
+
+  it("answers the next message after one whose handler fails", async () => {
+    let calls = 0;
+    const server = await startPeerServer(
+      new Map([
+        [
+          EXCHANGE_PATH,
+          () => {
+            calls++;
+            if (calls === 1) throw new Error("odd");
+            return Buffer.from("answer");
+          },
+        ],
+      ]),
+      { address: "127.0.0.1", port: 0 },
+    );
+    closers.push(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const url = `http://127.0.0.1:${port}${EXCHANGE_PATH}`;
+    const headers = { connection: "close" };
+    await assert.rejects(fetch(url, { method: "POST", headers }));
+    const answer = await fetch(url, { method: "POST", headers });
+    assert.equal(await answer.text(), "answer");
+  });
 });
--- a/src/proxy/fleet/view_relay.ts
+++ b/src/proxy/fleet/view_relay.ts
@@ -133,16 +133,25 @@
   async run(): Promise<void> {
     const { signal } = this.#options;
     while (!signal.aborted) {
-      const source = this.#chooseSource();
-      this.#logSource(source?.name ?? "store");
-      if (source !== undefined) await this.#askForNews(source);
-      else {
+      try {
+        await this.#runRound();
+      } catch (error) {
+        const reason = String(error);
+        this.#oddLog.error(reason, "relay-round-failed", { reason });
         this.#stopFollowing();
         await pauseFor(IDLE_PAUSE_MS, signal);
       }
     }
   }
 
+  async #runRound(): Promise<void> {
+    const source = this.#chooseSource();
+    this.#logSource(source?.name ?? "store");
+    if (source !== undefined) return await this.#askForNews(source);
+    this.#stopFollowing();
+    await pauseFor(IDLE_PAUSE_MS, this.#options.signal);
+  }
+
   #chooseSource(): Place | undefined {
     const { views, listNeighbours, selfName, clock } = this.#options;
     if (views.some((view) => view.revision === undefined)) return undefined;
--- a/src/proxy/fleet/view_relay_test.ts
+++ b/src/proxy/fleet/view_relay_test.ts
@@ -76,4 +76,31 @@
     assert.equal(appliedCount, 0);
     assert.equal(followingStates[0], true);
   });
+
+  it("goes on with the next round after one that fails", async () => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    let rounds = 0;
+    const relay = new ViewRelay({
+      selfName: "e1",
+      views: [],
+      maxAgeMs: {},
+      waitMs: 50,
+      getEra: () => 0,
+      onEra: () => {},
+      listNeighbours: () => {
+        rounds++;
+        if (rounds === 1) throw new Error("odd");
+        controller.abort();
+        return [];
+      },
+      onAnswer: () => {},
+      onSourceLost: () => {},
+      clock: createSuspendClock(),
+      log: LOG,
+      signal,
+    });
+    await relay.run();
+    assert.equal(rounds, 2);
+  });
 });
