--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -233,9 +233,14 @@
         () => outgoing.destroy(new Error(`No answer in ${timeoutMs} ms`)),
         timeoutMs,
       );
-      outgoing.once("error", (error) =>
+      outgoing.on("error", (error) =>
         fail(STORE_FAILURE.noAnswer, error.message),
       );
+      // Status 101 comes as this event; without a listener, none tells the end.
+      outgoing.once("upgrade", ({ statusCode }, socket) => {
+        socket.destroy();
+        fail(STORE_FAILURE.malformed, `Status ${statusCode}`);
+      });
       outgoing.once("response", (response) => {
         const era = parseEra(response.headers["store-era"]);
         if (era !== undefined && !storeEra.observe(era)) {
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -5,6 +5,7 @@
 
 import type { Logger } from "../adapters/logger.js";
 import { pauseFor } from "../adapters/pause_for.js";
+import { RepeatLog } from "../adapters/repeat_log.js";
 import {
   ChangeLog,
   type RelayedChanges,
@@ -25,6 +26,9 @@
 /** Time within which a watch call on an open connection reaches the store, ms. */
 const WATCH_ARRIVAL_MS = 100;
 
+/** Pause after a round that failed by an error in the entry's code, ms. */
+const ERROR_PAUSE_MS = 1_000;
+
 export interface WatchHandlers {
   onList(objects: readonly StoredObject[]): void;
   onChange(object: StoredObject): void;
@@ -82,10 +86,13 @@
   readonly #changes = new ChangeLog<ObjectEvent>();
   /** Another entry reads the store for this one. */
   #isFollowing = false;
+  readonly #oddLog: RepeatLog;
   #stopWaiting: () => void = () => {};
 
   constructor(options: WatchOptions) {
     this.#options = options;
+    const { log, clock } = options;
+    this.#oddLog = new RepeatLog({ log, now: () => clock.now() });
   }
 
   /** True once all objects were listed. */
@@ -211,15 +218,31 @@
       else this.#handleFailure(failure);
       return failure;
     };
-    while (!signal.aborted) {
+    const runRound = async () => {
       await this.#waitForTurn();
       const isAfterList = this.#revision === undefined;
       await outage.run(readStore, () => !this.#isFollowing);
-      if (!this.#hasChanged) continue;
+      if (!this.#hasChanged) return;
       await pauseFor(getPauseMs(this.ageMs, isAfterList), signal);
+    };
+    while (!signal.aborted) {
+      try {
+        await runRound();
+      } catch (error) {
+        this.#reportError(error);
+        await pauseFor(ERROR_PAUSE_MS, signal);
+      }
     }
   }
 
+  /** A part of the changes may be applied, so all objects are listed again. */
+  #reportError(error: unknown): void {
+    const { kind } = this.#options;
+    const reason = String(error);
+    this.#oddLog.error(reason, "view-round-failed", { kind, reason });
+    this.#revision = undefined;
+  }
+
   async #list(): Promise<StoreFailure | undefined> {
     const { store, kind, clock, handlers, log, getEra } = this.#options;
     const startedAtMs = clock.now();
@@ -307,9 +330,9 @@
   }
 
   #logSkipped(skipReasons: readonly string[]): void {
-    const { log, kind } = this.#options;
+    const { kind } = this.#options;
     for (const reason of skipReasons)
-      log.warn("object-skipped", { kind, reason });
+      this.#oddLog.warn(reason, "object-skipped", { kind, reason });
   }
 
   #recordRegained(): void {
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -66,7 +66,12 @@
       clearTimeout(timer);
       resolve(result);
     };
-    clientRequest.once("error", (error) => settle(err(error.message)));
+    clientRequest.on("error", (error) => settle(err(error.message)));
+    // Status 101 comes as this event; without a listener, none tells the end.
+    clientRequest.once("upgrade", ({ statusCode }, socket) => {
+      socket.destroy();
+      settle(err(`answer has status ${statusCode}`));
+    });
     clientRequest.once("response", (response) => {
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
@@ -102,7 +107,10 @@
   options?: ListenOptions,
 ): Promise<Server> {
   const server = createServer((incoming, response) => {
-    void answerMessage(handlers, incoming, response);
+    answerMessage(handlers, incoming, response).catch((error: unknown) => {
+      options?.log.error("peer-answer-failed", { error: String(error) });
+      response.destroy();
+    });
   });
   return startListening(server, listenAddress, options);
 }
