Notice a silent connection to the store within the bounds

Entries sent requests to an endpoint up to 3.8 s after the store had acknowledged that it leaves (bound 2 s), and orders were lost with its end, while open connections to the store were silent.

Cause: a watch was given up only after its wait and 600 ms (endpoints 4.6 s, evacuations 6.6 s), whatever the bound, and an answer on another connection counted as proof that a waiting watch was current.

Now a watch without an answer in time renews the others that wait; the one of the configuration and the one of evacuations are given up at 0.9 of the shortest bound and of their own. The store has one counter of revisions, so each answer of the configuration's watch shows whether changes are missing; if so, the endpoints' watch is renewed after 150 ms, once for each rise. A renewed call says nothing about the store, so an outage goes on until a call is answered.

--- a/src/platform/failures.ts
+++ b/src/platform/failures.ts
@@ -22,6 +22,8 @@
 export interface StoreFailure {
   readonly kind: StoreFailureKind;
   readonly detail: string;
+  /** Nothing came in time; the connection may be silent for good. */
+  readonly isTimeout?: boolean;
 }
 
 /** An invalid document, or an invalid part of one. */
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -23,6 +23,7 @@
   type StoreClient,
   type StoredObject,
   type ViewKind,
+  WATCH_SLACK_MS,
 } from "./store_client.js";
 import type { StoreEra } from "./store_era.js";
 import { StoreOutage } from "./store_outage.js";
@@ -35,9 +36,10 @@
 /** Name of the stored object with the configuration. */
 const CONFIGURATION_NAME = "main";
 /**
- * How long a watch call waits for changes, ms. For the configuration, this
- * bounds the age of the proof that no API key was withdrawn; for the others,
- * how long a connection that went silent stays unnoticed.
+ * How long a watch call waits for changes at most, ms. For the configuration,
+ * this bounds the age of the proof that no API key was withdrawn. Its answers
+ * also show whether the call for endpoints, which waits longer, has missed a
+ * change.
  */
 const WATCH_WAIT_MS = {
   configuration: 2_500,
@@ -81,6 +83,12 @@
  */
 const COLLECT_SHARE = 0.25;
 
+/**
+ * Share of a bound within which a call on a connection that went silent is
+ * given up; the rest is for the next call.
+ */
+const NOTICE_SHARE = 0.9;
+
 /** Shortest wait of a reader's watch call, ms; limits its rate of calls. */
 const MIN_WATCH_WAIT_MS = 100;
 
@@ -161,8 +169,11 @@
       CONFIRM_AGE_SHARE * options.maxConfigAgeMs,
     );
     const maxConfigWaitMs = Math.min(
-      WATCH_WAIT_MS.configuration,
       maxConfirmWaitMs,
+      computeWatchWaitMs(
+        WATCH_WAIT_MS.configuration,
+        Math.min(...Object.values(boundMs)),
+      ),
     );
     const maxReaderAgeMs =
       READER_AGE_SHARE * Math.min(...Object.values(boundMs));
@@ -211,7 +222,10 @@
       ),
       createWatch(
         OBJECT_KIND.evacuations,
-        WATCH_WAIT_MS.evacuations,
+        computeWatchWaitMs(
+          WATCH_WAIT_MS.evacuations,
+          boundMs[OBJECT_KIND.evacuations],
+        ),
         this.#evacuationHandlers(),
       ),
     ];
@@ -359,6 +373,20 @@
       signal,
       outage: this.#outage,
       getReachedAtMs: () => this.#configurationWatch.reachedAtMs,
+      // One that got no answer tells that the others may get none either.
+      onTimeout: () => {
+        for (const watch of this.#watches)
+          if (watch.kind !== kind) watch.renew();
+      },
+      onRevision:
+        kind === OBJECT_KIND.configuration
+          ? (revision, events) => {
+              const watch = this.#watches.find(
+                (one) => one.kind === OBJECT_KIND.endpoints,
+              );
+              watch?.checkRevision(revision, events);
+            }
+          : undefined,
       onViewChange: () => {
         this.relay.notifyChange();
         this.#loadWaiters.wake();
@@ -530,3 +558,9 @@
     };
   }
 }
+
+/** Longest wait after which a silent connection is noticed within the bound. */
+function computeWatchWaitMs(longestMs: number, boundMs: number): number {
+  const inTimeMs = Math.round(NOTICE_SHARE * boundMs) - WATCH_SLACK_MS;
+  return Math.min(longestMs, Math.max(MIN_WATCH_WAIT_MS, inTimeMs));
+}
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -66,7 +66,7 @@
 /** Time limit for a call that does not wait for changes, ms. */
 const CALL_TIMEOUT_MS = 1_500;
 /** Time for the answer to a watch call on top of its wait, ms. */
-const WATCH_SLACK_MS = 600;
+export const WATCH_SLACK_MS = 600;
 /**
  * Largest answer that is read, bytes: a page of a list has about 1 MiB, and
  * the answer to a watch call several changes of objects of up to 1 MiB each.
@@ -202,8 +202,9 @@
         onCall(kind, result.isOk() ? "ok" : result.error.kind);
         resolve(result);
       };
+      let isTimeout = false;
       const fail = (failureKind: StoreFailure["kind"], detail: string) =>
-        settle(err({ kind: failureKind, detail }));
+        settle(err({ kind: failureKind, detail, isTimeout }));
       const outgoing = request({
         host: address,
         port,
@@ -229,10 +230,10 @@
         () => outgoing.destroy(new Error("The call is no longer wanted")),
         { once: true },
       );
-      const timer = setTimeout(
-        () => outgoing.destroy(new Error(`No answer in ${timeoutMs} ms`)),
-        timeoutMs,
-      );
+      const timer = setTimeout(() => {
+        isTimeout = true;
+        outgoing.destroy(new Error(`No answer in ${timeoutMs} ms`));
+      }, timeoutMs);
       outgoing.once("error", (error) =>
         fail(STORE_FAILURE.noAnswer, error.message),
       );
--- a/src/platform/store_outage.ts
+++ b/src/platform/store_outage.ts
@@ -16,8 +16,10 @@
   readonly signal: AbortSignal;
 }
 
+/** The call was given up before it could tell whether the store answers. */
+export const CALL_ABANDONED = "abandoned";
 /** Why a call failed; undefined when it did not. */
-export type CallOutcome = StoreFailure | undefined;
+export type CallOutcome = StoreFailure | typeof CALL_ABANDONED | undefined;
 
 export class StoreOutage {
   readonly #options: StoreOutageOptions;
@@ -85,6 +87,7 @@
   }
 
   #recordResult(failure: CallOutcome, isProbe: boolean): void {
+    if (failure === CALL_ABANDONED) return;
     if (failure !== undefined && isOutage(failure)) {
       this.#isOngoing = true;
       if (!isProbe) return;
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -20,10 +20,16 @@
   serializeEvent,
   type ViewKind,
 } from "./store_client.js";
-import type { StoreOutage } from "./store_outage.js";
+import {
+  CALL_ABANDONED,
+  type CallOutcome,
+  type StoreOutage,
+} from "./store_outage.js";
 
 /** Time within which a watch call on an open connection reaches the store, ms. */
 const WATCH_ARRIVAL_MS = 100;
+/** Time in which changes arrive on two connections one after the other, ms. */
+const CHANGE_ARRIVAL_MS = 150;
 
 export interface WatchHandlers {
   onList(objects: readonly StoredObject[]): void;
@@ -64,6 +70,13 @@
   readonly handlers: WatchHandlers;
   /** Called when the view has changed or the store was lost. */
   readonly onViewChange: () => void;
+  /** Called when a watch call got no answer in time. */
+  readonly onTimeout?: () => void;
+  /** Called with the store's revision that an answer names. */
+  readonly onRevision?: (
+    revision: number,
+    events: readonly ObjectEvent[],
+  ) => void;
   readonly signal: AbortSignal;
 }
 
@@ -79,6 +92,10 @@
   /** When the pending watch call was sent. */
   #watchSentAtMs: number | undefined;
   #hasChanged = false;
+  /** The pending watch call was given up for another one. */
+  #isRenewed = false;
+  /** Revision of the store up to which no change is missing. */
+  #checkedRevision = 0;
   readonly #changes = new ChangeLog<ObjectEvent>();
   /** Another entry reads the store for this one. */
   #isFollowing = false;
@@ -96,11 +113,45 @@
   /** Lists all objects again; until then the view stays as it is. */
   restart(): void {
     this.#revision = undefined;
+    this.#checkedRevision = 0;
     this.#watchSentAtMs = undefined;
     this.#watchController.abort();
     this.setFollowing(false);
   }
 
+  /** Gives up a pending watch call, whose connection may be silent. */
+  renew(): void {
+    if (this.#watchSentAtMs === undefined) return;
+    this.#watchSentAtMs = undefined;
+    this.#isRenewed = true;
+    this.#watchController.abort();
+  }
+
+  /**
+   * Called when an answer to another call names the store's revision. A watch
+   * call that still waits then has missed a change, unless the changes were
+   * of other kinds.
+   */
+  checkRevision(revision: number, events: readonly ObjectEvent[]): void {
+    const sentAtMs = this.#watchSentAtMs;
+    const checked = Math.max(this.#checkedRevision, this.#revision ?? 0);
+    const { length: known } = events.filter(
+      ({ object }) => object.revision > checked,
+    );
+    if (revision - known <= checked) {
+      this.#checkedRevision = Math.max(checked, revision);
+      return;
+    }
+    if (sentAtMs === undefined) return;
+    const check = async () => {
+      await pauseFor(CHANGE_ARRIVAL_MS, this.#options.signal);
+      if (this.#watchSentAtMs !== sentAtMs) return;
+      this.#checkedRevision = Math.max(this.#checkedRevision, revision);
+      this.renew();
+    };
+    void check();
+  }
+
   get kind(): string {
     return this.#options.kind;
   }
@@ -206,7 +257,7 @@
     const readStore = async () => {
       const failure =
         this.#revision === undefined ? await this.#list() : await this.#watch();
-      if (signal.aborted) return undefined;
+      if (signal.aborted || failure === CALL_ABANDONED) return failure;
       if (failure === undefined) this.#recordRegained();
       else this.#handleFailure(failure);
       return failure;
@@ -264,12 +315,13 @@
     return undefined;
   }
 
-  async #watch(): Promise<StoreFailure | undefined> {
+  async #watch(): Promise<CallOutcome> {
     const { store, kind, clock, outage, getWaitMs, confirmsAtCallStart } =
       this.#options;
     const { ageMs } = this;
     const hasChanged = this.#hasChanged;
     this.#hasChanged = false;
+    this.#isRenewed = false;
     // While the store is lost, calls without a wait soon find that it is back.
     const isShort = this.isLost || outage.isOngoing;
     const waitMs = isShort ? 0 : getWaitMs({ ageMs, hasChanged });
@@ -287,6 +339,7 @@
       },
     });
     this.#watchSentAtMs = undefined;
+    if (this.#isRenewed) return CALL_ABANDONED;
     if (signal.aborted) return undefined;
     if (result.isErr()) return result.error;
     // Another entry has sent newer changes in the meantime.
@@ -294,6 +347,7 @@
     const { events, skipReasons, storeRevision } = result.value;
     this.#logSkipped(skipReasons);
     this.#applyEvents(events, storeRevision);
+    this.#options.onRevision?.(storeRevision, events);
     this.#hasChanged = events.length + skipReasons.length > 0;
     const durationMs = clock.now() - startedAtMs;
     // Time after the start as of which the call confirms the view. Without
@@ -330,6 +384,7 @@
       this.#revision = undefined;
       return;
     }
+    if (failure.isTimeout) this.#options.onTimeout?.();
     if (this.#lostAtMs !== undefined) return;
     this.#lostAtMs = clock.now();
     const { detail } = failure;
