Keep idle connections for the idle time of the newest configuration

Callers that used a kept connection again within four fifths of the newest idle time found it closed.

Cause: a connection's timer is set at the end of an answer, from the configuration of the newest request. A longer idle time that came into force while the connection was idle did not count for it.

Now a connection whose timer ends is closed only if it was idle for as long as the newest configuration allows; else its timer runs on for the rest.

--- a/src/proxy/request/caller_errors.ts
+++ b/src/proxy/request/caller_errors.ts
@@ -41,15 +41,38 @@
   socket.end(isRefused ? undefined : createParseRefusal(error.code));
 }
 
-/** Closes a connection after its idle time, unless a request lies unread. */
+/** Node closes a connection so much later than callers are told. */
+const CLOSE_MARGIN_MS = 1_000;
+
+interface IdleTime {
+  readonly bytesRead: number;
+  readonly ms: number;
+}
+
+/** Idle times of connections whose first timer has ended. */
+const idleTimes = new WeakMap<Socket, IdleTime>();
+
+/**
+ * Closes a connection after its idle time, unless a request lies unread. Its
+ * timer is that of an older configuration, which may have allowed less.
+ */
 export async function closeIfIdle(
   callerConnections: CallerConnections,
   socket: Socket,
+  idleTimeoutMs: number,
 ): Promise<void> {
-  const { bytesRead } = socket;
+  const { bytesRead, timeout = 0 } = socket;
   await waitForPendingReads();
   if (socket.bytesRead > bytesRead || callerConnections.isAnswering(socket)) {
     return;
   }
-  socket.destroy();
+  const before = idleTimes.get(socket);
+  const ms = timeout + (before?.bytesRead === bytesRead ? before.ms : 0);
+  const leftMs = idleTimeoutMs + CLOSE_MARGIN_MS - ms;
+  if (timeout === 0 || leftMs <= 0) {
+    socket.destroy();
+    return;
+  }
+  idleTimes.set(socket, { bytesRead, ms });
+  socket.setTimeout(leftMs);
 }
--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -58,7 +58,9 @@
     void refuseUnreadable(callerConnections, error, socket);
   });
   server.on("timeout", (socket) => {
-    void closeIfIdle(callerConnections, socket);
+    const { limits } = view.catalog?.configuration ?? {};
+    const idleMs = limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
+    void closeIfIdle(callerConnections, socket, idleMs);
   });
   return server;
 }
