Count all entries that share the allowance of retries

What endpoints saw: beyond the ratio, all entries together sent more retries in a window than the allowance, the more the more entries there are.

Cause: each entry divided the allowance by the entries that it counted, and counted too few: eight while it looks for the others, one where it was cut off for 30 s or had found none 2.5 s after its start, those of its half in a partition. Each also rounded its part up, which 68 entries do 68 times.

One that has other seeds and has heard of none has no part. A retry needs a whole one, so parts are rounded down. The ratio is spent on an entry's own requests as before, so it can retry from its first requests on.

The unit test that expected the part rounded up expects it rounded down now.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -226,6 +226,7 @@
       ratio: bounds.retryRatio,
       windowMs: bounds.retryWindowMs,
       allowance: bounds.retryAllowance,
+      countSharers: () => peers.countSharers(),
     }),
     sessions,
     limits,
--- a/src/proxy/fleet/peers.ts
+++ b/src/proxy/fleet/peers.ts
@@ -17,6 +17,7 @@
 import type { PromptHolds } from "./prompt_holds.js";
 import type { Rollouts } from "./rollouts.js";
 import type { SessionVersions } from "./session_versions.js";
+import { Sharers } from "./sharers.js";
 
 /** Mean pause between two rounds. */
 const ROUND_INTERVAL_MS = 400;
@@ -74,6 +75,7 @@
   readonly #departed = new LRUCache<string, true>({
     max: MAX_REMEMBERED_DEPARTURES,
   });
+  readonly #sharers = new Sharers();
   readonly #agent = new Agent({ keepAlive: true });
   readonly #startedAtMs: number;
   #isLeaving = false;
@@ -98,6 +100,25 @@
       : Math.max(foundCount, MIN_ASSUMED_ENTRIES);
   }
 
+  /**
+   * Number of entries that share a fixed allowance, this one included, and
+   * those that are cut off. Undefined until the others are found.
+   */
+  countSharers(): number | undefined {
+    const { now, seeds } = this.#options;
+    const nowMs = now();
+    const hasOtherSeeds = seeds.some((seed) => !this.#isSelf(seed));
+    if (!hasOtherSeeds) return this.#sharers.count(nowMs);
+    const isDiscovering = nowMs - this.#startedAtMs <= DISCOVERY_MS;
+    if (isDiscovering || this.#sharers.isEmpty) return undefined;
+    return this.#sharers.count(nowMs);
+  }
+
+  #isSelf({ address, port }: NetworkAddress): boolean {
+    const { self } = this.#options;
+    return address === self.address && port === self.port;
+  }
+
   /**
    * Names of the entries that share a rate, this one included. An entry that is
    * cut off from all others still counts those that it last knew, as they go on.
@@ -183,7 +204,7 @@
     ];
     if (chosen.length > 0 && round % SEED_INTERVAL_ROUNDS !== 0) return chosen;
     const isSelfOrChosen = (seed: NetworkAddress) =>
-      (seed.address === self.address && seed.port === self.port) ||
+      this.#isSelf(seed) ||
       chosen.some(
         (place) => place.address === seed.address && place.port === seed.port,
       );
@@ -251,6 +272,7 @@
       if (leaving) {
         this.#departed.set(`${sender.name} ${sender.incarnation}`, true);
         this.#peers.delete(sender.name);
+        this.#sharers.recordLeaving(sender.name, nowMs);
       } else this.#recordPeer(sender, nowMs);
     }
     for (const place of peers) this.#recordPeer(place, nowMs - place.ageMs);
@@ -275,6 +297,7 @@
       log.info("peer-found", { peer: place.name, address: place.address });
     }
     this.#peers.set(place.name, { place, lastHeardAtMs });
+    this.#sharers.record(place.name, lastHeardAtMs);
   }
 
   /** Handles the message of another entry and answers with its own. */
--- a/src/proxy/placing/retry_budget.ts
+++ b/src/proxy/placing/retry_budget.ts
@@ -12,6 +12,14 @@
   readonly allowance: number;
 }
 
+export interface RetryBudgetOptions extends RetryLimits {
+  /**
+   * Number of entries that share the allowance, this one included; undefined
+   * while it isn't known. Then this entry has no part of it.
+   */
+  readonly countSharers: () => number | undefined;
+}
+
 /**
  * Share of the budget that is used. The rest is a margin, since the windows of
  * the entries and of a checker don't begin at the same time.
@@ -36,32 +44,40 @@
 }
 
 export class RetryBudget {
-  readonly #limits: RetryLimits;
+  readonly #options: RetryBudgetOptions;
   readonly #requests = new Map<string, SlidingWindow>();
   readonly #retries = new Map<string, SlidingWindow>();
 
-  constructor(limits: RetryLimits) {
-    this.#limits = limits;
+  constructor(options: RetryBudgetOptions) {
+    this.#options = options;
   }
 
   recordRequest(service: string, nowMs: number): void {
     getWindow(this.#requests, service).add(nowMs);
   }
 
-  /** Used share of the budget; 1 or more when nothing is left. */
-  getUsedShare(service: string, entryCount: number, nowMs: number): number {
-    const { ratio, windowMs, allowance } = this.#limits;
+  /** Used share of the budget; 1 when nothing is left. */
+  getUsedShare(service: string, nowMs: number): number {
+    const { ratio, windowMs } = this.#options;
     const sinceMs = nowMs - windowMs;
     const requests = getWindow(this.#requests, service).count(sinceMs);
     const retries = getWindow(this.#retries, service).count(sinceMs);
-    const ownAllowance = allowance / Math.max(1, entryCount);
-    const maxRetries = USABLE_SHARE * (ratio * requests + ownAllowance);
-    return maxRetries <= 0 ? 1 : retries / maxRetries;
+    const maxRetries =
+      USABLE_SHARE * (ratio * requests + this.#computeAllowance());
+    // Rounded up by each of many entries, the sum would exceed the budget.
+    return retries + 1 > maxRetries ? 1 : retries / maxRetries;
+  }
+
+  /** This entry's part of the allowance. */
+  #computeAllowance(): number {
+    const { allowance, countSharers } = this.#options;
+    const sharerCount = countSharers();
+    return sharerCount === undefined ? 0 : allowance / sharerCount;
   }
 
   /** Takes one retry; false when the budget of the window is spent. */
-  spend(service: string, entryCount: number, nowMs: number): boolean {
-    if (this.getUsedShare(service, entryCount, nowMs) >= 1) return false;
+  spend(service: string, nowMs: number): boolean {
+    if (this.getUsedShare(service, nowMs) >= 1) return false;
     getWindow(this.#retries, service).add(nowMs);
     return true;
   }
--- a/src/proxy/placing/retry_budget_test.ts
+++ b/src/proxy/placing/retry_budget_test.ts
@@ -5,6 +5,10 @@
 
 const LIMITS = { ratio: 0.9, windowMs: 10_000, allowance: 54 };
 
+function createBudget(sharerCount: number | undefined): RetryBudget {
+  return new RetryBudget({ ...LIMITS, countSharers: () => sharerCount });
+}
+
 describe("retry budget", () => {
   // More retries would overload a service that already fails.
   it("limits all entry processes together in any window", () => {
@@ -15,7 +19,7 @@
     });
     fc.assert(
       fc.property(fc.array(event, { maxLength: 400 }), (events) => {
-        const budgets = [0, 1, 2, 3].map(() => new RetryBudget(LIMITS));
+        const budgets = [0, 1, 2, 3].map(() => createBudget(4));
         const requests: number[] = [];
         const retries: number[] = [];
         let nowMs = 0;
@@ -25,7 +29,7 @@
           if (isRequest) {
             budget?.recordRequest("svc", nowMs);
             requests.push(nowMs);
-          } else if (budget?.spend("svc", 4, nowMs)) retries.push(nowMs);
+          } else if (budget?.spend("svc", nowMs)) retries.push(nowMs);
         }
         for (const endMs of retries) {
           const isInWindow = (atMs: number) =>
@@ -40,10 +44,18 @@
   });
 
   it("gives a single entry the whole allowance except for the margin", () => {
-    const budget = new RetryBudget(LIMITS);
+    const budget = createBudget(1);
     let spent = 0;
-    while (budget.spend("svc", 1, 0)) spent++;
-    assert.equal(spent, Math.ceil(0.8 * 54));
-    assert.ok(budget.spend("svc", 1, 10_001));
+    while (budget.spend("svc", 0)) spent++;
+    assert.equal(spent, Math.floor(0.8 * 54));
+    assert.ok(budget.spend("svc", 10_001));
+  });
+
+  // An entry that doesn't know how many others there are may be one of many.
+  it("spends none of the allowance while the entries aren't known", () => {
+    const budget = createBudget(undefined);
+    assert.equal(budget.spend("svc", 0), false);
+    for (let i = 0; i < 10; i++) budget.recordRequest("svc", 0);
+    assert.equal(budget.spend("svc", 0), true);
   });
 });
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -260,7 +260,7 @@
   /** Chooses an endpoint, or says why there is none. */
   #choose(model: string): Result<EndpointChoice, string> {
     const { service, signal, deadlineAtMs, facts } = this.#request;
-    const { now, countEntries, retryBudget, promptHolds } = this.#dependencies;
+    const { now, retryBudget, promptHolds } = this.#dependencies;
     const nowMs = now();
     if (signal.aborted || deadlineAtMs - nowMs < MIN_ATTEMPT_MS) {
       return err("no time is left");
@@ -281,10 +281,7 @@
       this.#isTooLate = true;
       return err("the entry stops before an answer is expected");
     }
-    if (
-      this.#countedAttempts > 0 &&
-      !retryBudget.spend(service.name, countEntries(), nowMs)
-    ) {
+    if (this.#countedAttempts > 0 && !retryBudget.spend(service.name, nowMs)) {
       return err("the retry budget is spent");
     }
     if (choice.state.isCold(nowMs)) {
@@ -307,7 +304,7 @@
     if (confidence === undefined || attempt.head.status >= 300) {
       return undefined;
     }
-    const { retryBudget, countEntries, now } = this.#dependencies;
+    const { retryBudget, now } = this.#dependencies;
     const nowMs = now();
     const largest = route.models.at(-1) ?? "";
     const largerStartMs =
@@ -319,11 +316,7 @@
       model: attempt.model,
       confidence,
       attemptsLeft: this.#attemptsLeft,
-      budgetUsedShare: retryBudget.getUsedShare(
-        service.name,
-        countEntries(),
-        nowMs,
-      ),
+      budgetUsedShare: retryBudget.getUsedShare(service.name, nowMs),
       elapsedMs: nowMs - startedAtMs,
       largerStartMs,
       targetMs: route.targetMs,
