Use little of the allowance of retries after a start

What endpoints saw: where entries were killed and started again while endpoints failed, all together sent more retries than allowed.

Cause: an entry that restarts has forgotten what it spent, and spends its part of the allowance again in the same window.

Why it works: in its first window an entry uses a tenth of its part, and eight tenths later, so that a life and two restarts in one window make up one part. Requests go on to allow their share of retries from the first one on.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -227,6 +227,7 @@
       windowMs: bounds.retryWindowMs,
       allowance: bounds.retryAllowance,
       countSharers: () => peers.countSharers(),
+      startedAtMs: now(),
     }),
     sessions,
     limits,
--- a/src/proxy/fleet/fleet_retries_test.ts
+++ b/src/proxy/fleet/fleet_retries_test.ts
@@ -79,6 +79,7 @@
       windowMs: WINDOW_MS,
       allowance: this.#allowance,
       countSharers: () => this.peers.countSharers(),
+      startedAtMs: this.#now(),
     });
   }
 
@@ -250,4 +251,56 @@
       },
     }));
   });
+
+  it("are kept where half of the entries restart", () => {
+    const disturb: Scenario["disturb"] = (entries, nowMs) => {
+      if (nowMs !== FAILS_FROM_MS + 4_000) return;
+      for (const entry of entries) if (entry.index % 2 === 1) entry.kill();
+    };
+    checkRetries(
+      () => ({ lastMs: 35_000, isFailing, disturb }),
+      [FEW_IDLE, MANY],
+    );
+  });
+
+  it("are kept where all entries restart", () => {
+    const disturb: Scenario["disturb"] = (entries, nowMs) => {
+      if (nowMs !== FAILS_FROM_MS + 4_000) return;
+      for (const entry of entries) entry.kill();
+    };
+    checkRetries(() => ({ lastMs: 35_000, isFailing, disturb }), [FEW_IDLE]);
+  });
+
+  it("are kept where entries restart in turn", () => {
+    checkRetries(
+      (entryCount) => ({
+        lastMs: 35_000,
+        isFailing,
+        disturb: (entries, nowMs) => {
+          if (!isFailing(nowMs) || nowMs % 1_000 !== 0) return;
+          const killCount = Math.ceil(entryCount / 8);
+          const first = (nowMs / 1_000) * killCount;
+          for (let i = 0; i < killCount; i++) {
+            entries[(first + i) % entryCount]?.kill();
+          }
+        },
+      }),
+      [FEW_IDLE, MANY],
+    );
+  });
+
+  it("are kept where entries restart while all seeds are down", () => {
+    const disturb: Scenario["disturb"] = (entries, nowMs) => {
+      if (nowMs !== FAILS_FROM_MS + 2_000) return;
+      for (const entry of entries) {
+        const isSeed = entry.index < SEED_COUNT;
+        if (isSeed || entry.index % 2 === 1) entry.kill();
+        if (isSeed) entry.startsAtMs = Number.POSITIVE_INFINITY;
+      }
+    };
+    checkRetries(
+      () => ({ lastMs: 35_000, isFailing, disturb }),
+      [FEW_IDLE, MANY],
+    );
+  });
 });
--- a/src/proxy/placing/retry_budget.ts
+++ b/src/proxy/placing/retry_budget.ts
@@ -18,6 +18,8 @@
    * while it isn't known. Then this entry has no part of it.
    */
   readonly countSharers: () => number | undefined;
+  /** When this entry started, ms. */
+  readonly startedAtMs: number;
 }
 
 /**
@@ -25,6 +27,12 @@
  * the entries and of a checker don't begin at the same time.
  */
 const USABLE_SHARE = 0.8;
+/**
+ * Share of its part of the allowance that an entry uses in its first window. It
+ * may have used the whole part just before it restarted; two restarts in a
+ * window use up the margin.
+ */
+const FIRST_WINDOW_SHARE = 0.1;
 
 class SlidingWindow {
   /** Times of the events, oldest first. */
@@ -63,16 +71,19 @@
     const requests = getWindow(this.#requests, service).count(sinceMs);
     const retries = getWindow(this.#retries, service).count(sinceMs);
     const maxRetries =
-      USABLE_SHARE * (ratio * requests + this.#computeAllowance());
+      USABLE_SHARE * ratio * requests + this.#computeAllowance(nowMs);
     // Rounded up by each of many entries, the sum would exceed the budget.
     return retries + 1 > maxRetries ? 1 : retries / maxRetries;
   }
 
-  /** This entry's part of the allowance. */
-  #computeAllowance(): number {
-    const { allowance, countSharers } = this.#options;
+  /** What this entry may use of the allowance. */
+  #computeAllowance(nowMs: number): number {
+    const { allowance, windowMs, countSharers, startedAtMs } = this.#options;
     const sharerCount = countSharers();
-    return sharerCount === undefined ? 0 : allowance / sharerCount;
+    if (sharerCount === undefined) return 0;
+    const isFirstWindow = nowMs - startedAtMs <= windowMs;
+    const share = isFirstWindow ? FIRST_WINDOW_SHARE : USABLE_SHARE;
+    return (share * allowance) / sharerCount;
   }
 
   /** Takes one retry; false when the budget of the window is spent. */
--- a/src/proxy/placing/retry_budget_test.ts
+++ b/src/proxy/placing/retry_budget_test.ts
@@ -5,8 +5,15 @@
 
 const LIMITS = { ratio: 0.9, windowMs: 10_000, allowance: 54 };
 
-function createBudget(sharerCount: number | undefined): RetryBudget {
-  return new RetryBudget({ ...LIMITS, countSharers: () => sharerCount });
+function createBudget(
+  sharerCount: number | undefined,
+  startedAtMs = -20_000,
+): RetryBudget {
+  return new RetryBudget({
+    ...LIMITS,
+    countSharers: () => sharerCount,
+    startedAtMs,
+  });
 }
 
 describe("retry budget", () => {
@@ -58,4 +65,14 @@
     for (let i = 0; i < 10; i++) budget.recordRequest("svc", 0);
     assert.equal(budget.spend("svc", 0), true);
   });
+
+  // Each life of an entry that restarts would spend the whole part once more.
+  it("spends little of the allowance in the window after a start", () => {
+    const budget = createBudget(1, 0);
+    let spent = 0;
+    while (budget.spend("svc", 1_000)) spent++;
+    assert.equal(spent, Math.floor(0.1 * 54));
+    while (budget.spend("svc", 12_000)) spent++;
+    assert.equal(spent, Math.floor(0.1 * 54) + Math.floor(0.8 * 54));
+  });
 });
