--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -244,6 +244,8 @@
       ratio: bounds.retryRatio,
       windowMs: bounds.retryWindowMs,
       allowance: bounds.retryAllowance,
+      countSharers: () => peers.countSharers(),
+      startedAtMs: now(),
     }),
     sessions,
     limits,
--- a/src/proxy/placing/retry_budget_test.ts
+++ b/src/proxy/placing/retry_budget_test.ts
@@ -5,6 +5,17 @@
 
 const LIMITS = { ratio: 0.9, windowMs: 10_000, allowance: 54 };
 
+function createBudget(
+  sharerCount: number | undefined,
+  startedAtMs = -20_000,
+): RetryBudget {
+  return new RetryBudget({
+    ...LIMITS,
+    countSharers: () => sharerCount,
+    startedAtMs,
+  });
+}
+
 describe("retry budget", () => {
   // More retries would overload a service that already fails.
   it("limits all entry processes together in any window", () => {
@@ -15,7 +26,7 @@
     });
     fc.assert(
       fc.property(fc.array(event, { maxLength: 400 }), (events) => {
-        const budgets = [0, 1, 2, 3].map(() => new RetryBudget(LIMITS));
+        const budgets = [0, 1, 2, 3].map(() => createBudget(4));
         const requests: number[] = [];
         const retries: number[] = [];
         let nowMs = 0;
@@ -25,7 +36,7 @@
           if (isRequest) {
             budget?.recordRequest("svc", nowMs);
             requests.push(nowMs);
-          } else if (budget?.spend("svc", 4, nowMs)) retries.push(nowMs);
+          } else if (budget?.spend("svc", nowMs)) retries.push(nowMs);
         }
         for (const endMs of retries) {
           const isInWindow = (atMs: number) =>
@@ -40,10 +51,55 @@
   });
 
   it("gives a single entry the whole allowance except for the margin", () => {
-    const budget = new RetryBudget(LIMITS);
+    const budget = createBudget(1);
     let spent = 0;
-    while (budget.spend("svc", 1, 0)) spent++;
-    assert.equal(spent, Math.ceil(0.8 * 54));
-    assert.ok(budget.spend("svc", 1, 10_001));
+    while (budget.spend("svc", 0)) spent++;
+    assert.equal(spent, Math.floor(0.8 * 54));
+    assert.ok(budget.spend("svc", 10_001));
+  });
+
+  // An entry that doesn't know how many others there are may be one of many.
+  it("spends none of the allowance while the entries aren't known", () => {
+    const budget = createBudget(undefined);
+    assert.equal(budget.spend("svc", 0), false);
+    for (let i = 0; i < 10; i++) budget.recordRequest("svc", 0);
+    assert.equal(budget.spend("svc", 0), true);
+  });
+
+  // Each life of an entry that restarts would spend the whole part once more.
+  it("spends little of the allowance in the window after a start", () => {
+    const budget = createBudget(1, 0);
+    let spent = 0;
+    while (budget.spend("svc", 1_000)) spent++;
+    assert.equal(spent, Math.floor(0.1 * 54));
+    while (budget.spend("svc", 12_000)) spent++;
+    assert.equal(spent, Math.floor(0.1 * 54) + Math.floor(0.8 * 54));
+  });
+
+  // What one entry saved could come on top of what others spend when callers
+  // move to them.
+  it("forgets the credit of requests after a quarter of the window", () => {
+    const budget = createBudget(undefined);
+    const countLeft = (nowMs: number) => {
+      let spent = 0;
+      while (budget.spend("svc", nowMs)) spent++;
+      return spent;
+    };
+    for (let i = 0; i < 100; i++) budget.recordRequest("svc", 0);
+    assert.equal(countLeft(2_500), 72);
+    for (let i = 0; i < 100; i++) budget.recordRequest("svc", 20_000);
+    assert.equal(countLeft(22_501), 0);
+  });
+
+  // Parts of a retry must add up for an entry with few requests.
+  it("adds credit and allowance up to whole retries", () => {
+    const budget = createBudget(64);
+    assert.equal(budget.spend("svc", 0), false);
+    budget.recordRequest("svc", 0);
+    assert.equal(budget.spend("svc", 0), true);
+    budget.recordRequest("svc", 1_000);
+    assert.equal(budget.spend("svc", 1_000), true);
+    budget.recordRequest("svc", 2_000);
+    assert.equal(budget.spend("svc", 2_000), false);
   });
 });
