Bound the memory of callers' bodies and of other entries' messages

One caller with one body in chunks of one byte, or 150 with permitted bodies of 96,000 such chunks, ended the process and with it all other requests; 300 bodies of 0.9 MB that stop took 330 MB.

Cause: the same as for answers, a list of chunks a body and no bound on all of them. Bodies that stop short were held for as long as the connection.

readBody uses the same buffer and budget. Over it a request is refused as not run, with 503 and Retry-After, large bodies before small ones. A body that pauses for 10 s is refused, too. Of a refused body in small chunks no more is read: libuv reads up to 32 times 64 KiB in a turn, and Node resumes the socket after each chunk, so its resume is held.

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -1,7 +1,18 @@
 /** Helpers for HTTP servers on node:http. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { createRefusal, type Refusal } from "../core/errors.js";
+import {
+  BODY_REFUSAL,
+  type BodyRefusal,
+  ChunkMeter,
+  HeldMemory,
+  MAX_BODY_PAUSE_MS,
+  ReceivedBody,
+  SENDER,
+  type Sender,
+} from "./received/index.js";
 
 const MS_PER_SECOND = 1_000;
 /** Base URL for parsing relative request targets; never contacted. */
@@ -86,48 +97,94 @@
 /** Time for the client to read a refusal before its connection is closed. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
-/** Discards the rest of a body; disconnects when it does not end in time. */
+/**
+ * Discards the rest of a body; disconnects when it does not end in time. No
+ * more is read of one that comes in too many small chunks.
+ */
 export function ignoreBody(request: IncomingMessage): void {
+  const meter = new ChunkMeter();
   request.resume();
+  request.on("data", (chunk: Buffer) => {
+    if (!meter.take(chunk)) pauseReading(request.socket);
+  });
   const timer = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
   request.once("close", () => clearTimeout(timer));
   request.once("end", () => clearTimeout(timer));
 }
 
 /**
- * Reads a body of at most `maxBytes`; a longer one is refused at once.
- * Rejects when the client disconnects.
+ * Reads no more from a connection until it is resumed. What is already read
+ * goes on to its requests; a paused request would keep the chunks.
+ */
+export function pauseReading(socket: Socket): void {
+  // Node resumes the socket after each chunk and each request.
+  socket.resume = () => socket;
+  socket.pause();
+}
+
+function createBodyRefusal(reason: BodyRefusal, maxBytes: number): Refusal {
+  switch (reason) {
+    case BODY_REFUSAL.tooLarge:
+      return createRefusal("body-too-large", `Body exceeds ${maxBytes} bytes`);
+    case BODY_REFUSAL.noMemory:
+      return createRefusal("capacity", "No memory for the body");
+    case BODY_REFUSAL.smallChunks:
+      return createRefusal("capacity", "Too many small chunks come in");
+  }
+}
+
+/** Memory for what a request brings, held until its answer is sent. */
+export function openRequestMemory(response: ServerResponse): HeldMemory {
+  const memory = new HeldMemory();
+  response.once("close", () => memory.release());
+  return memory;
+}
+
+/**
+ * Reads a body of at most `maxBytes`; a longer one, or one for which there is
+ * no memory, is refused at once. Rejects when the client disconnects.
  */
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  memory: HeldMemory,
+  sender: Sender = SENDER.caller,
 ): Promise<Buffer | Refusal> {
-  const tooLarge = createRefusal(
-    "body-too-large",
-    `Body exceeds ${maxBytes} bytes`,
-  );
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
     ignoreBody(request);
-    return Promise.resolve(tooLarge);
+    return Promise.resolve(createBodyRefusal(BODY_REFUSAL.tooLarge, maxBytes));
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    const addChunk = (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
+    const body = new ReceivedBody({ sender, maxBytes, memory });
+    const refuse = (refusal: Refusal) => {
+      clearTimeout(pauseTimer);
       request.off("data", addChunk);
       ignoreBody(request);
-      resolve(tooLarge);
+      body.discard();
+      resolve(refusal);
+    };
+    let pauseTimer: NodeJS.Timeout | undefined;
+    const refusePaused = () =>
+      refuse(createRefusal("capacity", "The body stopped short of its end"));
+    const addChunk = (chunk: Buffer) => {
+      pauseTimer ??= setTimeout(refusePaused, MAX_BODY_PAUSE_MS);
+      pauseTimer.refresh();
+      const reason = body.add(chunk);
+      if (reason !== undefined) refuse(createBodyRefusal(reason, maxBytes));
+    };
+    const fail = (error: Error) => {
+      clearTimeout(pauseTimer);
+      body.discard();
+      reject(error);
     };
     request.on("data", addChunk);
-    request.once("end", () => resolve(Buffer.concat(chunks)));
-    request.once("error", reject);
+    request.once("end", () => {
+      clearTimeout(pauseTimer);
+      resolve(body.data);
+    });
+    request.once("error", fail);
     request.once("close", () => {
-      if (!request.complete) reject(new Error("The client disconnected"));
+      if (!request.complete) fail(new Error("The client disconnected"));
     });
   });
 }
--- a/src/entry/operator_server.ts
+++ b/src/entry/operator_server.ts
@@ -12,6 +12,7 @@
   formatDocumentFailure,
   getBearerToken,
   type Logger,
+  openRequestMemory,
   parseTarget,
   parseTicket,
   readBody,
@@ -145,7 +146,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const body = await readBody(request, MAX_TICKET_BYTES);
+    const body = await readBody(
+      request,
+      MAX_TICKET_BYTES,
+      openRequestMemory(response),
+    );
     if (!Buffer.isBuffer(body)) {
       sendRefusal(response, body, "-");
       return;
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -9,12 +9,16 @@
   type ServerResponse,
 } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import { readBody } from "../../adapters/http_server.js";
+import { openRequestMemory, readBody } from "../../adapters/http_server.js";
+import {
+  HeldMemory,
+  MAX_MESSAGE_BYTES,
+  ReceivedBody,
+  SENDER,
+} from "../../adapters/received/index.js";
 import { startListening } from "../start_listening.js";
 import type { NetworkAddress } from "../types.js";
 
-/** Largest message that is accepted from another entry. */
-const MAX_MESSAGE_BYTES = 8_388_608;
 /**
  * Most time that a message is in transit. Reports count as older by it: without
  * that, entries would make old knowledge newer with each message.
@@ -62,26 +66,32 @@
         clientRequest.destroy(new Error(`no answer within ${timeoutMs} ms`)),
       timeoutMs,
     );
+    const memory = new HeldMemory();
+    // Whoever waits for the answer decodes it at once.
     const settle = (result: Result<Uint8Array, string>) => {
       clearTimeout(timer);
+      memory.release();
       resolve(result);
     };
     clientRequest.once("error", (error) => settle(err(error.message)));
     clientRequest.once("response", (response) => {
-      const chunks: Buffer[] = [];
-      let receivedBytes = 0;
+      const body = new ReceivedBody({
+        sender: SENDER.peer,
+        maxBytes: MAX_MESSAGE_BYTES,
+        memory,
+      });
       response.on("data", (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes > MAX_MESSAGE_BYTES)
-          response.destroy(new Error("answer is too large"));
-        else chunks.push(chunk);
+        if (response.destroyed) return;
+        const refusal = body.add(chunk);
+        if (refusal === undefined) return;
+        response.destroy(new Error(`answer is refused: ${refusal}`));
       });
       response.once("error", (error) => settle(err(error.message)));
       response.once("end", () => {
         const { statusCode } = response;
         settle(
           statusCode === 200
-            ? ok(Buffer.concat(chunks))
+            ? ok(body.data)
             : err(`answer has status ${statusCode}`),
         );
       });
@@ -112,8 +122,14 @@
   response: ServerResponse,
 ): Promise<void> {
   const handler = handlers.get(incoming.url ?? "");
+  const memory = openRequestMemory(response);
   // The read fails when the sender closes the connection.
-  const body = await readBody(incoming, MAX_MESSAGE_BYTES).catch(() => {});
+  const body = await readBody(
+    incoming,
+    MAX_MESSAGE_BYTES,
+    memory,
+    SENDER.peer,
+  ).catch(() => {});
   if (!Buffer.isBuffer(body)) {
     incoming.destroy();
     return;
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -159,12 +159,11 @@
     }
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await refuseAtEnd(readBody(incoming, limit), shutdown).catch(
-      (error: Error) =>
-        createRefusal(
-          "bad-request",
-          `The body can't be read: ${error.message}`,
-        ),
+    const body = await refuseAtEnd(
+      readBody(incoming, limit, memory),
+      shutdown,
+    ).catch((error: Error) =>
+      createRefusal("bad-request", `The body can't be read: ${error.message}`),
     );
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
--- a/src/request/caller_server.ts
+++ b/src/request/caller_server.ts
@@ -13,6 +13,7 @@
   createProblemDetails,
   formatRetryAfter,
   type Logger,
+  openRequestMemory,
   parseTarget,
   readBody,
   sendJson,
@@ -152,7 +153,11 @@
   ): Promise<void> {
     const { runner, now, bodyBytes } = this.#options;
     const arrivedAtMs = now();
-    const body = await readBody(request, bodyBytes);
+    const body = await readBody(
+      request,
+      bodyBytes,
+      openRequestMemory(response),
+    );
     if (!Buffer.isBuffer(body)) {
       this.#refuse(response, body);
       return;
