Bound what the store's answers cost

An answer of the store in chunks of one byte, one of countless empty values, or a list without end kept the entry from becoming ready: heap out of memory 1.4 s after the start.

Cause: the list of chunks, as for other answers. Also an empty object of two bytes takes 64 in memory, so 8 MB of them don't fit in the heap, and a list was read for as long as it had more pages.

Store answers use the common buffer and budget, of which they may use all. An answer of more than 500,000 values is refused before it is parsed, and a list ends after 8 MiB, with the log line list-incomplete that a page without a further name has.

Evidence: store_floods_test. Before: SIGABRT in all three cases of the store; a peer's answer passed. After: all four pass.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -2,6 +2,14 @@
 
 import { request } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import {
+  BODY_REFUSAL,
+  HeldMemory,
+  MAX_STORE_ANSWER_BYTES,
+  MAX_STORE_VALUES,
+  ReceivedBody,
+  SENDER,
+} from "../adapters/received/index.js";
 import { STORE_FAILURE, type StoreFailure } from "./failures.js";
 import {
   type Fields,
@@ -51,6 +59,8 @@
   readonly hasMore: boolean;
   /** Revision of the store at which the page was read. */
   readonly storeRevision: number;
+  /** Size of the answer that had the page. */
+  readonly sizeBytes?: number;
   /** Name after which the list continues; the page has it or a later one. */
   readonly lastName?: string;
 }
@@ -67,11 +77,6 @@
 const CALL_TIMEOUT_MS = 1_500;
 /** Time for the answer to a watch call on top of its wait, ms. */
 const WATCH_SLACK_MS = 600;
-/**
- * Largest answer that is read, bytes: a page of a list has about 1 MiB, and
- * the answer to a watch call several changes of objects of up to 1 MiB each.
- */
-const MAX_ANSWER_BYTES = 8_388_608;
 
 const FAILURE_BY_STATUS: Readonly<Record<number, StoreFailure["kind"]>> = {
   404: STORE_FAILURE.notFound,
@@ -94,6 +99,8 @@
   readonly timeoutMs?: number;
   readonly body?: unknown;
   readonly signal?: AbortSignal;
+  /** Called with the size of the answer. */
+  readonly onRead?: (bytes: number) => void;
   /** Called when there is a connection, on which the call is sent at once. */
   readonly onSend?: () => void;
 }
@@ -117,8 +124,13 @@
   ): Promise<Result<ObjectPage, StoreFailure>> {
     const query =
       after === undefined ? "" : `?after=${encodeURIComponent(after)}`;
-    const answer = await this.#call(kind, "GET", `${kind}${query}`);
-    return answer.andThen(decodePage);
+    let sizeBytes = 0;
+    const answer = await this.#call(kind, "GET", `${kind}${query}`, {
+      onRead: (bytes) => {
+        sizeBytes = bytes;
+      },
+    });
+    return answer.andThen(decodePage).map((page) => ({ ...page, sizeBytes }));
   }
 
   /** Waits for changes after the revision; often there are none by the end. */
@@ -195,9 +207,11 @@
     const requestBody = body === undefined ? undefined : JSON.stringify(body);
     return new Promise((resolve) => {
       let isSettled = false;
+      const memory = new HeldMemory();
       const settle = (result: Result<unknown, StoreFailure>) => {
         if (isSettled) return;
         isSettled = true;
+        memory.release();
         clearTimeout(timer);
         onCall(kind, result.isOk() ? "ok" : result.error.kind);
         resolve(result);
@@ -243,16 +257,23 @@
           response.destroy();
           return;
         }
-        const chunks: Buffer[] = [];
-        let sizeBytes = 0;
+        const answer = new ReceivedBody({
+          sender: SENDER.store,
+          maxBytes: MAX_STORE_ANSWER_BYTES,
+          memory,
+        });
         response.on("data", (chunk: Buffer) => {
-          sizeBytes += chunk.length;
-          if (sizeBytes <= MAX_ANSWER_BYTES) {
-            chunks.push(chunk);
-            return;
-          }
-          const detail = `Answer exceeds ${MAX_ANSWER_BYTES} bytes`;
-          fail(STORE_FAILURE.tooLarge, detail);
+          if (isSettled) return;
+          const refusal = answer.add(chunk);
+          if (refusal === undefined) return;
+          const isTooLarge = refusal === BODY_REFUSAL.tooLarge;
+          const { tooLarge, noAnswer } = STORE_FAILURE;
+          fail(
+            isTooLarge ? tooLarge : noAnswer,
+            isTooLarge
+              ? `Answer exceeds ${MAX_STORE_ANSWER_BYTES} bytes`
+              : `Answer is refused: ${refusal}`,
+          );
           response.destroy();
         });
         response.once("error", (error) =>
@@ -261,7 +282,8 @@
         response.once("end", () => {
           const status = response.statusCode ?? 0;
           if (status >= 200 && status < 300) {
-            settle(parseJson(Buffer.concat(chunks)));
+            options.onRead?.(answer.sizeBytes);
+            settle(parseAnswer(answer.data));
             return;
           }
           const failureKind =
@@ -278,6 +300,24 @@
   return { kind: STORE_FAILURE.malformed, detail };
 }
 
+/** Bytes of JSON that come before or after a value: `[`, `{` and `,`. */
+const VALUE_MARKS = new Set([0x5b, 0x7b, 0x2c]);
+
+/** At least the number of values; text may have the same bytes. */
+function countValues(data: Buffer): number {
+  let count = 0;
+  for (const byte of data) if (VALUE_MARKS.has(byte)) count++;
+  return count;
+}
+
+function parseAnswer(data: Buffer): Result<unknown, StoreFailure> {
+  // Fewer bytes can't have more values.
+  if (data.length <= MAX_STORE_VALUES || countValues(data) <= MAX_STORE_VALUES)
+    return parseJson(data);
+  const detail = `Answer exceeds ${MAX_STORE_VALUES} values`;
+  return err({ kind: STORE_FAILURE.tooLarge, detail });
+}
+
 function parseJson(data: Buffer): Result<unknown, StoreFailure> {
   try {
     return ok(JSON.parse(data.toString("utf8")));
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -5,6 +5,7 @@
 
 import type { Logger } from "../adapters/logger.js";
 import { pauseFor } from "../adapters/pause_for.js";
+import { MAX_STORE_LIST_BYTES } from "../adapters/received/index.js";
 import {
   ChangeLog,
   type RelayedChanges,
@@ -227,6 +228,7 @@
     const objects: StoredObject[] = [];
     let after: string | undefined;
     let firstRevision: number | undefined;
+    let sizeBytes = 0;
     for (;;) {
       const result = await store.list(kind, after);
       if (result.isErr()) return result.error;
@@ -240,7 +242,12 @@
       firstRevision ??= page.storeRevision;
       if (!page.hasMore) break;
       const { lastName } = page;
-      if (lastName === undefined || lastName === after) {
+      sizeBytes += page.sizeBytes ?? 0;
+      if (
+        lastName === undefined ||
+        lastName === after ||
+        sizeBytes > MAX_STORE_LIST_BYTES
+      ) {
         // Without a further name each call would return this page again.
         log.warn("list-incomplete", { kind, count: objects.length });
         break;
