Bound the requests that wait behind one another

20 callers that sent 10,000 requests each without waiting for answers ended the process at 152 MB.

Cause: Node reads on while answers are small, and each request that waits for its turn takes 8 kB.

Evidence: caller_floods_test.

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -122,6 +122,11 @@
   socket.pause();
 }
 
+export function startReading(socket: Socket): void {
+  Reflect.deleteProperty(socket, "resume");
+  socket.resume();
+}
+
 function createBodyRefusal(reason: BodyRefusal, maxBytes: number): Refusal {
   switch (reason) {
     case BODY_REFUSAL.tooLarge:
--- a/src/platform/caller_floods_test.ts
+++ b/src/platform/caller_floods_test.ts
@@ -58,6 +58,18 @@
     return texts;
   };
 
+  const connectPipeliners = (
+    entry: BuiltEntry,
+    prepare: (socket: Socket) => void,
+  ): string[] =>
+    connectCallers(entry, 20, (socket, i) => {
+      prepare(socket);
+      const heads = Array.from({ length: 10_000 }, (_, j) =>
+        createHead(`odd-${i}-${j}`, "Content-Length: 0"),
+      );
+      socket.write(heads.join(""));
+    });
+
   it("stays within its memory while a body comes in small chunks", async () => {
     const entry = await system.startEntry();
     const texts = await assertSoundBeside(entry, CALL_MS, async () =>
@@ -120,4 +132,34 @@
       [],
     );
   });
+
+  // Those that are read answers or a closed connection, and nothing between.
+  it("answers in order what 20 callers send behind one another", async () => {
+    const entry = await system.startEntry();
+    const runOdd = async () => connectPipeliners(entry, () => undefined);
+    const texts = await assertSoundBeside(
+      entry,
+      CALL_MS,
+      runOdd,
+      LONG_DEADLINE_MS,
+    );
+    for (const [i, text] of texts.entries()) {
+      const heads = text.matchAll(/^Attempt-Id: (\S+)\r$/gim);
+      const ids = [...heads].map(([, id]) => id);
+      assert.deepEqual(
+        ids,
+        ids.map((_, j) => `odd-${i}-${j}`),
+      );
+    }
+    const answers = texts.join("").match(/HTTP\/1\.1 200 /g) ?? [];
+    assert.ok(answers.length > 100, `${answers.length} answers`);
+  });
+
+  // Their answers must not gather in the memory either.
+  it("stays within its memory beside 20 callers that read no answer", async () => {
+    const entry = await system.startEntry();
+    const runOdd = async () =>
+      connectPipeliners(entry, (socket) => socket.pause());
+    await assertSoundBeside(entry, CALL_MS, runOdd, LONG_DEADLINE_MS);
+  });
 });
--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -20,12 +20,15 @@
   /** Connections that end with the answer to their newest request. */
   readonly #closingSockets = new WeakSet<Duplex>();
 
-  /** False where an earlier answer closes the connection: it must not run. */
+  /** True where an answer closes the connection: what follows must not run. */
+  isClosing(socket: Duplex): boolean {
+    return this.#closingSockets.has(socket);
+  }
+
   addRequest(
     { socket, httpVersion }: IncomingMessage,
     response: ServerResponse,
-  ): boolean {
-    if (this.#closingSockets.has(socket)) return false;
+  ): void {
     // Without chunks, the end of a stream is that of its connection.
     if (httpVersion !== "1.1") response.shouldKeepAlive = false;
     if (!response.shouldKeepAlive) this.#closingSockets.add(socket);
@@ -34,7 +37,6 @@
       newestResponse: response,
       leaveListeners: listeners ?? createLeaveListeners(socket),
     });
-    return true;
   }
 
   /**
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -22,6 +22,7 @@
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { hashRequest } from "./request_fingerprint.js";
+import { RequestQueues, type RequestTurn } from "./request_queues.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
 import { createStoppingRefusal } from "./stopping_refusal.js";
@@ -42,6 +43,8 @@
   /** It came behind a request whose answer closes the connection. */
   behindClosingAnswer: "behind-closing-answer",
   callerLeft: "caller-left",
+  /** Too many requests wait behind one another, on all connections. */
+  tooManyRequests: "too-many-requests",
   /** A stream that no endpoint could continue. */
   broken: "broken",
   /** The answer was whole, but its connection ended before it was sent. */
@@ -69,11 +72,18 @@
   readonly rank: number;
 }
 
+/** What a request holds until its answer is sent. */
+interface RequestPlace {
+  readonly turn: RequestTurn;
+  readonly memory: HeldMemory;
+}
+
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
   readonly callerConnections = new CallerConnections();
+  readonly #queues = new RequestQueues();
   /** Responses to requests of which an attempt may have been sent. */
   readonly #startedResponses = new WeakSet<ServerResponse>();
   #unsentAnswers = 0;
@@ -109,16 +119,23 @@
   }
 
   async handle(request: IncomingMessage, response: ServerResponse) {
-    if (!this.callerConnections.addRequest(request, response)) {
+    const { socket } = request;
+    if (this.callerConnections.isClosing(socket)) {
       request.on("error", () => {}).resume();
       this.#reportUnanswered(request, UNANSWERED_REASON.behindClosingAnswer);
       return;
     }
+    const turn = this.#queues.add(socket);
+    if (turn === undefined) {
+      this.#refuseBehindOthers(request);
+      return;
+    }
+    this.callerConnections.addRequest(request, response);
     this.#openRequests++;
     this.#openResponses.add(response);
     const memory = new HeldMemory();
     try {
-      await this.#handle(request, response, memory);
+      await this.#handle(request, response, { turn, memory });
     } catch (error) {
       this.#refuseFailed(response, error);
     }
@@ -126,6 +143,7 @@
     await this.callerConnections.waitUntilSent(request, response);
     this.#unsentAnswers--;
     memory.release();
+    turn.end();
     if (response.writableEnded && !response.writableFinished) {
       this.#reportUnanswered(request, UNANSWERED_REASON.answerUnsent);
     }
@@ -133,10 +151,23 @@
     this.#openResponses.delete(response);
   }
 
+  /** Takes no more requests from a connection; what runs is answered. */
+  #refuseBehindOthers(request: IncomingMessage): void {
+    const { socket } = request;
+    // The rest of what was read from a connection that is already closed.
+    if (socket.destroyed) return;
+    request.on("error", () => {}).resume();
+    if (this.#queues.isRunning(socket)) {
+      const error = new Error("Too many requests wait");
+      this.callerConnections.closeAfterAnswers(socket, error);
+    } else socket.destroy();
+    this.#reportUnanswered(request, UNANSWERED_REASON.tooManyRequests);
+  }
+
   async #handle(
     incoming: IncomingMessage,
     response: ServerResponse,
-    memory: HeldMemory,
+    { turn, memory }: RequestPlace,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
     const { wire, view, loopDelay, random, shutdown } = this.#options;
@@ -181,6 +212,14 @@
       this.#refuse(sink, facts, body);
       return;
     }
+    const nextTurn = turn.wait();
+    if (nextTurn !== undefined) {
+      await nextTurn;
+      if (hasCallerLeft(incoming, response)) {
+        this.#reportUnanswered(incoming, UNANSWERED_REASON.callerLeft);
+        return;
+      }
+    }
     const admitted = await refuseAtEnd(this.#admit(facts), shutdown);
     if ("kind" in admitted) {
       this.#refuse(sink, facts, admitted);
