--- a/src/platform/entry_settings.ts
+++ b/src/platform/entry_settings.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { parse } from "smol-toml";
 import { pauseFor } from "../adapters/pause_for.js";
+import { DEFAULT_HOST_MEMORY_MB } from "../adapters/received/index.js";
 import type { NetworkAddress } from "../proxy/index.js";
 import { createDecodeFailure, type DecodeFailure } from "./failures.js";
 import {
@@ -35,6 +36,8 @@
   /** Exchange addresses of some entries; they may be out of date. */
   readonly seeds: readonly NetworkAddress[];
   readonly bounds: EntryBounds;
+  /** Memory of this host, MB. */
+  readonly memoryMb: number;
 }
 
 export interface EntryBounds {
@@ -91,6 +94,11 @@
   };
 }
 
+function decodeMemory(limits: Fields): number {
+  const memoryMb = getNumber(limits, "memory_mb") ?? 0;
+  return memoryMb > 0 ? memoryMb : DEFAULT_HOST_MEMORY_MB;
+}
+
 function parseToml(text: string): Result<Fields, DecodeFailure> {
   try {
     return ok(parse(text));
@@ -140,6 +148,7 @@
       role: getText(file, "role") ?? "entry",
       dataCentre: getText(file, "zone") ?? "",
       bounds: decodeBounds(getFields(file, "bounds")),
+      memoryMb: decodeMemory(getFields(file, "limits")),
     });
   });
 }
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -10,6 +10,7 @@
   validateHeaderValue,
 } from "node:http";
 import { ignoreBody, readBody } from "../../adapters/http_server.js";
+import { HeldMemory } from "../../adapters/received/index.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { type Catalog, chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
@@ -21,6 +22,7 @@
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { hashRequest } from "./request_fingerprint.js";
+import { RequestQueues, type RequestTurn } from "./request_queues.js";
 import { RequestRun } from "./request_run.js";
 import type { AnswerSink } from "./send_answer.js";
 import { createStoppingRefusal } from "./stopping_refusal.js";
@@ -41,6 +43,8 @@
   /** It came behind a request whose answer closes the connection. */
   behindClosingAnswer: "behind-closing-answer",
   callerLeft: "caller-left",
+  /** Too many requests wait behind one another, on all connections. */
+  tooManyRequests: "too-many-requests",
   /** A stream that no endpoint could continue. */
   broken: "broken",
   /** The answer was whole, but its connection ended before it was sent. */
@@ -68,11 +72,18 @@
   readonly rank: number;
 }
 
+/** What a request holds until its answer is sent. */
+interface RequestPlace {
+  readonly turn: RequestTurn;
+  readonly memory: HeldMemory;
+}
+
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
   readonly callerConnections = new CallerConnections();
+  readonly #queues = new RequestQueues();
   /** Responses to requests of which an attempt may have been sent. */
   readonly #startedResponses = new WeakSet<ServerResponse>();
   #unsentAnswers = 0;
@@ -108,21 +119,31 @@
   }
 
   async handle(request: IncomingMessage, response: ServerResponse) {
-    if (!this.callerConnections.addRequest(request, response)) {
+    const { socket } = request;
+    if (this.callerConnections.isClosing(socket)) {
       request.on("error", () => {}).resume();
       this.#reportUnanswered(request, UNANSWERED_REASON.behindClosingAnswer);
       return;
     }
+    const turn = this.#queues.add(socket);
+    if (turn === undefined) {
+      this.#refuseBehindOthers(request);
+      return;
+    }
+    this.callerConnections.addRequest(request, response);
     this.#openRequests++;
     this.#openResponses.add(response);
+    const memory = new HeldMemory();
     try {
-      await this.#handle(request, response);
+      await this.#handle(request, response, { turn, memory });
     } catch (error) {
       this.#refuseFailed(response, error);
     }
     this.#unsentAnswers++;
     await this.callerConnections.waitUntilSent(request, response);
     this.#unsentAnswers--;
+    memory.release();
+    turn.end();
     if (response.writableEnded && !response.writableFinished) {
       this.#reportUnanswered(request, UNANSWERED_REASON.answerUnsent);
     }
@@ -130,9 +151,23 @@
     this.#openResponses.delete(response);
   }
 
+  /** Takes no more requests from a connection; what runs is answered. */
+  #refuseBehindOthers(request: IncomingMessage): void {
+    const { socket } = request;
+    // The rest of what was read from a connection that is already closed.
+    if (socket.destroyed) return;
+    request.on("error", () => {}).resume();
+    if (this.#queues.isRunning(socket)) {
+      const error = new Error("Too many requests wait");
+      this.callerConnections.closeAfterAnswers(socket, error);
+    } else socket.destroy();
+    this.#reportUnanswered(request, UNANSWERED_REASON.tooManyRequests);
+  }
+
   async #handle(
     incoming: IncomingMessage,
     response: ServerResponse,
+    { turn, memory }: RequestPlace,
   ): Promise<void> {
     const startedAtMs = this.#options.now();
     const { wire, view, loopDelay, random, shutdown } = this.#options;
@@ -155,12 +190,11 @@
     }
     const limit =
       view.catalog?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await refuseAtEnd(readBody(incoming, limit), shutdown).catch(
-      (error: Error) =>
-        createRefusal(
-          "bad-request",
-          `The body can't be read: ${error.message}`,
-        ),
+    const body = await refuseAtEnd(
+      readBody(incoming, limit, memory),
+      shutdown,
+    ).catch((error: Error) =>
+      createRefusal("bad-request", `The body can't be read: ${error.message}`),
     );
     // The close of a caller that has already left is read after its body.
     await waitForPendingReads();
@@ -178,6 +212,14 @@
       this.#refuse(sink, facts, body);
       return;
     }
+    const nextTurn = turn.wait();
+    if (nextTurn !== undefined) {
+      await nextTurn;
+      if (hasCallerLeft(incoming, response)) {
+        this.#reportUnanswered(incoming, UNANSWERED_REASON.callerLeft);
+        return;
+      }
+    }
     const admitted = await refuseAtEnd(this.#admit(facts), shutdown);
     if ("kind" in admitted) {
       this.#refuse(sink, facts, admitted);
@@ -202,6 +244,7 @@
         method,
         headers,
         body,
+        memory,
         startedAtMs,
       },
       response,
@@ -281,7 +324,10 @@
 
   async #run(
     admitted: AdmittedRequest &
-      Pick<RunRequest, "facts" | "method" | "headers" | "body" | "startedAtMs">,
+      Pick<
+        RunRequest,
+        "facts" | "method" | "headers" | "body" | "memory" | "startedAtMs"
+      >,
     response: ServerResponse,
     sink: AnswerSink,
   ): Promise<void> {
