Let connections to endpoints take turns

Callers of sound endpoints waited for seconds, and got 504 at their deadline, while another endpoint sent as fast as it could. The entry has one thread, and one connection may be read up to 32 times in a turn of the event loop; a read of 64 kB in chunks of one byte takes some 20 ms.

What an endpoint's bytes cause is now timed. After 4 ms of a turn further connections wait, and all else goes on. Those that wait are served part by part, endpoints in turn, so that 50 connections to one get no more than one to another. Nothing is slowed down while there is no other work.

--- a/src/proxy/request/connections.ts
+++ b/src/proxy/request/connections.ts
@@ -1,14 +1,44 @@
 /** Pools of keep-alive connections, one pool for each endpoint. */
 
-import { Agent, type ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import {
+  Agent,
+  type AgentOptions,
+  type ClientRequest,
+  type ClientRequestArgs,
+} from "node:http";
+import type { Socket, TcpNetConnectOpts } from "node:net";
+import { EndpointSocket } from "./endpoint_socket.js";
+import { ReadTurns } from "./read_turns.js";
 
 /** Idle time after which the endpoint may have closed a connection, ms. */
 const MAX_IDLE_MS = 4_000;
 
-/** Closes an idle connection on which unsolicited bytes arrive. */
+/**
+ * Closes an idle connection on which unsolicited bytes arrive. All connections
+ * take turns.
+ */
 class EndpointAgent extends Agent {
+  readonly #turns: ReadTurns;
+
+  constructor(turns: ReadTurns, options: AgentOptions) {
+    super(options);
+    this.#turns = turns;
+  }
+
+  override createConnection(options: ClientRequestArgs): Socket {
+    // Node passes options of a socket, whatever the type says.
+    const connectOptions = options as TcpNetConnectOpts;
+    const socket = new EndpointSocket(
+      { turns: this.#turns, endpoint: this },
+      connectOptions,
+    );
+    if (options.timeout !== undefined) socket.setTimeout(options.timeout);
+    return socket.connect(connectOptions);
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
+    // Bytes after the answer wait for their turn.
+    if (socket.readableLength > 0) return false;
     // The type says void, but Node closes the socket when this returns false.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (!isKept) return false;
@@ -29,9 +59,12 @@
 export class Connections {
   readonly #agents = new Map<string, EndpointAgent>();
   readonly #signal: AbortSignal;
+  readonly #turns: ReadTurns;
 
-  constructor(signal: AbortSignal) {
+  /** `now` is a monotonic clock, ms. */
+  constructor(signal: AbortSignal, now = () => performance.now()) {
     this.#signal = signal;
+    this.#turns = new ReadTurns(now);
     signal.addEventListener("abort", () => this.#closeAll(), { once: true });
   }
 
@@ -39,7 +72,7 @@
   getAgent(endpointId: string, maxConnections: number): Agent {
     let agent = this.#agents.get(endpointId);
     if (agent === undefined) {
-      agent = new EndpointAgent({
+      agent = new EndpointAgent(this.#turns, {
         keepAlive: true,
         maxSockets: Math.max(1, maxConnections),
         maxFreeSockets: Math.max(1, maxConnections),
--- /dev/null
+++ b/src/proxy/request/endpoint_socket.ts
@@ -0,0 +1,96 @@
+import { Socket, type SocketConstructorOpts } from "node:net";
+import type { ReadTurns, WaitingReader } from "./read_turns.js";
+
+/**
+ * Most bytes that are processed at once. With chunks of one byte they take
+ * some 1 ms; a read may bring 65,536.
+ */
+const MAX_PART_BYTES = 4_096;
+
+export interface EndpointSocketOptions {
+  readonly turns: ReadTurns;
+  /** Connections of the same endpoint share its turns. */
+  readonly endpoint: object;
+}
+
+/**
+ * Connection to an endpoint that processes what it receives in small parts, and
+ * waits for its turn where the event loop has no time left for endpoints. What
+ * waits is bounded: the socket reads no more beyond its high-water mark.
+ */
+export class EndpointSocket extends Socket implements WaitingReader {
+  readonly endpoint: object;
+  readonly #turns: ReadTurns;
+  /** Paused to wait for a turn, whatever its reader wants. */
+  #isHeld = false;
+  /** Its reader wants data; kept while it is held. */
+  #isWanted = false;
+
+  constructor(
+    { turns, endpoint }: EndpointSocketOptions,
+    options?: SocketConstructorOpts,
+  ) {
+    super(options);
+    this.#turns = turns;
+    this.endpoint = endpoint;
+    this.once("close", () => turns.remove(this));
+  }
+
+  override push(chunk: Buffer | null): boolean {
+    if (chunk === null) return super.push(null);
+    let offset = 0;
+    while (offset < chunk.length && this.#mayProcess) {
+      const end = offset + MAX_PART_BYTES;
+      super.push(chunk.subarray(offset, end));
+      offset = end;
+    }
+    if (this.destroyed) return false;
+    if (offset >= chunk.length) return true;
+    if (this.readableFlowing === true) this.#hold();
+    return super.push(chunk.subarray(offset));
+  }
+
+  get #mayProcess(): boolean {
+    return (
+      this.readableFlowing === true &&
+      this.#turns.hasTimeLeft &&
+      !this.destroyed
+    );
+  }
+
+  override emit(event: string | symbol, ...args: unknown[]): boolean {
+    if (event !== "data") return super.emit(event, ...args);
+    return this.#turns.run(() => super.emit(event, ...args));
+  }
+
+  override pause(): this {
+    this.#isWanted = false;
+    return super.pause();
+  }
+
+  override resume(): this {
+    if (!this.#isHeld && this.readableLength === 0) return super.resume();
+    this.#hold();
+    return this;
+  }
+
+  #hold(): void {
+    this.#isHeld = true;
+    super.pause();
+    this.#isWanted = true;
+    this.#turns.wait(this);
+  }
+
+  processPart(): void {
+    if (!this.#isWanted || this.destroyed) return;
+    const bytes = Math.min(MAX_PART_BYTES, this.readableLength);
+    if (bytes > 0) this.read(bytes);
+    if (!this.#isWanted) return;
+    if (this.readableLength > 0) {
+      this.#turns.wait(this);
+      return;
+    }
+    this.#isHeld = false;
+    super.resume();
+  }
+}
