Give connections that wait turns of equal time

A large answer got 504 at 1 s while ten others of the same endpoint sent small events as fast as they could (1 of 10 such answers of 1 MiB). Its turns were 4,096 bytes like theirs, which take a hundredth of the time.

A turn now lasts 1 ms.

--- a/src/proxy/request/endpoint_socket.ts
+++ b/src/proxy/request/endpoint_socket.ts
@@ -6,6 +6,11 @@
  * some 1 ms; a read may bring 65,536.
  */
 const MAX_PART_BYTES = 4_096;
+/**
+ * Time of one turn, ms. Counted in bytes, a large answer would wait for parts
+ * that take a hundred times as long as its own.
+ */
+const MAX_WORK_MS = 1;
 
 export interface EndpointSocketOptions {
   readonly turns: ReadTurns;
@@ -83,9 +88,13 @@
 
   processPart(): void {
     if (!this.#isWanted || this.destroyed) return;
-    const bytes = Math.min(MAX_PART_BYTES, this.readableLength);
-    if (bytes > 0) this.read(bytes);
-    if (!this.#isWanted) return;
+    const endsAtMs = this.#turns.usedMs + MAX_WORK_MS;
+    while (this.#isWanted && this.#turns.usedMs < endsAtMs) {
+      const bytes = Math.min(MAX_PART_BYTES, this.readableLength);
+      if (bytes === 0) break;
+      this.read(bytes);
+    }
+    if (!this.#isWanted || this.destroyed) return;
     if (this.readableLength > 0) {
       this.#turns.wait(this);
       return;
--- a/src/proxy/request/read_turns.ts
+++ b/src/proxy/request/read_turns.ts
@@ -28,6 +28,11 @@
     this.#now = now;
   }
 
+  /** Time that bytes of endpoints have taken in this turn, ms. */
+  get usedMs(): number {
+    return this.#usedMs;
+  }
+
   /** False once the time of this turn is used up; then call `wait`. */
   get hasTimeLeft(): boolean {
     return this.#usedMs < TURN_MS;
