--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -24,6 +24,7 @@
 } from "../../adapters/received/index.js";
 import { hashSha256 } from "../../core/canonical.js";
 import type { AnswerFacts, RawHeaders, WireFormat } from "../types.js";
+import { FloodError, startFloodCheck } from "./flood_limit.js";
 import { StallTimer } from "./stall_timer.js";
 
 export const ATTEMPT_FAILURE = {
@@ -139,6 +140,7 @@
         resolve(sendAttempt(options));
         return;
       }
+      startFloodCheck(outgoing, socket);
       if (!socket.connecting) {
         markSentIfAllowed();
         return;
@@ -412,7 +414,11 @@
       if (isWhole) resolve(ok(body.data));
       else fail("Answer ended early");
     });
-    message.once("error", (error) => fail(error.message));
+    message.once("error", (error) => {
+      if (error instanceof FloodError) isCut = false;
+      fail(error.message);
+    });
     message.once("close", () => fail("Connection closed within the answer"));
+    if (message.destroyed) fail("Connection closed before the answer was read");
   });
 }
