Play bytes without end of replicas and callers in the platform's soak

Entries run with the flags of the deploy file now, and their memory is watched: the soak had started them without these flags, so no heap limit ever applied. Replicas send one of ten kinds of bytes without end for up to 1.5 s; up to 20 callers send a body in chunks of one byte, or requests behind one another, and don't read.

--- a/src/platform/built_entry_fixtures_test.ts
+++ b/src/platform/built_entry_fixtures_test.ts
@@ -5,40 +5,27 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { parse } from "smol-toml";
 import {
   type ExitStatus,
   type ManagedProcess,
   startProcess,
 } from "../standins/managed_process.js";
 import { startServer } from "../standins/server.js";
+import { readNodeFlags } from "../testbed/deploy_file.js";
 import { readResidentMegabytes } from "../testbed/process_usage.js";
 import { HOST } from "./entry_fixtures_test.js";
-import { BUNDLE_FILE } from "./soak/fleet.js";
+import { BUNDLE_FILE, HOST_MEMORY_MB } from "./soak/fleet.js";
 import { createReplicaSpec, ReplicaStandin } from "./standins/replica.js";
 import { PlatformStoreStandin } from "./standins/store.js";
 
-/** Memory of the smallest hosts that entries run on, MB. */
-export const HOST_MEMORY_MB = 186;
+export { HOST_MEMORY_MB } from "./soak/fleet.js";
+export { writeEndlessly } from "./standins/endless_bytes.js";
+
 const MEMORY_CHECK_INTERVAL_MS = 10;
 /** Time in which a sound caller wants its answer, ms. */
 export const SOUND_DEADLINE_MS = 1_000;
 const SOUND_CALL_INTERVAL_MS = 50;
 
-interface DeployFile {
-  readonly roles: { readonly entry: { readonly run: string } };
-}
-
-/** Node's flags in the command of the deploy file. */
-function readNodeFlags(): string[] {
-  const text = readFileSync(
-    new URL("../../deploy/system.toml", import.meta.url),
-    "utf8",
-  );
-  const file = parse(text) as unknown as DeployFile;
-  return file.roles.entry.run.split(" ").filter((word) => word.startsWith("-"));
-}
-
 /** Below the ports that the system gives to clients. */
 const FIRST_PORT = 10_000;
 const PORTS_PER_PROCESS = 40;
@@ -349,12 +336,3 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 }
-
-/** Writes the bytes again and again until the other side closes. */
-export function writeEndlessly(socket: Socket, bytes: Buffer): void {
-  const pump = () => {
-    while (!socket.destroyed && socket.writable && socket.write(bytes));
-  };
-  socket.on("drain", pump);
-  pump();
-}
--- a/src/platform/endless_bytes_test.ts
+++ b/src/platform/endless_bytes_test.ts
@@ -1,11 +1,9 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import {
-  BuiltSystem,
-  HOST_MEMORY_MB,
-  writeEndlessly,
-} from "./built_entry_fixtures_test.js";
+import { BuiltSystem } from "./built_entry_fixtures_test.js";
+import { HOST_MEMORY_MB } from "./soak/fleet.js";
+import { writeEndlessly } from "./standins/endless_bytes.js";
 
 const SMALL_CHUNKS = Buffer.from("1\r\nx\r\n".repeat(10_000));
 /** Time in which sound callers call beside the endless bytes, ms. */
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -11,6 +11,7 @@
 } from "../../standins/managed_process.js";
 import { startServer } from "../../standins/server.js";
 import { delay } from "../../testbed/delay.js";
+import { readNodeFlags } from "../../testbed/deploy_file.js";
 import type { BodyCrashTime } from "../standins/body_crash.js";
 import {
   createReplicaSpec,
@@ -36,6 +37,8 @@
   graceSeconds: 4,
 } as const;
 export const STREAM_EVENTS = 6;
+/** Memory of the smallest hosts that entries run on, MB. */
+export const HOST_MEMORY_MB = 186;
 
 /** The bundle that a platform starts; scripts/bundle.mjs writes it. */
 export const BUNDLE_FILE = fileURLToPath(
@@ -130,6 +133,7 @@
     writeFileSync(file, this.#createSettings(entry));
     const started = await startProcess({
       file: bundleFile,
+      nodeFlags: readNodeFlags(),
       args: [`127.0.0.1:${this.#getPorts(entry.index).callers}`],
       env: { HORNBEAMRILL_NODE_FILE: file },
       readyLine: /event=started/,
@@ -186,6 +190,8 @@
 front = "127.0.0.1:${ports.callers}"
 ready = "127.0.0.1:${ports.readiness}"
 control = "127.0.0.1:${ports.control}"
+[limits]
+memory_mb = ${HOST_MEMORY_MB}
 [bounds]
 revoke_ms = ${TIME_BOUNDS.revokeMs}
 config_deadline_ms = ${TIME_BOUNDS.configDeadlineMs}
--- a/src/platform/soak/judge_soak.ts
+++ b/src/platform/soak/judge_soak.ts
@@ -6,7 +6,7 @@
 import { CALM_BEFORE_MS, describeCall, isCalm } from "./calm.js";
 import { checkCrashingRequests } from "./check_crashing_requests.js";
 import { checkSilence } from "./check_silence.js";
-import { STREAM_EVENTS, TIME_BOUNDS } from "./fleet.js";
+import { HOST_MEMORY_MB, STREAM_EVENTS, TIME_BOUNDS } from "./fleet.js";
 import { hasGraceEnded } from "./has_grace_ended.js";
 import { sumStalledMs } from "./own_stalls.js";
 import { PROPERTIES, type Property } from "./properties.js";
@@ -77,6 +77,13 @@
   for (const exit of records.unexpectedExits) {
     findings.addViolation("unexpectedExit", exit);
   }
+  for (const { entry, megabytes } of records.memoryPeaks) {
+    findings.check(
+      "memoryExceeded",
+      megabytes <= HOST_MEMORY_MB,
+      () => `${entry}: ${megabytes} MB`,
+    );
+  }
   for (const call of records.unserved) {
     findings.addViolation("notRecovered", call);
   }
--- a/src/platform/soak/judge_soak_test.ts
+++ b/src/platform/soak/judge_soak_test.ts
@@ -154,6 +154,7 @@
     withdrawals: new Map(),
     leavings: new Map(),
     unexpectedExits: [],
+    memoryPeaks: [],
     unserved: [],
     ...records,
   });
@@ -267,6 +268,7 @@
       },
     ],
     ["answeredLate", { calls: [{ ...CALL, endedAtMs: 22_100 }] }],
+    ["memoryExceeded", { memoryPeaks: [{ entry: "entry-0", megabytes: 187 }] }],
     ["unexpectedExit", { unexpectedExits: ["entry-0"] }],
     ["notRecovered", { unserved: ["c9"] }],
   ];
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -25,6 +25,7 @@
     --no-silences    no replica pauses within its answers
     --no-crashing-requests
                      no request ends the replicas that run it
+    --no-floods      neither replicas nor callers send bytes without end
     --json           print the report as JSON on the last line
     --base-port N    first port of the entries (25000)
     --keep           keep the folder with settings and logs
@@ -44,6 +45,7 @@
       repeatStops: { type: "boolean", default: false },
       silences: { type: "boolean", default: true },
       crashingRequests: { type: "boolean", default: true },
+      floods: { type: "boolean", default: true },
       json: { type: "boolean", default: false },
       basePort: { type: "number", default: 25_000 },
       keep: { type: "boolean", default: false },
@@ -67,6 +69,7 @@
     repeatsStops: cli.flags.repeatStops,
     hasSilences: cli.flags.silences,
     hasCrashingRequests: cli.flags.crashingRequests,
+    hasFloods: cli.flags.floods,
     basePort,
     folder,
     signal,
--- a/src/platform/soak/properties.ts
+++ b/src/platform/soak/properties.ts
@@ -19,6 +19,7 @@
   "lostRequest",
   "answeredLate",
   "unexpectedExit",
+  "memoryExceeded",
   "notRecovered",
 ] as const;
 export type Property = (typeof PROPERTIES)[number];
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -1,6 +1,7 @@
 /** What callers and replicas saw, for the checks. */
 
 import type { ReplicaArrival } from "../standins/replica.js";
+import type { MemoryPeak } from "./memory_watch.js";
 import type { Stall } from "./own_stalls.js";
 
 export const ROUTE = { safe: "safe", once: "once", stream: "stream" } as const;
@@ -45,6 +46,9 @@
 /** Kind of a replica's silence, which is no reason to end an answer. */
 export const SILENCE_KIND = "silence";
 
+/** Kind of disturbance of a replica that sends bytes without end. */
+export const FLOOD_KIND = "flood";
+
 /** The end of a replica under a request with this body. */
 export interface RequestCrash {
   readonly body: string;
@@ -96,6 +100,7 @@
   readonly leavings: ReadonlyMap<string, number>;
   /** Exits of entries that no fault had caused. */
   readonly unexpectedExits: readonly string[];
+  readonly memoryPeaks: readonly MemoryPeak[];
   /** Calls after all faults had ended that were not served. */
   readonly unserved: readonly string[];
 }
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -9,7 +9,9 @@
 import { runCrashingRequests } from "./crashing_requests.js";
 import { FaultInjector } from "./fault_injector.js";
 import { Fleet, type FleetOptions } from "./fleet.js";
+import { runFloods } from "./floods.js";
 import { judgeSoak } from "./judge_soak.js";
+import { watchMemory } from "./memory_watch.js";
 import { startStallRecords } from "./own_stalls.js";
 import type { Property } from "./properties.js";
 import { type Disturbance, ROUTE, type RunRecord } from "./records.js";
@@ -33,6 +35,7 @@
   readonly repeatsStops: boolean;
   readonly hasSilences: boolean;
   readonly hasCrashingRequests: boolean;
+  readonly hasFloods: boolean;
 }
 
 export interface SoakResult {
@@ -46,6 +49,8 @@
   readonly repeatedAnswers: number;
   /** Longest pause of this process, which has callers, links and replicas, ms. */
   readonly longestStallMs: number;
+  /** Most memory that an entry had, MB. */
+  readonly peakMemoryMb: number;
 }
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -114,6 +119,19 @@
         onSilence: (silence) => silences.push(silence),
       })
     : undefined;
+  const floods: Disturbance[] = [];
+  const floodsDone = options.hasFloods
+    ? runFloods({
+        random: new Random(seed + 12),
+        untilMs,
+        listReplicas: () => fleet.listCurrentReplicas(),
+        callerPorts: [...portsByEntry.values()],
+        listKeys,
+        onFlood: (flood) => floods.push(flood),
+      })
+    : undefined;
+  const memoryEnd = new AbortController();
+  const memoryPeaksDone = watchMemory(fleet.entries, memoryEnd.signal);
   const stopsDone = faults.runStops(new Random(seed + 11), repeatsStops);
   await delay(ALONE.silencesMs);
   const crashingRequestsDone = options.hasCrashingRequests
@@ -130,7 +148,7 @@
   const crashingDone = callers.runCrashingCalls(untilMs);
   await Promise.all([faults.run(), stopsDone]);
   faults.heal();
-  await Promise.all([crashingDone, silencesDone]);
+  await Promise.all([crashingDone, silencesDone, floodsDone]);
   const crashingRequests = await crashingRequestsDone;
   await fleet.waitForRestarts();
   await waitUntilReady(fleet, RECOVERY_TIMEOUT_MS);
@@ -138,6 +156,8 @@
   await callersDone;
   const unserved = await callEveryRoute(fleet, callers);
   faults.isStoppingEntries = true;
+  memoryEnd.abort();
+  const memoryPeaks = await memoryPeaksDone;
   await Promise.all(fleet.entries.map(({ process }) => process?.stop()));
   stalls.disable();
   const { calls } = callers;
@@ -153,10 +173,11 @@
     crashingRequests,
     requestCrashes: fleet.requestCrashes,
     ownStalls,
-    disturbances: [...disturbances, ...silences, ...fleet.crashes],
+    disturbances: [...disturbances, ...silences, ...floods, ...fleet.crashes],
     withdrawals,
     leavings,
     unexpectedExits,
+    memoryPeaks,
     unserved,
   });
   return {
@@ -167,6 +188,7 @@
     faults: {
       ...Object.fromEntries(faults.counts),
       silence: silences.length,
+      flood: floods.length,
       crashingRequest: fleet.crashingBodies.size,
       requestCrash: fleet.requestCrashes.length,
     },
@@ -174,6 +196,7 @@
       (sum, { replica }) => sum + replica.copyCount,
       0,
     ),
+    peakMemoryMb: Math.max(...memoryPeaks.map(({ megabytes }) => megabytes)),
     longestStallMs: Math.round(stalls.max / NANOSECONDS_PER_MS),
   };
 }
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -12,6 +12,7 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as pauseMs } from "node:timers/promises";
 import { BODY_CRASH_TIME, type BodyCrashTime } from "./body_crash.js";
+import { type EndlessBytes, writeEndlessBytes } from "./endless_bytes.js";
 import {
   REPEATED_ANSWER,
   RepeatedAnswers,
@@ -127,6 +128,8 @@
   onBodyCrash?: (body: string) => void;
   /** Runs the request, then resets its connection in place of an answer. */
   losesAnswers?: boolean;
+  /** Runs the request and sends these in place of an answer. */
+  endlessBytes?: EndlessBytes;
 }
 
 /** Header that passes through a proxy and names the request that ran. */
@@ -153,6 +156,8 @@
 /** Body of a complete plain answer, unless `plainAnswerBytes` is set. */
 export const PLAIN_ANSWER_BODY = "0123456789".repeat(20);
 
+/** Pause between two blocks of endless bytes, ms. */
+const BLOCK_PAUSE_MS = 5;
 /** Time between the begin of a run and the crash that it leads to, ms. */
 const CRASH_DELAY_MS = 20;
 
@@ -238,6 +243,13 @@
       return;
     }
     if (options.neverAnswers) return;
+    if (options.endlessBytes !== undefined) {
+      run.state = "cut";
+      const { requestId } = run;
+      const kind = options.endlessBytes;
+      writeEndlessBytes(socket, { kind, requestId, pauseMs: BLOCK_PAUSE_MS });
+      return;
+    }
     await this.#delay(options.getWorkMs?.(run.body));
     if (options.pause?.beforeHead) await pauseMs(options.pause.ms);
     if (options.breaksOffBeforeHead) {
