--- a/src/platform/built_entry_fixtures_test.ts
+++ b/src/platform/built_entry_fixtures_test.ts
@@ -7,16 +7,16 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { parse } from "smol-toml";
 import {
   type ExitStatus,
   type ManagedProcess,
   startProcess,
 } from "../standins/managed_process.js";
 import { startServer } from "../standins/server.js";
+import { readNodeFlags } from "../testbed/deploy_file.js";
 import { readResidentMegabytes } from "../testbed/process_usage.js";
-import { HOST, HOST_MEMORY_MB } from "./entry_fixtures_test.js";
-import { BUNDLE_FILE } from "./soak/fleet.js";
+import { HOST } from "./entry_fixtures_test.js";
+import { BUNDLE_FILE, HOST_MEMORY_MB } from "./soak/fleet.js";
 import { createReplicaSpec, ReplicaStandin } from "./standins/replica.js";
 import { PlatformStoreStandin } from "./standins/store.js";
 
@@ -25,20 +25,6 @@
 export const SOUND_DEADLINE_MS = 1_000;
 const SOUND_CALL_INTERVAL_MS = 50;
 
-interface DeployFile {
-  readonly roles: { readonly entry: { readonly run: string } };
-}
-
-/** Node's flags in the command of the deploy file. */
-function readNodeFlags(): string[] {
-  const text = readFileSync(
-    new URL("../../deploy/system.toml", import.meta.url),
-    "utf8",
-  );
-  const file = parse(text) as unknown as DeployFile;
-  return file.roles.entry.run.split(" ").filter((word) => word.startsWith("-"));
-}
-
 /** Below the ports that the system gives to clients. */
 const FIRST_PORT = 10_000;
 const PORTS_PER_PROCESS = 40;
@@ -390,15 +376,6 @@
   }
 }
 
-/** Writes the bytes again and again until the other side closes. */
-export function writeEndlessly(socket: Socket, bytes: Buffer): void {
-  const pump = () => {
-    while (!socket.destroyed && socket.writable && socket.write(bytes));
-  };
-  socket.on("drain", pump);
-  pump();
-}
-
 /**
  * Runs the odd side while sound callers call for `callMs`, and asserts that
  * these are all served and the process stays within the smallest host's memory.
--- a/src/platform/caller_floods_test.ts
+++ b/src/platform/caller_floods_test.ts
@@ -5,9 +5,9 @@
   assertSoundBeside,
   type BuiltEntry,
   BuiltSystem,
-  writeEndlessly,
 } from "./built_entry_fixtures_test.js";
 import { HOST } from "./entry_fixtures_test.js";
+import { writeEndlessly } from "./standins/endless_bytes.js";
 
 /** Time in which sound callers call beside the others, ms. */
 const CALL_MS = 2_500;
--- a/src/platform/endless_bytes_test.ts
+++ b/src/platform/endless_bytes_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import {
-  assertSoundBeside,
-  BuiltSystem,
-  writeEndlessly,
-} from "./built_entry_fixtures_test.js";
+import { assertSoundBeside, BuiltSystem } from "./built_entry_fixtures_test.js";
+import { writeEndlessly } from "./standins/endless_bytes.js";
 
 const SMALL_CHUNKS = Buffer.from("1\r\nx\r\n".repeat(10_000));
 const STOPPED_BODY = Buffer.alloc(900_000);
--- a/src/platform/endpoint_turns_test.ts
+++ b/src/platform/endpoint_turns_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { HeldMemory } from "../adapters/received/index.js";
 import { Connections } from "../proxy/request/connections.js";
 import { readAnswerBody, sendAttempt } from "../proxy/request/send_attempt.js";
 import { platformWire } from "./platform_wire.js";
@@ -99,7 +100,9 @@
           ids.map(async (id) => {
             const head = await send(connections, port, id);
             assert.ok(head.isOk());
-            const body = await readAnswerBody(head.value.message);
+            const body = await readAnswerBody(head.value.message, {
+              memory: new HeldMemory(),
+            });
             assert.ok(body.isOk());
             return body.value;
           }),
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -5,6 +5,7 @@
 import { startServer } from "../standins/server.js";
 import { type RunningEntry, startEntry } from "./entry.js";
 import type { EntryBounds } from "./entry_settings.js";
+import { HOST_MEMORY_MB } from "./soak/fleet.js";
 import {
   createReplicaSpec,
   type ReplicaOptions,
@@ -15,9 +16,6 @@
 export const HOST = "shop.example";
 export const API_KEY = "key-1";
 
-/** Memory of the smallest hosts that entries run on, MB. */
-export const HOST_MEMORY_MB = 186;
-
 const BOUNDS: EntryBounds = {
   revokeMs: 5_000,
   configMs: 2_000,
--- a/src/platform/flooding_endpoint_test.ts
+++ b/src/platform/flooding_endpoint_test.ts
@@ -6,9 +6,9 @@
   type BuiltEntry,
   BuiltSystem,
   type CallResult,
-  HOST_MEMORY_MB,
-  writeEndlessly,
 } from "./built_entry_fixtures_test.js";
+import { HOST_MEMORY_MB } from "./soak/fleet.js";
+import { writeEndlessly } from "./standins/endless_bytes.js";
 
 /** Time in which sound callers call beside the flood, ms. */
 const CALL_MS = 2_000;
--- a/src/platform/store_floods_test.ts
+++ b/src/platform/store_floods_test.ts
@@ -6,9 +6,9 @@
   assertSoundBeside,
   type BuiltEntry,
   BuiltSystem,
-  writeEndlessly,
 } from "./built_entry_fixtures_test.js";
-import { HOST_MEMORY_MB } from "./entry_fixtures_test.js";
+import { HOST_MEMORY_MB } from "./soak/fleet.js";
+import { writeEndlessly } from "./standins/endless_bytes.js";
 
 const SMALL_CHUNKS = Buffer.from("1\r\nx\r\n".repeat(10_000));
 const RUN_MS = 2_500;
