Call a built entry in tests only once it is ready

A call right after the start was refused with 503 where the first list of the store took over 300 ms beside much load: three cases of caller_floods_test, load 14.

--- a/src/platform/built_entry_fixtures_test.ts
+++ b/src/platform/built_entry_fixtures_test.ts
@@ -24,6 +24,8 @@
 /** Time in which a sound caller wants its answer, ms. */
 export const SOUND_DEADLINE_MS = 1_000;
 const SOUND_CALL_INTERVAL_MS = 50;
+const READY_TIMEOUT_MS = 2_000;
+const READY_CHECK_INTERVAL_MS = 20;
 
 /** Below the ports that the system gives to clients. */
 const FIRST_PORT = 10_000;
@@ -155,6 +157,32 @@
     return callEntry(this.ports.callers, path, id, deadlineMs);
   }
 
+  /** As load balancers do; one without a sound store is never ready. */
+  async waitUntilReady(): Promise<void> {
+    const untilMs = performance.now() + READY_TIMEOUT_MS;
+    while (performance.now() < untilMs && this.exit === undefined) {
+      if (await this.#isReady()) return;
+      await delay(READY_CHECK_INTERVAL_MS);
+    }
+  }
+
+  #isReady(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const outgoing = sendRequest({
+        host: "127.0.0.1",
+        port: this.ports.readiness,
+        path: "/hornbeamrill/readyz",
+        agent: false,
+      });
+      outgoing.once("response", (answer) => {
+        answer.resume();
+        resolve(answer.statusCode === 200);
+      });
+      outgoing.once("error", () => resolve(false));
+      outgoing.end();
+    });
+  }
+
   /** Calls a sound endpoint at intervals until aborted or the process ends. */
   async callRepeatedly(
     signal: AbortSignal,
@@ -329,6 +357,7 @@
     if (started.isErr()) throw new Error(started.error.detail);
     const entry = new BuiltEntry(started.value, ports);
     this.entries.push(entry);
+    await entry.waitUntilReady();
     return entry;
   }
 
