Keep the late second endpoint where the first would soon be given up

A stream of which the first endpoint paused for 3 s and two others for 0.9 s was cut at its deadline of 3.5 s once in a whole run of the tests, beside much load: the second endpoint, asked late, was given up just before the first one was, and the last attempt began from the start.

Now the second one is given up only where the first may stay for another 300 ms. The pauses of 0.7 to 1.5 s, with the second asked at the first stall timeout, are decided earlier than that.

--- a/src/proxy/request/silence_decision.ts
+++ b/src/proxy/request/silence_decision.ts
@@ -40,14 +40,19 @@
 /**
  * Decides at the end of the time in which two may work. An endpoint that would
  * have answered by then, were it sound, is as silent as the earlier one, which
- * has done more of the work.
+ * has done more of the work. It is kept nevertheless where the earlier one
+ * would soon be given up, as another attempt would begin from the start.
  */
 export function decideOverlap(
   silence: Silence,
   newestExpectedMs: number,
 ): OverlapDecision {
   const isLate = MAX_OVERLAP_MS >= LATE_PER_EXPECTED * newestExpectedMs;
-  return isLate && isWorthKeeping(silence)
+  const silenceThen = {
+    silentMs: silence.silentMs + MAX_OVERLAP_MS,
+    timeLeftMs: silence.timeLeftMs - MAX_OVERLAP_MS,
+  };
+  return isLate && isWorthKeeping(silenceThen)
     ? OVERLAP_DECISION.keepEarlier
     : OVERLAP_DECISION.keepNewest;
 }
--- a/src/proxy/request/silence_decision_test.ts
+++ b/src/proxy/request/silence_decision_test.ts
@@ -23,14 +23,15 @@
     assert.equal(decideOverlap(silence, 900), keepNewest);
   });
 
-  // An endpoint that is gone would keep the request until the deadline.
+  // An endpoint that is gone would keep the request until the deadline, and
+  // another attempt begins from the start.
   it("keeps the newest endpoint after a long silence", () => {
     assert.equal(
-      decideOverlap({ silentMs: 1_499, timeLeftMs: 3_000 }, 20),
+      decideOverlap({ silentMs: 1_199, timeLeftMs: 3_000 }, 20),
       keepEarlier,
     );
     assert.equal(
-      decideOverlap({ silentMs: 1_500, timeLeftMs: 3_000 }, 20),
+      decideOverlap({ silentMs: 1_200, timeLeftMs: 3_000 }, 20),
       keepNewest,
     );
   });
@@ -38,11 +39,11 @@
   // With a short deadline there was no time left for another endpoint.
   it("leaves a quarter of a short time to the newest endpoint", () => {
     assert.equal(
-      decideOverlap({ silentMs: 449, timeLeftMs: 151 }, 20),
+      decideOverlap({ silentMs: 149, timeLeftMs: 451 }, 20),
       keepEarlier,
     );
     assert.equal(
-      decideOverlap({ silentMs: 450, timeLeftMs: 150 }, 20),
+      decideOverlap({ silentMs: 150, timeLeftMs: 450 }, 20),
       keepNewest,
     );
   });
