Check that no request reaches more endpoints than its route's attempts

The run of four processes whose endpoints fail in six ways counts the arrivals of each request too. It guards the limit while attempts run beside silent endpoints and entries restart.

--- a/src/platform/fleet_retries_test.ts
+++ b/src/platform/fleet_retries_test.ts
@@ -7,6 +7,8 @@
 /** As in the settings of the fixture. */
 const RULE = { ratio: 0.9, windowMs: 10_000, allowance: 50 };
 const ENTRY_COUNT = 4;
+/** As in the route of the fixture. */
+const MAX_ATTEMPTS = 3;
 const CALL_INTERVAL_MS = 250;
 const DEADLINE_MS = 1_000;
 const SETTLE_MS = 3_000;
@@ -35,11 +37,14 @@
   let entries: BuiltEntry[];
   let requests: number[];
   let retries: number[];
+  /** Arrivals at endpoints by request. */
+  let arrivals: Map<string, number>;
   beforeEach(async () => {
     system = new BuiltSystem();
     entries = [];
     requests = [];
     retries = [];
+    arrivals = new Map();
     await system.start();
   });
   afterEach(async () => {
@@ -47,11 +52,11 @@
   });
 
   async function startEndpoints(failures: readonly Failure[]): Promise<void> {
-    const arrivedIds = new Set<string>();
     for (const [index, fail] of failures.entries()) {
       await system.startOddEndpoint(`odd-${index}`, (socket, id) => {
-        if (arrivedIds.has(id)) retries.push(performance.now());
-        arrivedIds.add(id);
+        const count = (arrivals.get(id) ?? 0) + 1;
+        arrivals.set(id, count);
+        if (count > 1) retries.push(performance.now());
         fail(socket, id);
       });
     }
@@ -112,6 +117,8 @@
     const excess = await measureExcess(Object.values(FAILURES));
     assert.ok(excess <= 0, `${excess} retries too many`);
     assert.ok(retries.length > 0);
+    const mostArrivals = Math.max(...arrivals.values());
+    assert.ok(mostArrivals <= MAX_ATTEMPTS, `${mostArrivals} attempts`);
   });
 });
 
