--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -72,6 +72,7 @@
   const log = createEntryLogger(settings.value, output);
   const errors = new UncaughtErrors({ log, now: () => performance.now() });
   signals.setReload(() => reportReload(settings.value, log));
+  let hasStarted = false;
   try {
     const entry = await startEntry(
       settings.value,
@@ -79,6 +80,7 @@
       earlyListener,
       signals.stopSignal,
     );
+    hasStarted = true;
     log.info("started", {
       ms: Math.round(performance.now()),
       initMs: Math.round(loadedAtMs),
@@ -95,7 +97,7 @@
     await output.flush();
     return stop === undefined ? EXIT_FAILED : EXIT_STOPPED;
   } catch (error) {
-    if (signals.stopSignal.aborted) {
+    if (!hasStarted && signals.stopSignal.aborted) {
       log.info("stopped", { during: "start", reason: String(error) });
       await output.flush();
       return EXIT_STOPPED;
--- a/src/platform/start.ts
+++ b/src/platform/start.ts
@@ -3,11 +3,10 @@
  * and then loads the rest, which takes ten times as long.
  */
 
-// Before the other modules: until its listeners are set, any signal ends the
-// process.
+// Comes first: until its listeners are set, any signal ends the process.
 import { earlySignals } from "./early_signals.js";
 
-// Loading these takes some 10 ms.
+// The others take some 10 ms to load.
 
 import { createRequire } from "node:module";
 import { dirname } from "node:path";
--- a/src/proxy/fleet/decode_messages.ts
+++ b/src/proxy/fleet/decode_messages.ts
@@ -107,7 +107,7 @@
     limits: items.filter("limits", value.limits, isLimitReport),
     crashes: items.filter("crashes", value.crashes, isCrash).map((crash) => ({
       ...crash,
-      prompts: items.filter("prompts", crash.prompts, arePromptParts),
+      prompts: items.filter("prompts", crash.prompts, isCrashPrompt),
     })),
     holds: items.filter("holds", value.holds, isHold),
   };
@@ -216,15 +216,15 @@
   return isName(endpoint);
 }
 
-function arePromptParts({ ids }: PromptParts): boolean {
-  return areSuspectIds(ids);
+function isCrashPrompt({ ids }: PromptParts): boolean {
+  return isSuspectList(ids);
 }
 
 function isHold({ parts }: PromptHold): boolean {
-  return parts.length > 0 && areSuspectIds(parts);
+  return parts.length > 0 && isSuspectList(parts);
 }
 
-function areSuspectIds(ids: readonly string[]): boolean {
+function isSuspectList(ids: readonly string[]): boolean {
   const isSuspectId = (id: string) => id.length <= MAX_PART_ID_LENGTH;
   return ids.length <= MAX_SUSPECT_IDS && ids.every(isSuspectId);
 }
--- a/src/proxy/start_listening.ts
+++ b/src/proxy/start_listening.ts
@@ -33,14 +33,14 @@
   listenAddress: NetworkAddress,
   options?: ListenOptions,
 ): Promise<S> {
-  if (options === undefined) return await listenOnce(server, listenAddress);
+  if (options === undefined) return await openPort(server, listenAddress);
   const { log, signal = new AbortController().signal } = options;
   const startedAtMs = performance.now();
   const getWaitedMs = () => Math.round(performance.now() - startedAtMs);
   let isLate = false;
   for (;;) {
     try {
-      await listenOnce(server, listenAddress);
+      await openPort(server, listenAddress);
       if (isLate)
         log.info("port-free", { ...listenAddress, ms: getWaitedMs() });
       reportServerErrors(server, log);
@@ -56,7 +56,7 @@
   }
 }
 
-function listenOnce<S extends Server>(
+function openPort<S extends Server>(
   server: S,
   { address, port }: NetworkAddress,
 ): Promise<S> {
