Name the soak's floods and its memory figures after verbs of the glossary, without an import cycle

The checks of documentation and imports failed on the names floodFromReplica, floodFromCallers and watchMemory, and on a cycle of fleet.ts, records.ts and memory_watch.ts.

--- a/src/platform/soak/floods.ts
+++ b/src/platform/soak/floods.ts
@@ -34,13 +34,13 @@
   const { random, untilMs } = options;
   while (performance.now() < untilMs) {
     await delay(random.pickInteger(0, MAX_GAP_MS));
-    await floodFromReplica(options);
+    await runReplicaFlood(options);
     await delay(random.pickInteger(0, MAX_GAP_MS));
-    await floodFromCallers(options);
+    await runCallerFlood(options);
   }
 }
 
-async function floodFromReplica(options: FloodsOptions): Promise<void> {
+async function runReplicaFlood(options: FloodsOptions): Promise<void> {
   const { random, listReplicas, onFlood } = options;
   const { id, replica } = random.pick(listReplicas());
   replica.options.endlessBytes = random.pick(Object.values(ENDLESS_BYTES));
@@ -72,7 +72,7 @@
   }),
 } as const;
 
-async function floodFromCallers(options: FloodsOptions): Promise<void> {
+async function runCallerFlood(options: FloodsOptions): Promise<void> {
   const { random, callerPorts, listKeys } = options;
   const port = random.pick(callerPorts);
   const key = random.pick(listKeys().valid);
--- a/src/platform/soak/memory_watch.ts
+++ b/src/platform/soak/measure_memory.ts
@@ -1,19 +1,24 @@
-/** Watches the memory of the entries' processes. */
+/** Measures the memory of the entries' processes. */
 
 import { setTimeout as delay } from "node:timers/promises";
 import { readResidentMegabytes } from "../../testbed/process_usage.js";
-import type { EntryMember } from "./fleet.js";
 
 const CHECK_INTERVAL_MS = 50;
 
+export interface MeasuredEntry {
+  readonly name: string;
+  /** Undefined while it does not run; each start is another one. */
+  readonly process?: { readonly pid: number | undefined };
+}
+
 export interface MemoryPeak {
   readonly entry: string;
   readonly megabytes: number;
 }
 
 /** Resolves to the peak of each entry once the signal aborts. */
-export async function watchMemory(
-  entries: readonly EntryMember[],
+export async function measureMemory(
+  entries: readonly MeasuredEntry[],
   signal: AbortSignal,
 ): Promise<MemoryPeak[]> {
   const peaks = new Map<string, number>();
--- a/src/platform/soak/records.ts
+++ b/src/platform/soak/records.ts
@@ -1,7 +1,7 @@
 /** What callers and replicas saw, for the checks. */
 
 import type { ReplicaArrival } from "../standins/replica.js";
-import type { MemoryPeak } from "./memory_watch.js";
+import type { MemoryPeak } from "./measure_memory.js";
 import type { Stall } from "./own_stalls.js";
 
 export const ROUTE = { safe: "safe", once: "once", stream: "stream" } as const;
--- a/src/platform/soak/soak.ts
+++ b/src/platform/soak/soak.ts
@@ -11,7 +11,7 @@
 import { Fleet, type FleetOptions } from "./fleet.js";
 import { runFloods } from "./floods.js";
 import { judgeSoak } from "./judge_soak.js";
-import { watchMemory } from "./memory_watch.js";
+import { measureMemory } from "./measure_memory.js";
 import { startStallRecords } from "./own_stalls.js";
 import type { Property } from "./properties.js";
 import { type Disturbance, ROUTE, type RunRecord } from "./records.js";
@@ -131,7 +131,7 @@
       })
     : undefined;
   const memoryEnd = new AbortController();
-  const memoryPeaksDone = watchMemory(fleet.entries, memoryEnd.signal);
+  const memoryPeaksDone = measureMemory(fleet.entries, memoryEnd.signal);
   const stopsDone = faults.runStops(new Random(seed + 11), repeatsStops);
   await delay(ALONE.silencesMs);
   const crashingRequestsDone = options.hasCrashingRequests
