Process large parts of answers that are quick

A connection whose whole part took at most 0.2 ms gets twice as much at once, up to 32,768 bytes, and the least again after a part that took longer.

--- a/src/platform/endpoint_turns_test.ts
+++ b/src/platform/endpoint_turns_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { Connections } from "../proxy/request/connections.js";
@@ -62,17 +63,20 @@
     return { port: address.port, sockets };
   }
 
-  /** In each turn, the time is used up by the first part. */
-  function createSlowConnections(): Connections {
+  /** `partMs` is the time that each part takes. */
+  function createConnections(partMs: number): Connections {
     const controller = new AbortController();
     closers.push(() => controller.abort());
     let nowMs = 0;
     return new Connections(controller.signal, () => {
-      nowMs += 1_000;
+      nowMs += partMs;
       return nowMs;
     });
   }
 
+  /** In each turn, the time is used up by the first part. */
+  const createSlowConnections = () => createConnections(1_000);
+
   const send = (connections: Connections, port: number, id: string) =>
     sendAttempt({
       maySend: () => true,
@@ -126,4 +130,23 @@
     }
     assert.ok(Buffer.concat(chunks).equals(BODY));
   });
+
+  // In small parts only, an answer of 1 MB took twice the time.
+  for (const [name, partMs, mostBytes] of [
+    ["large parts of what is quick", 0, 32_768],
+    ["small parts of what is slow", 1, 4_096],
+  ] as const) {
+    it(`take ${name}`, async () => {
+      const { port } = await startEndpoint(framings["a length"] ?? (() => {}));
+      const head = await send(createConnections(partMs), port, "a");
+      assert.ok(head.isOk());
+      const { message } = head.value;
+      let largest = 0;
+      message.on("data", (chunk: Buffer) => {
+        largest = Math.max(largest, chunk.length);
+      });
+      await once(message, "end");
+      assert.ok(largest <= mostBytes && largest > mostBytes / 4, `${largest}`);
+    });
+  }
 });
--- a/src/proxy/request/endpoint_socket.ts
+++ b/src/proxy/request/endpoint_socket.ts
@@ -2,10 +2,12 @@
 import type { ReadTurns, WaitingReader } from "./read_turns.js";
 
 /**
- * Most bytes that are processed at once. With chunks of one byte they take
- * some 1 ms; a read may bring 65,536.
+ * Bytes that are processed at once. With chunks of one byte, the least take
+ * some 1 ms; a connection whose parts are quick gets larger ones.
  */
-const MAX_PART_BYTES = 4_096;
+const PART_BYTES = { least: 4_096, most: 32_768 } as const;
+/** A part that takes no longer is quick, ms. */
+const QUICK_MS = 0.2;
 /**
  * Time of one turn, ms. Counted in bytes, a large answer would wait for parts
  * that take a hundred times as long as its own.
@@ -26,6 +28,7 @@
 export class EndpointSocket extends Socket implements WaitingReader {
   readonly endpoint: object;
   readonly #turns: ReadTurns;
+  #partBytes: number = PART_BYTES.least;
   /** Paused to wait for a turn, whatever its reader wants. */
   #isHeld = false;
   /** Its reader wants data; kept while it is held. */
@@ -45,7 +48,7 @@
     if (chunk === null) return super.push(null);
     let offset = 0;
     while (offset < chunk.length && this.#mayProcess) {
-      const end = offset + MAX_PART_BYTES;
+      const end = offset + this.#partBytes;
       super.push(chunk.subarray(offset, end));
       offset = end;
     }
@@ -65,7 +68,18 @@
 
   override emit(event: string | symbol, ...args: unknown[]): boolean {
     if (event !== "data") return super.emit(event, ...args);
-    return this.#turns.run(() => super.emit(event, ...args));
+    const startMs = this.#turns.usedMs;
+    const isHandled = this.#turns.run(() => super.emit(event, ...args));
+    const [data] = args as [Buffer];
+    this.#adaptParts(data.length, this.#turns.usedMs - startMs);
+    return isHandled;
+  }
+
+  #adaptParts(bytes: number, ms: number): void {
+    if (ms > QUICK_MS) this.#partBytes = PART_BYTES.least;
+    else if (bytes >= this.#partBytes) {
+      this.#partBytes = Math.min(2 * bytes, PART_BYTES.most);
+    }
   }
 
   override pause(): this {
@@ -90,7 +104,7 @@
     if (!this.#isWanted || this.destroyed) return;
     const endsAtMs = this.#turns.usedMs + MAX_WORK_MS;
     while (this.#isWanted && this.#turns.usedMs < endsAtMs) {
-      const bytes = Math.min(MAX_PART_BYTES, this.readableLength);
+      const bytes = Math.min(this.#partBytes, this.readableLength);
       if (bytes === 0) break;
       this.read(bytes);
     }
