--- a/src/platform/standins/endless_bytes.ts
+++ b/src/platform/standins/endless_bytes.ts
@@ -27,6 +27,7 @@
     `HTTP/1.1 ${status}`,
     `Attempt-Id: ${requestId}`,
     "Server-Stamp: stamp",
+    `Run-Id: ${requestId}`,
     ...lines,
     "\r\n",
   ].join("\r\n");
--- a/src/platform/standins/replica.ts
+++ b/src/platform/standins/replica.ts
@@ -12,7 +12,11 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as pauseMs } from "node:timers/promises";
 import { BODY_CRASH_TIME, type BodyCrashTime } from "./body_crash.js";
-import { type EndlessBytes, writeEndlessBytes } from "./endless_bytes.js";
+import {
+  ENDLESS_BYTES,
+  type EndlessBytes,
+  writeEndlessBytes,
+} from "./endless_bytes.js";
 import {
   REPEATED_ANSWER,
   RepeatedAnswers,
@@ -128,7 +132,7 @@
   onBodyCrash?: (body: string) => void;
   /** Runs the request, then resets its connection in place of an answer. */
   losesAnswers?: boolean;
-  /** Runs the request and sends these in place of an answer. */
+  /** Runs the request, unless these refuse it, and sends them as its answer. */
   endlessBytes?: EndlessBytes;
 }
 
@@ -225,6 +229,10 @@
       this.#refuse(request, response, 503, Object.fromEntries(fields));
       return;
     }
+    if (options.endlessBytes === ENDLESS_BYTES.refusedInSmallChunks) {
+      this.#sendEndlessBytes(request, options.endlessBytes);
+      return;
+    }
     this.#repeated.writeBeforeRun(socket);
     const run = this.#recordRun(request, Buffer.concat(chunks).toString());
     // No further event comes once the caller has left.
@@ -245,9 +253,7 @@
     if (options.neverAnswers) return;
     if (options.endlessBytes !== undefined) {
       run.state = "cut";
-      const { requestId } = run;
-      const kind = options.endlessBytes;
-      writeEndlessBytes(socket, { kind, requestId, pauseMs: BLOCK_PAUSE_MS });
+      this.#sendEndlessBytes(request, options.endlessBytes);
       return;
     }
     await this.#delay(options.getWorkMs?.(run.body));
@@ -281,6 +287,12 @@
     else this.#sendPlain(run, response);
   }
 
+  #sendEndlessBytes(request: IncomingMessage, kind: EndlessBytes): void {
+    const requestId = String(request.headers["attempt-id"]);
+    const options = { kind, requestId, pauseMs: BLOCK_PAUSE_MS };
+    writeEndlessBytes(request.socket, options);
+  }
+
   #refuse(
     request: IncomingMessage,
     response: ServerResponse,
