Keep only the hash of a long name that callers choose

Cause: tables keep up to 50,000 sessions, and parts of prompts, by texts of any length. The wire replaces names over 64 characters by their hash, alike at all entries.

--- a/src/platform/platform_wire.ts
+++ b/src/platform/platform_wire.ts
@@ -4,6 +4,7 @@
  */
 
 import { parseBearerToken } from "../adapters/http_server.js";
+import { hashSha256 } from "../core/canonical.js";
 import type {
   AnswerFacts,
   AttemptFacts,
@@ -90,6 +91,13 @@
   return Number(text);
 }
 
+/** Callers choose these names, which are kept; of longer ones the hash is. */
+const MAX_NAME_LENGTH = 64;
+
+function hashLongName(name: string): string {
+  return name.length > MAX_NAME_LENGTH ? hashSha256(name) : name;
+}
+
 /** Parses a list of `ID:TOKENS`; the first invalid item ends it. */
 function parsePromptParts(text: string | undefined): PromptPart[] {
   const parts: PromptPart[] = [];
@@ -97,7 +105,7 @@
     const [id = "", tokens] = item.trim().split(":");
     const count = parseWholeNumber(tokens);
     if (id === "" || count === undefined) break;
-    parts.push({ id, tokens: count });
+    parts.push({ id: hashLongName(id), tokens: count });
   }
   return parts;
 }
@@ -129,13 +137,14 @@
     .split(",")
     .map((text) => parseWholeNumber(text) ?? 0);
   const deadlineMs = parseWholeNumber(values.get("deadline-ms"));
+  const session = values.get("session");
   return {
     id,
     host,
     path: target,
     apiKey: parseBearerToken(values.get("authorization") ?? ""),
     deadlineMs,
-    session: values.get("session"),
+    session: session === undefined ? undefined : hashLongName(session),
     promptTokens,
     maxOutputTokens,
     // Each item of `prefix-hash` has the id and the size of one part.
