Don't blame an endpoint for an answer that the entry has no memory for

Seen by a probe: callers that read no answer used up the memory for bodies, and 81 attempts at a sound endpoint counted as broken, which feeds the choice of endpoints and the verdict on a roll-out. Such a failure says now that the lack is the entry's own.

--- a/src/platform/send_attempt_test.ts
+++ b/src/platform/send_attempt_test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
+import { Agent, IncomingMessage } from "node:http";
 import { createServer, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { HeldMemory } from "../adapters/received/index.js";
+import { HeldMemory, MemoryBudget } from "../adapters/received/index.js";
 import { readAnswerBody, sendAttempt } from "../proxy/request/send_attempt.js";
 import { platformWire } from "./platform_wire.js";
 
@@ -126,6 +126,16 @@
     assert.equal(result.kind, "unknown");
   });
 
+  // A good version would be rolled back for what callers have used up.
+  it("tells the entry's own lack of memory from a fault of the endpoint", async () => {
+    const message = new IncomingMessage(new Socket());
+    message.push(Buffer.alloc(300_000));
+    const memory = new HeldMemory(new MemoryBudget(() => 0, 1));
+    const body = await readAnswerBody(message, { memory });
+    assert.ok(body.isErr());
+    assert.equal(body.error.isOwnLack, true);
+  });
+
   // The caller got it as its final answer, and nothing else until its deadline.
   it("takes a status that no final answer has as a failed attempt", async () => {
     for (const status of [101, 600, 999]) {
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -462,7 +462,8 @@
     const isCancelled =
       isSuperseded ||
       (this.#request.signal.aborted && !this.#wasSilentToTheEnd(attempt));
-    const isFault = !isCancelled && kind !== ATTEMPT_FAILURE.withheld;
+    const isFault =
+      !isCancelled && !failure.isOwnLack && kind !== ATTEMPT_FAILURE.withheld;
     const isBlameless =
       isFault && isCut && (await this.#recordCrash(attempt, hasHead));
     if (isFault && !isBlameless) {
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -69,6 +69,8 @@
   readonly isCut?: boolean;
   /** The head of the answer had come. */
   readonly hasHead?: boolean;
+  /** The entry itself had no memory for the answer. */
+  readonly isOwnLack?: boolean;
 }
 
 export interface AttemptHead {
@@ -383,11 +385,18 @@
     });
     let isCut = true;
     let isWhole = false;
+    let isOwnLack = false;
     const fail = (detail: string) => {
       if (isWhole) return;
       body.discard();
       resolve(
-        err({ kind: ATTEMPT_FAILURE.unknown, detail, isCut, hasHead: true }),
+        err({
+          kind: ATTEMPT_FAILURE.unknown,
+          detail,
+          isCut,
+          hasHead: true,
+          isOwnLack,
+        }),
       );
     };
     const abandon = (detail: string) => {
@@ -407,7 +416,9 @@
       stallTimer.refresh();
       onData?.();
       const refusal = body.add(chunk);
-      if (refusal !== undefined) abandon(REFUSAL_DETAILS[refusal]);
+      if (refusal === undefined) return;
+      isOwnLack = refusal === BODY_REFUSAL.noMemory;
+      abandon(REFUSAL_DETAILS[refusal]);
     });
     message.once("end", () => {
       isWhole = isWholeAnswer(message, body.sizeBytes);
