--- a/src/adapters/received/bounds.ts
+++ b/src/adapters/received/bounds.ts
@@ -45,7 +45,7 @@
  * Most requests of one connection that run at the same time. Others that were
  * read wait, and no more are read meanwhile.
  */
-export const MAX_RUNNING_PER_CONNECTION = 8;
+export const MAX_RUNNING_PER_CONNECTION = 16;
 /**
  * Most requests of all connections that wait so; a read of a socket may have
  * 700, of 8 kB of memory each. Beyond it the connection takes no more.
