Replace long names by their hash in one place

The wire wrote again what the record of a connection's requests already did: a text of over 64 characters becomes its hash. Behaviour stays as it is. Tests of the wire, of attempts, of repeated refusals, documentation and imports pass (61).

--- a/src/core/canonical.ts
+++ b/src/core/canonical.ts
@@ -21,6 +21,11 @@
   return createHash("sha256").update(data).digest("hex");
 }
 
+/** The text itself, or its hash if it is longer than `maxLength`. */
+export function hashIfLong(text: string, maxLength: number): string {
+  return text.length > maxLength ? hashSha256(text) : text;
+}
+
 /** Maps texts uniformly to [0, 1); equal texts give equal numbers. */
 export function hashToShare(text: string): number {
   return createHash("sha256").update(text).digest().readUInt32BE() / 2 ** 32;
--- a/src/platform/platform_wire.ts
+++ b/src/platform/platform_wire.ts
@@ -4,7 +4,7 @@
  */
 
 import { parseBearerToken } from "../adapters/http_server.js";
-import { hashSha256 } from "../core/canonical.js";
+import { hashIfLong } from "../core/canonical.js";
 import type {
   AnswerFacts,
   AttemptFacts,
@@ -94,10 +94,6 @@
 /** Callers choose these names, which are kept; of longer ones the hash is. */
 const MAX_NAME_LENGTH = 64;
 
-function hashLongName(name: string): string {
-  return name.length > MAX_NAME_LENGTH ? hashSha256(name) : name;
-}
-
 /** Parses a list of `ID:TOKENS`; the first invalid item ends it. */
 function parsePromptParts(text: string | undefined): PromptPart[] {
   const parts: PromptPart[] = [];
@@ -105,7 +101,7 @@
     const [id = "", tokens] = item.trim().split(":");
     const count = parseWholeNumber(tokens);
     if (id === "" || count === undefined) break;
-    parts.push({ id: hashLongName(id), tokens: count });
+    parts.push({ id: hashIfLong(id, MAX_NAME_LENGTH), tokens: count });
   }
   return parts;
 }
@@ -144,7 +140,8 @@
     path: target,
     apiKey: parseBearerToken(values.get("authorization") ?? ""),
     deadlineMs,
-    session: session === undefined ? undefined : hashLongName(session),
+    session:
+      session === undefined ? undefined : hashIfLong(session, MAX_NAME_LENGTH),
     promptTokens,
     maxOutputTokens,
     // Each item of `prefix-hash` has the id and the size of one part.
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -22,7 +22,7 @@
   ReceivedBody,
   SENDER,
 } from "../../adapters/received/index.js";
-import { hashSha256 } from "../../core/canonical.js";
+import { hashIfLong } from "../../core/canonical.js";
 import type { AnswerFacts, RawHeaders, WireFormat } from "../types.js";
 import { FloodError, startFloodCheck } from "./flood_limit.js";
 import { StallTimer } from "./stall_timer.js";
@@ -261,10 +261,7 @@
 function addCarriedRequest(socket: Socket, requestId: string): boolean {
   const ids = carriedRequestIds.get(socket) ?? new Set();
   carriedRequestIds.set(socket, ids);
-  const id =
-    requestId.length > MAX_CARRIED_ID_LENGTH
-      ? hashSha256(requestId)
-      : requestId;
+  const id = hashIfLong(requestId, MAX_CARRIED_ID_LENGTH);
   if (ids.has(id)) return false;
   ids.add(id);
   const [oldest = ""] = ids;
