--- a/src/platform/built_entry_fixtures_test.ts
+++ b/src/platform/built_entry_fixtures_test.ts
@@ -16,7 +16,7 @@
 import { readNodeFlags } from "../testbed/deploy_file.js";
 import { readResidentMegabytes } from "../testbed/process_usage.js";
 import { HOST } from "./entry_fixtures_test.js";
-import { BUNDLE_FILE, HOST_MEMORY_MB } from "./soak/fleet.js";
+import { BUNDLE_FILE, HOST_MEMORY_MB, isReadyAt } from "./soak/fleet.js";
 import { createReplicaSpec, ReplicaStandin } from "./standins/replica.js";
 import { PlatformStoreStandin } from "./standins/store.js";
 
@@ -161,28 +161,11 @@
   async waitUntilReady(): Promise<void> {
     const untilMs = performance.now() + READY_TIMEOUT_MS;
     while (performance.now() < untilMs && this.exit === undefined) {
-      if (await this.#isReady()) return;
+      if (await isReadyAt(this.ports.readiness)) return;
       await delay(READY_CHECK_INTERVAL_MS);
     }
   }
 
-  #isReady(): Promise<boolean> {
-    return new Promise((resolve) => {
-      const outgoing = sendRequest({
-        host: "127.0.0.1",
-        port: this.ports.readiness,
-        path: "/hornbeamrill/readyz",
-        agent: false,
-      });
-      outgoing.once("response", (answer) => {
-        answer.resume();
-        resolve(answer.statusCode === 200);
-      });
-      outgoing.once("error", () => resolve(false));
-      outgoing.end();
-    });
-  }
-
   /** Waits until the entry has read the store, some time after its start. */
   async waitUntilServing(): Promise<void> {
     for (let i = 0; this.exit === undefined; i++) {
--- a/src/platform/entry_process_fixtures_test.ts
+++ b/src/platform/entry_process_fixtures_test.ts
@@ -1,11 +1,11 @@
 /** A process of the entry whose output and signals are in a test's hands. */
 
 import { type ChildProcess, spawn } from "node:child_process";
-import { request as sendRequest } from "node:http";
 import { createServer, type Server } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import type { ExitStatus } from "../standins/managed_process.js";
 import type { BuiltEntryCommand } from "./built_entry_fixtures_test.js";
+import { isReadyAt } from "./soak/fleet.js";
 
 const CHECK_INTERVAL_MS = 20;
 /** Above the time of any start, also beside other work. */
@@ -81,31 +81,12 @@
   async waitUntilReady(timeoutMs = READY_TIMEOUT_MS): Promise<boolean> {
     const untilMs = performance.now() + timeoutMs;
     while (performance.now() < untilMs && this.exit === undefined) {
-      if ((await this.#readReadiness()) === 200) return true;
+      if (await isReadyAt(this.#command.ports.readiness)) return true;
       await delay(CHECK_INTERVAL_MS);
     }
     return false;
   }
 
-  #readReadiness(): Promise<number> {
-    return new Promise((resolve) => {
-      const outgoing = sendRequest({
-        host: "127.0.0.1",
-        port: this.#command.ports.readiness,
-        path: "/hornbeamrill/readyz",
-        agent: false,
-        timeout: 500,
-      });
-      outgoing.once("response", (answer) => {
-        answer.resume();
-        resolve(answer.statusCode ?? 0);
-      });
-      outgoing.once("timeout", () => outgoing.destroy());
-      outgoing.once("error", () => resolve(0));
-      outgoing.end();
-    });
-  }
-
   async kill(): Promise<void> {
     if (this.exit === undefined) this.child.kill("SIGKILL");
     await this.#ended;
--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -144,25 +144,8 @@
     entry.process = started.value;
   }
 
-  /** True when the entry answers the readiness request with 200. */
   isReady(entry: EntryMember): Promise<boolean> {
-    const { readiness } = this.#getPorts(entry.index);
-    return new Promise((resolve) => {
-      const outgoing = get({
-        host: "127.0.0.1",
-        port: readiness,
-        path: READY_PATH,
-        agent: false,
-        timeout: READY_TIMEOUT_MS,
-      });
-      outgoing.once("response", (response) => {
-        response.resume();
-        resolve(response.statusCode === 200);
-      });
-      outgoing.once("timeout", () => outgoing.destroy());
-      outgoing.once("close", () => resolve(false));
-      outgoing.once("error", () => resolve(false));
-    });
+    return isReadyAt(this.#getPorts(entry.index).readiness);
   }
 
   #getPorts(index: number) {
@@ -328,3 +311,23 @@
     this.store.put("servers", member.id, spec);
   }
 }
+
+/** True when an entry answers the readiness request at the port with 200. */
+export function isReadyAt(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const outgoing = get({
+      host: "127.0.0.1",
+      port,
+      path: READY_PATH,
+      agent: false,
+      timeout: READY_TIMEOUT_MS,
+    });
+    outgoing.once("response", (response) => {
+      response.resume();
+      resolve(response.statusCode === 200);
+    });
+    outgoing.once("timeout", () => outgoing.destroy());
+    outgoing.once("close", () => resolve(false));
+    outgoing.once("error", () => resolve(false));
+  });
+}
