Cut a settings file at a whole byte in its test

The test "goes on once the settings file is whole" cut the file at half of its bytes, which throws where their number is odd: that depends on the digits of the ports and the new line max_fds. It cuts at the byte below now; what is checked stays.

--- a/src/platform/process_settings_test.ts
+++ b/src/platform/process_settings_test.ts
@@ -47,7 +47,7 @@
 
   it("goes on once the settings file is whole", async () => {
     const text = readFileSync(command.settingsFile);
-    truncateSync(command.settingsFile, text.length / 2);
+    truncateSync(command.settingsFile, Math.floor(text.length / 2));
     entry = new EntryProcess(command);
     await delay(FILE_LATE_MS);
     writeFileSync(command.settingsFile, text);
