Refuse a request without id or host by its head, and close

Callers saw: beside callers who send requests without the usual headers, no ordinary call was answered for seconds.

Cause: such a request got 400, but only after its body, and the connection stayed open, so that each of thousands behind it was read, refused and answered on its own.

Change: the refusal is sent at once, logged and counted as others are, closes the connection, and what follows is dropped. No client of the protocol sends a request without both, so nothing that could be served is behind it; it was never passed on, so the refusal still says truthfully that it has not run.

Evidence: "gets one refusal and the close ..." and "gets the refusal before the body ..." (caller_bytes_test) failed before: 300 refusals, and none before the body.

--- a/src/platform/caller_bytes_test.ts
+++ b/src/platform/caller_bytes_test.ts
@@ -124,6 +124,32 @@
     assert.equal(system.listRuns("r2").length, 0);
   });
 
+  // Each request of a crowd that names none of them was refused on its own.
+  it("gets one refusal and the close for requests that nothing names", async () => {
+    await system.start([{ id: "i-1" }]);
+    const brokenCaller = new RawCaller(system.callerPort);
+    caller = brokenCaller;
+    brokenCaller.write("GET /safe/a HTTP/1.1\r\n\r\n".repeat(300));
+    await system.waitFor(() => brokenCaller.isClosed);
+    assert.deepEqual(
+      brokenCaller.answers.map(({ status }) => status),
+      [400],
+    );
+    assert.ok(brokenCaller.answers.at(-1)?.isLastOfConnection);
+  });
+
+  // The refusal waited until the body had come, which it need not do.
+  it("gets the refusal before the body of a request that nothing names", async () => {
+    await system.start([{ id: "i-1" }]);
+    const brokenCaller = new RawCaller(system.callerPort);
+    caller = brokenCaller;
+    brokenCaller.write(
+      "POST /safe/a HTTP/1.1\r\nContent-Length: 90000\r\n\r\n",
+    );
+    await system.waitFor(() => brokenCaller.answers.length > 0);
+    assert.equal(brokenCaller.answers[0]?.status, 400);
+  });
+
   // A second answer would be taken for that to the caller's next request.
   it("gets no second refusal when the rest of its body can't be read", async () => {
     await system.start([{ id: "i-1" }]);
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -224,18 +224,26 @@
     const { maxHeaderBytes, maxBodyBytes, maxBodyMs } = getRequestLimits(
       view.catalog?.configuration,
     );
-    if (countHeadBytes(incoming) > maxHeaderBytes) {
+    const refuseHead = (refusal: Refusal) => {
       this.callerConnections.closeAfter(incoming, response);
       incoming.on("error", () => {}).resume();
       this.callerReads.discardRest(incoming.socket);
-      const detail = `Head exceeds ${maxHeaderBytes} bytes`;
-      const refusal = createRefusal("headers-too-large", detail);
       this.#refuse(sink, facts, refusal);
+    };
+    if (countHeadBytes(incoming) > maxHeaderBytes) {
+      const detail = `Head exceeds ${maxHeaderBytes} bytes`;
+      refuseHead(createRefusal("headers-too-large", detail));
+      return;
+    }
+    // No client of this protocol sent it, so nothing better follows.
+    if (facts === undefined) {
+      const detail = "The request has no id or no host";
+      refuseHead(createRefusal("bad-request", detail));
       return;
     }
     const { promptHolds } = this.#options;
-    const held = facts === undefined ? undefined : promptHolds.admit(facts);
-    if (facts !== undefined && held !== undefined) {
+    const held = promptHolds.admit(facts);
+    if (held !== undefined) {
       ignoreBody(incoming);
       this.#refuse(sink, facts, createHeldRefusal(promptHolds, held, random));
       return;
@@ -253,11 +261,6 @@
       incoming.socket.destroy();
       return;
     }
-    if (facts === undefined) {
-      const detail = "The request has no id or no host";
-      sink.refuse(createRefusal("bad-request", detail));
-      return;
-    }
     if (!Buffer.isBuffer(body)) {
       this.#refuse(sink, facts, body);
       return;
