Let bodies that have stopped give their memory to others

Callers saw: large bodies got 503 "No memory for the body" for as long as others held the memory for bodies of callers and stopped just short of the end: 10 s for each, and 30 s where a byte comes now and then.

Cause: all callers share 0.6 of the memory for received data, and a body keeps its part until its time is over, also while others are refused for want of it.

Weighed: a share for each address or connection. Many callers may come through one balancer, so an address says little, and a share for each of 1,000 connections would be below the size of one body.

Change: where memory is short, the body whose last kilobyte came first, and at least 1 s ago, is refused as not run (503, reason "stopped") and its memory goes to the one that arrives. Bodies that go on are never given up for others, so the memory is not handed round among bodies that never get whole.

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -166,12 +166,13 @@
   }
   return new Promise((resolve, reject) => {
     const body = new ReceivedBody({ sender, maxBytes, memory });
-    const stopTimers = () => {
+    const endArrival = () => {
+      arrival.end();
       clearTimeout(pauseTimer);
       clearTimeout(bodyTimer);
     };
     const refuse = (refusal: Refusal) => {
-      stopTimers();
+      endArrival();
       request.off("data", addChunk);
       ignoreBody(request);
       body.discard();
@@ -184,24 +185,28 @@
       refuse(createRefusal("capacity", detail));
     };
     const refusePaused = () =>
-      refuseLate(RECEIVED_REFUSAL.paused, "The body stopped short of its end");
+      refuseLate(RECEIVED_REFUSAL.paused, "The body stopped before its end");
+    const arrival = memory.addArrival(() =>
+      refuseLate(RECEIVED_REFUSAL.stopped, "The body stopped before its end"),
+    );
     const refuseSlow = () =>
       refuseLate(RECEIVED_REFUSAL.slow, `The body takes over ${maxBodyMs} ms`);
     const addChunk = (chunk: Buffer) => {
       bodyTimer ??= setTimeout(refuseSlow, maxBodyMs);
       pauseTimer ??= setTimeout(refusePaused, MAX_BODY_PAUSE_MS);
       pauseTimer.refresh();
+      arrival.addBytes(chunk.length);
       const reason = body.add(chunk);
       if (reason !== undefined) refuse(createBodyRefusal(reason, maxBytes));
     };
     const fail = (error: Error) => {
-      stopTimers();
+      endArrival();
       body.discard();
       reject(error);
     };
     request.on("data", addChunk);
     request.once("end", () => {
-      stopTimers();
+      endArrival();
       resolve(body.data);
     });
     request.once("error", fail);
--- a/src/adapters/received/held_memory.ts
+++ b/src/adapters/received/held_memory.ts
@@ -1,5 +1,6 @@
 /** What one request or call holds of the memory for received data. */
 
+import type { BodyArrival } from "./arrivals.js";
 import type { Sender } from "./bounds.js";
 import {
   type MemoryBudget,
@@ -63,6 +64,11 @@
       this.#budget.release(bytes, endpoint);
   }
 
+  /** Adds a body that arrives; see `MemoryBudget`. */
+  addArrival(giveUp: () => void): BodyArrival {
+    return this.#budget.addArrival(giveUp);
+  }
+
   takeSmallChunk(): boolean {
     return this.#budget.takeSmallChunk();
   }
--- a/src/adapters/received/memory_budget.ts
+++ b/src/adapters/received/memory_budget.ts
@@ -1,5 +1,6 @@
 /** Memory that all received data of the process together may hold. */
 
+import { Arrivals, type BodyArrival } from "./arrivals.js";
 import {
   DEFAULT_HOST_MEMORY_MB,
   MAX_ENDPOINT_SHARE,
@@ -41,6 +42,8 @@
   paused: "paused",
   /** A body takes longer than any deadline. */
   slow: "slow",
+  /** A body stopped, and others needed its memory. */
+  stopped: "stopped",
 } as const;
 export type ReceivedRefusal =
   (typeof RECEIVED_REFUSAL)[keyof typeof RECEIVED_REFUSAL];
@@ -66,9 +69,11 @@
   #freeSmallChunks = SMALL_CHUNKS_AT_ONCE;
   #refilledAtMs = 0;
   #onRefusal: RefusalListener = () => {};
+  readonly #arrivals: Arrivals;
 
   constructor(now: () => number, hostMemoryMb = DEFAULT_HOST_MEMORY_MB) {
     this.#now = now;
+    this.#arrivals = new Arrivals(now);
     this.setHostMemory(hostMemoryMb);
   }
 
@@ -85,6 +90,14 @@
     return this.#heldBytes;
   }
 
+  /**
+   * Adds a body that arrives. `giveUp` must release its memory; it is called
+   * where the body has stopped and others need the memory.
+   */
+  addArrival(giveUp: () => void): BodyArrival {
+    return this.#arrivals.add(giveUp);
+  }
+
   /**
    * Adds `bytes` to a body, which has `totalBytes` then; false if too many.
    * `endpoint` is the address of the endpoint whose answer it is.
@@ -99,7 +112,10 @@
     const extraShare =
       totalBytes <= SMALL_BODY_BYTES ? SMALL_BODY_EXTRA_SHARE : 0;
     const share = Math.min(1, RECEIVED_SHARES[sender] + extraShare);
-    if (this.#heldBytes + bytes > share * this.#capacityBytes) return false;
+    const maxHeldBytes = share * this.#capacityBytes - bytes;
+    while (this.#heldBytes > maxHeldBytes) {
+      if (!this.#arrivals.giveUpStopped()) return false;
+    }
     this.#add(bytes, endpoint);
     return true;
   }
--- a/src/adapters/received/received_body_test.ts
+++ b/src/adapters/received/received_body_test.ts
@@ -101,6 +101,83 @@
   });
 });
 
+describe("bodies that stop before their end", () => {
+  const LARGE_BYTES = 100_000;
+  let nowMs = 0;
+  let budget: MemoryBudget;
+  const givenUp: number[] = [];
+  beforeEach(() => {
+    nowMs = 0;
+    givenUp.length = 0;
+    budget = new MemoryBudget(() => nowMs, HOST_MEMORY_MB);
+  });
+
+  /** Adds bodies until their memory is full; returns how they go on. */
+  const fill = () => {
+    const arrivals = [];
+    for (let i = 0; ; i++) {
+      const memory = new HeldMemory(budget);
+      if (!memory.reserve(SENDER.caller, LARGE_BYTES, LARGE_BYTES))
+        return arrivals;
+      const arrival = memory.addArrival(() => {
+        givenUp.push(i);
+        memory.release();
+      });
+      arrival.addBytes(LARGE_BYTES);
+      arrivals.push(arrival);
+    }
+  };
+  const takeMore = () =>
+    budget.reserve(SENDER.caller, LARGE_BYTES, LARGE_BYTES);
+
+  // They held the memory for 10 s, and others were refused meanwhile.
+  it("give way to others, the first that stopped first", () => {
+    fill();
+    nowMs += 5_000;
+    assert.ok(takeMore());
+    assert.ok(takeMore());
+    assert.deepEqual(givenUp, [0, 1]);
+  });
+
+  it("keep their memory while nobody else needs it", () => {
+    fill();
+    nowMs += 5_000;
+    // Small bodies have some more.
+    assert.ok(budget.reserve(SENDER.caller, 800, 800));
+    assert.deepEqual(givenUp, []);
+  });
+
+  it("keep it while they go on", () => {
+    const arrivals = fill();
+    for (let i = 0; i < 10; i++) {
+      nowMs += 500;
+      for (const arrival of arrivals) arrival.addBytes(4_096);
+      assert.ok(!takeMore());
+    }
+    assert.deepEqual(givenUp, []);
+  });
+
+  // One byte in each pause held the memory for as long as a body may take.
+  it("give way also when a byte comes now and then", () => {
+    const [slow, ...others] = fill();
+    for (let i = 0; i < 10; i++) {
+      nowMs += 500;
+      slow?.addBytes(1);
+      for (const arrival of others) arrival.addBytes(4_096);
+    }
+    assert.ok(takeMore());
+    assert.ok(!takeMore());
+    assert.deepEqual(givenUp, [0]);
+  });
+
+  it("keep nothing from others once they are complete", () => {
+    for (const arrival of fill()) arrival.end();
+    nowMs += 5_000;
+    assert.ok(!takeMore());
+    assert.deepEqual(givenUp, []);
+  });
+});
+
 describe("the memory for received data", () => {
   const createBudget = () => new MemoryBudget(() => 0, HOST_MEMORY_MB);
   const LARGE_BYTES = 100_000;
--- a/src/platform/hostile_callers_test.ts
+++ b/src/platform/hostile_callers_test.ts
@@ -178,6 +178,20 @@
     assert.equal(status, 200);
   });
 
+  // Bodies that had stopped held all of the memory until their time was over.
+  it("serves a large body beside bodies that have stopped", async () => {
+    await run.start();
+    const line = `Content-Length: ${MEDIUM_BODY_BYTES}`;
+    run.connect(450, (socket, i) => {
+      socket.write(createHead("/once/a", `odd-${i}`, line));
+      socket.write(Buffer.alloc(MEDIUM_BODY_BYTES / 2));
+    });
+    await run.waitUntilQuiet();
+    const { status } = await callWithLargeBody("after");
+    run.assertSound();
+    assert.equal(status, 200);
+  });
+
   // A pause has a time limit, but any further byte began it anew.
   it("serves large bodies beside bodies that never end", async () => {
     await run.start();
