Read little of what callers send for nothing

Callers saw: ordinary callers waited beside callers who send bodies far over the limit, announced or just sent.

Cause: after 413 the rest of the body was read as fast as it came for one second, 640 MB of one caller here, and what followed the last response of a connection until it was closed.

Change: 64 kB are read of either, then no more. A caller whose body is a little too large keeps its connection as before; others have the same second to read their refusal before the connection is closed.

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -10,6 +10,7 @@
   HeldMemory,
   MAX_BODY_MS,
   MAX_BODY_PAUSE_MS,
+  MAX_IGNORED_BYTES,
   RECEIVED_REFUSAL,
   ReceivedBody,
   type ReceivedRefusal,
@@ -102,13 +103,16 @@
 
 /**
  * Discards the rest of a body; disconnects when it does not end in time. No
- * more is read of one that comes in too many small chunks.
+ * more is read of one that goes on, or comes in too many small chunks.
  */
 export function ignoreBody(request: IncomingMessage): void {
   const meter = new ChunkMeter();
+  let ignoredBytes = 0;
   request.resume();
   request.on("data", (chunk: Buffer) => {
-    if (!meter.take(chunk)) pauseReading(request.socket);
+    ignoredBytes += chunk.length;
+    if (ignoredBytes > MAX_IGNORED_BYTES || !meter.take(chunk))
+      pauseReading(request.socket);
   });
   const timer = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
   request.once("close", () => clearTimeout(timer));
--- a/src/adapters/received/bounds.ts
+++ b/src/adapters/received/bounds.ts
@@ -84,6 +84,11 @@
 export const MAX_ANSWER_BYTES = 1_048_576;
 /** Most bytes of a refusal's body to read so that its connection is kept. */
 export const MAX_DISCARDED_BYTES = 65_536;
+/**
+ * Most bytes that are read of what a caller sends for nothing: the rest of a
+ * refused body, or what follows the last response of a connection.
+ */
+export const MAX_IGNORED_BYTES = 65_536;
 /** Longest pause of a caller within a body, ms: it holds its memory. */
 export const MAX_BODY_PAUSE_MS = 10_000;
 /**
--- a/src/platform/caller_bytes_test.ts
+++ b/src/platform/caller_bytes_test.ts
@@ -13,11 +13,16 @@
   parseAnswers,
   RawCaller,
 } from "./raw_caller_fixtures_test.js";
+import { writeEndlessly } from "./standins/endless_bytes.js";
 
 /** Time limit for a request's head, ms; checked once a second. */
 const HEADER_TIMEOUT_MS = 500;
 const RUN_MS = 2_500;
 
+const ENDLESS_CHUNK = `8000\r\n${"x".repeat(32_768)}\r\n`;
+/** Above what the system's own buffers of a connection hold. */
+const MAX_SENT_BYTES = 32_000_000;
+
 const FOLLOWING_BYTES = {
   "the begin of another request": "POST /once/b HT",
   "bytes that are no request": "\u0000\r\n\r\n",
@@ -150,6 +155,26 @@
     assert.equal(brokenCaller.answers[0]?.status, 400);
   });
 
+  const REFUSED_BODIES = {
+    "that announces to be too large": "Content-Length: 100000000000",
+    "without end": "Transfer-Encoding: chunked",
+  };
+  for (const [name, line] of Object.entries(REFUSED_BODIES)) {
+    // It was read as fast as it came until the connection was closed.
+    it(`has little read of a body ${name}`, async () => {
+      await system.start([{ id: "i-1" }]);
+      const brokenCaller = new RawCaller(system.callerPort);
+      caller = brokenCaller;
+      const { socket } = brokenCaller;
+      const text = createRequestText("r1", { body: "" });
+      brokenCaller.write(text.replace(/Content-Length: \d+/, line));
+      writeEndlessly(socket, Buffer.from(ENDLESS_CHUNK));
+      await system.waitFor(() => brokenCaller.isClosed, 10_000);
+      const sentBytes = socket.bytesWritten - socket.writableLength;
+      assert.ok(sentBytes < MAX_SENT_BYTES, `${sentBytes} bytes`);
+    });
+  }
+
   // A second answer would be taken for that to the caller's next request.
   it("gets no second refusal when the rest of its body can't be read", async () => {
     await system.start([{ id: "i-1" }]);
--- a/src/proxy/request/caller_reads.ts
+++ b/src/proxy/request/caller_reads.ts
@@ -8,6 +8,7 @@
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { MAX_IGNORED_BYTES } from "../../adapters/received/index.js";
 import {
   READ_LEVEL,
   type ReadLevel,
@@ -16,9 +17,6 @@
 } from "./read_schedule.js";
 import { createSmallReader, READ_BYTES, stopReads } from "./small_reads.js";
 
-/** Most bytes that are read to be dropped. */
-const MAX_DISCARDED_BYTES = 65_536;
-
 export interface CallerReadsOptions {
   /** A monotonic clock, ms. */
   readonly now: () => number;
@@ -164,7 +162,7 @@
 
   get #mayRead(): boolean {
     if (this.#socket.destroyed || this.#isEnded) return false;
-    if (this.#discards) return this.#discardedBytes < MAX_DISCARDED_BYTES;
+    if (this.#discards) return this.#discardedBytes < MAX_IGNORED_BYTES;
     return this.#isFlowing && (this.#waiting?.length ?? 0) < READ_BYTES;
   }
 
