Answer what runs before a refused body that never ends

Cause: the rest of a refused body has one second, then ignoreBody destroys the request and with it the connection, whatever is still to be answered on it.

Change: the entry waits until the answers are sent and then gives the caller the same second.

Evidence: pipelined_requests_test "are answered where a body behind them is refused and never ends" failed before (no answer in place of 200 and 413).

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -99,13 +99,18 @@
 }
 
 /** Time for the client to read a refusal before its connection is closed. */
-const DISCARD_TIMEOUT_MS = 1_000;
+export const DISCARD_TIMEOUT_MS = 1_000;
 
 /**
  * Discards the rest of a body; disconnects when it does not end in time. No
  * more is read of one that goes on, or comes in too many small chunks.
  */
-export function ignoreBody(request: IncomingMessage): void {
+export function ignoreBody(
+  request: IncomingMessage,
+  disconnect = () => {
+    request.destroy();
+  },
+): void {
   const meter = new ChunkMeter();
   let ignoredBytes = 0;
   request.resume();
@@ -114,7 +119,7 @@
     if (ignoredBytes > MAX_IGNORED_BYTES || !meter.take(chunk))
       pauseReading(request.socket);
   });
-  const timer = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
+  const timer = setTimeout(disconnect, DISCARD_TIMEOUT_MS);
   request.once("close", () => clearTimeout(timer));
   request.once("end", () => clearTimeout(timer));
 }
@@ -152,6 +157,15 @@
   return memory;
 }
 
+export interface ReadBodyOptions {
+  /** A caller unless set. */
+  readonly sender?: Sender;
+  /** Longest time that the whole body may take, ms. */
+  readonly maxBodyMs?: number;
+  /** Ends the connection of a refused body whose end does not come. */
+  readonly disconnect?: () => void;
+}
+
 /**
  * Reads a body of at most `maxBytes`; a longer one, or one for which there is
  * no memory, is refused at once, and one that takes longer than `maxBodyMs` then.
@@ -161,11 +175,12 @@
   request: IncomingMessage,
   maxBytes: number,
   memory: HeldMemory,
-  sender: Sender = SENDER.caller,
-  maxBodyMs = MAX_BODY_MS,
+  options: ReadBodyOptions = {},
 ): Promise<Buffer | Refusal> {
+  const { sender = SENDER.caller, maxBodyMs = MAX_BODY_MS } = options;
+  const { disconnect } = options;
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-    ignoreBody(request);
+    ignoreBody(request, disconnect);
     return Promise.resolve(createBodyRefusal(BODY_REFUSAL.tooLarge, maxBytes));
   }
   return new Promise((resolve, reject) => {
@@ -178,7 +193,7 @@
     const refuse = (refusal: Refusal) => {
       endArrival();
       request.off("data", addChunk);
-      ignoreBody(request);
+      ignoreBody(request, disconnect);
       body.discard();
       resolve(refusal);
     };
--- a/src/platform/pipelined_requests_test.ts
+++ b/src/platform/pipelined_requests_test.ts
@@ -169,9 +169,40 @@
     await stopped;
   });
 
+  // The rest of a refused body has 1 s, after which its connection was closed.
+  it("are answered where a body behind them is refused and never ends", async () => {
+    await system.start([{ id: "i-1", delayMs: 2_000 }]);
+    const caller = connectCaller();
+    caller.write(
+      createRequestText("r1", { path: "/once/a" }) +
+        createRequestText("r2", { path: "/once/a", bodyBytes: 150_000 }),
+    );
+    await system.waitFor(() => caller.isClosed, 10_000);
+    assert.deepEqual(
+      caller.answers.map(({ status }) => status),
+      [200, 413],
+    );
+    assertRunsAnswered(caller);
+  });
+
+  // A connection is not read to its end while requests on it wait.
+  it("are given up when their caller disconnects while some wait", async () => {
+    await system.start([{ id: "i-1", delayMs: 3_000 }]);
+    const caller = connectCaller();
+    const ids = Array.from({ length: 20 }, (_, i) => `waiting-${i}`);
+    caller.write(ids.map((id) => createRequestText(id)).join(""));
+    const listAllRuns = () => ids.flatMap((id) => system.listRuns(id));
+    await system.waitFor(() => listAllRuns().length > 1);
+    caller.close();
+    await system.waitFor(
+      () => listAllRuns().every(({ state }) => state === "left"),
+      500,
+    );
+  });
+
   // Endpoints would go on working for nobody, for as long as the run lasts.
   it("are all given up when their caller disconnects", async () => {
-    await system.start([{ id: "i-1", streamEvents: 200, delayMs: 20 }]);
+    await system.start([{ id: "i-1", delayMs: 3_000 }]);
     const caller = connectCaller();
     caller.write(
       IDS.map((id) => createRequestText(id, { path: "/stream/a" })).join(""),
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -141,12 +141,9 @@
   const handler = handlers.get(incoming.url ?? "");
   const memory = openRequestMemory(response);
   // The read fails when the sender closes the connection.
-  const body = await readBody(
-    incoming,
-    MAX_MESSAGE_BYTES,
-    memory,
-    SENDER.peer,
-  ).catch(() => {});
+  const body = await readBody(incoming, MAX_MESSAGE_BYTES, memory, {
+    sender: SENDER.peer,
+  }).catch(() => {});
   if (!Buffer.isBuffer(body)) {
     incoming.destroy();
     return;
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -4,7 +4,11 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ignoreBody, readBody } from "../../adapters/http_server.js";
+import {
+  DISCARD_TIMEOUT_MS,
+  ignoreBody,
+  readBody,
+} from "../../adapters/http_server.js";
 import {
   BODY_REFUSAL,
   HeldMemory,
@@ -243,13 +247,14 @@
     }
     const { promptHolds } = this.#options;
     const held = promptHolds.admit(facts);
+    const disconnect = () => closeOnceAnswered(response);
     if (held !== undefined) {
-      ignoreBody(incoming);
+      ignoreBody(incoming, disconnect);
       this.#refuse(sink, facts, createHeldRefusal(promptHolds, held, random));
       return;
     }
     const body = await refuseAtEnd(
-      readBody(incoming, maxBodyBytes, memory, SENDER.caller, maxBodyMs),
+      readBody(incoming, maxBodyBytes, memory, { maxBodyMs, disconnect }),
       shutdown,
     ).catch((error: Error) =>
       createRefusal("bad-request", `The body can't be read: ${error.message}`),
@@ -475,6 +480,19 @@
   });
 }
 
+/**
+ * Disconnects a caller whose refused body does not end. Answers to requests
+ * before it are sent first, and there is time to read them.
+ */
+function closeOnceAnswered(response: ServerResponse): void {
+  const { socket } = response.req;
+  const disconnect = () => socket.destroy();
+  if (response.writableFinished) disconnect();
+  else {
+    response.once("finish", () => setTimeout(disconnect, DISCARD_TIMEOUT_MS));
+  }
+}
+
 /** Callers never half-close: the end of the stream means that one has left. */
 function hasCallerLeft(
   incoming: IncomingMessage,
