Count heads that have not ended in the memory for received data

Cause: Node's parser keeps what has come of a head, up to 64 kB for each connection, until its end or header_timeout_ms. Only whole heads were counted.

Change: from its second read on a head is counted as four times its bytes, as a whole one is. Where there is no memory, or it has stopped and others need the memory, the caller gets 503 and the connection is closed. Heads that come in one read, as all usual ones do, are not touched.

--- a/src/adapters/received/index.ts
+++ b/src/adapters/received/index.ts
@@ -1,3 +1,4 @@
+export * from "./arrivals.js";
 export * from "./bounds.js";
 export * from "./chunk_meter.js";
 export * from "./count_values.js";
--- a/src/platform/uncontrolled_callers_test.ts
+++ b/src/platform/uncontrolled_callers_test.ts
@@ -6,6 +6,8 @@
 import { writeEndlessly } from "./standins/endless_bytes.js";
 
 const CALLERS = 300;
+/** Memory of the host where only heads come, MB. */
+const LOW_MEMORY_MB = 100;
 const LARGE_CHUNK_BYTES = 32_768;
 /** Just below the limit of a body. */
 const LARGE_CHUNKS = 30;
@@ -106,6 +108,14 @@
     });
   }
 
+  it("keeps its bounds beside twice as many heads that stop short", async () => {
+    await run.start({}, { memoryMb: LOW_MEMORY_MB });
+    const send = WAYS["heads that stop short"] ?? assert.fail();
+    run.connect(2 * CALLERS, send);
+    await run.waitUntilQuiet();
+    await assertServesOn();
+  });
+
   it("keeps its bounds beside all of them, who come again", async () => {
     await run.start();
     const sends = Object.values(WAYS);
--- a/src/proxy/request/caller_errors.ts
+++ b/src/proxy/request/caller_errors.ts
@@ -4,7 +4,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { CallerConnections } from "./caller_connections.js";
-import type { CallerReads } from "./caller_reads.js";
+import { type CallerReads, NO_HEAD_MEMORY_CODE } from "./caller_reads.js";
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
 
 const OVERDUE_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
@@ -14,9 +14,11 @@
   const statuses: Record<string, number> = {
     [OVERDUE_HEAD_CODE]: 408,
     HPE_HEADER_OVERFLOW: 431,
+    [NO_HEAD_MEMORY_CODE]: 503,
   };
   const status = statuses[code ?? ""] ?? 400;
-  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`;
+  const retryAfter = status === 503 ? "Retry-After: 1\r\n" : "";
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${retryAfter}Connection: close\r\n\r\n`;
 }
 
 /** Node's own answer would be taken for that to a request which still runs. */
--- a/src/proxy/request/caller_reads.ts
+++ b/src/proxy/request/caller_reads.ts
@@ -16,6 +16,7 @@
   type ScheduledReader,
 } from "./read_schedule.js";
 import { createSmallReader, READ_BYTES, stopReads } from "./small_reads.js";
+import { UnfinishedHead } from "./unfinished_head.js";
 
 export interface CallerReadsOptions {
   /** A monotonic clock, ms. */
@@ -47,7 +48,10 @@
       );
       for (const listener of listeners) listener.call(server, socket);
       // After the server's own listeners, which it works with.
-      const reader = new PartReader(socket, this.#schedule, this.#options);
+      const reader = new PartReader(socket, this.#schedule, {
+        ...this.#options,
+        refuseHead: () => server.emit("clientError", new HeadError(), socket),
+      });
       this.#readers.set(socket, reader);
     });
   }
@@ -76,16 +80,32 @@
   }
 }
 
+/** Code of the error of a head for which there is no memory. */
+export const NO_HEAD_MEMORY_CODE = "ERR_NO_HEAD_MEMORY";
+
+class HeadError extends Error {
+  override readonly name = "HeadError";
+  readonly code = NO_HEAD_MEMORY_CODE;
+
+  constructor() {
+    super("No memory for the head");
+  }
+}
+
+interface PartReaderOptions extends CallerReadsOptions {
+  /** There is no memory for the head that the caller sends. */
+  readonly refuseHead: () => void;
+}
+
 /** Stands between a socket and its stream, which gets one part after another. */
 class PartReader implements ScheduledReader {
   readonly #socket: Socket;
   readonly #schedule: ReadSchedule;
-  readonly #options: CallerReadsOptions;
+  readonly #options: PartReaderOptions;
   readonly #pushPart: (part: Buffer | null) => boolean;
   readonly #startReading: () => void;
   #waiting: Buffer | undefined;
-  /** Bytes of an unfinished head that were parsed. */
-  #headBytes = 0;
+  #unfinishedHead: UnfinishedHead | undefined;
   /** Bytes of the newest request's body that are still to come, if known. */
   #bodyBytesLeft = 0;
   /** What waits was sent ahead of an answer. */
@@ -99,7 +119,7 @@
   constructor(
     socket: Socket,
     schedule: ReadSchedule,
-    options: CallerReadsOptions,
+    options: PartReaderOptions,
   ) {
     this.#socket = socket;
     this.#schedule = schedule;
@@ -173,7 +193,7 @@
 
   /** The next byte is the first one of a request. */
   get #isAtRequest(): boolean {
-    return this.#headBytes === 0 && !this.#isInBody;
+    return this.#unfinishedHead === undefined && !this.#isInBody;
   }
 
   get #newestResponse(): ServerResponse | undefined {
@@ -204,10 +224,20 @@
     this.#isParsing = false;
     const newest = this.#newestResponse;
     if (newest !== before) {
-      this.#headBytes = 0;
+      this.#endHead();
       this.#bodyBytesLeft = getBodyBytes(newest);
     } else if (wasInBody) this.#bodyBytesLeft -= end;
-    else this.#headBytes += end;
+    else if (!this.#discards) this.#addToHead(end);
+  }
+
+  #addToHead(bytes: number): void {
+    this.#unfinishedHead ??= new UnfinishedHead(this.#options.refuseHead);
+    this.#unfinishedHead.addBytes(bytes);
+  }
+
+  #endHead(): void {
+    this.#unfinishedHead?.end();
+    this.#unfinishedHead = undefined;
   }
 
   /** Up to the end of a head, or of the body. */
@@ -254,6 +284,7 @@
 
   #drop(): void {
     this.#waiting = undefined;
+    this.#endHead();
     this.#schedule.remove(this);
   }
 }
