Bound the open connections of callers by memory and descriptors

Callers saw: nothing, until the descriptors are used up. 600 callers who connect and send nothing opened 627 descriptors of a process that may have 300, so that endpoints, the store and new callers could not be reached; 2,000 connections of 18 to 23 kB each are 40 MB that no bound covered.

Cause: the callers' port took any number of connections.

At the bound a new caller takes the place of a connection without a request, else of an idle one, of one within a request, of one whose answer is not read, each time of the one used longest ago. A request that runs is never given up for a new connection, which is closed unread then.

Why it works: an ordinary caller sends its request as it connects, so it is among the youngest and has a use within some turns; a crowd that stays silent, stops or reads nothing replaces itself.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -9,6 +9,7 @@
 import { RepeatLog } from "../adapters/repeat_log.js";
 import {
   Connections,
+  computeMaxConnections,
   createCallerServer,
   createSuspendClock,
   EndpointLimits,
@@ -272,6 +273,10 @@
     countEntries: () => peers.countEntries(),
     maxConfigAgeMs,
     maxDenyAgeMs: bounds.configMs,
+    maxCallerConnections: computeMaxConnections(
+      settings.memoryMb,
+      settings.maxDescriptors,
+    ),
   };
   const requestHandler = new RequestHandler(handlerOptions);
   const explain = createExplainHandler({
@@ -303,6 +308,7 @@
       metrics.loopDelaySeconds.set(loopDelay.meanMs / 1_000);
       metrics.endpoints.set(view.endpoints.size);
       metrics.receivedBytes.set(receivedMemory.heldBytes);
+      metrics.callerConnections.set(requestHandler.connectionCount);
       metrics.setEndpointLimits(limits.listStatuses());
       metrics.sharedLoadReports.set(sharedLoads.reportCount);
       metrics.heldPromptParts.set(promptHolds.listHeld().length);
--- a/src/platform/entry_fixtures_test.ts
+++ b/src/platform/entry_fixtures_test.ts
@@ -181,6 +181,7 @@
         })),
         bounds: { ...BOUNDS, ...bounds },
         memoryMb: HOST_MEMORY_MB,
+        maxDescriptors: 4_096,
       },
       this.#createLogger(name),
     );
--- a/src/platform/entry_settings.ts
+++ b/src/platform/entry_settings.ts
@@ -38,6 +38,8 @@
   readonly bounds: EntryBounds;
   /** Memory of this host, MB. */
   readonly memoryMb: number;
+  /** Descriptors that this process may have open. */
+  readonly maxDescriptors: number;
 }
 
 export interface EntryBounds {
@@ -94,9 +96,19 @@
   };
 }
 
-function decodeMemory(limits: Fields): number {
+/** Descriptors that a process may usually open where the file names none. */
+const DEFAULT_MAX_DESCRIPTORS = 1_024;
+
+function decodeResources(
+  limits: Fields,
+): Pick<EntrySettings, "memoryMb" | "maxDescriptors"> {
   const memoryMb = getNumber(limits, "memory_mb") ?? 0;
-  return memoryMb > 0 ? memoryMb : DEFAULT_HOST_MEMORY_MB;
+  const maxDescriptors = getNumber(limits, "max_fds") ?? 0;
+  return {
+    memoryMb: memoryMb > 0 ? memoryMb : DEFAULT_HOST_MEMORY_MB,
+    maxDescriptors:
+      maxDescriptors > 0 ? maxDescriptors : DEFAULT_MAX_DESCRIPTORS,
+  };
 }
 
 function parseToml(text: string): Result<Fields, DecodeFailure> {
@@ -148,7 +160,7 @@
       role: getText(file, "role") ?? "entry",
       dataCentre: getText(file, "zone") ?? "",
       bounds: decodeBounds(getFields(file, "bounds")),
-      memoryMb: decodeMemory(getFields(file, "limits")),
+      ...decodeResources(getFields(file, "limits")),
     });
   });
 }
--- a/src/platform/uncontrolled_callers_test.ts
+++ b/src/platform/uncontrolled_callers_test.ts
@@ -125,4 +125,15 @@
     for (let i = 0; i < 10; i++) await run.callUntil(isServed);
     await assertServesOn();
   });
+
+  // Endpoints, the store and others could not be reached any more.
+  it("keeps to its descriptors beside many who send nothing", async () => {
+    const maxDescriptors = CALLERS;
+    await run.start({}, { maxDescriptors });
+    run.connect(2 * CALLERS, () => undefined);
+    await run.waitUntilQuiet();
+    await assertServesOn();
+    const { peakDescriptors } = run;
+    assert.ok(peakDescriptors < maxDescriptors, `${peakDescriptors}`);
+  });
 });
--- a/src/proxy/proxy_metrics.ts
+++ b/src/proxy/proxy_metrics.ts
@@ -56,6 +56,11 @@
     labelNames: ["reason"] as const,
     registers: [this.#registry],
   });
+  readonly callerConnections = new Gauge({
+    name: "hornbeamrill_caller_connections",
+    help: "Open connections of callers",
+    registers: [this.#registry],
+  });
   readonly receivedBytes = new Gauge({
     name: "hornbeamrill_received_bytes",
     help: "Memory that received bodies hold, in bytes",
--- a/src/proxy/request/caller_reads.ts
+++ b/src/proxy/request/caller_reads.ts
@@ -25,6 +25,8 @@
   readonly getNewestResponse: (socket: Duplex) => ServerResponse | undefined;
   /** False while no further request of the connection may begin. */
   readonly mayBegin: (socket: Duplex) => boolean;
+  /** A caller has connected. */
+  readonly onConnection?: (socket: Socket) => void;
 }
 
 export class CallerReads {
@@ -53,6 +55,7 @@
         refuseHead: () => server.emit("clientError", new HeadError(), socket),
       });
       this.#readers.set(socket, reader);
+      this.#options.onConnection?.(socket);
     });
   }
 
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -14,6 +14,7 @@
   HeldMemory,
   SENDER,
 } from "../../adapters/received/index.js";
+import { RepeatLog } from "../../adapters/repeat_log.js";
 import { createRefusal, type Refusal } from "../../core/errors.js";
 import { chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
@@ -29,6 +30,7 @@
   takeHeadMemory,
 } from "./caller_limits.js";
 import { CallerReads } from "./caller_reads.js";
+import { ConnectionLimit } from "./connection_limit.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
 import { PipeliningLimit } from "./pipelining_limit.js";
@@ -73,6 +75,8 @@
    * of an account may run, ms.
    */
   readonly maxConfigAgeMs: number;
+  /** Most open connections of callers. */
+  readonly maxCallerConnections: number;
   /** Largest age with which a key or route may be refused as unknown, ms. */
   readonly maxDenyAgeMs: number;
 }
@@ -84,6 +88,7 @@
   readonly callerConnections = new CallerConnections();
   readonly callerReads: CallerReads;
   readonly #unreadResponses: UnreadResponses;
+  readonly #connectionLimit: ConnectionLimit;
   readonly #pipelining = new PipeliningLimit((socket) =>
     this.callerReads.goOn(socket),
   );
@@ -101,6 +106,18 @@
       getNewestResponse: (socket) =>
         this.callerConnections.getNewestResponse(socket),
       mayBegin: (socket) => this.#pipelining.mayBegin(socket),
+      onConnection: (socket) => this.#connectionLimit.add(socket),
+    });
+    const repeatLog = new RepeatLog({ log, now });
+    this.#connectionLimit = new ConnectionLimit({
+      maxConnections: options.maxCallerConnections,
+      getUse: (socket) => this.callerConnections.getUse(socket),
+      close: (socket, use) => {
+        const reason = "too-many-connections";
+        metrics.closedConnections.inc({ reason });
+        repeatLog.warn(reason, "connection-closed", { reason, use });
+        socket.destroy();
+      },
     });
     this.#unreadResponses = new UnreadResponses({
       now,
@@ -113,6 +130,11 @@
     });
   }
 
+  /** Open connections of callers. */
+  get connectionCount(): number {
+    return this.#connectionLimit.size;
+  }
+
   get openRequestCount(): number {
     return this.#openRequests;
   }
@@ -157,6 +179,7 @@
     }
     const openRequest = this.#pipelining.add(socket);
     this.callerConnections.addRequest(request, response);
+    this.#connectionLimit.recordUse(socket);
     this.#unreadResponses.add(socket);
     this.#openRequests++;
     this.#openResponses.add(response);
@@ -171,6 +194,7 @@
     this.#unreadResponses.remove(socket);
     memory.release();
     openRequest.end();
+    this.#connectionLimit.recordUse(socket);
     if (response.writableEnded && !response.writableFinished) {
       this.#reportUnanswered(request, UNANSWERED_REASON.answerUnsent);
     }
