Let go of a request's body once the request has been answered

Cause: what readBody adds to a request holds the body: listeners, and the promise that they settle. Node and CallerConnections keep the last request of a connection until the next one or the close, so each idle connection kept its last body, up to max_body_bytes, after the budget had taken it back.

Change: readBody removes its listeners when the body is whole, refused or broken, which frees the body with the request's handling.

--- a/src/adapters/http_server.ts
+++ b/src/adapters/http_server.ts
@@ -185,20 +185,26 @@
   }
   return new Promise((resolve, reject) => {
     const body = new ReceivedBody({ sender, maxBytes, memory });
-    const endArrival = () => {
+    let pauseTimer: NodeJS.Timeout | undefined;
+    let bodyTimer: NodeJS.Timeout | undefined;
+    // The request lives until the next one on its connection, or its close, and
+    // with its listeners the body would.
+    const stopReading = () => {
       arrival.end();
       clearTimeout(pauseTimer);
       clearTimeout(bodyTimer);
+      request.off("data", addChunk);
+      request.off("end", complete);
+      request.off("error", fail);
+      request.off("close", failIfOpen);
+      request.on("error", ignoreError);
     };
     const refuse = (refusal: Refusal) => {
-      endArrival();
-      request.off("data", addChunk);
+      stopReading();
       ignoreBody(request, disconnect);
       body.discard();
       resolve(refusal);
     };
-    let pauseTimer: NodeJS.Timeout | undefined;
-    let bodyTimer: NodeJS.Timeout | undefined;
     const refuseLate = (reason: ReceivedRefusal, detail: string) => {
       memory.report(sender, reason);
       refuse(createRefusal("capacity", detail));
@@ -218,23 +224,28 @@
       const reason = body.add(chunk);
       if (reason !== undefined) refuse(createBodyRefusal(reason, maxBytes));
     };
+    const complete = () => {
+      stopReading();
+      resolve(body.data);
+    };
     const fail = (error: Error) => {
-      endArrival();
+      stopReading();
       body.discard();
       reject(error);
     };
+    const failIfOpen = () => {
+      if (!request.complete) fail(new Error("The client disconnected"));
+    };
     request.on("data", addChunk);
-    request.once("end", () => {
-      endArrival();
-      resolve(body.data);
-    });
+    request.once("end", complete);
     request.once("error", fail);
-    request.once("close", () => {
-      if (!request.complete) fail(new Error("The client disconnected"));
-    });
+    request.once("close", failIfOpen);
   });
 }
 
+/** An error after a body was read or refused is that of its connection. */
+function ignoreError(): void {}
+
 /** Parses the request's target; undefined when it is not a valid URL. */
 export function parseTarget(request: IncomingMessage): URL | undefined {
   const target = request.url ?? "/";
--- a/src/platform/hostile_callers_fixtures_test.ts
+++ b/src/platform/hostile_callers_fixtures_test.ts
@@ -130,6 +130,14 @@
     assert.ok(descriptors < OWN_DESCRIPTORS, `${descriptors} descriptors`);
   }
 
+  async waitUntil(isDone: () => boolean): Promise<void> {
+    const untilMs = performance.now() + GUARD_MS;
+    while (!isDone() && this.entry.exit === undefined) {
+      if (performance.now() > untilMs) return;
+      await delay(1);
+    }
+  }
+
   /** Resolves once the entry has read all, or reads and sends no more. */
   async waitUntilQuiet(): Promise<void> {
     const untilMs = performance.now() + GUARD_MS;
--- a/src/platform/uncontrolled_callers_test.ts
+++ b/src/platform/uncontrolled_callers_test.ts
@@ -8,6 +8,9 @@
 const CALLERS = 300;
 /** Memory of the host where only heads come, MB. */
 const LOW_MEMORY_MB = 100;
+const IDLE_CALLERS = 150;
+/** Within the limit of a body. */
+const LARGE_BODY_BYTES = 900_000;
 const LARGE_CHUNK_BYTES = 32_768;
 /** Just below the limit of a body. */
 const LARGE_CHUNKS = 30;
@@ -99,6 +102,26 @@
     assert.equal(after.status, 200);
   };
 
+  /** Callers send a request each, read the answer and stay. */
+  const connectIdleCallers = async (
+    path: string,
+    bodyBytes: number,
+    answerBytes: number,
+  ) => {
+    for (let i = 0; i < IDLE_CALLERS; i++) {
+      let readBytes = 0;
+      run.connect(1, (socket) => {
+        socket.on("data", ({ length }) => {
+          readBytes += length;
+        });
+        const line = `Content-Length: ${bodyBytes}`;
+        socket.write(createHead(path, `odd-${i}`, line));
+        socket.write(Buffer.alloc(bodyBytes));
+      });
+      await run.waitUntil(() => readBytes >= answerBytes);
+    }
+  };
+
   for (const [name, send] of Object.entries(WAYS)) {
     it(`keeps its bounds beside ${name}`, async () => {
       await run.start();
@@ -126,6 +149,24 @@
     await assertServesOn();
   });
 
+  // Each open connection kept the body of its last request, which nobody needs.
+  it("keeps its bounds beside idle callers who have sent large bodies", async () => {
+    await run.start();
+    await connectIdleCallers("/safe/a", LARGE_BODY_BYTES, 1);
+    await assertServesOn();
+  });
+
+  it("keeps its bounds beside idle callers who have large answers", async () => {
+    await run.start();
+    await run.system.startOddEndpoint("i-odd", (socket, id) => {
+      const head = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\nConnection: close\r\n`;
+      socket.write(`${head}Content-Length: ${LARGE_BODY_BYTES}\r\n\r\n`);
+      socket.end(Buffer.alloc(LARGE_BODY_BYTES));
+    });
+    await connectIdleCallers("/odd/a", 0, LARGE_BODY_BYTES);
+    await assertServesOn();
+  });
+
   // Endpoints, the store and others could not be reached any more.
   it("keeps to its descriptors beside many who send nothing", async () => {
     const maxDescriptors = CALLERS;
