--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -2,6 +2,7 @@
 export * from "./loop_delay.js";
 export * from "./placing/index.js";
 export * from "./proxy_metrics.js";
+export { computeMaxConnections } from "./reading/index.js";
 export * from "./request/index.js";
 export * from "./shutdown.js";
 export * from "./start_listening.js";
--- a/src/proxy/request/caller_reads.ts
+++ b/src/proxy/reading/connection_reads.ts
@@ -18,7 +18,7 @@
 import { createSmallReader, READ_BYTES, stopReads } from "./small_reads.js";
 import { UnfinishedHead } from "./unfinished_head.js";
 
-export interface CallerReadsOptions {
+export interface ConnectionReadsOptions {
   /** A monotonic clock, ms. */
   readonly now: () => number;
   /** The response to the newest request that was read from a connection. */
@@ -29,12 +29,12 @@
   readonly onConnection?: (socket: Socket) => void;
 }
 
-export class CallerReads {
-  readonly #options: CallerReadsOptions;
+export class ConnectionReads {
+  readonly #options: ConnectionReadsOptions;
   readonly #schedule: ReadSchedule;
   readonly #readers = new WeakMap<Duplex, PartReader>();
 
-  constructor(options: CallerReadsOptions) {
+  constructor(options: ConnectionReadsOptions) {
     this.#options = options;
     this.#schedule = new ReadSchedule(options.now);
   }
@@ -95,7 +95,7 @@
   }
 }
 
-interface PartReaderOptions extends CallerReadsOptions {
+interface PartReaderOptions extends ConnectionReadsOptions {
   /** There is no memory for the head that the caller sends. */
   readonly refuseHead: () => void;
 }
--- a/src/proxy/request/caller_reads_test.ts
+++ b/src/proxy/reading/connection_reads_test.ts
@@ -5,7 +5,7 @@
 import type { Duplex } from "node:stream";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { pauseReading, startReading } from "../../adapters/http_server.js";
-import { CallerReads } from "./caller_reads.js";
+import { ConnectionReads } from "./connection_reads.js";
 import { READ_BYTES } from "./small_reads.js";
 
 const PATHS = Array.from({ length: 1_000 }, (_, i) => `/${i}`);
@@ -14,7 +14,7 @@
 describe("reads of a caller's connection", () => {
   let server: Server;
   let caller: Socket;
-  let reads: CallerReads;
+  let reads: ConnectionReads;
   let connection: Socket | undefined;
   let onRequest: (socket: Socket) => void;
   let mayBegin: () => boolean;
@@ -26,7 +26,7 @@
     mayBegin = () => true;
     answer = (response) => response.end();
     const newestResponses = new WeakMap<Duplex, ServerResponse>();
-    reads = new CallerReads({
+    reads = new ConnectionReads({
       now: () => performance.now(),
       getNewestResponse: (socket) => newestResponses.get(socket),
       mayBegin: () => mayBegin(),
--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -7,7 +7,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
-import { CONNECTION_USE, type ConnectionUse } from "./connection_limit.js";
+import { CONNECTION_USE, type ConnectionUse } from "../reading/index.js";
 
 interface ConnectionState {
   /** The response to the newest request, which is sent last. */
--- a/src/proxy/request/caller_errors.ts
+++ b/src/proxy/request/caller_errors.ts
@@ -3,8 +3,8 @@
 import { STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { type ConnectionReads, NO_HEAD_MEMORY_CODE } from "../reading/index.js";
 import type { CallerConnections } from "./caller_connections.js";
-import { type CallerReads, NO_HEAD_MEMORY_CODE } from "./caller_reads.js";
 import { waitForPendingReads } from "./wait_for_pending_reads.js";
 
 const OVERDUE_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
@@ -24,7 +24,7 @@
 /** Node's own answer would be taken for that to a request which still runs. */
 export async function refuseUnreadable(
   callerConnections: CallerConnections,
-  callerReads: CallerReads,
+  callerReads: ConnectionReads,
   error: NodeJS.ErrnoException,
   socket: Duplex,
 ): Promise<void> {
--- a/src/proxy/request/index.ts
+++ b/src/proxy/request/index.ts
@@ -1,5 +1,4 @@
 export * from "./attempt_runner.js";
-export { computeMaxConnections } from "./connection_limit.js";
 export * from "./connections.js";
 export * from "./endpoint_probe.js";
 export * from "./event_sequence.js";
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -19,6 +19,11 @@
 import { chooseService, type Freshness } from "../fleet/index.js";
 import type { LoopDelay } from "../loop_delay.js";
 import { listSharedPartIds } from "../placing/index.js";
+import {
+  ConnectionLimit,
+  ConnectionReads,
+  PipeliningLimit,
+} from "../reading/index.js";
 import type { Shutdown } from "../shutdown.js";
 import type { RequestFacts } from "../types.js";
 import { breakAnswer, createSink, sendRefusal } from "./answer_sink.js";
@@ -29,11 +34,8 @@
   getRequestLimits,
   takeHeadMemory,
 } from "./caller_limits.js";
-import { CallerReads } from "./caller_reads.js";
-import { ConnectionLimit } from "./connection_limit.js";
 import { createHeldRefusal } from "./held_refusal.js";
 import { InactivityTimer } from "./inactivity_timer.js";
-import { PipeliningLimit } from "./pipelining_limit.js";
 import { hashRequest } from "./request_fingerprint.js";
 import { RequestRun } from "./request_run.js";
 import {
@@ -86,7 +88,7 @@
   #openRequests = 0;
   readonly #openResponses = new Set<ServerResponse>();
   readonly callerConnections = new CallerConnections();
-  readonly callerReads: CallerReads;
+  readonly callerReads: ConnectionReads;
   readonly #unreadResponses: UnreadResponses;
   readonly #connectionLimit: ConnectionLimit;
   readonly #pipelining = new PipeliningLimit((socket) =>
@@ -101,7 +103,7 @@
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
     const { now, log, metrics } = options;
-    this.callerReads = new CallerReads({
+    this.callerReads = new ConnectionReads({
       now,
       getNewestResponse: (socket) =>
         this.callerConnections.getNewestResponse(socket),
