Read the entry's own ports as those of callers, and let silent ones give way

Cause: above their number new connections were dropped, whatever the others were used for; and PiecewiseConnection read 64 KiB at once and parsed pieces of it, a second mechanism for what callers' connections have had to do as well.

Change: createOwnServer reads through ConnectionReads and bounds its connections by ConnectionLimit, so a silent connection gives way to a new one.

--- a/src/adapters/received/bounds.ts
+++ b/src/adapters/received/bounds.ts
@@ -58,13 +58,6 @@
  */
 export const MAX_PIPELINED_REQUESTS = 64;
 
-/**
- * Bytes of a connection for metrics or readiness, or of another entry, that are
- * parsed in one turn of the event loop. Monitors send some 200 bytes, entries up
- * to some 100 kB.
- */
-export const MONITOR_PIECE_BYTES = 4_096;
-export const PEER_PIECE_BYTES = 16_384;
 /**
  * Most open connections for metrics, for readiness, and of other entries: 68
  * entries have up to two each.
--- a/src/proxy/fleet/peer_messages.ts
+++ b/src/proxy/fleet/peer_messages.ts
@@ -14,7 +14,6 @@
   HeldMemory,
   MAX_MESSAGE_BYTES,
   MAX_PEER_CONNECTIONS,
-  PEER_PIECE_BYTES,
   ReceivedBody,
   SENDER,
 } from "../../adapters/received/index.js";
@@ -109,7 +108,6 @@
 
 const PEER_OPTIONS: OwnServerOptions = {
   source: SENDER.peer,
-  pieceBytes: PEER_PIECE_BYTES,
   maxConnections: MAX_PEER_CONNECTIONS,
 };
 
--- a/src/proxy/own_server.ts
+++ b/src/proxy/own_server.ts
@@ -10,13 +10,17 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import {
-  PiecewiseConnection,
   RECEIVED_REFUSAL,
   type ReceivedSource,
   receivedMemory,
 } from "../adapters/received/index.js";
+import {
+  ConnectionLimit,
+  ConnectionReads,
+  getConnectionUse,
+} from "./reading/index.js";
 
 /** Time in which a request must have come, and its head, ms. */
 const REQUEST_TIMEOUT_MS = 10_000;
@@ -31,8 +35,6 @@
 
 export interface OwnServerOptions {
   readonly source: ReceivedSource;
-  /** Bytes of a connection that are parsed in one turn of the event loop. */
-  readonly pieceBytes: number;
   readonly maxConnections: number;
 }
 
@@ -43,12 +45,11 @@
 
 /** Creates a server that doesn't listen yet. */
 export function createOwnServer(
-  options: OwnServerOptions,
+  { source, maxConnections }: OwnServerOptions,
   answer: RequestListener,
 ): Server {
-  const { source, pieceBytes, maxConnections } = options;
   const { pipelined, manyConnections } = RECEIVED_REFUSAL;
-  const lastResponses = new WeakMap<Socket, ServerResponse>();
+  const lastResponses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       headersTimeout: HEAD_TIMEOUT_MS,
@@ -65,22 +66,25 @@
         return;
       }
       lastResponses.set(socket, response);
+      connectionLimit.recordUse(socket);
       answer(request, response);
     },
   );
   server.setTimeout(IDLE_TIMEOUT_MS);
-  server.maxConnections = maxConnections;
-  server.on("drop", () => receivedMemory.report(source, manyConnections));
-  readInPieces(server, pieceBytes);
-  return server;
-}
-
-/** Puts the connections that read in pieces in place of the sockets. */
-function readInPieces(server: Server, pieceBytes: number): void {
-  const listeners = server.listeners("connection");
-  server.removeAllListeners("connection");
-  server.on("connection", (socket: Socket) => {
-    const connection = new PiecewiseConnection(socket, pieceBytes);
-    for (const listener of listeners) listener.call(server, connection);
+  const getNewestResponse = (socket: Duplex) => lastResponses.get(socket);
+  const connectionLimit = new ConnectionLimit({
+    maxConnections,
+    getUse: (socket) => getConnectionUse(getNewestResponse(socket)),
+    close: (socket) => {
+      receivedMemory.report(source, manyConnections);
+      socket.destroy();
+    },
   });
+  new ConnectionReads({
+    now: () => performance.now(),
+    getNewestResponse,
+    mayBegin: () => true,
+    onConnection: (socket) => connectionLimit.add(socket),
+  }).attach(server);
+  return server;
 }
--- a/src/proxy/reading/connection_limit.ts
+++ b/src/proxy/reading/connection_limit.ts
@@ -4,6 +4,7 @@
  * way to a new one.
  */
 
+import type { ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 
 const BYTES_PER_MB = 1_048_576;
@@ -43,6 +44,18 @@
 export type ConnectionUse =
   (typeof CONNECTION_USE)[keyof typeof CONNECTION_USE];
 
+/** What a connection is used for, by the response to its newest request. */
+export function getConnectionUse(
+  response: ServerResponse | undefined,
+): ConnectionUse {
+  if (response === undefined) return CONNECTION_USE.none;
+  if (response.writableFinished) return CONNECTION_USE.idle;
+  if (response.writableEnded) return CONNECTION_USE.unread;
+  return response.req.complete
+    ? CONNECTION_USE.running
+    : CONNECTION_USE.arriving;
+}
+
 export interface ConnectionLimitOptions {
   readonly maxConnections: number;
   readonly getUse: (socket: Duplex) => ConnectionUse;
--- a/src/proxy/request/caller_connections.ts
+++ b/src/proxy/request/caller_connections.ts
@@ -7,7 +7,6 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
-import { CONNECTION_USE, type ConnectionUse } from "../reading/index.js";
 
 interface ConnectionState {
   /** The response to the newest request, which is sent last. */
@@ -101,17 +100,6 @@
     });
   }
 
-  /** What the connection is used for now. */
-  getUse(socket: Duplex): ConnectionUse {
-    const response = this.#states.get(socket)?.newestResponse;
-    if (response === undefined) return CONNECTION_USE.none;
-    if (response.writableFinished) return CONNECTION_USE.idle;
-    if (response.writableEnded) return CONNECTION_USE.unread;
-    return response.req.complete
-      ? CONNECTION_USE.running
-      : CONNECTION_USE.arriving;
-  }
-
   /** Undefined until the first request is read. */
   getNewestResponse(socket: Duplex): ServerResponse | undefined {
     return this.#states.get(socket)?.newestResponse;
--- a/src/proxy/request/proxy_servers.ts
+++ b/src/proxy/request/proxy_servers.ts
@@ -7,10 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
-import {
-  MAX_MONITOR_CONNECTIONS,
-  MONITOR_PIECE_BYTES,
-} from "../../adapters/received/index.js";
+import { MAX_MONITOR_CONNECTIONS } from "../../adapters/received/index.js";
 import type { FleetView } from "../fleet/index.js";
 import { createOwnServer, type OwnServerOptions } from "../own_server.js";
 import type { Shutdown } from "../shutdown.js";
@@ -34,7 +31,6 @@
 
 const MONITOR_OPTIONS: OwnServerOptions = {
   source: "monitor",
-  pieceBytes: MONITOR_PIECE_BYTES,
   maxConnections: MAX_MONITOR_CONNECTIONS,
 };
 
--- a/src/proxy/request/request_handler.ts
+++ b/src/proxy/request/request_handler.ts
@@ -22,6 +22,7 @@
 import {
   ConnectionLimit,
   ConnectionReads,
+  getConnectionUse,
   PipeliningLimit,
 } from "../reading/index.js";
 import type { Shutdown } from "../shutdown.js";
@@ -113,7 +114,8 @@
     const repeatLog = new RepeatLog({ log, now });
     this.#connectionLimit = new ConnectionLimit({
       maxConnections: options.maxCallerConnections,
-      getUse: (socket) => this.callerConnections.getUse(socket),
+      getUse: (socket) =>
+        getConnectionUse(this.callerConnections.getNewestResponse(socket)),
       close: (socket, use) => {
         const reason = "too-many-connections";
         metrics.closedConnections.inc({ reason });
