Play crowds of callers without limits in the soak

The ways in which callers exceed the limits move from the test to a stand-in that the soak plays too, with up to 150 callers at one entry, of one kind or of all. Before, a crowd had up to 20 callers with bodies in one-byte chunks or requests behind one another.

--- a/src/platform/soak/fleet.ts
+++ b/src/platform/soak/fleet.ts
@@ -44,6 +44,8 @@
 export const BUNDLE_FILE = fileURLToPath(
   new URL("../../../target/entry.cjs", import.meta.url),
 );
+/** Largest body of a caller, bytes. */
+export const MAX_BODY_BYTES = 100_000;
 /** Longer than any caller waits. */
 const ROUTE_TIMEOUT_MS = 10_000;
 /** Time after which a replica that has crashed is back, ms. */
@@ -224,7 +226,7 @@
           cold_per_s: 50,
         },
       ],
-      limits: { max_body_bytes: 100_000, idle_timeout_ms: 5_000 },
+      limits: { max_body_bytes: MAX_BODY_BYTES, idle_timeout_ms: 5_000 },
       tenants: [{ name: "farm", api_keys: [...this.apiKeys] }],
     };
     this.#writeConfigurationAgain();
--- a/src/platform/soak/floods.ts
+++ b/src/platform/soak/floods.ts
@@ -3,8 +3,9 @@
 import { connect } from "node:net";
 import type { Random } from "../../soak/random.js";
 import { delay } from "../../testbed/delay.js";
-import { ENDLESS_BYTES, writeEndlessly } from "../standins/endless_bytes.js";
-import { HOST, type ReplicaMember } from "./fleet.js";
+import { CALLER_WAYS } from "../standins/caller_crowd.js";
+import { ENDLESS_BYTES } from "../standins/endless_bytes.js";
+import { HOST, MAX_BODY_BYTES, type ReplicaMember } from "./fleet.js";
 import { type Disturbance, FLOOD_KIND } from "./records.js";
 
 /** Shortest and longest duration, ms. */
@@ -12,12 +13,9 @@
 /** Longest pause between two floods, ms. */
 const MAX_GAP_MS = 2_500;
 /** Fewest and most callers of a flood. */
-const CALLER_COUNT = { min: 1, max: 20 };
-/** Pause of a caller between two blocks, ms. */
-const BLOCK_PAUSE_MS = 2;
-
-const SMALL_CHUNKS = Buffer.from("1\r\nx\r\n".repeat(10_000));
-const REQUESTS_BEHIND_ONE_ANOTHER = 400;
+const CALLER_COUNT = { min: 1, max: 150 };
+/** Share of the crowds whose callers don't all do the same. */
+const MIXED_SHARE = 0.3;
 
 export interface FloodsOptions {
   readonly random: Random;
@@ -56,37 +54,23 @@
   flood.toMs = performance.now();
 }
 
-/** What a caller writes first, and then again and again. */
-const CALLER_FLOODS = {
-  body: (head: (id: string, framing: string) => string) => ({
-    first: head("f", "Transfer-Encoding: chunked"),
-    next: SMALL_CHUNKS,
-  }),
-  requests: (head: (id: string, framing: string) => string) => ({
-    first: "",
-    next: Buffer.from(
-      Array.from({ length: REQUESTS_BEHIND_ONE_ANOTHER }, (_, i) =>
-        head(`f${i}`, "Content-Length: 0"),
-      ).join(""),
-    ),
-  }),
-} as const;
-
 async function runCallerFlood(options: FloodsOptions): Promise<void> {
   const { random, callerPorts, listKeys } = options;
   const port = random.pick(callerPorts);
   const key = random.pick(listKeys().valid);
-  const createHead = (id: string, framing: string) =>
-    `POST /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\nAuthorization: Bearer ${key}\r\nDeadline-Ms: 1000\r\n${framing}\r\n\r\n`;
-  const createFlood = random.pick(Object.values(CALLER_FLOODS));
-  const { first, next } = createFlood(createHead);
+  const crowdOptions = {
+    maxBodyBytes: MAX_BODY_BYTES,
+    createHead: (id: string, line: string) =>
+      `POST /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\nAuthorization: Bearer ${key}\r\nDeadline-Ms: 1000\r\n${line}\r\n\r\n`,
+  };
+  const sends = Object.values(CALLER_WAYS);
+  // A crowd of one kind, or of all kinds.
+  const chosen = random.chance(MIXED_SHARE) ? sends : [random.pick(sends)];
   const count = random.pickInteger(CALLER_COUNT.min, CALLER_COUNT.max);
-  const sockets = Array.from({ length: count }, () => {
-    // Never reads, so that the answers pile up as well.
-    const socket = connect(port, "127.0.0.1").pause();
+  const sockets = Array.from({ length: count }, (_, i) => {
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
     socket.on("error", () => undefined);
-    socket.write(first);
-    writeEndlessly(socket, next, BLOCK_PAUSE_MS);
+    chosen[i % chosen.length]?.(socket, `f${i}`, crowdOptions);
     return socket;
   });
   await delay(random.pickInteger(DURATION_MS.min, DURATION_MS.max));
--- a/src/platform/uncontrolled_callers_test.ts
+++ b/src/platform/uncontrolled_callers_test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import type { CallResult } from "./built_entry_fixtures_test.js";
 import { createHead, HostileRun } from "./hostile_callers_fixtures_test.js";
-import { writeEndlessly } from "./standins/endless_bytes.js";
+import { CALLER_WAYS } from "./standins/caller_crowd.js";
 
 const CALLERS = 300;
 /** Memory of the host where only heads come, MB. */
@@ -11,75 +11,22 @@
 const IDLE_CALLERS = 150;
 /** Within the limit of a body. */
 const LARGE_BODY_BYTES = 900_000;
-const LARGE_CHUNK_BYTES = 32_768;
-/** Just below the limit of a body. */
-const LARGE_CHUNKS = 30;
-const SMALL_CHUNKS = 96_000;
-const BODY_BYTES = 60_000;
-const HEAD_BYTES = 60_000;
-const CHUNKED = "Transfer-Encoding: chunked";
-const EMPTY_BODY = "Content-Length: 0";
-
-function createChunk(bytes: number): Buffer {
-  return Buffer.concat([
-    Buffer.from(`${bytes.toString(16)}\r\n`),
-    Buffer.alloc(bytes, "x"),
-    Buffer.from("\r\n"),
-  ]);
-}
-
-const largeChunk = createChunk(LARGE_CHUNK_BYTES);
+const MAX_BODY_BYTES = 1_000_000;
 
 type Send = (socket: Socket, i: number) => void;
 
-/** What each caller sends; those who are paused read no answers. */
-const WAYS: Readonly<Record<string, Send>> = {
-  "bodies in large chunks that stop short": (socket, i) => {
-    socket.write(createHead("/once/a", `odd-${i}`, CHUNKED));
-    for (let j = 0; j < LARGE_CHUNKS; j++) socket.write(largeChunk);
-  },
-  "bodies in one-byte chunks that stop short": (socket, i) => {
-    socket.write(createHead("/once/a", `odd-${i}`, CHUNKED));
-    socket.write("1\r\nx\r\n".repeat(SMALL_CHUNKS));
-  },
-  "bodies that announce to be far too large": (socket, i) => {
-    const line = "Content-Length: 100000000000";
-    socket.write(createHead("/once/a", `odd-${i}`, line));
-    writeEndlessly(socket, largeChunk);
-  },
-  "bodies without end": (socket, i) => {
-    socket.write(createHead("/once/a", `odd-${i}`, CHUNKED));
-    writeEndlessly(socket, largeChunk);
-  },
-  "requests without headers, ahead and unread": (socket) => {
-    socket.pause();
-    writeEndlessly(socket, Buffer.from("GET / HTTP/1.1\r\n\r\n".repeat(2_000)));
-  },
-  "requests ahead and unread": (socket, i) => {
-    socket.pause();
-    const head = createHead("/safe/a", `odd-${i}`, EMPTY_BODY);
-    writeEndlessly(socket, Buffer.from(head.repeat(500)));
-  },
-  "requests with bodies, ahead and unread": (socket, i) => {
-    socket.pause();
-    const line = `Content-Length: ${BODY_BYTES}`;
-    const head = Buffer.from(createHead("/safe/a", `odd-${i}`, line));
-    writeEndlessly(socket, Buffer.concat([head, Buffer.alloc(BODY_BYTES)]));
-  },
-  "chunked bodies ahead, the last one short and half closed": (socket, i) => {
-    socket.pause();
-    for (let j = 0; j < 20; j++) {
-      if (j > 0) socket.write("0\r\n\r\n");
-      socket.write(createHead("/safe/a", `odd-${i}-${j}`, CHUNKED));
-      socket.write(largeChunk);
-    }
-    socket.end();
-  },
-  "heads that stop short": (socket) => {
-    const filler = "x".repeat(HEAD_BYTES);
-    socket.write(`POST /once/a HTTP/1.1\r\nX-Filler: ${filler}`);
-  },
-};
+/** What callers send, with the routes of the test. */
+const WAYS: Readonly<Record<string, Send>> = Object.fromEntries(
+  Object.entries(CALLER_WAYS).map(([name, send]) => [
+    name,
+    (socket: Socket, i: number) =>
+      send(socket, `odd-${i}`, {
+        maxBodyBytes: MAX_BODY_BYTES,
+        createHead: (id, line) =>
+          createHead(name.includes("ahead") ? "/safe/a" : "/once/a", id, line),
+      }),
+  ]),
+);
 
 const isServed = ({ status }: CallResult) => status === 200;
 
