Review: a replica that restarts under its id while the store is down is rushed

Cause: only its record in the store makes an endpoint cold, not that it has refused connections and accepts them again.

Change: review/10 plays a crash and restart of one of three replicas while the store is down for 4.5 s.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.mjs"
