--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,6 +1,7 @@
 /**
- * A roll-out to a version that answers half of its requests with 404, where the
- * version before answers all of them with 200.
+ * A replica leaves. One of its beats from before, whose answer was lost, is
+ * carried out by the store only after it has said so: an entry with a lower
+ * `seq` and the same `born`.
  */
 
 import { dirname } from "node:path";
@@ -22,31 +23,42 @@
 
 const HOST = "desk.example";
 const KEY = "key-of-farms";
-const SERVICE = "order-desk";
-const REQUESTS_PER_ENTRY = 13;
-const REPLICAS = 8;
-const WORK_MS = 10;
-const BAD_ANSWERS = 50;
-const BAD_STATUS = 404;
-/** As on the standard days of the small sites. */
-const DURATION_S = 24;
-const PLAY_MS = 34_000;
+/** Calls without an answer may be carried out "1 to 6 s later". */
+const LATE_MS = 6_000;
+/** The replica leaves this long after the lost answer: past contact_ms. */
+const DRAIN_AFTER_MS = 3_300;
+/** It serves on for drain_ms "and a little longer (at times many seconds)". */
+const SERVES_ON_MS = 3_300;
+const REQUESTS_PER_ENTRY = 20;
+const WORK_MS = 60;
 
-const createRoute = (name, kind) => ({
-  name,
-  host: HOST,
-  prefix: `/${name}/`,
-  kind,
-  service: SERVICE,
-  attempts: 3,
-  timeout_ms: 1_500,
-  target_latency_ms: 120,
-  priority: 2,
-});
 const configuration = {
   version: 7,
-  routes: [createRoute("orders", "unsafe"), createRoute("stock", "safe")],
-  services: [{ name: SERVICE, max_conns: 100, health_path: "/healthz" }],
+  routes: [
+    {
+      name: "orders",
+      host: HOST,
+      prefix: "/orders/",
+      kind: "unsafe",
+      service: "order-desk",
+      attempts: 3,
+      timeout_ms: 1_500,
+      target_latency_ms: 120,
+      priority: 2,
+    },
+    {
+      name: "stock",
+      host: HOST,
+      prefix: "/stock/",
+      kind: "safe",
+      service: "order-desk",
+      attempts: 3,
+      timeout_ms: 1_500,
+      target_latency_ms: 120,
+      priority: 2,
+    },
+  ],
+  services: [{ name: "order-desk", max_conns: 100, health_path: "/healthz" }],
   limits: {
     max_header_bytes: 16_384,
     max_body_bytes: 4_194_304,
@@ -64,36 +76,30 @@
   run.onEnd(() => store.stop());
   store.put("config", "main", configuration);
 
-  let badAnswers = 0;
-  let fiftiethAtMs;
-  let count = 0;
-  const isBad = () => {
-    count++;
-    if (!hasTrouble || count % 2 === 0) return false;
-    badAnswers++;
-    if (badAnswers === BAD_ANSWERS) fiftiethAtMs = performance.now();
-    return true;
-  };
-  const startReplicas = async (version, subnet) => {
-    const replicas = [];
-    for (let index = 1; index <= REPLICAS; index++) {
-      const replica = new Replica({
-        id: `i-${version}-${index}`,
-        service: SERVICE,
-        zone: `z-${(index % 4) + 1}`,
-        version,
-        workMs: WORK_MS,
-        slots: 6,
-        ...(version === "v2" ? { isBad, badStatus: BAD_STATUS } : {}),
-      });
-      await replica.start(await findPort(), `127.0.${subnet}.${index}`);
-      run.onEnd(() => replica.stop());
-      replicas.push(replica);
-    }
-    return replicas;
-  };
-  const old = await startReplicas("v1", 3);
-  for (const replica of old) replica.register(store);
+  let isLosing = false;
+  let lateSpec;
+  const replicas = [];
+  for (let index = 1; index <= 4; index++) {
+    const replica = new Replica({
+      id: `i-desk-${index}`,
+      service: "order-desk",
+      zone: `z-${index}`,
+      slots: 6,
+      workMs: WORK_MS,
+      loseBeat: (spec) => {
+        if (index !== 2 || !isLosing) return false;
+        isLosing = false;
+        lateSpec = spec;
+        return true;
+      },
+    });
+    await replica.start(await findPort(), `127.0.3.${index}`);
+    replica.register(store);
+    run.onEnd(() => replica.stop());
+    replicas.push(replica);
+  }
+  const leaving = replicas[1];
+  const { id } = leaving.options;
 
   const names = ["front-1", "front-2", "front-3", "front-4"];
   const entries = await createEntries(run, names, {
@@ -106,82 +112,63 @@
   const controller = new AbortController();
   const clients = entries.map((entry) => new Client(entry, { host: HOST, key: KEY }));
   const traffic = clients.map((client) =>
-    sendAtRate(REQUESTS_PER_ENTRY, controller.signal, (number) =>
-      number % 2 === 0
-        ? client.send("POST", `/orders/${number}`, { body: `order ${number}` })
-        : client.send("GET", `/stock/${number}`),
+    sendAtRate(REQUESTS_PER_ENTRY, controller.signal, (count) =>
+      count % 2 === 0
+        ? client.send("POST", `/orders/${count}`, { body: `order ${count}` })
+        : client.send("GET", `/stock/${count}`),
     ),
   );
+  // Everything runs without disruption for longer than contact_ms.
   await pause(4_000);
 
-  const next = await startReplicas("v2", 4);
-  const order = { service: SERVICE, target: "v2", duration_s: DURATION_S };
-  store.put("rollouts", SERVICE, order);
-  const orderAtMs = performance.now();
-  const deadlineMs = orderAtMs + DURATION_S * 1_000;
-  run.note(`the operator orders ${JSON.stringify(order)}`);
-  for (const replica of next) replica.register(store);
-  run.note(
-    hasTrouble
-      ? `the replicas of v2 have registered; they answer each second request with ${BAD_STATUS}`
-      : "the replicas of v2 have registered; all their answers are good",
-  );
-
-  let state;
-  const playEndMs = performance.now() + PLAY_MS;
-  while (performance.now() < playEndMs) {
-    await pause(20);
-    const now = store.get("rollouts", SERVICE).status?.state;
-    if (now === state || now === undefined) continue;
-    state = now;
-    run.note(`the system has written: ${state}`);
-    if (state === "completed") for (const replica of old) replica.stop();
-    if (state === "rolled_back")
-      setTimeout(() => {
-        for (const replica of next) replica.drain();
-      }, 3_000);
+  isLosing = hasTrouble;
+  // The next beat, at most 1.2 s away, gets no answer.
+  while (isLosing) await pause(5);
+  if (lateSpec) {
+    run.note(`the answer to a beat of ${id} is lost: ${JSON.stringify(lateSpec)}`);
+    setTimeout(() => {
+      run.note(`the store carries that beat out, ${LATE_MS} ms after it was sent`);
+      store.put("servers", id, lateSpec);
+    }, LATE_MS);
   }
+  await pause(DRAIN_AFTER_MS);
+  leaving.drain();
+  const drainAtMs = performance.now();
+  const { spec } = store.get("servers", id);
+  run.note(`${id} leaves; the store has accepted: ${JSON.stringify(spec)}`);
+  await pause(SERVES_ON_MS);
+  run.note(`${id} ends`);
+  leaving.stop();
+  await pause(1_000);
   controller.abort();
   await Promise.all(traffic);
   for (const client of clients) client.close();
 
-  for (const { log } of entries)
-    for (const line of log.split("\n"))
-      if (line.includes("event=rollout-decided")) run.note(line);
+  const limitMs = drainAtMs + bounds.drain_ms;
+  const late = leaving.arrivals.filter(
+    ({ atMs, status }) => atMs > limitMs && status !== 421,
+  );
   const requests = clients.flatMap((client) => client.requests);
   const answered = requests.filter(({ status }) => status === 200);
-  const bad = requests.filter(({ status }) => status === BAD_STATUS);
+  run.note(`${requests.length} requests sent, ${answered.length} answered with 200`);
+  for (const { id: request, path, status, sentAtMs } of requests) {
+    if (status === 200) continue;
+    const afterMs = Math.round(sentAtMs - drainAtMs);
+    run.note(`  ${request} ${path}, sent ${afterMs} ms after it was accepted, ended with ${status}`);
+  }
   run.note(
-    `${requests.length} requests sent, ${answered.length} answered with 200, ` +
-      `${bad.length} with a replica's ${BAD_STATUS}`,
+    `${leaving.arrivals.length} requests reached ${id}, ` +
+      `the last one at ${seconds(leaving.arrivals.at(-1)?.atMs)} s`,
   );
-  const arrivals = next.flatMap((replica) => replica.arrivals);
-  const olds = old.flatMap((replica) => replica.arrivals);
-  run.note(`${arrivals.length} requests reached v2, ${badAnswers} got a bad answer`);
-  if (answered.length < 200) throw new Error("Too few requests were answered");
-  if (badAnswers === 0) {
-    run.note("the version is good");
-    return false;
-  }
-  const isInTime = ({ atMs }) => atMs >= orderAtMs && atMs <= deadlineMs;
-  const toBad = arrivals.filter(isInTime).length;
-  const toService = toBad + olds.filter(isInTime).length;
-  const most = bounds.expose_share * toService + bounds.expose_slack;
   run.note(
-    `between the order and its deadline v2 got ${toBad} of ${toService} requests; ` +
-      `allowed are ${Math.floor(most)}`,
+    `${late.length} of them later than drain_ms = ${bounds.drain_ms} after ` +
+      `${seconds(drainAtMs)} s, when it was accepted that the replica leaves`,
   );
-  let isBroken = toBad > most;
-  if (fiftiethAtMs !== undefined) {
-    const limitMs = fiftiethAtMs + bounds.rollback_ms;
-    const late = arrivals.filter(
-      ({ sentAtMs, status }) => sentAtMs > limitMs && status !== 421,
-    );
-    run.note(
-      `the ${BAD_ANSWERS}th bad answer came at ${seconds(fiftiethAtMs)} s; ${late.length} ` +
-        `requests that were sent later than rollback_ms = ${bounds.rollback_ms} after it reached v2`,
-    );
-    if (late.length > 0) isBroken = true;
+  for (const { id: request, atMs, ran } of late.slice(0, 20)) {
+    const afterMs = Math.round(atMs - drainAtMs);
+    run.note(`  ${request} ${afterMs} ms after it, ${ran ? "run" : "not run"}`);
   }
-  return isBroken;
+  const minimum = 100;
+  if (answered.length < minimum) throw new Error("Too few requests were answered");
+  return late.length > 0;
 });
--- a/review/standins-2/replica.mjs
+++ b/review/standins-2/replica.mjs
@@ -22,7 +22,7 @@
 
   /**
    * `options`: id, service, zone, version, slots, workMs, coldMs, isBad() to
-   * fail a request, badStatus, loseBeat(write) to take over a beat whose answer is lost.
+   * fail a request, badStatus, coldCrashPerS, loseBeat(write) to take over a beat whose answer is lost.
    */
   constructor(options) {
     this.options = { version: "v1", slots: 64, workMs: 20, coldMs: 0, ...options };
@@ -100,6 +100,15 @@
     this.#server?.closeAllConnections();
   }
 
+  #crashIfRushed({ atMs, isCold }) {
+    const { coldCrashPerS, onCrash } = this.options;
+    if (!isCold || coldCrashPerS === undefined || this.#isCut) return;
+    const recent = this.arrivals.filter((one) => one.atMs > atMs - 1_000);
+    if (recent.length <= coldCrashPerS) return;
+    this.crash();
+    onCrash?.();
+  }
+
   async #answer(request, response) {
     const atMs = performance.now();
     const chunks = [];
@@ -126,6 +135,8 @@
       isCold: this.isCold,
     };
     this.arrivals.push(arrival);
+    this.#crashIfRushed(arrival);
+    if (this.#isCut) return;
     const refuse = (status) => {
       arrival.status = status;
       response.writeHead(status, {
