Hold back a record that its endpoint wrote before the one in use

Cause: the store may carry out a write seconds late if its answer was lost. EndpointTable.put took each record of a process for newer than the one before, though the store's order is not the order in which the endpoint wrote; the record's sequence, which tells that order, was not decoded. Ruled out: entries that learn late. They stop at once, and begin again within milliseconds of the late write.

The same cause on related paths: a record written again after its removal; the record from before a restart under the same id, which ended the cold time; the changes that entries pass on, of which only the last for each record was kept, so that a follower never got the newer one.

Change: records are ordered by the endpoint's start, then by sequence. An older one is held back for 10 s, in which a heartbeat replaces a late write, and is logged as endpoint-record-outdated. Without a start time a lower sequence counts as older only for an endpoint that leaves or was removed. The event of a removal brings the last sequence. The log of changes keeps an outdated change beside the newer one. Changes that were put off are logged now, and the idle connections of an endpoint whose grace ended are closed.

Why it works: the endpoint counts its own writes, so a late one can't look newer, whichever way it reaches an entry.

Not covered: an entry that starts after the late write, until the next heartbeat.

--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -276,6 +276,9 @@
   const startedAtMs = getCount(spec, "born");
   if (!isMissing(born) && startedAtMs === undefined)
     return fail("born is not a whole number");
+  const sequence = getCount(spec, "seq");
+  if (!isMissing(spec.seq) && sequence === undefined)
+    return fail("seq is not a whole number");
   return ok({
     id: name,
     service,
@@ -286,6 +289,7 @@
     isLeaving: state === "draining",
     coldLeftMs: Math.max(0, coldLeftMs ?? 0),
     startedAtMs,
+    sequence,
   });
 }
 
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -415,7 +415,7 @@
   { view, sync, peers, now }: TickOptions,
   dueSinceMsByService: Map<string, number>,
 ): Promise<void> {
-  view.endpoints.removeExpired(now());
+  sync.applyDueChanges();
   const decisions = view.rollouts.decide(now());
   for (const decision of decisions) {
     const { service } = decision.order;
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -4,6 +4,8 @@
 import { pauseFor } from "../adapters/pause_for.js";
 import { RepeatLog } from "../adapters/repeat_log.js";
 import {
+  type EndpointChange,
+  type EndpointRecord,
   type FleetView,
   type Freshness,
   type RolloutDecision,
@@ -442,20 +444,30 @@
     });
   }
 
+  /** Applies changes of endpoints that were put off until now. */
+  applyDueChanges(): void {
+    const { view, now } = this.#options;
+    this.#reportChanges(view.endpoints.applyDue(now()));
+  }
+
+  #reportChanges(changes: readonly EndpointChange[]): void {
+    const { log, onEndpointRemoved } = this.#options;
+    for (const { event, record, newerSequence } of changes) {
+      log.info(event, {
+        endpoint: record.id,
+        service: record.service,
+        version: record.version,
+        dataCentre: record.dataCentre,
+        coldLeftMs: record.coldLeftMs,
+        sequence: record.sequence,
+        newerSequence,
+      });
+      if (event === "endpoint-removed") onEndpointRemoved(record.id);
+    }
+  }
+
   #endpointHandlers(): WatchHandlers {
-    const { view, now, log, onEndpointRemoved } = this.#options;
-    const reportChanges = (changes: ReturnType<typeof view.endpoints.put>) => {
-      for (const { event, record } of changes) {
-        log.info(event, {
-          endpoint: record.id,
-          service: record.service,
-          version: record.version,
-          dataCentre: record.dataCentre,
-          coldLeftMs: record.coldLeftMs,
-        });
-        if (event === "endpoint-removed") onEndpointRemoved(record.id);
-      }
-    };
+    const { view, now } = this.#options;
     const decodeOrSkip = (object: StoredObject) => {
       const record = decodeEndpoint(object);
       if (record.isOk()) return [record.value];
@@ -465,6 +477,8 @@
       });
       return [];
     };
+    const hasNewer = (record: EndpointRecord) =>
+      view.endpoints.hasNewer(record);
     const isDistrusted = ({ name, revision }: StoredObject) =>
       this.#distrusted.get(name) === revision;
     const listTrusted = (objects: readonly StoredObject[]) =>
@@ -480,21 +494,27 @@
       onList: (objects) => {
         const records = listTrusted(objects);
         if (!this.#isSettling) {
-          reportChanges(view.endpoints.replaceAll(records, now()));
+          this.#reportChanges(view.endpoints.replaceAll(records, now()));
           return;
         }
         for (const record of records) {
-          reportChanges(view.endpoints.put(record, now()));
+          this.#reportChanges(view.endpoints.put(record, now()));
         }
       },
       onChange: (object) => {
         if (isDistrusted(object)) return;
         const [record] = decodeOrSkip(object);
         if (record === undefined) {
-          reportChanges(view.endpoints.remove(object.name, now()));
-        } else reportChanges(view.endpoints.put(record, now()));
+          this.#reportChanges(view.endpoints.remove(object.name, now()));
+        } else this.#reportChanges(view.endpoints.put(record, now()));
+      },
+      isOutdated: (object) =>
+        decodeEndpoint(object).map(hasNewer).unwrapOr(false),
+      onDelete: (object) => {
+        const { name } = object;
+        const lastRecord = decodeEndpoint(object).unwrapOr(undefined);
+        this.#reportChanges(view.endpoints.remove(name, now(), lastRecord));
       },
-      onDelete: (name) => reportChanges(view.endpoints.remove(name, now())),
       onRegained: () => view.endpoints.startLapseGrace(now()),
     };
   }
@@ -511,7 +531,7 @@
         for (const object of objects) this.#applyRollout(object);
       },
       onChange: (object) => this.#applyRollout(object),
-      onDelete: (name) => {
+      onDelete: ({ name }) => {
         log.info("rollout-removed", { service: name });
         view.rollouts.remove(name);
       },
@@ -567,7 +587,7 @@
         for (const name of names) start(name);
       },
       onChange: (object) => start(object.name),
-      onDelete: end,
+      onDelete: (object) => end(object.name),
     };
   }
 }
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -33,13 +33,22 @@
 /** Time in which changes arrive on two connections one after the other, ms. */
 const CHANGE_ARRIVAL_MS = 150;
 
+/**
+ * Follows the name of an outdated object in the log of changes. The newer change
+ * stays there as well: only with it can other entries tell which is outdated.
+ */
+const OUTDATED_SUFFIX = "\0outdated";
+
 /** Pause after a round that failed by an error in the entry's code, ms. */
 const ERROR_PAUSE_MS = 1_000;
 
 export interface WatchHandlers {
   onList(objects: readonly StoredObject[]): void;
   onChange(object: StoredObject): void;
-  onDelete(name: string): void;
+  /** Whether the view holds a newer state of the object than this one. */
+  isOutdated?(object: StoredObject): boolean;
+  /** Called with the object as it was last. */
+  onDelete(object: StoredObject): void;
   /** The view was current at this time of the suspend clock. */
   onConfirm?(atMs: number): void;
   /** The store answers again after it did not for `lostMs`. */
@@ -240,11 +249,13 @@
     const { handlers, onViewChange } = this.#options;
     for (const event of events) {
       const { object, isDeleted } = event;
-      if (isDeleted) handlers.onDelete(object.name);
+      const isOutdated = !isDeleted && handlers.isOutdated?.(object) === true;
+      if (isDeleted) handlers.onDelete(object);
       else handlers.onChange(object);
       // A deleted object may still have the revision of its last change.
       const changeRevision = isDeleted ? revision : object.revision;
-      this.#changes.put(object.name, changeRevision, event);
+      const suffix = isOutdated ? OUTDATED_SUFFIX : "";
+      this.#changes.put(`${object.name}${suffix}`, changeRevision, event);
     }
     this.#revision = Math.max(this.#revision ?? 0, revision);
     if (events.length > 0) onViewChange();
--- a/src/platform/store_watch_test.ts
+++ b/src/platform/store_watch_test.ts
@@ -3,7 +3,11 @@
 import { ok } from "neverthrow";
 import { createSuspendClock } from "../proxy/index.js";
 import { delay } from "../testbed/delay.js";
-import { OBJECT_KIND, type WatchCallOptions } from "./store_client.js";
+import {
+  OBJECT_KIND,
+  parseEvent,
+  type WatchCallOptions,
+} from "./store_client.js";
 import { StoreOutage } from "./store_outage.js";
 import { StoreWatch } from "./store_watch.js";
 
@@ -114,4 +118,60 @@
     await watch.run();
     assert.equal(lists, 2);
   });
+
+  // Entries that follow this one took the outdated state for the newest.
+  it("passes on the newer change beside one that is outdated", async () => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    const clock = createSuspendClock();
+    const createEvent = (revision: number, spec: string) => ({
+      isDeleted: false,
+      object: {
+        name: "i-1",
+        revision,
+        createdRevision: 1,
+        isDeleting: false,
+        spec,
+        status: null,
+      },
+    });
+    const page = { objects: [], skipReasons: [], hasMore: false };
+    const events = [createEvent(2, "newer"), createEvent(3, "outdated")];
+    const watch = new StoreWatch({
+      kind: OBJECT_KIND.endpoints,
+      store: {
+        list: async () => ok({ ...page, storeRevision: 1 }),
+        watch: async () => ok({ events, skipReasons: [], storeRevision: 3 }),
+      },
+      getWaitMs: () => 10,
+      getPauseMs: () => 0,
+      confirmsAtCallStart: false,
+      getEra: () => 1,
+      getReachedAtMs: () => clock.now(),
+      outage: new StoreOutage({
+        getMaxProbePauseMs: () => 500,
+        random: Math.random,
+        signal,
+      }),
+      clock,
+      log: LOG,
+      handlers: {
+        onList() {},
+        onChange() {},
+        onDelete() {},
+        isOutdated: ({ spec }) => spec === "outdated",
+        onConfirm: () => {
+          if (watch.revision === 3) controller.abort();
+        },
+      },
+      onViewChange: () => {},
+      signal,
+    });
+    await watch.run();
+    const passedOn = watch.listChangesSince(1)?.map(parseEvent) ?? [];
+    assert.deepEqual(
+      passedOn.map((event) => event.map(({ object }) => object.spec)),
+      [ok("newer"), ok("outdated")],
+    );
+  });
 });
--- a/src/proxy/fleet/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -11,21 +11,42 @@
  */
 const EXPIRY_GRACE_MS = 2_000;
 
-/** Removed endpoints whose availability is remembered. */
+/**
+ * How long a record is held back that is older than the one in use, ms. A write
+ * whose answer was lost takes effect some seconds late and is replaced by the
+ * endpoint's next heartbeat. A record that stays stored for longer is used, as
+ * that of an endpoint whose host's clock was set back before its start.
+ */
+const OUTDATED_HOLD_MS = 10_000;
+
+/** Removed endpoints that are remembered, with their last record. */
 const MAX_REMEMBERED_ENDPOINTS = 1_000;
 
 export interface EndpointChange {
-  readonly event: "endpoint-added" | "endpoint-leaving" | "endpoint-removed";
+  readonly event:
+    | "endpoint-added"
+    | "endpoint-leaving"
+    | "endpoint-removed"
+    | "endpoint-record-outdated";
+  readonly record: EndpointRecord;
+  /** Sequence of the newer record for which `record` is not used. */
+  readonly newerSequence?: number;
+}
+
+interface HeldRecord {
   readonly record: EndpointRecord;
+  readonly untilMs: number;
 }
 
 export class EndpointTable {
   readonly #endpoints = new Map<string, EndpointState>();
   /** Removed records that stay until the grace ends, by id. */
   readonly #graceEndMsById = new Map<string, number>();
+  /** Records that are older than the ones in use, by id. */
+  readonly #heldRecords = new Map<string, HeldRecord>();
   /**
-   * Availability that removed endpoints had announced. It holds again if the
-   * record of the same process returns, as after a store outage.
+   * Removed endpoints. The availability that they had announced holds again if
+   * the record of the same process returns, as after a store outage.
    */
   readonly #removedEndpoints = new LRUCache<
     string,
@@ -52,6 +73,13 @@
   }
 
   put(record: EndpointRecord, nowMs: number): EndpointChange[] {
+    const newer = this.#findNewerRecord(record);
+    if (newer !== undefined) return this.#holdBack(record, newer, nowMs);
+    return this.#apply(record, nowMs);
+  }
+
+  #apply(record: EndpointRecord, nowMs: number): EndpointChange[] {
+    this.#heldRecords.delete(record.id);
     this.#graceEndMsById.delete(record.id);
     const known = this.#endpoints.get(record.id);
     if (known === undefined || !isSameProcess(known.record, record)) {
@@ -68,9 +96,18 @@
     return record.isLeaving ? [{ event: "endpoint-leaving", record }] : [];
   }
 
-  remove(id: string, nowMs: number): EndpointChange[] {
+  /** `lastRecord` is the one that was stored until now, if that is known. */
+  remove(
+    id: string,
+    nowMs: number,
+    lastRecord?: EndpointRecord,
+  ): EndpointChange[] {
+    this.#heldRecords.delete(id);
     const known = this.#endpoints.get(id);
     if (known === undefined) return [];
+    // Changes of the sequence alone may have gone unreported until now.
+    if (lastRecord !== undefined && isLaterRecord(lastRecord, known.record))
+      known.record = lastRecord;
     if (nowMs < this.#graceUntilMs && !known.isLeaving) {
       if (!this.#graceEndMsById.has(id))
         this.#graceEndMsById.set(id, this.#graceUntilMs);
@@ -79,9 +116,11 @@
     return this.#delete(id, known);
   }
 
-  /** Removes the records whose grace has ended. */
-  removeExpired(nowMs: number): EndpointChange[] {
+  /** Applies what was put off: removals in grace, and records held back. */
+  applyDue(nowMs: number): EndpointChange[] {
     const changes: EndpointChange[] = [];
+    for (const { record, untilMs } of this.#heldRecords.values())
+      if (nowMs >= untilMs) changes.push(...this.#apply(record, nowMs));
     for (const [id, untilMs] of this.#graceEndMsById) {
       if (nowMs < untilMs) continue;
       this.#graceEndMsById.delete(id);
@@ -91,6 +130,37 @@
     return changes;
   }
 
+  /** True when a newer record is in use, or was until the removal. */
+  hasNewer(record: EndpointRecord): boolean {
+    return this.#findNewerRecord(record) !== undefined;
+  }
+
+  /** The record in use, or that of the removed endpoint, if it is newer. */
+  #findNewerRecord(record: EndpointRecord): EndpointRecord | undefined {
+    const known = this.#endpoints.get(record.id)?.record;
+    const latest = known ?? this.#removedEndpoints.peek(record.id)?.record;
+    if (latest === undefined) return undefined;
+    const isEnding = known === undefined || known.isLeaving;
+    return isOlder(record, latest, isEnding) ? latest : undefined;
+  }
+
+  #holdBack(
+    record: EndpointRecord,
+    newer: EndpointRecord,
+    nowMs: number,
+  ): EndpointChange[] {
+    const held = this.#heldRecords.get(record.id)?.record;
+    // Listing the store again returns the same record.
+    const isHeld =
+      held?.startedAtMs === record.startedAtMs &&
+      held?.sequence === record.sequence;
+    if (held !== undefined && isHeld) return [];
+    const untilMs = nowMs + OUTDATED_HOLD_MS;
+    this.#heldRecords.set(record.id, { record, untilMs });
+    const { sequence: newerSequence } = newer;
+    return [{ event: "endpoint-record-outdated", record, newerSequence }];
+  }
+
   /** Availability to restore if the record is one of a removed process. */
   #takeAvailability(record: EndpointRecord): AnnouncedAvailability | undefined {
     const known = this.#removedEndpoints.get(record.id);
@@ -158,3 +228,27 @@
     one.port === other.port
   );
 }
+
+/** Whether one process has written the first record after the second. */
+function isLaterRecord(one: EndpointRecord, other: EndpointRecord): boolean {
+  return isSameProcess(one, other) && !isOlder(one, other, true);
+}
+
+/**
+ * Whether the first record was written before the second. A sequence counts the
+ * writes of one process. Where no start time tells processes apart, a lower one
+ * may come from a restart, unless `isEnding`: then it is a late write.
+ */
+function isOlder(
+  one: EndpointRecord,
+  other: EndpointRecord,
+  isEnding: boolean,
+): boolean {
+  const hasStarts =
+    one.startedAtMs !== undefined && other.startedAtMs !== undefined;
+  if (hasStarts && one.startedAtMs !== other.startedAtMs)
+    return one.startedAtMs < other.startedAtMs;
+  if (!hasStarts && !(isEnding && isSameProcess(one, other))) return false;
+  if (one.sequence === undefined || other.sequence === undefined) return false;
+  return one.sequence < other.sequence;
+}
--- a/src/proxy/fleet/endpoint_table_test.ts
+++ b/src/proxy/fleet/endpoint_table_test.ts
@@ -46,8 +46,8 @@
     table.replaceAll([], 10_100);
     assert.deepEqual(listIds(table), ["a", "b"]);
     table.put(createRecord("b"), 11_000);
-    assert.deepEqual(table.removeExpired(11_900), []);
-    table.removeExpired(12_000);
+    assert.deepEqual(table.applyDue(11_900), []);
+    table.applyDue(12_000);
     assert.deepEqual(listIds(table), ["b"]);
   });
 
@@ -86,6 +86,80 @@
     assert.equal(after?.isCold(4_001), false);
   });
 
+  // A write without an answer may take effect seconds later. Requests went to
+  // an endpoint that had already said that it leaves, and ended with it.
+  it("stays leaving when an older record is written late", () => {
+    const table = new EndpointTable();
+    table.put(createRecord("a", { sequence: 5 }), 0);
+    table.put(createRecord("a", { sequence: 7, isLeaving: true }), 1_000);
+    const changes = table.put(createRecord("a", { sequence: 6 }), 2_000);
+    assert.deepEqual(
+      changes.map(({ event }) => event),
+      ["endpoint-record-outdated"],
+    );
+    assert.deepEqual(listIds(table), []);
+    table.put(createRecord("a", { sequence: 4, port: 81 }), 3_000);
+    assert.deepEqual(listIds(table), []);
+  });
+
+  // The endpoint's last record is only in the event of its removal.
+  it("stays removed when an older record is written late", () => {
+    const table = new EndpointTable();
+    table.put(createRecord("a", { sequence: 1 }), 0);
+    table.remove("a", 1_000, createRecord("a", { sequence: 9 }));
+    table.put(createRecord("a", { sequence: 8 }), 2_000);
+    assert.deepEqual(listIds(table), []);
+    table.put(createRecord("a", { sequence: 10 }), 3_000);
+    assert.deepEqual(listIds(table), ["a"]);
+  });
+
+  // The record of the earlier start says nothing of the cold time.
+  it("stays cold when a record from before a restart is written late", () => {
+    const table = new EndpointTable();
+    table.put(createRecord("a", { sequence: 90 }), 0);
+    const restarted = { startedAtMs: 2, sequence: 1, coldLeftMs: 3_000 };
+    table.put(createRecord("a", restarted), 1_000);
+    table.put(createRecord("a", { sequence: 89 }), 2_000);
+    assert.equal(table.get("a")?.isCold(3_900), true);
+    assert.equal(table.get("a")?.record.startedAtMs, 2);
+  });
+
+  it("takes a lower count for a restart where no start time tells", () => {
+    const table = new EndpointTable();
+    const unknownStart = { startedAtMs: undefined };
+    table.put(createRecord("a", { ...unknownStart, sequence: 90 }), 0);
+    const restarted = { ...unknownStart, sequence: 1, coldLeftMs: 3_000 };
+    table.put(createRecord("a", restarted), 1_000);
+    assert.equal(table.get("a")?.isCold(2_000), true);
+    const leaving = { ...unknownStart, sequence: 3, isLeaving: true };
+    table.put(createRecord("a", leaving), 5_000);
+    table.put(createRecord("a", { ...unknownStart, sequence: 2 }), 5_500);
+    assert.deepEqual(listIds(table), []);
+  });
+
+  // A host's clock may be set back between two starts of an endpoint.
+  it("uses an older record that stays the stored one", () => {
+    const table = new EndpointTable();
+    table.put(createRecord("a", { startedAtMs: 9, isLeaving: true }), 0);
+    table.put(createRecord("a", { startedAtMs: 3 }), 1_000);
+    assert.deepEqual(table.applyDue(10_900), []);
+    assert.deepEqual(listIds(table), []);
+    table.applyDue(11_000);
+    assert.deepEqual(listIds(table), ["a"]);
+  });
+
+  it("drops an older record that is replaced or removed again", () => {
+    const table = new EndpointTable();
+    for (const id of ["a", "b"]) {
+      table.put(createRecord(id, { sequence: 7, isLeaving: true }), 0);
+      table.put(createRecord(id, { sequence: 6 }), 1_000);
+    }
+    table.put(createRecord("a", { sequence: 8, isLeaving: true }), 2_000);
+    table.remove("b", 2_000);
+    assert.deepEqual(table.applyDue(60_000), []);
+    assert.deepEqual(listIds(table), []);
+  });
+
   it("limits the request rate of a cold endpoint", () => {
     const table = new EndpointTable();
     table.put(createRecord("a", { coldLeftMs: 3_000 }), 0);
--- a/src/proxy/types.ts
+++ b/src/proxy/types.ts
@@ -106,6 +106,8 @@
   readonly coldLeftMs: number;
   /** Unix time of the endpoint's start; tells two starts of one id apart. */
   readonly startedAtMs?: number;
+  /** Counts the endpoint's writes of its record since its start. */
+  readonly sequence?: number;
 }
 
 /** An operator's order to roll a service out to the version `target`. */
