Count answers that reject a request against a new version

Cause: AttemptRunner recorded each answer with a status under 500 as good, and the evidence on a roll-out had no count of other answers, so the share of 3xx and 4xx answers was compared with nothing. Ruled out: too little evidence (136 answers, all counted as good), and its late exchange between entries.

Change: rejections are a count of their own in the evidence and in messages between entries. Invalid requests are the callers' fault and reach both versions, so the target's share is compared with the one to expect from the baseline's answers on the same routes, by the rule of succession: in all, on one route, and as a small share on many endpoints. It is no failure of an endpoint: invalid requests would pause all of them.

Why it works: a version that rejects what the one before answers has a share well above the expected one after some ten answers; versions that both reject a third have the same share.

In the simulated roll-outs seven versions that reject are rolled back with 1, 4 and 30 entries; versions that both reject up to 60 of 100, bursts of invalid requests and one faulty endpoint are completed. Not told apart: one caller whose session is on the target and whose requests are all invalid, and a burst once all traffic has moved.

--- a/src/proxy/fleet/decode_messages.ts
+++ b/src/proxy/fleet/decode_messages.ts
@@ -254,11 +254,12 @@
 }
 
 function isTally(tally: RolloutTally): boolean {
-  const { origin, route, answers, failures, timed, logSlowness } = tally;
+  const { origin, route, answers, failures, rejections } = tally;
+  const { timed, logSlowness } = tally;
   return (
     isName(origin) &&
     isName(route) &&
-    failures <= answers &&
+    failures + rejections <= answers &&
     timed <= answers &&
     Math.abs(logSlowness) <= timed * MAX_LOG_SLOWNESS
   );
--- a/src/proxy/fleet/peers_test.ts
+++ b/src/proxy/fleet/peers_test.ts
@@ -4,6 +4,7 @@
 import { Exchange } from "../../schema/exchange/index.js";
 import { startPeerServer } from "./peer_messages.js";
 import { EXCHANGE_PATH, Peers } from "./peers.js";
+import { ANSWER_VERDICT } from "./rollout_evidence.js";
 import { Rollouts } from "./rollouts.js";
 import { SessionVersions } from "./session_versions.js";
 
@@ -157,7 +158,7 @@
         route: "r",
         endpoint: "e",
         endpointCount: 1,
-        isGood: false,
+        verdict: ANSWER_VERDICT.failed,
       });
     }
     first.sessions.record("svc", "s1", {
--- a/src/proxy/fleet/rollout_evidence.ts
+++ b/src/proxy/fleet/rollout_evidence.ts
@@ -22,22 +22,47 @@
 /** Counts of one kind that are kept; further ones of others are left out. */
 const MAX_COUNTS = 10_000;
 
+/** What an answer says of the version that gave it. */
+export const ANSWER_VERDICT = {
+  good: "good",
+  /** A status of 3xx or 4xx: the fault of the version or of the caller. */
+  rejected: "rejected",
+  /** An error of the endpoint, or no whole answer. */
+  failed: "failed",
+} as const;
+export type AnswerVerdict =
+  (typeof ANSWER_VERDICT)[keyof typeof ANSWER_VERDICT];
+
 export interface AnswerTotals {
   answers: number;
   failures: number;
+  rejections: number;
   timed: number;
   logSlowness: number;
 }
 
 function createTotals(): AnswerTotals {
-  return { answers: 0, failures: 0, timed: 0, logSlowness: 0 };
+  return { answers: 0, failures: 0, rejections: 0, timed: 0, logSlowness: 0 };
 }
 
 /** 0 without answers. */
-export function getFailureShare(totals: AnswerTotals): number {
+export function getFailureShare(
+  totals: Pick<AnswerTotals, "failures" | "answers">,
+): number {
   return totals.answers === 0 ? 0 : totals.failures / totals.answers;
 }
 
+/**
+ * Share of rejections to expect, by the rule of succession: near the observed
+ * one after many answers, one half before the first.
+ */
+export function estimateRejectionShare(
+  totals: AnswerTotals | undefined,
+): number {
+  const { rejections, answers } = totals ?? createTotals();
+  return (rejections + 1) / (answers + 2);
+}
+
 /** Geometric mean of measured over expected answer time; 1 if none is timed. */
 export function getMeanServiceTimeRatio(totals: AnswerTotals): number {
   return totals.timed === 0 ? 1 : Math.exp(totals.logSlowness / totals.timed);
@@ -48,7 +73,7 @@
   readonly #random: () => number;
   /** Ordered by the last change, latest last. */
   readonly #tallies = new Map<string, RolloutTally>();
-  /** Failures of the target, ordered likewise. */
+  /** Failures and rejections of the target, ordered likewise. */
   readonly #endpointFailures = new Map<string, EndpointFailures>();
 
   /** `origin` identifies one start of this entry. */
@@ -62,10 +87,10 @@
     route: string;
     endpoint: string;
     isTarget: boolean;
-    isGood: boolean;
+    verdict: AnswerVerdict;
     serviceTimeRatio?: number;
   }): void {
-    const { route, endpoint, isTarget, isGood, serviceTimeRatio } = answer;
+    const { route, endpoint, isTarget, verdict, serviceTimeRatio } = answer;
     const key = createTallyKey(this.#origin, route, isTarget);
     const tally = this.#tallies.get(key) ?? {
       origin: this.#origin,
@@ -75,20 +100,24 @@
     };
     putLast(this.#tallies, key, tally);
     tally.answers++;
-    if (!isGood) tally.failures++;
-    if (!isGood && isTarget) this.#addFailure(endpoint);
+    if (verdict === ANSWER_VERDICT.failed) tally.failures++;
+    if (verdict === ANSWER_VERDICT.rejected) tally.rejections++;
+    if (verdict !== ANSWER_VERDICT.good && isTarget)
+      this.#addFailure(endpoint, verdict);
     if (serviceTimeRatio === undefined || serviceTimeRatio <= 0) return;
     tally.timed++;
     tally.logSlowness += Math.log(serviceTimeRatio);
   }
 
-  #addFailure(endpoint: string): void {
+  #addFailure(endpoint: string, verdict: AnswerVerdict): void {
     const key = `${this.#origin} ${endpoint}`;
-    const failures = (this.#endpointFailures.get(key)?.failures ?? 0) + 1;
+    const known = this.#endpointFailures.get(key);
+    const isRejection = verdict === ANSWER_VERDICT.rejected;
     putLast(this.#endpointFailures, key, {
       origin: this.#origin,
       endpoint,
-      failures,
+      failures: (known?.failures ?? 0) + (isRejection ? 0 : 1),
+      rejections: (known?.rejections ?? 0) + (isRejection ? 1 : 0),
     });
   }
 
@@ -105,7 +134,8 @@
       if (reported.origin === this.#origin) continue;
       const key = `${reported.origin} ${reported.endpoint}`;
       const known = this.#endpointFailures.get(key);
-      if (known !== undefined && known.failures >= reported.failures) continue;
+      if (known !== undefined && sumFailures(known) >= sumFailures(reported))
+        continue;
       const isFull = this.#endpointFailures.size >= MAX_COUNTS;
       if (known === undefined && isFull) continue;
       putLast(this.#endpointFailures, key, { ...reported });
@@ -127,16 +157,17 @@
     return [...counts, ...chooseSome(rest, others, this.#random)];
   }
 
-  /** Failures of the target on each endpoint, largest first. */
-  listEndpointFailureCounts(): number[] {
-    const failuresByEndpoint = new Map<string, number>();
-    for (const { endpoint, failures } of this.#endpointFailures.values()) {
-      failuresByEndpoint.set(
+  /** Failures or rejections of the target on each endpoint, largest first. */
+  listEndpointCounts(kind: "failures" | "rejections"): number[] {
+    const countsByEndpoint = new Map<string, number>();
+    for (const counts of this.#endpointFailures.values()) {
+      const { endpoint } = counts;
+      countsByEndpoint.set(
         endpoint,
-        (failuresByEndpoint.get(endpoint) ?? 0) + failures,
+        (countsByEndpoint.get(endpoint) ?? 0) + counts[kind],
       );
     }
-    return [...failuresByEndpoint.values()].sort((a, b) => b - a);
+    return [...countsByEndpoint.values()].sort((a, b) => b - a);
   }
 
   /** Totals over all entries, by route. */
@@ -169,9 +200,14 @@
   counts.set(key, count);
 }
 
+function sumFailures({ failures, rejections }: EndpointFailures): number {
+  return failures + rejections;
+}
+
 function addTotals(totals: AnswerTotals, added: AnswerTotals): void {
   totals.answers += added.answers;
   totals.failures += added.failures;
+  totals.rejections += added.rejections;
   totals.timed += added.timed;
   totals.logSlowness += added.logSlowness;
 }
--- a/src/proxy/fleet/rollouts.ts
+++ b/src/proxy/fleet/rollouts.ts
@@ -1,9 +1,9 @@
 /**
  * Rolls a service out to the version that an operator ordered. The new version
  * (the target) gets a small share of the sessions for the first half of the
- * order's duration, then more in steps. It is rolled back when its answers fail
- * or are slow against the baseline, the versions that served before: at once,
- * late, under load only, or on one route only.
+ * order's duration, then more in steps. It is rolled back when its answers fail,
+ * reject requests or are slow against the baseline, the versions that served
+ * before: at once, late, under load only, or on one route only.
  */
 
 import type { RolloutReport } from "../../schema/exchange/index.js";
@@ -15,6 +15,8 @@
 import { toMessageNumber } from "./peer_messages.js";
 import {
   type AnswerTotals,
+  type AnswerVerdict,
+  estimateRejectionShare,
   getFailureShare,
   getMeanServiceTimeRatio,
   RolloutEvidence,
@@ -78,7 +80,7 @@
   readonly endpoint: string;
   /** Endpoints of the version that are registered. */
   readonly endpointCount: number;
-  readonly isGood: boolean;
+  readonly verdict: AnswerVerdict;
   /** Measured time to the answer, divided by the expected time. */
   readonly serviceTimeRatio?: number;
 }
@@ -307,9 +309,11 @@
       }
       const completionShare = 1 - COMPLETION_FACTOR * this.#maxExposure;
       if (this.#getElapsedShare(rollout, nowMs) < completionShare) continue;
-      const { answers, failures } = evidence.sumAllRoutes(true);
+      const { answers, failures, rejections } = evidence.sumAllRoutes(true);
       if (answers < MIN_ANSWERS_TO_COMPLETE) continue;
-      const reason = `${failures} of ${answers} answers failed`;
+      const reason =
+        `${failures} of ${answers} answers failed, ` +
+        `${rejections} rejected the request`;
       decisions.push({ order, outcome: ROLLOUT_OUTCOME.completed, reason });
     }
     return decisions;
@@ -325,23 +329,25 @@
   const hasEnoughFailures = failures >= MIN_FAILURES;
   if (
     hasEnoughFailures &&
-    hasBadFailureShare(target, getFailureShare(baseline), BAD_FAILURE_SHARE)
+    isBadShare(target, getFailureShare(baseline), BAD_FAILURE_SHARE)
   ) {
     return `${failures} of ${answers} answers failed`;
   }
   const widespreadFault = findWidespreadFault(
     rollout,
+    "failures",
     getFailureShare(baseline),
   );
   if (widespreadFault !== undefined) return widespreadFault;
+  const rejectionFault = findRejectionFault(rollout);
+  if (rejectionFault !== undefined) return rejectionFault;
   const baselineByRoute = evidence.sumByRoute(false);
   for (const [route, totals] of evidence.sumByRoute(true)) {
     const baselineTotals = baselineByRoute.get(route);
     const baselineShare =
       baselineTotals === undefined ? 0 : getFailureShare(baselineTotals);
     if (totals.failures < MIN_ROUTE_FAILURES) continue;
-    if (!hasBadFailureShare(totals, baselineShare, BAD_ROUTE_FAILURE_SHARE))
-      continue;
+    if (!isBadShare(totals, baselineShare, BAD_ROUTE_FAILURE_SHARE)) continue;
     return `${totals.failures} of ${totals.answers} answers on ${route} failed`;
   }
   if (target.timed < MIN_TIMED || baseline.timed < MIN_TIMED) return undefined;
@@ -351,9 +357,41 @@
   return `Answers take ${relativeServiceTime.toFixed(1)} times as long`;
 }
 
+/**
+ * Finds requests that the target rejects and the baseline would not. Wrong
+ * requests of callers reach both, but each route gets a share of them that only
+ * the baseline's answers on that route tell. Without any, none is a fault.
+ */
+function findRejectionFault(rollout: RolloutState): string | undefined {
+  const { evidence } = rollout;
+  const baselineByRoute = evidence.sumByRoute(false);
+  let expected = 0;
+  for (const [route, totals] of evidence.sumByRoute(true)) {
+    const { rejections, answers } = totals;
+    const baselineShare = estimateRejectionShare(baselineByRoute.get(route));
+    expected += baselineShare * answers;
+    const isBad =
+      rejections >= MIN_ROUTE_FAILURES &&
+      isBadShare(
+        { failures: rejections, answers },
+        baselineShare,
+        BAD_ROUTE_FAILURE_SHARE,
+      );
+    if (isBad)
+      return `${rejections} of ${answers} answers on ${route} rejected the request`;
+  }
+  const { rejections, answers } = evidence.sumAllRoutes(true);
+  if (rejections < MIN_FAILURES) return undefined;
+  const baselineShare = expected / answers;
+  const target = { failures: rejections, answers };
+  if (isBadShare(target, baselineShare, BAD_FAILURE_SHARE))
+    return `${rejections} of ${answers} answers rejected the request`;
+  return findWidespreadFault(rollout, "rejections", baselineShare);
+}
+
 /** True when the failure share reaches `minShare` and is well above usual. */
-function hasBadFailureShare(
-  totals: AnswerTotals,
+function isBadShare(
+  totals: Pick<AnswerTotals, "failures" | "answers">,
   baselineShare: number,
   minShare: number,
 ): boolean {
@@ -363,18 +401,19 @@
 }
 
 /**
- * Finds a small failure share that is spread over the endpoints. The endpoints
- * with the most failures are ignored: their hosts may be faulty.
+ * Finds a small share of failures or rejections that is spread over the
+ * endpoints. The endpoints with the most are ignored: their hosts may be faulty.
  */
 function findWidespreadFault(
   { evidence, targetEndpointCount }: RolloutState,
+  kind: "failures" | "rejections",
   baselineShare: number,
 ): string | undefined {
   const ignoredEndpointCount = Math.floor(
     IGNORED_ENDPOINTS_SHARE * targetEndpointCount,
   );
   const failures = evidence
-    .listEndpointFailureCounts()
+    .listEndpointCounts(kind)
     .slice(ignoredEndpointCount)
     .reduce((sum, count) => sum + count, 0);
   if (failures < MIN_FAILURES) return undefined;
@@ -387,7 +426,7 @@
   const lowerBound = computeWilsonLowerBound(failures, answers);
   if (lowerBound <= BAD_FAILURE_RATIO * baselineShare + TOLERATED_FAILURE_SHARE)
     return undefined;
-  return `${failures} of ${Math.round(answers)} answers failed on many endpoints`;
+  return `${failures} ${kind} in ${Math.round(answers)} answers of many endpoints`;
 }
 
 /** Lower bound of the Wilson score interval for `count` out of `total`. */
--- a/src/proxy/fleet/rollouts_test.ts
+++ b/src/proxy/fleet/rollouts_test.ts
@@ -3,7 +3,11 @@
 import { RolloutReport } from "../../schema/exchange/index.js";
 import { createRandom } from "../../standins/random.js";
 import type { RolloutOrder } from "../types.js";
-import { RolloutEvidence } from "./rollout_evidence.js";
+import {
+  ANSWER_VERDICT,
+  type AnswerVerdict,
+  RolloutEvidence,
+} from "./rollout_evidence.js";
 import { Rollouts } from "./rollouts.js";
 
 const ORDER: RolloutOrder = {
@@ -22,11 +26,15 @@
 interface Fault {
   /** Share of the target's answers that fail. */
   readonly failureShare: number;
+  /** They reject the request in place of failing. */
+  readonly isRejection?: boolean;
   readonly fromMs?: number;
   readonly route?: string;
   readonly serviceTimeRatio?: number;
   /** Share of answers that fail on every version. */
   readonly baselineFailureShare?: number;
+  readonly baselineFromMs?: number;
+  readonly baselineUntilMs?: number;
   /** Fails on this endpoint only. */
   readonly endpoint?: number;
   /** Fails only while the version has at least this share of the traffic. */
@@ -68,9 +76,17 @@
         requestIndex % ENDPOINT_COUNT &&
       share >= (fault.minTrafficShare ?? 0);
     const failureDraw = (requestIndex * 0.754_877) % 1;
+    const { baselineFailureShare = 0, baselineFromMs = 0 } = fault;
+    const isInvalid =
+      failureDraw < baselineFailureShare &&
+      nowMs >= baselineFromMs &&
+      nowMs < (fault.baselineUntilMs ?? ORDER.durationMs);
     const isGood =
-      failureDraw >= (fault.baselineFailureShare ?? 0) &&
-      (!isFaulty || failureDraw >= fault.failureShare);
+      !isInvalid && (!isFaulty || failureDraw >= fault.failureShare);
+    const badVerdict = fault.isRejection
+      ? ANSWER_VERDICT.rejected
+      : ANSWER_VERDICT.failed;
+    const verdict = isGood ? ANSWER_VERDICT.good : badVerdict;
     allRequests++;
     if (isTarget) targetRequests++;
     if (!isGood) failedRequests++;
@@ -80,7 +96,7 @@
       route,
       endpoint: `e${requestIndex % ENDPOINT_COUNT}`,
       endpointCount: ENDPOINT_COUNT,
-      isGood,
+      verdict,
       serviceTimeRatio: isFaulty ? (fault.serviceTimeRatio ?? 1) : 1,
     });
     if (requestIndex % 20 === 0) {
@@ -116,6 +132,32 @@
     }
   });
 
+  // A version that rejected half of its requests counted as faultless.
+  const rejectionFaults: Record<string, Fault> = {
+    "rejects half of its requests": { failureShare: 0.5, isRejection: true },
+    "rejects a third": { failureShare: 0.33, isRejection: true },
+    "rejects a tenth": { failureShare: 0.1, isRejection: true },
+    "rejects requests late": {
+      failureShare: 0.5,
+      isRejection: true,
+      fromMs: 13_000,
+    },
+    "rejects requests on one route": {
+      failureShare: 0.5,
+      isRejection: true,
+      route: "chat",
+    },
+    "rejects requests under load": {
+      failureShare: 0.5,
+      isRejection: true,
+      minTrafficShare: 0.4,
+    },
+    "rejects requests that the old one answers": {
+      failureShare: 0.8,
+      isRejection: true,
+      baselineFailureShare: 0.14,
+    },
+  };
   // Requests must not keep failing on a version that is known to be bad.
   const faults: Record<string, Fault> = {
     "fails from the start": { failureShare: 0.5 },
@@ -125,6 +167,7 @@
     "fails under load": { failureShare: 0.5, minTrafficShare: 0.4 },
     "fails a tenth of its answers": { failureShare: 0.1 },
     "is slow": { failureShare: 0, serviceTimeRatio: 8 },
+    ...rejectionFaults,
   };
   for (const [name, fault] of Object.entries(faults)) {
     it(`rolls back a version that ${name}`, () => {
@@ -157,26 +200,64 @@
 
   // One faulty host is no fault of the version that it runs.
   it("completes a version that fails on one endpoint only", () => {
-    for (const entries of [1, 4, 30]) {
-      const simulated = simulateRollout(entries, {
-        failureShare: 0.5,
-        endpoint: 3,
-      });
-      assert.equal(simulated.outcome, "completed", `${entries} entries`);
+    for (const isRejection of [false, true]) {
+      for (const entries of [1, 4, 30]) {
+        const simulated = simulateRollout(entries, {
+          failureShare: 0.5,
+          isRejection,
+          endpoint: 3,
+        });
+        assert.equal(simulated.outcome, "completed", `${entries} entries`);
+      }
     }
   });
 
   // Invalid requests of callers fail on every version.
   it("completes a version that fails no more than the old one", () => {
-    for (const baselineFailureShare of [0.05, 0.14, 0.3]) {
+    for (const isRejection of [false, true]) {
+      for (const baselineFailureShare of [0.05, 0.14, 0.3, 0.6]) {
+        const simulated = simulateRollout(4, {
+          failureShare: 0,
+          isRejection,
+          baselineFailureShare,
+        });
+        assert.equal(simulated.outcome, "completed", `${baselineFailureShare}`);
+      }
+    }
+  });
+
+  // The requests of one caller that has a fault come all at once, on any route.
+  it("completes a version while callers send bursts of invalid requests", () => {
+    for (const [burstStartMs, burstMs] of [
+      [500, 500],
+      [3_000, 1_000],
+      [14_000, 2_000],
+    ] as const) {
       const simulated = simulateRollout(4, {
         failureShare: 0,
-        baselineFailureShare,
+        isRejection: true,
+        baselineFailureShare: 0.9,
+        baselineFromMs: burstStartMs,
+        baselineUntilMs: burstStartMs + burstMs,
       });
-      assert.equal(simulated.outcome, "completed", `${baselineFailureShare}`);
+      assert.equal(simulated.outcome, "completed", `from ${burstStartMs} ms`);
     }
   });
 
+  it("takes no rejection for a fault on a route that only the target served", () => {
+    const rollouts = new Rollouts("self", MAX_EXPOSURE);
+    rollouts.put(ORDER, 0);
+    const answer = { service: "svc", endpoint: "e", endpointCount: 1 };
+    const { good, rejected } = ANSWER_VERDICT;
+    for (let i = 0; i < 40; i++) {
+      for (const version of ["v1", "v2"])
+        rollouts.record({ ...answer, version, route: "old", verdict: good });
+      const fields = { version: "v2", route: "new", verdict: rejected };
+      rollouts.record({ ...answer, ...fields });
+    }
+    assert.deepEqual(rollouts.decide(1_000), []);
+  });
+
   it("stays at the initial share in the first half", () => {
     const rollouts = new Rollouts("self", MAX_EXPOSURE);
     rollouts.put(ORDER, 0);
@@ -213,7 +294,7 @@
               route,
               endpoint: `i-${index}`,
               isTarget,
-              isGood,
+              verdict: isGood ? ANSWER_VERDICT.good : ANSWER_VERDICT.failed,
             });
           }
         }
@@ -253,20 +334,29 @@
   it("counts each answer once in any order of reports", () => {
     const a = new RolloutEvidence("a", Math.random);
     const b = new RolloutEvidence("b", Math.random);
-    const add = (evidence: RolloutEvidence, isGood: boolean) =>
-      evidence.addAnswer({ route: "r", endpoint: "e", isTarget: true, isGood });
-    add(a, false);
+    const add = (evidence: RolloutEvidence, verdict: AnswerVerdict) =>
+      evidence.addAnswer({
+        route: "r",
+        endpoint: "e",
+        isTarget: true,
+        verdict,
+      });
+    const { good, failed, rejected } = ANSWER_VERDICT;
+    add(a, failed);
     const early = structuredClone(a.createReport());
-    add(a, true);
-    add(b, false);
+    add(a, good);
+    add(a, rejected);
+    add(b, failed);
     b.merge(a.createReport());
     b.merge(early);
     a.merge(b.createReport());
     a.merge(b.createReport());
     for (const evidence of [a, b]) {
-      const { answers, failures } = evidence.sumAllRoutes(true);
-      assert.deepEqual([answers, failures], [3, 2]);
-      assert.deepEqual(evidence.listEndpointFailureCounts(), [2]);
+      const totals = evidence.sumAllRoutes(true);
+      const { answers, failures, rejections } = totals;
+      assert.deepEqual([answers, failures, rejections], [4, 2, 1]);
+      assert.deepEqual(evidence.listEndpointCounts("failures"), [2]);
+      assert.deepEqual(evidence.listEndpointCounts("rejections"), [1]);
     }
   });
 });
--- a/src/proxy/placing/endpoint_state.ts
+++ b/src/proxy/placing/endpoint_state.ts
@@ -33,6 +33,8 @@
 /** How an attempt ended, as a sign of the endpoint's health. */
 export const ATTEMPT_RESULT = {
   answered: "answered",
+  /** It answered with a status of 3xx or 4xx, mostly the caller's fault. */
+  rejected: "rejected",
   /** The endpoint refused the request because it was full. */
   refused: "refused",
   /** It answered with an error, as healthy endpoints also do at times. */
@@ -177,7 +179,8 @@
       return;
     }
     this.#consecutiveRefusals = 0;
-    const isFailure = result !== ATTEMPT_RESULT.answered;
+    const isFailure =
+      result !== ATTEMPT_RESULT.answered && result !== ATTEMPT_RESULT.rejected;
     this.resultCount++;
     const weight = Math.max(NEWEST_RESULT_WEIGHT, 1 / this.resultCount);
     this.failureShare += weight * ((isFailure ? 1 : 0) - this.failureShare);
--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -7,7 +7,12 @@
 import type { Agent } from "node:http";
 import type { LogFields, Logger } from "../../adapters/logger.js";
 import type { HeldMemory } from "../../adapters/received/index.js";
-import type { LimitReservation, PromptHolds } from "../fleet/index.js";
+import {
+  ANSWER_VERDICT,
+  type AnswerVerdict,
+  type LimitReservation,
+  type PromptHolds,
+} from "../fleet/index.js";
 import {
   ATTEMPT_RESULT,
   type AttemptResult,
@@ -57,6 +62,8 @@
 const MIN_STALL_TIMEOUT_MS = 150;
 /** The request names another endpoint than the one that received it. */
 const STATUS_MISDIRECTED = 421;
+/** From here on the endpoint did not do what the caller asked for. */
+const MIN_REJECTION_STATUS = 300;
 const STATUS_UNAVAILABLE = 503;
 /** Part that one entry uses of its equal share of an endpoint's connections. */
 const CONNECTION_SHARE = 0.8;
@@ -229,6 +236,11 @@
       spec.hooks.onErred();
       return await this.#endErred(answered);
     }
+    if (head.status >= MIN_REJECTION_STATUS) {
+      // Tells nothing of how long the endpoint works on a request.
+      this.#recordResult(attempt, ATTEMPT_RESULT.rejected);
+      return { kind: OUTCOME_KIND.answered, attempt: answered };
+    }
     this.#dependencies.view.meanHeadLatencies.record(
       this.#request.service.name,
       model,
@@ -624,8 +636,15 @@
       endpointCount: serviceEndpoints.filter(
         ({ record }) => record.version === state.record.version,
       ).length,
-      isGood: result === ATTEMPT_RESULT.answered,
+      verdict: toVerdict(result),
       serviceTimeRatio: state.isWarm(now()) ? latencyRatio : undefined,
     });
   }
 }
+
+/** What the result of an attempt that may have run says of a version. */
+function toVerdict(result: AttemptResult): AnswerVerdict {
+  if (result === ATTEMPT_RESULT.answered) return ANSWER_VERDICT.good;
+  if (result === ATTEMPT_RESULT.rejected) return ANSWER_VERDICT.rejected;
+  return ANSWER_VERDICT.failed;
+}
--- a/src/schema/exchange/index.ts
+++ b/src/schema/exchange/index.ts
@@ -186,12 +186,16 @@
   failing: EndpointFailures[];
 }
 
-/** Failures that one entry had from one endpoint of the new version. */
+/**
+ * Failures and rejections that one entry had from one endpoint of the new
+ * version.
+ */
 export interface EndpointFailures {
   /** Incarnation of the entry that counted. */
   origin: string;
   endpoint: string;
   failures: number;
+  rejections: number;
 }
 
 /** Totals that one entry has counted since its start; they only grow. */
@@ -209,6 +213,8 @@
    */
   timed: number;
   logSlowness: number;
+  /** Answers with a status of 3xx or 4xx; not among the failures. */
+  rejections: number;
 }
 
 function createBaseExchange(): Exchange {
@@ -1572,7 +1578,7 @@
 };
 
 function createBaseEndpointFailures(): EndpointFailures {
-  return { origin: "", endpoint: "", failures: 0 };
+  return { origin: "", endpoint: "", failures: 0, rejections: 0 };
 }
 
 export const EndpointFailures: MessageFns<EndpointFailures> = {
@@ -1586,6 +1592,9 @@
     if (message.failures !== 0) {
       writer.uint32(24).uint32(message.failures);
     }
+    if (message.rejections !== 0) {
+      writer.uint32(32).uint32(message.rejections);
+    }
     return writer;
   },
 
@@ -1626,6 +1635,14 @@
             message.failures = reader.uint32();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.rejections = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1646,12 +1663,13 @@
     message.origin = object.origin ?? "";
     message.endpoint = object.endpoint ?? "";
     message.failures = object.failures ?? 0;
+    message.rejections = object.rejections ?? 0;
     return message;
   },
 };
 
 function createBaseRolloutTally(): RolloutTally {
-  return { origin: "", route: "", isTarget: false, answers: 0, failures: 0, timed: 0, logSlowness: 0 };
+  return { origin: "", route: "", isTarget: false, answers: 0, failures: 0, timed: 0, logSlowness: 0, rejections: 0 };
 }
 
 export const RolloutTally: MessageFns<RolloutTally> = {
@@ -1677,6 +1695,9 @@
     if (message.logSlowness !== 0) {
       writer.uint32(57).double(message.logSlowness);
     }
+    if (message.rejections !== 0) {
+      writer.uint32(64).uint32(message.rejections);
+    }
     return writer;
   },
 
@@ -1749,6 +1770,14 @@
             message.logSlowness = reader.double();
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.rejections = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1773,6 +1802,7 @@
     message.failures = object.failures ?? 0;
     message.timed = object.timed ?? 0;
     message.logSlowness = object.logSlowness ?? 0;
+    message.rejections = object.rejections ?? 0;
     return message;
   },
 };
