Accept no key where the list of accounts is empty or can't be read

Cause: whether a request needs a key was told by the number of accounts that could be decoded. An empty list, one of which nothing can be read, null and an object decoded to none, like a configuration without accounts. Ruled out: a stale view. All entries had the version in force, and with another account left they answered 401.

Change: Configuration.accounts is undefined only where the configuration has no such field; then no request needs a key, as before. Otherwise only keys that can be read are accepted. What is no list is logged as a skipped part, and configuration-in-force says accounts=none where no key is needed.

Why it works: the lookup asks whether accounts are configured, not how many were understood, and it is the one function for requests, resumed streams and /explain.

--- a/src/platform/decode_configuration.ts
+++ b/src/platform/decode_configuration.ts
@@ -190,6 +190,10 @@
       skipReasons.push(result.error.detail);
       return [];
     });
+  // Accounts that can't be read must not let callers in without a key.
+  const hasAccounts = spec.tenants !== undefined;
+  if (hasAccounts && !Array.isArray(spec.tenants))
+    skipReasons.push("tenants is not a list, so no key is accepted");
   const limits = getFields(spec, "limits");
   const routes = decodeAll("routes", decodeRoute);
   return ok({
@@ -200,7 +204,7 @@
         ...service,
         isLoadShared: isLoadShared(service.name, routes),
       })),
-      accounts: decodeAll("tenants", decodeAccount),
+      accounts: hasAccounts ? decodeAll("tenants", decodeAccount) : undefined,
       limits: {
         maxHeaderBytes:
           getNumber(limits, "max_header_bytes") ??
--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -440,7 +440,7 @@
       version: configuration.version,
       revision: object.revision,
       routes: configuration.routes.length,
-      accounts: configuration.accounts.length,
+      accounts: configuration.accounts?.length ?? "none",
     });
   }
 
--- a/src/proxy/fleet/catalog.ts
+++ b/src/proxy/fleet/catalog.ts
@@ -23,7 +23,7 @@
     for (const service of configuration.services) {
       this.#servicesByName.set(service.name, service);
     }
-    for (const account of configuration.accounts) {
+    for (const account of configuration.accounts ?? []) {
       for (const key of account.apiKeys)
         this.#accountsByApiKey.set(key, account);
     }
@@ -46,8 +46,9 @@
     return this.#accountsByApiKey.get(apiKey);
   }
 
+  /** False where no request needs a key. */
   get hasAccounts(): boolean {
-    return this.configuration.accounts.length > 0;
+    return this.configuration.accounts !== undefined;
   }
 }
 
--- a/src/proxy/types.ts
+++ b/src/proxy/types.ts
@@ -85,7 +85,11 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
-  readonly accounts: readonly ClientAccount[];
+  /**
+   * Accounts whose keys may be used. Undefined where the configuration has none
+   * at all, so that no request needs a key; nobody may call with an empty list.
+   */
+  readonly accounts?: readonly ClientAccount[];
   readonly limits: CallerLimits;
 }
 
