Leave empty keys of accounts out of the lookup

What callers would see: where an account's list of keys has an empty text, every request without a key runs in the name of that account.

Cause: a request without a key is looked up by the empty text, which the catalog indexed like any other key.

Evidence: client_keys_test, the case of an empty key, got 200 in place of 401 before and passes now.

Why it works: an empty text is in no index, so no request can match it.

--- a/src/platform/client_keys_test.ts
+++ b/src/platform/client_keys_test.ts
@@ -53,4 +53,13 @@
     await startWithTenants(undefined);
     assert.deepEqual(await listStatuses(), [200, 200, 200]);
   });
+
+  // A request without a key was taken for one with this key.
+  it("nobody without a key, where an account has an empty one", async () => {
+    await startWithTenants([{ name: "farm", api_keys: ["", API_KEY] }]);
+    assert.deepEqual(await listStatuses(), [200, 401, 401]);
+    const headers = { authorization: "" };
+    const answer = await system.call("/once/a", { id: "n", headers });
+    assert.equal(answer.status, 401);
+  });
 });
--- a/src/proxy/fleet/catalog.ts
+++ b/src/proxy/fleet/catalog.ts
@@ -24,8 +24,9 @@
       this.#servicesByName.set(service.name, service);
     }
     for (const account of configuration.accounts ?? []) {
+      // Requests without a key are looked up by an empty one.
       for (const key of account.apiKeys)
-        this.#accountsByApiKey.set(key, account);
+        if (key !== "") this.#accountsByApiKey.set(key, account);
     }
   }
 
