Use no new version before the roll-out orders up to it are known

Cause: an endpoint of a version that no known order names took requests at once, and its record comes through another view than the order. That the watch of roll-outs waits for 8 s only set how long this lasted. Ruled out: late evidence (none counts before the order is known), and the logic for outages (new connections worked, the other views went on).

Change: an operator orders a roll-out before its endpoints start, so the order is older than their records. A version that has just appeared and that no order names takes no requests while there are others, until the view of orders has reached the revision of its first record. The orders are read at once for that, without a wait and on a new connection; a follower gives its reader 0.6 s first. The versions of the first listing count as known.

This costs one call for each new version that no known order names.

A version without an order is used within 1 s, with two calls at most.

Not covered: an order whose target was registered before it, and an outcome that another entry writes, for up to 8.6 s.

--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -92,6 +92,12 @@
  */
 const NOTICE_SHARE = 0.9;
 
+/**
+ * Time in which a follower hears from its reader of the orders up to a revision,
+ * ms: the reader's own call and an answer that was held back.
+ */
+const READER_CATCH_UP_MS = 600;
+
 /** Shortest wait of a reader's watch call, ms; limits its rate of calls. */
 const MIN_WATCH_WAIT_MS = 100;
 
@@ -137,11 +143,13 @@
   readonly #options: FleetSyncOptions;
   readonly #watches: readonly StoreWatch[];
   readonly #configurationWatch: StoreWatch;
+  readonly #rolloutWatch: StoreWatch;
   readonly #outage: StoreOutage;
   readonly #loadWaiters = new Waiters();
   /** Lets one entry of a data centre read the store for the others. */
   readonly relay: ViewRelay;
   #isConfirming = false;
+  #hasListedEndpoints = false;
   /** The store has come back from a copy and may lack what was written. */
   #isSettling = false;
   /** Version of the configuration that the store was last seen to hold. */
@@ -214,6 +222,11 @@
         getWaitMs: ({ hasChanged }) =>
           hasChanged && this.relay.isFollowed ? MIN_WATCH_WAIT_MS : waitMs,
       });
+    this.#rolloutWatch = createWatch(
+      OBJECT_KIND.rollouts,
+      WATCH_WAIT_MS.rollouts,
+      this.#rolloutHandlers(),
+    );
     this.#watches = [
       this.#configurationWatch,
       createWatch(
@@ -221,11 +234,7 @@
         WATCH_WAIT_MS.endpoints,
         this.#endpointHandlers(),
       ),
-      createWatch(
-        OBJECT_KIND.rollouts,
-        WATCH_WAIT_MS.rollouts,
-        this.#rolloutHandlers(),
-      ),
+      this.#rolloutWatch,
       createWatch(
         OBJECT_KIND.evacuations,
         computeWatchWaitMs(
@@ -292,6 +301,7 @@
     this.#distrusted.clear();
     view.endpoints.startLapseGrace(now());
     view.rollouts.startRestore();
+    view.unconfirmedVersions.restart();
     this.#restartWatches();
     await pauseFor(RESTORE_SETTLE_MS, signal);
     if (signal.aborted || era.current !== current) return;
@@ -466,6 +476,31 @@
     }
   }
 
+  /** Notes the version of a record; reads the orders if one may be missing. */
+  #checkVersion(record: EndpointRecord, revision: number): void {
+    const { view, log } = this.#options;
+    const { unconfirmedVersions, rollouts } = view;
+    const { service, version } = record;
+    const isKnown = unconfirmedVersions.has(record);
+    if (!unconfirmedVersions.add(record, revision) || isKnown) return;
+    if (rollouts.getOrder(service)?.target === version) return;
+    // The only version of a service gets its requests all the same.
+    const hasOthers = view.endpoints
+      .listNotLeaving(service)
+      .some((other) => other.record.version !== version);
+    if (!hasOthers) return;
+    log.info("version-unconfirmed", { service, version, revision });
+    void this.#readOrders(revision);
+  }
+
+  /** Reads the roll-out orders up to the revision, on a new connection. */
+  async #readOrders(revision: number): Promise<void> {
+    // An entry that reads for this one does the same and passes on the result.
+    if (this.#rolloutWatch.isFollowing)
+      await pauseFor(READER_CATCH_UP_MS, this.#options.signal);
+    this.#rolloutWatch.catchUp(revision);
+  }
+
   #endpointHandlers(): WatchHandlers {
     const { view, now } = this.#options;
     const decodeOrSkip = (object: StoredObject) => {
@@ -481,15 +516,20 @@
       view.endpoints.hasNewer(record);
     const isDistrusted = ({ name, revision }: StoredObject) =>
       this.#distrusted.get(name) === revision;
-    const listTrusted = (objects: readonly StoredObject[]) =>
-      objects.flatMap((object) => {
+    const listTrusted = (objects: readonly StoredObject[]) => {
+      const isFirstList = !this.#hasListedEndpoints;
+      this.#hasListedEndpoints = true;
+      return objects.flatMap((object) => {
         const [record] = decodeOrSkip(object);
         if (record === undefined) return [];
+        if (isFirstList) view.unconfirmedVersions.addConfirmed(record);
+        else this.#checkVersion(record, object.revision);
         if (this.#isSettling && view.endpoints.isOutdated(record)) {
           this.#distrusted.set(object.name, object.revision);
         }
         return isDistrusted(object) ? [] : [record];
       });
+    };
     return {
       onList: (objects) => {
         const records = listTrusted(objects);
@@ -506,7 +546,10 @@
         const [record] = decodeOrSkip(object);
         if (record === undefined) {
           this.#reportChanges(view.endpoints.remove(object.name, now()));
-        } else this.#reportChanges(view.endpoints.put(record, now()));
+        } else {
+          this.#checkVersion(record, object.revision);
+          this.#reportChanges(view.endpoints.put(record, now()));
+        }
       },
       isOutdated: (object) =>
         decodeEndpoint(object).map(hasNewer).unwrapOr(false),
@@ -535,6 +578,11 @@
         log.info("rollout-removed", { service: name });
         view.rollouts.remove(name);
       },
+      onConfirm: () => {
+        // Orders that the store has lost are written again by then.
+        if (this.#isSettling) return;
+        view.unconfirmedVersions.confirm(this.#rolloutWatch.revision ?? 0);
+      },
     };
   }
 
--- a/src/platform/silent_store_test.ts
+++ b/src/platform/silent_store_test.ts
@@ -135,6 +135,41 @@
     });
   }
 
+  const listVersions = () =>
+    view.listUsableEndpoints("svc").map(({ record }) => record.version);
+
+  // Half of the requests went to a new version until its order was read, 8 s
+  // later, however many of its answers were bad.
+  it("uses no new version before its order where the orders' connection went silent", async () => {
+    await silence([OBJECT_KIND.rollouts]);
+    const order = { service: "svc", target: "v2", duration_s: 20 };
+    store.put("rollouts", "svc", order);
+    store.put("servers", "i-2", createReplicaSpec(2, { version: "v2" }));
+    let isUsedTooEarly = false;
+    const ms = await measure(() => {
+      const isOrdered = view.rollouts.getOrder("svc") !== undefined;
+      isUsedTooEarly ||= !isOrdered && listVersions().includes("v2");
+      return isOrdered;
+    });
+    assert.equal(isUsedTooEarly, false);
+    assert.ok(ms < 1_000, `ordered after ${Math.round(ms)} ms`);
+  });
+
+  it("soon uses a new version that no order names", async () => {
+    await silence([OBJECT_KIND.rollouts]);
+    const countCalls = () => store.callsByKind.get("rollouts") ?? 0;
+    const before = countCalls();
+    for (const id of ["i-2", "i-3"]) {
+      const port = Number(id.slice(2));
+      store.put("servers", id, createReplicaSpec(port, { version: "v2" }));
+    }
+    const ms = await measure(() => listVersions().length === 3);
+    assert.ok(ms < 1_000, `used after ${Math.round(ms)} ms`);
+    await delay(500);
+    // The call at once, and the watch after it.
+    assert.ok(countCalls() - before <= 2, `${countCalls() - before} calls`);
+  });
+
   // Calls are priced, and most days are calm.
   it("makes few calls while nothing changes", async () => {
     const countCalls = () =>
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -108,6 +108,8 @@
   #hasChanged = false;
   /** The pending watch call was given up for another one. */
   #isRenewed = false;
+  /** The view is to have all changes up to here as soon as possible. */
+  #wantedRevision = 0;
   /** Revision of the store up to which no change is missing. */
   #checkedRevision = 0;
   readonly #changes = new ChangeLog<ObjectEvent>();
@@ -131,6 +133,7 @@
   restart(): void {
     this.#revision = undefined;
     this.#checkedRevision = 0;
+    this.#wantedRevision = 0;
     this.#watchSentAtMs = undefined;
     this.#watchController.abort();
     this.setFollowing(false);
@@ -138,7 +141,21 @@
 
   /** Gives up a pending watch call, whose connection may be silent. */
   renew(): void {
-    if (this.#watchSentAtMs === undefined) return;
+    if (this.#watchSentAtMs !== undefined) this.#abandonWatch();
+  }
+
+  /**
+   * Reads the store at once, on a new connection, unless the view has all
+   * changes up to the revision.
+   */
+  catchUp(revision: number): void {
+    if ((this.#revision ?? 0) >= revision) return;
+    this.#wantedRevision = Math.max(this.#wantedRevision, revision);
+    this.#abandonWatch();
+    this.setFollowing(false);
+  }
+
+  #abandonWatch(): void {
     this.#watchSentAtMs = undefined;
     this.#isRenewed = true;
     this.#watchController.abort();
@@ -169,6 +186,10 @@
     void check();
   }
 
+  get isFollowing(): boolean {
+    return this.#isFollowing;
+  }
+
   get kind(): string {
     return this.#options.kind;
   }
@@ -363,11 +384,12 @@
     const hasChanged = this.#hasChanged;
     this.#hasChanged = false;
     this.#isRenewed = false;
+    const sinceRevision = this.#revision ?? 0;
     // While the store is lost, calls without a wait soon find that it is back.
-    const isShort = this.isLost || outage.isOngoing;
+    const isShort =
+      this.isLost || outage.isOngoing || sinceRevision < this.#wantedRevision;
     const waitMs = isShort ? 0 : getWaitMs({ ageMs, hasChanged });
     const startedAtMs = clock.now();
-    const sinceRevision = this.#revision ?? 0;
     const controller = new AbortController();
     this.#watchController = controller;
     const { signal } = controller;
@@ -383,6 +405,7 @@
     if (this.#isRenewed) return CALL_ABANDONED;
     if (signal.aborted) return undefined;
     if (result.isErr()) return result.error;
+    this.#wantedRevision = 0;
     // Another entry has sent newer changes in the meantime.
     if (this.#revision !== sinceRevision) return undefined;
     const { events, skipReasons, storeRevision } = result.value;
--- a/src/platform/view_relay_test.ts
+++ b/src/platform/view_relay_test.ts
@@ -189,6 +189,27 @@
     );
   }
 
+  // A follower may learn of a version before it learns of the order.
+  it("use no new version before they know the orders up to it", async () => {
+    const { store, entries } = await startFleet(3);
+    await delay(1_000);
+    const order = { service: "svc", target: "v2", duration_s: 20 };
+    store.put("rollouts", "svc", order);
+    store.put("servers", "i-2", createReplicaSpec(2, { version: "v2" }));
+    const isOrdered = ({ view }: Entry) =>
+      view.rollouts.getOrder("svc") !== undefined;
+    const usesNew = (entry: Entry) => countUsableEndpoints(entry) === 2;
+    await waitFor(() => {
+      const isEarly = entries.some((one) => !isOrdered(one) && usesNew(one));
+      assert.equal(isEarly, false);
+      return entries.every((one) => isOrdered(one) && usesNew(one));
+    });
+    store.put("servers", "i-3", createReplicaSpec(3, { version: "v3" }));
+    const isUsedByAll = () =>
+      entries.every((one) => countUsableEndpoints(one) === 3);
+    await waitFor(isUsedByAll, 2_500);
+  });
+
   // The number of calls grows with the data centres, not with the entries.
   it("follow the first and make no calls of their own", async () => {
     const { store, entries } = await startFleet(5, LONG_BOUNDS);
--- a/src/proxy/fleet/fleet_view.ts
+++ b/src/proxy/fleet/fleet_view.ts
@@ -5,6 +5,7 @@
 import { Catalog } from "./catalog.js";
 import { EndpointTable } from "./endpoint_table.js";
 import type { Rollouts } from "./rollouts.js";
+import { UnconfirmedVersions } from "./unconfirmed_versions.js";
 
 /** Weight of the newest latency in the running means. */
 const NEWEST_LATENCY_WEIGHT = 0.1;
@@ -31,6 +32,7 @@
 export class FleetView {
   readonly endpoints = new EndpointTable();
   readonly rollouts: Rollouts;
+  readonly unconfirmedVersions = new UnconfirmedVersions();
   /** Mean time until the head of an answer, by service and model. */
   readonly meanHeadLatencies = new MeanHeadLatencies();
   readonly #evacuatedDataCentres = new Set<string>();
@@ -69,13 +71,23 @@
     }
   }
 
-  /** Endpoints of a service, but none that leaves or is being evacuated. */
+  /**
+   * Endpoints of a service, but none that leaves or is being evacuated, nor one
+   * whose version may be the target of an unknown order while there are others.
+   */
   listUsableEndpoints(service: string): EndpointState[] {
-    return this.endpoints
+    const usable = this.endpoints
       .listNotLeaving(service)
       .filter(
         ({ record }) => !this.#evacuatedDataCentres.has(record.dataCentre),
       );
+    if (this.unconfirmedVersions.isEmpty) return usable;
+    const target = this.rollouts.getOrder(service)?.target;
+    const confirmed = usable.filter(
+      ({ record }) =>
+        record.version === target || !this.unconfirmedVersions.has(record),
+    );
+    return confirmed.length > 0 ? confirmed : usable;
   }
 
   /** Endpoints whose load entries tell each other. */
--- a/src/proxy/fleet/index.ts
+++ b/src/proxy/fleet/index.ts
@@ -12,4 +12,5 @@
 export * from "./rollouts.js";
 export * from "./session_versions.js";
 export * from "./shared_loads.js";
+export * from "./unconfirmed_versions.js";
 export * from "./view_relay.js";
