--- a/src/proxy/fleet/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -3,6 +3,7 @@
 import { LRUCache } from "lru-cache";
 import { type AnnouncedAvailability, EndpointState } from "../placing/index.js";
 import type { EndpointRecord } from "../types.js";
+import { isLaterRecord, isOlder, isSameProcess } from "./record_order.js";
 
 /**
  * Time after a store outage in which removed records stay in the table.
@@ -219,36 +220,3 @@
     return this.#endpoints.size;
   }
 }
-
-/** False after a restart under the same id. */
-function isSameProcess(one: EndpointRecord, other: EndpointRecord): boolean {
-  return (
-    one.startedAtMs === other.startedAtMs &&
-    one.address === other.address &&
-    one.port === other.port
-  );
-}
-
-/** Whether one process has written the first record after the second. */
-function isLaterRecord(one: EndpointRecord, other: EndpointRecord): boolean {
-  return isSameProcess(one, other) && !isOlder(one, other, true);
-}
-
-/**
- * Whether the first record was written before the second. A sequence counts the
- * writes of one process. Where no start time tells processes apart, a lower one
- * may come from a restart, unless `isEnding`: then it is a late write.
- */
-function isOlder(
-  one: EndpointRecord,
-  other: EndpointRecord,
-  isEnding: boolean,
-): boolean {
-  const hasStarts =
-    one.startedAtMs !== undefined && other.startedAtMs !== undefined;
-  if (hasStarts && one.startedAtMs !== other.startedAtMs)
-    return one.startedAtMs < other.startedAtMs;
-  if (!hasStarts && !(isEnding && isSameProcess(one, other))) return false;
-  if (one.sequence === undefined || other.sequence === undefined) return false;
-  return one.sequence < other.sequence;
-}
