--- a/src/platform/store_watch_test.ts
+++ b/src/platform/store_watch_test.ts
@@ -9,22 +9,47 @@
   type WatchCallOptions,
 } from "./store_client.js";
 import { StoreOutage } from "./store_outage.js";
-import { StoreWatch } from "./store_watch.js";
+import { StoreWatch, type WatchOptions } from "./store_watch.js";
 
 const LOG = { debug() {}, info() {}, warn() {}, error() {} };
 /** Well above the time in which a watch call reaches the store, ms. */
 const WAIT_MS = 300;
 
+type TestWatchOptions = Pick<WatchOptions, "store" | "getWaitMs" | "handlers"> &
+  Partial<WatchOptions>;
+
+function createWatch(
+  signal: AbortSignal,
+  options: TestWatchOptions,
+): StoreWatch {
+  const clock = createSuspendClock();
+  return new StoreWatch({
+    kind: OBJECT_KIND.endpoints,
+    getPauseMs: () => 0,
+    confirmsAtCallStart: false,
+    getEra: () => 1,
+    getReachedAtMs: () => clock.now(),
+    outage: new StoreOutage({
+      getMaxProbePauseMs: () => 500,
+      random: Math.random,
+      signal,
+    }),
+    clock,
+    log: LOG,
+    onViewChange: () => {},
+    signal,
+    ...options,
+  });
+}
+
 describe("store watch", () => {
   /** Age of the view while a watch call waits, sent or not. */
   async function measureAge(isSent: boolean): Promise<number> {
     const controller = new AbortController();
     const { signal } = controller;
-    const clock = createSuspendClock();
     const storeRevision = 1;
     const page = { objects: [], skipReasons: [], hasMore: false };
-    const watch = new StoreWatch({
-      kind: OBJECT_KIND.endpoints,
+    const watch = createWatch(signal, {
       store: {
         list: () => Promise.resolve(ok({ ...page, storeRevision })),
         watch: (_kind, _revision, { onSend, signal }: WatchCallOptions) => {
@@ -37,20 +62,7 @@
         },
       },
       getWaitMs: () => 10_000,
-      getPauseMs: () => 0,
-      confirmsAtCallStart: false,
-      getEra: () => 1,
-      getReachedAtMs: () => clock.now(),
-      outage: new StoreOutage({
-        getMaxProbePauseMs: () => 500,
-        random: Math.random,
-        signal,
-      }),
-      clock,
-      log: LOG,
       handlers: { onList() {}, onChange() {}, onDelete() {} },
-      onViewChange: () => {},
-      signal,
     });
     const run = watch.run();
     await delay(WAIT_MS);
@@ -74,10 +86,8 @@
   it("lists again after a round that failed in the entry's code", async () => {
     const controller = new AbortController();
     const { signal } = controller;
-    const clock = createSuspendClock();
     let lists = 0;
-    const watch = new StoreWatch({
-      kind: OBJECT_KIND.endpoints,
+    const watch = createWatch(signal, {
       store: {
         list: async () =>
           ok({
@@ -91,16 +101,6 @@
       },
       getWaitMs: () => 10,
       getPauseMs: () => 10,
-      confirmsAtCallStart: false,
-      getEra: () => 1,
-      getReachedAtMs: () => clock.now(),
-      outage: new StoreOutage({
-        getMaxProbePauseMs: () => 500,
-        random: Math.random,
-        signal,
-      }),
-      clock,
-      log: LOG,
       handlers: {
         onList() {
           lists++;
@@ -112,8 +112,6 @@
           if (lists === 2) controller.abort();
         },
       },
-      onViewChange: () => {},
-      signal,
     });
     await watch.run();
     assert.equal(lists, 2);
@@ -123,7 +121,6 @@
   it("passes on the newer change beside one that is outdated", async () => {
     const controller = new AbortController();
     const { signal } = controller;
-    const clock = createSuspendClock();
     const createEvent = (revision: number, spec: string) => ({
       isDeleted: false,
       object: {
@@ -137,24 +134,12 @@
     });
     const page = { objects: [], skipReasons: [], hasMore: false };
     const events = [createEvent(2, "newer"), createEvent(3, "outdated")];
-    const watch = new StoreWatch({
-      kind: OBJECT_KIND.endpoints,
+    const watch = createWatch(signal, {
       store: {
         list: async () => ok({ ...page, storeRevision: 1 }),
         watch: async () => ok({ events, skipReasons: [], storeRevision: 3 }),
       },
       getWaitMs: () => 10,
-      getPauseMs: () => 0,
-      confirmsAtCallStart: false,
-      getEra: () => 1,
-      getReachedAtMs: () => clock.now(),
-      outage: new StoreOutage({
-        getMaxProbePauseMs: () => 500,
-        random: Math.random,
-        signal,
-      }),
-      clock,
-      log: LOG,
       handlers: {
         onList() {},
         onChange() {},
@@ -164,8 +149,6 @@
           if (watch.revision === 3) controller.abort();
         },
       },
-      onViewChange: () => {},
-      signal,
     });
     await watch.run();
     const passedOn = watch.listChangesSince(1)?.map(parseEvent) ?? [];
