--- a/src/proxy/fleet/rollouts.ts
+++ b/src/proxy/fleet/rollouts.ts
@@ -43,6 +43,7 @@
 const COMPLETION_FACTOR = 0.15;
 /** Answers of the target below which a roll-out is not completed. */
 const MIN_ANSWERS_TO_COMPLETE = 10;
+
 /** Share of the sessions that the target gets in the first half. */
 export function getInitialShare(maxExposure: number): number {
   return (SHARE_STEPS[0]?.exposureFactor ?? 0) * maxExposure;
