Wait for the log line of a roll-out's decision in a test

Cause: the test read the log as soon as the store had the outcome. An entry logs the line when the store's answer to its write has come, which is later. The product does what docs/OPERATIONS.md says; only the test assumed an order that nothing promises.

Change: the test waits for the line, up to the five seconds of `waitFor`, and then checks the same reason. A version that is not rolled back, or a line without the reason, fails as before.

--- a/src/platform/rejecting_version_test.ts
+++ b/src/platform/rejecting_version_test.ts
@@ -15,6 +15,8 @@
     const status = system.store.getStatus("rollouts", "svc");
     return (status as { state?: string } | null)?.state;
   };
+  const findDecision = () =>
+    system.logs.find(({ event }) => event === "rollout-decided");
 
   // Only errors of the endpoint counted against a version, so it was completed
   // and served alone from then on.
@@ -42,10 +44,9 @@
       }
       await system.waitFor(() => getState() !== undefined);
       assert.equal(getState(), "rolled_back");
-      const decided = system.logs.find(
-        ({ event }) => event === "rollout-decided",
-      );
-      assert.match(String(decided?.reason), /rejected the request/);
+      // Logged once the store's answer to the write has come.
+      await system.waitFor(() => findDecision() !== undefined);
+      assert.match(String(findDecision()?.reason), /rejected the request/);
       const rejected = system.replicas.get("i-3")?.runs.length ?? 0;
       assert.ok(rejected < 50, `${rejected} answers of the bad version`);
     });
