Wait for log lines in place of fixed times in a test

late_record_test.ts gave each change 700 ms to reach the entry, of which endpoint changes are collected for up to 500 ms: the same kind of race as in rejecting_version_test.ts, found while that was traced.

The test now waits for the lines `endpoint-leaving`, `endpoint-removed` and `endpoint-record-outdated`, then checks what it did before. On a program that uses the late record the last line never comes, so the test fails as before.

--- a/src/platform/late_record_test.ts
+++ b/src/platform/late_record_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { setTimeout as delay } from "node:timers/promises";
 import { TestSystem } from "./entry_fixtures_test.js";
 import { createReplicaSpec } from "./standins/replica.js";
 
-/** Longer than changes of endpoints are collected. */
-const CHANGE_MS = 700;
 const CALLS = 20;
 
 describe("an endpoint's write that the store carries out late", () => {
@@ -24,20 +21,22 @@
     return system.replicas.get("i-2")?.runs.length ?? 0;
   }
 
+  const waitForEvent = (event: string) =>
+    system.waitFor(() => system.logs.some((line) => line.event === event));
+
   async function startWithTwoEndpoints(): Promise<void> {
     system = new TestSystem();
     await system.start([{ id: "i-1" }, { id: "i-2" }]);
     putRecord({ seq: 5 });
-    await delay(CHANGE_MS);
   }
 
   // Requests were sent to an endpoint that leaves until its next heartbeat.
   it("does not undo that it leaves", async () => {
     await startWithTwoEndpoints();
     putRecord({ seq: 7, state: "draining" });
-    await delay(CHANGE_MS);
+    await waitForEvent("endpoint-leaving");
     putRecord({ seq: 6 });
-    await delay(CHANGE_MS);
+    await waitForEvent("endpoint-record-outdated");
     assert.equal(await countRunsAtLeavingEndpoint(), 0);
     const ignored = system.logs.filter(
       ({ event }) => event === "endpoint-record-outdated",
@@ -49,9 +48,9 @@
     await startWithTwoEndpoints();
     putRecord({ seq: 7 });
     system.store.delete("servers", "i-2");
-    await delay(CHANGE_MS);
+    await waitForEvent("endpoint-removed");
     putRecord({ seq: 6 });
-    await delay(CHANGE_MS);
+    await waitForEvent("endpoint-record-outdated");
     assert.equal(await countRunsAtLeavingEndpoint(), 0);
   });
 });
