Judge failures and rejections of a roll-out by one function

Both now call `findBadAnswers` with the count's name and a function that estimates the usual share, and the evidence is summed twice.

Verdicts are the same but for one case: the check of rejections that are spread over many endpoints begins at five counted rejections in all, in place of six. It still needs six on the endpoints that it counts. Reasons in the log are worded alike for both counts, and a single route is named before "many endpoints".

--- a/src/proxy/fleet/rollout_evidence.ts
+++ b/src/proxy/fleet/rollout_evidence.ts
@@ -45,11 +45,16 @@
   return { answers: 0, failures: 0, rejections: 0, timed: 0, logSlowness: 0 };
 }
 
+export function sumTotals(parts: Iterable<AnswerTotals>): AnswerTotals {
+  const sum = createTotals();
+  for (const part of parts) addTotals(sum, part);
+  return sum;
+}
+
 /** 0 without answers. */
-export function getFailureShare(
-  totals: Pick<AnswerTotals, "failures" | "answers">,
-): number {
-  return totals.answers === 0 ? 0 : totals.failures / totals.answers;
+export function getFailureShare(totals: AnswerTotals | undefined): number {
+  const { failures, answers } = totals ?? createTotals();
+  return answers === 0 ? 0 : failures / answers;
 }
 
 /**
@@ -183,11 +188,7 @@
   }
 
   sumAllRoutes(isTarget: boolean): AnswerTotals {
-    const totals = createTotals();
-    for (const routeTotals of this.sumByRoute(isTarget).values()) {
-      addTotals(totals, routeTotals);
-    }
-    return totals;
+    return sumTotals(this.sumByRoute(isTarget).values());
   }
 }
 
--- a/src/proxy/fleet/rollout_faults.ts
+++ b/src/proxy/fleet/rollout_faults.ts
@@ -9,20 +9,21 @@
   getFailureShare,
   getMeanServiceTimeRatio,
   type RolloutEvidence,
+  sumTotals,
 } from "./rollout_evidence.js";
 
-/** Fewer failures of the target may be chance. */
-const MIN_FAILURES = 6;
-const MIN_ROUTE_FAILURES = 5;
-/** Failure share that is a fault if the baseline has no failures. */
-const BAD_FAILURE_SHARE = 0.2;
-const BAD_ROUTE_FAILURE_SHARE = 0.3;
-/** A fault is a failure share above this many times the baseline's. */
-const BAD_FAILURE_RATIO = 2;
-/** Share of a version's endpoints whose failures may be the hosts' fault. */
+/** Fewer bad answers of the target may be chance. */
+const MIN_BAD_ANSWERS = 6;
+const MIN_BAD_ROUTE_ANSWERS = 5;
+/** Share of bad answers that is a fault if none are usual. */
+const BAD_SHARE = 0.2;
+const BAD_ROUTE_SHARE = 0.3;
+/** A fault is a share of bad answers above this many times the usual one. */
+const BAD_RATIO = 2;
+/** Share of a version's endpoints whose bad answers may be the hosts' fault. */
 const IGNORED_ENDPOINTS_SHARE = 0.2;
-/** Failure share that is tolerated on top of the baseline's. */
-const TOLERATED_FAILURE_SHARE = 0.02;
+/** Share of bad answers that is tolerated on top of the usual one. */
+const TOLERATED_SHARE = 0.02;
 /** z-score of the Wilson interval: its half-width in standard deviations. */
 const Z_SCORE = 2.6;
 /** A fault is a mean answer time above this many times the baseline's. */
@@ -36,41 +37,53 @@
   readonly targetEndpointCount: number;
 }
 
+/** Totals of one version, or of all baseline versions together. */
+interface VersionTotals {
+  readonly all: AnswerTotals;
+  readonly byRoute: ReadonlyMap<string, AnswerTotals>;
+}
+
+/** What counts against the target, and how much of it is usual. */
+interface BadAnswers {
+  readonly kind: "failures" | "rejections";
+  /** What such an answer did, for the reason of a fault. */
+  readonly verb: string;
+  /** Usual share of all answers of the target. */
+  readonly usualShare: number;
+  /** Usual share on a route, from the baseline's answers there, if any. */
+  readonly estimateRouteShare: (baseline: AnswerTotals | undefined) => number;
+}
+
 /** Why the target is bad; undefined while no fault is found. */
 export function findFault(rollout: JudgedRollout): string | undefined {
-  const { evidence } = rollout;
-  const target = evidence.sumAllRoutes(true);
-  const baseline = evidence.sumAllRoutes(false);
-  const { failures, answers } = target;
-  const hasEnoughFailures = failures >= MIN_FAILURES;
-  if (
-    hasEnoughFailures &&
-    isBadShare(target, getFailureShare(baseline), BAD_FAILURE_SHARE)
-  ) {
-    return `${failures} of ${answers} answers failed`;
-  }
-  const widespreadFault = findWidespreadFault(
-    rollout,
-    "failures",
-    getFailureShare(baseline),
+  const target = sumVersion(rollout.evidence, true);
+  const baseline = sumVersion(rollout.evidence, false);
+  return (
+    findFailureFault(rollout, target, baseline) ??
+    findRejectionFault(rollout, target, baseline) ??
+    findSlowness(target.all, baseline.all)
   );
-  if (widespreadFault !== undefined) return widespreadFault;
-  const rejectionFault = findRejectionFault(rollout);
-  if (rejectionFault !== undefined) return rejectionFault;
-  const baselineByRoute = evidence.sumByRoute(false);
-  for (const [route, totals] of evidence.sumByRoute(true)) {
-    const baselineTotals = baselineByRoute.get(route);
-    const baselineShare =
-      baselineTotals === undefined ? 0 : getFailureShare(baselineTotals);
-    if (totals.failures < MIN_ROUTE_FAILURES) continue;
-    if (!isBadShare(totals, baselineShare, BAD_ROUTE_FAILURE_SHARE)) continue;
-    return `${totals.failures} of ${totals.answers} answers on ${route} failed`;
-  }
-  if (target.timed < MIN_TIMED || baseline.timed < MIN_TIMED) return undefined;
-  const relativeServiceTime =
-    getMeanServiceTimeRatio(target) / getMeanServiceTimeRatio(baseline);
-  if (relativeServiceTime <= BAD_RELATIVE_SERVICE_TIME) return undefined;
-  return `Answers take ${relativeServiceTime.toFixed(1)} times as long`;
+}
+
+function sumVersion(
+  evidence: RolloutEvidence,
+  isTarget: boolean,
+): VersionTotals {
+  const byRoute = evidence.sumByRoute(isTarget);
+  return { all: sumTotals(byRoute.values()), byRoute };
+}
+
+function findFailureFault(
+  rollout: JudgedRollout,
+  target: VersionTotals,
+  baseline: VersionTotals,
+): string | undefined {
+  return findBadAnswers(rollout, target, baseline, {
+    kind: "failures",
+    verb: "failed",
+    usualShare: getFailureShare(baseline.all),
+    estimateRouteShare: getFailureShare,
+  });
 }
 
 /**
@@ -78,71 +91,95 @@
  * requests of callers reach both, but each route gets a share of them that only
  * the baseline's answers on that route tell. Without any, none is a fault.
  */
-function findRejectionFault(rollout: JudgedRollout): string | undefined {
-  const { evidence } = rollout;
-  const baselineByRoute = evidence.sumByRoute(false);
-  let expected = 0;
-  for (const [route, totals] of evidence.sumByRoute(true)) {
-    const { rejections, answers } = totals;
-    const baselineShare = estimateRejectionShare(baselineByRoute.get(route));
-    expected += baselineShare * answers;
-    const isBad =
-      rejections >= MIN_ROUTE_FAILURES &&
-      isBadShare(
-        { failures: rejections, answers },
-        baselineShare,
-        BAD_ROUTE_FAILURE_SHARE,
-      );
-    if (isBad)
-      return `${rejections} of ${answers} answers on ${route} rejected the request`;
+function findRejectionFault(
+  rollout: JudgedRollout,
+  target: VersionTotals,
+  baseline: VersionTotals,
+): string | undefined {
+  // Spares estimates for each answer, as most versions reject few requests.
+  if (target.all.rejections < MIN_BAD_ROUTE_ANSWERS) return undefined;
+  let usualCount = 0;
+  for (const [route, { answers }] of target.byRoute)
+    usualCount += estimateRejectionShare(baseline.byRoute.get(route)) * answers;
+  return findBadAnswers(rollout, target, baseline, {
+    kind: "rejections",
+    verb: "rejected the request",
+    usualShare: usualCount / target.all.answers,
+    estimateRouteShare: estimateRejectionShare,
+  });
+}
+
+/** Finds more bad answers than usual: in all, on one route, or spread thinly. */
+function findBadAnswers(
+  rollout: JudgedRollout,
+  target: VersionTotals,
+  baseline: VersionTotals,
+  badAnswers: BadAnswers,
+): string | undefined {
+  const { kind, verb, usualShare, estimateRouteShare } = badAnswers;
+  const { answers, [kind]: count } = target.all;
+  if (
+    count >= MIN_BAD_ANSWERS &&
+    isBadShare(count, answers, usualShare, BAD_SHARE)
+  )
+    return `${count} of ${answers} answers ${verb}`;
+  for (const [route, totals] of target.byRoute) {
+    const routeCount = totals[kind];
+    if (routeCount < MIN_BAD_ROUTE_ANSWERS) continue;
+    const usualRouteShare = estimateRouteShare(baseline.byRoute.get(route));
+    if (
+      isBadShare(routeCount, totals.answers, usualRouteShare, BAD_ROUTE_SHARE)
+    )
+      return `${routeCount} of ${totals.answers} answers on ${route} ${verb}`;
   }
-  const { rejections, answers } = evidence.sumAllRoutes(true);
-  if (rejections < MIN_FAILURES) return undefined;
-  const baselineShare = expected / answers;
-  const target = { failures: rejections, answers };
-  if (isBadShare(target, baselineShare, BAD_FAILURE_SHARE))
-    return `${rejections} of ${answers} answers rejected the request`;
-  return findWidespreadFault(rollout, "rejections", baselineShare);
+  return findWidespreadFault(rollout, answers, badAnswers);
 }
 
-/** True when the failure share reaches `minShare` and is well above usual. */
+/** True when the share reaches `minShare` and is well above the usual one. */
 function isBadShare(
-  totals: Pick<AnswerTotals, "failures" | "answers">,
-  baselineShare: number,
+  count: number,
+  answers: number,
+  usualShare: number,
   minShare: number,
 ): boolean {
-  if (getFailureShare(totals) < minShare) return false;
-  const lowerBound = computeWilsonLowerBound(totals.failures, totals.answers);
-  return lowerBound > BAD_FAILURE_RATIO * baselineShare;
+  if (count / answers < minShare) return false;
+  return computeWilsonLowerBound(count, answers) > BAD_RATIO * usualShare;
 }
 
 /**
- * Finds a small share of failures or rejections that is spread over the
- * endpoints. The endpoints with the most are ignored: their hosts may be faulty.
+ * Finds a small share of bad answers that is spread over the endpoints. The
+ * endpoints with the most are ignored: their hosts may be faulty.
  */
 function findWidespreadFault(
   { evidence, targetEndpointCount }: JudgedRollout,
-  kind: "failures" | "rejections",
-  baselineShare: number,
+  allAnswers: number,
+  { kind, verb, usualShare }: BadAnswers,
 ): string | undefined {
   const ignoredEndpointCount = Math.floor(
     IGNORED_ENDPOINTS_SHARE * targetEndpointCount,
   );
-  const failures = evidence
+  const count = evidence
     .listEndpointCounts(kind)
     .slice(ignoredEndpointCount)
-    .reduce((sum, count) => sum + count, 0);
-  if (failures < MIN_FAILURES) return undefined;
+    .reduce((sum, endpointCount) => sum + endpointCount, 0);
+  if (count < MIN_BAD_ANSWERS) return undefined;
   const countedShare =
     1 - ignoredEndpointCount / Math.max(1, targetEndpointCount);
-  const answers = Math.max(
-    failures,
-    evidence.sumAllRoutes(true).answers * countedShare,
-  );
-  const lowerBound = computeWilsonLowerBound(failures, answers);
-  if (lowerBound <= BAD_FAILURE_RATIO * baselineShare + TOLERATED_FAILURE_SHARE)
-    return undefined;
-  return `${failures} ${kind} in ${Math.round(answers)} answers of many endpoints`;
+  const answers = Math.max(count, allAnswers * countedShare);
+  const lowerBound = computeWilsonLowerBound(count, answers);
+  if (lowerBound <= BAD_RATIO * usualShare + TOLERATED_SHARE) return undefined;
+  return `${count} of ${Math.round(answers)} answers of many endpoints ${verb}`;
+}
+
+function findSlowness(
+  target: AnswerTotals,
+  baseline: AnswerTotals,
+): string | undefined {
+  if (target.timed < MIN_TIMED || baseline.timed < MIN_TIMED) return undefined;
+  const relativeServiceTime =
+    getMeanServiceTimeRatio(target) / getMeanServiceTimeRatio(baseline);
+  if (relativeServiceTime <= BAD_RELATIVE_SERVICE_TIME) return undefined;
+  return `Answers take ${relativeServiceTime.toFixed(1)} times as long`;
 }
 
 /** Lower bound of the Wilson score interval for `count` out of `total`. */
