Move the sync of endpoints into a class of its own

EndpointSync holds the handlers of endpoint records, the check of new versions and the records that are distrusted after a restore. `WatchHandlers.onChange` now returns whether the view uses the change, in place of `isOutdated`, so an event is decoded once. No change of behaviour is meant; the test of StoreWatch says the same by the new handler.

--- a/src/platform/fleet_sync.ts
+++ b/src/platform/fleet_sync.ts
@@ -4,8 +4,6 @@
 import { pauseFor } from "../adapters/pause_for.js";
 import { RepeatLog } from "../adapters/repeat_log.js";
 import {
-  type EndpointChange,
-  type EndpointRecord,
   type FleetView,
   type Freshness,
   type RolloutDecision,
@@ -17,9 +15,9 @@
 import {
   createRolloutStatus,
   decodeConfiguration,
-  decodeEndpoint,
   decodeRollout,
 } from "./decode_configuration.js";
+import { EndpointSync } from "./endpoint_sync.js";
 import { STORE_FAILURE } from "./failures.js";
 import {
   OBJECT_KIND,
@@ -144,18 +142,16 @@
   readonly #watches: readonly StoreWatch[];
   readonly #configurationWatch: StoreWatch;
   readonly #rolloutWatch: StoreWatch;
+  readonly #endpointSync: EndpointSync;
   readonly #outage: StoreOutage;
   readonly #loadWaiters = new Waiters();
   /** Lets one entry of a data centre read the store for the others. */
   readonly relay: ViewRelay;
   #isConfirming = false;
-  #hasListedEndpoints = false;
   /** The store has come back from a copy and may lack what was written. */
   #isSettling = false;
   /** Version of the configuration that the store was last seen to hold. */
   #storedVersion = 0;
-  /** Revisions of records that are older than what the entry knows, by name. */
-  readonly #distrusted = new Map<string, number>();
   readonly #endedEvacuations = new Set<string>();
   /** For odd records, which their writers may write again and again. */
   readonly #oddLog: RepeatLog;
@@ -163,6 +159,12 @@
   constructor(options: FleetSyncOptions) {
     this.#options = options;
     this.#oddLog = new RepeatLog(options);
+    this.#endpointSync = new EndpointSync({
+      ...options,
+      oddLog: this.#oddLog,
+      isSettling: () => this.#isSettling,
+      readOrders: (revision) => void this.#readOrders(revision),
+    });
     const { configMs, drainMs, evacuationMs } = options.bounds;
     const boundMs = {
       [OBJECT_KIND.configuration]: Math.min(configMs, options.maxConfigAgeMs),
@@ -232,7 +234,7 @@
       createWatch(
         OBJECT_KIND.endpoints,
         WATCH_WAIT_MS.endpoints,
-        this.#endpointHandlers(),
+        this.#endpointSync.createHandlers(),
       ),
       this.#rolloutWatch,
       createWatch(
@@ -298,7 +300,7 @@
     log.warn("store-restored", { era: current });
     this.#isSettling = true;
     this.#storedVersion = 0;
-    this.#distrusted.clear();
+    this.#endpointSync.trustAll();
     view.endpoints.startLapseGrace(now());
     view.rollouts.startRestore();
     view.unconfirmedVersions.restart();
@@ -309,9 +311,7 @@
     this.#restartWatches();
     await pauseFor(RESTORE_DISTRUST_MS - RESTORE_SETTLE_MS, signal);
     if (signal.aborted || era.current !== current) return;
-    if (this.#distrusted.size === 0) return;
-    this.#distrusted.clear();
-    this.#restartWatches();
+    if (this.#endpointSync.trustAll()) this.#restartWatches();
   }
 
   #restartWatches(): void {
@@ -417,7 +417,10 @@
     const apply = (object: StoredObject) => this.#applyConfiguration(object);
     return {
       onList: (objects) => objects.forEach(apply),
-      onChange: apply,
+      onChange: (object) => {
+        apply(object);
+        return true;
+      },
       onDelete: () => {},
       onConfirm: (atMs) => this.#confirmConfiguration(atMs),
     };
@@ -456,41 +459,7 @@
 
   /** Applies changes of endpoints that were put off until now. */
   applyDueChanges(): void {
-    const { view, now } = this.#options;
-    this.#reportChanges(view.endpoints.applyDue(now()));
-  }
-
-  #reportChanges(changes: readonly EndpointChange[]): void {
-    const { log, onEndpointRemoved } = this.#options;
-    for (const { event, record, newerSequence } of changes) {
-      log.info(event, {
-        endpoint: record.id,
-        service: record.service,
-        version: record.version,
-        dataCentre: record.dataCentre,
-        coldLeftMs: record.coldLeftMs,
-        sequence: record.sequence,
-        newerSequence,
-      });
-      if (event === "endpoint-removed") onEndpointRemoved(record.id);
-    }
-  }
-
-  /** Notes the version of a record; reads the orders if one may be missing. */
-  #checkVersion(record: EndpointRecord, revision: number): void {
-    const { view, log } = this.#options;
-    const { unconfirmedVersions, rollouts } = view;
-    const { service, version } = record;
-    const isKnown = unconfirmedVersions.has(record);
-    if (!unconfirmedVersions.add(record, revision) || isKnown) return;
-    if (rollouts.getOrder(service)?.target === version) return;
-    // The only version of a service gets its requests all the same.
-    const hasOthers = view.endpoints
-      .listNotLeaving(service)
-      .some((other) => other.record.version !== version);
-    if (!hasOthers) return;
-    log.info("version-unconfirmed", { service, version, revision });
-    void this.#readOrders(revision);
+    this.#endpointSync.applyDueChanges();
   }
 
   /** Reads the roll-out orders up to the revision, on a new connection. */
@@ -501,67 +470,6 @@
     this.#rolloutWatch.catchUp(revision);
   }
 
-  #endpointHandlers(): WatchHandlers {
-    const { view, now } = this.#options;
-    const decodeOrSkip = (object: StoredObject) => {
-      const record = decodeEndpoint(object);
-      if (record.isOk()) return [record.value];
-      const reason = record.error.detail;
-      this.#oddLog.warn(`endpoint ${object.name}`, "endpoint-skipped", {
-        reason,
-      });
-      return [];
-    };
-    const hasNewer = (record: EndpointRecord) =>
-      view.endpoints.hasNewer(record);
-    const isDistrusted = ({ name, revision }: StoredObject) =>
-      this.#distrusted.get(name) === revision;
-    const listTrusted = (objects: readonly StoredObject[]) => {
-      const isFirstList = !this.#hasListedEndpoints;
-      this.#hasListedEndpoints = true;
-      return objects.flatMap((object) => {
-        const [record] = decodeOrSkip(object);
-        if (record === undefined) return [];
-        if (isFirstList) view.unconfirmedVersions.addConfirmed(record);
-        else this.#checkVersion(record, object.revision);
-        if (this.#isSettling && view.endpoints.isOutdated(record)) {
-          this.#distrusted.set(object.name, object.revision);
-        }
-        return isDistrusted(object) ? [] : [record];
-      });
-    };
-    return {
-      onList: (objects) => {
-        const records = listTrusted(objects);
-        if (!this.#isSettling) {
-          this.#reportChanges(view.endpoints.replaceAll(records, now()));
-          return;
-        }
-        for (const record of records) {
-          this.#reportChanges(view.endpoints.put(record, now()));
-        }
-      },
-      onChange: (object) => {
-        if (isDistrusted(object)) return;
-        const [record] = decodeOrSkip(object);
-        if (record === undefined) {
-          this.#reportChanges(view.endpoints.remove(object.name, now()));
-        } else {
-          this.#checkVersion(record, object.revision);
-          this.#reportChanges(view.endpoints.put(record, now()));
-        }
-      },
-      isOutdated: (object) =>
-        decodeEndpoint(object).map(hasNewer).unwrapOr(false),
-      onDelete: (object) => {
-        const { name } = object;
-        const lastRecord = decodeEndpoint(object).unwrapOr(undefined);
-        this.#reportChanges(view.endpoints.remove(name, now(), lastRecord));
-      },
-      onRegained: () => view.endpoints.startLapseGrace(now()),
-    };
-  }
-
   #rolloutHandlers(): WatchHandlers {
     const { view, log } = this.#options;
     return {
@@ -573,7 +481,10 @@
         }
         for (const object of objects) this.#applyRollout(object);
       },
-      onChange: (object) => this.#applyRollout(object),
+      onChange: (object) => {
+        this.#applyRollout(object);
+        return true;
+      },
       onDelete: ({ name }) => {
         log.info("rollout-removed", { service: name });
         view.rollouts.remove(name);
@@ -634,7 +545,10 @@
           if (!names.has(name)) end(name);
         for (const name of names) start(name);
       },
-      onChange: (object) => start(object.name),
+      onChange: (object) => {
+        start(object.name);
+        return true;
+      },
       onDelete: (object) => end(object.name),
     };
   }
--- a/src/platform/store_watch.ts
+++ b/src/platform/store_watch.ts
@@ -44,9 +44,8 @@
 
 export interface WatchHandlers {
   onList(objects: readonly StoredObject[]): void;
-  onChange(object: StoredObject): void;
-  /** Whether the view holds a newer state of the object than this one. */
-  isOutdated?(object: StoredObject): boolean;
+  /** Returns false if the view holds a newer state of the object. */
+  onChange(object: StoredObject): boolean;
   /** Called with the object as it was last. */
   onDelete(object: StoredObject): void;
   /** The view was current at this time of the suspend clock. */
@@ -270,13 +269,14 @@
     const { handlers, onViewChange } = this.#options;
     for (const event of events) {
       const { object, isDeleted } = event;
-      const isOutdated = !isDeleted && handlers.isOutdated?.(object) === true;
-      if (isDeleted) handlers.onDelete(object);
-      else handlers.onChange(object);
-      // A deleted object may still have the revision of its last change.
-      const changeRevision = isDeleted ? revision : object.revision;
-      const suffix = isOutdated ? OUTDATED_SUFFIX : "";
-      this.#changes.put(`${object.name}${suffix}`, changeRevision, event);
+      if (isDeleted) {
+        handlers.onDelete(object);
+        // A deleted object may still have the revision of its last change.
+        this.#changes.put(object.name, revision, event);
+        continue;
+      }
+      const suffix = handlers.onChange(object) ? "" : OUTDATED_SUFFIX;
+      this.#changes.put(`${object.name}${suffix}`, object.revision, event);
     }
     this.#revision = Math.max(this.#revision ?? 0, revision);
     if (events.length > 0) onViewChange();
--- a/src/platform/store_watch_test.ts
+++ b/src/platform/store_watch_test.ts
@@ -62,7 +62,7 @@
         },
       },
       getWaitMs: () => 10_000,
-      handlers: { onList() {}, onChange() {}, onDelete() {} },
+      handlers: { onList() {}, onChange: () => true, onDelete() {} },
     });
     const run = watch.run();
     await delay(WAIT_MS);
@@ -106,7 +106,7 @@
           lists++;
           if (lists === 1) throw new Error("odd");
         },
-        onChange() {},
+        onChange: () => true,
         onDelete() {},
         onConfirm: () => {
           if (lists === 2) controller.abort();
@@ -142,9 +142,8 @@
       getWaitMs: () => 10,
       handlers: {
         onList() {},
-        onChange() {},
+        onChange: ({ spec }) => spec !== "outdated",
         onDelete() {},
-        isOutdated: ({ spec }) => spec === "outdated",
         onConfirm: () => {
           if (watch.revision === 3) controller.abort();
         },
--- a/src/proxy/fleet/endpoint_table.ts
+++ b/src/proxy/fleet/endpoint_table.ts
@@ -182,7 +182,11 @@
     return [{ event: "endpoint-removed", record: known.record }];
   }
 
-  /** True when the record is older than what is known of its process. */
+  /**
+   * True when the record's process is known to be removed or leaving, and the
+   * record does not say so. Unlike `hasNewer` it doesn't compare sequences,
+   * which may be lower after a restore of the store.
+   */
   isOutdated(record: EndpointRecord): boolean {
     const removed = this.#removedEndpoints.peek(record.id);
     if (removed !== undefined) return isSameProcess(removed.record, record);
