--- a/src/proxy/request/attempt_runner.ts
+++ b/src/proxy/request/attempt_runner.ts
@@ -43,6 +43,7 @@
   ATTEMPT_FAILURE,
   type AttemptFailure,
   type AttemptHead,
+  isSuccess,
   readAnswerBody,
   sendAttempt,
 } from "./send_attempt.js";
@@ -62,8 +63,6 @@
 const MIN_STALL_TIMEOUT_MS = 150;
 /** The request names another endpoint than the one that received it. */
 const STATUS_MISDIRECTED = 421;
-/** From here on the endpoint did not do what the caller asked for. */
-const MIN_REJECTION_STATUS = 300;
 const STATUS_UNAVAILABLE = 503;
 /** Part that one entry uses of its equal share of an endpoint's connections. */
 const CONNECTION_SHARE = 0.8;
@@ -236,7 +235,7 @@
       spec.hooks.onErred();
       return await this.#endErred(answered);
     }
-    if (head.status >= MIN_REJECTION_STATUS) {
+    if (!isSuccess(head)) {
       // Tells nothing of how long the endpoint works on a request.
       this.#recordResult(attempt, ATTEMPT_RESULT.rejected);
       return { kind: OUTCOME_KIND.answered, attempt: answered };
--- a/src/proxy/request/request_run.ts
+++ b/src/proxy/request/request_run.ts
@@ -35,7 +35,7 @@
   sendAnswer,
   sendStream,
 } from "./send_answer.js";
-import { readAnswerBody } from "./send_attempt.js";
+import { isSuccess, readAnswerBody } from "./send_attempt.js";
 import {
   decideOverlap,
   isWorthKeeping,
@@ -370,7 +370,7 @@
   #chooseNextModel(attempt: AnsweredAttempt): string | undefined {
     const { route, service, startedAtMs } = this.#request;
     const { confidence } = attempt.head.facts;
-    if (confidence === undefined || attempt.head.status >= 300) {
+    if (confidence === undefined || !isSuccess(attempt.head)) {
       return undefined;
     }
     const { retryBudget, now } = this.#dependencies;
@@ -419,7 +419,7 @@
       });
     }
     const { head } = attempt;
-    return route.isStream && head.status < 300 && isEventStream(head)
+    return route.isStream && isSuccess(head) && isEventStream(head)
       ? await this.#deliverStream(attempt)
       : await this.#deliverWhole(attempt);
   }
--- a/src/proxy/request/send_attempt.ts
+++ b/src/proxy/request/send_attempt.ts
@@ -82,6 +82,11 @@
   readonly message: IncomingMessage;
 }
 
+/** False where the endpoint did not do what the caller asked for. */
+export function isSuccess({ status }: Pick<AttemptHead, "status">): boolean {
+  return status < 300;
+}
+
 export interface AttemptOptions {
   readonly address: string;
   readonly port: number;
