Create endpoint records of tests in one place

`createEndpointRecord` makes it, with the fields in which they differ. Values and assertions are the same.

--- a/src/proxy/fleet/endpoint_limits_test.ts
+++ b/src/proxy/fleet/endpoint_limits_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { LimitReport } from "../../schema/exchange/index.js";
 import { createRandom } from "../../standins/random.js";
+import { createEndpointRecord } from "../endpoint_record_fixtures_test.js";
 import { chooseEndpoint, type EndpointState } from "../placing/index.js";
 import { SuspendClock } from "../suspend_clock.js";
 import type { AnswerFacts, EndpointRecord } from "../types.js";
@@ -13,18 +14,7 @@
 const WINDOW_MS = 4_000;
 
 function createRecord(id: string, startedAtMs = 1): EndpointRecord {
-  return {
-    id,
-    service: "svc",
-    address: "10.0.0.1",
-    port: 80,
-    dataCentre: "dc1",
-    version: "v1",
-    slots: 24,
-    isLeaving: false,
-    coldLeftMs: 0,
-    startedAtMs,
-  };
+  return createEndpointRecord(id, { slots: 24, startedAtMs });
 }
 
 function createFacts(limitPerSecond?: number): AnswerFacts {
--- a/src/proxy/fleet/endpoint_table_test.ts
+++ b/src/proxy/fleet/endpoint_table_test.ts
@@ -1,28 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createEndpointRecord } from "../endpoint_record_fixtures_test.js";
 import type { EndpointRecord } from "../types.js";
 import { EndpointTable } from "./endpoint_table.js";
 import { FleetView } from "./fleet_view.js";
 import { Rollouts } from "./rollouts.js";
 
-function createRecord(
-  id: string,
-  fields: Partial<EndpointRecord> = {},
-): EndpointRecord {
-  return {
-    id,
-    service: "svc",
-    address: "10.0.0.1",
-    port: 80,
-    dataCentre: "dc1",
-    version: "v1",
-    slots: 8,
-    isLeaving: false,
-    coldLeftMs: 0,
-    startedAtMs: 1,
-    ...fields,
-  };
-}
+const createRecord = (id: string, fields: Partial<EndpointRecord> = {}) =>
+  createEndpointRecord(id, { startedAtMs: 1, ...fields });
 
 const listIds = (table: EndpointTable) =>
   table.listNotLeaving("svc").map(({ record }) => record.id);
--- a/src/proxy/fleet/session_versions_test.ts
+++ b/src/proxy/fleet/session_versions_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createEndpointRecord } from "../endpoint_record_fixtures_test.js";
 import { EndpointState } from "../placing/index.js";
 import { ROLLOUT_OUTCOME } from "../types.js";
 import { listAllowedEndpoints } from "./allowed_endpoints.js";
@@ -10,20 +11,8 @@
 const OPTIONS = { maxGapMs: 10_000, reportBelow: INITIAL_SHARE };
 
 function createEndpoint(version: string): EndpointState {
-  return new EndpointState(
-    {
-      id: `i-${version}`,
-      service: "svc",
-      address: "10.0.0.1",
-      port: 80,
-      dataCentre: "dc1",
-      version,
-      slots: 8,
-      isLeaving: false,
-      coldLeftMs: 0,
-    },
-    0,
-  );
+  const record = createEndpointRecord(`i-${version}`, { version });
+  return new EndpointState(record, 0);
 }
 
 const ENDPOINTS = [createEndpoint("v1"), createEndpoint("v2")];
--- a/src/proxy/fleet/shared_loads_test.ts
+++ b/src/proxy/fleet/shared_loads_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createRandom } from "../../standins/random.js";
+import { createEndpointRecord } from "../endpoint_record_fixtures_test.js";
 import {
   type ChoiceOptions,
   chooseBySharedLoad,
@@ -29,18 +30,7 @@
 const WORK = { model: "", parts: [], promptTokens: 800, tokenTimeRatio: 1 };
 
 function createEndpoint(id: string): EndpointState {
-  const record = {
-    id,
-    service: "svc",
-    address: "10.0.0.1",
-    port: 80,
-    dataCentre: "dc1",
-    version: "v1",
-    slots: 64,
-    isLeaving: false,
-    coldLeftMs: 0,
-  };
-  return new EndpointState(record, 0);
+  return new EndpointState(createEndpointRecord(id, { slots: 64 }), 0);
 }
 
 interface Entry {
--- a/src/proxy/fleet/unconfirmed_versions_test.ts
+++ b/src/proxy/fleet/unconfirmed_versions_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { EndpointRecord } from "../types.js";
+import { createEndpointRecord } from "../endpoint_record_fixtures_test.js";
 import { FleetView } from "./fleet_view.js";
 import { Rollouts } from "./rollouts.js";
 import { UnconfirmedVersions } from "./unconfirmed_versions.js";
@@ -41,17 +41,7 @@
   function createView(versions: readonly string[]): FleetView {
     const view = new FleetView(new Rollouts("self", 0.15));
     for (const version of versions) {
-      const record: EndpointRecord = {
-        id: `i-${version}`,
-        service: "svc",
-        address: "10.0.0.1",
-        port: 80,
-        dataCentre: "dc1",
-        version,
-        slots: 8,
-        isLeaving: false,
-        coldLeftMs: 0,
-      };
+      const record = createEndpointRecord(`i-${version}`, { version });
       view.endpoints.put(record, 0);
     }
     view.unconfirmedVersions.add(V2, 5);
--- a/src/proxy/placing/endpoint_choice_test.ts
+++ b/src/proxy/placing/endpoint_choice_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { sortByRendezvous } from "../../core/canonical.js";
 import { createRandom } from "../../standins/random.js";
+import { createEndpointRecord } from "../endpoint_record_fixtures_test.js";
 import {
   type ChoiceOptions,
   chooseEndpoint,
@@ -11,20 +12,7 @@
 import { ATTEMPT_RESULT, EndpointState } from "./endpoint_state.js";
 
 function createEndpoint(id: string, slots = 64): EndpointState {
-  return new EndpointState(
-    {
-      id,
-      service: "svc",
-      address: "10.0.0.1",
-      port: 80,
-      dataCentre: "dc1",
-      version: "v1",
-      slots,
-      isLeaving: false,
-      coldLeftMs: 0,
-    },
-    0,
-  );
+  return new EndpointState(createEndpointRecord(id, { slots }), 0);
 }
 
 const WORK = { model: "", parts: [], promptTokens: 1_000, tokenTimeRatio: 1 };
